Add the test language, its runner and judge, and random fault schedules

Cause: the promises had no proof under failure. Change: scenario files run against real processes over a relay that cuts and delays links; the judge reads what upstreams recorded and what callers received. Requests waiting for a first token are called back when their region becomes forbidden.

--- a/crates/foldhaven-testkit/src/cmd/mod.rs
+++ b/crates/foldhaven-testkit/src/cmd/mod.rs
@@ -1,6 +1,8 @@
 //! The command line of the testkit: one file per subcommand.
 
+pub mod chaos;
 pub mod demo;
+pub mod scenario;
 pub mod stand_ins;
 
 use std::process::ExitCode;
@@ -15,6 +17,8 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo::make_subcommand())
+        .subcommand(scenario::make_subcommand())
+        .subcommand(chaos::make_subcommand())
         .subcommand(stand_ins::make_platform())
         .subcommand(stand_ins::make_engine())
         .subcommand(stand_ins::make_service())
@@ -25,6 +29,8 @@
 pub fn main() -> ExitCode {
     match make_command().get_matches().subcommand() {
         Some(("demo", args)) => demo::execute(args),
+        Some(("scenario", args)) => scenario::execute(args),
+        Some(("chaos", args)) => chaos::execute(args),
         Some(("platform", args)) => stand_ins::execute_platform(args),
         Some(("engine", args)) => stand_ins::execute_engine(args),
         Some(("service", args)) => stand_ins::execute_service(args),
--- a/crates/foldhaven-testkit/src/lib.rs
+++ b/crates/foldhaven-testkit/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod demo;
 pub mod fleet;
 pub mod relay;
+pub mod scenario;
 pub mod stand_in;
--- /dev/null
+++ b/crates/foldhaven-testkit/src/scenario/judge.rs
@@ -0,0 +1,176 @@
+//! Judges the promises from what upstreams recorded and what callers received.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use foldhaven_core::attempt::RequestOutcome;
+use foldhaven_core::description::{Description, DescriptionIndex};
+use foldhaven_core::ids::DataCentreName;
+
+use super::traffic::SentRequest;
+use crate::stand_in::ledger::{LedgerEvent, LedgerLine};
+
+/// A leaving upstream gets nothing new after this long.
+pub const LEAVING_LIMIT_MS: u64 = 3_000;
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// Which promise.
+    pub promise: &'static str,
+    /// What happened.
+    pub detail: String,
+}
+
+impl Violation {
+    /// A broken promise.
+    pub fn new(promise: &'static str, detail: String) -> Self {
+        Self { promise, detail }
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.promise, self.detail)
+    }
+}
+
+/// A description and the time during which it may have been acted on.
+#[derive(Debug, Clone)]
+pub struct RuleEpoch {
+    /// The description.
+    pub description: Description,
+    /// When it was published.
+    pub from_ms: u64,
+    /// When a later one was in force everywhere; not yet when absent.
+    pub until_ms: Option<u64>,
+}
+
+/// Everything that is judged.
+pub struct Evidence<'a> {
+    /// What upstreams recorded.
+    pub ledger: &'a [LedgerLine],
+    /// What callers sent and received.
+    pub sent: &'a [SentRequest],
+    /// The descriptions, in the order in which they were published.
+    pub epochs: &'a [RuleEpoch],
+    /// When upstreams were made to leave.
+    pub left: &'a BTreeMap<String, u64>,
+}
+
+impl Evidence<'_> {
+    /// All promises that were broken.
+    pub fn violations(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        self.judge_residency(&mut violations);
+        self.judge_answers(&mut violations);
+        self.judge_not_run(&mut violations);
+        self.judge_once(&mut violations);
+        self.judge_attempts(&mut violations);
+        self.judge_leaving(&mut violations);
+        violations
+    }
+
+    fn starts(&self) -> impl Iterator<Item = &LedgerLine> {
+        self.ledger.iter().filter(|line| line.event == LedgerEvent::Start)
+    }
+
+    fn judge_residency(&self, violations: &mut Vec<Violation>) {
+        let sent: BTreeMap<&str, &SentRequest> =
+            self.sent.iter().map(|sent| (sent.request.as_str(), sent)).collect();
+        let indexes: Vec<_> = self
+            .epochs
+            .iter()
+            .map(|epoch| (epoch, DescriptionIndex::new(epoch.description.clone())))
+            .collect();
+        for line in self.starts() {
+            let Some(sent) = sent.get(line.request.as_str()) else { continue };
+            let could_hold = |epoch: &RuleEpoch| {
+                epoch.from_ms <= line.at_ms && epoch.until_ms.is_none_or(|it| line.at_ms <= it)
+            };
+            let held = indexes.iter().filter(|(epoch, _)| could_hold(epoch));
+            if !held.clone().any(|(_, index)| permits(index, sent, &line.data_centre)) {
+                let detail = format!("{} ran in {}", line.request, line.data_centre);
+                violations.push(Violation::new("residency", detail));
+            }
+        }
+    }
+
+    fn judge_answers(&self, violations: &mut Vec<Violation>) {
+        for sent in self.sent.iter().filter(|sent| sent.answer.is_complete()) {
+            if sent.answer.text != sent.expected {
+                let got: String = sent.answer.text.chars().take(60).collect();
+                let length = (sent.answer.text.len(), sent.expected.len());
+                let detail = format!("{}: got {got:?}, {length:?} bytes", sent.request);
+                violations.push(Violation::new("whole own answer", detail));
+            }
+        }
+    }
+
+    fn judge_not_run(&self, violations: &mut Vec<Violation>) {
+        let started: BTreeSet<&str> = self.starts().map(|line| line.request.as_str()).collect();
+        let mut sends: BTreeMap<&str, Vec<&SentRequest>> = BTreeMap::new();
+        for sent in self.sent {
+            sends.entry(&sent.request).or_default().push(sent);
+        }
+        for (request, sends) in sends {
+            let not_run = |sent: &&SentRequest| sent.answer.outcome == RequestOutcome::NotRun;
+            if sends.iter().all(not_run) && started.contains(request) {
+                let detail = format!("{request} was said not to have run, and ran");
+                violations.push(Violation::new("not_run is true", detail));
+            }
+        }
+    }
+
+    fn judge_once(&self, violations: &mut Vec<Violation>) {
+        let once: BTreeSet<&str> = self
+            .sent
+            .iter()
+            .filter(|sent| !sent.is_repeatable)
+            .map(|sent| sent.request.as_str())
+            .collect();
+        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+        for line in self.starts().filter(|line| once.contains(line.request.as_str())) {
+            *runs.entry(&line.request).or_default() += 1;
+        }
+        for (request, runs) in runs.into_iter().filter(|(_, runs)| *runs > 1) {
+            let detail = format!("{request} ran {runs} times");
+            violations.push(Violation::new("at most once", detail));
+        }
+    }
+
+    /// An attempt that starts at two upstreams was forwarded again by its receiver.
+    fn judge_attempts(&self, violations: &mut Vec<Violation>) {
+        let mut starts: BTreeMap<&str, usize> = BTreeMap::new();
+        for line in self.starts().filter(|line| !line.attempt.is_empty()) {
+            *starts.entry(&line.attempt).or_default() += 1;
+        }
+        for (attempt, starts) in starts.into_iter().filter(|(_, starts)| *starts > 1) {
+            let detail = format!("attempt {attempt} started {starts} times");
+            violations.push(Violation::new("no loops", detail));
+        }
+    }
+
+    fn judge_leaving(&self, violations: &mut Vec<Violation>) {
+        for line in self.ledger {
+            let is_new = matches!(line.event, LedgerEvent::Arrive | LedgerEvent::Refuse);
+            let Some(left) = self.left.get(&line.upstream) else { continue };
+            if is_new && line.at_ms > left + LEAVING_LIMIT_MS {
+                let late = line.at_ms - left;
+                let detail = format!("{} got {} {late}ms after", line.upstream, line.request);
+                violations.push(Violation::new("leaving upstream", detail));
+            }
+        }
+    }
+}
+
+fn permits(index: &DescriptionIndex, sent: &SentRequest, centre: &str) -> bool {
+    let permitted = || {
+        let account = index.account(&sent.account.parse().ok()?)?;
+        let class = index.class(&sent.class.parse().ok()?)?;
+        let rule = index.residency_of(account, class)?;
+        let centre: DataCentreName = centre.parse().ok()?;
+        Some(rule.permits(&account.home, index.region_of(&centre)?))
+    };
+    permitted().unwrap_or(false)
+}
--- /dev/null
+++ b/crates/foldhaven-testkit/src/scenario/mod.rs
@@ -0,0 +1,15 @@
+//! The test language: scenarios of faults against real processes, and the judge of the promises.
+
+mod chaos;
+mod judge;
+mod observer;
+mod parse;
+mod runner;
+mod steps;
+mod traffic;
+
+pub use self::chaos::{ChaosSchedule, shrink_schedule};
+pub use self::judge::Violation;
+pub use self::parse::{ParseError, parse_scenario};
+pub use self::runner::{ScenarioReport, run_scenario};
+pub use self::steps::{Scenario, Step, StepKind};
--- /dev/null
+++ b/crates/foldhaven-testkit/src/scenario/observer.rs
@@ -0,0 +1,78 @@
+//! Watches which description is in force on each VM, to see that none goes back.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldhaven_core::description::DescriptionStamp;
+use foldhaven_wire::operator::StatusAnswer;
+use parking_lot::Mutex;
+use tokio::task::JoinHandle;
+
+use super::judge::Violation;
+
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// The highest stamp seen on each VM's process lifetime, and what went back.
+#[derive(Default)]
+struct Seen {
+    highest: BTreeMap<(String, u64), DescriptionStamp>,
+    violations: Vec<Violation>,
+}
+
+/// A watcher that runs until it is dropped.
+pub struct StampObserver {
+    seen: Arc<Mutex<Seen>>,
+    task: JoinHandle<()>,
+}
+
+impl StampObserver {
+    /// Starts to watch VMs, given by name and peer address.
+    pub fn start(client: reqwest::Client, vms: Vec<(String, SocketAddr)>) -> Self {
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let shared = seen.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let reads = vms.iter().map(|(_, address)| read_status(&client, *address));
+                for status in futures::future::join_all(reads).await.into_iter().flatten() {
+                    shared.lock().take(&status);
+                }
+                tokio::time::sleep(INTERVAL).await;
+            }
+        });
+        Self { seen, task }
+    }
+
+    /// What went back so far.
+    pub fn violations(&self) -> Vec<Violation> {
+        self.seen.lock().violations.clone()
+    }
+}
+
+impl Drop for StampObserver {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Seen {
+    fn take(&mut self, status: &StatusAnswer) {
+        let stamp = status.stamp.as_ref().and_then(|text| text.parse().ok());
+        let key = (status.vm.to_string(), status.incarnation.0);
+        match (self.highest.get(&key), stamp) {
+            (Some(highest), now) if now < Some(*highest) => {
+                let detail = format!("{} went from {highest} to {now:?}", status.vm);
+                self.violations.push(Violation::new("configuration", detail));
+            }
+            (_, Some(now)) => drop(self.highest.insert(key, now)),
+            (_, None) => {}
+        }
+    }
+}
+
+async fn read_status(client: &reqwest::Client, address: SocketAddr) -> Option<StatusAnswer> {
+    let url = format!("http://{address}/operator/v1/status");
+    let request = client.get(url).timeout(Duration::from_millis(400));
+    request.send().await.ok()?.json().await.ok()
+}
--- /dev/null
+++ b/crates/foldhaven-testkit/src/scenario/runner.rs
@@ -0,0 +1,626 @@
+//! Runs a scenario step by step against a fleet of its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use foldhaven_core::description::{Description, DescriptionIndex, DescriptionStamp};
+use foldhaven_core::units::TimeSpan;
+use foldhaven_wire::platform::ValueBundle;
+use foldhavend::settings::TimeSettings;
+use tokio::task::JoinHandle;
+
+use super::judge::{Evidence, RuleEpoch, Violation};
+use super::observer::StampObserver;
+use super::steps::{EditSpec, LeaveWay, Scenario, SendSpec, StepKind};
+use super::traffic::{EntryFinder, PreparedAsk, RunningLoad, SentRequest};
+use crate::caller::CallerClient;
+use crate::fleet::{Fleet, FleetOptions, PLATFORM};
+use crate::relay::LinkEnds;
+use crate::stand_in::ledger::{LedgerEvent, epoch_ms};
+use crate::stand_in::platform::PlatformMode;
+
+/// How long an awaited event may take.
+const AWAIT_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(25);
+
+/// How a scenario ended.
+#[derive(Debug, Clone)]
+pub struct ScenarioReport {
+    /// Its name.
+    pub name: String,
+    /// Steps that did not hold and promises that were broken.
+    pub failures: Vec<String>,
+    /// What was done when.
+    pub timeline: Vec<String>,
+    /// Requests that were judged.
+    pub judged: usize,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// The end of each daemon's log, when there were failures.
+    pub logs: Vec<String>,
+}
+
+struct ScenarioRunner {
+    fleet: Fleet,
+    caller: CallerClient,
+    observer: StampObserver,
+    first: Description,
+    current: Description,
+    newest: DescriptionStamp,
+    epochs: Vec<RuleEpoch>,
+    prepared: BTreeMap<String, PreparedAsk>,
+    waiting: BTreeMap<String, JoinHandle<SentRequest>>,
+    loads: BTreeMap<String, RunningLoad>,
+    sent: Vec<SentRequest>,
+    left: BTreeMap<String, u64>,
+    frozen: BTreeSet<String>,
+    ended: BTreeSet<String>,
+    is_cut: bool,
+    started: Instant,
+    timeline: Vec<String>,
+    failures: Vec<String>,
+    faults: usize,
+}
+
+/// Runs a scenario with the description of its fleet, and judges it.
+///
+/// # Errors
+///
+/// When the fleet cannot be started.
+pub async fn run_scenario(
+    program: PathBuf,
+    description: Description,
+    scenario: &Scenario,
+) -> io::Result<ScenarioReport> {
+    let times = TimeSettings {
+        heartbeat: TimeSpan::from_millis(200),
+        suspect: TimeSpan::from_millis(1_000),
+        load_poll: TimeSpan::from_millis(150),
+        pause: TimeSpan::from_millis(800),
+        platform_wait: TimeSpan::from_secs(5),
+        entries_hold: TimeSpan::from_millis(1_500),
+        stop_limit: None,
+    };
+    let options = FleetOptions { vms: scenario.vms, times, ..FleetOptions::default() };
+    let fleet = Fleet::start(program, description.clone(), options).await?;
+    let vms = fleet.vms.iter().map(|(name, vm)| (name.clone(), vm.settings.addresses.peer));
+    let observer = StampObserver::start(fleet.client.clone(), vms.collect());
+    let mut runner = ScenarioRunner {
+        caller: CallerClient::new(description.network.caller.0),
+        observer,
+        first: description.clone(),
+        newest: stamp_of(&description),
+        epochs: vec![RuleEpoch { description: description.clone(), from_ms: 0, until_ms: None }],
+        current: description,
+        fleet,
+        prepared: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        loads: BTreeMap::new(),
+        sent: Vec::new(),
+        left: BTreeMap::new(),
+        frozen: BTreeSet::new(),
+        ended: BTreeSet::new(),
+        is_cut: false,
+        started: Instant::now(),
+        timeline: Vec::new(),
+        failures: Vec::new(),
+        faults: 0,
+    };
+    for step in &scenario.steps {
+        runner.note(format!("{}", step.kind));
+        if let Err(message) = runner.run_step(&step.kind).await {
+            runner.fail(format!("line {}: {}: {message}", step.line, step.kind));
+        }
+    }
+    runner.finish().await;
+    Ok(runner.report(scenario))
+}
+
+fn stamp_of(description: &Description) -> DescriptionStamp {
+    DescriptionIndex::new(description.clone()).stamp
+}
+
+impl ScenarioRunner {
+    fn note(&mut self, what: String) {
+        let at = self.started.elapsed().as_secs_f64();
+        self.timeline.push(format!("{at:8.3} {what}"));
+    }
+
+    fn fail(&mut self, what: String) {
+        self.note(format!("FAILED {what}"));
+        self.failures.push(what);
+    }
+
+    /// The processes that a name stands for: a process, a data centre's or region's VMs, or `all`
+    /// VMs.
+    fn members(&self, name: &str) -> Vec<String> {
+        let vms = self.fleet.vms.iter().filter(|(vm, it)| {
+            name == "all"
+                || name == *vm
+                || name == it.region
+                || name == it.settings.data_centre.as_str()
+        });
+        let vms: Vec<String> = vms.map(|(vm, _)| vm.clone()).collect();
+        if vms.is_empty() { vec![name.to_owned()] } else { vms }
+    }
+
+    async fn run_step(&mut self, kind: &StepKind) -> Result<(), String> {
+        match kind {
+            StepKind::Send(name, spec) => self.send(name, spec).await,
+            StepKind::Answer(name, outcomes) => self.take_answer(name, outcomes).await,
+            StepKind::Running(name) => self.await_running(name).await,
+            StepKind::Load(name, spec, rate) => {
+                self.start_load(name, spec, *rate);
+                Ok(())
+            }
+            StepKind::EndLoad(name, share) => self.end_load(name, *share).await,
+            StepKind::Cut(from, to, one_way) => {
+                self.faults += 1;
+                self.is_cut = true;
+                self.cut(from, to, *one_way)
+            }
+            StepKind::Heal => {
+                self.is_cut = false;
+                self.fleet.relay.change(
+                    |_| true,
+                    |_, state| {
+                        (state.is_cut_there, state.is_cut_back) = (false, false);
+                    },
+                );
+                Ok(())
+            }
+            StepKind::Delay(from, to, span) => self.delay(from, to, *span),
+            StepKind::Publish(edit) => self.publish(edit).await,
+            StepKind::Platform(mode) => {
+                self.faults += usize::from(*mode != PlatformMode::Up);
+                self.fleet.set_platform(*mode).await.map_err(|error| error.to_string())
+            }
+            StepKind::Leave(name, way) => self.leave(name, *way).await,
+            StepKind::InForce(group, within) => self.await_in_force(group, *within).await,
+            StepKind::Judges(vm, member, state) => self.await_judges(vm, member, state).await,
+            StepKind::Hold(span) => {
+                tokio::time::sleep(*span).await;
+                Ok(())
+            }
+            StepKind::Runs(name, count) => self.check_runs(name, *count),
+            StepKind::ServedIn(name, region) => self.check_region(name, region),
+            StepKind::Exit(name) => self.await_exit(name).await,
+            StepKind::Serving(group) => self.await_serving(group).await,
+            kind => self.signal(kind),
+        }
+    }
+
+    /// Steps that do something to processes.
+    fn signal(&mut self, kind: &StepKind) -> Result<(), String> {
+        let (StepKind::Kill(name)
+        | StepKind::Restart(name)
+        | StepKind::Freeze(name)
+        | StepKind::Thaw(name)
+        | StepKind::Stop(name)) = kind
+        else {
+            return Err("this step is not carried out here".to_owned());
+        };
+        for member in self.members(name) {
+            match kind {
+                StepKind::Kill(_) => {
+                    self.faults += 1;
+                    self.fleet.kill(&member);
+                    self.ended.insert(member);
+                }
+                StepKind::Restart(_) => self.restart(&member)?,
+                StepKind::Freeze(_) => {
+                    self.faults += 1;
+                    self.fleet.freeze(&member);
+                    self.frozen.insert(member);
+                }
+                StepKind::Thaw(_) => {
+                    self.fleet.thaw(&member);
+                    self.frozen.remove(&member);
+                }
+                _ => {
+                    self.faults += 1;
+                    self.fleet.stop(&member);
+                    self.ended.insert(member);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn restart(&mut self, member: &str) -> Result<(), String> {
+        self.ended.remove(member);
+        let started = if self.fleet.vms.contains_key(member) {
+            self.fleet.start_vm(member)
+        } else {
+            let entry = self.fleet.upstreams.iter_mut().find(|it| it.name.as_str() == member);
+            let entry = entry.ok_or_else(|| format!("nothing is called {member}"))?;
+            entry.incarnation += 1;
+            entry.leaving = false;
+            let entry = entry.clone();
+            self.left.remove(member);
+            self.fleet.start_upstream(&entry)
+        };
+        started.map_err(|error| error.to_string())
+    }
+
+    fn directory(&self, account: &str) -> Vec<std::net::SocketAddr> {
+        let accounts = &self.current.accounts;
+        let home = accounts.iter().find(|it| it.name.as_str() == account);
+        let home = home.map(|it| it.home.to_string()).unwrap_or_default();
+        let mut vms: Vec<_> = self.fleet.vms.values().collect();
+        vms.sort_by_key(|vm| vm.region != home);
+        vms.into_iter().map(|vm| vm.settings.addresses.caller).collect()
+    }
+
+    fn entry(&self, spec: &SendSpec) -> Result<std::net::SocketAddr, String> {
+        match &spec.entry {
+            Some(name) => {
+                let vm =
+                    self.members(name).into_iter().next().and_then(|it| self.fleet.vms.get(&it));
+                let vm = vm.ok_or_else(|| format!("no VM is called {name}"))?;
+                Ok(vm.settings.addresses.caller)
+            }
+            None => Ok(self.directory(&spec.account)[0]),
+        }
+    }
+
+    async fn send(&mut self, name: &str, spec: &SendSpec) -> Result<(), String> {
+        let mut ask = match &spec.repeats {
+            Some(earlier) => self.prepared.get(earlier).cloned(),
+            None => PreparedAsk::new(&self.current, spec, name.to_owned()),
+        };
+        let ask = ask.as_mut().ok_or_else(|| "expected a known class or request".to_owned())?;
+        if let Some(issuer) = &spec.ticket_from {
+            let answer = self.fleet.entries(issuer, &spec.account, 1).await;
+            let ticket = answer.and_then(|answer| answer.tickets.into_iter().next());
+            ask.set_ticket(ticket.ok_or_else(|| format!("{issuer} issued no ticket"))?);
+        }
+        self.prepared.insert(name.to_owned(), ask.clone());
+        let (ask, caller, entry) = (ask.clone(), self.caller.clone(), self.entry(spec)?);
+        let task = tokio::spawn(async move { ask.send(&caller, entry).await });
+        self.waiting.insert(name.to_owned(), task);
+        Ok(())
+    }
+
+    async fn take_answer(
+        &mut self,
+        name: &str,
+        outcomes: &[foldhaven_core::attempt::RequestOutcome],
+    ) -> Result<(), String> {
+        let task = self.waiting.remove(name).ok_or_else(|| "it was not sent".to_owned())?;
+        let sent = tokio::time::timeout(AWAIT_LIMIT, task).await;
+        let sent = sent.map_err(|_| "no answer in time".to_owned())?;
+        let sent = sent.map_err(|error| error.to_string())?;
+        let answer = sent.answer.clone();
+        self.note(format!("{name}: {} {:?} {:?}", answer.outcome, answer.error, answer.message));
+        self.sent.push(sent);
+        match outcomes.is_empty() || outcomes.contains(&answer.outcome) {
+            true => Ok(()),
+            false => Err(format!("got {}: {:?}", answer.outcome, answer.message)),
+        }
+    }
+
+    fn request_id(&self, name: &str) -> String {
+        match self.prepared.get(name) {
+            Some(PreparedAsk::Model(ask)) => ask.request.clone(),
+            Some(PreparedAsk::Service(ask, _)) => ask.request.clone(),
+            None => name.to_owned(),
+        }
+    }
+
+    async fn await_running(&mut self, name: &str) -> Result<(), String> {
+        let request = self.request_id(name);
+        let fleet = &self.fleet;
+        let runs = || {
+            let ledger = fleet.ledger();
+            ledger.iter().any(|it| it.request == request && it.event == LedgerEvent::Start)
+        };
+        await_event(AWAIT_LIMIT, async || runs()).await
+    }
+
+    fn start_load(&mut self, name: &str, spec: &SendSpec, rate: f64) {
+        let fixed = spec.entry.as_ref().and_then(|_| self.entry(spec).ok());
+        let is_fixed = fixed.is_some();
+        let directory = fixed.map_or_else(|| self.directory(&spec.account), |entry| vec![entry]);
+        let finder = EntryFinder { directory, is_fixed };
+        let description = self.current.clone();
+        let caller = self.caller.clone();
+        let load = RunningLoad::start(name, description, spec.clone(), rate, caller, finder);
+        self.loads.insert(name.to_owned(), load);
+    }
+
+    async fn end_load(&mut self, name: &str, share: f64) -> Result<(), String> {
+        let load = self.loads.remove(name).ok_or_else(|| "no such load".to_owned())?;
+        let sent = load.end().await;
+        let complete = sent.iter().filter(|sent| sent.answer.is_complete()).count();
+        let got = complete as f64 / sent.len().max(1) as f64;
+        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+        for sent in sent.iter().filter(|sent| !sent.answer.is_complete()) {
+            let answer = &sent.answer;
+            let reason = answer.error.clone().unwrap_or_default();
+            *reasons.entry(format!("{reason} {}", answer.outcome)).or_default() += 1;
+        }
+        self.note(format!("{name}: {complete} of {} complete, {reasons:?}", sent.len()));
+        let worst = sent.iter().find(|sent| !sent.answer.is_complete()).cloned();
+        self.sent.extend(sent);
+        match got >= share {
+            true => Ok(()),
+            false => Err(format!("{got:.3} complete, {reasons:?}, such as {worst:?}")),
+        }
+    }
+
+    /// Picks links by their ends, whichever side dials.
+    fn chosen_links(&self, from: &str, to: &str) -> (BTreeSet<String>, BTreeSet<String>) {
+        let from: BTreeSet<String> = self.members(from).into_iter().collect();
+        let to: BTreeSet<String> = match to {
+            "others" => {
+                let others = self.fleet.vms.keys().filter(|name| !from.contains(*name)).cloned();
+                others.collect()
+            }
+            to => self.members(to).into_iter().collect(),
+        };
+        (from, to)
+    }
+
+    fn cut(&mut self, from: &str, to: &str, one_way: bool) -> Result<(), String> {
+        let (from, to) = self.chosen_links(from, to);
+        let goes = |ends: &LinkEnds| from.contains(&ends.from) && to.contains(&ends.to);
+        let comes = |ends: &LinkEnds| from.contains(&ends.to) && to.contains(&ends.from);
+        let count = self.fleet.relay.change(
+            |ends| goes(ends) || comes(ends),
+            |ends, state| {
+                // Bytes from the first group to the second go there on links that it dials, and
+                // back on links that the second dials.
+                state.is_cut_there |= !one_way || goes(ends);
+                state.is_cut_back |= !one_way || comes(ends);
+            },
+        );
+        if count > 0 { Ok(()) } else { Err("no link between these".to_owned()) }
+    }
+
+    fn delay(&mut self, from: &str, to: &str, span: Duration) -> Result<(), String> {
+        let (from, to) = self.chosen_links(from, to);
+        let chosen = |ends: &LinkEnds| {
+            let goes = from.contains(&ends.from) && to.contains(&ends.to);
+            goes || (from.contains(&ends.to) && to.contains(&ends.from))
+        };
+        let count = self.fleet.relay.change(chosen, |_, state| state.delay = span);
+        if count > 0 { Ok(()) } else { Err("no link between these".to_owned()) }
+    }
+
+    async fn publish(&mut self, edit: &EditSpec) -> Result<(), String> {
+        self.faults += usize::from(!matches!(edit, EditSpec::Bump));
+        let mut next = self.current.clone();
+        next.generation += 1;
+        next.parent = Some(stamp_of(&self.current).to_string());
+        match edit {
+            EditSpec::Bump => {}
+            EditSpec::Residency(rule, regions) => {
+                let rule = next.residency.iter_mut().find(|it| it.name.as_str() == rule);
+                let rule = rule.ok_or_else(|| "no such rule".to_owned())?;
+                let regions = regions.iter().map(|region| region.parse());
+                rule.regions = regions.collect::<Result<_, _>>().map_err(|it| format!("{it}"))?;
+            }
+            EditSpec::Bad => {
+                next.classes[0].residency = "no-such-rule".parse().expect("a rule name");
+                next.generation += 1;
+                return self.publish_values(&next).await;
+            }
+            EditSpec::Old => {
+                let first = self.first.clone();
+                return self.publish_values(&first).await;
+            }
+            EditSpec::Race => {
+                let mut rival = next.clone();
+                rival.objective.cost += 0.001;
+                rival.objective.away += 0.001;
+                self.publish_as_current(rival).await?;
+            }
+        }
+        self.publish_as_current(next).await
+    }
+
+    /// Publishes a description that every daemon should adopt, unless a larger one is there.
+    async fn publish_as_current(&mut self, next: Description) -> Result<(), String> {
+        let stamp = stamp_of(&next);
+        let epoch = RuleEpoch { description: next.clone(), from_ms: epoch_ms(), until_ms: None };
+        self.epochs.push(epoch);
+        self.publish_values(&next).await?;
+        if stamp > self.newest {
+            self.newest = stamp;
+            self.current = next;
+        }
+        Ok(())
+    }
+
+    async fn publish_values(&self, next: &Description) -> Result<(), String> {
+        let (_, bundle) = ValueBundle::of(next);
+        self.fleet.publish(&bundle).await.map_err(|error| error.to_string())
+    }
+
+    async fn leave(&mut self, name: &str, way: LeaveWay) -> Result<(), String> {
+        self.faults += 1;
+        self.left.insert(name.to_owned(), epoch_ms());
+        if way != LeaveWay::List {
+            self.fleet.leave_upstream(name).await.map_err(|error| error.to_string())?;
+        }
+        if way != LeaveWay::Upstream {
+            let entry = self.fleet.upstreams.iter_mut().find(|it| it.name.as_str() == name);
+            entry.ok_or_else(|| "no such upstream".to_owned())?.leaving = true;
+            return self.fleet.publish_upstreams().await.map_err(|error| error.to_string());
+        }
+        Ok(())
+    }
+
+    /// The VMs of a group that run and are not frozen.
+    fn running(&self, group: &str) -> Vec<String> {
+        let mut members = self.members(group);
+        members.retain(|name| !self.frozen.contains(name) && !self.ended.contains(name));
+        members
+    }
+
+    async fn await_in_force(&mut self, group: &str, within: Duration) -> Result<(), String> {
+        let started = Instant::now();
+        let members = self.running(group);
+        let newest = self.newest;
+        let fleet = &self.fleet;
+        let all_newest = async || {
+            for name in &members {
+                let status = fleet.status(name).await;
+                let stamp = status.and_then(|it| it.stamp).and_then(|it| it.parse().ok());
+                if stamp != Some(newest) {
+                    return false;
+                }
+            }
+            true
+        };
+        let result = await_event(within, all_newest).await;
+        let took = started.elapsed().as_millis();
+        self.note(format!("in force on {} VMs after {took}ms", members.len()));
+        if result.is_ok() && group == "all" && !self.is_cut {
+            // Reading the states took a moment; only what begins later is judged by the new rule.
+            let now = epoch_ms();
+            let older = self.epochs.iter_mut().filter(|it| stamp_of(&it.description) != newest);
+            for epoch in older {
+                epoch.until_ms.get_or_insert(now);
+            }
+        }
+        result
+    }
+
+    async fn await_judges(&mut self, vm: &str, member: &str, state: &str) -> Result<(), String> {
+        let fleet = &self.fleet;
+        let judged = async || {
+            let Some(status) = fleet.status(vm).await else { return false };
+            let found = status.members.iter().find(|it| it.vm.as_str() == member);
+            found.map_or("unknown", |it| it.state.as_str()) == state
+        };
+        await_event(AWAIT_LIMIT, judged).await
+    }
+
+    async fn await_serving(&mut self, group: &str) -> Result<(), String> {
+        let members = self.running(group);
+        let fleet = &self.fleet;
+        let serve = async || {
+            for name in &members {
+                if fleet.status(name).await.is_none_or(|status| status.stamp.is_none()) {
+                    return false;
+                }
+            }
+            true
+        };
+        await_event(AWAIT_LIMIT, serve).await
+    }
+
+    async fn await_exit(&mut self, name: &str) -> Result<(), String> {
+        let started = Instant::now();
+        let code = loop {
+            if let Some(code) = self.fleet.exit_code(name) {
+                break code;
+            }
+            if started.elapsed() > AWAIT_LIMIT {
+                return Err("it has not ended".to_owned());
+            }
+            tokio::time::sleep(POLL).await;
+        };
+        if code == 0 { Ok(()) } else { Err(format!("it ended with {code}")) }
+    }
+
+    fn check_runs(&mut self, name: &str, count: usize) -> Result<(), String> {
+        let request = self.request_id(name);
+        let ledger = self.fleet.ledger();
+        let starts = ledger.iter().filter(|it| it.event == LedgerEvent::Start);
+        let runs = starts.filter(|it| it.request == request).count();
+        if runs == count { Ok(()) } else { Err(format!("it ran {runs} times")) }
+    }
+
+    fn check_region(&mut self, name: &str, region: &str) -> Result<(), String> {
+        let request = self.request_id(name);
+        let ledger = self.fleet.ledger();
+        let ended = ledger.iter().filter(|it| it.request == request);
+        let ended = ended.filter(|it| it.event == LedgerEvent::End);
+        let centres: Vec<&str> = ended.map(|it| it.data_centre.as_str()).collect();
+        let expected = self.current.regions.iter().find(|it| it.name.as_str() == region);
+        let expected = expected.ok_or_else(|| format!("no region is called {region}"))?;
+        let holds = |centre: &&str| expected.data_centres.iter().any(|it| it.as_str() == *centre);
+        match !centres.is_empty() && centres.iter().all(holds) {
+            true => Ok(()),
+            false => Err(format!("it ran in {centres:?}")),
+        }
+    }
+
+    /// Ends what is under way and judges everything.
+    async fn finish(&mut self) {
+        for name in std::mem::take(&mut self.frozen) {
+            self.fleet.thaw(&name);
+        }
+        self.fleet.relay.change(
+            |_| true,
+            |_, state| {
+                (state.is_cut_there, state.is_cut_back) = (false, false);
+            },
+        );
+        for name in self.loads.keys().cloned().collect::<Vec<_>>() {
+            let _ = self.end_load(&name, 0.0).await;
+        }
+        for name in self.waiting.keys().cloned().collect::<Vec<_>>() {
+            if let Err(message) = self.take_answer(&name, &[]).await {
+                self.fail(format!("{name}: {message}"));
+            }
+        }
+        let mut violations = self.observer.violations();
+        violations.extend(self.judge());
+        for violation in violations {
+            self.fail(violation.to_string());
+        }
+        let writes = self.fleet.platform_counts().await.map_or(0, |counts| counts.writes);
+        if writes > 0 {
+            self.fail(format!("{writes} calls to the {PLATFORM} would have written"));
+        }
+    }
+
+    fn judge(&self) -> Vec<Violation> {
+        let ledger = self.fleet.ledger();
+        let evidence =
+            Evidence { ledger: &ledger, sent: &self.sent, epochs: &self.epochs, left: &self.left };
+        evidence.violations()
+    }
+
+    fn report(self, scenario: &Scenario) -> ScenarioReport {
+        let logs = if self.failures.is_empty() { Vec::new() } else { self.log_ends() };
+        ScenarioReport {
+            name: scenario.name.clone(),
+            failures: self.failures,
+            timeline: self.timeline,
+            judged: self.sent.len(),
+            faults: self.faults,
+            logs,
+        }
+    }
+
+    fn log_ends(&self) -> Vec<String> {
+        const LINES: usize = 12;
+        let end = |name: &String| {
+            let path = self.fleet.folder().join(format!("{name}.log"));
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> =
+                text.lines().filter(|line| !line.contains("request ended")).collect();
+            let from = lines.len().saturating_sub(LINES);
+            format!("--- {name}\n{}", lines[from..].join("\n"))
+        };
+        self.fleet.vms.keys().map(end).collect()
+    }
+}
+
+async fn await_event(limit: Duration, holds: impl AsyncFn() -> bool) -> Result<(), String> {
+    let started = Instant::now();
+    while !holds().await {
+        if started.elapsed() > limit {
+            return Err(format!("not within {}ms", limit.as_millis()));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
--- a/crates/foldhaven-testkit/src/stand_in/engine.rs
+++ b/crates/foldhaven-testkit/src/stand_in/engine.rs
@@ -159,6 +159,7 @@
             body: request,
             profile,
         };
+        work.note(LedgerEvent::Arrive);
         tokio::spawn(work.run(sender));
         let mut response = warp::reply::stream(ReceiverStream::new(receiver)).into_response();
         let events = http::HeaderValue::from_static("text/event-stream");
--- a/crates/foldhaven-testkit/src/stand_in/ledger.rs
+++ b/crates/foldhaven-testkit/src/stand_in/ledger.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerEvent {
+    /// It arrived and was not refused.
+    Arrive,
     /// Work on it began.
     Start,
     /// All of it was done.
--- a/crates/foldhaven-testkit/src/stand_in/service.rs
+++ b/crates/foldhaven-testkit/src/stand_in/service.rs
@@ -89,6 +89,7 @@
             }
             return response;
         }
+        self.ledger.write(LedgerEvent::Arrive, &request, &attempt, path);
         self.ledger.write(LedgerEvent::Start, &request, &attempt, path);
         let body = String::from_utf8_lossy(&body).into_owned();
         let answer = service_answer(&request, &body);
--- a/crates/foldhavend/src/shared.rs
+++ b/crates/foldhavend/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::burn::BurnMeter;
+use foldhaven_core::description::DescriptionStamp;
 use foldhaven_core::ids::{AttemptId, IncarnationId, RequestId, ServiceName, UpstreamName, VmName};
 use foldhaven_core::membership::{MemberState, VmAddresses};
 use foldhaven_core::pause::PauseDetector;
@@ -18,7 +19,7 @@
 use foldhaven_core::time::MonoTime;
 use foldhaven_wire::counted::ByteCounter;
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, SystemClock, new_incarnation};
 use crate::control::ControlHandle;
@@ -72,6 +73,7 @@
     /// Wakes the exchange loop before its time, when there is news.
     pub exchange_now: Notify,
     view: ArcSwapOption<PublishedView>,
+    stamps: watch::Sender<Option<DescriptionStamp>>,
     leaving: AtomicBool,
     in_flight: AtomicU32,
     settled: Notify,
@@ -99,6 +101,7 @@
             control: OnceLock::new(),
             exchange_now: Notify::new(),
             view: ArcSwapOption::empty(),
+            stamps: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             settled: Notify::new(),
@@ -122,7 +125,14 @@
     }
 
     pub fn publish(&self, view: PublishedView) {
+        let stamp = Some(view.route.index.stamp);
         self.view.store(Some(Arc::new(view)));
+        self.stamps.send_if_modified(|held| std::mem::replace(held, stamp) != stamp);
+    }
+
+    /// Changes with each adopted description.
+    pub fn watch_stamp(&self) -> watch::Receiver<Option<DescriptionStamp>> {
+        self.stamps.subscribe()
     }
 
     /// Whether what a view says of other data centres may still be acted on.
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use foldhaven_core::attempt::{AttemptLog, AttemptState, RequestOutcome};
 use foldhaven_core::burn::BurnEvent;
-use foldhaven_core::description::DescriptionIndex;
+use foldhaven_core::description::{DescriptionIndex, DescriptionStamp};
 use foldhaven_core::headers;
 use foldhaven_core::ids::{AttemptId, DataCentreName, ModelName, UpstreamName};
 use foldhaven_core::membership::VmBrief;
@@ -16,7 +16,7 @@
 use foldhaven_core::time::MonoTime;
 use foldhaven_wire::engine::EngineRequest;
 use http::{HeaderMap, Method};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::TrafficContext;
@@ -73,6 +73,9 @@
 /// Why one try ended before the end of the answer.
 enum TryEnd {
     Fault(CallFault),
+    /// Its region became forbidden before the first token.
+    Recalled,
+    /// The caller has gone.
     Gone,
 }
 
@@ -195,6 +198,12 @@
             match self.try_option(job, &view, &option, progress, parts).await {
                 Ok(()) => return Ok(()),
                 Err(TryEnd::Gone) => return Err(None),
+                Err(TryEnd::Recalled) => {
+                    let detail = "called back: its region is not permitted any more";
+                    let reason = RefusalReason::Residency;
+                    let answer = RefusalAnswer::not_run(ROUTE_STEP, reason, detail);
+                    progress.last_fault = Some(answer.at_peer(option.target.name()));
+                }
                 Err(TryEnd::Fault(fault)) => self.note_fault(job, &option, progress, &fault),
             }
             let may_try = progress.log.may_try_again(true);
@@ -261,7 +270,7 @@
             Err(TryEnd::Fault(CallFault::Refused { .. })) => {
                 progress.log.record(AttemptState::Refused);
             }
-            Err(TryEnd::Fault(CallFault::Broken(_)) | TryEnd::Gone) => {
+            Err(TryEnd::Fault(CallFault::Broken(_)) | TryEnd::Recalled | TryEnd::Gone) => {
                 progress.log.record(AttemptState::Broken);
             }
         }
@@ -282,21 +291,49 @@
         let here = self.shared().settings.data_centre.to_string();
         let opening =
             self.context.upstream.open(call, job.head.request.as_str(), progress.position);
-        let opened = timeout(patience, opening).await.map_err(|_| slow("the start"))?;
+        let mut stamps = self.shared().watch_stamp();
+        let opened = tokio::select! {
+            opened = timeout(patience, opening) => opened.map_err(|_| slow("the start"))?,
+            () = self.wait_forbidden(job, &option.target, &mut stamps) => return Err(TryEnd::Recalled),
+        };
         let mut answer = opened.map_err(TryEnd::Fault)?;
         let served_by = answer.served_by().map_or(here, str::to_owned);
         progress.served_by = Some(served_by.clone());
-        let mut limit = patience;
+        let first = tokio::select! {
+            first = timeout(patience, answer.next_part()) => first.map_err(|_| slow("a part"))?,
+            () = self.wait_forbidden(job, &option.target, &mut stamps) => return Err(TryEnd::Recalled),
+        };
+        let mut next = first;
         loop {
-            let next = timeout(limit, answer.next_part()).await.map_err(|_| slow("a part"))?;
             let Some(part) = next.map_err(TryEnd::Fault)? else { return Ok(()) };
-            limit = STALL_LIMIT;
             if let AnswerPart::Tokens { count, .. } = &part {
                 progress.position += count;
                 progress.first_token.get_or_insert(self.shared().now());
             }
             let sent = parts.send(JobEvent::Part(part, served_by.clone())).await;
             sent.map_err(|_| TryEnd::Gone)?;
+            let waited = timeout(STALL_LIMIT, answer.next_part()).await;
+            next = waited.map_err(|_| slow("a part"))?;
+        }
+    }
+
+    /// Waits until a description is adopted that forbids the region of a target. A request that
+    /// waits there for its first token is then called back.
+    async fn wait_forbidden(
+        &self,
+        job: &ModelJob,
+        target: &RouteTarget,
+        stamps: &mut watch::Receiver<Option<DescriptionStamp>>,
+    ) {
+        loop {
+            if let Ok(view) = self.shared().view()
+                && !is_permitted(job, &view, target)
+            {
+                return;
+            }
+            if stamps.changed().await.is_err() {
+                return std::future::pending().await;
+            }
         }
     }
 
@@ -439,6 +476,27 @@
     }
 }
 
+/// Whether the description in force permits a request at a target.
+fn is_permitted(job: &ModelJob, view: &PublishedView, target: &RouteTarget) -> bool {
+    let centre = match target {
+        RouteTarget::Engine(_) => &view.route.centre,
+        RouteTarget::Centre(centre) => centre,
+    };
+    permits(&job.head, view, centre)
+}
+
+/// Whether the description in force permits a request in a data centre.
+pub fn permits(head: &RequestHead, view: &PublishedView, centre: &DataCentreName) -> bool {
+    let index = &view.route.index;
+    let permitted = || {
+        let account = index.account(&head.account)?;
+        let class = index.class(&head.class)?;
+        let rule = index.residency_of(account, class)?;
+        Some(rule.permits(&account.home, index.region_of(centre)?))
+    };
+    permitted().unwrap_or(false)
+}
+
 /// Whether any region at all is permitted for the account and class of a request.
 fn any_region_permitted(
     index: &DescriptionIndex,
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -21,7 +21,7 @@
 
 use super::TrafficContext;
 use super::call::{CallFault, UpstreamCall, WholeAnswer};
-use super::origin::{base_headers, fault_answer, pick_peer};
+use super::origin::{base_headers, fault_answer, permits, pick_peer};
 use super::receiver::{ForwardHead, admit_forward, read_forward_head, refusal_without_attempt};
 use super::reply::{error_reply, pass_on, refusal_reply, refused_attempt_reply, set_header};
 use super::request::{RequestHead, header_text, header_value, read_head};
@@ -324,7 +324,7 @@
         tried: &[String],
     ) -> Result<ServicePlace, RefusalAnswer> {
         let refuse = |reason, detail: String| RefusalAnswer::not_run(STEP, reason, detail);
-        if permits(job, view, &view.route.centre)
+        if permits(&job.head, view, &view.route.centre)
             && let Some(instance) = self.pick_instance(job, view, tried)
         {
             return Ok(ServicePlace::Instance(instance));
@@ -332,7 +332,7 @@
         let mut is_permitted = false;
         for centre in &view.route.centres {
             let name = &centre.summary.data_centre;
-            if !permits(job, view, name) {
+            if !permits(&job.head, view, name) {
                 continue;
             }
             is_permitted = true;
@@ -343,7 +343,7 @@
             }
         }
         let soon = jittered_return(Duration::from_secs(1), rand::random());
-        let here = permits(job, view, &view.route.centre);
+        let here = permits(&job.head, view, &view.route.centre);
         match is_permitted || here {
             true => {
                 let detail = format!("no instance of {} can be reached", job.service);
@@ -448,7 +448,7 @@
         let mut job = self.read_job(raw, PEER_SERVICE)?;
         job.head.request = head.attempt.request.clone();
         let refuse = |reason, detail: &str| RefusalAnswer::not_run(STEP, reason, detail);
-        if !permits(&job, &view, &view.route.centre) {
+        if !permits(&job.head, &view, &view.route.centre) {
             return Err(refuse(RefusalReason::Residency, "not permitted here"));
         }
         let instance = self.pick_instance(&job, &view, &[]);
@@ -544,17 +544,6 @@
     }
 }
 
-fn permits(job: &ServiceJob, view: &PublishedView, centre: &DataCentreName) -> bool {
-    let index = &view.route.index;
-    let permitted = || {
-        let account = index.account(&job.head.account)?;
-        let class = index.class(&job.head.class)?;
-        let rule = index.residency_of(account, class)?;
-        Some(rule.permits(&account.home, index.region_of(centre)?))
-    };
-    permitted().unwrap_or(false)
-}
-
 /// A status of 500 or more says nothing of whether the work was done: such an answer is passed on
 /// from a peer as it judged it, and is a broken try at an own instance.
 fn judge_answer(
