Add the operators' tool: check, plan, apply, status, explain, entries, report, completions

Cause: operators had no way to check, compare, stamp and follow a description, nor to see burn. Change: foldhavenctl finds all VMs from a few, stamps for publishing without writing anything itself, and says which data centres have a description in force and why not the others. Also: a relay link refuses connections while its target does not listen (a killed upstream looked like one that broke the request off); sections fetched from a platform that answers old and new in turn are kept between tries; a VM that starts takes requests only once it knows the load of an engine (a restarted one refused with no_upstream for 200 ms).

--- a/crates/foldhaven-testkit/src/fleet.rs
+++ b/crates/foldhaven-testkit/src/fleet.rs
@@ -166,7 +166,7 @@
             description,
             vms,
             upstreams,
-            relay: LinkRelay::default(),
+            relay: LinkRelay::new(block.next()),
             platform,
             client: reqwest::Client::builder().build().map_err(io::Error::other)?,
             processes: BTreeMap::new(),
@@ -398,6 +398,7 @@
     /// Kills a process at once.
     pub fn kill(&mut self, name: &str) {
         self.processes.remove(name);
+        self.relay.note_killed(name);
     }
 
     /// Stops a process in its tracks, as when its VM is paused.
--- a/crates/foldhaven-testkit/src/relay.rs
+++ b/crates/foldhaven-testkit/src/relay.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::Instant;
 
 /// How a link fares.
@@ -36,14 +36,25 @@
 }
 
 /// All links of one fleet.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct LinkRelay {
     links: Arc<Mutex<BTreeMap<LinkEnds, watch::Sender<LinkState>>>>,
+    /// The name of a process that was just killed, so that links to it refuse at once.
+    killed: broadcast::Sender<String>,
+    address: IpAddr,
 }
 
+/// How often a target that does not listen is tried.
+const PROBE: Duration = Duration::from_millis(20);
+
 impl LinkRelay {
+    /// A relay without links, on an address of its own.
+    pub fn new(address: IpAddr) -> Self {
+        Self { links: Arc::default(), killed: broadcast::Sender::new(64), address }
+    }
+
     /// Opens a relay to `target` and returns the address to dial in its place. Several targets may
-    /// belong to one link.
+    /// belong to one link. While the target does not listen, the relay refuses connections.
     ///
     /// # Errors
     ///
@@ -54,17 +65,22 @@
         target: SocketAddr,
         delay: Duration,
     ) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((self.address, 0)).await?;
         let address = listener.local_addr()?;
+        drop(listener);
+        let name = ends.to.clone();
         let state = self.sender(ends, delay).subscribe();
-        tokio::spawn(async move {
-            while let Ok((dialled, _)) = listener.accept().await {
-                tokio::spawn(carry(dialled, target, state.clone()));
-            }
-        });
+        let killed = self.killed.subscribe();
+        tokio::spawn(serve_link(address, target, state, name, killed));
         Ok(address)
     }
 
+    /// Refuses connections to a process that was killed, until it listens again.
+    pub fn note_killed(&self, name: &str) {
+        // Without links nobody listens.
+        let _ = self.killed.send(name.to_owned());
+    }
+
     fn sender(&self, ends: LinkEnds, delay: Duration) -> watch::Sender<LinkState> {
         let state = LinkState { delay, is_cut_there: false, is_cut_back: false };
         let mut links = self.links.lock();
@@ -83,8 +99,39 @@
     }
 }
 
-async fn carry(dialled: TcpStream, target: SocketAddr, state: watch::Receiver<LinkState>) {
-    let Ok(reached) = TcpStream::connect(target).await else { return };
+async fn serve_link(
+    address: SocketAddr,
+    target: SocketAddr,
+    state: watch::Receiver<LinkState>,
+    name: String,
+    mut killed: broadcast::Receiver<String>,
+) {
+    loop {
+        while TcpStream::connect(target).await.is_err() {
+            tokio::time::sleep(PROBE).await;
+        }
+        let Ok(listener) = TcpListener::bind(address).await else {
+            tokio::time::sleep(PROBE).await;
+            continue;
+        };
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((dialled, _)) = accepted else { break };
+                    let Ok(reached) = TcpStream::connect(target).await else { break };
+                    tokio::spawn(carry(dialled, reached, state.clone()));
+                }
+                gone = killed.recv() => {
+                    if gone.is_ok_and(|gone| gone == name) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn carry(dialled: TcpStream, reached: TcpStream, state: watch::Receiver<LinkState>) {
     // Without this, small messages wait; a failure only makes the link slower.
     let _ = (dialled.set_nodelay(true), reached.set_nodelay(true));
     let (there_read, back_write) = dialled.into_split();
--- a/crates/foldhaven-testkit/src/scenario/runner.rs
+++ b/crates/foldhaven-testkit/src/scenario/runner.rs
@@ -231,6 +231,8 @@
 
     fn restart(&mut self, member: &str) -> Result<(), String> {
         self.ended.remove(member);
+        self.frozen.remove(member);
+        self.fleet.kill(member);
         let started = if self.fleet.vms.contains_key(member) {
             self.fleet.start_vm(member)
         } else {
@@ -271,11 +273,19 @@
             Some(earlier) => self.prepared.get(earlier).cloned(),
             None => PreparedAsk::new(&self.current, spec, name.to_owned()),
         };
-        let ask = ask.as_mut().ok_or_else(|| "expected a known class or request".to_owned())?;
+        let Some(ask) = ask.as_mut() else {
+            self.note(format!("{name} is not sent: no such class or request"));
+            return Ok(());
+        };
         if let Some(issuer) = &spec.ticket_from {
             let answer = self.fleet.entries(issuer, &spec.account, 1).await;
             let ticket = answer.and_then(|answer| answer.tickets.into_iter().next());
-            ask.set_ticket(ticket.ok_or_else(|| format!("{issuer} issued no ticket"))?);
+            let Some(ticket) = ticket else {
+                // Whoever awaits the answer of a request that was not sent fails there.
+                self.note(format!("{name} is not sent: {issuer} issued no ticket"));
+                return Ok(());
+            };
+            ask.set_ticket(ticket);
         }
         self.prepared.insert(name.to_owned(), ask.clone());
         let (ask, caller, entry) = (ask.clone(), self.caller.clone(), self.entry(spec)?);
--- /dev/null
+++ b/crates/foldhavenctl/src/burn.rs
@@ -0,0 +1,101 @@
+//! Puts the counts of all VMs together into the report on service-level burn.
+
+use std::collections::BTreeMap;
+
+use foldhaven_core::burn::BurnCount;
+use foldhaven_wire::operator::BurnAnswer;
+use serde::Serialize;
+
+/// The target where a class names none any more.
+const DEFAULT_TARGET: f64 = 0.99;
+/// How many contributors a row names.
+const CONTRIBUTORS: usize = 3;
+
+/// A VM's part in what an account and class lost.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct BurnContributor {
+    /// The VM.
+    pub vm: String,
+    /// Its requests that were not whole and on time, over the long window.
+    pub bad: u64,
+}
+
+/// One account and class.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct BurnLine {
+    /// The account.
+    pub account: String,
+    /// The class.
+    pub class: String,
+    /// The share that is to be whole and on time.
+    pub target: f64,
+    /// The part of the error budget that is left over the long window; negative when overdrawn.
+    pub budget_left: f64,
+    /// How many times faster than allowed the budget is used up, over the short window.
+    pub burn_short: f64,
+    /// The same over the long window.
+    pub burn_long: f64,
+    /// The counts over the long window.
+    pub counts: BurnCount,
+    /// The VMs that lost most.
+    pub worst: Vec<BurnContributor>,
+}
+
+/// The whole report.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct BurnReport {
+    /// A line per account and class, the fastest burn first.
+    pub lines: Vec<BurnLine>,
+    /// The VMs that answered.
+    pub vms: Vec<String>,
+    /// The addresses that could not be reached: their requests are missing here.
+    pub unreachable: Vec<String>,
+}
+
+#[derive(Default)]
+struct Gathered {
+    short: BurnCount,
+    long: BurnCount,
+    by_vm: BTreeMap<String, u64>,
+}
+
+/// Adds up what the VMs answered.
+pub fn gather_burn(answers: &[BurnAnswer], unreachable: Vec<String>) -> BurnReport {
+    let mut gathered: BTreeMap<(String, String), Gathered> = BTreeMap::new();
+    let mut targets: BTreeMap<&str, f64> = BTreeMap::new();
+    for answer in answers {
+        targets.extend(answer.targets.iter().map(|(class, target)| (class.as_str(), *target)));
+        for row in &answer.rows {
+            let key = (row.account.to_string(), row.class.to_string());
+            let sum = gathered.entry(key).or_default();
+            sum.short.add(&row.short);
+            sum.long.add(&row.long);
+            *sum.by_vm.entry(answer.vm.to_string()).or_default() += row.long.bad;
+        }
+    }
+    let line = |((account, class), sum): ((String, String), Gathered)| {
+        let target = targets.get(class.as_str()).copied().unwrap_or(DEFAULT_TARGET);
+        BurnLine {
+            budget_left: sum.long.budget_left(target),
+            burn_short: sum.short.burn_rate(target),
+            burn_long: sum.long.burn_rate(target),
+            counts: sum.long,
+            worst: worst_contributors(sum.by_vm),
+            account,
+            class,
+            target,
+        }
+    };
+    let mut lines: Vec<BurnLine> = gathered.into_iter().map(line).collect();
+    lines.sort_by(|left, right| right.burn_short.total_cmp(&left.burn_short));
+    let vms = answers.iter().map(|answer| answer.vm.to_string()).collect();
+    BurnReport { lines, vms, unreachable }
+}
+
+fn worst_contributors(by_vm: BTreeMap<String, u64>) -> Vec<BurnContributor> {
+    let all = by_vm.into_iter().map(|(vm, bad)| BurnContributor { vm, bad });
+    let mut worst: Vec<BurnContributor> = all.filter(|it| it.bad > 0).collect();
+    worst.sort_by(|left, right| right.bad.cmp(&left.bad));
+    worst.truncate(CONTRIBUTORS);
+    worst
+}
--- /dev/null
+++ b/crates/foldhavenctl/src/cmd/mod.rs
@@ -0,0 +1,115 @@
+//! The command line of the tool: one file per subcommand.
+
+pub mod apply;
+pub mod check;
+pub mod completions;
+pub mod entries;
+pub mod explain;
+pub mod plan;
+pub mod report;
+pub mod status;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::client::OperatorClient;
+use crate::error::{CtlError, ExitStatus};
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 something could not be reached or read, 2 wrong \
+arguments or description, 3 not in force everywhere in time, 4 another operator's description is \
+in force instead.";
+
+/// The whole command line.
+pub fn make_command() -> Command {
+    Command::new("foldhavenctl")
+        .about("Checks, compares and follows descriptions, and shows how a deployment fares")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(EXIT_CODES)
+        .subcommand(check::make_subcommand())
+        .subcommand(plan::make_subcommand())
+        .subcommand(apply::make_subcommand())
+        .subcommand(status::make_subcommand())
+        .subcommand(explain::make_subcommand())
+        .subcommand(entries::make_subcommand())
+        .subcommand(report::make_subcommand())
+        .subcommand(completions::make_subcommand())
+}
+
+/// Reads the command line and carries it out.
+pub fn main() -> ExitCode {
+    run_command(&make_command().get_matches()).into()
+}
+
+/// Carries a command out and prints its error.
+pub fn run_command(matches: &ArgMatches) -> ExitStatus {
+    let result = match matches.subcommand() {
+        Some(("check", args)) => check::execute(args),
+        Some(("plan", args)) => block_on(plan::execute(args)),
+        Some(("apply", args)) => block_on(apply::execute(args)),
+        Some(("status", args)) => block_on(status::execute(args)),
+        Some(("explain", args)) => block_on(explain::execute(args)),
+        Some(("entries", args)) => block_on(entries::execute(args)),
+        Some(("report", args)) => block_on(report::execute(args)),
+        Some(("completions", args)) => completions::execute(args),
+        _ => Err(CtlError::Usage("expected a command".to_owned())),
+    };
+    match result {
+        Ok(()) => ExitStatus::Success,
+        Err(error) => {
+            eprintln!("foldhavenctl: {error}");
+            error.status()
+        }
+    }
+}
+
+fn block_on(future: impl Future<Output = Result<(), CtlError>>) -> Result<(), CtlError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| CtlError::Usage(error.to_string()))?;
+    runtime.block_on(future)
+}
+
+/// The argument that names VMs to ask.
+pub fn vm_arg() -> Arg {
+    Arg::new("vm")
+        .long("vm")
+        .value_name("ADDRESS")
+        .env("FOLDHAVEN_VMS")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Peer address of a VM to ask first; the others are found through it")
+}
+
+/// The argument for output that programs read.
+pub fn json_arg() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON")
+}
+
+/// The argument that names a description.
+pub fn file_arg() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(std::path::PathBuf))
+        .help("The description, in YAML")
+}
+
+/// The client for the VMs that the arguments name.
+///
+/// # Errors
+///
+/// When none is named.
+pub fn client_of(args: &ArgMatches) -> Result<OperatorClient, CtlError> {
+    let first = args.get_many::<SocketAddr>("vm").unwrap_or_default();
+    OperatorClient::new(first.copied().collect())
+}
+
+/// Prints a value as JSON.
+pub fn print_json(value: &impl serde::Serialize) {
+    let text = serde_json::to_string_pretty(value).expect("typed answers are JSON");
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/foldhavenctl/src/cmd/status.rs
@@ -0,0 +1,84 @@
+//! `foldhavenctl status`: shows every VM that can be found.
+
+use clap::{ArgMatches, Command};
+
+use super::{client_of, json_arg, print_json, vm_arg};
+use crate::client::FleetState;
+use crate::error::CtlError;
+use crate::table::lay_out;
+
+/// The digits of a digest that are shown to people.
+const SHORT_STAMP: usize = 14;
+
+/// The arguments of `status`.
+pub fn make_subcommand() -> Command {
+    Command::new("status")
+        .about("Shows every VM that can be found, and the upstreams of its data centre")
+        .after_help("Example: foldhavenctl status --vm 127.10.1.1:7001")
+        .arg(vm_arg())
+        .arg(json_arg())
+}
+
+/// Carries `status` out.
+///
+/// # Errors
+///
+/// When no VM can be reached.
+pub async fn execute(args: &ArgMatches) -> Result<(), CtlError> {
+    let state = client_of(args)?.survey().await?;
+    if args.get_flag("json") {
+        let vms: Vec<_> = state.vms.values().collect();
+        print_json(&serde_json::json!({ "vms": vms, "unreachable": state.unreachable }));
+        return Ok(());
+    }
+    print!("{}", vm_table(&state));
+    println!();
+    print!("{}", upstream_table(&state));
+    for address in &state.unreachable {
+        println!("not reached: {address}");
+    }
+    Ok(())
+}
+
+fn vm_table(state: &FleetState) -> String {
+    let heading = ["vm", "data centre", "state", "in force", "in flight", "members", "sees"];
+    let mut rows = vec![heading.map(str::to_owned).to_vec()];
+    for status in state.vms.values() {
+        let live = status.members.iter().filter(|member| member.state == "live").count();
+        let stamp = status.stamp.clone().unwrap_or_else(|| "-".to_owned());
+        let name = serde_json::to_value(status.state).unwrap_or_default();
+        rows.push(vec![
+            status.vm.to_string(),
+            status.data_centre.to_string(),
+            name.as_str().unwrap_or_default().to_owned(),
+            stamp.chars().take(SHORT_STAMP).collect(),
+            status.in_flight.to_string(),
+            format!("{live} of {} live", status.members.len()),
+            format!("{} other data centres", status.centres.len()),
+        ]);
+    }
+    lay_out(&rows)
+}
+
+/// The upstreams of each data centre, as the first VM of it sees them.
+fn upstream_table(state: &FleetState) -> String {
+    let heading = ["upstream", "data centre", "holds", "busy", "slots", "state"];
+    let mut rows = vec![heading.map(str::to_owned).to_vec()];
+    let mut shown = std::collections::BTreeSet::new();
+    for status in state.vms.values() {
+        if !shown.insert(status.data_centre.clone()) {
+            continue;
+        }
+        for upstream in &status.upstreams {
+            rows.push(vec![
+                upstream.name.clone(),
+                status.data_centre.to_string(),
+                upstream.holds.join(", "),
+                upstream.busy.to_string(),
+                upstream.slots.to_string(),
+                if upstream.leaving { "leaving" } else { "takes work" }.to_owned(),
+            ]);
+        }
+    }
+    lay_out(&rows)
+}
--- a/crates/foldhavenctl/src/main.rs
+++ b/crates/foldhavenctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The command-line tool of foldhaven.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    foldhavenctl::cmd::main()
+}
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -42,6 +42,9 @@
     pub(super) gauge: PressureGauge,
     pub(super) pressure: f64,
     pub(super) ticked: MonoTime,
+    pub(super) started: MonoTime,
+    /// Whether a view has been published.
+    pub(super) warm: bool,
     /// Upstreams seen leaving, with the process lifetime that leaves.
     pub(super) leaving: BTreeMap<UpstreamName, u64>,
     pub(super) summaries_written: u64,
@@ -68,6 +71,8 @@
             gauge: PressureGauge::default(),
             pressure: 0.0,
             ticked,
+            started: ticked,
+            warm: false,
             leaving: BTreeMap::new(),
             summaries_written: 0,
             cache_positions: BTreeMap::new(),
--- a/crates/foldhavend/src/control/publish.rs
+++ b/crates/foldhavend/src/control/publish.rs
@@ -17,11 +17,17 @@
 /// shortest deadline of a class.
 const WAIT_SHARE: f64 = 0.25;
 
+/// A daemon that starts takes requests after this long even if it knows of no engine.
+const WARM_LIMIT: Duration = Duration::from_secs(3);
+
 impl ControlKeeper {
-    /// Publishes a view, unless there is no description yet.
+    /// Publishes a view, unless there is no description yet, or nothing to route to is known yet.
     pub(super) fn publish(&mut self) {
         let Some(index) = self.index.clone() else { return };
         let now = self.now();
+        if !self.is_warm(now) {
+            return;
+        }
         let settings = &self.shared.settings;
         let serving = self.members.serving(self.serves(), now);
         let rank = serving.iter().position(|name| *name == settings.vm).unwrap_or_default();
@@ -57,6 +63,17 @@
         self.shared.publish(view);
     }
 
+    /// Whether this daemon knows the load of its engines, or has waited long enough to go on
+    /// without.
+    fn is_warm(&mut self, now: MonoTime) -> bool {
+        let has_engines = self.upstreams().any(|entry| entry.kind == UpstreamKind::Engine);
+        let knows_loads = !has_engines || !self.fresh_loads().is_empty();
+        let knows_list = self.list.is_some();
+        let waited = now.since(self.started) > WARM_LIMIT;
+        self.warm |= waited || (knows_list && knows_loads);
+        self.warm
+    }
+
     fn hold_offers(&self, centres: &[CentreView], part: (u32, u32)) {
         let here = &self.shared.settings.data_centre;
         for centre in centres {
--- a/crates/foldhavend/src/control/watch.rs
+++ b/crates/foldhavend/src/control/watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::description::SectionSet;
+use foldhaven_core::description::{SectionDigest, SectionManifest, SectionSet};
 
 use super::KeeperAddress;
 use super::fetch::ask_peers;
@@ -28,14 +28,18 @@
 ) {
     let _ = tokio::time::timeout(PEERS_FIRST, ask_peers(&shared, &keeper, usize::MAX)).await;
     let mut after = None;
+    let mut fetched = SectionSet::default();
     loop {
         let Ok(held) = keeper.send(ReadState).await else { return };
         let wait = shared.settings.times.platform_wait.0;
         match platform.manifest(after, wait).await {
-            Ok(Some(read)) => match take_manifest(&keeper, platform.as_ref(), &read).await {
-                Ok(()) => after = Some(read.revision),
-                Err(error) => report_failure(&error).await,
-            },
+            Ok(Some(read)) => {
+                let taken = take_manifest(&keeper, platform.as_ref(), &read, &mut fetched).await;
+                match taken {
+                    Ok(()) => after = Some(read.revision),
+                    Err(error) => report_failure(&error).await,
+                }
+            }
             Ok(None) => {}
             Err(error) => {
                 report_failure(&error).await;
@@ -69,26 +73,51 @@
 
 /// Reads the sections that a newer manifest names and offers the whole. A manifest that is not
 /// newer is ignored: the platform may be stale.
+///
+/// `fetched` keeps sections between tries: a platform that answers with old and new content in
+/// turn gives them one by one.
 async fn take_manifest(
     keeper: &KeeperAddress,
     platform: &dyn PlatformSource,
-    read: &Revised<foldhaven_core::description::SectionManifest>,
+    read: &Revised<SectionManifest>,
+    fetched: &mut SectionSet,
 ) -> Result<(), PlatformError> {
     let manifest = read.value.clone();
     let Ok(held) = keeper.send(ReadState).await else { return Ok(()) };
     if Some(manifest.stamp()) <= held.stamp {
         return Ok(());
     }
-    let mut sections: SectionSet = held.sections;
+    let mut sections = held.sections;
     for digest in manifest.missing_from(&sections) {
-        sections.insert(platform.section(&digest).await?.into());
+        if fetched.get(&digest).is_none() {
+            fetched.insert(read_section(platform, &digest).await?.into());
+        }
+        if let Some(content) = fetched.get(&digest) {
+            sections.insert(content.clone());
+        }
     }
+    fetched.retain(&manifest);
     let source = "platform".to_owned();
     // The actor ends only with the process.
     let _ = keeper.send(OfferDescription { manifest, sections, source }).await;
     Ok(())
 }
 
+async fn read_section(
+    platform: &dyn PlatformSource,
+    digest: &SectionDigest,
+) -> Result<String, PlatformError> {
+    const TRIES: usize = 3;
+    const PAUSE: Duration = Duration::from_millis(50);
+    for _ in 1..TRIES {
+        if let Ok(content) = platform.section(digest).await {
+            return Ok(content);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    platform.section(digest).await
+}
+
 /// Watches the list of upstreams and offers each new one.
 pub(super) async fn list_loop(
     shared: Arc<SharedState>,
