--- a/crates/foldhaven-core/src/description/check.rs
+++ b/crates/foldhaven-core/src/description/check.rs
@@ -279,13 +279,28 @@
     let lines: Vec<&str> = text.lines().collect();
     let start = lines.iter().position(|line| line.starts_with(&format!("{section}:")));
     let Some(mut at) = start else { return 0 };
+    let mut end = block_end(&lines, at, |line| !line.starts_with([' ', '#']));
     if let Some((name, _)) = name {
-        let names_part = |line: &&str| line.trim_end().ends_with(&format!(" {name}"));
-        at += lines[at..].iter().position(names_part).unwrap_or(0);
+        let named = |line: &&str| names_part(line, "name", name) || names_part(line, "model", name);
+        at += lines[at..end].iter().position(named).unwrap_or(0);
+        end = block_end(&lines, at, |line| line.trim_start().starts_with("- "));
     }
     if let Some(leaf) = leaf {
         let has_leaf = |line: &&str| line.contains(&format!("{leaf}:"));
-        at += lines[at..].iter().position(has_leaf).unwrap_or(0);
+        at += lines[at..end].iter().position(has_leaf).unwrap_or(0);
     }
     at + 1
 }
+
+/// The first line after `at` that begins something else.
+fn block_end(lines: &[&str], at: usize, begins: impl Fn(&str) -> bool) -> usize {
+    let rest = lines[at + 1..].iter().position(|line| !line.is_empty() && begins(line));
+    rest.map_or(lines.len(), |length| at + 1 + length)
+}
+
+/// Whether a line gives `key` the value `name`.
+fn names_part(line: &str, key: &str, name: &str) -> bool {
+    let Some((_, value)) = line.split_once(&format!("{key}: ")) else { return false };
+    let rest = value.trim_start_matches('"').strip_prefix(name);
+    rest.is_some_and(|rest| !rest.starts_with(|c: char| c.is_alphanumeric() || "-_.".contains(c)))
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/membership.rs
@@ -0,0 +1,139 @@
+//! Heartbeats, one-way cuts, lifetimes, delegates, summaries and partners.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use foldhaven_core::ids::{DataCentreName, IncarnationId, RegionName};
+use foldhaven_core::membership::{
+    CentreSummary, MemberState, MemberTable, MembershipTimes, VmAddresses, VmBeat, partners_of,
+};
+use foldhaven_core::time::MonoTime;
+
+use crate::support::now;
+
+fn table(own: &str) -> MemberTable {
+    let centre = "north-1".parse().unwrap();
+    MemberTable::new(own.parse().unwrap(), centre, MembershipTimes::default())
+}
+
+fn beat(vm: &str, incarnation: u64, sequence: u64) -> VmBeat {
+    let address = "127.0.0.1:1".parse().unwrap();
+    VmBeat {
+        vm: vm.parse().unwrap(),
+        data_centre: "north-1".parse().unwrap(),
+        incarnation: IncarnationId(incarnation),
+        sequence,
+        leaving: false,
+        stamp: None,
+        in_flight: 0,
+        addresses: VmAddresses { caller: address, peer: address, control: address },
+        loads: Vec::new(),
+        leaving_upstreams: Vec::new(),
+        list_revision: 0,
+    }
+}
+
+fn summary(centre: &str, author: &str, version: u64, age_ms: u32) -> CentreSummary {
+    CentreSummary {
+        data_centre: centre.parse().unwrap(),
+        author: author.parse().unwrap(),
+        version: (IncarnationId(1), version),
+        age_ms,
+        stamps: None,
+        vms: Vec::new(),
+        serving: 1,
+        models: Vec::new(),
+        services: Vec::new(),
+        offers: Vec::new(),
+    }
+}
+
+fn later(millis: u64) -> MonoTime {
+    now() + Duration::from_millis(millis)
+}
+
+#[test]
+fn a_member_that_is_heard_but_not_reached_is_suspect() {
+    let mut table = table("a");
+    let b = "b".parse().unwrap();
+    table.hear(beat("b", 1, 1), now());
+    assert_eq!(table.state(&b, later(100)), Some(MemberState::Live));
+    table.hear(beat("b", 1, 2), later(2_500));
+    assert_eq!(table.state(&b, later(2_600)), Some(MemberState::Suspect));
+    table.note_reached(&b, later(2_600));
+    assert_eq!(table.state(&b, later(2_600)), Some(MemberState::Live));
+}
+
+#[test]
+fn an_ended_lifetime_does_not_come_back() {
+    let mut table = table("a");
+    let b = "b".parse().unwrap();
+    table.hear(beat("b", 5, 9), now());
+    table.note_gone(&b, IncarnationId(5));
+    assert!(!table.hear(beat("b", 5, 10), now()));
+    assert_eq!(table.state(&b, now()), None);
+    assert!(table.hear(beat("b", 6, 1), now()));
+    assert!(!table.hear(beat("b", 5, 99), now()), "an older lifetime is no news");
+}
+
+#[test]
+fn delegates_are_the_lowest_that_serve_and_may_overlap() {
+    let mut a = table("a");
+    a.hear(beat("b", 1, 1), now());
+    a.hear(beat("c", 1, 1), now());
+    assert!(a.is_delegate(true, now()));
+    let mut c = table("c");
+    assert!(c.is_delegate(true, now()), "alone, it speaks for itself");
+    c.hear(beat("a", 1, 1), now());
+    c.hear(VmBeat { leaving: true, ..beat("b", 1, 1) }, now());
+    assert!(c.is_delegate(true, now()), "a leaving member does not count");
+}
+
+#[test]
+fn summaries_age_over_every_hop_and_only_newer_ones_are_taken() {
+    let mut table = table("a");
+    assert!(table.hear_summary(summary("south-1", "s", 2, 300), now()));
+    assert!(!table.hear_summary(summary("south-1", "s", 1, 0), now()));
+    assert!(!table.hear_summary(summary("south-1", "t", 9, 60_000), now()), "too old");
+    assert_eq!(table.summaries(later(100))[0].age, Duration::from_millis(400));
+    let given = table.summaries_newer_than(&[], later(100));
+    assert_eq!(given[0].age_ms, 400);
+    assert!(table.summaries_newer_than(&table.summary_versions(), later(100)).is_empty());
+    assert!(table.summaries(later(6_000)).is_empty(), "not acted on when old");
+}
+
+#[test]
+fn partners_stay_few_and_connect_all_data_centres_in_few_steps() {
+    for regions in [1usize, 3, 27, 100] {
+        let centres: Vec<(DataCentreName, RegionName)> = (0..regions * 3)
+            .map(|at| {
+                let region = at / 3;
+                let centre = format!("r{region}-{}", at % 3);
+                (centre.parse().unwrap(), format!("r{region}").parse().unwrap())
+            })
+            .collect();
+        let mut links = BTreeSet::new();
+        for (own, _) in &centres {
+            let partners = partners_of(own, &centres);
+            assert!(partners.len() <= 6, "{} partners", partners.len());
+            for partner in partners {
+                links.insert((own.clone(), partner.clone()));
+                links.insert((partner, own.clone()));
+            }
+        }
+        let mut reached = BTreeSet::from([centres[0].0.clone()]);
+        let mut steps = 0;
+        while reached.len() < centres.len() {
+            let next: Vec<_> = links
+                .iter()
+                .filter(|(from, _)| reached.contains(from))
+                .map(|it| it.1.clone())
+                .collect();
+            let before = reached.len();
+            reached.extend(next);
+            assert!(reached.len() > before, "not connected");
+            steps += 1;
+        }
+        assert!(steps <= 6, "{steps} steps for {} data centres", centres.len());
+    }
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/units.rs
@@ -0,0 +1,68 @@
+//! Quantities and identifiers as text.
+
+use foldhaven_core::ids::{AccountName, AttemptId};
+use foldhaven_core::units::{ByteSize, ShareRatio, TimeSpan, TokenRate};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case("250ms", "250ms")]
+#[case("1.5s", "1500ms")]
+#[case("2m", "120s")]
+#[case("1500us", "1500us")]
+fn spans_are_read_and_written(#[case] text: &str, #[case] written: &str) {
+    assert_eq!(text.parse::<TimeSpan>().unwrap().to_string(), written);
+}
+
+#[rstest]
+#[case("5")]
+#[case("s")]
+#[case("-1s")]
+#[case("1e9h")]
+#[case("5 minutes")]
+fn bad_spans_are_refused(#[case] text: &str) {
+    assert!(text.parse::<TimeSpan>().is_err());
+}
+
+#[test]
+fn sizes_rates_and_shares_keep_their_units() {
+    assert_eq!("64KiB".parse::<ByteSize>().unwrap(), ByteSize(65_536));
+    assert_eq!("16GiB".parse::<ByteSize>().unwrap().to_string(), "16GiB");
+    assert_eq!("4000tok/s".parse::<TokenRate>().unwrap().to_string(), "4000tok/s");
+    assert_eq!("99.5%".parse::<ShareRatio>().unwrap().to_string(), "99.5%");
+    assert!("0tok/s".parse::<TokenRate>().is_err());
+    assert!("101%".parse::<ShareRatio>().is_err());
+    assert!("12KB".parse::<ByteSize>().is_err());
+}
+
+#[rstest]
+#[case("")]
+#[case("a/b")]
+#[case("späth")]
+#[case("a b")]
+fn bad_names_are_refused(#[case] text: &str) {
+    assert!(text.parse::<AccountName>().is_err());
+}
+
+proptest! {
+    #[test]
+    fn attempt_ids_survive_being_written(
+        request in "[a-z0-9.-]{1,20}",
+        vm in "[a-z][a-z0-9-]{0,10}",
+        incarnation: u64,
+        number: u64,
+    ) {
+        let text = format!("{request}@{vm}.{incarnation}.{number}");
+        let id: AttemptId = text.parse().unwrap();
+        prop_assert_eq!(id.to_string(), text);
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused_without_panic(text in "\\PC{0,40}") {
+        let _ = text.parse::<TimeSpan>();
+        let _ = text.parse::<ByteSize>();
+        let _ = text.parse::<AttemptId>();
+        let _ = text.parse::<foldhaven_core::ticket::RequestTicket>();
+        let _ = text.parse::<foldhaven_core::description::DescriptionStamp>();
+    }
+}
--- a/crates/foldhaven-testkit/src/scenario/judge.rs
+++ b/crates/foldhaven-testkit/src/scenario/judge.rs
@@ -129,12 +129,13 @@
             .filter(|sent| !sent.is_repeatable)
             .map(|sent| sent.request.as_str())
             .collect();
-        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut runs: BTreeMap<&str, Vec<String>> = BTreeMap::new();
         for line in self.starts().filter(|line| once.contains(line.request.as_str())) {
-            *runs.entry(&line.request).or_default() += 1;
+            let run = format!("{} at {} {}", line.attempt, line.upstream, line.at_ms);
+            runs.entry(&line.request).or_default().push(run);
         }
-        for (request, runs) in runs.into_iter().filter(|(_, runs)| *runs > 1) {
-            let detail = format!("{request} ran {runs} times");
+        for (request, runs) in runs.into_iter().filter(|(_, runs)| runs.len() > 1) {
+            let detail = format!("{request} ran {} times: {}", runs.len(), runs.join(", "));
             violations.push(Violation::new("at most once", detail));
         }
     }
--- a/crates/foldhavenctl/src/burn.rs
+++ b/crates/foldhavenctl/src/burn.rs
@@ -95,7 +95,7 @@
 fn worst_contributors(by_vm: BTreeMap<String, u64>) -> Vec<BurnContributor> {
     let all = by_vm.into_iter().map(|(vm, bad)| BurnContributor { vm, bad });
     let mut worst: Vec<BurnContributor> = all.filter(|it| it.bad > 0).collect();
-    worst.sort_by(|left, right| right.bad.cmp(&left.bad));
+    worst.sort_by_key(|it| std::cmp::Reverse(it.bad));
     worst.truncate(CONTRIBUTORS);
     worst
 }
