Count the relay's ports up instead of taking free ones

The answer to the second arrival had no outcome header and no error: a service had answered a peer's path. A relay port that was free because its target did not listen yet had been given to a second link. Ruled out: the ticket ledger (the two answers came from different processes), the client's own retries, and addresses shared by two fleets. Change: ports are counted up on an address of the fleet's own; children end with their parent.

--- a/crates/foldhaven-testkit/src/cmd/mod.rs
+++ b/crates/foldhaven-testkit/src/cmd/mod.rs
@@ -27,7 +27,11 @@
 
 /// Reads the command line and carries it out.
 pub fn main() -> ExitCode {
-    match make_command().get_matches().subcommand() {
+    let matches = make_command().get_matches();
+    if matches!(matches.subcommand_name(), Some("platform" | "engine" | "service" | "vm")) {
+        stand_ins::end_with_parent();
+    }
+    match matches.subcommand() {
         Some(("demo", args)) => demo::execute(args),
         Some(("scenario", args)) => scenario::execute(args),
         Some(("chaos", args)) => chaos::execute(args),
--- a/crates/foldhaven-testkit/src/cmd/stand_ins.rs
+++ b/crates/foldhaven-testkit/src/cmd/stand_ins.rs
@@ -71,6 +71,14 @@
     Command::new("vm").about("A foldhaven daemon").arg(path("settings"))
 }
 
+/// Ends this process when the one that started it has ended, by the pipe between them.
+pub fn end_with_parent() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// Carries `platform` out.
 pub fn execute_platform(args: &ArgMatches) -> ExitCode {
     let content: PathBuf = get(args, "content");
--- a/crates/foldhaven-testkit/src/fleet.rs
+++ b/crates/foldhaven-testkit/src/fleet.rs
@@ -182,7 +182,7 @@
         for entry in fleet.upstreams.clone() {
             fleet.wait_port(entry.address).await?;
         }
-        fleet.lay_links().await?;
+        fleet.lay_links();
         for name in fleet.vms.keys().cloned().collect::<Vec<_>>() {
             fleet.start_vm(&name)?;
         }
@@ -270,7 +270,8 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
         let child = Command::new(&self.program)
             .args(arguments)
-            .stdin(Stdio::null())
+            // The pipe closes when this process ends, however it ends, and the child ends too.
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
@@ -279,35 +280,34 @@
     }
 
     /// Lays relays between all pairs of processes that talk, and tells the daemons to use them.
-    async fn lay_links(&mut self) -> io::Result<()> {
+    fn lay_links(&mut self) {
         if !self.options.relay {
-            return Ok(());
+            return;
         }
         let vms = self.vms.clone();
         for (name, vm) in &vms {
             let mut reroutes = BTreeMap::new();
             let ends = |to: &str| LinkEnds { from: name.clone(), to: to.to_owned() };
             let near = Duration::from_millis(1);
-            let platform = self.relay.open(ends(PLATFORM), self.platform, near).await?;
+            let platform = self.relay.open(ends(PLATFORM), self.platform, near);
             reroutes.insert(self.platform, platform);
             for (other, target) in vms.iter().filter(|(other, _)| *other != name) {
                 let delay = self.delay_between(vm, target);
                 let VmAddresses { peer, control, .. } = &target.settings.addresses;
                 for address in [*peer, *control] {
-                    reroutes.insert(address, self.relay.open(ends(other), address, delay).await?);
+                    reroutes.insert(address, self.relay.open(ends(other), address, delay));
                 }
             }
             let centre = &vm.settings.data_centre;
             for entry in self.upstreams.iter().filter(|entry| entry.data_centre == *centre) {
                 let link = ends(entry.name.as_str());
-                let address = self.relay.open(link, entry.address, Duration::ZERO).await?;
+                let address = self.relay.open(link, entry.address, Duration::ZERO);
                 reroutes.insert(entry.address, address);
             }
             if let Some(vm) = self.vms.get_mut(name) {
                 vm.settings.reroutes = reroutes;
             }
         }
-        Ok(())
     }
 
     fn delay_between(&self, one: &FleetVm, other: &FleetVm) -> Duration {
--- a/crates/foldhaven-testkit/src/relay.rs
+++ b/crates/foldhaven-testkit/src/relay.rs
@@ -3,9 +3,9 @@
 //! A cut link loses nothing: like a partition under TCP, bytes wait and arrive late after the heal.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -42,37 +42,35 @@
     /// The name of a process that was just killed, so that links to it refuse at once.
     killed: broadcast::Sender<String>,
     address: IpAddr,
+    next_port: Arc<AtomicU16>,
 }
 
+const FIRST_PORT: u16 = 10_000;
+
 /// How often a target that does not listen is tried.
 const PROBE: Duration = Duration::from_millis(20);
 
 impl LinkRelay {
     /// A relay without links, on an address of its own.
     pub fn new(address: IpAddr) -> Self {
-        Self { links: Arc::default(), killed: broadcast::Sender::new(64), address }
+        let next_port = Arc::new(AtomicU16::new(FIRST_PORT));
+        Self { links: Arc::default(), killed: broadcast::Sender::new(64), address, next_port }
     }
 
     /// Opens a relay to `target` and returns the address to dial in its place. Several targets may
     /// belong to one link. While the target does not listen, the relay refuses connections.
     ///
-    /// # Errors
-    ///
-    /// When no address can be bound.
-    pub async fn open(
-        &self,
-        ends: LinkEnds,
-        target: SocketAddr,
-        delay: Duration,
-    ) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind((self.address, 0)).await?;
-        let address = listener.local_addr()?;
-        drop(listener);
+    /// The link is carried from now on, as soon as the target listens.
+    pub fn open(&self, ends: LinkEnds, target: SocketAddr, delay: Duration) -> SocketAddr {
+        // Ports are counted up, not taken from the system: one that is free because its target
+        // does not listen yet must not be given to another link.
+        let port = self.next_port.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::new(self.address, port);
         let name = ends.to.clone();
         let state = self.sender(ends, delay).subscribe();
         let killed = self.killed.subscribe();
         tokio::spawn(serve_link(address, target, state, name, killed));
-        Ok(address)
+        address
     }
 
     /// Refuses connections to a process that was killed, until it listens again.
