Test the contracts with callers, peers and operators as fault tables

Cause: the interfaces had no fault tables. The tables found two faults: a request that would be late almost certainly was still tried (a deadline of 20 ms for 35 ms of work ended unknown), and three requests that make an engine answer nonsense ejected every engine of a data centre. Ruled out: a fault of the stand-in; the planner compared only prices, and ejection had no floor. Change: an option that is late with a chance of 0.9 is refused now; when every engine or instance failed lately, none is left out. What engines hold is published at once, not at the next tick.

--- a/crates/foldhaven-core/src/planner.rs
+++ b/crates/foldhaven-core/src/planner.rs
@@ -144,6 +144,9 @@
     pub price: RoutePrice,
 }
 
+/// A request that is late with this chance is refused now: its worth would not be delivered.
+pub const HOPELESS: f64 = 0.9;
+
 /// All options of one request, cheapest first, and what a refusal costs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoutePlan {
@@ -158,9 +161,13 @@
 }
 
 impl RoutePlan {
-    /// The best option, unless refusing is cheaper.
+    /// The best option, unless refusing is cheaper or it would be late almost certainly.
     pub fn choice(&self) -> Option<&RouteOption> {
-        self.options.first().filter(|option| option.price.total() < self.refusal)
+        let taken = |option: &&RouteOption| {
+            self.refusal.is_infinite()
+                || (option.price.total() < self.refusal && option.chance_late < HOPELESS)
+        };
+        self.options.first().filter(taken)
     }
 }
 
@@ -231,9 +238,8 @@
         self.query.rule.permits(&self.query.account.home, region)
     }
 
-    fn is_excluded(&self, name: &str) -> bool {
-        let tried = self.query.excluded.iter().any(|it| it == name);
-        tried || self.facts.is_ejected(name, self.now)
+    fn is_tried(&self, name: &str) -> bool {
+        self.query.excluded.iter().any(|it| it == name)
     }
 
     fn engine_options(&self) -> Vec<RouteOption> {
@@ -241,10 +247,15 @@
         if !self.permits(region) {
             return Vec::new();
         }
+        let name = |engine: &&EngineView| engine.load.engine.as_str().to_owned();
         let engines = self.view.engines.iter();
         let engines = engines.filter(|engine| engine.load.holds(self.query.model));
-        let engines = engines.filter(|engine| !self.is_excluded(engine.load.engine.as_str()));
-        engines.map(|engine| self.engine_option(engine, region)).collect()
+        let untried: Vec<&EngineView> = engines.filter(|it| !self.is_tried(&name(it))).collect();
+        let trusted = |engine: &&&EngineView| !self.facts.is_ejected(&name(engine), self.now);
+        let trusted: Vec<&EngineView> = untried.iter().filter(trusted).copied().collect();
+        // When all of them failed lately, the requests are more likely at fault than the engines.
+        let engines = if trusted.is_empty() { untried } else { trusted };
+        engines.into_iter().map(|engine| self.engine_option(engine, region)).collect()
     }
 
     fn engine_option(&self, engine: &EngineView, region: &RegionName) -> RouteOption {
@@ -272,7 +283,8 @@
                 continue;
             }
             permitted = true;
-            if !self.is_excluded(name.as_str()) && self.is_offered(name) {
+            let ejected = self.facts.is_ejected(name.as_str(), self.now);
+            if !self.is_tried(name.as_str()) && !ejected && self.is_offered(name) {
                 options.push(self.centre_option(name, region, capacity));
             }
         }
--- a/crates/foldhaven-core/tests/testsuite/routing.rs
+++ b/crates/foldhaven-core/tests/testsuite/routing.rs
@@ -20,6 +20,7 @@
 
 #[derive(Default)]
 struct TestFacts {
+    ejected: Vec<&'static str>,
     cached: BTreeMap<UpstreamName, u64>,
     offered: u32,
 }
@@ -34,8 +35,8 @@
     fn offered(&self, _: &DataCentreName, _: &ModelConfig, _: MonoTime) -> u32 {
         self.offered
     }
-    fn is_ejected(&self, _: &str, _: MonoTime) -> bool {
-        false
+    fn is_ejected(&self, name: &str, _: MonoTime) -> bool {
+        self.ejected.contains(&name)
     }
     fn estimate_error(&self) -> EstimateError {
         EstimateError::default()
@@ -197,3 +198,12 @@
     book.void(&centre, &model);
     assert_eq!(book.available(&centre, &model, now()), 0);
 }
+
+#[test]
+fn an_engine_that_failed_is_left_out_unless_all_did() {
+    let two = view(vec![engine("e1", 0, 0), engine("e2", 3, 900)], 0, 0.0);
+    let one_failed = TestFacts { ejected: vec!["e1"], ..TestFacts::default() };
+    assert_eq!(first(&plan(PolicyKind::Planner, "bar", &two, &one_failed, 10.0)), Some("e2"));
+    let all_failed = TestFacts { ejected: vec!["e1", "e2"], ..TestFacts::default() };
+    assert_eq!(first(&plan(PolicyKind::Planner, "bar", &two, &all_failed, 10.0)), Some("e1"));
+}
--- a/crates/foldhaven-testkit/src/stand_in/engine.rs
+++ b/crates/foldhaven-testkit/src/stand_in/engine.rs
@@ -63,6 +63,36 @@
     (0..answer_tokens(prompt, max)).map(|position| token(prompt, position)).collect()
 }
 
+/// What goes wrong when a prompt asks for it, so that tests can see what is made of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EngineFault {
+    /// An event that is not JSON.
+    Garbage,
+    /// An event of another request.
+    OtherRequest,
+    /// A token is left out.
+    Gap,
+    /// The end marker is missing.
+    NoEnd,
+    /// The end marker comes at once.
+    EarlyEnd,
+}
+
+impl EngineFault {
+    /// Reads `[fault:NAME]` in a prompt.
+    fn of(prompt: &str) -> Option<Self> {
+        let name = prompt.split_once("[fault:")?.1.split_once(']')?.0;
+        match name {
+            "garbage" => Some(Self::Garbage),
+            "other-request" => Some(Self::OtherRequest),
+            "gap" => Some(Self::Gap),
+            "no-end" => Some(Self::NoEnd),
+            "early-end" => Some(Self::EarlyEnd),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Engine {
     state: EngineState,
@@ -225,6 +255,11 @@
         self.engine.state.work_off(&mut slot, read);
         let step = (self.profile.decode * CHUNK_TIME).round().max(1.0) as u64;
         let mut position = self.position;
+        let fault = EngineFault::of(&self.body.prompt);
+        if let Some(event) = fault.and_then(|fault| self.faulty_event(fault)) {
+            let _ = sender.send(Ok(event.into())).await;
+            return self.note(LedgerEvent::Cancel);
+        }
         while position < tokens {
             let count = step.min(tokens - position);
             tokio::time::sleep(decode * count as u32).await;
@@ -247,6 +282,20 @@
         let _ = sender.send(Ok(end.into())).await;
     }
 
+    /// The event that goes wrong; nothing for a fault that shows only at the end.
+    fn faulty_event(&self, fault: EngineFault) -> Option<String> {
+        match fault {
+            EngineFault::Garbage => Some(write_event("{ not json")),
+            EngineFault::OtherRequest => {
+                let event = self.event(0, 1, "other".to_owned(), None);
+                Some(event.replace(&self.request, "another-request"))
+            }
+            EngineFault::Gap => Some(self.event(5, 1, "late".to_owned(), None)),
+            EngineFault::EarlyEnd => Some(write_event(DONE)),
+            EngineFault::NoEnd => Some(self.event(0, 1, "only".to_owned(), None)),
+        }
+    }
+
     fn note(&self, event: LedgerEvent) {
         self.engine.ledger.write(event, &self.request, &self.attempt, &self.body.model);
     }
--- /dev/null
+++ b/crates/foldhaven-testkit/tests/testsuite/callers.rs
@@ -0,0 +1,269 @@
+//! The contract with callers, as tables of faults: each gets a typed error, and the daemon goes on.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foldhaven_core::attempt::RequestOutcome;
+use foldhaven_testkit::caller::{CallerClient, ModelAsk, ServiceAsk, engine_prompt};
+use foldhaven_testkit::stand_in::engine::whole_answer;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::{run, small_fleet};
+
+/// A request with its faults, and the status, code and outcome that it must get.
+struct FaultCase {
+    name: &'static str,
+    path: &'static str,
+    headers: Vec<(&'static str, String)>,
+    body: String,
+    expected: (u16, &'static str, &'static str),
+}
+
+fn case(
+    name: &'static str,
+    change: impl FnOnce(&mut FaultCase),
+    expected: (u16, &'static str, &'static str),
+) -> FaultCase {
+    let headers = vec![
+        ("content-type", "application/json".to_owned()),
+        ("foldhaven-account", "west-bar".to_owned()),
+        ("foldhaven-class", "digest".to_owned()),
+    ];
+    let body = r#"{"prompt":"text","max_tokens":10}"#.to_owned();
+    let mut case = FaultCase { name, path: "/v1/completions", headers, body, expected };
+    change(&mut case);
+    case
+}
+
+impl FaultCase {
+    fn set(&mut self, name: &'static str, value: impl Into<String>) {
+        self.headers.retain(|(it, _)| *it != name);
+        self.headers.push((name, value.into()));
+    }
+
+    fn unset(&mut self, name: &'static str) {
+        self.headers.retain(|(it, _)| *it != name);
+    }
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    let bad = (400, "bad_request", "not_run");
+    vec![
+        case("no account", |it| it.unset("foldhaven-account"), (401, "unknown_account", "not_run")),
+        case("account", |it| it.set("foldhaven-account", "x"), (401, "unknown_account", "not_run")),
+        case("class", |it| it.set("foldhaven-class", "x"), (404, "unknown_class", "not_run")),
+        case(
+            "model",
+            |it| it.body = r#"{"model":"x","prompt":"p"}"#.into(),
+            (404, "unknown_model", "not_run"),
+        ),
+        case("class of a service", |it| it.set("foldhaven-class", "listing"), bad),
+        case("zero deadline", |it| it.set("foldhaven-deadline-ms", "0"), bad),
+        case("huge deadline", |it| it.set("foldhaven-deadline-ms", "99999999999"), bad),
+        case("deadline in words", |it| it.set("foldhaven-deadline-ms", "soon"), bad),
+        case("negative worth", |it| it.set("foldhaven-worth", "-1"), bad),
+        case("worth that is no number", |it| it.set("foldhaven-worth", "NaN"), bad),
+        case("long id", |it| it.set("foldhaven-request-id", "x".repeat(200)), bad),
+        case("id with a path", |it| it.set("foldhaven-request-id", "../x"), bad),
+        case("model marked not repeatable", |it| it.set("foldhaven-repeatable", "no"), bad),
+        case("repeatable in words", |it| it.set("foldhaven-repeatable", "maybe"), bad),
+        case(
+            "content type",
+            |it| it.set("content-type", "text/plain"),
+            (415, "content_type", "not_run"),
+        ),
+        case("no content type", |it| it.unset("content-type"), (415, "content_type", "not_run")),
+        case("no JSON", |it| it.body = "{".into(), bad),
+        case("no prompt", |it| it.body = "{}".into(), bad),
+        case("empty prompt", |it| it.body = r#"{"prompt":""}"#.into(), bad),
+        case("too many tokens", |it| it.body = r#"{"prompt":"p","max_tokens":9999}"#.into(), bad),
+        case("no tokens", |it| it.body = r#"{"prompt":"p","max_tokens":0}"#.into(), bad),
+        case(
+            "oversize body",
+            |it| it.body = "x".repeat(300 << 10),
+            (413, "body_too_large", "not_run"),
+        ),
+        case("unknown path", |it| it.path = "/v2/none", (404, "unknown_path", "not_run")),
+        case(
+            "unknown service",
+            |it| it.path = "/service/none/x",
+            (404, "unknown_service", "not_run"),
+        ),
+        case(
+            "late before it starts",
+            |it| it.set("foldhaven-deadline-ms", "20"),
+            (429, "deadline", "not_run"),
+        ),
+        case(
+            "ticketless",
+            |it| {
+                it.path = "/service/registry/ok";
+                it.set("foldhaven-class", "notice");
+            },
+            (428, "ticket_required", "not_run"),
+        ),
+        case(
+            "forged ticket",
+            |it| {
+                it.path = "/service/registry/ok";
+                it.set("foldhaven-class", "notice");
+                it.set("foldhaven-ticket", "not-a-ticket");
+            },
+            (409, "ticket_invalid", "not_run"),
+        ),
+        case(
+            "engine: garbage",
+            |it| it.body = faulty("garbage"),
+            (502, "upstream_failed", "unknown"),
+        ),
+        case(
+            "engine: another's answer",
+            |it| it.body = faulty("other-request"),
+            (502, "upstream_failed", "unknown"),
+        ),
+        case("engine: a gap", |it| it.body = faulty("gap"), (502, "upstream_failed", "unknown")),
+        case(
+            "engine: early end",
+            |it| it.body = faulty("early-end"),
+            (502, "upstream_failed", "unknown"),
+        ),
+        case(
+            "engine: no end",
+            |it| it.body = faulty("no-end"),
+            (502, "upstream_failed", "unknown"),
+        ),
+    ]
+}
+
+fn faulty(fault: &str) -> String {
+    format!(r#"{{"prompt":"[fault:{fault}]","max_tokens":10}}"#)
+}
+
+async fn send(
+    client: &reqwest::Client,
+    entry: SocketAddr,
+    case: &FaultCase,
+) -> (u16, String, String) {
+    let mut request = client.post(format!("http://{entry}{}", case.path)).body(case.body.clone());
+    for (name, value) in &case.headers {
+        request = request.header(*name, value);
+    }
+    let response = request.send().await.unwrap();
+    let status = response.status().as_u16();
+    let told = response.headers().get("foldhaven-outcome").cloned();
+    let body: serde_json::Value = response.json().await.unwrap_or_default();
+    let text = |value: &serde_json::Value| value.as_str().unwrap_or_default().to_owned();
+    let outcome = text(&body["error"]["outcome"]);
+    assert_eq!(
+        told.map(|it| it.to_str().unwrap().to_owned()),
+        Some(outcome.clone()),
+        "{}",
+        case.name
+    );
+    assert!(!text(&body["error"]["message"]).is_empty(), "{}", case.name);
+    (status, text(&body["error"]["code"]), outcome)
+}
+
+fn good_ask(request: &str) -> ModelAsk {
+    ModelAsk {
+        account: "west-bar".to_owned(),
+        class: "digest".to_owned(),
+        request: request.to_owned(),
+        prompt: format!("a prompt of {request}"),
+        max_tokens: 20,
+        stream: request.len().is_multiple_of(2),
+        chat: true,
+        deadline: None,
+        worth: None,
+    }
+}
+
+#[test]
+fn every_fault_of_a_caller_or_an_engine_gets_its_typed_error() {
+    run(async {
+        let fleet = small_fleet(1).await;
+        let entry = fleet.vms["west-1-vm-1"].settings.addresses.caller;
+        let mut wrong = Vec::new();
+        for case in fault_cases() {
+            let (status, code, outcome) = send(&fleet.client, entry, &case).await;
+            if (status, code.as_str(), outcome.as_str()) != case.expected {
+                wrong.push(format!("{}: {status} {code} {outcome}", case.name));
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+        truncated_and_slow_bodies(entry).await;
+        still_serves(entry).await;
+        answers_do_not_cross(entry).await;
+    });
+}
+
+/// A body that ends early or stalls ends the request, and does not hold the connection for ever.
+async fn truncated_and_slow_bodies(entry: SocketAddr) {
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
+                foldhaven-account: west-bar\r\nfoldhaven-class: digest\r\ncontent-length: 100\r\n\r\n";
+    let mut truncated = TcpStream::connect(entry).await.unwrap();
+    truncated.write_all(format!("{head}{{\"prompt\"").as_bytes()).await.unwrap();
+    truncated.shutdown().await.unwrap();
+    let mut answer = String::new();
+    let _ = truncated.read_to_string(&mut answer).await;
+    assert!(answer.is_empty() || answer.contains("400"), "{answer}");
+    let mut slow = TcpStream::connect(entry).await.unwrap();
+    slow.write_all(format!("{head}{{").as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4096];
+    let length = tokio::time::timeout(Duration::from_secs(10), slow.read(&mut answer)).await;
+    let text = String::from_utf8_lossy(&answer[..length.unwrap().unwrap()]).into_owned();
+    assert!(text.contains("408") && text.contains("body_too_slow"), "{text}");
+}
+
+async fn still_serves(entry: SocketAddr) {
+    let caller = CallerClient::new(Duration::ZERO);
+    let ask = good_ask("after-all-faults");
+    let answer = caller.ask_model(entry, &ask).await;
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(answer.text, whole_answer(&engine_prompt(&ask), ask.max_tokens));
+}
+
+/// A thousand callers at once each get their own whole answer, or a refusal.
+async fn answers_do_not_cross(entry: SocketAddr) {
+    let caller = CallerClient::new(Duration::ZERO);
+    let asks = (0..1_000).map(|number| ServiceAsk {
+        account: "west-bar".to_owned(),
+        class: "listing".to_owned(),
+        request: format!("own-{number}"),
+        path: "registry/ok".to_owned(),
+        body: format!("body {number}"),
+        ticket: None,
+        deadline: Some(Duration::from_secs(20)),
+    });
+    let sends = asks.map(|ask| {
+        let caller = caller.clone();
+        async move { (ask.clone(), caller.ask_service(entry, &ask).await) }
+    });
+    let answers = futures::future::join_all(sends).await;
+    for (ask, answer) in &answers {
+        if answer.is_complete() {
+            assert_eq!(answer.text, format!("{}:{}", ask.request, ask.body));
+        }
+    }
+    let complete = answers.iter().filter(|(_, answer)| answer.is_complete()).count();
+    assert!(complete >= 990, "{complete} of 1000 complete");
+}
+
+#[test]
+fn a_refusal_comes_at_once_and_says_when_to_come_back() {
+    run(async {
+        let fleet = small_fleet(1).await;
+        let entry = fleet.vms["west-1-vm-1"].settings.addresses.caller;
+        let caller = CallerClient::new(Duration::ZERO);
+        let deadline = Some(Duration::from_millis(150));
+        let ask = ModelAsk { deadline, max_tokens: 120, ..good_ask("cannot-be-on-time") };
+        let started = Instant::now();
+        let answer = caller.ask_model(entry, &ask).await;
+        assert_eq!((answer.status, answer.outcome), (429, RequestOutcome::NotRun));
+        assert!(answer.retry_after.is_some());
+        // Not a measure of speed: the answer must not be held until the deadline.
+        assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
+        assert!(fleet.ledger().iter().all(|line| line.request != ask.request));
+    });
+}
--- /dev/null
+++ b/crates/foldhaven-testkit/tests/testsuite/operators.rs
@@ -0,0 +1,76 @@
+//! The operators' tool against a running fleet.
+
+use std::path::Path;
+
+use foldhaven_wire::platform::ValueBundle;
+use foldhavenctl::ExitStatus;
+use foldhavenctl::cmd::{make_command, run_command};
+
+use crate::{run, small_fleet};
+
+fn ctl(words: &[&str]) -> ExitStatus {
+    let words = std::iter::once(&"foldhavenctl").chain(words);
+    run_command(&make_command().try_get_matches_from(words).unwrap())
+}
+
+/// Runs the tool while the fleet's runtime goes on.
+async fn ctl_beside(words: Vec<String>) -> ExitStatus {
+    let run = move || ctl(&words.iter().map(String::as_str).collect::<Vec<_>>());
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+/// Publishes what the tool wrote, as an operator does with the platform's own means.
+async fn publish(fleet: &foldhaven_testkit::fleet::Fleet, file: &Path) {
+    while !file.exists() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    let bundle: ValueBundle =
+        serde_json::from_str(&std::fs::read_to_string(file).unwrap()).unwrap();
+    fleet.publish(&bundle).await.unwrap();
+}
+
+#[test]
+fn a_description_is_applied_and_the_operator_who_lost_is_told() {
+    run(async {
+        let fleet = small_fleet(1).await;
+        let vm = fleet.vms["west-1-vm-1"].settings.addresses.peer;
+        let mut edited = fleet.description.clone();
+        edited.classes[0].worth = 11.0;
+        let file = fleet.folder().join("edited.yaml");
+        std::fs::write(&file, serde_saphyr::to_string(&edited).unwrap()).unwrap();
+        let file = file.display().to_string();
+        let out = fleet.folder().join("values.json");
+        let out_text = out.display().to_string();
+        assert_eq!(ctl_beside(words(&format!("plan {file} --vm {vm}"))).await, ExitStatus::Success);
+        let apply = words(&format!("apply {file} --out {out_text} --wait 15s --vm {vm}"));
+        let (applied, ()) = tokio::join!(ctl_beside(apply), publish(&fleet, &out));
+        assert_eq!(applied, ExitStatus::Success);
+        for command in [
+            format!("status --vm {vm}"),
+            format!("status --json --vm {vm}"),
+            format!("explain --account west-bar --class digest --vm {vm}"),
+            format!("report --vm {vm} --html {out_text}.html"),
+            format!(
+                "entries --caller {} --account mid-bar",
+                fleet.vms["west-1-vm-1"].settings.addresses.caller
+            ),
+        ] {
+            assert_eq!(ctl_beside(words(&command)).await, ExitStatus::Success, "{command}");
+        }
+        // Another operator edited from the first description, which is not in force any more.
+        let first = foldhaven_core::description::DescriptionIndex::new(fleet.description.clone());
+        edited.parent = Some(first.stamp.to_string());
+        std::fs::write(&file, serde_saphyr::to_string(&edited).unwrap()).unwrap();
+        let late = words(&format!("apply {file} --out {out_text}.late --vm {vm}"));
+        assert_eq!(ctl_beside(late).await, ExitStatus::LostRace);
+        // Nobody publishes this one.
+        edited.parent = None;
+        std::fs::write(&file, serde_saphyr::to_string(&edited).unwrap()).unwrap();
+        let never = words(&format!("apply {file} --out {out_text}.never --wait 300ms --vm {vm}"));
+        assert_eq!(ctl_beside(never).await, ExitStatus::NotInForce);
+    });
+}
--- /dev/null
+++ b/crates/foldhaven-testkit/tests/testsuite/scenarios.rs
@@ -0,0 +1,65 @@
+//! All scenario files, a few at a time, and a fixed set of random schedules.
+
+use foldhaven_testkit::cmd::scenario::{print_report, run_file, scenario_files};
+use foldhaven_testkit::demo::read_example;
+use foldhaven_testkit::scenario::{ChaosSchedule, ScenarioReport, parse_scenario, run_scenario};
+use futures::StreamExt;
+
+use crate::{program, run, scenario_folder};
+
+/// How many fleets run at once.
+const AT_ONCE: usize = 2;
+/// The seeds that run with the tests; `foldhaven-testkit chaos` runs more.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+
+fn assert_all_passed(reports: &[ScenarioReport]) {
+    reports.iter().for_each(|report| print_report(report, false));
+    let failed: Vec<&str> =
+        reports.iter().filter(|it| !it.failures.is_empty()).map(|it| it.name.as_str()).collect();
+    assert!(failed.is_empty(), "failed: {failed:?}");
+}
+
+#[test]
+fn every_scenario_holds_its_promises() {
+    let files = scenario_files(&scenario_folder()).unwrap();
+    assert!(files.len() > 20, "the scenarios are missing");
+    let reports: Vec<ScenarioReport> = run(futures::stream::iter(files)
+        .map(|file| async move { run_file(program(), &file).await.unwrap() })
+        .buffer_unordered(AT_ONCE)
+        .collect());
+    assert_all_passed(&reports);
+}
+
+#[test]
+fn fixed_seeds_hold_their_promises() {
+    let description = read_example(&scenario_folder(), "small").unwrap();
+    let reports: Vec<ScenarioReport> = run(futures::stream::iter(SEEDS)
+        .map(|seed| {
+            let description = description.clone();
+            async move {
+                let scenario = ChaosSchedule::draw(seed);
+                run_scenario(program(), description, &scenario).await.unwrap()
+            }
+        })
+        .buffer_unordered(AT_ONCE)
+        .collect());
+    assert_all_passed(&reports);
+}
+
+#[test]
+fn a_drawn_schedule_is_the_same_each_time_and_can_be_written_down() {
+    for seed in 1..50 {
+        let scenario = ChaosSchedule::draw(seed);
+        assert_eq!(scenario, ChaosSchedule::draw(seed));
+        let read = parse_scenario(&scenario.to_string()).unwrap();
+        assert_eq!(read.to_string(), scenario.to_string());
+    }
+}
+
+#[test]
+fn a_malformed_line_is_named() {
+    let error = parse_scenario("vms 2\nkill\n").unwrap_err();
+    assert_eq!(error.line, 2);
+    let error = parse_scenario("# nothing\n\nexplode west # loudly\n").unwrap_err();
+    assert_eq!(error.to_string(), "line 3: expected a verb, got explode");
+}
--- /dev/null
+++ b/crates/foldhavenctl/tests/testsuite/main.rs
@@ -0,0 +1,67 @@
+//! Tests of the tool's parts that ask nobody.
+
+use foldhaven_core::burn::{BurnCount, BurnRow};
+use foldhaven_wire::operator::BurnAnswer;
+use foldhavenctl::ExitStatus;
+use foldhavenctl::burn::gather_burn;
+use foldhavenctl::cmd::report::report_table;
+use foldhavenctl::cmd::{make_command, run_command};
+use foldhavenctl::html::burn_page;
+use rstest::rstest;
+
+fn answer(vm: &str, bad: u64) -> BurnAnswer {
+    let count =
+        BurnCount { total: 200, bad, refused: bad / 2, worth: 400.0, lost: 2.0 * bad as f64 };
+    BurnAnswer {
+        vm: vm.parse().unwrap(),
+        data_centre: "west-1".parse().unwrap(),
+        rows: vec![BurnRow {
+            account: "bar".parse().unwrap(),
+            class: "digest".parse().unwrap(),
+            short: count,
+            long: count,
+        }],
+        targets: vec![("digest".to_owned(), 0.99)],
+    }
+}
+
+#[test]
+fn the_report_adds_up_all_vms_and_says_what_is_missing() {
+    let report =
+        gather_burn(&[answer("vm-1", 6), answer("vm-2", 0)], vec!["127.0.0.9:1".to_owned()]);
+    insta::assert_snapshot!(report_table(&report), @r"
+    account  class   target  budget left  burn 5m  burn 1h  requests  bad  refused  worst VMs
+    bar      digest  99.00%  -50%         1.50     1.50     400       6    3        vm-1 (6)
+    not reached, and missing above: 127.0.0.9:1
+    ");
+}
+
+#[test]
+fn the_page_opens_by_itself() {
+    let report = gather_burn(&[answer("vm-1", 6)], Vec::new());
+    let page = burn_page(&report).unwrap();
+    assert!(page.starts_with("<!doctype html>") && page.trim_end().ends_with("</html>"));
+    assert_eq!(page.matches("<svg").count(), 2);
+    assert!(!page.contains("src=") && !page.contains("href="), "nothing is loaded from elsewhere");
+}
+
+#[rstest]
+#[case(&["check", "no-such-file.yaml"], ExitStatus::Failure)]
+#[case(&["check", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml")], ExitStatus::BadInput)]
+#[case(&["check", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/kilima.yaml")], ExitStatus::Success)]
+#[case(&["status"], ExitStatus::BadInput)]
+#[case(&["status", "--vm", "127.0.0.1:1"], ExitStatus::Failure)]
+#[case(&["completions", "bash"], ExitStatus::Success)]
+fn commands_end_with_documented_codes(#[case] words: &[&str], #[case] status: ExitStatus) {
+    let words = std::iter::once(&"foldhavenctl").chain(words);
+    let matches = make_command().try_get_matches_from(words).unwrap();
+    assert_eq!(run_command(&matches), status);
+}
+
+#[test]
+fn every_command_has_help_with_an_example() {
+    for command in make_command().get_subcommands_mut() {
+        let help = command.render_long_help().to_string();
+        assert!(help.contains("Example"), "{}: {help}", command.get_name());
+    }
+}
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -183,6 +183,8 @@
             self.mark_leaving(&load.engine, load.incarnation);
         }
         let view = EngineView { load, observed };
+        let known = self.loads.get(&view.load.engine);
+        let is_news = known.is_none_or(|known| known.load.models != view.load.models);
         match self.loads.get_mut(&view.load.engine) {
             Some(known) if known.load.incarnation > view.load.incarnation => {}
             Some(known) => {
@@ -196,6 +198,10 @@
             }
             None => drop(self.loads.insert(view.load.engine.clone(), view)),
         }
+        if is_news {
+            // What engines hold decides where requests can run; other news waits for the tick.
+            self.publish();
+        }
     }
 
     /// Starts one fetch of what another daemon has in force, unless one is under way.
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -365,14 +365,21 @@
         let facts = &self.shared().facts;
         let now = self.shared().now();
         let instances = view.services.get(&job.service)?;
-        let open = instances.iter().filter(|instance| {
-            let name = instance.name.as_str();
-            !tried.iter().any(|it| it == name) && !facts.is_ejected(name, now)
-        });
+        let untried: Vec<&ServiceInstance> = instances
+            .iter()
+            .filter(|instance| !tried.iter().any(|it| it == instance.name.as_str()))
+            .collect();
+        let trusted: Vec<&ServiceInstance> = untried
+            .iter()
+            .filter(|instance| !facts.is_ejected(instance.name.as_str(), now))
+            .copied()
+            .collect();
+        // When all of them failed lately, the requests are more likely at fault than they are.
+        let open = if trusted.is_empty() { untried } else { trusted };
         let rank = |instance: &&ServiceInstance| {
             (facts.service_busy(&instance.name), rand::random::<u32>())
         };
-        open.min_by_key(rank).cloned()
+        open.into_iter().min_by_key(rank).cloned()
     }
 
     async fn try_place(
