--- a/crates/foldhaven-testkit/src/cmd/mod.rs
+++ b/crates/foldhaven-testkit/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod chaos;
 pub mod demo;
+pub mod measure;
 pub mod scenario;
 pub mod stand_ins;
 
@@ -19,6 +20,7 @@
         .subcommand(demo::make_subcommand())
         .subcommand(scenario::make_subcommand())
         .subcommand(chaos::make_subcommand())
+        .subcommand(measure::make_subcommand())
         .subcommand(stand_ins::make_platform())
         .subcommand(stand_ins::make_engine())
         .subcommand(stand_ins::make_service())
@@ -34,6 +36,7 @@
     match matches.subcommand() {
         Some(("demo", args)) => demo::execute(args),
         Some(("scenario", args)) => scenario::execute(args),
+        Some(("measure", args)) => measure::execute(args),
         Some(("chaos", args)) => chaos::execute(args),
         Some(("platform", args)) => stand_ins::execute_platform(args),
         Some(("engine", args)) => stand_ins::execute_engine(args),
--- a/crates/foldhaven-testkit/src/fleet.rs
+++ b/crates/foldhaven-testkit/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Starts a whole deployment as separate processes on addresses of 127.0.0.0/8, and ends them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use foldhaven_core::description::Description;
-use foldhaven_core::membership::VmAddresses;
+use foldhaven_core::ids::DataCentreName;
+use foldhaven_core::membership::{VmAddresses, partners_of};
 use foldhaven_core::policy::PolicyKind;
 use foldhaven_wire::caller::EntriesAnswer;
 use foldhaven_wire::operator::StatusAnswer;
@@ -363,17 +364,26 @@
             };
             status.upstreams.iter().filter(holds).count() >= deployment.engines as usize
         });
-        let centres = self.description.regions.iter().flat_map(|region| &region.data_centres);
+        let seen: BTreeSet<DataCentreName> =
+            status.centres.iter().map(|it| it.data_centre.clone()).collect();
         let full = |centre: &foldhaven_wire::operator::CentreStatus| {
             centre.serving as usize == self.options.vms
         };
         status.stamp.is_some()
             && deployed
             && status.members.len() == self.options.vms - 1
-            && status.centres.len() == centres.count() - 1
+            && self.partners_of(centre).is_subset(&seen)
             && status.centres.iter().all(full)
     }
 
+    /// The data centres that the delegates of one turn to by themselves.
+    fn partners_of(&self, centre: &DataCentreName) -> BTreeSet<DataCentreName> {
+        let regions = self.description.regions.iter();
+        let named = regions.flat_map(|it| it.data_centres.iter().map(|dc| (dc, &it.name)));
+        let all: Vec<_> = named.map(|(dc, region)| (dc.clone(), region.clone())).collect();
+        partners_of(centre, &all)
+    }
+
     /// What a VM tells operators.
     pub async fn status(&self, name: &str) -> Option<StatusAnswer> {
         let address = self.vms.get(name)?.settings.addresses.peer;
