Price scarce capacity by the wait of the place itself, lend slot time as a rate, send at once

Cause, peak: a slice counted requests in flight against slots that were already net of them, and counted short requests like long ones; less than half of the idle capacity was ever lent. Cause, overhead: accepted connections lacked TCP_NODELAY, so each event waited up to 40 ms. Change: the price is in proportion to the wait at the option itself against half of the time left; a slice is a rate of slot time, lent requests count as spare; listening sockets set TCP_NODELAY; the last event of a broken stream gets 20 ms to leave before the connection is broken.

--- a/crates/foldhaven-core/src/membership.rs
+++ b/crates/foldhaven-core/src/membership.rs
@@ -80,6 +80,8 @@
     pub loads: Vec<EngineLoad>,
     /// The upstreams that it saw leaving, with the process lifetime that leaves.
     pub leaving_upstreams: Vec<(UpstreamName, u64)>,
+    /// Requests of other data centres under way here, by model.
+    pub lent: Vec<(ModelName, u32)>,
     /// The revision of the list of upstreams that it holds; 0 for none.
     pub list_revision: u64,
 }
--- a/crates/foldhaven-core/src/offers.rs
+++ b/crates/foldhaven-core/src/offers.rs
@@ -14,7 +14,7 @@
 
 /// How long a data centre that was just seen again is offered less than its full slice, since its
 /// caches are cold.
-pub const RAMP_TIME: Duration = Duration::from_secs(10);
+pub const RAMP_TIME: Duration = Duration::from_secs(5);
 
 /// How many data centres the spare of one model is divided among, those with most demand first.
 pub const MAX_SLICES: usize = 8;
@@ -26,7 +26,7 @@
     pub to: DataCentreName,
     /// The model whose slots are offered.
     pub model: ModelName,
-    /// How many requests may be under way at once.
+    /// How many slots may be kept busy: seconds of slot time a second.
     pub slots: u32,
 }
 
@@ -41,12 +41,12 @@
     pub seen_for: Duration,
 }
 
-/// Divides the spare slots of one model among other data centres.
+/// Divides the spare slots of one model, those already lent included, among other data centres.
 ///
 /// A part is kept back for own work. Slices are in proportion to demand, those of data centres
 /// seen again for less than [`RAMP_TIME`] are smaller, and the sum never passes the spare.
 pub fn divide_spare(model: &ModelName, spare: u32, demands: &[OfferDemand]) -> Vec<SpareOffer> {
-    const KEPT_BACK: f64 = 0.25;
+    const KEPT_BACK: f64 = 0.1;
     let mut demands: Vec<&OfferDemand> = demands.iter().collect();
     demands.sort_by(|left, right| right.weight.total_cmp(&left.weight));
     demands.truncate(MAX_SLICES);
@@ -63,70 +63,83 @@
     demands.into_iter().map(slice).filter(|offer| offer.slots > 0).collect()
 }
 
+/// Slot time that a slice lets through at once, as a span of its rate.
+const BURST: Duration = Duration::from_millis(500);
+
 #[derive(Debug, Clone, Copy)]
 struct HeldSlice {
-    slots: u32,
+    /// Slot seconds a second.
+    rate: f64,
+    /// Slot seconds that can be spent now.
+    saved: f64,
+    updated: MonoTime,
     expires: MonoTime,
-    in_use: u32,
+}
+
+impl HeldSlice {
+    fn saved_at(&self, now: MonoTime) -> f64 {
+        if now >= self.expires {
+            return 0.0;
+        }
+        let earned = now.since(self.updated).as_secs_f64() * self.rate;
+        (self.saved + earned).min(self.rate * BURST.as_secs_f64())
+    }
 }
 
 /// The slices that this daemon may spend.
+///
+/// A slice of `n` slots is a rate: `n` seconds of slot time may be sent each second, whether that
+/// is one long request or many short ones.
 #[derive(Debug, Default)]
 pub struct OfferBook {
     slices: BTreeMap<(DataCentreName, ModelName), HeldSlice>,
 }
 
 impl OfferBook {
-    /// Takes in this data centre's slice, of which this daemon may spend its part of `members`.
-    ///
-    /// `rank` is this daemon's place among the members, counted from 0; the first ones get what is
-    /// left over.
+    /// Takes in this data centre's slice, of which this daemon may spend an equal part of
+    /// `members`.
     pub fn hold(
         &mut self,
         from: &DataCentreName,
         model: &ModelName,
         slots: u32,
-        (rank, members): (u32, u32),
-        expires: MonoTime,
+        members: u32,
+        (now, expires): (MonoTime, MonoTime),
     ) {
-        let members = members.max(1);
-        let part = slots / members + u32::from(rank < slots % members);
+        let rate = f64::from(slots) / f64::from(members.max(1));
         let key = (from.clone(), model.clone());
-        let empty = HeldSlice { slots: 0, expires, in_use: 0 };
-        let slice = self.slices.entry(key).or_insert(empty);
-        slice.slots = part;
-        slice.expires = expires;
+        let fresh = HeldSlice { rate, saved: rate * BURST.as_secs_f64(), updated: now, expires };
+        let slice = self.slices.entry(key).or_insert(fresh);
+        slice.saved = slice.saved_at(now).min(rate * BURST.as_secs_f64());
+        (slice.rate, slice.updated, slice.expires) = (rate, now, expires);
     }
 
-    /// The requests that could be sent now.
-    pub fn available(&self, from: &DataCentreName, model: &ModelName, now: MonoTime) -> u32 {
+    /// Whether a request may be sent now. A slice pays for a request as long as anything is saved,
+    /// and then earns back what it cost.
+    pub fn is_available(&self, from: &DataCentreName, model: &ModelName, now: MonoTime) -> bool {
         let slice = self.slices.get(&(from.clone(), model.clone()));
-        let slice = slice.filter(|slice| now < slice.expires);
-        slice.map_or(0, |slice| slice.slots.saturating_sub(slice.in_use))
+        slice.is_some_and(|slice| slice.saved_at(now) > 0.0)
     }
 
-    /// Spends one slot; it is given back with [`OfferBook::release`].
-    pub fn take(&mut self, from: &DataCentreName, model: &ModelName, now: MonoTime) -> bool {
-        if self.available(from, model, now) == 0 {
-            return false;
-        }
-        if let Some(slice) = self.slices.get_mut(&(from.clone(), model.clone())) {
-            slice.in_use += 1;
-        }
-        true
-    }
-
-    /// Gives one slot back.
-    pub fn release(&mut self, from: &DataCentreName, model: &ModelName) {
+    /// Spends the slot time of one request.
+    pub fn spend(
+        &mut self,
+        from: &DataCentreName,
+        model: &ModelName,
+        slot_time: Duration,
+        now: MonoTime,
+    ) {
         if let Some(slice) = self.slices.get_mut(&(from.clone(), model.clone())) {
-            slice.in_use = slice.in_use.saturating_sub(1);
+            slice.saved = slice.saved_at(now) - slot_time.as_secs_f64();
+            slice.updated = now;
         }
     }
 
-    /// The receiver refused: the slice is worth nothing until the next one arrives.
-    pub fn void(&mut self, from: &DataCentreName, model: &ModelName) {
+    /// The receiver refused: the slice is worth nothing until it has earned a burst anew.
+    pub fn void(&mut self, from: &DataCentreName, model: &ModelName, now: MonoTime) {
         if let Some(slice) = self.slices.get_mut(&(from.clone(), model.clone())) {
-            slice.slots = 0;
+            slice.saved = -slice.rate * BURST.as_secs_f64();
+            slice.updated = now;
         }
     }
 }
--- a/crates/foldhaven-core/src/planner.rs
+++ b/crates/foldhaven-core/src/planner.rs
@@ -38,8 +38,6 @@
     pub engines: Vec<EngineView>,
     /// The other data centres.
     pub centres: Vec<CentreView>,
-    /// The price of one slot second here, over and above the cost; zero while capacity suffices.
-    pub pressure: f64,
 }
 
 /// What the traffic threads know and the view does not show yet.
@@ -48,13 +46,15 @@
     fn recent_work(&self, engine: &EngineView) -> RecentWork;
     /// Tokens at the start of the prompt that the engine probably holds.
     fn cached_tokens(&self, engine: &UpstreamName, blocks: &[u64], now: MonoTime) -> u64;
-    /// Requests that could be sent to another data centre now.
-    fn offered(&self, centre: &DataCentreName, model: &ModelConfig, now: MonoTime) -> u32;
+    /// Whether a request may be sent to another data centre now.
+    fn is_offered(&self, centre: &DataCentreName, model: &ModelConfig, now: MonoTime) -> bool;
     /// Whether an upstream or data centre gets nothing for now, because calls to it failed.
     fn is_ejected(&self, target: &str, now: MonoTime) -> bool;
     /// How far estimates have been off.
     fn estimate_error(&self) -> EstimateError;
-    /// What the pressure is to be multiplied by for an account, by what it used lately.
+    /// The mean worth of a slot second of a model lately.
+    fn density(&self, model: &ModelConfig) -> f64;
+    /// What the price of scarce capacity is to be multiplied by for an account, by what it used lately.
     fn fair_factor(&self, account: &AccountConfig) -> f64;
 }
 
@@ -221,6 +221,11 @@
     shortest.max(wait / 4)
 }
 
+/// The part of its time for which a request of mean worth waits before it is refused.
+const WAIT_LIMIT: f64 = 0.5;
+/// How much more requests from elsewhere pay for scarce capacity.
+const AWAY_FACTOR: f64 = 1.5;
+
 struct OptionPricer<'a> {
     query: &'a RouteQuery<'a>,
     view: &'a RouteView,
@@ -294,7 +299,7 @@
     /// Whether this data centre may send there now: within its lease, or because it has no engine
     /// of its own for the model, or because the request may not run here.
     fn is_offered(&self, centre: &DataCentreName) -> bool {
-        if self.facts.offered(centre, self.query.model, self.now) > 0 {
+        if self.facts.is_offered(centre, self.query.model, self.now) {
             return true;
         }
         let here = self.view.index.region_of(&self.view.centre);
@@ -337,7 +342,7 @@
         let objective = self.objective();
         let is_away = *region != query.account.home;
         let local = matches!(target, RouteTarget::Engine(_));
-        let pressure = if local { self.pressure(is_away) } else { 0.0 };
+        let pressure = if local { self.pressure(wait, is_away) } else { 0.0 };
         let price = RoutePrice {
             lateness: objective.lateness * query.worth * late,
             away: if is_away { objective.away } else { 0.0 },
@@ -347,39 +352,17 @@
         RouteOption { target, estimate, wait, slot_time, cached_tokens, chance_late: late, price }
     }
 
-    /// The price of scarce capacity here: more for accounts that used more than their part, and
-    /// more for requests from elsewhere, so that these give way first.
-    fn pressure(&self, is_away: bool) -> f64 {
-        const AWAY_FACTOR: f64 = 1.5;
-        let base = self.view.pressure * self.facts.fair_factor(self.query.account);
+    /// The price of a slot second that others wait for.
+    ///
+    /// It is in proportion to the wait: where a request would spend [`WAIT_LIMIT`] of its time
+    /// waiting, a slot second costs as much as it brings in on average, so that requests of mean
+    /// worth are refused and the queue stays that short. Accounts that used more than their part
+    /// pay more, and so do requests from elsewhere, so that these give way first.
+    fn pressure(&self, wait: Duration, is_away: bool) -> f64 {
+        let limit = self.query.remaining.mul_f64(WAIT_LIMIT);
+        let share = wait.as_secs_f64() / limit.as_secs_f64().max(1e-3);
+        let base = share * self.facts.density(self.query.model);
+        let base = base * self.facts.fair_factor(self.query.account);
         if is_away { base * AWAY_FACTOR } else { base }
     }
 }
-
-/// Follows the wait for a slot and turns it into the price of scarce capacity.
-///
-/// While requests wait longer than the target, the price rises until enough requests of little
-/// worth for their slot time are refused; when the wait falls, so does the price.
-#[derive(Debug, Clone, Default)]
-pub struct PressureGauge {
-    price: f64,
-}
-
-impl PressureGauge {
-    /// Takes in the present wait and returns the new price. `density` is the mean worth of a slot
-    /// second lately, which sets the scale, and `step` the time since the last call.
-    pub fn update(
-        &mut self,
-        wait: Duration,
-        target: Duration,
-        density: f64,
-        step: Duration,
-    ) -> f64 {
-        const RATE: f64 = 0.5;
-        const CEILING: f64 = 20.0;
-        let excess = wait.as_secs_f64() / target.as_secs_f64().max(1e-3) - 1.0;
-        let push = excess.clamp(-2.0, 2.0) * RATE * density * step.as_secs_f64();
-        self.price = (self.price + push).clamp(0.0, density * CEILING);
-        self.price
-    }
-}
--- a/crates/foldhaven-core/src/policy.rs
+++ b/crates/foldhaven-core/src/policy.rs
@@ -135,13 +135,17 @@
         0
     }
 
-    fn offered(
+    fn is_offered(
         &self,
         _centre: &crate::ids::DataCentreName,
         _model: &crate::description::ModelConfig,
         _now: MonoTime,
-    ) -> u32 {
-        u32::MAX
+    ) -> bool {
+        true
+    }
+
+    fn density(&self, _model: &crate::description::ModelConfig) -> f64 {
+        0.0
     }
 
     fn is_ejected(&self, target: &str, now: MonoTime) -> bool {
--- a/crates/foldhaven-core/tests/testsuite/membership.rs
+++ b/crates/foldhaven-core/tests/testsuite/membership.rs
@@ -29,6 +29,7 @@
         addresses: VmAddresses { caller: address, peer: address, control: address },
         loads: Vec::new(),
         leaving_upstreams: Vec::new(),
+        lent: Vec::new(),
         list_revision: 0,
     }
 }
--- a/crates/foldhaven-testkit/src/caller.rs
+++ b/crates/foldhaven-testkit/src/caller.rs
@@ -126,6 +126,13 @@
         Self { client, one_way }
     }
 
+    /// Lets the time to the entry VM pass. A timer takes a millisecond even for no time at all.
+    async fn travel(&self) {
+        if !self.one_way.is_zero() {
+            tokio::time::sleep(self.one_way).await;
+        }
+    }
+
     /// Asks an entry VM which VMs to use.
     pub async fn entries(
         &self,
@@ -141,7 +148,7 @@
     /// Sends a model request to an entry VM and takes its answer to the end.
     pub async fn ask_model(&self, entry: SocketAddr, ask: &ModelAsk) -> CallerAnswer {
         let started = Instant::now();
-        tokio::time::sleep(self.one_way).await;
+        self.travel().await;
         let path = if ask.chat { "/v1/chat/completions" } else { "/v1/completions" };
         let mut request = self
             .client
@@ -172,7 +179,7 @@
     /// Sends a service request to an entry VM.
     pub async fn ask_service(&self, entry: SocketAddr, ask: &ServiceAsk) -> CallerAnswer {
         let started = Instant::now();
-        tokio::time::sleep(self.one_way).await;
+        self.travel().await;
         let mut request = self
             .client
             .post(format!("http://{entry}/service/{}", ask.path))
--- a/crates/foldhaven-testkit/src/stand_in/mod.rs
+++ b/crates/foldhaven-testkit/src/stand_in/mod.rs
@@ -17,7 +17,7 @@
 where
     F: Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static,
 {
-    let listener = tokio::net::TcpListener::bind(address).await?;
+    let listener = foldhaven_wire::listen::listen_at(address)?;
     warp::serve(routes).incoming(listener).run().await;
     Ok(())
 }
--- a/crates/foldhaven-wire/src/control.rs
+++ b/crates/foldhaven-wire/src/control.rs
@@ -14,12 +14,13 @@
 use serde::{Deserialize, Serialize};
 use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio_serde::formats::Bincode;
 use tokio_stream::wrappers::TcpListenerStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::counted::{ByteCounter, CountedStream};
+use crate::listen::listen_at;
 use crate::platform::UpstreamList;
 
 /// One round of an exchange between two daemons.
@@ -76,6 +77,7 @@
     counter: Arc<ByteCounter>,
 ) -> io::Result<PeerControlClient> {
     let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
     let transport = serde_transport::new(frame(stream, counter), Bincode::default());
     Ok(PeerControlClient::new(tarpc::client::Config::default(), transport).spawn())
 }
@@ -95,7 +97,7 @@
 where
     S: PeerControl + Clone,
 {
-    let listener = TcpListenerStream::new(TcpListener::bind(address).await?);
+    let listener = TcpListenerStream::new(listen_at(address)?);
     Ok(listener.for_each_concurrent(None, move |accepted| {
         let server = server.clone();
         let counter = counter.clone();
@@ -112,7 +114,5 @@
     stream: TcpStream,
     counter: Arc<ByteCounter>,
 ) -> Framed<CountedStream, LengthDelimitedCodec> {
-    // Small messages go out at once; a failure here only makes them slower.
-    let _ = stream.set_nodelay(true);
     Framed::new(CountedStream { stream, counter }, LengthDelimitedCodec::new())
 }
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -96,8 +96,6 @@
     pub stamp: String,
     /// The options with their prices, as for a real request.
     pub plan: RoutePlan,
-    /// The present price of a slot second here.
-    pub pressure: f64,
 }
 
 /// The answer of `GET /operator/v1/burn`.
--- a/crates/foldhavenctl/src/cmd/explain.rs
+++ b/crates/foldhavenctl/src/cmd/explain.rs
@@ -54,10 +54,7 @@
     }
     println!("{} in {}, by {}", answer.vm, answer.data_centre, answer.stamp);
     print!("{}", option_table(&answer));
-    println!(
-        "refusing costs {:.4}; a slot second here costs {:.4} more",
-        answer.plan.refusal, answer.pressure
-    );
+    println!("refusing costs {:.4}", answer.plan.refusal);
     match answer.plan.choice() {
         Some(option) => println!("taken: {}", option.target.name()),
         None => println!("refused; come back after {:?}", answer.plan.come_back),
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -10,7 +10,6 @@
 use foldhaven_core::load::{EngineLoad, EngineView};
 use foldhaven_core::membership::{MemberState, MemberTable, VmBeat, partners_of};
 use foldhaven_core::placement::{EngineOrder, due_orders, issuer_of};
-use foldhaven_core::planner::PressureGauge;
 use foldhaven_core::rank::rank_by;
 use foldhaven_core::time::MonoTime;
 use foldhaven_wire::control::{ExchangeReply, ExchangeRequest};
@@ -39,9 +38,6 @@
     pub(super) members: MemberTable,
     pub(super) list: Option<UpstreamList>,
     pub(super) loads: BTreeMap<UpstreamName, EngineView>,
-    pub(super) gauge: PressureGauge,
-    pub(super) pressure: f64,
-    pub(super) ticked: MonoTime,
     pub(super) started: MonoTime,
     /// Whether a view has been published.
     pub(super) warm: bool,
@@ -60,7 +56,7 @@
         let settings = &shared.settings;
         let times = settings.times.membership();
         let members = MemberTable::new(settings.vm.clone(), settings.data_centre.clone(), times);
-        let ticked = shared.now();
+        let started = shared.now();
         Self {
             shared,
             index: None,
@@ -68,10 +64,7 @@
             members,
             list: None,
             loads: BTreeMap::new(),
-            gauge: PressureGauge::default(),
-            pressure: 0.0,
-            ticked,
-            started: ticked,
+            started,
             warm: false,
             leaving: BTreeMap::new(),
             summaries_written: 0,
@@ -151,6 +144,7 @@
             addresses: settings.addresses.clone(),
             loads,
             leaving_upstreams: self.leaving.iter().map(|(name, it)| (name.clone(), *it)).collect(),
+            lent: self.shared.facts.lent(),
             list_revision: self.list.as_ref().map_or(0, |list| list.revision),
         }
     }
@@ -543,7 +537,6 @@
         }
         let now = self.now();
         self.members.forget_silent(now);
-        self.update_pressure(now);
         self.publish();
     }
 }
--- a/crates/foldhavend/src/control/publish.rs
+++ b/crates/foldhavend/src/control/publish.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::ServiceName;
-use foldhaven_core::load::{RecentWork, expected_wait};
 use foldhaven_core::membership::SeenSummary;
 use foldhaven_core::planner::{CentreView, RouteView};
 use foldhaven_core::time::MonoTime;
@@ -13,10 +12,6 @@
 use super::keeper::ControlKeeper;
 use crate::shared::{MemberView, PublishedView, ServiceInstance};
 
-/// The wait for a slot at which the price of scarce capacity stays as it is, as a share of the
-/// shortest deadline of a class.
-const WAIT_SHARE: f64 = 0.25;
-
 /// A daemon that starts takes requests after this long even if it knows of no engine.
 const WARM_LIMIT: Duration = Duration::from_secs(3);
 
@@ -30,7 +25,6 @@
         }
         let settings = &self.shared.settings;
         let serving = self.members.serving(self.serves(), now);
-        let rank = serving.iter().position(|name| *name == settings.vm).unwrap_or_default();
         let takes_work: Vec<&UpstreamEntry> =
             self.upstreams().filter(|entry| !self.is_leaving(entry)).collect();
         let loads = self.fresh_loads();
@@ -43,10 +37,8 @@
             centre: settings.data_centre.clone(),
             engines: engines.collect(),
             centres: centres.collect(),
-            pressure: self.pressure,
         };
-        let part = (rank as u32, serving.len() as u32);
-        self.hold_offers(&route.centres, part);
+        self.hold_offers(&route.centres, serving.len() as u32);
         let view = PublishedView {
             route,
             made: now,
@@ -74,13 +66,15 @@
         self.warm
     }
 
-    fn hold_offers(&self, centres: &[CentreView], part: (u32, u32)) {
+    fn hold_offers(&self, centres: &[CentreView], members: u32) {
+        let now = self.now();
         let here = &self.shared.settings.data_centre;
         for centre in centres {
             let from = &centre.summary.data_centre;
             for offer in centre.summary.offers.iter().filter(|offer| offer.to == *here) {
                 let facts = &self.shared.facts;
-                facts.hold_offer(from, &offer.model, offer.slots, part, centre.observed);
+                let span = (now, centre.observed);
+                facts.hold_offer(from, &offer.model, offer.slots, members, span);
             }
         }
     }
@@ -109,25 +103,6 @@
         };
         self.members.members(now).map(view).collect()
     }
-
-    /// Lets the price of scarce capacity follow the shortest wait for a slot of any model here.
-    pub(super) fn update_pressure(&mut self, now: MonoTime) {
-        let step = now.since(self.ticked).min(Duration::from_secs(1));
-        self.ticked = now;
-        let Some(index) = self.index.clone() else { return };
-        let engines: Vec<_> = self.fresh_loads().into_iter().cloned().collect();
-        let wait = |model: &foldhaven_core::description::ModelConfig| {
-            let holding = engines.iter().filter(|engine| engine.load.holds(model));
-            holding.map(|engine| expected_wait(engine, RecentWork::default(), now)).min()
-        };
-        let waits = index.description.models.iter().filter_map(wait);
-        let longest = waits.max().unwrap_or_default();
-        let deadlines = index.description.classes.iter().filter(|class| class.model.is_some());
-        let shortest = deadlines.map(|class| class.deadline.0).min().unwrap_or_default();
-        let target = shortest.mul_f64(WAIT_SHARE);
-        let density = self.shared.facts.density();
-        self.pressure = self.gauge.update(longest, target, density, step);
-    }
 }
 
 fn centre_view(seen: &SeenSummary<'_>, now: MonoTime) -> CentreView {
--- a/crates/foldhavend/src/control/summary.rs
+++ b/crates/foldhavend/src/control/summary.rs
@@ -115,7 +115,17 @@
     }
 
     fn offers_of(&self, capacity: &ModelCapacity) -> Vec<SpareOffer> {
-        divide_spare(&capacity.model, capacity.free, &self.demands_for(&capacity.model))
+        let model = &capacity.model;
+        let spare = capacity.slots.min(capacity.free + self.lent_of(model));
+        divide_spare(model, spare, &self.demands_for(model))
+    }
+
+    /// Requests of other data centres under way at all members, which the offers cover already.
+    fn lent_of(&self, model: &ModelName) -> u32 {
+        let own = self.shared.facts.lent();
+        let members = self.members.members(self.now());
+        let theirs = members.flat_map(|(beat, _)| &beat.lent);
+        own.iter().chain(theirs).filter(|(name, _)| name == model).map(|(_, count)| count).sum()
     }
 
     /// How much each other data centre would like to send here, by its own summary.
--- a/crates/foldhavend/src/daemon.rs
+++ b/crates/foldhavend/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_wire::listen::listen_at;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -62,8 +63,8 @@
 
 async fn serve(settings: DaemonSettings) -> Result<(), DaemonError> {
     let addresses = settings.addresses.clone();
-    let callers = listen(addresses.caller).await?;
-    let peers = listen(addresses.peer).await?;
+    let callers = listen(addresses.caller)?;
+    let peers = listen(addresses.peer)?;
     let upstream = HttpUpstream::new().map_err(DaemonError::Client)?;
     let reader = reqwest::Client::builder()
         .connect_timeout(Duration::from_secs(1))
@@ -97,9 +98,8 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| DaemonError::Listen { peer: address, source })
+fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    listen_at(address).map_err(|source| DaemonError::Listen { peer: address, source })
 }
 
 async fn wait_for_stop() -> Result<(), DaemonError> {
--- a/crates/foldhavend/src/traffic/caller_front.rs
+++ b/crates/foldhavend/src/traffic/caller_front.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use foldhaven_core::attempt::RequestOutcome;
@@ -30,6 +31,8 @@
 /// How many parts of an answer wait for a slow caller.
 const PART_QUEUE: usize = 64;
 const MAX_TICKETS: usize = 64;
+/// The time that the last event of a broken answer is given to leave.
+const LAST_EVENT_TIME: Duration = Duration::from_millis(20);
 
 /// Serves callers until `stop` changes, then finishes what is under way.
 pub async fn serve_callers(
@@ -167,7 +170,7 @@
             RefusalReason::Leaving,
             "this VM is leaving; other entry VMs take the request",
         );
-        let refusal = refusal.with_retry_after(std::time::Duration::from_millis(50));
+        let refusal = refusal.with_retry_after(Duration::from_millis(50));
         let mut response = refusal_reply(&refusal);
         let view = shared.view().ok();
         let entries = view.map(|view| list_entries(shared, &view, None).entries);
@@ -299,14 +302,18 @@
     let mut writer = AnswerWriter::new(job, 0);
     let rest = ReceiverStream::new(parts);
     let events = futures::stream::iter([first]).chain(rest).flat_map(move |event| {
-        let pieces: Vec<Result<Bytes, io::Error>> = match event {
-            JobEvent::Part(part, _) => vec![Ok(writer.event(&part).into())],
+        let (piece, broken): (String, Option<io::Error>) = match event {
+            JobEvent::Part(part, _) => (writer.event(&part), None),
             JobEvent::Failed(answer) => {
-                let broken = io::Error::other(answer.to_string());
-                vec![Ok(error_event(&answer).into()), Err(broken)]
+                (error_event(&answer), Some(io::Error::other(answer.to_string())))
             }
         };
-        futures::stream::iter(pieces)
+        let broken = futures::stream::iter(broken).then(|broken| async move {
+            // The event has to leave before the connection is broken.
+            tokio::time::sleep(LAST_EVENT_TIME).await;
+            Err(broken)
+        });
+        futures::stream::iter([Ok(Bytes::from(piece))]).chain(broken)
     });
     let mut response = event_stream_reply(events);
     set_header(response.headers_mut(), headers::SERVED_BY, &served_by);
--- a/crates/foldhavend/src/traffic/explain.rs
+++ b/crates/foldhavend/src/traffic/explain.rs
@@ -54,6 +54,5 @@
         data_centre: shared.settings.data_centre.clone(),
         stamp: index.stamp.to_string(),
         plan,
-        pressure: view.route.pressure,
     })
 }
--- a/crates/foldhavend/src/traffic/facts.rs
+++ b/crates/foldhavend/src/traffic/facts.rs
@@ -40,7 +40,8 @@
     error: EstimateError,
     usage: UsageBook,
     retries: RetryBudget,
-    density: f64,
+    density: BTreeMap<ModelName, f64>,
+    lent: BTreeMap<ModelName, u32>,
     busy_services: BTreeMap<UpstreamName, u32>,
 }
 
@@ -61,7 +62,8 @@
             error: EstimateError::default(),
             usage: UsageBook::default(),
             retries: RetryBudget::new(RETRY_SHARE, RETRY_CAP),
-            density: 1.0,
+            density: BTreeMap::new(),
+            lent: BTreeMap::new(),
             busy_services: BTreeMap::new(),
         };
         Self { inner: Arc::new(Mutex::new(inner)) }
@@ -95,28 +97,39 @@
         from: &DataCentreName,
         model: &ModelName,
         slots: u32,
-        part: (u32, u32),
-        written: MonoTime,
+        members: u32,
+        (now, written): (MonoTime, MonoTime),
     ) {
-        let expires = written + OFFER_LIFETIME;
-        self.inner.lock().offers.hold(from, model, slots, part, expires);
+        let span = (now, written + OFFER_LIFETIME);
+        self.inner.lock().offers.hold(from, model, slots, members, span);
     }
 
-    /// Spends one slot of a slice until the guard is dropped; nothing when none is left.
-    pub fn take_offer(
+    /// Spends the slot time of one request that is sent to another data centre.
+    pub fn spend_offer(
         &self,
         from: &DataCentreName,
         model: &ModelName,
+        slot_time: Duration,
         now: MonoTime,
-    ) -> Option<OfferGuard> {
-        let taken = self.inner.lock().offers.take(from, model, now);
-        let guard = || OfferGuard { facts: self.clone(), from: from.clone(), model: model.clone() };
-        taken.then(guard)
+    ) {
+        self.inner.lock().offers.spend(from, model, slot_time, now);
     }
 
     /// Notes that the receiver refused what the slice had promised.
-    pub fn void_offer(&self, from: &DataCentreName, model: &ModelName) {
-        self.inner.lock().offers.void(from, model);
+    pub fn void_offer(&self, from: &DataCentreName, model: &ModelName, now: MonoTime) {
+        self.inner.lock().offers.void(from, model, now);
+    }
+
+    /// Counts a request of another data centre as under way here until the guard is dropped.
+    pub fn lend(&self, model: &ModelName) -> LentGuard {
+        *self.inner.lock().lent.entry(model.clone()).or_default() += 1;
+        LentGuard { facts: self.clone(), model: model.clone() }
+    }
+
+    /// Requests of other data centres under way here, by model.
+    pub fn lent(&self) -> Vec<(ModelName, u32)> {
+        let inner = self.inner.lock();
+        inner.lent.iter().map(|(model, count)| (model.clone(), *count)).collect()
     }
 
     pub fn note_success(&self, target: &str) {
@@ -143,6 +156,7 @@
     pub fn note_usage(
         &self,
         account: &AccountConfig,
+        model: &ModelName,
         worth: f64,
         slot_time: Duration,
         now: MonoTime,
@@ -151,12 +165,8 @@
         let mut inner = self.inner.lock();
         inner.usage.note(&account.name, account.share, slot_time, now);
         let density = worth / slot_time.as_secs_f64().max(1e-3);
-        inner.density += WEIGHT * (density - inner.density);
-    }
-
-    /// The mean worth of a slot second lately.
-    pub fn density(&self) -> f64 {
-        self.inner.lock().density
+        let mean = inner.density.entry(model.clone()).or_insert(density);
+        *mean += WEIGHT * (density - *mean);
     }
 
     pub fn note_cache_stored(&self, engine: &UpstreamName, blocks: &[u64], now: MonoTime) {
@@ -200,8 +210,12 @@
         self.inner.lock().prefixes.cached_tokens(engine, blocks, now)
     }
 
-    fn offered(&self, centre: &DataCentreName, model: &ModelConfig, now: MonoTime) -> u32 {
-        self.inner.lock().offers.available(centre, &model.name, now)
+    fn is_offered(&self, centre: &DataCentreName, model: &ModelConfig, now: MonoTime) -> bool {
+        self.inner.lock().offers.is_available(centre, &model.name, now)
+    }
+
+    fn density(&self, model: &ModelConfig) -> f64 {
+        self.inner.lock().density.get(&model.name).copied().unwrap_or_default()
     }
 
     fn is_ejected(&self, target: &str, now: MonoTime) -> bool {
@@ -217,16 +231,18 @@
     }
 }
 
-/// A slot of another data centre's spare capacity.
-pub struct OfferGuard {
+/// A request of another data centre under way here.
+pub struct LentGuard {
     facts: TrafficFacts,
-    from: DataCentreName,
     model: ModelName,
 }
 
-impl Drop for OfferGuard {
+impl Drop for LentGuard {
     fn drop(&mut self) {
-        self.facts.inner.lock().offers.release(&self.from, &self.model);
+        let mut inner = self.facts.inner.lock();
+        if let Some(count) = inner.lent.get_mut(&self.model) {
+            *count = count.saturating_sub(1);
+        }
     }
 }
 
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -228,15 +228,15 @@
         let target = option.target.name().to_owned();
         progress.log.plan(attempt.clone(), target.clone());
         progress.tried.push(target.clone());
-        let (call, _offer) = match &option.target {
+        let call = match &option.target {
             RouteTarget::Engine(engine) => {
                 let call = self.engine_call(job, view, engine, option, progress.position, &attempt);
                 shared.facts.note_dispatch(engine, option.slot_time, &job.blocks, shared.now());
-                (call, None)
+                call
             }
             RouteTarget::Centre(centre) => {
-                let offer = shared.facts.take_offer(centre, &job.model, shared.now());
-                (self.peer_call(job, view, centre, progress.position, &attempt), offer)
+                shared.facts.spend_offer(centre, &job.model, option.slot_time, shared.now());
+                self.peer_call(job, view, centre, progress.position, &attempt)
             }
         };
         let Some(call) = call else {
@@ -245,7 +245,8 @@
         };
         if let Some(account) = view.route.index.account(&job.head.account) {
             let now = shared.now();
-            shared.facts.note_usage(account, job.head.worth, option.slot_time, now);
+            let worth = job.head.worth;
+            shared.facts.note_usage(account, &job.model, worth, option.slot_time, now);
         }
         let started = shared.now();
         tracing::debug!(
@@ -542,7 +543,7 @@
             }
         }
         (RouteTarget::Centre(centre), CallFault::Refused { .. }) => {
-            shared.facts.void_offer(centre, model);
+            shared.facts.void_offer(centre, model, now);
         }
         (_, CallFault::NotSent(_)) => shared.facts.note_failure(target.name(), true, now),
         (_, CallFault::Broken(_)) => shared.facts.note_failure(target.name(), false, now),
--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -185,6 +185,7 @@
     let served_by = desk.context.shared.settings.data_centre.to_string();
     tokio::spawn(async move {
         let _in_flight = desk.context.shared.enter();
+        let _lent = desk.context.shared.facts.lend(&job.model);
         let mut writer = AnswerWriter::new(&job, position);
         let remaining = job.head.remaining(desk.context.shared.now());
         let passing = pass_parts(&mut writer, answer.as_mut(), &sender);
