Meet four members a round in turn, and only data centres that are partners

Cause: the slope of control bytes against members was 3 KB/s for each further VM of a data centre: 70 KB/s for an idle daemon at 24 members, 227 KB/s for the delegate that all others asked. Ruled out: the size of heartbeats; the number of exchanges grew with the members, and seeds of other data centres were met every 2 s for ever (0.4 KB/s for each further data centre). Change: four exchanges a round in turn, all members only on leaving; summaries are asked of whoever is met; seeds are met only while a partner is not seen; two failed calls make a member suspect.

--- a/crates/foldhaven-core/src/membership.rs
+++ b/crates/foldhaven-core/src/membership.rs
@@ -22,6 +22,15 @@
 /// How many members of a data centre speak for it to other data centres.
 pub const DELEGATES: usize = 2;
 
+/// How many members one daemon starts an exchange with in one round. It turns through all of them,
+/// so that what heartbeats cost does not grow with the members.
+pub const MEMBER_FAN: usize = 4;
+
+/// After how many calls in a row that were not answered a member gets no new work.
+const FAILED_CALLS: u32 = 2;
+/// A member is given this many turns through all members before its silence counts.
+const SILENT_TURNS: f64 = 2.5;
+
 /// The spans by which members are judged.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipTimes {
@@ -154,6 +163,7 @@
     beat: VmBeat,
     heard: MonoTime,
     reached: MonoTime,
+    failed_calls: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -214,12 +224,13 @@
                 }
                 if beat.incarnation > entry.beat.incarnation {
                     entry.reached = now;
+                    entry.failed_calls = 0;
                 }
                 entry.heard = now;
                 entry.beat = beat;
             }
             None => {
-                let entry = MemberEntry { beat, heard: now, reached: now };
+                let entry = MemberEntry { beat, heard: now, reached: now, failed_calls: 0 };
                 self.members.insert(entry.beat.vm.clone(), entry);
             }
         }
@@ -230,9 +241,31 @@
     pub fn note_reached(&mut self, vm: &VmName, now: MonoTime) {
         if let Some(entry) = self.members.get_mut(vm) {
             entry.reached = now;
+            entry.failed_calls = 0;
+        }
+    }
+
+    /// Notes that a call of ours to a member was not answered.
+    pub fn note_failed(&mut self, vm: &VmName) {
+        if let Some(entry) = self.members.get_mut(vm) {
+            entry.failed_calls += 1;
         }
     }
 
+    /// The members to start an exchange with in a round: [`MEMBER_FAN`] of them, in turn.
+    pub fn round_members(&self, round: u64) -> Vec<&VmBeat> {
+        let beats: Vec<&VmBeat> = self.members.values().map(|entry| &entry.beat).collect();
+        let first = round as usize * MEMBER_FAN;
+        let count = MEMBER_FAN.min(beats.len());
+        (0..count).map(|at| beats[(first + at) % beats.len()]).collect()
+    }
+
+    /// How long a member may be silent: longer where a turn through all members takes longer.
+    fn silence_limit(&self) -> Duration {
+        let rounds = self.members.len().div_ceil(MEMBER_FAN) as f64;
+        self.times.suspect.max(self.times.interval.mul_f64(rounds * SILENT_TURNS))
+    }
+
     /// Notes that a member said it ends this process lifetime.
     pub fn note_gone(&mut self, vm: &VmName, incarnation: IncarnationId) {
         let ended = self.gone.entry(vm.clone()).or_insert(incarnation);
@@ -286,8 +319,9 @@
     }
 
     fn judge(&self, entry: &MemberEntry, now: MonoTime) -> MemberState {
-        let silent = now.since(entry.heard) > self.times.suspect;
-        let unreached = now.since(entry.reached) > self.times.suspect;
+        let limit = self.silence_limit();
+        let silent = now.since(entry.heard) > limit;
+        let unreached = now.since(entry.reached) > limit || entry.failed_calls >= FAILED_CALLS;
         match (silent || unreached, entry.beat.leaving) {
             (true, _) => MemberState::Suspect,
             (false, true) => MemberState::Leaving,
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use foldhaven_core::description::{DescriptionIndex, DescriptionStamp};
-use foldhaven_core::ids::UpstreamName;
+use foldhaven_core::ids::{DataCentreName, UpstreamName};
 use foldhaven_core::load::{EngineLoad, EngineView};
 use foldhaven_core::membership::{MemberState, MemberTable, VmBeat, partners_of};
 use foldhaven_core::placement::{EngineOrder, due_orders, issuer_of};
@@ -21,11 +21,13 @@
 use crate::shared::SharedState;
 
 /// A load report older than this says nothing any more.
-const LOAD_LIFETIME: Duration = Duration::from_secs(4);
-/// Members and partners are all met in every round; seeds that nobody answers for, in every n-th.
+const LOAD_LIFETIME: Duration = Duration::from_secs(8);
+/// Seeds whose data centre is not seen are tried in every n-th round.
 const SEED_ROUNDS: u64 = 4;
-/// Other data centres are met in every n-th round.
+/// Other data centres are met in every n-th round, and less often when there are many partners.
 const CENTRE_ROUNDS: u64 = 2;
+const CENTRE_ROUNDS_MANY: u64 = 4;
+const MANY_PARTNERS: usize = 4;
 /// The key by which the reader of the platform is ranked.
 const READER_KEY: &str = "platform-reader";
 
@@ -45,7 +47,10 @@
     pub(super) leaving: BTreeMap<UpstreamName, u64>,
     pub(super) summaries_written: u64,
     cache_positions: BTreeMap<UpstreamName, u64>,
-    answering: BTreeSet<SocketAddr>,
+    /// The data centres of the control addresses that answered.
+    answered: BTreeMap<SocketAddr, DataCentreName>,
+    /// Whether the next round meets every member, because there is news for all.
+    meets_all: bool,
     beats: u64,
     round: u64,
     fetching: bool,
@@ -69,7 +74,8 @@
             leaving: BTreeMap::new(),
             summaries_written: 0,
             cache_positions: BTreeMap::new(),
-            answering: BTreeSet::new(),
+            answered: BTreeMap::new(),
+            meets_all: true,
             beats: 0,
             round: 0,
             fetching: false,
@@ -238,39 +244,45 @@
 
     fn plan_member_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
         let now = self.now();
-        let delegate = self.members.is_delegate(self.serves(), now);
-        let serving = self.members.serving(self.serves(), now);
-        let asked = serving.iter().find(|name| **name != self.shared.settings.vm).cloned();
-        let members: Vec<_> = self
-            .members
-            .members(now)
-            .map(|(beat, _)| (beat.vm.clone(), beat.addresses.control))
-            .collect();
-        for (vm, address) in members {
-            let asks = !delegate && asked.as_ref() == Some(&vm);
-            let held = asks.then(|| self.members.summary_versions());
+        let named = |beat: &VmBeat| (beat.vm.clone(), beat.addresses.control);
+        let members: Vec<_> = match std::mem::take(&mut self.meets_all) {
+            true => self.members.members(now).map(|(beat, _)| named(beat)).collect(),
+            false => self.members.round_members(self.round).into_iter().map(named).collect(),
+        };
+        for (at, (vm, address)) in members.into_iter().enumerate() {
+            // One of them is asked for newer summaries; whoever has them passes them on.
+            let held = (at == 0).then(|| self.members.summary_versions());
             let request = ExchangeRequest { beat: self.make_beat(), held, own: None };
             targets.push(ExchangeTarget { vm: Some(vm), address, request });
         }
     }
 
+    /// The data centres with which this one starts exchanges.
+    fn partners(&self) -> BTreeSet<DataCentreName> {
+        let Some(index) = &self.index else { return BTreeSet::new() };
+        let regions = index.description.regions.iter();
+        let named = regions.flat_map(|it| it.data_centres.iter().map(|dc| (dc, &it.name)));
+        let centres: Vec<_> = named.map(|(dc, region)| (dc.clone(), region.clone())).collect();
+        partners_of(&self.shared.settings.data_centre, &centres)
+    }
+
     fn plan_centre_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
         let now = self.now();
-        let Some(index) = self.index.clone() else { return };
         if !self.members.is_delegate(self.serves(), now) {
             return;
         }
-        let centres: Vec<_> = index
-            .data_centres()
-            .filter_map(|name| index.region_of(name).map(|it| (name.clone(), it.clone())))
-            .collect();
-        let partners = partners_of(&self.shared.settings.data_centre, &centres);
+        let partners = self.partners();
+        let many = partners.len() > MANY_PARTNERS;
+        let rounds = if many { CENTRE_ROUNDS_MANY } else { CENTRE_ROUNDS };
+        if !self.round.is_multiple_of(rounds) {
+            return;
+        }
         let seen = self.members.summaries(now);
         let mut addresses = Vec::new();
         for seen in seen.iter().filter(|it| partners.contains(&it.summary.data_centre)) {
             // Two delegates turn through the VMs of the partner in step with the rounds.
             let vms = &seen.summary.vms;
-            let at = (self.round / CENTRE_ROUNDS) as usize % vms.len().max(1);
+            let at = (self.round / rounds) as usize % vms.len().max(1);
             let centre = seen.summary.data_centre.clone();
             addresses.extend(vms.get(at).map(|brief| (centre, brief.addresses.control)));
         }
@@ -282,11 +294,18 @@
     }
 
     fn plan_seed_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
-        let known: BTreeSet<SocketAddr> = targets.iter().map(|target| target.address).collect();
+        let now = self.now();
+        let is_delegate = self.members.is_delegate(self.serves(), now);
+        let mut missed = self.partners();
+        for seen in self.members.summaries(now) {
+            missed.remove(&seen.summary.data_centre);
+        }
         for address in self.shared.settings.seeds.clone() {
-            let quick = !self.answering.contains(&address);
-            let due = quick || self.round.is_multiple_of(SEED_ROUNDS);
-            if known.contains(&address) || !due {
+            let due = match self.answered.get(&address) {
+                None => self.index.is_none() || self.round.is_multiple_of(SEED_ROUNDS),
+                Some(centre) => is_delegate && missed.contains(centre),
+            };
+            if !due {
                 continue;
             }
             let own = self.index.is_some().then(|| self.make_summary(None));
@@ -332,8 +351,13 @@
 
     async fn handle(&mut self, message: EndExchange, context: &mut Context<Self>) {
         let now = self.now();
-        let Some(reply) = message.reply else { return };
-        self.answering.insert(message.target.address);
+        let Some(reply) = message.reply else {
+            if let Some(vm) = &message.target.vm {
+                self.members.note_failed(vm);
+            }
+            return;
+        };
+        self.answered.insert(message.target.address, reply.beat.data_centre.clone());
         self.hear_beat(&reply.beat, &context.mailbox().address().try_upgrade().expect("it runs"));
         self.members.note_reached(&reply.beat.vm, now);
         for summary in reply.summaries {
@@ -348,9 +372,7 @@
     async fn handle(&mut self, _: PlanExchanges, _: &mut Context<Self>) -> Vec<ExchangeTarget> {
         let mut targets = Vec::new();
         self.plan_member_exchanges(&mut targets);
-        if self.round.is_multiple_of(CENTRE_ROUNDS) {
-            self.plan_centre_exchanges(&mut targets);
-        }
+        self.plan_centre_exchanges(&mut targets);
         self.plan_seed_exchanges(&mut targets);
         self.round += 1;
         targets
@@ -521,6 +543,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: StartLeaving, _: &mut Context<Self>) {
+        self.meets_all = true;
         self.publish();
         self.shared.exchange_now.notify_one();
     }
