Use other data centres when the engines at home do not answer; split the traffic modules

Their last reports counted for 8 s, the floor under ejection sent requests back to them, another data centre was asked only within an offer, and refused connections used the retry budget up. Ruled out: the retry budget alone (fewer retries would have refused sooner, not served more). Change: an engine that does not answer two polls, or that its poller stopped reporting, is not used; ejected engines are the last resort after other data centres, which need no offer then; a refused connection is tried elsewhere for free. Lent capacity is taken back by halves while own requests wait. The fronts share their frame; calls, faults and tickets stand in files of their own.

--- a/crates/foldhaven-core/src/planner.rs
+++ b/crates/foldhaven-core/src/planner.rs
@@ -198,13 +198,17 @@
         _draw: f64,
     ) -> RoutePlan {
         let pricer = OptionPricer { query, view, facts, now, error: facts.estimate_error() };
-        let mut options = pricer.engine_options();
-        let mut any_permitted = !options.is_empty();
+        let (mut options, ejected) = pricer.engine_options();
+        let mut any_permitted = !options.is_empty() || !ejected.is_empty();
         if query.is_origin {
             let (centres, permitted) = pricer.centre_options();
             any_permitted |= permitted;
             options.extend(centres);
         }
+        if options.is_empty() {
+            // When everything failed lately, the requests are more likely at fault than the engines.
+            options = ejected;
+        }
         options.sort_by(|left, right| left.price.total().total_cmp(&right.price.total()));
         let come_back = come_back_time(&options, query.remaining);
         let refusal = view.index.description.objective.lateness * query.worth;
@@ -247,20 +251,23 @@
         self.query.excluded.iter().any(|it| it == name)
     }
 
-    fn engine_options(&self) -> Vec<RouteOption> {
-        let Some(region) = self.view.index.region_of(&self.view.centre) else { return Vec::new() };
-        if !self.permits(region) {
-            return Vec::new();
-        }
+    /// Options at engines here: those that are trusted, and those that failed lately.
+    fn engine_options(&self) -> (Vec<RouteOption>, Vec<RouteOption>) {
+        let region = self.view.index.region_of(&self.view.centre);
+        let Some(region) = region.filter(|region| self.permits(region)) else {
+            return (Vec::new(), Vec::new());
+        };
         let name = |engine: &&EngineView| engine.load.engine.as_str().to_owned();
         let engines = self.view.engines.iter();
         let engines = engines.filter(|engine| engine.load.holds(self.query.model));
-        let untried: Vec<&EngineView> = engines.filter(|it| !self.is_tried(&name(it))).collect();
-        let trusted = |engine: &&&EngineView| !self.facts.is_ejected(&name(engine), self.now);
-        let trusted: Vec<&EngineView> = untried.iter().filter(trusted).copied().collect();
-        // When all of them failed lately, the requests are more likely at fault than the engines.
-        let engines = if trusted.is_empty() { untried } else { trusted };
-        engines.into_iter().map(|engine| self.engine_option(engine, region)).collect()
+        let untried = engines.filter(|engine| !self.is_tried(&name(engine)));
+        let is_ejected = |engine: &&EngineView| self.facts.is_ejected(&name(engine), self.now);
+        let (ejected, trusted): (Vec<&EngineView>, Vec<&EngineView>) =
+            untried.partition(is_ejected);
+        let price = |engines: Vec<&EngineView>| {
+            engines.into_iter().map(|engine| self.engine_option(engine, region)).collect()
+        };
+        (price(trusted), price(ejected))
     }
 
     fn engine_option(&self, engine: &EngineView, region: &RegionName) -> RouteOption {
@@ -296,14 +303,18 @@
         (options, permitted)
     }
 
-    /// Whether this data centre may send there now: within its lease, or because it has no engine
-    /// of its own for the model, or because the request may not run here.
+    /// Whether this data centre may send there now: within its lease, or because no engine
+    /// of its own can be used for the model, or because the request may not run here.
     fn is_offered(&self, centre: &DataCentreName) -> bool {
         if self.facts.is_offered(centre, self.query.model, self.now) {
             return true;
         }
         let here = self.view.index.region_of(&self.view.centre);
-        let own_engine = self.view.engines.iter().any(|it| it.load.holds(self.query.model));
+        let own_engine = self.view.engines.iter().any(|engine| {
+            let name = engine.load.engine.as_str();
+            let is_open = !self.is_tried(name) && !self.facts.is_ejected(name, self.now);
+            is_open && engine.load.holds(self.query.model)
+        });
         !own_engine || !here.is_some_and(|region| self.permits(region))
     }
 
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -22,6 +22,10 @@
 
 /// A load report older than this says nothing any more.
 const LOAD_LIFETIME: Duration = Duration::from_secs(8);
+/// An engine of which its poller says nothing for this long is not used.
+const UNREPORTED_LIMIT: Duration = Duration::from_millis(1_500);
+/// An engine that does not answer this many polls in a row is not used.
+const FAILED_POLLS: u32 = 2;
 /// Seeds whose data centre is not seen are tried in every n-th round.
 const SEED_ROUNDS: u64 = 4;
 /// Other data centres are met in every n-th round, and less often when there are many partners.
@@ -47,6 +51,8 @@
     pub(super) leaving: BTreeMap<UpstreamName, u64>,
     pub(super) summaries_written: u64,
     cache_positions: BTreeMap<UpstreamName, u64>,
+    /// Polls in a row that an engine did not answer.
+    failed_polls: BTreeMap<UpstreamName, u32>,
     /// The data centres of the control addresses that answered.
     answered: BTreeMap<SocketAddr, DataCentreName>,
     /// Whether the next round meets every member, because there is news for all.
@@ -74,6 +80,7 @@
             leaving: BTreeMap::new(),
             summaries_written: 0,
             cache_positions: BTreeMap::new(),
+            failed_polls: BTreeMap::new(),
             answered: BTreeMap::new(),
             meets_all: true,
             beats: 0,
@@ -174,6 +181,19 @@
         for load in &beat.loads {
             self.take_load(load.clone());
         }
+        self.drop_unreported(beat);
+    }
+
+    /// Forgets engines that their poller does not report any more: they do not answer it.
+    fn drop_unreported(&mut self, beat: &VmBeat) {
+        let serving = self.members.serving(self.serves(), self.now());
+        let now = self.now();
+        let is_gone = |engine: &UpstreamName, view: &EngineView| {
+            issuer_of(engine, &serving) == Some(&beat.vm)
+                && now.since(view.observed) > UNREPORTED_LIMIT
+                && !beat.loads.iter().any(|load| load.engine == *engine)
+        };
+        self.loads.retain(|engine, view| !is_gone(engine, view));
     }
 
     fn take_load(&mut self, load: EngineLoad) {
@@ -396,10 +416,24 @@
     type Return = ();
 
     async fn handle(&mut self, message: NoteLoad, _: &mut Context<Self>) {
+        self.failed_polls.remove(&message.load.engine);
         self.take_load(message.load);
     }
 }
 
+impl Handler<NoteLoadFailure> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: NoteLoadFailure, _: &mut Context<Self>) {
+        let failed = self.failed_polls.entry(message.engine.clone()).or_default();
+        *failed += 1;
+        if *failed >= FAILED_POLLS && self.loads.remove(&message.engine).is_some() {
+            tracing::warn!(step = "polling", peer = %message.engine, "the engine does not answer");
+            self.publish();
+        }
+    }
+}
+
 impl Handler<NoteCachePosition> for ControlKeeper {
     type Return = ();
 
--- a/crates/foldhavend/src/control/loads.rs
+++ b/crates/foldhavend/src/control/loads.rs
@@ -7,7 +7,7 @@
 use foldhaven_wire::engine::{CacheChange, CacheEventPage};
 
 use super::KeeperAddress;
-use super::messages::{NoteCachePosition, NoteLoad, PlanPolls, PollTarget};
+use super::messages::{NoteCachePosition, NoteLoad, NoteLoadFailure, PlanPolls, PollTarget};
 use crate::shared::SharedState;
 
 const POLL_LIMIT: Duration = Duration::from_millis(800);
@@ -49,7 +49,9 @@
             "the report names another engine"
         ),
         Err(error) => {
-            tracing::debug!(step = "reading a load report", peer = %target.engine, error = %error, "not answered");
+            let peer = &target.engine;
+            tracing::debug!(step = "reading a load report", %peer, %error, "not answered");
+            let _ = keeper.send(NoteLoadFailure { engine: target.engine.clone() }).await;
         }
     }
     if let Ok(page) = events {
--- a/crates/foldhavend/src/control/messages.rs
+++ b/crates/foldhavend/src/control/messages.rs
@@ -50,6 +50,11 @@
     pub load: EngineLoad,
 }
 
+/// An engine did not answer when it was polled.
+pub struct NoteLoadFailure {
+    pub engine: UpstreamName,
+}
+
 /// How far the cache events of an engine have been read.
 pub struct NoteCachePosition {
     pub engine: UpstreamName,
--- a/crates/foldhavend/src/control/summary.rs
+++ b/crates/foldhavend/src/control/summary.rs
@@ -14,6 +14,8 @@
 use super::keeper::{ControlKeeper, takes_work};
 use super::messages::MakeStatus;
 
+/// Own requests that wait for longer than this take lent capacity back, in milliseconds.
+const SHORT_WAIT_MS: u32 = 50;
 /// The demand that a data centre is taken to have when it shows none.
 const LEAST_DEMAND: f64 = 0.1;
 
@@ -116,7 +118,11 @@
 
     fn offers_of(&self, capacity: &ModelCapacity) -> Vec<SpareOffer> {
         let model = &capacity.model;
-        let spare = capacity.slots.min(capacity.free + self.lent_of(model));
+        let lent = self.lent_of(model);
+        // While own requests wait, what is lent is taken back by halves.
+        let is_short = capacity.wait_ms > SHORT_WAIT_MS;
+        let lent = if is_short { lent / 2 } else { lent };
+        let spare = capacity.slots.min(capacity.free + lent);
         divide_spare(model, spare, &self.demands_for(model))
     }
 
--- a/crates/foldhavend/src/traffic/caller_front.rs
+++ b/crates/foldhavend/src/traffic/caller_front.rs
@@ -1,31 +1,31 @@
 //! The front towards callers: completions, services, entry VMs and health.
 
-use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use async_trait::async_trait;
+use bytes::Bytes;
 use foldhaven_core::attempt::RequestOutcome;
 use foldhaven_core::headers;
 use foldhaven_core::ids::AccountName;
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
 use foldhaven_wire::operator::DaemonState;
-use futures::{Stream, StreamExt};
-use http::{HeaderMap, Method};
+use futures::StreamExt;
+use http::Method;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
-use warp::Filter;
 use warp::reply::Response;
 
 use super::TrafficContext;
 use super::answer::{AnswerWriter, error_event};
 use super::call::AnswerPart;
 use super::entries::list_entries;
+use super::front::{FrontRequest, HttpFront, serve_front};
 use super::origin::{JobEvent, RouteDesk};
 use super::reply::{event_stream_reply, json_reply, refusal_reply, set_header};
-use super::request::{AnswerShape, ModelJob, bad_request, read_body, read_model_job};
+use super::request::{AnswerShape, ModelJob, bad_request, read_model_job};
 use super::service::{CALLER_SERVICE, RawRequest, ServiceDesk};
 
 /// How many parts of an answer wait for a slow caller.
@@ -38,87 +38,38 @@
 pub async fn serve_callers(
     listener: TcpListener,
     context: TrafficContext,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let front = CallerFront {
         routes: RouteDesk::new(context.clone()),
         services: ServiceDesk { context: context.clone() },
         context,
     };
-    let stopped = async move {
-        // A sender that is gone means the same as a stop.
-        let _ = stop.wait_for(|stop| *stop).await;
-    };
-    warp::serve(caller_routes(front)).incoming(listener).graceful(stopped).run().await;
-}
-
-/// A filter for the query, empty when there is none.
-pub fn raw_query() -> impl Filter<Extract = (String,), Error = Infallible> + Clone {
-    warp::query::raw().or(warp::any().map(String::new)).unify()
-}
-
-fn caller_routes(
-    front: CallerFront,
-) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone {
-    warp::method()
-        .and(warp::path::full())
-        .and(raw_query())
-        .and(warp::header::headers_cloned())
-        .and(warp::body::stream())
-        .then(move |method, path: warp::path::FullPath, query: String, headers, body| {
-            let front = front.clone();
-            async move { front.answer(method, path.as_str(), &query, headers, body).await }
-        })
+    serve_front(listener, Arc::new(front), stop).await;
 }
 
-/// The fields of a query. A field without a value has an empty one.
-pub fn read_query(query: &str) -> BTreeMap<String, String> {
-    let pairs = query.split('&').filter(|pair| !pair.is_empty());
-    pairs
-        .map(|pair| pair.split_once('=').unwrap_or((pair, "")))
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
-}
-
-#[derive(Clone)]
 struct CallerFront {
     routes: RouteDesk,
     services: ServiceDesk,
     context: TrafficContext,
 }
 
-impl CallerFront {
-    async fn answer<S, B>(
-        &self,
-        method: Method,
-        path: &str,
-        query: &str,
-        map: HeaderMap,
-        body: S,
-    ) -> Response
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        match (&method, path) {
+#[async_trait]
+impl HttpFront for CallerFront {
+    async fn answer(&self, request: FrontRequest) -> Response {
+        match (&request.method, request.path.as_str()) {
             (&Method::GET, "/healthz") => self.health(),
-            (&Method::GET, "/v1/entries") => self.entries(query),
+            (&Method::GET, "/v1/entries") => self.entries(&request),
             (&Method::GET, "/v1/models") => self.models(),
-            (&Method::POST, "/v1/completions") => self.model(AnswerShape::Text, map, body).await,
-            (&Method::POST, "/v1/chat/completions") => {
-                self.model(AnswerShape::Chat, map, body).await
-            }
-            (_, path) if path.starts_with(CALLER_SERVICE) => {
-                self.service(method, path, query, map, body).await
-            }
-            _ => {
-                let detail = format!("nothing answers {method} {path}");
-                let reason = RefusalReason::UnknownPath;
-                refusal_reply(&RefusalAnswer::not_run("finding the path", reason, detail))
-            }
+            (&Method::POST, "/v1/completions") => self.model(AnswerShape::Text, request).await,
+            (&Method::POST, "/v1/chat/completions") => self.model(AnswerShape::Chat, request).await,
+            (_, path) if path.starts_with(CALLER_SERVICE) => self.service(request).await,
+            _ => request.unknown_path(),
         }
     }
+}
 
+impl CallerFront {
     fn health(&self) -> Response {
         let shared = &self.context.shared;
         let (status, state) = match (shared.is_leaving(), shared.view()) {
@@ -130,13 +81,13 @@
     }
 
     /// Tells a caller which entry VMs to use, with as many tickets as it asked for.
-    fn entries(&self, query: &str) -> Response {
+    fn entries(&self, request: &FrontRequest) -> Response {
         let shared = &self.context.shared;
         let view = match shared.view() {
             Ok(view) => view,
             Err(refusal) => return refusal_reply(&refusal),
         };
-        let query = read_query(query);
+        let query = request.query_fields();
         let account = query.get("account").and_then(|name| name.parse::<AccountName>().ok());
         let account = account.and_then(|name| view.route.index.account(&name));
         let mut answer = list_entries(shared, &view, account.map(|account| &account.home));
@@ -182,36 +133,14 @@
         Some(response)
     }
 
-    async fn read<S, B>(&self, body: S) -> Result<Bytes, RefusalAnswer>
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        let limits = self.context.shared.view()?.route.index.description.limits.clone();
-        read_body(body, limits.body.0, limits.body_pause.0).await
-    }
-
-    async fn service<S, B>(
-        &self,
-        method: Method,
-        path: &str,
-        query: &str,
-        headers: HeaderMap,
-        body: S,
-    ) -> Response
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        let path = match query {
-            "" => path.to_owned(),
-            query => format!("{path}?{query}"),
-        };
-        let is_ticketed = headers.contains_key(headers::TICKET);
+    async fn service(&self, request: FrontRequest) -> Response {
+        let path = request.path_and_query();
+        let is_ticketed = request.headers.contains_key(headers::TICKET);
         if let Some(redirect) = self.redirect(&path).filter(|_| !is_ticketed) {
             return redirect;
         }
-        match self.read(body).await {
+        let (method, headers) = (request.method.clone(), request.headers.clone());
+        match request.read_body(&self.context.shared).await {
             Ok(body) => {
                 let raw = RawRequest { method, path, headers, body };
                 self.services.answer_caller(raw).await
@@ -220,19 +149,11 @@
         }
     }
 
-    async fn model<S, B>(&self, shape: AnswerShape, map: HeaderMap, body: S) -> Response
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        let path = match shape {
-            AnswerShape::Text => "/v1/completions",
-            AnswerShape::Chat => "/v1/chat/completions",
-        };
-        if let Some(redirect) = self.redirect(path) {
+    async fn model(&self, shape: AnswerShape, request: FrontRequest) -> Response {
+        if let Some(redirect) = self.redirect(&request.path) {
             return redirect;
         }
-        let job = match self.read_job(shape, &map, body).await {
+        let job = match self.read_job(shape, request).await {
             Ok(job) => job,
             Err(refusal) => {
                 self.context.shared.metrics.count_reason(refusal.reason.code());
@@ -247,22 +168,18 @@
         }
     }
 
-    async fn read_job<S, B>(
+    async fn read_job(
         &self,
         shape: AnswerShape,
-        map: &HeaderMap,
-        body: S,
-    ) -> Result<ModelJob, RefusalAnswer>
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
+        request: FrontRequest,
+    ) -> Result<ModelJob, RefusalAnswer> {
         let shared = &self.context.shared;
         let started = shared.now();
-        let body = self.read(body).await?;
+        let headers = request.headers.clone();
+        let body = request.read_body(shared).await?;
         let view = shared.view()?;
         let new_id = || shared.new_request_id();
-        let job = read_model_job(shape, map, &body, &view.route.index, new_id, started)?;
+        let job = read_model_job(shape, &headers, &body, &view.route.index, new_id, started)?;
         match job.prompt.is_empty() {
             true => Err(bad_request("prompt: expected some text")),
             false => Ok(job),
--- a/crates/foldhavend/src/traffic/mod.rs
+++ b/crates/foldhavend/src/traffic/mod.rs
@@ -6,12 +6,16 @@
 mod entries;
 mod explain;
 mod facts;
+mod faults;
+mod front;
 mod origin;
+mod outgoing;
 mod peer_front;
 mod receiver;
 mod reply;
 mod request;
 mod service;
+mod ticketed;
 mod tickets;
 
 pub use self::call::{HttpUpstream, UpstreamClient};
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -3,25 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use foldhaven_core::attempt::{AttemptLog, AttemptState, RequestOutcome};
 use foldhaven_core::burn::BurnEvent;
 use foldhaven_core::description::{DescriptionIndex, DescriptionStamp};
-use foldhaven_core::headers;
-use foldhaven_core::ids::{AttemptId, DataCentreName, ModelName, UpstreamName};
-use foldhaven_core::membership::VmBrief;
+use foldhaven_core::ids::{AttemptId, DataCentreName, UpstreamName};
 use foldhaven_core::planner::{RouteOption, RoutePlan, RoutePolicy, RouteQuery, RouteTarget};
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason, jittered_return};
 use foldhaven_core::residency::ResidencyRule;
 use foldhaven_core::time::MonoTime;
-use foldhaven_wire::engine::EngineRequest;
-use http::{HeaderMap, Method};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::TrafficContext;
 use super::call::{AnswerPart, CallFault, UpstreamCall};
-use super::reply::set_header;
+use super::faults::{fault_answer, note_call_fault};
+use super::outgoing::{engine_call, peer_call};
 use super::request::{ModelJob, RequestHead};
 use crate::shared::{PublishedView, SharedState};
 
@@ -33,9 +29,6 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(1_500);
 /// How long the next part may take before the try is given up.
 const STALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// The scale of priorities: worth of a slot second times this.
-const PRIORITY_SCALE: f64 = 100.0;
-const MAX_PRIORITY: f64 = 1e6;
 
 /// What the front is told of a job, in order.
 #[derive(Debug)]
@@ -195,7 +188,10 @@
                 Ok(option) => option,
                 Err(refusal) => return Err(Some(prefer_fault(progress, refusal))),
             };
-            match self.try_option(job, &view, &option, progress, parts).await {
+            let tried = self.try_option(job, &view, &option, progress, parts).await;
+            // A refused connection cost nobody anything, so that trying elsewhere is free.
+            let is_free = matches!(tried, Err(TryEnd::Fault(CallFault::NotSent(_))));
+            match tried {
                 Ok(()) => return Ok(()),
                 Err(TryEnd::Gone) => return Err(None),
                 Err(TryEnd::Recalled) => {
@@ -207,8 +203,8 @@
                 Err(TryEnd::Fault(fault)) => self.note_fault(job, &option, progress, &fault),
             }
             let may_try = progress.log.may_try_again(true);
-            if !may_try || progress.tried.len() >= MAX_ATTEMPTS || !self.shared().facts.take_retry()
-            {
+            let is_last = !may_try || progress.tried.len() >= MAX_ATTEMPTS;
+            if is_last || !(is_free || self.shared().facts.take_retry()) {
                 return Err(progress.last_fault.take());
             }
             self.shared().metrics.count_event("retry");
@@ -230,13 +226,21 @@
         progress.tried.push(target.clone());
         let call = match &option.target {
             RouteTarget::Engine(engine) => {
-                let call = self.engine_call(job, view, engine, option, progress.position, &attempt);
+                let call = engine_call(
+                    self.shared(),
+                    job,
+                    view,
+                    engine,
+                    option,
+                    progress.position,
+                    &attempt,
+                );
                 shared.facts.note_dispatch(engine, option.slot_time, &job.blocks, shared.now());
                 call
             }
             RouteTarget::Centre(centre) => {
                 shared.facts.spend_offer(centre, &job.model, option.slot_time, shared.now());
-                self.peer_call(job, view, centre, progress.position, &attempt)
+                peer_call(self.shared(), job, view, centre, progress.position, &attempt)
             }
         };
         let Some(call) = call else {
@@ -338,57 +342,6 @@
         }
     }
 
-    fn engine_call(
-        &self,
-        job: &ModelJob,
-        view: &PublishedView,
-        engine: &UpstreamName,
-        option: &RouteOption,
-        position: u64,
-        attempt: &AttemptId,
-    ) -> Option<UpstreamCall> {
-        let address = *view.engines.get(engine)?;
-        let mut map = base_headers(&job.head, position, attempt, self.shared().now());
-        let density = job.head.worth / option.slot_time.as_secs_f64().max(1e-3);
-        let priority = (density * PRIORITY_SCALE).min(MAX_PRIORITY) as u64;
-        set_header(&mut map, headers::PRIORITY, &priority.to_string());
-        Some(UpstreamCall {
-            address,
-            method: Method::POST,
-            path: "/v1/completions".to_owned(),
-            headers: map,
-            body: engine_body(job),
-            attempt: attempt.to_string(),
-        })
-    }
-
-    fn peer_call(
-        &self,
-        job: &ModelJob,
-        view: &PublishedView,
-        centre: &DataCentreName,
-        position: u64,
-        attempt: &AttemptId,
-    ) -> Option<UpstreamCall> {
-        let shared = self.shared();
-        let peer = pick_peer(view, centre)?;
-        let mut map = base_headers(&job.head, position, attempt, shared.now());
-        let stamp = view.route.index.stamp.to_string();
-        set_header(&mut map, headers::ACCOUNT, job.head.account.as_str());
-        set_header(&mut map, headers::CLASS, job.head.class.as_str());
-        set_header(&mut map, headers::WORTH, &job.head.worth.to_string());
-        set_header(&mut map, headers::VISITED, shared.settings.data_centre.as_str());
-        set_header(&mut map, headers::STAMP, &stamp);
-        Some(UpstreamCall {
-            address: shared.settings.reroute(peer.addresses.peer),
-            method: Method::POST,
-            path: "/peer/v1/completions".to_owned(),
-            headers: map,
-            body: engine_body(job),
-            attempt: attempt.to_string(),
-        })
-    }
-
     /// Takes the call that a receiver makes to its engine for a forwarded job.
     pub fn local_choice(
         &self,
@@ -402,7 +355,7 @@
             let detail = "a forwarded request runs here or not at all";
             return Err(RefusalAnswer::not_run(ROUTE_STEP, RefusalReason::ForwardPath, detail));
         };
-        let call = self.engine_call(job, view, engine, &option, position, attempt);
+        let call = engine_call(self.shared(), job, view, engine, &option, position, attempt);
         let call = call.ok_or_else(|| {
             let detail = "expected an address for the engine";
             RefusalAnswer::not_run(ROUTE_STEP, RefusalReason::NoUpstream, detail)
@@ -527,82 +480,3 @@
     let detail = format!("capacity goes to requests of more worth; the price here is {price:.3}");
     (RefusalReason::Capacity, detail)
 }
-
-/// What a failed call says of its target.
-pub fn note_call_fault(
-    shared: &SharedState,
-    target: &RouteTarget,
-    model: &ModelName,
-    fault: &CallFault,
-) {
-    let now = shared.now();
-    match (target, fault) {
-        (RouteTarget::Engine(engine), CallFault::Refused { reason, .. }) => {
-            if let (RefusalReason::Leaving, Some(control)) = (reason, shared.control.get()) {
-                control.note_upstream_leaving(engine.clone());
-            }
-        }
-        (RouteTarget::Centre(centre), CallFault::Refused { .. }) => {
-            shared.facts.void_offer(centre, model, now);
-        }
-        (_, CallFault::NotSent(_)) => shared.facts.note_failure(target.name(), true, now),
-        (_, CallFault::Broken(_)) => shared.facts.note_failure(target.name(), false, now),
-    }
-}
-
-/// What the caller is told of a failed call, if it is the last one.
-pub fn fault_answer(fault: &CallFault, target: &RouteTarget) -> RefusalAnswer {
-    const STEP: &str = "running the request";
-    let broken = match target {
-        RouteTarget::Engine(_) => RefusalReason::UpstreamFailed,
-        RouteTarget::Centre(_) => RefusalReason::PeerFailed,
-    };
-    let come_back = |wait: Duration| jittered_return(wait, rand::random());
-    let soon = Duration::from_millis(500);
-    match fault {
-        CallFault::Refused { reason, detail, retry_after } => {
-            let wait = retry_after.unwrap_or(soon);
-            RefusalAnswer::not_run(STEP, *reason, detail).with_retry_after(come_back(wait))
-        }
-        CallFault::NotSent(detail) | CallFault::Broken(detail) => {
-            RefusalAnswer::not_run(STEP, broken, detail).with_retry_after(come_back(soon))
-        }
-    }
-}
-
-/// One of the VMs of another data centre, by chance.
-pub fn pick_peer<'a>(view: &'a PublishedView, centre: &DataCentreName) -> Option<&'a VmBrief> {
-    let found = view.route.centres.iter().find(|it| it.summary.data_centre == *centre)?;
-    let vms = &found.summary.vms;
-    let at = rand::random::<u32>() as usize % vms.len().max(1);
-    vms.get(at)
-}
-
-/// The headers that every receiver of an attempt gets.
-pub fn base_headers(
-    head: &RequestHead,
-    position: u64,
-    attempt: &AttemptId,
-    now: MonoTime,
-) -> HeaderMap {
-    let mut map = HeaderMap::new();
-    set_header(&mut map, "content-type", "application/json");
-    set_header(&mut map, headers::REQUEST_ID, head.request.as_str());
-    set_header(&mut map, headers::ATTEMPT_ID, &attempt.to_string());
-    let remaining = head.remaining(now).as_millis().max(1);
-    set_header(&mut map, headers::DEADLINE_MS, &remaining.to_string());
-    if position > 0 {
-        set_header(&mut map, headers::RESUME_FROM, &position.to_string());
-    }
-    map
-}
-
-fn engine_body(job: &ModelJob) -> Bytes {
-    let request = EngineRequest {
-        model: job.model.to_string(),
-        prompt: job.prompt.clone(),
-        max_tokens: job.max_tokens,
-        stream: true,
-    };
-    serde_json::to_vec(&request).expect("a typed request is JSON").into()
-}
--- a/crates/foldhavend/src/traffic/peer_front.rs
+++ b/crates/foldhavend/src/traffic/peer_front.rs
@@ -1,133 +1,88 @@
 //! The front towards other daemons and operators.
 
-use bytes::Buf;
-use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
+use std::sync::Arc;
+
+use async_trait::async_trait;
 use foldhaven_wire::operator::BurnAnswer;
-use futures::Stream;
-use http::{HeaderMap, Method};
+use http::Method;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use warp::Filter;
 use warp::reply::Response;
 
 use super::TrafficContext;
-use super::caller_front::{raw_query, read_query};
 use super::explain::explain;
+use super::front::{FrontRequest, HttpFront, serve_front};
 use super::origin::RouteDesk;
-use super::receiver::{receive_model, refusal_without_attempt};
+use super::receiver::{PEER_COMPLETIONS, receive_model, refusal_without_attempt};
 use super::reply::{body_reply, json_reply, refusal_reply};
-use super::request::read_body;
 use super::service::{PEER_SERVICE, PEER_TICKETED, RawRequest, ServiceDesk};
 
+/// The path under which other daemons pass requests on.
+const PEER_PREFIX: &str = "/peer/v1/";
+
 /// Serves peers and operators until `stop` changes, then finishes what is under way.
 pub async fn serve_peers(
     listener: TcpListener,
     context: TrafficContext,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let front = PeerFront {
         routes: RouteDesk::new(context.clone()),
         services: ServiceDesk { context: context.clone() },
         context,
     };
-    let stopped = async move {
-        // A sender that is gone means the same as a stop.
-        let _ = stop.wait_for(|stop| *stop).await;
-    };
-    warp::serve(peer_routes(front)).incoming(listener).graceful(stopped).run().await;
+    serve_front(listener, Arc::new(front), stop).await;
 }
 
-fn peer_routes(
-    front: PeerFront,
-) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone {
-    warp::method()
-        .and(warp::path::full())
-        .and(raw_query())
-        .and(warp::header::headers_cloned())
-        .and(warp::body::stream())
-        .then(move |method, path: warp::path::FullPath, query: String, headers, body| {
-            let front = front.clone();
-            async move { front.answer(method, path.as_str(), &query, headers, body).await }
-        })
-}
-
-#[derive(Clone)]
 struct PeerFront {
     routes: RouteDesk,
     services: ServiceDesk,
     context: TrafficContext,
 }
 
-impl PeerFront {
-    async fn answer<S, B>(
-        &self,
-        method: Method,
-        path: &str,
-        query: &str,
-        map: HeaderMap,
-        body: S,
-    ) -> Response
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        match (&method, path) {
+#[async_trait]
+impl HttpFront for PeerFront {
+    async fn answer(&self, request: FrontRequest) -> Response {
+        match (&request.method, request.path.as_str()) {
             (&Method::GET, "/metrics") => self.metrics(),
             (&Method::GET, "/operator/v1/status") => self.status().await,
             (&Method::GET, "/operator/v1/burn") => self.burn(),
             (&Method::GET, "/operator/v1/description") => self.description(),
             (&Method::GET, "/operator/v1/explain") => {
-                match explain(&self.routes, &read_query(query)) {
+                match explain(&self.routes, &request.query_fields()) {
                     Ok(answer) => json_reply(200, &answer),
                     Err(refusal) => refusal_reply(&refusal),
                 }
             }
-            _ => self.forwarded(method, path, query, map, body).await,
+            (_, path) if path.starts_with(PEER_PREFIX) => self.forwarded(request).await,
+            _ => request.unknown_path(),
         }
     }
+}
 
-    async fn forwarded<S, B>(
-        &self,
-        method: Method,
-        path: &str,
-        query: &str,
-        headers: HeaderMap,
-        body: S,
-    ) -> Response
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        let body = match self.read(body).await {
+impl PeerFront {
+    /// Answers what other daemons pass on.
+    async fn forwarded(&self, request: FrontRequest) -> Response {
+        let (method, headers) = (request.method.clone(), request.headers.clone());
+        let path = request.path_and_query();
+        let is_known = path == PEER_COMPLETIONS
+            || path.starts_with(PEER_SERVICE)
+            || path.starts_with(PEER_TICKETED);
+        if !is_known {
+            return request.unknown_path();
+        }
+        let body = match request.read_body(&self.context.shared).await {
             Ok(body) => body,
             Err(refusal) => return refusal_without_attempt(&headers, &refusal),
         };
-        if (&method, path) == (&Method::POST, "/peer/v1/completions") {
+        if path == PEER_COMPLETIONS {
             return receive_model(self.routes.clone(), headers, body).await;
         }
-        let path = match query {
-            "" => path.to_owned(),
-            query => format!("{path}?{query}"),
-        };
         let raw = RawRequest { method, path, headers, body };
-        if raw.path.starts_with(PEER_SERVICE) {
-            return self.services.answer_forwarded(raw).await;
+        match raw.path.starts_with(PEER_SERVICE) {
+            true => self.services.answer_forwarded(raw).await,
+            false => self.services.answer_ticketed(raw).await,
         }
-        if raw.path.starts_with(PEER_TICKETED) {
-            return self.services.answer_ticketed(raw).await;
-        }
-        let detail = format!("nothing answers {} {}", raw.method, raw.path);
-        let reason = RefusalReason::UnknownPath;
-        refusal_reply(&RefusalAnswer::not_run("finding the path", reason, detail))
-    }
-
-    async fn read<S, B>(&self, body: S) -> Result<bytes::Bytes, RefusalAnswer>
-    where
-        S: Stream<Item = Result<B, warp::Error>>,
-        B: Buf,
-    {
-        let limits = self.context.shared.view()?.route.index.description.limits.clone();
-        read_body(body, limits.body.0, limits.body_pause.0).await
     }
 
     fn metrics(&self) -> Response {
--- a/crates/foldhavend/src/traffic/request.rs
+++ b/crates/foldhavend/src/traffic/request.rs
@@ -1,9 +1,8 @@
 //! Reads what callers and peers send, and checks it before anything else is done.
 
-use std::pin::pin;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use foldhaven_core::description::{AccountConfig, ClassConfig, ClassKind, DescriptionIndex};
 use foldhaven_core::headers;
 use foldhaven_core::ids::{AccountName, ClassName, ModelName, RequestId};
@@ -11,7 +10,8 @@
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
 use foldhaven_core::time::MonoTime;
 use foldhaven_wire::caller::{ChatRequest, CompletionRequest};
-use futures::{Stream, StreamExt};
+use futures::StreamExt;
+use futures::stream::BoxStream;
 use http::HeaderMap;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 
@@ -69,17 +69,11 @@
 }
 
 /// Reads a body of at most `limit` bytes whose parts follow each other within `pause`.
-pub async fn read_body<S, B, E>(
-    body: S,
+pub async fn read_body(
+    mut body: BoxStream<'static, Result<Bytes, warp::Error>>,
     limit: u64,
     pause: Duration,
-) -> Result<Bytes, RefusalAnswer>
-where
-    S: Stream<Item = Result<B, E>>,
-    B: Buf,
-    E: std::fmt::Display,
-{
-    let mut body = pin!(body);
+) -> Result<Bytes, RefusalAnswer> {
     let mut read = Vec::new();
     loop {
         let next = tokio::time::timeout(pause, body.next()).await.map_err(|_| {
@@ -88,18 +82,12 @@
             refuse(RefusalReason::BodyTooSlow, detail)
         })?;
         let Some(part) = next else { return Ok(read.into()) };
-        let mut part =
-            part.map_err(|error| bad_request(format!("the body was cut off: {error}")))?;
-        if (read.len() + part.remaining()) as u64 > limit {
+        let part = part.map_err(|error| bad_request(format!("the body was cut off: {error}")))?;
+        if (read.len() + part.len()) as u64 > limit {
             let detail = format!("expected a body of at most {limit} bytes");
             return Err(refuse(RefusalReason::BodyTooLarge, detail));
         }
-        while part.has_remaining() {
-            let chunk = part.chunk();
-            let length = chunk.len();
-            read.extend_from_slice(chunk);
-            part.advance(length);
-        }
+        read.extend_from_slice(&part);
     }
 }
 
