Tell an origin what failed at a receiver, so that bad requests do not discredit a data centre

Change: a receiver ends a broken answer with an error event, as a front does towards callers; the origin passes its reason on and counts nothing against the peer.

--- a/crates/foldhavend/src/traffic/answer.rs
+++ b/crates/foldhavend/src/traffic/answer.rs
@@ -1,5 +1,7 @@
 //! Writes model answers in the shapes that callers expect.
 
+use std::time::Duration;
+
 use foldhaven_core::refusal::RefusalAnswer;
 use foldhaven_wire::caller::{ChatPart, CompletionChoice, CompletionChunk, ErrorBody, TokenUsage};
 use foldhaven_wire::sse::{DONE, write_event, write_named_event};
@@ -8,6 +10,9 @@
 use super::request::{AnswerShape, ModelJob};
 use crate::clock::epoch_secs;
 
+/// The time that the last event of a broken answer is given to leave before its connection breaks.
+pub const LAST_EVENT_TIME: Duration = Duration::from_millis(20);
+
 /// Writes the answer of one request, event by event or as a whole.
 pub struct AnswerWriter {
     id: String,
--- a/crates/foldhavend/src/traffic/call.rs
+++ b/crates/foldhavend/src/traffic/call.rs
@@ -32,6 +32,13 @@
         /// When it can be asked again.
         retry_after: Option<Duration>,
     },
+    /// failed at the receiver ({reason}): {detail}
+    Failed {
+        /// What failed there, after it may have started.
+        reason: RefusalReason,
+        /// The receiver's words.
+        detail: String,
+    },
     /// broken after it may have started: {0}
     Broken(String),
 }
@@ -157,6 +164,12 @@
     }
 }
 
+/// The fault that a peer tells of, when what it sent is an error and not an answer.
+fn told_fault(body: &[u8]) -> Option<CallFault> {
+    let ErrorBody { error } = serde_json::from_slice(body).ok()?;
+    Some(CallFault::Failed { reason: error.kind, detail: error.message })
+}
+
 async fn read_limited(mut response: reqwest::Response, limit: usize) -> Result<Bytes, CallFault> {
     let mut body = Vec::new();
     loop {
@@ -182,6 +195,9 @@
         let status = response.status();
         if status != reqwest::StatusCode::OK {
             let body = read_limited(response, MAX_ERROR_BYTES).await.unwrap_or_default();
+            if let Some(fault) = told_fault(&body) {
+                return Err(fault);
+            }
             let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
             return Err(CallFault::Broken(format!("status {status}: {text}")));
         }
@@ -245,6 +261,9 @@
             self.is_done = true;
             return Ok(Some(ending));
         }
+        if let Some(fault) = told_fault(data.as_bytes()) {
+            return Err(fault);
+        }
         let chunk: CompletionChunk = serde_json::from_str(data)
             .map_err(|error| CallFault::Broken(format!("a malformed event: {error}")))?;
         if chunk.id != self.request {
--- a/crates/foldhavend/src/traffic/caller_front.rs
+++ b/crates/foldhavend/src/traffic/caller_front.rs
@@ -19,7 +19,7 @@
 use warp::reply::Response;
 
 use super::TrafficContext;
-use super::answer::{AnswerWriter, error_event};
+use super::answer::{AnswerWriter, LAST_EVENT_TIME, error_event};
 use super::call::AnswerPart;
 use super::entries::list_entries;
 use super::front::{FrontRequest, HttpFront, serve_front};
@@ -31,8 +31,6 @@
 /// How many parts of an answer wait for a slow caller.
 const PART_QUEUE: usize = 64;
 const MAX_TICKETS: usize = 64;
-/// The time that the last event of a broken answer is given to leave.
-const LAST_EVENT_TIME: Duration = Duration::from_millis(20);
 
 /// Serves callers until `stop` changes, then finishes what is under way.
 pub async fn serve_callers(
--- a/crates/foldhavend/src/traffic/faults.rs
+++ b/crates/foldhavend/src/traffic/faults.rs
@@ -27,7 +27,11 @@
             shared.facts.void_offer(centre, model, now);
         }
         (_, CallFault::NotSent(_)) => shared.facts.note_failure(target.name(), true, now),
-        (_, CallFault::Broken(_)) => shared.facts.note_failure(target.name(), false, now),
+        // A peer that tells what failed behind it is itself in order.
+        (RouteTarget::Centre(_), CallFault::Failed { .. }) => {}
+        (_, CallFault::Broken(_) | CallFault::Failed { .. }) => {
+            shared.facts.note_failure(target.name(), false, now)
+        }
     }
 }
 
@@ -45,6 +49,9 @@
             let wait = retry_after.unwrap_or(soon);
             RefusalAnswer::not_run(STEP, *reason, detail).with_retry_after(come_back(wait))
         }
+        CallFault::Failed { reason, detail } => {
+            RefusalAnswer::not_run(STEP, *reason, detail).with_retry_after(come_back(soon))
+        }
         CallFault::NotSent(detail) | CallFault::Broken(detail) => {
             RefusalAnswer::not_run(STEP, broken, detail).with_retry_after(come_back(soon))
         }
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -275,7 +275,8 @@
             Err(TryEnd::Fault(CallFault::Refused { .. })) => {
                 progress.log.record(AttemptState::Refused);
             }
-            Err(TryEnd::Fault(CallFault::Broken(_)) | TryEnd::Recalled | TryEnd::Gone) => {
+            Err(TryEnd::Fault(CallFault::Broken(_) | CallFault::Failed { .. }))
+            | Err(TryEnd::Recalled | TryEnd::Gone) => {
                 progress.log.record(AttemptState::Broken);
             }
         }
--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -16,7 +16,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use warp::reply::Response;
 
-use super::answer::AnswerWriter;
+use super::answer::{AnswerWriter, LAST_EVENT_TIME, error_event};
 use super::call::{CallFault, PartStream};
 use super::faults::{fault_answer, note_call_fault};
 use super::origin::RouteDesk;
@@ -180,8 +180,8 @@
     }
 }
 
-/// Passes the parts of an answer to the origin as they come. A broken answer breaks the
-/// connection, so that the origin cannot take it for a whole one.
+/// Passes the parts of an answer to the origin as they come. A broken answer ends with an event that
+/// says so and breaks the connection, so that the origin cannot take it for a whole one.
 fn stream_parts(desk: RouteDesk, started: StartedModel) -> Response {
     let StartedModel { job, position, mut answer } = started;
     let (sender, receiver) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
@@ -193,8 +193,15 @@
         let remaining = job.head.remaining(desk.context.shared.now());
         let passing = pass_parts(&mut writer, answer.as_mut(), &sender);
         let passed = tokio::time::timeout(remaining, passing).await;
-        if let Err(fault) = passed.unwrap_or_else(|_| Err("the deadline passed".to_owned())) {
+        let passed =
+            passed.unwrap_or_else(|_| Err(CallFault::Broken("the deadline passed".into())));
+        if let Err(fault) = passed {
+            let answer =
+                RefusalAnswer::not_run(STEP, RefusalReason::UpstreamFailed, fault.to_string());
+            let answer = answer.with_outcome(RequestOutcome::Unknown);
             // The origin may be gone already.
+            let _ = sender.send(Ok(error_event(&answer).into())).await;
+            tokio::time::sleep(LAST_EVENT_TIME).await;
             let _ = sender.send(Err(std::io::Error::other(fault))).await;
         }
     });
@@ -207,8 +214,8 @@
     writer: &mut AnswerWriter,
     answer: &mut dyn PartStream,
     sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
-) -> Result<(), String> {
-    while let Some(part) = answer.next_part().await.map_err(|fault| fault.to_string())? {
+) -> Result<(), CallFault> {
+    while let Some(part) = answer.next_part().await? {
         let event = writer.event(&part);
         if sender.send(Ok(event.into())).await.is_err() {
             return Ok(());
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -320,7 +320,9 @@
             }
             Err(CallFault::NotSent(_)) => log.record_not_connected(),
             Err(CallFault::Refused { .. }) => log.record(AttemptState::Refused),
-            Err(CallFault::Broken(_)) => log.record(AttemptState::Broken),
+            Err(CallFault::Broken(_) | CallFault::Failed { .. }) => {
+                log.record(AttemptState::Broken);
+            }
         }
         result
     }
@@ -484,7 +486,9 @@
         }
         CallFault::Refused { .. } => {}
         CallFault::NotSent(_) => shared.facts.note_failure(target.name(), true, now),
-        CallFault::Broken(_) => shared.facts.note_failure(target.name(), false, now),
+        CallFault::Broken(_) | CallFault::Failed { .. } => {
+            shared.facts.note_failure(target.name(), false, now);
+        }
     }
 }
 
