Cancel at the engine when nobody waits any more; judge staleness and order more strictly

Cause: under extra load residency-tightened failed: a request that its origin had called back ran in west after the rule was in force. The receiver noticed that the origin had gone only when it had a part to send, so that the request kept its place in the engine's queue. An origin whose caller had gone did the same. Ruled out: the planner and the origin's call-back (the attempt had been dropped there in time). Change: a receiver ends its call when the origin's connection closes, and calls back by itself when its own description forbids the region; an origin ends when its caller is gone.

--- a/crates/foldhaven-testkit/src/scenario/observer.rs
+++ b/crates/foldhaven-testkit/src/scenario/observer.rs
@@ -71,6 +71,30 @@
     }
 }
 
+/// Descriptions that a daemon adopted after a larger one, by its log: a moment that is too short to
+/// be seen from outside shows there.
+pub fn adoption_violations(vm: &str, log: &str) -> Vec<Violation> {
+    let mut highest: Option<DescriptionStamp> = None;
+    let mut violations = Vec::new();
+    let lines = log.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    for line in lines {
+        let adopted = match line["message"].as_str() {
+            Some("serving") => {
+                highest = None;
+                continue;
+            }
+            Some("description adopted") => line["stamp"].as_str().and_then(|it| it.parse().ok()),
+            _ => continue,
+        };
+        if adopted < highest {
+            let detail = format!("{vm} adopted {adopted:?} after {highest:?}");
+            violations.push(Violation::new("configuration", detail));
+        }
+        highest = highest.max(adopted);
+    }
+    violations
+}
+
 async fn read_status(client: &reqwest::Client, address: SocketAddr) -> Option<StatusAnswer> {
     let url = format!("http://{address}/operator/v1/status");
     let request = client.get(url).timeout(Duration::from_millis(400));
--- a/crates/foldhaven-testkit/src/scenario/runner.rs
+++ b/crates/foldhaven-testkit/src/scenario/runner.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::judge::{Evidence, RuleEpoch, Violation};
-use super::observer::StampObserver;
+use super::observer::{StampObserver, adoption_violations};
 use super::steps::{EditSpec, LeaveWay, Scenario, SendSpec, StepKind};
 use super::traffic::{EntryFinder, PreparedAsk, RunningLoad, SentRequest};
 use crate::caller::CallerClient;
@@ -582,6 +582,9 @@
         }
         let mut violations = self.observer.violations();
         violations.extend(self.judge());
+        for name in self.fleet.vms.keys() {
+            violations.extend(adoption_violations(name, &self.read_log(name)));
+        }
         for violation in violations {
             self.fail(violation.to_string());
         }
@@ -610,11 +613,15 @@
         }
     }
 
+    fn read_log(&self, name: &str) -> String {
+        let path = self.fleet.folder().join(format!("{name}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     fn log_ends(&self) -> Vec<String> {
         const LINES: usize = 12;
         let end = |name: &String| {
-            let path = self.fleet.folder().join(format!("{name}.log"));
-            let text = std::fs::read_to_string(path).unwrap_or_default();
+            let text = self.read_log(name);
             let lines: Vec<&str> =
                 text.lines().filter(|line| !line.contains("request ended")).collect();
             let from = lines.len().saturating_sub(LINES);
--- a/crates/foldhaven-testkit/src/stand_in/platform.rs
+++ b/crates/foldhaven-testkit/src/stand_in/platform.rs
@@ -28,7 +28,7 @@
     /// It answers.
     #[default]
     Up,
-    /// It answers with what it held when it became stale.
+    /// It answers with what it held before its last change.
     Stale,
     /// It refuses every call.
     Down,
@@ -314,7 +314,7 @@
         {
             let mut inner = self.inner.lock();
             if inner.mode == PlatformMode::Up {
-                inner.old = inner.now.clone();
+                inner.old = inner.history.back().unwrap_or(&inner.now).clone();
             }
             inner.mode = mode;
         }
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -156,7 +156,11 @@
         let _in_flight = self.shared().enter();
         let mut progress = JobProgress::default();
         let remaining = job.head.remaining(self.shared().now());
-        let driven = timeout(remaining, self.drive(&job, &mut progress, &parts)).await;
+        let driven = tokio::select! {
+            driven = timeout(remaining, self.drive(&job, &mut progress, &parts)) => driven,
+            // Nobody waits any more: what was dispatched is cancelled at once.
+            () = parts.closed() => Ok(Err(None)),
+        };
         let result = match driven {
             Ok(Ok(())) => Ok(()),
             Ok(Err(Some(answer))) => Err(answer),
@@ -325,7 +329,7 @@
 
     /// Waits until a description is adopted that forbids the region of a target. A request that
     /// waits there for its first token is then called back.
-    async fn wait_forbidden(
+    pub(super) async fn wait_forbidden(
         &self,
         job: &ModelJob,
         target: &RouteTarget,
--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -17,7 +17,7 @@
 use warp::reply::Response;
 
 use super::answer::{AnswerWriter, LAST_EVENT_TIME, error_event};
-use super::call::{CallFault, PartStream};
+use super::call::{AnswerPart, CallFault, PartStream};
 use super::faults::{fault_answer, note_call_fault};
 use super::origin::RouteDesk;
 use super::reply::{event_stream_reply, refusal_reply, refused_attempt_reply, set_header};
@@ -130,6 +130,7 @@
 struct StartedModel {
     job: ModelJob,
     position: u64,
+    target: RouteTarget,
     answer: Box<dyn PartStream>,
 }
 
@@ -164,10 +165,10 @@
     let opening = desk.context.upstream.open(choice.call, job.head.request.as_str(), position);
     let opened = tokio::time::timeout(job.head.remaining(now), opening).await;
     let opened = opened.unwrap_or_else(|_| Err(CallFault::Broken("the deadline passed".into())));
+    let target = RouteTarget::Engine(choice.engine.clone());
     match opened {
-        Ok(answer) => Ok(StartedModel { job, position, answer }),
+        Ok(answer) => Ok(StartedModel { job, position, target, answer }),
         Err(fault) => {
-            let target = RouteTarget::Engine(choice.engine.clone());
             note_call_fault(shared, &target, &job.model, &fault);
             let answer = fault_answer(&fault, &target).at_peer(choice.engine.as_str());
             match fault {
@@ -183,7 +184,8 @@
 /// Passes the parts of an answer to the origin as they come. A broken answer ends with an event that
 /// says so and breaks the connection, so that the origin cannot take it for a whole one.
 fn stream_parts(desk: RouteDesk, started: StartedModel) -> Response {
-    let StartedModel { job, position, mut answer } = started;
+    let StartedModel { job, position, target, mut answer } = started;
+    let mut stamps = desk.context.shared.watch_stamp();
     let (sender, receiver) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
     let served_by = desk.context.shared.settings.data_centre.to_string();
     tokio::spawn(async move {
@@ -191,8 +193,21 @@
         let _lent = desk.context.shared.facts.lend(&job.model);
         let mut writer = AnswerWriter::new(&job, position);
         let remaining = job.head.remaining(desk.context.shared.now());
-        let passing = pass_parts(&mut writer, answer.as_mut(), &sender);
-        let passed = tokio::time::timeout(remaining, passing).await;
+        let passing = async {
+            let first = tokio::select! {
+                first = answer.next_part() => first?,
+                () = desk.wait_forbidden(&job, &target, &mut stamps) => {
+                    let detail = "called back: its region is not permitted any more";
+                    return Err(CallFault::Broken(detail.to_owned()));
+                }
+            };
+            pass_parts(&mut writer, first, answer.as_mut(), &sender).await
+        };
+        let passed = tokio::select! {
+            passed = tokio::time::timeout(remaining, passing) => passed,
+            // The origin is gone or called the request back: what waits at the engine is cancelled.
+            () = sender.closed() => return,
+        };
         let passed =
             passed.unwrap_or_else(|_| Err(CallFault::Broken("the deadline passed".into())));
         if let Err(fault) = passed {
@@ -212,14 +227,17 @@
 
 async fn pass_parts(
     writer: &mut AnswerWriter,
+    first: Option<AnswerPart>,
     answer: &mut dyn PartStream,
     sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
 ) -> Result<(), CallFault> {
-    while let Some(part) = answer.next_part().await? {
+    let mut next = first;
+    while let Some(part) = next {
         let event = writer.event(&part);
         if sender.send(Ok(event.into())).await.is_err() {
             return Ok(());
         }
+        next = answer.next_part().await?;
     }
     Ok(())
 }
