--- a/crates/foldhaven-testkit/tests/testsuite/operators.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/operators.rs
@@ -25,11 +25,14 @@
 
 /// Publishes what the tool wrote, as an operator does with the platform's own means.
 async fn publish(fleet: &foldhaven_testkit::fleet::Fleet, file: &Path) {
-    while !file.exists() {
-        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-    }
-    let bundle: ValueBundle =
-        serde_json::from_str(&std::fs::read_to_string(file).unwrap()).unwrap();
+    // The file may be there before all of it is written: what counts is that it can be read.
+    let bundle: ValueBundle = loop {
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        match serde_json::from_str(&text) {
+            Ok(bundle) => break bundle,
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    };
     fleet.publish(&bundle).await.unwrap();
 }
 
