--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -32,3 +32,5 @@
 pub const PRIORITY: &str = "foldhaven-priority";
 /// The data centre of the origin of a forwarded ticketed request.
 pub const FORWARDED_TICKET: &str = "foldhaven-forwarded-ticket";
+/// The service that the origin of a forwarded opaque request chose.
+pub const SERVICE: &str = "foldhaven-service";
--- a/crates/foldhaven-core/src/health.rs
+++ b/crates/foldhaven-core/src/health.rs
@@ -11,12 +11,38 @@
 const SHORTEST_EJECTION: Duration = Duration::from_millis(500);
 const LONGEST_EJECTION: Duration = Duration::from_secs(20);
 
+/// The failures of one target.
 #[derive(Debug, Clone, Copy, Default)]
-struct TargetHealth {
+pub struct TargetHealth {
     failures: u32,
     until: MonoTime,
 }
 
+impl TargetHealth {
+    /// Notes a failed call. `severe` ejects at once: the connection was refused or cut.
+    ///
+    /// Each further failure doubles the time; when it has run out, one failure ejects again.
+    pub fn fail(&mut self, severe: bool, now: MonoTime) {
+        self.failures = (self.failures + 1).max(if severe { FAILURES_TO_EJECT } else { 0 });
+        if self.failures < FAILURES_TO_EJECT {
+            return;
+        }
+        let doublings = (self.failures - FAILURES_TO_EJECT).min(6);
+        let span = (SHORTEST_EJECTION * 2u32.pow(doublings)).min(LONGEST_EJECTION);
+        self.until = now + span;
+    }
+
+    /// Notes a call that went well: the target is trusted again at once.
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Whether the target gets nothing now.
+    pub fn is_ejected(&self, now: MonoTime) -> bool {
+        now < self.until
+    }
+}
+
 /// The targets that failed lately.
 #[derive(Debug, Default)]
 pub struct HealthBook {
@@ -29,22 +55,13 @@
         self.targets.remove(target);
     }
 
-    /// Notes a failed call. `severe` ejects at once: the connection was refused or cut.
-    ///
-    /// Each further failure doubles the time; when it has run out, one failure ejects again.
+    /// Notes a failed call, as [`TargetHealth::fail`].
     pub fn fail(&mut self, target: &str, severe: bool, now: MonoTime) {
-        let health = self.targets.entry(target.to_owned()).or_default();
-        health.failures = (health.failures + 1).max(if severe { FAILURES_TO_EJECT } else { 0 });
-        if health.failures < FAILURES_TO_EJECT {
-            return;
-        }
-        let doublings = (health.failures - FAILURES_TO_EJECT).min(6);
-        let span = (SHORTEST_EJECTION * 2u32.pow(doublings)).min(LONGEST_EJECTION);
-        health.until = now + span;
+        self.targets.entry(target.to_owned()).or_default().fail(severe, now);
     }
 
     /// Whether the target gets nothing now.
     pub fn is_ejected(&self, target: &str, now: MonoTime) -> bool {
-        self.targets.get(target).is_some_and(|health| now < health.until)
+        self.targets.get(target).is_some_and(|health| health.is_ejected(now))
     }
 }
--- a/crates/foldhaven-core/src/ids.rs
+++ b/crates/foldhaven-core/src/ids.rs
@@ -126,6 +126,10 @@
     /// A residency rule in the description.
     RuleName, "residency rule name", MAX_NAME_BYTES
 );
+name_id!(
+    /// A route of opaque requests in the description.
+    RouteName, "route name", MAX_NAME_BYTES
+);
 name_id!(
     /// A request, as the caller or else the origin daemon named it.
     RequestId, "request id", MAX_REQUEST_ID_BYTES
--- a/crates/foldhaven-core/src/lib.rs
+++ b/crates/foldhaven-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod membership;
 pub mod offers;
+pub mod opaque;
 pub mod pause;
 pub mod placement;
 pub mod planner;
--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions on opaque requests: requests that are routed by host and path and whose bodies are
+//! passed on as they are.
+
+pub mod affinity;
+pub mod choice;
+pub mod cold;
+pub mod directory;
+pub mod peer_table;
+pub mod retry_share;
+pub mod route_table;
+pub mod upstream_table;
--- /dev/null
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -0,0 +1,163 @@
+//! The bodies of answers, and the answers that the gateway makes itself.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+
+use crate::events::{EventRelay, RelayBroken};
+
+/// The body of an answer.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Events that are passed on as they come.
+    Events(Box<EventRelay>),
+}
+
+impl AnswerBody {
+    /// A body that is there.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayBroken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let taken = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(taken.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Events(relay) => relay.poll_events(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer.
+pub type Answer = Response<AnswerBody>;
+
+/// Why the gateway itself answers a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum Refusal {
+    /// no description yet
+    NoDescription,
+    /// malformed request
+    Malformed,
+    /// the head is too large
+    HeadTooLarge,
+    /// the body is too large
+    BodyTooLarge,
+    /// no such route
+    NoRoute,
+    /// no upstream can take it
+    NoUpstream,
+    /// the upstreams are full
+    Full,
+    /// this VM is leaving
+    Leaving,
+    /// not permitted here
+    NotPermitted,
+    /// an upstream may have run it but gave no whole answer
+    Broken,
+    /// the time for it has passed and it may have run
+    TimedOut,
+    /// the time for it has passed before it was sent to any upstream
+    NotReached,
+}
+
+impl Refusal {
+    /// The status that goes with it. 408, 421, 429 and 503 promise that nothing has run.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoDescription
+            | Self::NoUpstream
+            | Self::Full
+            | Self::Leaving
+            | Self::NotPermitted
+            | Self::NotReached => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoDescription => "no_description",
+            Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head_too_large",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NoRoute => "no_route",
+            Self::NoUpstream => "no_upstream",
+            Self::Full => "full",
+            Self::Leaving => "leaving",
+            Self::NotPermitted => "not_permitted",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+            Self::NotReached => "not_reached",
+        }
+    }
+
+    /// When the caller should come back, spread over callers by `draw` in 0..1.
+    fn come_back(self, draw: f64) -> Option<Duration> {
+        let shortest = match self {
+            Self::NoDescription | Self::NoUpstream => Duration::from_millis(400),
+            Self::Full => Duration::from_millis(250),
+            Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
+            _ => return None,
+        };
+        Some(shortest.mul_f64(1.0 + draw))
+    }
+
+    /// The answer.
+    pub fn answer(self) -> Answer {
+        let mut answer = Response::new(AnswerBody::whole(self.to_string()));
+        *answer.status_mut() = self.status();
+        let headers = answer.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(span) = self.come_back(rand::random()) {
+            let text = format!("{:.2}", span.as_secs_f64());
+            headers.insert(RETRY_AFTER, HeaderValue::from_str(&text).expect("digits and a dot"));
+        }
+        answer
+    }
+}
+
+/// Asks the caller to close the connection after an answer.
+pub fn close_after(answer: &mut Answer) {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// An answer with a body of a content type.
+pub fn body_answer(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -0,0 +1,75 @@
+//! Sends and takes heartbeats over UDP: a silent VM must not hold up anybody.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use crate::keeper::{HearBeat, KeeperAddress, PlanBeats, PlannedBeats};
+use crate::shared::StopStage;
+
+/// The largest datagram that is read.
+const MAX_DATAGRAM: usize = 16 << 10;
+
+/// Takes heartbeats and hands them to the keeper.
+pub async fn hear_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // An earlier datagram met a closed port; the socket goes on.
+                tracing::debug!(error = %error, "receiving a heartbeat failed");
+                continue;
+            }
+        };
+        let message: BeatMessage = match bincode::deserialize(&buffer[..length]) {
+            Ok(message) => message,
+            Err(error) => {
+                tracing::warn!(peer = %sender, error = %error, "a heartbeat could not be read");
+                continue;
+            }
+        };
+        match keeper.send(HearBeat { message }).await {
+            Ok(replies) => send_all(&socket, replies).await,
+            Err(_) => return,
+        }
+    }
+}
+
+/// Sends heartbeats in rounds, and at once when this daemon starts to leave.
+pub async fn send_beats(
+    socket: Arc<UdpSocket>,
+    keeper: KeeperAddress,
+    mut stage: watch::Receiver<StopStage>,
+) {
+    let mut rounds = tokio::time::interval(BEAT_INTERVAL);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let to_all = tokio::select! {
+            _ = rounds.tick() => false,
+            Ok(()) = stage.changed() => true,
+        };
+        match keeper.send(PlanBeats { to_all }).await {
+            Ok(planned) => send_all(&socket, planned).await,
+            Err(_) => return,
+        }
+    }
+}
+
+async fn send_all(socket: &UdpSocket, planned: PlannedBeats) {
+    for (target, message) in planned {
+        if let Err(error) = send(socket, target, &message).await {
+            tracing::debug!(peer = %target, error = %error, "sending a heartbeat failed");
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, target: SocketAddr, message: &BeatMessage) -> io::Result<()> {
+    let bytes = bincode::serialize(message).map_err(io::Error::other)?;
+    socket.send_to(&bytes, target).await.map(drop)
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -0,0 +1,203 @@
+//! Takes the requests of callers, and tells the platform whether this daemon is ready.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
+use crate::attempts::{RequestDriver, WholeAnswer};
+use crate::call::read_whole;
+use crate::events::EventRelay;
+use crate::front::FrontHandler;
+use crate::job::{
+    GatewayJob, check_head, forwarded_headers, host_of, read_body, read_outline, read_terms,
+    remove_connection_headers,
+};
+use crate::metrics::RequestEnd;
+use crate::shared::GatewayShared;
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// Answers callers.
+pub struct CallerHandler {
+    pub shared: Arc<GatewayShared>,
+}
+
+#[async_trait]
+impl FrontHandler for CallerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        match read_job(&self.shared, request).await {
+            Ok(job) => {
+                self.shared.note_request(&job.service);
+                run_job(self.shared.clone(), job).await
+            }
+            Err(refusal) => {
+                self.shared.metrics.count_event(refusal.label());
+                let mut answer = refusal.answer();
+                if matches!(refusal, Refusal::Malformed | Refusal::BodyTooLarge) {
+                    // What follows on the connection may belong to the refused request.
+                    close_after(&mut answer);
+                }
+                answer
+            }
+        }
+    }
+}
+
+/// Reads a request of a caller.
+async fn read_job(
+    shared: &GatewayShared,
+    request: Request<Incoming>,
+) -> Result<GatewayJob, Refusal> {
+    let started = Instant::now();
+    let (head, body) = request.into_parts();
+    let view = shared.view().ok_or(Refusal::NoDescription)?;
+    let limits = view.routes.description().limits;
+    check_head(&head, &limits)?;
+    let body = read_body(body, &limits).await?;
+    // The description may have changed while the body came.
+    let view = shared.view().ok_or(Refusal::NoDescription)?;
+    let host = host_of(&head).ok_or(Refusal::Malformed)?;
+    let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+    let terms = read_terms(&head, &shared.names)?;
+    let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
+    let outline = read_outline(&head, &route, &shared.names);
+    let deadline = started + terms.remaining.min(route.timeout);
+    Ok(GatewayJob {
+        attempt: terms.attempt,
+        service,
+        method: head.method,
+        target: head.uri,
+        headers: forwarded_headers(head.headers, &shared.names),
+        body,
+        started,
+        deadline,
+        outline,
+        route,
+        is_forwarded: false,
+    })
+}
+
+/// Runs a request and gives its answer.
+pub async fn run_job(shared: Arc<GatewayShared>, job: GatewayJob) -> Answer {
+    let in_flight = shared.enter();
+    let is_stream = job.route.repeat.is_stream();
+    let mut driver = EndNote { driver: Some(RequestDriver::new(shared, job)) };
+    if !is_stream {
+        return match driver.get().run_whole().await {
+            Ok(whole) => driver.end_whole(whole),
+            Err(refusal) => driver.end_refused(refusal),
+        };
+    }
+    let placed = match driver.get().open(None).await {
+        Ok(placed) => placed,
+        Err(refusal) => return driver.end_refused(refusal),
+    };
+    let head = &placed.answer.head;
+    let content_type = head.headers.get(CONTENT_TYPE).map(|value| value.as_bytes());
+    let is_events = content_type.is_some_and(|value| value.starts_with(EVENT_STREAM));
+    if head.status != StatusCode::OK || !is_events {
+        let deadline = driver.get().job.deadline;
+        let pool = crate::attempts::pool_of(&placed.place);
+        return match read_whole(placed.answer, pool, deadline).await {
+            Ok((head, body)) => driver.end_whole(WholeAnswer { head, body }),
+            Err(_) => driver.end_refused(Refusal::Broken),
+        };
+    }
+    let mut answer = answer_with(head.status, head.headers.clone());
+    *answer.body_mut() =
+        AnswerBody::Events(Box::new(EventRelay::new(driver.release(), placed, in_flight)));
+    answer
+}
+
+fn answer_with(status: StatusCode, mut headers: HeaderMap) -> Answer {
+    remove_connection_headers(&mut headers);
+    headers.remove(http::header::CONTENT_LENGTH);
+    let mut answer = Response::new(AnswerBody::Whole(None));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// Notes the end of a request, also when its caller leaves and the work on it is dropped.
+struct EndNote {
+    driver: Option<RequestDriver>,
+}
+
+impl EndNote {
+    fn get(&mut self) -> &mut RequestDriver {
+        self.driver.as_mut().expect("it was not released")
+    }
+
+    fn release(&mut self) -> RequestDriver {
+        self.driver.take().expect("it was not released before")
+    }
+
+    fn end_whole(&mut self, whole: WholeAnswer) -> Answer {
+        let driver = self.release();
+        let WholeAnswer { head, body } = whole;
+        // These promise that nothing ran, which only the gateway or a declining upstream can say.
+        let is_false_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
+        if is_false_promise {
+            driver.note_end(RequestEnd::Refused(Refusal::Broken.label()));
+            return Refusal::Broken.answer();
+        }
+        let end = match head.status.is_server_error() {
+            true => RequestEnd::FailedUpstream,
+            false => RequestEnd::Served,
+        };
+        let job = &driver.job;
+        driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
+        driver.note_end(end);
+        let mut answer = answer_with(head.status, head.headers);
+        *answer.body_mut() = AnswerBody::whole(body);
+        answer
+    }
+
+    fn end_refused(&mut self, refusal: Refusal) -> Answer {
+        let driver = self.release();
+        driver.note_end(RequestEnd::Refused(refusal.label()));
+        refusal.answer()
+    }
+}
+
+impl Drop for EndNote {
+    fn drop(&mut self) {
+        if let Some(driver) = self.driver.take() {
+            driver.note_end(RequestEnd::CallerLeft);
+        }
+    }
+}
+
+/// Tells whether this daemon takes requests.
+pub struct ReadyHandler {
+    pub shared: Arc<GatewayShared>,
+}
+
+#[async_trait]
+impl FrontHandler for ReadyHandler {
+    async fn handle(&self, _request: Request<Incoming>) -> Answer {
+        let is_ready = self.shared.view().is_some() && !self.shared.is_leaving();
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        body_answer(status, "text/plain", "")
+    }
+}
+
+/// Shows operators what this daemon counts.
+pub struct OperatorHandler {
+    pub shared: Arc<GatewayShared>,
+}
+
+#[async_trait]
+impl FrontHandler for OperatorHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        match request.uri().path() {
+            "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
+            _ => Refusal::NoRoute.answer(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -0,0 +1,163 @@
+//! The life of a gateway daemon: one thread for control, one for traffic.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use foldhaven_core::ids::IncarnationId;
+use foldhaven_wire::listen::listen_at;
+use tokio::net::UdpSocket;
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::MissedTickBehavior;
+use xtra::Mailbox;
+
+use crate::beats::{hear_beats, send_beats};
+use crate::caller_front::{CallerHandler, OperatorHandler, ReadyHandler};
+use crate::directory::{DirectoryCodec, DirectoryHandler};
+use crate::feed::{FeedSink, PlatformFeed};
+use crate::front::{FrontHandler, serve_front};
+use crate::keeper::{ControlKeeper, KeeperAddress, TickKeeper};
+use crate::names::HeaderNames;
+use crate::peer_front::PeerHandler;
+use crate::peer_state::follow_peers;
+use crate::settings::GatewaySettings;
+use crate::shared::GatewayShared;
+use crate::stop::stop_when_told;
+
+/// How often the control state is looked over.
+const TICK: Duration = Duration::from_millis(500);
+
+/// What a platform supplies.
+pub struct GatewayParts {
+    /// Its header names.
+    pub names: HeaderNames,
+    /// How callers ask which VMs to use.
+    pub codec: Arc<dyn DirectoryCodec>,
+    /// What it publishes.
+    pub feed: Arc<dyn PlatformFeed>,
+}
+
+/// Why a daemon could not serve.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum DaemonError {
+    /// listening at {peer}: {source}
+    Listen {
+        /// The address.
+        peer: SocketAddr,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// setting up {step}: {source}
+    Setup {
+        /// What was being set up.
+        step: &'static str,
+        /// What went wrong.
+        source: io::Error,
+    },
+}
+
+/// Serves until it is told to stop, and returns after a planned stop.
+///
+/// # Errors
+///
+/// When an address cannot be bound or a runtime cannot be set up.
+pub fn run_gateway(settings: GatewaySettings, parts: GatewayParts) -> Result<(), DaemonError> {
+    for field in settings.unknown.keys() {
+        tracing::warn!(field, "unknown field of the settings ignored");
+    }
+    let shared = GatewayShared::new(settings, parts.names);
+    let traffic = make_runtime("the traffic runtime")?;
+    let control = make_runtime("the control runtime")?;
+    start_control(control, shared.clone(), parts.feed)?;
+    traffic.block_on(serve(shared, parts.codec))
+}
+
+fn make_runtime(step: &'static str) -> Result<Runtime, DaemonError> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|source| DaemonError::Setup { step, source })
+}
+
+async fn serve(
+    shared: Arc<GatewayShared>,
+    codec: Arc<dyn DirectoryCodec>,
+) -> Result<(), DaemonError> {
+    let addresses = shared.settings.addresses.clone();
+    start_front(&shared, addresses.caller, Arc::new(CallerHandler { shared: shared.clone() }))?;
+    start_front(&shared, addresses.ready, Arc::new(ReadyHandler { shared: shared.clone() }))?;
+    let directory = Arc::new(DirectoryHandler { shared: shared.clone(), codec });
+    start_front(&shared, addresses.directory, directory)?;
+    let operator = Arc::new(OperatorHandler { shared: shared.clone() });
+    start_front(&shared, addresses.operator, operator.clone())?;
+    if let Some(metrics) = addresses.metrics {
+        start_front(&shared, metrics, operator)?;
+    }
+    start_front(&shared, addresses.peer, Arc::new(PeerHandler { shared: shared.clone() }))?;
+    tracing::info!(
+        vm = %shared.settings.vm,
+        data_centre = %shared.settings.data_centre,
+        caller = %addresses.caller,
+        "serving"
+    );
+    let stopping = stop_when_told(shared).await;
+    stopping.map_err(|source| DaemonError::Setup { step: "the signals", source })
+}
+
+fn start_front(
+    shared: &Arc<GatewayShared>,
+    address: SocketAddr,
+    handler: Arc<dyn FrontHandler>,
+) -> Result<(), DaemonError> {
+    let listener = listen_at(address);
+    let listener = listener.map_err(|source| DaemonError::Listen { peer: address, source })?;
+    tokio::spawn(serve_front(listener, handler, shared.stage.subscribe()));
+    Ok(())
+}
+
+fn start_control(
+    runtime: Runtime,
+    shared: Arc<GatewayShared>,
+    feed: Arc<dyn PlatformFeed>,
+) -> Result<(), DaemonError> {
+    let peer = shared.settings.addresses.peer;
+    let socket = runtime.block_on(UdpSocket::bind(peer));
+    let socket = socket.map_err(|source| DaemonError::Listen { peer, source })?;
+    let spawned = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(run_control(shared, Arc::new(socket), feed)));
+    spawned.map(drop).map_err(|source| DaemonError::Setup { step: "the control thread", source })
+}
+
+async fn run_control(
+    shared: Arc<GatewayShared>,
+    socket: Arc<UdpSocket>,
+    feed: Arc<dyn PlatformFeed>,
+) {
+    let incarnation = new_incarnation();
+    let keeper = ControlKeeper::new(shared.clone(), incarnation);
+    let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
+    tokio::spawn(hear_beats(socket.clone(), address.clone()));
+    tokio::spawn(send_beats(socket, address.clone(), shared.stage.subscribe()));
+    tokio::spawn(follow_peers(shared, address.clone()));
+    tokio::spawn(tick(address.clone()));
+    feed.run(FeedSink::new(address)).await;
+}
+
+async fn tick(keeper: KeeperAddress) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if keeper.send(TickKeeper).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The process lifetime that starts now. Clocks may be set back between two starts of a VM by less
+/// than a start takes.
+fn new_incarnation() -> IncarnationId {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    IncarnationId(since_epoch.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -0,0 +1,265 @@
+//! Passes the events of a stream on as they come, whole events only, and goes on at another upstream
+//! where the kind of request permits that.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foldhaven_wire::sse::EventBlocks;
+use http::StatusCode;
+use http_body::{Body, Frame};
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+
+use crate::answer::Refusal;
+use crate::attempts::{PlacedAnswer, RequestDriver, pool_of};
+use crate::call::ConnectionLease;
+use crate::metrics::RequestEnd;
+use crate::places::RequestPlace;
+use crate::shared::InFlightGuard;
+use crate::upstream::UpstreamSeat;
+
+/// A stream that can be resumed is resumed elsewhere after a silence of this many wanted pauses.
+const STALL_GAPS: u32 = 3;
+/// The same at least; shorter silences are usual when an upstream reads a long prompt.
+const LEAST_STALL: Duration = Duration::from_millis(1_200);
+
+/// The stream ended before its last event
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub struct RelayBroken;
+
+type Resumption = Pin<Box<dyn Future<Output = (RequestDriver, Result<PlacedAnswer, Refusal>)> + Send>>;
+
+enum RelayState {
+    Reading(Box<ReadingState>),
+    Resuming(Resumption),
+    Ended,
+}
+
+struct ReadingState {
+    body: Incoming,
+    lease: ConnectionLease,
+    place: RequestPlace,
+    _seat: Option<UpstreamSeat>,
+}
+
+impl ReadingState {
+    fn of(placed: PlacedAnswer) -> Box<Self> {
+        let (_, body, lease) = placed.answer.into_parts();
+        Box::new(Self { body, lease, place: placed.place, _seat: placed.seat })
+    }
+}
+
+/// What a poll of the upstream gave.
+enum RelayStep {
+    Events(Bytes),
+    Nothing,
+    Whole,
+    Broken(&'static str),
+}
+
+/// The body of a streamed answer.
+pub struct EventRelay {
+    state: RelayState,
+    /// Absent while it looks for another upstream.
+    driver: Option<RequestDriver>,
+    blocks: EventBlocks,
+    timer: Pin<Box<Sleep>>,
+    last_news: Instant,
+    stall: Option<Duration>,
+    deadline: Instant,
+    has_first: bool,
+    _in_flight: InFlightGuard,
+}
+
+impl EventRelay {
+    /// Passes on an answer whose head was taken already.
+    pub fn new(driver: RequestDriver, placed: PlacedAnswer, in_flight: InFlightGuard) -> Self {
+        let route = &driver.job.route;
+        let stall = route.repeat.is_repeatable().then(|| {
+            let gaps = route.event_gap.unwrap_or_default() * STALL_GAPS;
+            gaps.max(LEAST_STALL)
+        });
+        let deadline = driver.job.deadline;
+        let now = Instant::now();
+        let wake = stall.map_or(deadline, |stall| deadline.min(now + stall));
+        Self {
+            state: RelayState::Reading(ReadingState::of(placed)),
+            driver: Some(driver),
+            blocks: EventBlocks::default(),
+            timer: Box::pin(tokio::time::sleep_until(wake.into())),
+            last_news: now,
+            stall,
+            deadline,
+            has_first: false,
+            _in_flight: in_flight,
+        }
+    }
+
+    /// The next events.
+    pub fn poll_events(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
+        loop {
+            match &mut self.state {
+                RelayState::Ended => return Poll::Ready(None),
+                RelayState::Resuming(resumption) => {
+                    let Poll::Ready((driver, result)) = resumption.as_mut().poll(context) else {
+                        ready!(self.poll_deadline(context));
+                        return self.cut("the time for it has passed");
+                    };
+                    self.driver = Some(driver);
+                    match result {
+                        Ok(placed) if placed.answer.head.status == StatusCode::OK => {
+                            self.last_news = Instant::now();
+                            self.state = RelayState::Reading(ReadingState::of(placed));
+                        }
+                        Ok(_) => return self.cut("it could not be resumed"),
+                        Err(refusal) => return self.cut(refusal.label()),
+                    }
+                }
+                RelayState::Reading(_) => match self.poll_reading(context) {
+                    Poll::Ready(RelayStep::Events(events)) => {
+                        return Poll::Ready(Some(Ok(Frame::data(events))));
+                    }
+                    Poll::Ready(RelayStep::Nothing) => {}
+                    Poll::Ready(RelayStep::Whole) => return self.finish(),
+                    Poll::Ready(RelayStep::Broken(cause)) => {
+                        if !self.resume(cause) {
+                            return self.cut(cause);
+                        }
+                    }
+                    Poll::Pending => match ready!(self.poll_silence(context)) {
+                        Some(cause) if Instant::now() < self.deadline && self.resume(cause) => {}
+                        Some(cause) => return self.cut(cause),
+                        None => {}
+                    },
+                },
+            }
+        }
+    }
+
+    fn poll_reading(&mut self, context: &mut Context<'_>) -> Poll<RelayStep> {
+        let RelayState::Reading(reading) = &mut self.state else {
+            return Poll::Ready(RelayStep::Nothing);
+        };
+        let frame = ready!(Pin::new(&mut reading.body).poll_frame(context));
+        Poll::Ready(match frame {
+            None if self.blocks.is_at_boundary() => RelayStep::Whole,
+            None => RelayStep::Broken("it ended within an event"),
+            Some(Err(_)) => RelayStep::Broken("its connection broke"),
+            Some(Ok(frame)) => match frame.into_data() {
+                Err(_) => RelayStep::Nothing,
+                Ok(bytes) => {
+                    self.last_news = Instant::now();
+                    match self.blocks.push(bytes) {
+                        Ok(events) if events.is_empty() => RelayStep::Nothing,
+                        Ok(events) => {
+                            self.note_first();
+                            RelayStep::Events(events)
+                        }
+                        Err(_) => RelayStep::Broken("an event was too large"),
+                    }
+                }
+            },
+        })
+    }
+
+    fn note_first(&mut self) {
+        if std::mem::replace(&mut self.has_first, true) {
+            return;
+        }
+        if let Some(driver) = &self.driver {
+            let job = &driver.job;
+            driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
+        }
+    }
+
+    /// Waits until the deadline has passed.
+    fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            ready!(self.timer.as_mut().poll(context));
+            if Instant::now() >= self.deadline {
+                return Poll::Ready(());
+            }
+            self.timer.as_mut().reset(self.deadline.into());
+        }
+    }
+
+    /// Waits for the deadline or a long silence; gives which of them it was.
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<Option<&'static str>> {
+        loop {
+            ready!(self.timer.as_mut().poll(context));
+            let now = Instant::now();
+            if now >= self.deadline {
+                return Poll::Ready(Some("the time for it has passed"));
+            }
+            let silent_until = self.stall.map(|stall| self.last_news + stall);
+            if silent_until.is_some_and(|until| now >= until) {
+                return Poll::Ready(Some("it was silent for too long"));
+            }
+            let wake = silent_until.map_or(self.deadline, |until| until.min(self.deadline));
+            self.timer.as_mut().reset(wake.into());
+        }
+    }
+
+    /// Goes on at another upstream, if the request permits that. The connection to the earlier one
+    /// is closed first, so that it stops.
+    fn resume(&mut self, cause: &'static str) -> bool {
+        let Some(mut driver) = self.driver.take() else { return false };
+        driver.may_have_run = true;
+        driver.last_fault = Some(cause.to_owned());
+        if let RelayState::Reading(reading) = &self.state
+            && let RequestPlace::Upstream(upstream) = &reading.place
+        {
+            upstream.health.lock().fail(false, driver.shared.now());
+        }
+        if !driver.job.route.repeat.is_repeatable() || !driver.may_send_again() {
+            self.driver = Some(driver);
+            return false;
+        }
+        self.blocks.drop_rest();
+        let after = self.blocks.last_id().map(str::to_owned);
+        let resumption = async move {
+            let result = driver.open(after.as_deref()).await;
+            (driver, result)
+        };
+        self.state = RelayState::Resuming(Box::pin(resumption));
+        true
+    }
+
+    fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
+        if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended) {
+            reading.lease.give_back(pool_of(&reading.place));
+            if let Some(driver) = &self.driver {
+                driver.note_success(&reading.place);
+            }
+        }
+        self.note_end(RequestEnd::Served);
+        Poll::Ready(None)
+    }
+
+    fn cut(&mut self, cause: &'static str) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
+        self.state = RelayState::Ended;
+        if let Some(driver) = &mut self.driver {
+            driver.last_fault = Some(cause.to_owned());
+        }
+        self.note_end(RequestEnd::Cut);
+        Poll::Ready(Some(Err(RelayBroken)))
+    }
+
+    fn note_end(&mut self, end: RequestEnd) {
+        if let Some(driver) = self.driver.take() {
+            driver.note_end(end);
+        }
+    }
+}
+
+impl Drop for EventRelay {
+    fn drop(&mut self) {
+        self.note_end(RequestEnd::CallerLeft);
+    }
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -0,0 +1,158 @@
+//! A request of a caller, read and checked.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::affinity::PromptOutline;
+use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::answer::Refusal;
+use crate::names::HeaderNames;
+
+/// For a caller who does not say how long it waits.
+const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
+/// The longest time that a caller may ask for.
+const LONGEST_REMAINING: Duration = Duration::from_secs(600);
+/// The smallest time that an upstream is given, in milliseconds; 0 would stand for a late request.
+const LEAST_REMAINING_MS: u128 = 1;
+
+/// A request that is to be run.
+#[derive(Clone)]
+pub struct GatewayJob {
+    pub attempt: HeaderValue,
+    pub route: Arc<OpaqueRoute>,
+    pub service: ServiceName,
+    pub method: Method,
+    pub target: Uri,
+    /// The headers that upstreams get, without those that are set for each try.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub started: Instant,
+    /// When the caller gives up, or the operators want it given up.
+    pub deadline: Instant,
+    pub outline: Option<PromptOutline>,
+    /// Whether another VM sent it here; then it runs here or not at all.
+    pub is_forwarded: bool,
+}
+
+impl GatewayJob {
+    /// The time left, as upstreams are told.
+    pub fn remaining_ms(&self) -> HeaderValue {
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = u64::try_from(left.max(LEAST_REMAINING_MS)).unwrap_or(u64::MAX);
+        HeaderValue::from(left)
+    }
+
+    /// The id in logs.
+    pub fn id(&self) -> &str {
+        self.attempt.to_str().unwrap_or("unreadable")
+    }
+}
+
+/// The host that a request names.
+pub fn host_of(head: &Parts) -> Option<&str> {
+    if let Some(host) = head.uri.host() {
+        return Some(host);
+    }
+    head.headers.get(HOST)?.to_str().ok()
+}
+
+/// Checks what can be checked before the body is read.
+pub fn check_head(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
+    let size: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if size > limits.header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+        // Two lengths: whoever passed this on may have taken the other one.
+        return Err(Refusal::Malformed);
+    }
+    if head.headers.get_all(HOST).iter().count() > 1 {
+        return Err(Refusal::Malformed);
+    }
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    match length.and_then(|text| text.parse::<usize>().ok()) {
+        Some(length) if length > limits.body_bytes => Err(Refusal::BodyTooLarge),
+        _ => Ok(()),
+    }
+}
+
+/// Reads the body to its end.
+pub async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_) => Err(Refusal::Malformed),
+    }
+}
+
+/// The id of a request and how long its caller waits.
+pub struct CallerTerms {
+    pub attempt: HeaderValue,
+    pub remaining: Duration,
+}
+
+/// Reads the terms of a request.
+pub fn read_terms(head: &Parts, names: &HeaderNames) -> Result<CallerTerms, Refusal> {
+    let attempt = head.headers.get(&names.attempt).ok_or(Refusal::Malformed)?.clone();
+    let remaining = match head.headers.get(&names.remaining_ms) {
+        None => DEFAULT_REMAINING,
+        Some(value) => {
+            let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+            Duration::from_millis(millis.ok_or(Refusal::Malformed)?)
+        }
+    };
+    Ok(CallerTerms { attempt, remaining: remaining.min(LONGEST_REMAINING) })
+}
+
+/// Reads the outline of the prompt, if the route wants requests that share one to meet.
+pub fn read_outline(head: &Parts, route: &OpaqueRoute, names: &HeaderNames) -> Option<PromptOutline> {
+    if !route.affinity {
+        return None;
+    }
+    PromptOutline::read(head.headers.get(&names.prompt_outline)?.to_str().ok()?)
+}
+
+/// The headers that go on to an upstream: all but those of the connection and reserved ones.
+pub fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+    remove_connection_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
+    headers.remove(&names.remaining_ms);
+    headers.remove(&names.expected_upstream);
+    for name in &names.reserved {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Takes out the headers that belong to one connection.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    const OF_CONNECTION: [HeaderName; 7] =
+        [CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    for name in OF_CONNECTION {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! Serves opaque requests: routes them by host and path, passes them on to upstreams as they are,
+//! and answers only with what an upstream gave whole, or says that it did not.
+//!
+//! The words of the surrounding platform (header names, paths, formats) come in through
+//! [`names::HeaderNames`], [`directory::DirectoryCodec`] and [`feed::PlatformFeed`].
+
+pub mod answer;
+mod attempts;
+mod beats;
+mod call;
+mod caller_front;
+mod connection;
+mod daemon;
+pub mod directory;
+mod events;
+pub mod feed;
+mod front;
+mod job;
+mod keeper;
+pub mod logging;
+mod metrics;
+pub mod names;
+mod peer_front;
+mod peer_state;
+mod places;
+pub mod settings;
+mod shared;
+mod stop;
+mod upstream;
+mod view;
+
+pub use self::daemon::{DaemonError, GatewayParts, run_gateway};
--- /dev/null
+++ b/crates/foldhaven-gateway/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters and latency histograms, as the text that collectors read.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use foldhaven_core::ids::RouteName;
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+/// The longest time that a histogram tells apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RequestEnd {
+    /// The whole answer of an upstream was handed over.
+    Served,
+    /// The whole answer of an upstream, which told of a failure, was handed over.
+    FailedUpstream,
+    /// Refused or failed by the gateway itself, with the reason.
+    Refused(&'static str),
+    /// The caller left.
+    CallerLeft,
+    /// A stream was cut off after its start.
+    Cut,
+}
+
+impl RequestEnd {
+    /// The name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::FailedUpstream => "failed_upstream",
+            Self::Refused(reason) => reason,
+            Self::CallerLeft => "caller_left",
+            Self::Cut => "cut",
+        }
+    }
+}
+
+/// Everything that is counted.
+#[derive(Default)]
+pub struct GatewayMetrics {
+    inner: Mutex<MetricsInner>,
+}
+
+#[derive(Default)]
+struct MetricsInner {
+    routes: BTreeMap<RouteName, RouteCounts>,
+    events: BTreeMap<&'static str, u64>,
+}
+
+#[derive(Default)]
+struct RouteCounts {
+    ends: BTreeMap<RequestEnd, u64>,
+    first: Option<Histogram<u64>>,
+}
+
+impl GatewayMetrics {
+    /// Counts how a request of a route ended.
+    pub fn count_end(&self, route: &RouteName, end: RequestEnd) {
+        let mut inner = self.inner.lock();
+        *counts_of(&mut inner, route).ends.entry(end).or_default() += 1;
+    }
+
+    /// Notes the time to the answer, or to the first event.
+    pub fn note_first(&self, route: &RouteName, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(LONGEST_MICROS);
+        let mut inner = self.inner.lock();
+        let first = &mut counts_of(&mut inner, route).first;
+        let histogram = first.get_or_insert_with(|| {
+            Histogram::new_with_bounds(1, LONGEST_MICROS, 2).expect("the bounds are valid")
+        });
+        histogram.saturating_record(micros.max(1));
+    }
+
+    /// Counts an event, such as a retry.
+    pub fn count_event(&self, event: &'static str) {
+        *self.inner.lock().events.entry(event).or_default() += 1;
+    }
+
+    /// The page that collectors read.
+    pub fn page(&self) -> String {
+        let inner = self.inner.lock();
+        let mut page = String::new();
+        for (route, counts) in &inner.routes {
+            for (end, count) in &counts.ends {
+                let labels = format!("route=\"{route}\",end=\"{}\"", end.label());
+                put_line(&mut page, "foldhaven_opaque_requests_total", &labels, *count as f64);
+            }
+            for quantile in QUANTILES {
+                let Some(first) = &counts.first else { continue };
+                let micros = first.value_at_quantile(quantile) as f64;
+                let labels = format!("route=\"{route}\",quantile=\"{quantile}\"");
+                put_line(&mut page, "foldhaven_opaque_first_seconds", &labels, micros / 1e6);
+            }
+        }
+        for (event, count) in &inner.events {
+            let labels = format!("event=\"{event}\"");
+            put_line(&mut page, "foldhaven_opaque_events_total", &labels, *count as f64);
+        }
+        page
+    }
+}
+
+fn counts_of<'a>(inner: &'a mut MetricsInner, route: &RouteName) -> &'a mut RouteCounts {
+    if !inner.routes.contains_key(route) {
+        inner.routes.insert(route.clone(), RouteCounts::default());
+    }
+    inner.routes.get_mut(route).expect("it was just made")
+}
+
+fn put_line(page: &mut String, name: &str, labels: &str, value: f64) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(page, "{name}{{{labels}}} {value}");
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -0,0 +1,24 @@
+//! The names of the headers by which callers, this system and upstreams understand each other.
+
+use http::HeaderName;
+
+/// The header names that a platform prescribes.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Names a request; upstreams repeat it in their answers.
+    pub attempt: HeaderName,
+    /// The milliseconds for which the caller goes on waiting.
+    pub remaining_ms: HeaderName,
+    /// Proves that an answer was made by an upstream.
+    pub seal: HeaderName,
+    /// Tells an upstream which process is meant, so that another one at its address declines.
+    pub expected_upstream: HeaderName,
+    /// Set by an upstream that did not run the request and never will.
+    pub not_run: HeaderName,
+    /// Outlines the parts of the prompt, each an id and its tokens.
+    pub prompt_outline: HeaderName,
+    /// The event after which a stream goes on.
+    pub last_event: HeaderName,
+    /// Headers that only this system may send to upstreams; taken out of callers' requests.
+    pub reserved: Vec<HeaderName>,
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -0,0 +1,99 @@
+//! Takes requests that other VMs forward, and tells them what the platform published.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use foldhaven_core::headers;
+use foldhaven_core::ids::ServiceName;
+use http::{HeaderValue, Request, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer::{Answer, Refusal, body_answer};
+use crate::caller_front::run_job;
+use crate::front::FrontHandler;
+use crate::job::{GatewayJob, forwarded_headers, host_of, read_body, read_outline, read_terms};
+use crate::peer_state::PEER_STATE_PATH;
+use crate::shared::GatewayShared;
+
+/// Answers other VMs.
+pub struct PeerHandler {
+    pub shared: Arc<GatewayShared>,
+}
+
+#[async_trait]
+impl FrontHandler for PeerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        if request.uri().path() == PEER_STATE_PATH {
+            return self.state();
+        }
+        let attempt = request.headers().get(&self.shared.names.attempt).cloned();
+        let answer = match read_forwarded(&self.shared, request).await {
+            Ok(job) => run_job(self.shared.clone(), job).await,
+            Err(refusal) => {
+                self.shared.metrics.count_event(refusal.label());
+                refusal.answer()
+            }
+        };
+        mark_refusal(answer, attempt)
+    }
+}
+
+impl PeerHandler {
+    fn state(&self) -> Answer {
+        let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
+        match serde_json::to_vec(&*view.snapshot) {
+            Ok(body) => body_answer(StatusCode::OK, "application/json", body),
+            Err(error) => {
+                tracing::error!(error = %error, "writing the state for a peer failed");
+                Refusal::NoDescription.answer()
+            }
+        }
+    }
+}
+
+/// Names the attempt in a refusal, so that its origin knows that nothing of it ran here.
+fn mark_refusal(mut answer: Answer, attempt: Option<HeaderValue>) -> Answer {
+    let is_refusal = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if let Some(attempt) = attempt.filter(|_| is_refusal) {
+        answer.headers_mut().insert(headers::REFUSED_ATTEMPT, attempt);
+    }
+    answer
+}
+
+/// Reads a forwarded request. It must name where it has been and the service that its origin chose.
+async fn read_forwarded(
+    shared: &GatewayShared,
+    request: Request<Incoming>,
+) -> Result<GatewayJob, Refusal> {
+    let started = Instant::now();
+    let (mut head, body) = request.into_parts();
+    let view = shared.view().ok_or(Refusal::NoDescription)?;
+    head.headers.remove(headers::VISITED).ok_or(Refusal::NotPermitted)?;
+    let service = head.headers.remove(headers::SERVICE).ok_or(Refusal::NotPermitted)?;
+    let service: ServiceName =
+        service.to_str().ok().and_then(|name| name.parse().ok()).ok_or(Refusal::NotPermitted)?;
+    let body = read_body(body, &view.routes.description().limits).await?;
+    let host = host_of(&head).ok_or(Refusal::NotPermitted)?;
+    let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NotPermitted)?.clone();
+    if !route.services.iter().any(|it| it.service == service) {
+        // The descriptions of the two VMs differ; the origin may ask elsewhere.
+        return Err(Refusal::NotPermitted);
+    }
+    let terms = read_terms(&head, &shared.names)?;
+    let outline = read_outline(&head, &route, &shared.names);
+    let deadline = started + terms.remaining;
+    Ok(GatewayJob {
+        attempt: terms.attempt,
+        service,
+        method: head.method,
+        target: head.uri,
+        headers: forwarded_headers(head.headers, &shared.names),
+        body,
+        started,
+        deadline,
+        outline,
+        route,
+        is_forwarded: true,
+    })
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -0,0 +1,83 @@
+//! Asks another VM what the platform published, when this one cannot read it or reads it later.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time::{sleep, timeout};
+
+use crate::connection::{Connection, FAR_CONNECT_LIMIT};
+use crate::feed::FeedSnapshot;
+use crate::keeper::{FindAhead, KeeperAddress, OfferSnapshot};
+use crate::shared::GatewayShared;
+
+/// Where peers tell what the platform published.
+pub const PEER_STATE_PATH: &str = "/peer/v1/state";
+/// How often it is looked whether another VM knows more.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a peer may take to tell.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// The largest state that is taken.
+const MAX_STATE_BYTES: usize = 16 << 20;
+/// After a peer could not be asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(750);
+
+/// Why a peer could not be asked.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum AskError {
+    /// connecting: {0}
+    Connect(std::io::Error),
+    /// asking: {0}
+    Http(hyper::Error),
+    /// status {0}
+    Status(StatusCode),
+    /// reading the answer: {0}
+    Read(Box<dyn std::error::Error + Send + Sync>),
+    /// the answer: {0}
+    Content(serde_json::Error),
+    /// no answer in time
+    Late,
+}
+
+/// Takes over from peers what this daemon has not read itself.
+pub async fn follow_peers(shared: Arc<GatewayShared>, keeper: KeeperAddress) {
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let Ok(ahead) = keeper.send(FindAhead).await else { return };
+        let Some(peer) = ahead else { continue };
+        let started = Instant::now();
+        let asked = timeout(ANSWER_LIMIT, ask(peer)).await.unwrap_or(Err(AskError::Late));
+        match asked {
+            Ok(snapshot) => {
+                if keeper.send(OfferSnapshot { snapshot, peer }).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                let ms = started.elapsed().as_millis() as u64;
+                tracing::warn!(vm = %shared.settings.vm, peer = %peer, error = %error, ms, "asking a peer failed");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask(peer: SocketAddr) -> Result<FeedSnapshot, AskError> {
+    let mut connection =
+        Connection::open(peer, FAR_CONNECT_LIMIT).await.map_err(AskError::Connect)?;
+    let request = Request::get(PEER_STATE_PATH)
+        .header(HOST, peer.to_string())
+        .body(Full::<Bytes>::default())
+        .expect("a constant path makes a request");
+    let response = connection.sender.send_request(request).await.map_err(AskError::Http)?;
+    if response.status() != StatusCode::OK {
+        return Err(AskError::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
+    let body = body.map_err(AskError::Read)?.to_bytes();
+    serde_json::from_slice(&body).map_err(AskError::Content)
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/settings.rs
@@ -0,0 +1,161 @@
+//! The settings of a gateway daemon, in YAML.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use foldhaven_core::ids::{DataCentreName, RegionName, VmName};
+use foldhaven_core::opaque::retry_share::RetryLimits;
+use serde::{Deserialize, Serialize};
+
+/// The addresses on which a daemon listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayAddresses {
+    /// For callers' requests.
+    pub caller: SocketAddr,
+    /// For the question whether the daemon is ready.
+    pub ready: SocketAddr,
+    /// For callers who ask which VMs to use.
+    pub directory: SocketAddr,
+    /// For operators: metrics and status.
+    pub operator: SocketAddr,
+    /// For other VMs: heartbeats over UDP and forwarded requests over TCP. The same port on all VMs.
+    pub peer: SocketAddr,
+    /// For those who collect metrics and do not know the operators' address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Limits that hold over all VMs together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SharedLimits {
+    /// Retries permitted for each request of a service.
+    pub retry_ratio: f64,
+    /// Retries of a service permitted on top in each window.
+    pub retry_extra: f64,
+    /// The length of that window in seconds.
+    pub retry_window_s: f64,
+}
+
+impl SharedLimits {
+    /// The retry budget.
+    pub fn retries(&self) -> RetryLimits {
+        RetryLimits {
+            ratio: self.retry_ratio,
+            extra: self.retry_extra,
+            window: Duration::from_secs_f64(self.retry_window_s),
+        }
+    }
+}
+
+/// The settings of one daemon. Unknown fields are ignored and named once in the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GatewaySettings {
+    /// The name of this VM.
+    pub vm: VmName,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// The region of each data centre.
+    pub regions: BTreeMap<DataCentreName, RegionName>,
+    /// The addresses on which it listens.
+    pub addresses: GatewayAddresses,
+    /// Addresses of some other VMs; only the hosts count, since all VMs use one peer port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The address of the platform's service.
+    pub platform: SocketAddr,
+    /// Limits over all VMs.
+    pub limits: SharedLimits,
+    /// The time in seconds from the request to stop to the forced end.
+    pub grace_s: f64,
+    /// The least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// Fields that are not known.
+    #[serde(flatten)]
+    pub unknown: BTreeMap<String, serde_json::Value>,
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum SettingsError {
+    /// reading {path}: {source}
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// {path}: {message}
+    Syntax {
+        /// The file.
+        path: PathBuf,
+        /// Line, column and what was expected.
+        message: String,
+    },
+    /// {path}: {field}: {message}
+    Field {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// What was expected.
+        message: &'static str,
+    },
+}
+
+impl GatewaySettings {
+    /// Reads settings from a file and checks them.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, is not YAML of the right shape, or has a value out of range.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
+        let settings: Self = serde_saphyr::from_str(&text).map_err(|error| {
+            SettingsError::Syntax { path: path.to_owned(), message: error.to_string() }
+        })?;
+        match settings.fault() {
+            None => Ok(settings),
+            Some((field, message)) => {
+                Err(SettingsError::Field { path: path.to_owned(), field, message })
+            }
+        }
+    }
+
+    fn fault(&self) -> Option<(&'static str, &'static str)> {
+        if !self.regions.contains_key(&self.data_centre) {
+            return Some(("regions", "expected the region of this VM's data centre"));
+        }
+        if !(self.limits.retry_ratio >= 0.0 && self.limits.retry_extra >= 0.0) {
+            return Some(("limits", "expected retry_ratio and retry_extra of at least 0"));
+        }
+        if !(0.1..=3_600.0).contains(&self.limits.retry_window_s) {
+            return Some(("limits.retry_window_s", "expected 0.1 to 3600 seconds"));
+        }
+        if !(0.5..=3_600.0).contains(&self.grace_s) {
+            return Some(("grace_s", "expected 0.5 to 3600 seconds"));
+        }
+        None
+    }
+
+    /// The region of this VM.
+    pub fn region(&self) -> &RegionName {
+        &self.regions[&self.data_centre]
+    }
+
+    /// Where the seeds take heartbeats.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let port = self.addresses.peer.port();
+        let peers = self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        peers.filter(|peer| *peer != self.addresses.peer).collect()
+    }
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -0,0 +1,148 @@
+//! What the control thread and the traffic thread share: views one way, counts the other.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::retry_share::RetryShare;
+use foldhaven_core::time::MonoTime;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+
+use crate::logging::LogQuota;
+use crate::metrics::GatewayMetrics;
+use crate::names::HeaderNames;
+use crate::settings::GatewaySettings;
+use crate::view::GatewayView;
+
+/// Readings start well above zero, so that spans can be taken off early ones.
+const HEAD_START: Duration = Duration::from_secs(3_600);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopStage {
+    /// Serving as usual.
+    Serving,
+    /// Others are told; requests that still come are served, and their connections closed.
+    Leaving,
+    /// No new connections; only what is under way is finished.
+    Closing,
+}
+
+/// Everything that the threads of one daemon share.
+pub struct GatewayShared {
+    pub settings: GatewaySettings,
+    pub names: HeaderNames,
+    pub metrics: GatewayMetrics,
+    pub quota: LogQuota,
+    pub stage: watch::Sender<StopStage>,
+    zero: Instant,
+    view: ArcSwapOption<GatewayView>,
+    retries: Mutex<HashMap<ServiceName, RetryShare>>,
+    in_flight: AtomicU32,
+    settled: Notify,
+    is_leaving: AtomicBool,
+}
+
+impl GatewayShared {
+    pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            names,
+            metrics: GatewayMetrics::default(),
+            quota: LogQuota::default(),
+            stage: watch::Sender::new(StopStage::Serving),
+            zero: Instant::now(),
+            view: ArcSwapOption::empty(),
+            retries: Mutex::default(),
+            in_flight: AtomicU32::new(0),
+            settled: Notify::new(),
+            is_leaving: AtomicBool::new(false),
+        })
+    }
+
+    pub fn now(&self) -> MonoTime {
+        MonoTime::default() + (self.zero.elapsed() + HEAD_START)
+    }
+
+    /// How long this process has run.
+    pub fn uptime(&self) -> Duration {
+        self.zero.elapsed()
+    }
+
+    pub fn view(&self) -> Option<Arc<GatewayView>> {
+        self.view.load_full()
+    }
+
+    pub fn publish(&self, view: GatewayView) {
+        self.view.store(Some(Arc::new(view)));
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    pub fn enter_stage(&self, stage: StopStage) {
+        self.is_leaving.store(stage != StopStage::Serving, Ordering::Relaxed);
+        self.stage.send_replace(stage);
+    }
+
+    /// Counts a request of a caller for the retry budget of its service.
+    pub fn note_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_share(service, |share| share.note_request(now));
+    }
+
+    /// Takes one retry out of this VM's part of the budget.
+    pub fn take_retry(&self, service: &ServiceName, view: &GatewayView) -> bool {
+        let now = self.now();
+        let uptime = self.uptime();
+        self.with_share(service, |share| share.take(view.assumed_vms, uptime, now))
+    }
+
+    fn with_share<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let mut retries = self.retries.lock();
+        if let Some(share) = retries.get_mut(service) {
+            return act(share);
+        }
+        let share = RetryShare::new(self.settings.limits.retries());
+        act(retries.entry(service.clone()).or_insert(share))
+    }
+
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts one request as under way until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InFlightGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard { shared: self.clone() }
+    }
+
+    /// Waits until no request is under way.
+    pub async fn wait_settled(&self) {
+        loop {
+            let settled = self.settled.notified();
+            if self.in_flight() == 0 {
+                return;
+            }
+            settled.await;
+        }
+    }
+}
+
+/// One request under way.
+pub struct InFlightGuard {
+    shared: Arc<GatewayShared>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        if self.shared.in_flight.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.shared.settled.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -0,0 +1,43 @@
+//! What the control thread publishes for traffic; replaced as a whole, never changed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use foldhaven_core::ids::{RegionName, ServiceName, VmName};
+use foldhaven_core::opaque::peer_table::PeerBeat;
+use foldhaven_core::opaque::route_table::RouteTable;
+
+use crate::connection::ConnectionPool;
+use crate::feed::FeedSnapshot;
+use crate::upstream::Upstream;
+
+/// Another VM that takes forwarded requests.
+pub struct PeerLink {
+    pub vm: VmName,
+    pub region: RegionName,
+    pub address: SocketAddr,
+    pub pool: ConnectionPool,
+}
+
+/// Everything that a decision on a request reads.
+pub struct GatewayView {
+    pub routes: Arc<RouteTable>,
+    /// The upstreams of each service that may get new requests, in all regions.
+    pub upstreams: HashMap<ServiceName, Vec<Arc<Upstream>>>,
+    /// The other VMs that serve.
+    pub peers: Vec<Arc<PeerLink>>,
+    /// The heartbeats of all VMs that live, the own one included.
+    pub beats: Vec<PeerBeat>,
+    /// The number of VMs by which limits are divided; nothing while it is not known.
+    pub assumed_vms: Option<usize>,
+    /// What a VM that cannot read the platform may take over.
+    pub snapshot: Arc<FeedSnapshot>,
+}
+
+impl GatewayView {
+    /// The upstreams of a service.
+    pub fn upstreams_of(&self, service: &ServiceName) -> &[Arc<Upstream>] {
+        self.upstreams.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- a/crates/foldhaven-wire/src/sse.rs
+++ b/crates/foldhaven-wire/src/sse.rs
@@ -1,5 +1,7 @@
 //! Server-sent events: splitting a byte stream into events, and writing them.
 
+use bytes::{Bytes, BytesMut};
+
 /// The data of the event that ends an answer.
 pub const DONE: &str = "[DONE]";
 
@@ -73,3 +75,68 @@
 pub fn write_named_event(name: &str, data: &str) -> String {
     format!("event: {name}\ndata: {data}\n\n")
 }
+
+/// Cuts a byte stream after whole events and leaves their bytes as they are.
+///
+/// ```
+/// use foldhaven_wire::sse::EventBlocks;
+/// let mut blocks = EventBlocks::default();
+/// assert_eq!(blocks.push("id: 1\ndata: a\n\nid: 2\nda".into()).unwrap(), "id: 1\ndata: a\n\n");
+/// assert_eq!(blocks.last_id(), Some("1"));
+/// assert!(!blocks.is_at_boundary());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventBlocks {
+    rest: BytesMut,
+    last_id: Option<String>,
+}
+
+impl EventBlocks {
+    /// Takes in some bytes; returns the whole events that they complete, which may be none.
+    ///
+    /// # Errors
+    ///
+    /// When an event is too large.
+    pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, SseError> {
+        let is_whole = self.rest.is_empty() && bytes.ends_with(b"\n\n");
+        if is_whole {
+            self.note_id(&bytes);
+            return Ok(bytes);
+        }
+        self.rest.extend_from_slice(&bytes);
+        let Some(end) = last_blank_line(&self.rest) else {
+            return if self.rest.len() > MAX_EVENT_BYTES { Err(SseError) } else { Ok(Bytes::new()) };
+        };
+        let events = self.rest.split_to(end).freeze();
+        self.note_id(&events);
+        Ok(events)
+    }
+
+    fn note_id(&mut self, events: &[u8]) {
+        let lines = events.rsplit(|byte| *byte == b'\n');
+        let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"));
+        if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
+            self.last_id = Some(id.trim().to_owned());
+        }
+    }
+
+    /// The id of the last whole event that had one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Whether no part of an event is left over.
+    pub fn is_at_boundary(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    /// Drops a part of an event that will not be completed.
+    pub fn drop_rest(&mut self) {
+        self.rest.clear();
+    }
+}
+
+/// The end of the last blank line.
+fn last_blank_line(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
+}
