--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -42,7 +42,8 @@
     affinity: Option<u64>,
     draw: f64,
 ) -> Option<usize> {
-    let open: Vec<usize> = (0..candidates.len()).filter(|at| !candidates[*at].is_held_back).collect();
+    let open: Vec<usize> =
+        (0..candidates.len()).filter(|at| !candidates[*at].is_held_back).collect();
     let untried = narrow(&open, |at| !candidates[at].is_tried);
     let trusted = narrow(&untried, |at| !candidates[at].is_suspect);
     match affinity {
--- a/crates/foldhaven-core/src/opaque/directory.rs
+++ b/crates/foldhaven-core/src/opaque/directory.rs
@@ -9,24 +9,21 @@
 pub const MAX_NAMED: usize = 64;
 
 /// The VMs for a caller of a region: those of its own region; when none of them serves, those of the
-/// regions in which its requests may run; else all.
+/// regions that the most routes of its host are bound to.
 ///
-/// `homes` are the regions in which the host's requests may run, when that is restricted.
+/// `bound` tells how many routes of the host are bound to a region.
 pub fn name_vms(
     serving: &[PeerBeat],
     region: &RegionName,
-    homes: Option<&[RegionName]>,
+    bound: impl Fn(&RegionName) -> usize,
 ) -> Vec<SocketAddr> {
-    let is_home = |beat: &&PeerBeat| homes.is_none_or(|homes| homes.contains(&beat.region));
     let own = select(serving, |beat| beat.region == *region);
     if !own.is_empty() {
         return own;
     }
-    let home = select(serving, |beat| is_home(&beat));
-    if !home.is_empty() {
-        return home;
-    }
-    select(serving, |_| true)
+    let open = serving.iter().filter(|beat| beat.phase == PeerPhase::Serving);
+    let most = open.map(|beat| bound(&beat.region)).max().unwrap_or_default();
+    select(serving, |beat| bound(&beat.region) == most)
 }
 
 fn select(serving: &[PeerBeat], passes: impl Fn(&PeerBeat) -> bool) -> Vec<SocketAddr> {
--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -211,19 +211,12 @@
         self.hosts.get(&name.to_ascii_lowercase())
     }
 
-    /// The regions that every route of a host permits; nothing when there is no restriction.
-    pub fn homes_of_host(&self, host: &str) -> Option<Vec<RegionName>> {
-        let routes = self.routes_of(host)?;
-        let mut bound = routes.iter().map(|at| &self.description.routes[*at].homes);
-        let bound = bound.by_ref().filter(|homes| !homes.is_empty());
-        let mut common: Option<Vec<RegionName>> = None;
-        for homes in bound {
-            common = Some(match common {
-                None => homes.clone(),
-                Some(held) => held.into_iter().filter(|it| homes.contains(it)).collect(),
-            });
-        }
-        common
+    /// How many routes of a host that are bound to some regions permit this one. The directory
+    /// answers for a whole host, whose routes may be bound to different regions.
+    pub fn bound_routes_in(&self, host: &str, region: &RegionName) -> usize {
+        let Some(routes) = self.routes_of(host) else { return 0 };
+        let homes = routes.iter().map(|at| &self.routes[*at].homes);
+        homes.filter(|homes| homes.contains(region)).count()
     }
 
     /// The service of that name.
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -155,7 +155,11 @@
 }
 
 /// An answer with a body of a content type.
-pub fn body_answer(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+pub fn body_answer(
+    status: StatusCode,
+    content_type: &'static str,
+    body: impl Into<Bytes>,
+) -> Answer {
     let mut answer = Response::new(AnswerBody::whole(body));
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
--- a/crates/foldhaven-gateway/src/attempts.rs
+++ b/crates/foldhaven-gateway/src/attempts.rs
@@ -149,7 +149,11 @@
         Ok(PlacedAnswer { answer: opened?, place: place.clone(), seat })
     }
 
-    fn make_request(&self, place: &RequestPlace, resume_after: Option<&str>) -> Request<Full<Bytes>> {
+    fn make_request(
+        &self,
+        place: &RequestPlace,
+        resume_after: Option<&str>,
+    ) -> Request<Full<Bytes>> {
         let job = &self.job;
         let names = &self.shared.names;
         let mut request: Builder = Request::builder().method(&job.method).uri(&job.target);
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -22,6 +23,7 @@
 use crate::names::HeaderNames;
 use crate::peer_front::PeerHandler;
 use crate::peer_state::follow_peers;
+use crate::reload::follow_settings;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
 use crate::stop::stop_when_told;
@@ -37,6 +39,8 @@
     pub codec: Arc<dyn DirectoryCodec>,
     /// What it publishes.
     pub feed: Arc<dyn PlatformFeed>,
+    /// The file of the settings, which may change while the daemon runs.
+    pub settings_path: PathBuf,
 }
 
 /// Why a daemon could not serve.
@@ -70,7 +74,7 @@
     let shared = GatewayShared::new(settings, parts.names);
     let traffic = make_runtime("the traffic runtime")?;
     let control = make_runtime("the control runtime")?;
-    start_control(control, shared.clone(), parts.feed)?;
+    start_control(control, shared.clone(), parts.feed, parts.settings_path)?;
     traffic.block_on(serve(shared, parts.codec))
 }
 
@@ -119,13 +123,14 @@
     runtime: Runtime,
     shared: Arc<GatewayShared>,
     feed: Arc<dyn PlatformFeed>,
+    settings_path: PathBuf,
 ) -> Result<(), DaemonError> {
     let peer = shared.settings.addresses.peer;
     let socket = runtime.block_on(UdpSocket::bind(peer));
     let socket = socket.map_err(|source| DaemonError::Listen { peer, source })?;
-    let spawned = thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(run_control(shared, Arc::new(socket), feed)));
+    let spawned = thread::Builder::new().name("control".to_owned()).spawn(move || {
+        runtime.block_on(run_control(shared, Arc::new(socket), feed, settings_path))
+    });
     spawned.map(drop).map_err(|source| DaemonError::Setup { step: "the control thread", source })
 }
 
@@ -133,12 +138,14 @@
     shared: Arc<GatewayShared>,
     socket: Arc<UdpSocket>,
     feed: Arc<dyn PlatformFeed>,
+    settings_path: PathBuf,
 ) {
     let incarnation = new_incarnation();
     let keeper = ControlKeeper::new(shared.clone(), incarnation);
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
     tokio::spawn(hear_beats(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.stage.subscribe()));
+    tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
     tokio::spawn(tick(address.clone()));
     feed.run(FeedSink::new(address)).await;
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -50,8 +50,8 @@
         if self.shared.uptime() < LEARNING_TIME {
             return None;
         }
-        let homes = view.routes.homes_of_host(&query.host);
-        Some(name_vms(&view.beats, &query.region, homes.as_deref()))
+        let bound = |region: &RegionName| view.routes.bound_routes_in(&query.host, region);
+        Some(name_vms(&view.beats, &query.region, bound))
     }
 }
 
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -30,7 +30,8 @@
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub struct RelayBroken;
 
-type Resumption = Pin<Box<dyn Future<Output = (RequestDriver, Result<PlacedAnswer, Refusal>)> + Send>>;
+type Resumption =
+    Pin<Box<dyn Future<Output = (RequestDriver, Result<PlacedAnswer, Refusal>)> + Send>>;
 
 enum RelayState {
     Reading(Box<ReadingState>),
@@ -232,7 +233,8 @@
     }
 
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
-        if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended) {
+        if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended)
+        {
             reading.lease.give_back(pool_of(&reading.place));
             if let Some(driver) = &self.driver {
                 driver.note_success(&reading.place);
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -69,7 +69,8 @@
 
 /// Checks what can be checked before the body is read.
 pub fn check_head(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
-    let size: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let size: usize =
+        head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
     if size > limits.header_bytes {
         return Err(Refusal::HeadTooLarge);
     }
@@ -116,7 +117,11 @@
 }
 
 /// Reads the outline of the prompt, if the route wants requests that share one to meet.
-pub fn read_outline(head: &Parts, route: &OpaqueRoute, names: &HeaderNames) -> Option<PromptOutline> {
+pub fn read_outline(
+    head: &Parts,
+    route: &OpaqueRoute,
+    names: &HeaderNames,
+) -> Option<PromptOutline> {
     if !route.affinity {
         return None;
     }
@@ -148,8 +153,15 @@
     for name in named {
         headers.remove(name);
     }
-    const OF_CONNECTION: [HeaderName; 7] =
-        [CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    const OF_CONNECTION: [HeaderName; 7] = [
+        CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ];
     for name in OF_CONNECTION {
         headers.remove(name);
     }
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::ConnectionPool;
 use crate::feed::{FeedChange, FeedNews, FeedSnapshot};
+use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
 use crate::upstream::{Upstream, UpstreamIdentity};
 use crate::view::{GatewayView, PeerLink};
@@ -31,6 +32,8 @@
 #[derive(xtra::Actor)]
 pub struct ControlKeeper {
     shared: Arc<GatewayShared>,
+    /// The settings as they were read last; those of `shared` are the ones of the start.
+    settings: GatewaySettings,
     incarnation: IncarnationId,
     routes: Option<Arc<RouteTable>>,
     table: UpstreamTable,
@@ -66,8 +69,10 @@
 impl ControlKeeper {
     pub fn new(shared: Arc<GatewayShared>, incarnation: IncarnationId) -> Self {
         let peers = PeerTable::new(shared.settings.vm.clone());
+        let settings = shared.settings.clone();
         Self {
             shared,
+            settings,
             incarnation,
             routes: None,
             table: UpstreamTable::default(),
@@ -129,7 +134,11 @@
 
     fn take_snapshot(&mut self, snapshot: FeedSnapshot) {
         if snapshot.revision < self.revision {
-            tracing::warn!(held = self.revision, offered = snapshot.revision, "older state ignored");
+            tracing::warn!(
+                held = self.revision,
+                offered = snapshot.revision,
+                "older state ignored"
+            );
             return;
         }
         let now = self.now();
@@ -231,7 +240,7 @@
         {
             return Some(known.clone());
         }
-        let region = self.shared.settings.regions.get(&record.data_centre)?;
+        let region = self.settings.regions.get(&record.data_centre)?;
         Some(Upstream::new(UpstreamIdentity {
             name: record.name.clone(),
             service: record.service.clone(),
@@ -342,6 +351,20 @@
     pub peer: SocketAddr,
 }
 
+/// The settings have changed.
+pub struct ReplaceSettings {
+    pub settings: GatewaySettings,
+}
+
+impl Handler<ReplaceSettings> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, change: ReplaceSettings, _: &mut Context<Self>) {
+        self.settings = change.settings;
+        self.publish();
+    }
+}
+
 impl Handler<OfferSnapshot> for ControlKeeper {
     type Return = ();
 
@@ -398,7 +421,7 @@
         };
         let is_seed_round = asks_all || self.beats.is_multiple_of(SEED_ROUNDS);
         if is_seed_round {
-            targets.extend(self.shared.settings.seed_peers());
+            targets.extend(self.settings.seed_peers());
         }
         let targets: BTreeSet<SocketAddr> = targets.into_iter().collect();
         let message = self.message(asks_all, self.peers.relayed(self.now()));
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer_front;
 mod peer_state;
 mod places;
+mod reload;
 pub mod settings;
 mod shared;
 mod stop;
--- a/crates/foldhaven-gateway/src/logging.rs
+++ b/crates/foldhaven-gateway/src/logging.rs
@@ -62,8 +62,9 @@
 
 /// Starts logging at a level and above.
 pub fn start_logging(level: &str) -> LogGuard {
-    let filter = EnvFilter::try_new(format!("warn,foldhaven_gateway={level},foldhaven_platform={level}"))
-        .unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter =
+        EnvFilter::try_new(format!("warn,foldhaven_gateway={level},foldhaven_platform={level}"))
+            .unwrap_or_else(|_| EnvFilter::new("info"));
     let buffer = LineBuffer::default();
     let subscriber = tracing_subscriber::fmt()
         .json()
@@ -86,7 +87,9 @@
 fn write_held(buffer: &LineBuffer) {
     let HeldLines { mut bytes, dropped } = std::mem::take(&mut *buffer.held.lock());
     if dropped > 0 {
-        let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n");
+        let line = format!(
+            "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+        );
         bytes.extend_from_slice(line.as_bytes());
     }
     if bytes.is_empty() {
--- a/crates/foldhaven-wire/src/sse.rs
+++ b/crates/foldhaven-wire/src/sse.rs
@@ -105,7 +105,11 @@
         }
         self.rest.extend_from_slice(&bytes);
         let Some(end) = last_blank_line(&self.rest) else {
-            return if self.rest.len() > MAX_EVENT_BYTES { Err(SseError) } else { Ok(Bytes::new()) };
+            return if self.rest.len() > MAX_EVENT_BYTES {
+                Err(SseError)
+            } else {
+                Ok(Bytes::new())
+            };
         };
         let events = self.rest.split_to(end).freeze();
         self.note_id(&events);
