--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -1,6 +1,9 @@
-//! Which upstream of a service gets a request.
+//! Which upstream of a service gets a request: the one with the least expected cost in time.
+
+use std::time::Duration;
 
 use crate::ids::UpstreamName;
+use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::rank::rank_hash;
 
 /// An upstream that may be chosen.
@@ -8,12 +11,14 @@
 pub struct UpstreamFacts<'a> {
     /// Its name.
     pub name: &'a UpstreamName,
-    /// How many requests it runs at once.
-    pub slots: u32,
-    /// The requests of this VM that it has now.
-    pub in_flight: u32,
-    /// Its time for a request against the mean of its service; 1 when not known.
-    pub slowness: f64,
+    /// Its queue.
+    pub queue: QueueFacts,
+    /// By what its times are to be multiplied.
+    pub factor: f64,
+    /// The share of requests that failed there lately.
+    pub failures: f64,
+    /// The tokens of the request's shared prompt parts that it probably holds.
+    pub held_tokens: u32,
     /// Whether calls to it failed lately.
     pub is_suspect: bool,
     /// Whether it is cold and its next place at this VM is not due yet.
@@ -22,34 +27,57 @@
     pub is_tried: bool,
 }
 
-impl UpstreamFacts<'_> {
-    /// The load that one more request would meet, in requests at an upstream of usual speed.
-    fn load(&self) -> f64 {
-        f64::from(self.in_flight + 1) * self.slowness
-    }
+/// The request, as far as the choice needs to know it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ChoiceQuery {
+    /// The tokens of the shared parts of its prompt.
+    pub shared_tokens: u32,
+    /// The tokens of its own part.
+    pub own_tokens: u32,
+    /// The key by which requests with the same shared parts meet.
+    pub meeting_key: Option<u64>,
+    /// A number that is uniform in 0..1.
+    pub draw: f64,
 }
 
-/// How far above the mean the load of the preferred upstream may be, as a factor.
-const AFFINITY_FACTOR: f64 = 1.6;
-/// The same as a number of requests, which decides while there are few.
-const AFFINITY_EXTRA: f64 = 3.0;
+/// A chosen upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UpstreamChoice {
+    /// Its place among the candidates.
+    pub at: usize,
+    /// The expected time to the answer, or to its first event.
+    pub first: Duration,
+    /// That time with the price of reading shared parts again and of failures.
+    pub cost: Duration,
+    /// The prompt tokens that it has to read.
+    pub read_tokens: u32,
+}
 
-/// Chooses an upstream: with an affinity key the one that ranks first for it, unless its load is far
-/// above the mean; else the one with the least load. Suspects are taken only when nobody else is
-/// left, and upstreams that were tried only when all were. `draw` is uniform in 0..1.
+/// What reading a shared part again costs, as a multiple of the time that it takes: it also holds up
+/// the other requests there, and drops parts that others would use.
+const REREAD_FACTOR: f64 = 2.0;
+/// What a certain failure costs.
+const FAILURE_COST: Duration = Duration::from_millis(1_500);
+/// By how much the upstream that ranks first for a meeting key is preferred while nobody is known to
+/// hold its parts, as a share of the cost of reading them.
+const MEETING_SHARE: f64 = 0.5;
+
+/// Chooses the upstream with the least cost. Suspects are taken only when nobody else is left, and
+/// upstreams that were tried only when all were.
 pub fn choose_upstream(
     candidates: &[UpstreamFacts<'_>],
-    affinity: Option<u64>,
-    draw: f64,
-) -> Option<usize> {
+    query: &ChoiceQuery,
+    pace: &ServicePace,
+) -> Option<UpstreamChoice> {
     let open: Vec<usize> =
         (0..candidates.len()).filter(|at| !candidates[*at].is_held_back).collect();
     let untried = narrow(&open, |at| !candidates[at].is_tried);
     let trusted = narrow(&untried, |at| !candidates[at].is_suspect);
-    match affinity {
-        Some(key) => choose_preferred(candidates, &trusted, key),
-        None => choose_least(candidates, &trusted, draw),
-    }
+    let meeting = query.meeting_key.and_then(|key| meeting_place(candidates, &trusted, key));
+    let first = (query.draw * trusted.len() as f64) as usize;
+    let turned = (0..trusted.len()).map(|step| trusted[(first + step) % trusted.len()]);
+    let price = |at: usize| price_of(at, &candidates[at], query, pace, meeting == Some(at));
+    turned.map(price).min_by_key(|choice| choice.cost)
 }
 
 /// Those that pass, or all of them when none does.
@@ -61,17 +89,25 @@
     }
 }
 
-fn choose_preferred(candidates: &[UpstreamFacts<'_>], open: &[usize], key: u64) -> Option<usize> {
-    let mean = open.iter().map(|at| candidates[*at].load()).sum::<f64>() / open.len().max(1) as f64;
-    let limit = mean * AFFINITY_FACTOR + AFFINITY_EXTRA;
+fn meeting_place(candidates: &[UpstreamFacts<'_>], open: &[usize], key: u64) -> Option<usize> {
     let text = key.to_string();
     let rank = |at: &usize| rank_hash(&[&text, candidates[*at].name.as_str()]);
-    let fitting = open.iter().copied().filter(|at| candidates[*at].load() <= limit);
-    fitting.max_by_key(rank)
+    open.iter().copied().max_by_key(rank)
 }
 
-fn choose_least(candidates: &[UpstreamFacts<'_>], open: &[usize], draw: f64) -> Option<usize> {
-    let first = (draw * open.len() as f64) as usize;
-    let turned = (0..open.len()).map(|step| open[(first + step) % open.len()]);
-    turned.min_by(|left, right| candidates[*left].load().total_cmp(&candidates[*right].load()))
+fn price_of(
+    at: usize,
+    facts: &UpstreamFacts<'_>,
+    query: &ChoiceQuery,
+    pace: &ServicePace,
+    is_meeting: bool,
+) -> UpstreamChoice {
+    let missing = query.shared_tokens.saturating_sub(facts.held_tokens);
+    let read_tokens = missing + query.own_tokens;
+    let first = pace.first(facts.queue, read_tokens).mul_f64(facts.factor);
+    let reread = pace.reading(missing).mul_f64(REREAD_FACTOR);
+    let bonus = if is_meeting { reread.mul_f64(MEETING_SHARE) } else { Duration::ZERO };
+    let failing = FAILURE_COST.mul_f64(facts.failures);
+    let cost = (first + reread + failing).saturating_sub(bonus);
+    UpstreamChoice { at, first, cost, read_tokens }
 }
--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -0,0 +1,91 @@
+//! What the VMs of one region tell each other of their requests at its upstreams, so that each can
+//! expect the queues that all of them make.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{IncarnationId, VmName};
+use crate::opaque::affinity::{PromptPlacement, UpstreamTag};
+use crate::time::MonoTime;
+
+/// Between two reports of a VM, where few VMs share a region.
+pub const SHARE_INTERVAL: Duration = Duration::from_millis(100);
+/// With more VMs the interval grows by this for each of them, so that a VM hears about as many
+/// reports a second in any region.
+pub const SHARE_INTERVAL_PER_VM: Duration = Duration::from_millis(12);
+/// A VM that reported nothing for this many intervals has no requests any more, or nobody knows.
+const STALE_INTERVALS: u32 = 8;
+
+/// The requests of one VM at one upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamShare {
+    /// Requests that it has.
+    pub in_flight: u16,
+    /// Prompt tokens of those that were not answered yet.
+    pub pending_tokens: u32,
+}
+
+/// What one VM reports.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The VM.
+    pub vm: VmName,
+    /// Its process lifetime.
+    pub incarnation: IncarnationId,
+    /// Rises with each report of one lifetime.
+    pub sequence: u32,
+    /// The upstreams at which it has requests.
+    pub shares: Vec<(UpstreamTag, UpstreamShare)>,
+    /// Long prompts that it sent since its last report.
+    pub placements: Vec<PromptPlacement>,
+}
+
+#[derive(Debug)]
+struct HeardReport {
+    order: (IncarnationId, u32),
+    heard: MonoTime,
+    shares: Vec<(UpstreamTag, UpstreamShare)>,
+}
+
+/// The newest reports of the other VMs.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    reports: BTreeMap<VmName, HeardReport>,
+}
+
+impl LoadBook {
+    /// Takes in a report. Returns whether it is newer than the one held.
+    pub fn hear(&mut self, report: LoadReport, now: MonoTime) -> bool {
+        let order = (report.incarnation, report.sequence);
+        if self.reports.get(&report.vm).is_some_and(|held| order <= held.order) {
+            return false;
+        }
+        let heard = HeardReport { order, heard: now, shares: report.shares };
+        self.reports.insert(report.vm, heard);
+        true
+    }
+
+    /// The sum over the other VMs for each upstream, where `interval` lies between two reports.
+    pub fn totals(
+        &mut self,
+        interval: Duration,
+        now: MonoTime,
+    ) -> HashMap<UpstreamTag, UpstreamShare> {
+        let limit = interval * STALE_INTERVALS;
+        self.reports.retain(|_, report| now.since(report.heard) < limit);
+        let mut totals: HashMap<UpstreamTag, UpstreamShare> = HashMap::new();
+        for (tag, share) in self.reports.values().flat_map(|report| &report.shares) {
+            let total = totals.entry(*tag).or_default();
+            total.in_flight = total.in_flight.saturating_add(share.in_flight);
+            total.pending_tokens = total.pending_tokens.saturating_add(share.pending_tokens);
+        }
+        totals
+    }
+}
+
+/// The interval between two reports in a region with so many other VMs.
+pub fn share_interval(others: usize) -> Duration {
+    SHARE_INTERVAL.max(SHARE_INTERVAL_PER_VM * others as u32)
+}
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -5,6 +5,8 @@
 pub mod choice;
 pub mod cold;
 pub mod directory;
+pub mod load_share;
+pub mod pace;
 pub mod peer_table;
 pub mod retry_share;
 pub mod route_table;
--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -0,0 +1,131 @@
+//! How fast upstreams answer: what is expected of a request before it is sent, and how far one
+//! upstream has been off from that lately.
+
+use std::time::Duration;
+
+use crate::time::MonoTime;
+
+/// What is known of an upstream's queue, from this VM and from those that share their loads.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QueueFacts {
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Requests that it has.
+    pub in_flight: u32,
+    /// Prompt tokens sent there of requests that have not answered yet.
+    pub pending_tokens: u32,
+}
+
+/// What is known of the service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServicePace {
+    /// Prompt tokens that an upstream reads in a second.
+    pub tokens_per_s: f64,
+    /// How long a request holds its place.
+    pub hold: Duration,
+}
+
+/// Prompt tokens a second that an engine of today's deployments reads beside the answers that it
+/// writes; from their published 51 to 64 tokens in a millisecond.
+const TOKENS_PER_S: f64 = 45_000.0;
+/// How long a request holds its place before any was measured.
+const FIRST_HOLD: Duration = Duration::from_millis(60);
+/// The weight of a new measurement of the time that a place is held.
+const HOLD_WEIGHT: f64 = 0.02;
+/// The least time to an answer: the way there and back.
+const LEAST_TIME: Duration = Duration::from_millis(8);
+
+impl Default for ServicePace {
+    fn default() -> Self {
+        Self { tokens_per_s: TOKENS_PER_S, hold: FIRST_HOLD }
+    }
+}
+
+impl ServicePace {
+    /// Takes in how long a request held its place.
+    pub fn note_hold(&mut self, held: Duration) {
+        self.hold = self.hold.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
+    }
+
+    /// The time that a prompt takes to read.
+    pub fn reading(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.tokens_per_s)
+    }
+
+    /// The expected wait until the upstream turns to one more request.
+    pub fn wait(&self, queue: QueueFacts) -> Duration {
+        let slots = queue.slots.max(1);
+        let excess = (queue.in_flight + 1).saturating_sub(slots);
+        let for_slot = self.hold.mul_f64(f64::from(excess) / f64::from(slots));
+        for_slot + self.reading(queue.pending_tokens)
+    }
+
+    /// The expected time to the answer, or to its first event, of a request with so many prompt
+    /// tokens to read.
+    pub fn first(&self, queue: QueueFacts, tokens: u32) -> Duration {
+        LEAST_TIME + self.wait(queue) + self.reading(tokens)
+    }
+}
+
+/// The weight of a new measurement of one upstream.
+const RATIO_WEIGHT: f64 = 0.2;
+/// The weight of one more end of a request in the share that failed.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// After this time without news an upstream is taken for usual again by the factor e, so that one
+/// that got slow or failed is tried again.
+const FORGET_TIME: Duration = Duration::from_secs(4);
+/// The range of a single measurement; beyond it says something of the request, not of the upstream.
+const RATIO_RANGE: (f64, f64) = (0.5, 12.0);
+
+/// How far one upstream has been off.
+#[derive(Debug, Clone, Copy)]
+pub struct UpstreamPace {
+    ratio: f64,
+    failures: f64,
+    noted: MonoTime,
+}
+
+impl Default for UpstreamPace {
+    fn default() -> Self {
+        Self { ratio: 1.0, failures: 0.0, noted: MonoTime::default() }
+    }
+}
+
+impl UpstreamPace {
+    fn fade(&mut self, now: MonoTime) {
+        let share = (-now.since(self.noted).as_secs_f64() / FORGET_TIME.as_secs_f64()).exp();
+        self.ratio = 1.0 + (self.ratio - 1.0) * share;
+        self.failures *= share;
+        self.noted = now;
+    }
+
+    /// Takes in a time to an answer against the expected one.
+    pub fn note_first(&mut self, expected: Duration, actual: Duration, now: MonoTime) {
+        self.fade(now);
+        let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        let ratio = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1);
+        self.ratio += (ratio - self.ratio) * RATIO_WEIGHT;
+        self.failures -= self.failures * FAILURE_WEIGHT;
+    }
+
+    /// Takes in that a request failed there.
+    pub fn note_failure(&mut self, now: MonoTime) {
+        self.fade(now);
+        self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+    }
+
+    /// By what its times are to be multiplied; never below 1, since a faster upstream shows in its
+    /// queue.
+    pub fn factor(&self, now: MonoTime) -> f64 {
+        let mut current = *self;
+        current.fade(now);
+        current.ratio.max(1.0)
+    }
+
+    /// The share of requests that failed there lately.
+    pub fn failure_share(&self, now: MonoTime) -> f64 {
+        let mut current = *self;
+        current.fade(now);
+        current.failures
+    }
+}
--- a/crates/foldhaven-core/src/opaque/peer_table.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table.rs
@@ -10,8 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
+use crate::ids::{DataCentreName, IncarnationId, RegionName, ServiceName, VmName};
 use crate::opaque::route_table::RouteVersion;
+use crate::rank::rank_hash;
 use crate::time::MonoTime;
 
 /// Between two rounds of heartbeats.
@@ -36,6 +37,27 @@
     Leaving,
 }
 
+/// A service in messages between VMs: the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceTag(pub u32);
+
+impl ServiceTag {
+    /// The tag of a service.
+    pub fn of(name: &ServiceName) -> Self {
+        Self(rank_hash(&[name.as_str()]) as u32)
+    }
+}
+
+/// The wait that a request of a service would meet in a region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWait {
+    /// The service.
+    pub service: ServiceTag,
+    /// The wait in milliseconds.
+    pub wait_ms: u16,
+}
+
 /// The heartbeat of a VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerBeat {
@@ -59,8 +81,8 @@
     pub version: RouteVersion,
     /// How far it has read the platform's changes.
     pub revision: u64,
-    /// The part of its processor that it used lately, in thousandths.
-    pub busy: u16,
+    /// For each service that has upstreams in its region: the wait that a request would meet there.
+    pub waits: Vec<ServiceWait>,
 }
 
 /// What one VM sends another in a round.
--- a/crates/foldhaven-gateway/src/attempts.rs
+++ b/crates/foldhaven-gateway/src/attempts.rs
@@ -2,11 +2,12 @@
 //! permit. Only the VM that took the request from its caller tries again.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use foldhaven_core::headers;
 use foldhaven_core::ids::DataCentreName;
+use foldhaven_core::opaque::affinity::PromptPlacement;
 use http::request::Builder;
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
@@ -14,22 +15,29 @@
 
 use crate::answer::Refusal;
 use crate::call::{CallFault, CallTarget, OpenAnswer, open_call, read_whole};
-use crate::connection::{ConnectionPool, FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
+use crate::connection::{FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
 use crate::job::GatewayJob;
 use crate::metrics::RequestEnd;
-use crate::places::{RequestPlace, TriedPlaces, choose_place};
+use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place};
 use crate::shared::GatewayShared;
-use crate::upstream::UpstreamSeat;
+use crate::upstream::LoadSeat;
 
 /// How many places are tried at most, those included that could not be reached.
 const MAX_TRIES: usize = 4;
+/// Other VMs are told of prompts whose shared parts have at least so many tokens; for shorter ones
+/// the common ranking is good enough.
+const TOLD_TOKENS: u32 = 512;
 
 /// An answer that is being read, with the place that gives it.
 pub struct PlacedAnswer {
     pub answer: OpenAnswer,
     pub place: RequestPlace,
-    /// Counts the request at its upstream until the answer ends.
-    pub seat: Option<UpstreamSeat>,
+    /// Counts the request at its place until the answer ends.
+    pub seat: LoadSeat,
+    /// What was expected of the place when the request was sent.
+    pub expected: Duration,
+    /// When the request was sent.
+    pub sent: Instant,
 }
 
 /// A whole answer of an upstream.
@@ -75,24 +83,27 @@
                 // An answer that tells of a failure is better than none.
                 Err(refusal) => return failed.ok_or(refusal),
             };
-            let read = read_whole(placed.answer, pool_of(&placed.place), self.job.deadline).await;
+            let PlacedAnswer { answer, place, seat, expected, sent } = placed;
+            let read = read_whole(answer, place.pool(), self.job.deadline).await;
+            drop(seat);
             match read {
                 Ok((head, body)) => {
                     let is_failure = head.status.is_server_error();
                     let whole = WholeAnswer { head, body };
                     self.may_have_run = true;
                     if !is_failure {
-                        self.note_success(&placed.place);
+                        self.note_first(&place, expected, sent);
+                        self.note_success(&place, sent);
                         return Ok(whole);
                     }
-                    self.note_failed_answer(&placed.place, whole.head.status);
+                    self.note_failed_answer(&place, whole.head.status);
                     if !self.job.route.repeat.is_repeatable() || !self.may_send_again() {
                         return Ok(whole);
                     }
                     failed = Some(whole);
                 }
                 Err(fault) => {
-                    self.note_fault(&placed.place, &fault);
+                    self.note_fault(&place, &fault);
                     if let Some(refusal) = self.end_of_tries(&fault) {
                         return failed.ok_or(refusal);
                     }
@@ -108,13 +119,14 @@
                 return Err(self.out_of_time());
             }
             let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
-            let place = match choose_place(&self.shared, &view, &self.job, &self.tried) {
-                Ok(place) => place,
+            let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
+                Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.after_tries(refusal)),
             };
+            let place = chosen.place.clone();
             self.tried.note(&place);
             self.last_place = Some(place.name().to_owned());
-            match self.call(&place, resume_after).await {
+            match self.call(chosen, resume_after).await {
                 Ok(placed) => return Ok(placed),
                 Err(fault) => {
                     self.note_fault(&place, &fault);
@@ -128,25 +140,42 @@
 
     async fn call(
         &mut self,
-        place: &RequestPlace,
+        chosen: PlaceChoice,
         resume_after: Option<&str>,
     ) -> Result<PlacedAnswer, CallFault> {
-        let request = self.make_request(place, resume_after);
-        let seat = match place {
-            RequestPlace::Upstream(upstream) => Some(upstream.enter()),
-            RequestPlace::Peer(_) => None,
-        };
-        let (address, connect_limit) = match place {
-            RequestPlace::Upstream(upstream) => (upstream.address, NEAR_CONNECT_LIMIT),
+        let PlaceChoice { place, first, read_tokens } = chosen;
+        let request = self.make_request(&place, resume_after);
+        let seat = place.enter(read_tokens);
+        let (address, connect_limit) = match &place {
+            RequestPlace::Upstream(upstream) => (upstream.identity.address, NEAR_CONNECT_LIMIT),
             RequestPlace::Peer(peer) => (peer.address, FAR_CONNECT_LIMIT),
         };
-        let target = CallTarget { address, pool: pool_of(place), connect_limit };
+        self.note_placement(&place);
+        let target = CallTarget { address, pool: place.pool(), connect_limit };
         self.arrivals += 1;
+        let sent = Instant::now();
         let opened = open_call(&target, request, &self.shared.names, self.job.deadline).await;
         if matches!(opened, Err(CallFault::NotSent(_))) {
             self.arrivals -= 1;
         }
-        Ok(PlacedAnswer { answer: opened?, place: place.clone(), seat })
+        let answer = opened?;
+        Ok(PlacedAnswer { answer, place, seat, expected: first, sent })
+    }
+
+    /// Remembers, and tells others, where the parts of a prompt will be held.
+    fn note_placement(&self, place: &RequestPlace) {
+        let (RequestPlace::Upstream(upstream), Some(outline)) = (place, &self.job.outline) else {
+            return;
+        };
+        let placement = PromptPlacement {
+            upstream: upstream.tag,
+            shared: outline.shared.clone(),
+            own_tokens: outline.own_tokens,
+        };
+        self.shared.hints.lock().note(&placement);
+        if outline.shared_tokens() >= TOLD_TOKENS {
+            self.shared.placements.lock().push(placement);
+        }
     }
 
     fn make_request(
@@ -165,7 +194,7 @@
         }
         match place {
             RequestPlace::Upstream(upstream) => {
-                map.insert(&names.expected_upstream, text_value(upstream.name.as_str()));
+                map.insert(&names.expected_upstream, text_value(upstream.name().as_str()));
             }
             RequestPlace::Peer(_) => {
                 let centre: &DataCentreName = &self.shared.settings.data_centre;
@@ -192,8 +221,11 @@
                 upstream.health.lock().fail(true, now);
                 upstream.pool.clear();
             }
-            CallFault::Broken(_) | CallFault::TimedOut => upstream.health.lock().fail(false, now),
-            CallFault::Declined { .. } => {}
+            CallFault::Broken(_) | CallFault::TimedOut => {
+                upstream.health.lock().fail(false, now);
+                upstream.pace.lock().note_failure(now);
+            }
+            CallFault::Declined { .. } => upstream.pace.lock().note_failure(now),
         }
     }
 
@@ -201,14 +233,24 @@
     fn note_failed_answer(&mut self, place: &RequestPlace, status: StatusCode) {
         self.last_fault = Some(format!("the upstream answered {status}"));
         if let RequestPlace::Upstream(upstream) = place {
-            upstream.health.lock().fail(false, self.shared.now());
+            let now = self.shared.now();
+            upstream.health.lock().fail(false, now);
+            upstream.pace.lock().note_failure(now);
+        }
+    }
+
+    /// Notes that a place has begun its answer.
+    pub fn note_first(&self, place: &RequestPlace, expected: Duration, sent: Instant) {
+        if let RequestPlace::Upstream(upstream) = place {
+            upstream.pace.lock().note_first(expected, sent.elapsed(), self.shared.now());
         }
     }
 
     /// Notes that a place answered whole.
-    pub fn note_success(&self, place: &RequestPlace) {
+    pub fn note_success(&self, place: &RequestPlace, sent: Instant) {
         if let RequestPlace::Upstream(upstream) = place {
             upstream.health.lock().succeed();
+            self.shared.note_hold(&self.job.service, sent.elapsed());
         }
     }
 
@@ -274,14 +316,6 @@
     }
 }
 
-/// The connections of a place.
-pub fn pool_of(place: &RequestPlace) -> &ConnectionPool {
-    match place {
-        RequestPlace::Upstream(upstream) => &upstream.pool,
-        RequestPlace::Peer(peer) => &peer.pool,
-    }
-}
-
 fn text_value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).expect("names are plain text")
 }
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -4,17 +4,49 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{MissedTickBehavior, sleep};
 
-use crate::keeper::{HearBeat, KeeperAddress, PlanBeats, PlannedBeats};
+use crate::keeper::{
+    HearBeat, HearLoad, KeeperAddress, PlanBeats, PlanReport, PlannedBeats, PlannedReport,
+};
 use crate::shared::StopStage;
 
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 << 10;
 
+/// What VMs tell each other in a datagram.
+#[derive(Debug, Serialize, Deserialize)]
+enum PeerMessage {
+    Beat(BeatMessage),
+    Load(LoadReport),
+}
+
+/// Tells the other VMs of the region of this one's requests at its upstreams.
+pub async fn send_reports(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
+    let mut was_idle = false;
+    loop {
+        let Ok(planned) = keeper.send(PlanReport).await else { return };
+        let PlannedReport { targets, report, interval } = planned;
+        let is_idle = report.shares.is_empty() && report.placements.is_empty();
+        // The first idle report says that the earlier requests have ended.
+        if !is_idle || !was_idle {
+            let message = PeerMessage::Load(report);
+            for target in targets {
+                if let Err(error) = send(&socket, target, &message).await {
+                    tracing::debug!(peer = %target, error = %error, "sending a load report failed");
+                }
+            }
+        }
+        was_idle = is_idle;
+        sleep(interval).await;
+    }
+}
+
 /// Takes heartbeats and hands them to the keeper.
 pub async fn hear_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -27,14 +59,20 @@
                 continue;
             }
         };
-        let message: BeatMessage = match bincode::deserialize(&buffer[..length]) {
+        let message: PeerMessage = match bincode::deserialize(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 tracing::warn!(peer = %sender, error = %error, "a heartbeat could not be read");
                 continue;
             }
         };
-        match keeper.send(HearBeat { message }).await {
+        let heard = match message {
+            PeerMessage::Beat(message) => keeper.send(HearBeat { message }).await,
+            PeerMessage::Load(report) => {
+                keeper.send(HearLoad { report }).await.map(|()| PlannedBeats::new())
+            }
+        };
+        match heard {
             Ok(replies) => send_all(&socket, replies).await,
             Err(_) => return,
         }
@@ -63,13 +101,13 @@
 
 async fn send_all(socket: &UdpSocket, planned: PlannedBeats) {
     for (target, message) in planned {
-        if let Err(error) = send(socket, target, &message).await {
+        if let Err(error) = send(socket, target, &PeerMessage::Beat(message)).await {
             tracing::debug!(peer = %target, error = %error, "sending a heartbeat failed");
         }
     }
 }
 
-async fn send(socket: &UdpSocket, target: SocketAddr, message: &BeatMessage) -> io::Result<()> {
+async fn send(socket: &UdpSocket, target: SocketAddr, message: &PeerMessage) -> io::Result<()> {
     let bytes = bincode::serialize(message).map_err(io::Error::other)?;
     socket.send_to(&bytes, target).await.map(drop)
 }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -102,7 +102,7 @@
     let is_events = content_type.is_some_and(|value| value.starts_with(EVENT_STREAM));
     if head.status != StatusCode::OK || !is_events {
         let deadline = driver.get().job.deadline;
-        let pool = crate::attempts::pool_of(&placed.place);
+        let pool = placed.place.pool();
         return match read_whole(placed.answer, pool, deadline).await {
             Ok((head, body)) => driver.end_whole(WholeAnswer { head, body }),
             Err(_) => driver.end_refused(Refusal::Broken),
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Mailbox;
 
-use crate::beats::{hear_beats, send_beats};
+use crate::beats::{hear_beats, send_beats, send_reports};
 use crate::caller_front::{CallerHandler, OperatorHandler, ReadyHandler};
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
@@ -29,7 +29,7 @@
 use crate::stop::stop_when_told;
 
 /// How often the control state is looked over.
-const TICK: Duration = Duration::from_millis(500);
+const TICK: Duration = Duration::from_millis(250);
 
 /// What a platform supplies.
 pub struct GatewayParts {
@@ -144,6 +144,7 @@
     let keeper = ControlKeeper::new(shared.clone(), incarnation);
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
     tokio::spawn(hear_beats(socket.clone(), address.clone()));
+    tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.stage.subscribe()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -14,12 +14,12 @@
 use tokio::time::Sleep;
 
 use crate::answer::Refusal;
-use crate::attempts::{PlacedAnswer, RequestDriver, pool_of};
+use crate::attempts::{PlacedAnswer, RequestDriver};
 use crate::call::ConnectionLease;
 use crate::metrics::RequestEnd;
 use crate::places::RequestPlace;
 use crate::shared::InFlightGuard;
-use crate::upstream::UpstreamSeat;
+use crate::upstream::LoadSeat;
 
 /// A stream that can be resumed is resumed elsewhere after a silence of this many wanted pauses.
 const STALL_GAPS: u32 = 3;
@@ -43,13 +43,17 @@
     body: Incoming,
     lease: ConnectionLease,
     place: RequestPlace,
-    _seat: Option<UpstreamSeat>,
+    seat: LoadSeat,
+    expected: Duration,
+    sent: Instant,
+    has_begun: bool,
 }
 
 impl ReadingState {
     fn of(placed: PlacedAnswer) -> Box<Self> {
-        let (_, body, lease) = placed.answer.into_parts();
-        Box::new(Self { body, lease, place: placed.place, _seat: placed.seat })
+        let PlacedAnswer { answer, place, seat, expected, sent } = placed;
+        let (_, body, lease) = answer.into_parts();
+        Box::new(Self { body, lease, place, seat, expected, sent, has_begun: false })
     }
 }
 
@@ -170,10 +174,14 @@
     }
 
     fn note_first(&mut self) {
-        if std::mem::replace(&mut self.has_first, true) {
+        let (RelayState::Reading(reading), Some(driver)) = (&mut self.state, &self.driver) else {
             return;
+        };
+        if !std::mem::replace(&mut reading.has_begun, true) {
+            reading.seat.note_answered();
+            driver.note_first(&reading.place, reading.expected, reading.sent);
         }
-        if let Some(driver) = &self.driver {
+        if !std::mem::replace(&mut self.has_first, true) {
             let job = &driver.job;
             driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
         }
@@ -216,7 +224,9 @@
         if let RelayState::Reading(reading) = &self.state
             && let RequestPlace::Upstream(upstream) = &reading.place
         {
-            upstream.health.lock().fail(false, driver.shared.now());
+            let now = driver.shared.now();
+            upstream.health.lock().fail(false, now);
+            upstream.pace.lock().note_failure(now);
         }
         if !driver.job.route.repeat.is_repeatable() || !driver.may_send_again() {
             self.driver = Some(driver);
@@ -235,10 +245,10 @@
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
         if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended)
         {
-            reading.lease.give_back(pool_of(&reading.place));
             if let Some(driver) = &self.driver {
-                driver.note_success(&reading.place);
+                driver.note_success(&reading.place, reading.sent);
             }
+            reading.lease.give_back(reading.place.pool());
         }
         self.note_end(RequestEnd::Served);
         Poll::Ready(None)
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use foldhaven_core::ids::ServiceName;
-use foldhaven_core::opaque::affinity::PromptOutline;
+use foldhaven_core::opaque::affinity::{PromptOutline, PromptPart};
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
@@ -53,6 +53,11 @@
         HeaderValue::from(left)
     }
 
+    /// The parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.outline.as_ref().map_or(&[], |outline| &outline.shared)
+    }
+
     /// The id in logs.
     pub fn id(&self) -> &str {
         self.attempt.to_str().unwrap_or("unreadable")
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -1,13 +1,17 @@
 //! The control actor: the one place where this daemon's beliefs change.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{IncarnationId, ServiceName, UpstreamName, VmName};
+use foldhaven_core::ids::{IncarnationId, RegionName, ServiceName, UpstreamName, VmName};
+use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::cold::cold_share;
-use foldhaven_core::opaque::peer_table::{BeatMessage, PeerBeat, PeerPhase, PeerTable};
+use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, share_interval};
+use foldhaven_core::opaque::peer_table::{
+    BeatMessage, PeerBeat, PeerPhase, PeerTable, ServiceTag, ServiceWait,
+};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::{UpstreamEntry, UpstreamTable};
 use foldhaven_core::time::MonoTime;
@@ -15,10 +19,11 @@
 
 use crate::connection::ConnectionPool;
 use crate::feed::{FeedChange, FeedNews, FeedSnapshot};
+use crate::places::expected_wait;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
 use crate::upstream::{Upstream, UpstreamIdentity};
-use crate::view::{GatewayView, PeerLink};
+use crate::view::{GatewayView, PeerLink, RegionWait};
 
 /// Where messages to the control actor go.
 pub type KeeperAddress = xtra::Address<ControlKeeper>;
@@ -41,7 +46,9 @@
     upstreams: HashMap<UpstreamName, Arc<Upstream>>,
     peers: PeerTable,
     links: HashMap<VmName, Arc<PeerLink>>,
+    loads: LoadBook,
     beats: u32,
+    reports: u32,
     behind_since: Option<MonoTime>,
     is_disturbed: bool,
 }
@@ -80,7 +87,9 @@
             upstreams: HashMap::new(),
             peers,
             links: HashMap::new(),
+            loads: LoadBook::default(),
             beats: 0,
+            reports: 0,
             behind_since: None,
             is_disturbed: false,
         }
@@ -115,7 +124,70 @@
             phase: self.phase(),
             version: self.version(),
             revision: self.revision,
-            busy: 0,
+            waits: self.own_waits(),
+        }
+    }
+
+    /// The waits that requests would meet at the upstreams of this region.
+    fn own_waits(&self) -> Vec<ServiceWait> {
+        let now = self.now();
+        let own_region = self.shared.settings.region();
+        let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
+        let open =
+            near.filter(|it| it.cold_rate(now).is_none() && !it.health.lock().is_ejected(now));
+        let mut by_service: BTreeMap<&ServiceName, Vec<Duration>> = BTreeMap::new();
+        for upstream in open {
+            let service = &upstream.identity.service;
+            let wait = expected_wait(upstream, &self.shared.pace(service), now);
+            by_service.entry(service).or_default().push(wait);
+        }
+        let of = |(service, waits): (&ServiceName, Vec<Duration>)| ServiceWait {
+            service: ServiceTag::of(service),
+            wait_ms: u16::try_from(lower_mean(waits).as_millis()).unwrap_or(u16::MAX),
+        };
+        by_service.into_iter().map(of).collect()
+    }
+
+    /// The waits in the other regions, as the mean of what the VMs there say.
+    fn far_waits(&self, beats: &[PeerBeat]) -> HashMap<(RegionName, ServiceName), RegionWait> {
+        let mut waits = HashMap::new();
+        let mut places: BTreeMap<(RegionName, ServiceName), (usize, u32)> = BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            let identity = &upstream.identity;
+            let key = (identity.region.clone(), identity.service.clone());
+            let place = places.entry(key).or_default();
+            *place = (place.0 + 1, identity.slots);
+        }
+        for ((region, service), (upstreams, slots)) in places {
+            let tag = ServiceTag::of(&service);
+            let near = beats.iter().filter(|beat| beat.region == region);
+            let told: Vec<u16> = near
+                .flat_map(|beat| &beat.waits)
+                .filter(|wait| wait.service == tag)
+                .map(|wait| wait.wait_ms)
+                .collect();
+            if told.is_empty() {
+                continue;
+            }
+            let sum: u64 = told.iter().map(|wait| u64::from(*wait)).sum();
+            let wait = Duration::from_millis(sum / told.len() as u64);
+            waits.insert((region, service), RegionWait { wait, upstreams, slots });
+        }
+        waits
+    }
+
+    /// The other VMs of this region.
+    fn near_peers(&self) -> Vec<SocketAddr> {
+        let own_region = self.shared.settings.region();
+        let near = self.peers.live(self.now()).filter(|beat| beat.region == *own_region);
+        near.map(|beat| beat.peer).collect()
+    }
+
+    fn take_totals(&mut self) {
+        let interval = share_interval(self.near_peers().len());
+        let totals = self.loads.totals(interval, self.now());
+        for upstream in self.upstreams.values() {
+            upstream.set_others(totals.get(&upstream.tag).copied().unwrap_or_default());
         }
     }
 
@@ -195,6 +267,7 @@
         let upstreams = self.current_upstreams(&routes, now);
         let mut beats: Vec<PeerBeat> = self.peers.live(now).cloned().collect();
         let peers = self.current_links(&beats);
+        let waits = self.far_waits(&beats);
         beats.push(self.own_beat());
         let snapshot = FeedSnapshot {
             revision: self.revision,
@@ -206,6 +279,7 @@
             routes,
             upstreams,
             peers,
+            waits,
             beats,
             assumed_vms: self.assumed_vms(),
             snapshot: Arc::new(snapshot),
@@ -220,27 +294,31 @@
         let mut kept = HashMap::new();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Upstream>>> = HashMap::new();
         for entry in self.table.usable() {
-            let Some(upstream) = self.upstream_of(entry) else { continue };
+            let Some(upstream) = self.upstream_of(entry, routes) else { continue };
             let rate = match now < entry.cold_until {
                 true => self.cold_rate(entry, &upstream, routes, now),
                 false => 0.0,
             };
             upstream.set_cold(entry.cold_until, rate);
-            by_service.entry(upstream.service.clone()).or_default().push(upstream.clone());
-            kept.insert(upstream.name.clone(), upstream);
+            by_service.entry(upstream.identity.service.clone()).or_default().push(upstream.clone());
+            kept.insert(upstream.name().clone(), upstream);
+        }
+        for (name, _) in self.upstreams.iter().filter(|(name, _)| !kept.contains_key(*name)) {
+            self.shared.hints.lock().forget(UpstreamTag::of(name));
         }
         self.upstreams = kept;
         by_service
     }
 
-    fn upstream_of(&self, entry: &UpstreamEntry) -> Option<Arc<Upstream>> {
+    fn upstream_of(&self, entry: &UpstreamEntry, routes: &RouteTable) -> Option<Arc<Upstream>> {
         let record = &entry.record;
         if let Some(known) = self.upstreams.get(&record.name)
-            && known.address == record.address
+            && known.identity.address == record.address
         {
             return Some(known.clone());
         }
         let region = self.settings.regions.get(&record.data_centre)?;
+        let service = routes.service(&record.service);
         Some(Upstream::new(UpstreamIdentity {
             name: record.name.clone(),
             service: record.service.clone(),
@@ -248,6 +326,7 @@
             data_centre: record.data_centre.clone(),
             region: region.clone(),
             slots: record.slots,
+            prompt_memory: service.and_then(|service| service.prompt_memory).unwrap_or_default(),
         }))
     }
 
@@ -268,10 +347,10 @@
             return 0.0;
         }
         let own = &self.shared.settings.vm;
-        let near = self.peers.live(now).filter(|beat| beat.region == upstream.region);
+        let near = self.peers.live(now).filter(|beat| beat.region == upstream.identity.region);
         let mut live: Vec<VmName> = near.map(|beat| beat.vm.clone()).collect();
         live.push(own.clone());
-        cold_share(rate, &upstream.name, own, &live)
+        cold_share(rate, upstream.name(), own, &live)
     }
 
     fn current_links(&mut self, beats: &[PeerBeat]) -> Vec<Arc<PeerLink>> {
@@ -284,6 +363,7 @@
                     region: beat.region.clone(),
                     address: beat.peer,
                     pool: ConnectionPool::default(),
+                    load: Arc::default(),
                 })
             });
             links.insert(beat.vm.clone(), link);
@@ -459,3 +539,62 @@
         is_due.then_some(ahead)
     }
 }
+
+/// The mean of the lower half: what a request meets that goes to one of the better places.
+fn lower_mean(mut waits: Vec<Duration>) -> Duration {
+    waits.sort();
+    waits.truncate(waits.len().div_ceil(2));
+    let count = waits.len().max(1) as u32;
+    waits.into_iter().sum::<Duration>() / count
+}
+
+/// A load report of another VM of the region arrived.
+pub struct HearLoad {
+    pub report: LoadReport,
+}
+
+impl Handler<HearLoad> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearLoad, _: &mut Context<Self>) {
+        let mut report = message.report;
+        let placements = std::mem::take(&mut report.placements);
+        if !self.loads.hear(report, self.now()) {
+            return;
+        }
+        let mut hints = self.shared.hints.lock();
+        for placement in &placements {
+            hints.note(placement);
+        }
+    }
+}
+
+/// Asks for the load report of a round.
+pub struct PlanReport;
+
+/// A load report, whom to send it to, and when the next one is due.
+pub struct PlannedReport {
+    pub targets: Vec<SocketAddr>,
+    pub report: LoadReport,
+    pub interval: Duration,
+}
+
+impl Handler<PlanReport> for ControlKeeper {
+    type Return = PlannedReport;
+
+    async fn handle(&mut self, _: PlanReport, _: &mut Context<Self>) -> PlannedReport {
+        self.reports += 1;
+        self.take_totals();
+        let targets = self.near_peers();
+        let own = self.upstreams.values().map(|upstream| (upstream.tag, upstream.load.share()));
+        let shares = own.filter(|(_, share)| share.in_flight > 0).collect();
+        let report = LoadReport {
+            vm: self.shared.settings.vm.clone(),
+            incarnation: self.incarnation,
+            sequence: self.reports,
+            shares,
+            placements: std::mem::take(&mut *self.shared.placements.lock()),
+        };
+        PlannedReport { interval: share_interval(targets.len()), targets, report }
+    }
+}
--- a/crates/foldhaven-gateway/src/places.rs
+++ b/crates/foldhaven-gateway/src/places.rs
@@ -1,16 +1,20 @@
 //! Where a try of a request goes: an upstream of this region, or a VM of another region.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, UpstreamName, VmName};
-use foldhaven_core::opaque::choice::{UpstreamFacts, choose_upstream};
+use foldhaven_core::opaque::affinity::PromptPart;
+use foldhaven_core::opaque::choice::{ChoiceQuery, UpstreamChoice, UpstreamFacts, choose_upstream};
+use foldhaven_core::opaque::pace::{QueueFacts, ServicePace};
 use foldhaven_core::time::MonoTime;
 
 use crate::answer::Refusal;
+use crate::connection::ConnectionPool;
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
-use crate::upstream::Upstream;
-use crate::view::{GatewayView, PeerLink};
+use crate::upstream::{LoadSeat, Upstream};
+use crate::view::{GatewayView, PeerLink, RegionWait};
 
 /// A place for one try.
 #[derive(Clone)]
@@ -25,10 +29,35 @@
     /// The name in logs.
     pub fn name(&self) -> &str {
         match self {
-            Self::Upstream(upstream) => upstream.name.as_str(),
+            Self::Upstream(upstream) => upstream.name().as_str(),
             Self::Peer(peer) => peer.vm.as_str(),
         }
     }
+
+    /// Its connections.
+    pub fn pool(&self) -> &ConnectionPool {
+        match self {
+            Self::Upstream(upstream) => &upstream.pool,
+            Self::Peer(peer) => &peer.pool,
+        }
+    }
+
+    /// Counts a request there.
+    pub fn enter(&self, tokens: u32) -> LoadSeat {
+        match self {
+            Self::Upstream(upstream) => upstream.load.enter(tokens),
+            Self::Peer(peer) => peer.load.enter(tokens),
+        }
+    }
+}
+
+/// A place with what is expected of it.
+pub struct PlaceChoice {
+    pub place: RequestPlace,
+    /// The expected time to the answer, or to its first event.
+    pub first: Duration,
+    /// The prompt tokens that are to be read.
+    pub read_tokens: u32,
 }
 
 /// What was tried for a request.
@@ -41,89 +70,194 @@
 impl TriedPlaces {
     pub fn note(&mut self, place: &RequestPlace) {
         match place {
-            RequestPlace::Upstream(upstream) => self.upstreams.push(upstream.name.clone()),
+            RequestPlace::Upstream(upstream) => self.upstreams.push(upstream.name().clone()),
             RequestPlace::Peer(peer) => self.peers.push(peer.vm.clone()),
         }
     }
 }
 
-/// Chooses a place: here where that is permitted and possible, else in another region.
+/// The way to another region and back, twice: from here, and for the answer. Regions of today's
+/// deployments are 55 ms apart one way.
+const REGION_ROUND_TRIP: Duration = Duration::from_millis(115);
+/// How much better another region must be, since what is known of it is up to a second old.
+const REGION_MARGIN: Duration = Duration::from_millis(60);
+/// What moving a thousand bytes to another region costs, as time: moved bytes are paid for.
+const MOVE_COST_PER_KB: Duration = Duration::from_micros(900);
+/// The share of a prompt's shared parts that another region probably has to read.
+const FAR_MISSING_SHARE: f64 = 0.4;
+
+/// Chooses a place: the best upstream here, unless another region is better by more than the way
+/// there costs.
 pub fn choose_place(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedPlaces,
-) -> Result<RequestPlace, Refusal> {
-    let own_region = shared.settings.region();
-    let is_here = job.route.permits(own_region);
-    if is_here && let Some(upstream) = choose_local(shared, view, job, tried) {
-        return Ok(RequestPlace::Upstream(upstream));
-    }
+) -> Result<PlaceChoice, Refusal> {
+    let is_here = job.route.permits(shared.settings.region());
+    let near = if is_here { choose_near(shared, view, job, tried) } else { None };
     if job.is_forwarded {
-        return Err(if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted });
+        let refusal = if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted };
+        return near.map(|near| near.take(shared)).ok_or(refusal);
+    }
+    let far = choose_far(shared, view, job, tried);
+    match (near, far) {
+        (Some(near), Some(far)) if far.cost + REGION_MARGIN < near.choice.cost => Ok(far.choice),
+        (Some(near), _) => Ok(near.take(shared)),
+        (None, Some(far)) => Ok(far.choice),
+        (None, None) => Err(Refusal::NoUpstream),
+    }
+}
+
+/// The best upstream of this region.
+struct NearChoice {
+    upstream: Arc<Upstream>,
+    choice: UpstreamChoice,
+}
+
+impl NearChoice {
+    /// Takes the place of a cold upstream, which is counted by the second.
+    fn take(self, shared: &GatewayShared) -> PlaceChoice {
+        let now = shared.now();
+        if let Some(rate) = self.upstream.cold_rate(now) {
+            self.upstream.pacer.lock().take(rate, now);
+        }
+        PlaceChoice {
+            place: RequestPlace::Upstream(self.upstream),
+            first: self.choice.first,
+            read_tokens: self.choice.read_tokens,
+        }
     }
-    choose_peer(own_region, view, job, tried).map(RequestPlace::Peer).ok_or(Refusal::NoUpstream)
 }
 
-fn choose_local(
+fn choose_near(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedPlaces,
-) -> Option<Arc<Upstream>> {
+) -> Option<NearChoice> {
     let now = shared.now();
     let own_region = shared.settings.region();
-    let all = view.upstreams_of(&job.service);
-    let near: Vec<&Arc<Upstream>> = all.iter().filter(|it| it.region == *own_region).collect();
+    let all = view.upstreams_of(&job.service).iter();
+    let near: Vec<&Arc<Upstream>> = all.filter(|it| it.identity.region == *own_region).collect();
+    let parts = job.shared_parts();
     let candidates: Vec<UpstreamFacts<'_>> =
-        near.iter().map(|upstream| facts_of(upstream, tried, now)).collect();
-    let affinity = job.outline.map(|outline| outline.shared_key);
-    let chosen = near[choose_upstream(&candidates, affinity, rand::random())?];
-    if let Some(rate) = chosen.cold_rate(now) {
-        // Another request of this thread cannot come in between: the place was free just now.
-        chosen.pacer.lock().take(rate, now);
+        near.iter().map(|upstream| facts_of(shared, upstream, parts, tried, now)).collect();
+    let choice = choose_upstream(&candidates, &query_of(job), &shared.pace(&job.service))?;
+    Some(NearChoice { upstream: near[choice.at].clone(), choice })
+}
+
+fn query_of(job: &GatewayJob) -> ChoiceQuery {
+    let outline = job.outline.as_ref();
+    ChoiceQuery {
+        shared_tokens: outline.map_or(0, |outline| outline.shared_tokens()),
+        own_tokens: outline.map_or(0, |outline| outline.own_tokens),
+        meeting_key: outline.and_then(|outline| outline.meeting_key()),
+        draw: rand::random(),
     }
-    Some(chosen.clone())
 }
 
-fn facts_of<'a>(upstream: &'a Upstream, tried: &TriedPlaces, now: MonoTime) -> UpstreamFacts<'a> {
+fn facts_of<'a>(
+    shared: &GatewayShared,
+    upstream: &'a Upstream,
+    parts: &[PromptPart],
+    tried: &TriedPlaces,
+    now: MonoTime,
+) -> UpstreamFacts<'a> {
     let cold_rate = upstream.cold_rate(now);
+    let pace = *upstream.pace.lock();
+    let held_tokens = match parts {
+        [] => 0,
+        parts => {
+            shared.hints.lock().held_tokens(upstream.tag, parts, upstream.identity.prompt_memory)
+        }
+    };
     UpstreamFacts {
-        name: &upstream.name,
-        slots: upstream.slots,
-        in_flight: upstream.in_flight(),
-        slowness: 1.0,
+        name: upstream.name(),
+        queue: upstream.queue(),
+        factor: pace.factor(now),
+        failures: pace.failure_share(now),
+        held_tokens,
         is_suspect: upstream.health.lock().is_ejected(now),
         is_held_back: cold_rate.is_some_and(|rate| !upstream.pacer.lock().is_free(rate, now)),
-        is_tried: tried.upstreams.contains(&upstream.name),
+        is_tried: tried.upstreams.contains(upstream.name()),
     }
 }
 
-/// A VM of a permitted region that has upstreams of the service; regions by their slots.
-fn choose_peer(
-    own_region: &RegionName,
+/// The wait at an upstream as this VM expects it.
+pub fn expected_wait(upstream: &Upstream, pace: &ServicePace, now: MonoTime) -> Duration {
+    pace.wait(upstream.queue()).mul_f64(upstream.pace.lock().factor(now))
+}
+
+/// The best VM of another region.
+struct FarChoice {
+    choice: PlaceChoice,
+    cost: Duration,
+}
+
+fn choose_far(
+    shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedPlaces,
-) -> Option<Arc<PeerLink>> {
-    let slots_in = |region: &RegionName| -> u32 {
-        let upstreams = view.upstreams_of(&job.service).iter();
-        upstreams.filter(|it| it.region == *region).map(|it| it.slots).sum()
+) -> Option<FarChoice> {
+    let own_region = shared.settings.region();
+    let regions = view.waits.keys().filter(|(region, service)| {
+        *service == job.service && region != own_region && job.route.permits(region)
+    });
+    let priced = regions.filter_map(|(region, service)| {
+        let wait = view.waits[&(region.clone(), service.clone())];
+        let peer = pick_peer(view, region, tried)?;
+        Some((far_first(shared, view, job, region, wait), peer))
+    });
+    let (first, peer) = priced.min_by_key(|(first, _)| *first)?;
+    let moving = MOVE_COST_PER_KB.mul_f64(job.body.len() as f64 / 1e3);
+    let choice = PlaceChoice {
+        place: RequestPlace::Peer(peer),
+        first,
+        read_tokens: query_of(job).own_tokens,
     };
+    Some(FarChoice { choice, cost: first + moving })
+}
+
+/// The expected time to the answer from another region: what its VMs say, and what the VMs of this
+/// region have sent there since, as far as it can be guessed from what this one has sent.
+fn far_first(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    region: &RegionName,
+    wait: RegionWait,
+) -> Duration {
+    let pace = shared.pace(&job.service);
+    let links = view.peers.iter().filter(|peer| peer.region == *region);
+    let sent = links.map(|peer| peer.load.share());
+    let (in_flight, tokens) = sent.fold((0, 0), |(in_flight, tokens), share| {
+        (in_flight + u32::from(share.in_flight), tokens + share.pending_tokens)
+    });
+    let near_vms = view.beats.iter().filter(|beat| beat.region == *shared.settings.region());
+    let near_vms = near_vms.count().max(1) as u32;
+    let upstreams = wait.upstreams.max(1) as u32;
+    let sent = QueueFacts {
+        slots: wait.slots,
+        in_flight: in_flight * near_vms / upstreams,
+        pending_tokens: tokens * near_vms / upstreams,
+    };
+    let query = query_of(job);
+    let missing = (f64::from(query.shared_tokens) * FAR_MISSING_SHARE) as u32;
+    REGION_ROUND_TRIP + wait.wait + pace.first(sent, query.own_tokens + missing)
+}
+
+fn pick_peer(
+    view: &GatewayView,
+    region: &RegionName,
+    tried: &TriedPlaces,
+) -> Option<Arc<PeerLink>> {
     let open: Vec<&Arc<PeerLink>> = view
         .peers
         .iter()
-        .filter(|peer| peer.region != *own_region && job.route.permits(&peer.region))
-        .filter(|peer| !tried.peers.contains(&peer.vm))
+        .filter(|peer| peer.region == *region && !tried.peers.contains(&peer.vm))
         .collect();
-    let weights: Vec<u32> = open.iter().map(|peer| slots_in(&peer.region)).collect();
-    let sum: u32 = weights.iter().sum();
-    let mut rest = (rand::random::<f64>() * f64::from(sum)) as u32;
-    for (peer, weight) in open.into_iter().zip(weights) {
-        if rest < weight {
-            return Some(peer.clone());
-        }
-        rest -= weight;
-    }
-    None
+    let at = (rand::random::<f64>() * open.len() as f64) as usize;
+    open.get(at).map(|peer| Arc::clone(peer))
 }
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -7,6 +7,8 @@
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::affinity::{PromptHints, PromptPlacement};
+use foldhaven_core::opaque::pace::ServicePace;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -39,6 +41,11 @@
     pub metrics: GatewayMetrics,
     pub quota: LogQuota,
     pub stage: watch::Sender<StopStage>,
+    /// Which upstreams of the region probably hold which prompts.
+    pub hints: Mutex<PromptHints>,
+    /// Long prompts that were sent since other VMs were told last.
+    pub placements: Mutex<Vec<PromptPlacement>>,
+    paces: Mutex<HashMap<ServiceName, ServicePace>>,
     zero: Instant,
     view: ArcSwapOption<GatewayView>,
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
@@ -55,6 +62,9 @@
             metrics: GatewayMetrics::default(),
             quota: LogQuota::default(),
             stage: watch::Sender::new(StopStage::Serving),
+            hints: Mutex::default(),
+            placements: Mutex::default(),
+            paces: Mutex::default(),
             zero: Instant::now(),
             view: ArcSwapOption::empty(),
             retries: Mutex::default(),
@@ -90,6 +100,20 @@
         self.stage.send_replace(stage);
     }
 
+    /// How fast the upstreams of a service are.
+    pub fn pace(&self, service: &ServiceName) -> ServicePace {
+        self.paces.lock().get(service).copied().unwrap_or_default()
+    }
+
+    /// Notes how long a request held its place at an upstream of a service.
+    pub fn note_hold(&self, service: &ServiceName, held: Duration) {
+        let mut paces = self.paces.lock();
+        if let Some(pace) = paces.get_mut(service) {
+            return pace.note_hold(held);
+        }
+        paces.entry(service.clone()).or_default().note_hold(held);
+    }
+
     /// Counts a request of a caller for the retry budget of its service.
     pub fn note_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -6,7 +6,10 @@
 
 use foldhaven_core::health::TargetHealth;
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, UpstreamName};
+use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::cold::ColdPacer;
+use foldhaven_core::opaque::load_share::UpstreamShare;
+use foldhaven_core::opaque::pace::{QueueFacts, UpstreamPace};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
@@ -14,19 +17,19 @@
 
 /// One process of an upstream. It lives as long as the process is listed; views share it.
 pub struct Upstream {
-    pub name: UpstreamName,
-    pub service: ServiceName,
-    pub address: SocketAddr,
-    pub data_centre: DataCentreName,
-    pub region: RegionName,
-    pub slots: u32,
+    pub identity: UpstreamIdentity,
+    pub tag: UpstreamTag,
     pub pool: ConnectionPool,
     pub health: Mutex<TargetHealth>,
+    pub pace: Mutex<UpstreamPace>,
     pub pacer: Mutex<ColdPacer>,
+    /// The requests of this VM.
+    pub load: Arc<LoadCounter>,
+    others_in_flight: AtomicU32,
+    others_pending: AtomicU32,
     cold_until: AtomicU64,
     /// The rate at which this VM may send while it is cold, as the bits of a number.
     cold_rate: AtomicU64,
-    in_flight: AtomicU32,
 }
 
 /// What is listed of an upstream and stays the same during its life.
@@ -37,27 +40,31 @@
     pub data_centre: DataCentreName,
     pub region: RegionName,
     pub slots: u32,
+    /// The tokens that its prompt memory holds; 0 when it keeps none.
+    pub prompt_memory: u64,
 }
 
 impl Upstream {
     pub fn new(identity: UpstreamIdentity) -> Arc<Self> {
-        let UpstreamIdentity { name, service, address, data_centre, region, slots } = identity;
         Arc::new(Self {
-            name,
-            service,
-            address,
-            data_centre,
-            region,
-            slots,
+            tag: UpstreamTag::of(&identity.name),
+            identity,
             pool: ConnectionPool::default(),
             health: Mutex::default(),
+            pace: Mutex::default(),
             pacer: Mutex::default(),
+            load: Arc::default(),
+            others_in_flight: AtomicU32::new(0),
+            others_pending: AtomicU32::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
-            in_flight: AtomicU32::new(0),
         })
     }
 
+    pub fn name(&self) -> &UpstreamName {
+        &self.identity.name
+    }
+
     /// Takes in until when it is cold and how fast this VM may send until then.
     pub fn set_cold(&self, until: MonoTime, rate: f64) {
         self.cold_until.store(until.0, Ordering::Relaxed);
@@ -70,24 +77,65 @@
         is_cold.then(|| f64::from_bits(self.cold_rate.load(Ordering::Relaxed)))
     }
 
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
+    /// Takes in the requests that other VMs have there.
+    pub fn set_others(&self, share: UpstreamShare) {
+        self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
+        self.others_pending.store(share.pending_tokens, Ordering::Relaxed);
+    }
+
+    /// The queue that all VMs of the region make.
+    pub fn queue(&self) -> QueueFacts {
+        let own = self.load.share();
+        let others = self.others_in_flight.load(Ordering::Relaxed);
+        QueueFacts {
+            slots: self.identity.slots,
+            in_flight: u32::from(own.in_flight) + others,
+            pending_tokens: own.pending_tokens + self.others_pending.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// The requests of this VM at one place.
+#[derive(Debug, Default)]
+pub struct LoadCounter {
+    in_flight: AtomicU32,
+    pending_tokens: AtomicU32,
+}
+
+impl LoadCounter {
+    pub fn share(&self) -> UpstreamShare {
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        UpstreamShare {
+            in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
+            pending_tokens: self.pending_tokens.load(Ordering::Relaxed),
+        }
     }
 
-    /// Counts a request as running there until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> UpstreamSeat {
+    /// Counts a request with so many prompt tokens to read until the guard is dropped.
+    pub fn enter(self: &Arc<Self>, tokens: u32) -> LoadSeat {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        UpstreamSeat { upstream: self.clone() }
+        self.pending_tokens.fetch_add(tokens, Ordering::Relaxed);
+        LoadSeat { counter: self.clone(), pending: tokens }
     }
 }
 
-/// One request at an upstream.
-pub struct UpstreamSeat {
-    upstream: Arc<Upstream>,
+/// One request at a place.
+pub struct LoadSeat {
+    counter: Arc<LoadCounter>,
+    pending: u32,
+}
+
+impl LoadSeat {
+    /// Notes that the answer has begun: the prompt was read.
+    pub fn note_answered(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        self.counter.pending_tokens.fetch_sub(pending, Ordering::Relaxed);
+    }
 }
 
-impl Drop for UpstreamSeat {
+impl Drop for LoadSeat {
     fn drop(&mut self) {
-        self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.note_answered();
+        self.counter.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::peer_table::PeerBeat;
@@ -10,7 +11,7 @@
 
 use crate::connection::ConnectionPool;
 use crate::feed::FeedSnapshot;
-use crate::upstream::Upstream;
+use crate::upstream::{LoadCounter, Upstream};
 
 /// Another VM that takes forwarded requests.
 pub struct PeerLink {
@@ -18,6 +19,19 @@
     pub region: RegionName,
     pub address: SocketAddr,
     pub pool: ConnectionPool,
+    /// The requests that this VM has forwarded there.
+    pub load: Arc<LoadCounter>,
+}
+
+/// What a request would meet in another region.
+#[derive(Debug, Clone, Copy)]
+pub struct RegionWait {
+    /// The wait, by the last heartbeats from there.
+    pub wait: Duration,
+    /// How many upstreams the service has there.
+    pub upstreams: usize,
+    /// How many requests one of them runs at once.
+    pub slots: u32,
 }
 
 /// Everything that a decision on a request reads.
@@ -27,6 +41,8 @@
     pub upstreams: HashMap<ServiceName, Vec<Arc<Upstream>>>,
     /// The other VMs that serve.
     pub peers: Vec<Arc<PeerLink>>,
+    /// The waits in the other regions.
+    pub waits: HashMap<(RegionName, ServiceName), RegionWait>,
     /// The heartbeats of all VMs that live, the own one included.
     pub beats: Vec<PeerBeat>,
     /// The number of VMs by which limits are divided; nothing while it is not known.
