--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -0,0 +1,152 @@
+//! Which upstream a request gets, and what is expected of it.
+
+use std::time::Duration;
+
+use foldhaven_core::ids::UpstreamName;
+use foldhaven_core::opaque::affinity::{PromptHints, PromptOutline, PromptPlacement, UpstreamTag};
+use foldhaven_core::opaque::choice::{ChoiceQuery, UpstreamFacts, choose_upstream};
+use foldhaven_core::opaque::pace::{QueueFacts, ServicePace, UpstreamPace};
+use foldhaven_core::time::MonoTime;
+use rstest::rstest;
+
+fn names(count: usize) -> Vec<UpstreamName> {
+    (0..count).map(|number| format!("i-{number}").parse().unwrap()).collect()
+}
+
+fn facts(name: &UpstreamName) -> UpstreamFacts<'_> {
+    UpstreamFacts {
+        name,
+        queue: QueueFacts { slots: 4, in_flight: 0, pending_tokens: 0 },
+        factor: 1.0,
+        failures: 0.0,
+        held_tokens: 0,
+        is_suspect: false,
+        is_held_back: false,
+        is_tried: false,
+    }
+}
+
+fn chosen(candidates: &[UpstreamFacts<'_>], query: ChoiceQuery) -> Option<usize> {
+    choose_upstream(candidates, &query, &ServicePace::default()).map(|choice| choice.at)
+}
+
+/// The second of three upstreams differs from the others in one respect.
+#[rstest]
+#[case::is_full(|it: &mut UpstreamFacts<'_>| it.queue.in_flight = 9, false)]
+#[case::reads_long_prompts(|it: &mut UpstreamFacts<'_>| it.queue.pending_tokens = 40_000, false)]
+#[case::is_slow(|it: &mut UpstreamFacts<'_>| it.factor = 4.0, false)]
+#[case::fails(|it: &mut UpstreamFacts<'_>| it.failures = 0.5, false)]
+#[case::is_suspect(|it: &mut UpstreamFacts<'_>| it.is_suspect = true, false)]
+#[case::is_held_back(|it: &mut UpstreamFacts<'_>| it.is_held_back = true, false)]
+#[case::was_tried(|it: &mut UpstreamFacts<'_>| it.is_tried = true, false)]
+#[case::holds_the_prompt(|it: &mut UpstreamFacts<'_>| it.held_tokens = 5_000, true)]
+fn one_respect_decides(#[case] change: fn(&mut UpstreamFacts<'_>), #[case] is_taken: bool) {
+    let names = names(3);
+    let mut candidates: Vec<_> = names.iter().map(facts).collect();
+    change(&mut candidates[1]);
+    for draw in [0.0, 0.4, 0.9] {
+        let query = ChoiceQuery { shared_tokens: 5_000, own_tokens: 100, meeting_key: None, draw };
+        assert_eq!(chosen(&candidates, query) == Some(1), is_taken, "draw {draw}");
+    }
+}
+
+#[test]
+fn suspects_and_tried_ones_are_the_last_resort() {
+    let names = names(2);
+    let mut candidates: Vec<_> = names.iter().map(facts).collect();
+    candidates[0].is_suspect = true;
+    candidates[1].is_tried = true;
+    assert_eq!(chosen(&candidates, ChoiceQuery::default()), Some(0));
+    candidates[0].is_held_back = true;
+    assert_eq!(chosen(&candidates, ChoiceQuery::default()), Some(1));
+    candidates[1].is_held_back = true;
+    assert_eq!(chosen(&candidates, ChoiceQuery::default()), None);
+}
+
+#[test]
+fn equal_upstreams_share_by_the_draw() {
+    let names = names(3);
+    let candidates: Vec<_> = names.iter().map(facts).collect();
+    let at = |draw| chosen(&candidates, ChoiceQuery { draw, ..ChoiceQuery::default() });
+    assert_eq!((at(0.0), at(0.5), at(0.99)), (Some(0), Some(1), Some(2)));
+}
+
+#[test]
+fn prompts_that_share_a_start_meet_wherever_they_are_decided() {
+    let names = names(5);
+    let candidates: Vec<_> = names.iter().map(facts).collect();
+    let reversed: Vec<_> = candidates.iter().rev().copied().collect();
+    for key in 0..20 {
+        let query = |draw| ChoiceQuery {
+            shared_tokens: 9_000,
+            own_tokens: 10,
+            meeting_key: Some(key),
+            draw,
+        };
+        let one = chosen(&candidates, query(0.1)).map(|at| candidates[at].name);
+        let other = chosen(&reversed, query(0.8)).map(|at| reversed[at].name);
+        assert_eq!(one, other, "key {key}");
+    }
+}
+
+#[test]
+fn outlines_are_read_or_refused() {
+    let outline = PromptOutline::read("5c1e:800, 91bd:410,e440:250").unwrap();
+    assert_eq!((outline.shared_tokens(), outline.own_tokens), (1_210, 250));
+    let other = PromptOutline::read("5c1e:800,91bd:410,ffff:9").unwrap();
+    assert_eq!(outline.meeting_key(), other.meeting_key());
+    let swapped = PromptOutline::read("91bd:410,5c1e:800,e440:250").unwrap();
+    assert_ne!(outline.meeting_key(), swapped.meeting_key());
+    assert_eq!(PromptOutline::read("e440:250").unwrap().meeting_key(), None);
+    for text in ["", "5c1e", "5c1e:x,1:2", "a:1,,b:2"] {
+        assert_eq!(PromptOutline::read(text), None, "{text:?}");
+    }
+}
+
+#[test]
+fn a_part_counts_as_held_until_others_fill_the_memory() {
+    const MEMORY: u64 = 10_000;
+    let tag = UpstreamTag(7);
+    let place = |text: &str| {
+        let outline = PromptOutline::read(text).unwrap();
+        PromptPlacement { upstream: tag, shared: outline.shared, own_tokens: outline.own_tokens }
+    };
+    let first = place("a:1000,own:100");
+    let mut hints = PromptHints::default();
+    assert_eq!(hints.held_tokens(tag, &first.shared, MEMORY), 0);
+    hints.note(&first);
+    assert_eq!(hints.held_tokens(tag, &first.shared, MEMORY), 1_000);
+    assert_eq!(hints.held_tokens(UpstreamTag(8), &first.shared, MEMORY), 0);
+    for number in 0..7 {
+        hints.note(&place(&format!("other-{number}:1000,own:100")));
+    }
+    assert_eq!(hints.held_tokens(tag, &first.shared, MEMORY), 0, "others took its memory");
+    hints.note(&first);
+    hints.forget(tag);
+    assert_eq!(hints.held_tokens(tag, &first.shared, MEMORY), 0, "the process has ended");
+}
+
+#[test]
+fn a_slow_upstream_is_taken_for_usual_again_after_a_while() {
+    let now = MonoTime::from_millis(10_000);
+    let (usual, slow) = (Duration::from_millis(50), Duration::from_millis(500));
+    let mut pace = UpstreamPace::default();
+    (0..10).for_each(|_| pace.note_first(usual, slow, now));
+    pace.note_failure(now);
+    assert!(pace.factor(now) > 5.0, "{}", pace.factor(now));
+    assert!(pace.failure_share(now) > 0.1);
+    let later = now + Duration::from_secs(20);
+    assert!(pace.factor(later) < 1.1, "{}", pace.factor(later));
+    assert!(pace.failure_share(later) < 0.01);
+}
+
+#[test]
+fn waits_grow_with_full_places_and_unread_prompts() {
+    let mut pace = ServicePace::default();
+    (0..2_000).for_each(|_| pace.note_hold(Duration::from_millis(100)));
+    let queue = |in_flight, pending_tokens| QueueFacts { slots: 4, in_flight, pending_tokens };
+    assert_eq!(pace.wait(queue(3, 0)), Duration::ZERO);
+    let full = pace.wait(queue(8, 0)).as_millis();
+    assert!((120..=130).contains(&full), "{full}");
+    assert!(pace.wait(queue(0, 45_000)) >= Duration::from_millis(990));
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
@@ -0,0 +1,124 @@
+//! Limits over all VMs: the sum of what the VMs do by themselves stays within them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use foldhaven_core::ids::{UpstreamName, VmName};
+use foldhaven_core::opaque::cold::{ColdPacer, MAX_SENDERS, cold_share};
+use foldhaven_core::opaque::retry_share::{RetryLimits, RetryShare};
+use foldhaven_core::time::MonoTime;
+use proptest::prelude::*;
+
+const LIMITS: RetryLimits =
+    RetryLimits { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) };
+
+fn vm(number: usize) -> VmName {
+    format!("vm-{number}").parse().unwrap()
+}
+
+/// One VM with the share of its present process.
+struct RetryVm {
+    started: MonoTime,
+    share: RetryShare,
+}
+
+proptest! {
+    /// VMs that all want to retry as often as they can, and that are killed at any moment, together
+    /// stay within the budget in every window.
+    #[test]
+    fn retries_of_all_vms_stay_within_the_budget(
+        vms in 1usize..12,
+        rates in prop::collection::vec(0u32..30, 12),
+        kills in prop::collection::vec((0usize..12, 0u64..300), 0..10),
+    ) {
+        let zero = MonoTime::from_millis(1_000_000);
+        // Long-running processes at first, so that all fixed parts are grown.
+        let mut fleet: Vec<RetryVm> = (0..vms)
+            .map(|_| RetryVm {
+                started: zero - Duration::from_secs(600),
+                share: RetryShare::new(LIMITS),
+            })
+            .collect();
+        let mut requests: BTreeMap<u64, u32> = BTreeMap::new();
+        let mut retries: BTreeMap<u64, u32> = BTreeMap::new();
+        for step in 0u64..300 {
+            let now = zero + Duration::from_millis(100 * step);
+            for (at, it) in fleet.iter_mut().enumerate() {
+                if kills.contains(&(at, step)) {
+                    *it = RetryVm { started: now, share: RetryShare::new(LIMITS) };
+                }
+                for _ in 0..rates[at] {
+                    it.share.note_request(now);
+                    *requests.entry(step).or_default() += 1;
+                }
+                let uptime = now.since(it.started);
+                while it.share.take(Some(vms), uptime, now) {
+                    *retries.entry(step).or_default() += 1;
+                }
+            }
+        }
+        for first in 0..200u64 {
+            let window = first..first + 100;
+            let in_window = |counts: &BTreeMap<u64, u32>, window: std::ops::Range<u64>| {
+                counts.range(window).map(|(_, count)| *count).sum::<u32>()
+            };
+            let made = in_window(&retries, window.clone());
+            // The rules count the requests of this window, the one before, or half a one before.
+            let before = first.saturating_sub(100)..first;
+            let most = in_window(&requests, window).max(in_window(&requests, before));
+            let permitted = LIMITS.ratio * f64::from(most) + LIMITS.extra;
+            prop_assert!(f64::from(made) <= permitted, "{made} retries, {permitted} permitted");
+        }
+    }
+
+    /// VMs that see each other send no more to a cold upstream than it bears, whatever its name.
+    #[test]
+    fn a_cold_upstream_gets_no_more_than_it_bears(vms in 1usize..60, name in 0u32..1000) {
+        let upstream: UpstreamName = format!("i-{name}").parse().unwrap();
+        let live: Vec<VmName> = (0..vms).map(vm).collect();
+        let rates: Vec<f64> = live.iter().map(|own| cold_share(9.7, &upstream, own, &live)).collect();
+        prop_assert!(rates.iter().sum::<f64>() <= 9.7);
+        prop_assert!(rates.iter().filter(|rate| **rate > 0.0).count() <= MAX_SENDERS);
+        prop_assert!(rates.iter().any(|rate| *rate > 0.0));
+    }
+
+    /// Where VMs disagree on who lives, at most the union of their choices sends: with one VM that
+    /// some see and others do not, the rate grows by one sender's part at most.
+    #[test]
+    fn one_doubtful_vm_adds_one_part(vms in 4usize..60, name in 0u32..1000, doubtful in 0usize..60) {
+        let upstream: UpstreamName = format!("i-{name}").parse().unwrap();
+        let all: Vec<VmName> = (0..vms).map(vm).collect();
+        let without: Vec<VmName> =
+            all.iter().filter(|it| **it != vm(doubtful % vms)).cloned().collect();
+        // Each VM may hold either view; the worst of both is summed.
+        let worst = |own: &VmName| {
+            let sees = cold_share(9.7, &upstream, own, &all);
+            let misses = match without.contains(own) {
+                true => cold_share(9.7, &upstream, own, &without),
+                false => 0.0,
+            };
+            sees.max(misses)
+        };
+        let sum: f64 = all.iter().map(worst).sum();
+        prop_assert!(sum <= 9.7 * (MAX_SENDERS as f64 + 1.0) / MAX_SENDERS as f64);
+    }
+}
+
+#[test]
+fn a_process_that_does_not_know_the_others_spends_nothing_on_top() {
+    let mut share = RetryShare::new(LIMITS);
+    let now = MonoTime::from_millis(1_000);
+    assert!(!share.take(None, Duration::from_secs(60), now));
+    (0..20).for_each(|_| share.note_request(now));
+    assert!(share.take(None, Duration::from_secs(60), now));
+}
+
+#[test]
+fn places_at_a_cold_upstream_are_spaced() {
+    let mut pacer = ColdPacer::default();
+    let now = MonoTime::from_millis(1_000);
+    assert!(pacer.take(2.0, now));
+    assert!(!pacer.is_free(2.0, now + Duration::from_millis(499)));
+    assert!(pacer.take(2.0, now + Duration::from_millis(500)));
+    assert!(!pacer.take(0.0, now + Duration::from_secs(60)), "no rate, no place");
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -0,0 +1,167 @@
+//! What is believed of other VMs and of upstreams, from news that comes late, twice or not at all.
+
+use std::time::Duration;
+
+use foldhaven_core::ids::IncarnationId;
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, UpstreamShare, share_interval};
+use foldhaven_core::opaque::peer_table::{PeerPhase, PeerTable};
+use foldhaven_core::opaque::upstream_table::{UpstreamRecord, UpstreamTable};
+use foldhaven_core::time::MonoTime;
+use rstest::rstest;
+
+use crate::opaque_support::beat;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(1_000_000 + millis)
+}
+
+fn table() -> PeerTable {
+    PeerTable::new("own".parse().unwrap())
+}
+
+fn live(table: &PeerTable, now: MonoTime) -> Vec<String> {
+    table.live(now).map(|beat| beat.vm.to_string()).collect()
+}
+
+#[test]
+fn repeating_what_a_dead_vm_said_does_not_keep_it_alive() {
+    let mut table = table();
+    assert!(table.hear(beat("a", "north", 5), at(0)));
+    for millis in (0..5_000).step_by(500) {
+        table.hear(beat("a", "north", 5), at(millis));
+        table.hear(beat("a", "north", 4), at(millis));
+    }
+    assert!(live(&table, at(5_000)).is_empty());
+    assert!(table.hear(beat("a", "north", 6), at(5_000)), "its return is news");
+    assert_eq!(live(&table, at(5_000)), ["a"]);
+}
+
+#[test]
+fn a_later_lifetime_goes_before_any_sequence() {
+    let mut table = table();
+    table.hear(beat("a", "north", 900), at(0));
+    let mut restarted = beat("a", "north", 1);
+    restarted.incarnation = IncarnationId(2);
+    assert!(table.hear(restarted, at(10)));
+    assert!(!table.hear(beat("a", "north", 901), at(20)), "the earlier lifetime is over");
+}
+
+#[test]
+fn leaving_is_news_and_ones_own_heartbeat_is_none() {
+    let mut table = table();
+    table.hear(beat("a", "north", 1), at(0));
+    assert!(!table.hear(beat("a", "north", 2), at(10)));
+    let mut leaving = beat("a", "north", 3);
+    leaving.phase = PeerPhase::Leaving;
+    assert!(table.hear(leaving, at(20)));
+    assert!(!table.hear(beat("own", "north", 1), at(30)));
+    assert_eq!(table.assumed_count(), 2);
+}
+
+#[test]
+fn silent_vms_still_count_where_limits_are_divided() {
+    let mut table = table();
+    table.hear(beat("a", "north", 1), at(0));
+    table.forget(at(10_000));
+    assert!(live(&table, at(10_000)).is_empty());
+    assert_eq!(table.assumed_count(), 2);
+    table.forget(at(60_000));
+    assert_eq!(table.assumed_count(), 1);
+}
+
+#[test]
+fn every_vm_gets_a_heartbeat_in_its_turn() {
+    let mut table = table();
+    for number in 0..11 {
+        table.hear(beat(&format!("vm-{number}"), "north", 1), at(0));
+    }
+    let mut reached = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        reached.extend(table.next_targets());
+    }
+    assert_eq!(reached.len(), 11);
+}
+
+fn record(name: &str, leaving: bool, cold_ms: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        name: name.parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        data_centre: "hall".parse().unwrap(),
+        slots: 4,
+        leaving,
+        cold_for: Duration::from_millis(cold_ms),
+    }
+}
+
+fn usable(table: &UpstreamTable) -> Vec<String> {
+    table.usable().map(|entry| entry.record.name.to_string()).collect()
+}
+
+#[test]
+fn unlisted_leaving_and_evacuated_upstreams_get_nothing() {
+    let mut table = UpstreamTable::default();
+    table.replace(vec![record("a", false, 0), record("b", true, 0), record("c", false, 0)], at(0));
+    assert_eq!(usable(&table), ["a", "c"]);
+    table.remove(&"a".parse().unwrap(), at(10));
+    assert_eq!(usable(&table), ["c"]);
+    table.set_evacuated(["hall".parse().unwrap()].into());
+    assert!(usable(&table).is_empty());
+}
+
+/// An upstream that vanishes from the list right after the list's service was away may only have
+/// failed to renew its entry.
+#[rstest]
+#[case::after_trouble(true, false, 2_000, true)]
+#[case::for_too_long(true, false, 2_400, false)]
+#[case::while_leaving(true, true, 100, false)]
+#[case::without_trouble(false, false, 0, false)]
+fn a_lapsed_entry_holds_for_a_while(
+    #[case] disturbed: bool,
+    #[case] leaving: bool,
+    #[case] later: u64,
+    #[case] is_used: bool,
+) {
+    let mut table = UpstreamTable::default();
+    table.put(record("a", leaving, 0), at(0));
+    if disturbed {
+        table.note_disturbed(at(900));
+    }
+    table.replace(Vec::new(), at(1_000));
+    table.expire(at(1_000 + later));
+    assert_eq!(!usable(&table).is_empty(), is_used);
+}
+
+#[test]
+fn records_for_peers_carry_the_cold_time_that_is_left() {
+    let mut table = UpstreamTable::default();
+    table.put(record("a", false, 3_000), at(0));
+    assert_eq!(table.records(at(1_000))[0].cold_for, Duration::from_millis(2_000));
+    assert_eq!(table.records(at(9_000))[0].cold_for, Duration::ZERO);
+}
+
+fn report(vm: &str, sequence: u32, in_flight: u16) -> LoadReport {
+    let share = UpstreamShare { in_flight, pending_tokens: 10 };
+    LoadReport {
+        vm: vm.parse().unwrap(),
+        incarnation: IncarnationId(1),
+        sequence,
+        shares: vec![(UpstreamTag(1), share)],
+        placements: Vec::new(),
+    }
+}
+
+#[test]
+fn loads_add_up_and_old_reports_do_not_count() {
+    let mut book = LoadBook::default();
+    assert!(book.hear(report("a", 2, 3), at(0)));
+    assert!(!book.hear(report("a", 1, 9), at(10)), "overtaken");
+    assert!(book.hear(report("b", 1, 4), at(500)));
+    let interval = share_interval(2);
+    let total = |book: &mut LoadBook, now| {
+        book.totals(interval, now).get(&UpstreamTag(1)).map_or(0, |share| share.in_flight)
+    };
+    assert_eq!(total(&mut book, at(600)), 7);
+    assert_eq!(total(&mut book, at(1_200)), 4, "a is silent");
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
@@ -0,0 +1,130 @@
+//! Routes of opaque requests and the directory's answers.
+
+use std::time::Duration;
+
+use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::opaque::directory::name_vms;
+use foldhaven_core::opaque::peer_table::{PeerBeat, PeerPhase};
+use foldhaven_core::opaque::route_table::{
+    CallerLimits, OpaqueRoute, RepeatKind, RouteDescription, RouteTable, RouteVersion,
+    WeightedService,
+};
+use rstest::rstest;
+
+use crate::opaque_support::beat;
+
+fn route(name: &str, host: &str, prefix: &str, homes: &[&str]) -> OpaqueRoute {
+    OpaqueRoute {
+        name: name.parse().unwrap(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeat: RepeatKind::Safe,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(400),
+        event_gap: None,
+        priority: 0,
+        max_attempts: 1,
+        services: vec![part("one", 90.0), part("two", 10.0), part("none", 0.0)],
+        homes: homes.iter().map(|home| home.parse().unwrap()).collect(),
+        affinity: false,
+    }
+}
+
+fn part(service: &str, weight: f64) -> WeightedService {
+    WeightedService { service: service.parse().unwrap(), weight }
+}
+
+fn table(routes: Vec<OpaqueRoute>) -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_time: Duration::ZERO,
+        idle_time: Duration::ZERO,
+    };
+    RouteTable::new(RouteDescription {
+        version: RouteVersion(1),
+        routes,
+        services: Vec::new(),
+        limits,
+    })
+}
+
+#[rstest]
+#[case("a.example", "/x/1", Some("short"))]
+#[case("a.example", "/x/y/1", Some("long"))]
+#[case("A.Example:8080", "/x/", Some("short"))]
+#[case("b.example", "/x/y/", Some("other"))]
+#[case("a.example", "/x", None)]
+#[case("a.example", "/z/x/", None)]
+#[case("c.example", "/x/", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table(vec![
+        route("short", "a.example", "/x/", &[]),
+        route("long", "a.example", "/x/y/", &[]),
+        route("other", "b.example", "/x/", &[]),
+    ]);
+    assert_eq!(table.find(host, path).map(|route| route.name.as_str()), expected);
+}
+
+#[rstest]
+#[case(0.0, "one")]
+#[case(0.89, "one")]
+#[case(0.91, "two")]
+#[case(0.999_999, "two")]
+fn services_are_picked_by_weight(#[case] draw: f64, #[case] expected: &str) {
+    let route = route("r", "a.example", "/", &[]);
+    assert_eq!(route.pick_service(draw).map(ServiceName::as_str), Some(expected));
+}
+
+#[test]
+fn a_route_without_weights_has_no_service() {
+    let mut route = route("r", "a.example", "/", &[]);
+    route.services = vec![part("none", 0.0)];
+    assert_eq!(route.pick_service(0.5), None);
+}
+
+#[test]
+fn homes_bind_and_are_counted_for_a_host() {
+    let table = table(vec![
+        route("open", "a.example", "/o/", &[]),
+        route("both", "a.example", "/b/", &["north", "south"]),
+        route("north", "a.example", "/n/", &["north"]),
+    ]);
+    let count = |region: &str| table.bound_routes_in("a.example", &region.parse().unwrap());
+    assert_eq!((count("north"), count("south"), count("east")), (2, 1, 0));
+    let bound = table.find("a.example", "/n/").unwrap();
+    assert!(bound.permits(&"north".parse().unwrap()));
+    assert!(!bound.permits(&"south".parse().unwrap()));
+}
+
+#[rstest]
+#[case::own_region(&[("n1", "north"), ("s1", "south")], "north", &["n1"])]
+#[case::no_own_vm(&[("s1", "south"), ("e1", "east")], "north", &["s1"])]
+#[case::nobody(&[], "north", &[])]
+fn callers_are_named_near_vms_then_homes(
+    #[case] vms: &[(&str, &str)],
+    #[case] region: &str,
+    #[case] expected: &[&str],
+) {
+    let beats: Vec<PeerBeat> = vms.iter().map(|(vm, region)| beat(vm, region, 1)).collect();
+    let region: RegionName = region.parse().unwrap();
+    let bound = |region: &RegionName| usize::from(region.as_str() == "south");
+    let named = name_vms(&beats, &region, bound);
+    let wanted: Vec<_> = beats
+        .iter()
+        .filter(|beat| expected.contains(&beat.vm.as_str()))
+        .map(|it| it.caller)
+        .collect();
+    assert_eq!(named, wanted);
+}
+
+#[test]
+fn vms_that_start_or_leave_are_not_named() {
+    let beats = [PeerPhase::Starting, PeerPhase::Leaving]
+        .map(|phase| PeerBeat { phase, ..beat("n1", "north", 1) });
+    assert!(name_vms(&beats, &"north".parse().unwrap(), |_| 0).is_empty());
+}
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_support.rs
@@ -0,0 +1,25 @@
+//! Values that the tests of opaque requests share.
+
+use foldhaven_core::ids::IncarnationId;
+use foldhaven_core::opaque::peer_table::{PeerBeat, PeerPhase};
+use foldhaven_core::opaque::route_table::RouteVersion;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A heartbeat of a VM, with addresses made from its name.
+pub fn beat(vm: &str, region: &str, sequence: u32) -> PeerBeat {
+    let [.., high, low] = xxh3_64(vm.as_bytes()).to_be_bytes();
+    let address = |port: u16| format!("127.9.{high}.{low}:{port}").parse().unwrap();
+    PeerBeat {
+        vm: vm.parse().unwrap(),
+        incarnation: IncarnationId(1),
+        sequence,
+        data_centre: format!("{region}-hall").parse().unwrap(),
+        region: region.parse().unwrap(),
+        caller: address(8144),
+        peer: address(7660),
+        phase: PeerPhase::Serving,
+        version: RouteVersion(1),
+        revision: 1,
+        waits: Vec::new(),
+    }
+}
