--- a/crates/foldhaven-core/src/opaque/peer_table.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table.rs
@@ -1,10 +1,12 @@
 //! The other VMs of the system, by their heartbeats.
 //!
-//! Each daemon sends its own heartbeat to a few others in turn, and with it the newest ones that it
-//! heard. What counts is whether a VM's sequence goes on rising, so that nobody can keep a dead VM
-//! alive by repeating what it said.
+//! Each daemon sends its own heartbeat to a few others in turn, and with it the pulses of others that
+//! it heard: no more than whose sequence has risen. A pulse of an unknown VM makes the receiver ask for
+//! all heartbeats. Nobody can keep a dead VM alive by repeating what it said, since only a sequence
+//! that goes on rising counts. Inside a region the load reports, which go to everybody there, serve as
+//! pulses too, so that near VMs are missed sooner than far ones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,10 +21,14 @@
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// How many VMs get a heartbeat in one round.
 const FAN_OUT: usize = 4;
-/// How many heartbeats of others go with one's own, where not everybody is reached in two rounds.
-const RELAYED: usize = 6;
-/// A VM whose sequence has not risen for this long is not named to callers and gets nothing.
-const SILENT_LIMIT: Duration = Duration::from_millis(2_600);
+/// How many pulses of others go with one's own heartbeat.
+const RELAYED: usize = 24;
+/// A VM of this region whose sequence has not risen for this long is not named to callers and gets
+/// nothing. Load reports and heartbeats of it arrive several times in this time.
+const NEAR_SILENT_LIMIT: Duration = Duration::from_millis(2_600);
+/// The same for VMs of other regions, whose pulses come through others; callers must not be sent to a
+/// VM that has been dead for eight seconds.
+const FAR_SILENT_LIMIT: Duration = Duration::from_millis(5_000);
 /// A VM silent for this long is forgotten. Until then it counts where limits are divided.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -85,14 +91,43 @@
     pub waits: Vec<ServiceWait>,
 }
 
+/// A VM in pulses: the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct VmTag(pub u32);
+
+impl VmTag {
+    /// The tag of a VM.
+    pub fn of(name: &VmName) -> Self {
+        Self(rank_hash(&[name.as_str()]) as u32)
+    }
+}
+
+/// That the sequence of a VM has risen, and what changes often of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerPulse {
+    /// The VM.
+    pub vm: VmTag,
+    /// Its process lifetime.
+    pub incarnation: IncarnationId,
+    /// Its sequence.
+    pub sequence: u32,
+    /// What it does.
+    pub phase: PeerPhase,
+    /// How far it has read the platform's changes.
+    pub revision: u64,
+}
+
 /// What one VM sends another in a round.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BeatMessage {
     /// The sender's heartbeat.
     pub own: PeerBeat,
-    /// Heartbeats that the sender heard.
+    /// Pulses of VMs that the sender heard.
+    pub pulses: Vec<PeerPulse>,
+    /// Heartbeats of VMs that the receiver did not know.
     pub heard: Vec<PeerBeat>,
-    /// Whether the sender knows nobody yet and asks for all heartbeats.
+    /// Whether the sender heard of VMs that it does not know, and asks for all heartbeats.
     pub asks_all: bool,
 }
 
@@ -106,23 +141,39 @@
 #[derive(Debug)]
 pub struct PeerTable {
     own: VmName,
+    region: RegionName,
     peers: BTreeMap<VmName, PeerEntry>,
+    tags: HashMap<VmTag, VmName>,
+    knows_all: bool,
     turn: usize,
+    pulse_turn: usize,
 }
 
 impl PeerTable {
-    /// An empty table of the daemon `own`.
-    pub fn new(own: VmName) -> Self {
-        Self { own, peers: BTreeMap::new(), turn: 0 }
+    /// An empty table of the daemon `own` in a region.
+    pub fn new(own: VmName, region: RegionName) -> Self {
+        // Each VM begins at another place of the common order; if all began at the first, they would
+        // all turn to the same few VMs at a time.
+        let turn = VmTag::of(&own).0 as usize;
+        Self {
+            own,
+            region,
+            peers: BTreeMap::new(),
+            tags: HashMap::new(),
+            knows_all: false,
+            turn,
+            pulse_turn: turn,
+        }
     }
 
     /// Takes in a heartbeat. Returns whether it is news that others decide by: a new VM, a new
-    /// lifetime, or another phase.
+    /// lifetime, another phase, or the end of a silence.
     pub fn hear(&mut self, beat: PeerBeat, now: MonoTime) -> bool {
         if beat.vm == self.own {
             return false;
         }
-        let Some(known) = self.peers.get_mut(&beat.vm) else {
+        let Some(known) = self.peers.get(&beat.vm) else {
+            self.tags.insert(VmTag::of(&beat.vm), beat.vm.clone());
             self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now });
             return true;
         };
@@ -130,15 +181,59 @@
         if order(&beat) <= order(&known.beat) {
             return false;
         }
-        let is_back = now.since(known.risen) > SILENT_LIMIT;
-        let is_news = beat.incarnation != known.beat.incarnation || beat.phase != known.beat.phase;
-        *known = PeerEntry { beat, risen: now };
-        is_news || is_back
+        let is_news = !self.is_live(known, now)
+            || beat.incarnation != known.beat.incarnation
+            || beat.phase != known.beat.phase;
+        self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now });
+        is_news
+    }
+
+    /// Takes in a pulse; as [`PeerTable::hear`]. An unknown VM, or a new lifetime of a known one, is
+    /// asked for.
+    pub fn hear_pulse(&mut self, pulse: PeerPulse, now: MonoTime) -> bool {
+        if pulse.vm == VmTag::of(&self.own) {
+            return false;
+        }
+        let Some(entry) = self.tags.get(&pulse.vm).and_then(|name| self.peers.get(name)) else {
+            self.knows_all = false;
+            return false;
+        };
+        if pulse.incarnation > entry.beat.incarnation {
+            self.knows_all = false;
+            return false;
+        }
+        let order = (pulse.incarnation, pulse.sequence);
+        if order <= (entry.beat.incarnation, entry.beat.sequence) {
+            return false;
+        }
+        let beat = PeerBeat {
+            sequence: pulse.sequence,
+            phase: pulse.phase,
+            revision: pulse.revision,
+            ..entry.beat.clone()
+        };
+        self.hear(beat, now)
+    }
+
+    /// Takes in that a VM of this region reported its load: it lives.
+    pub fn note_report(&mut self, vm: &VmName, incarnation: IncarnationId, now: MonoTime) {
+        if let Some(entry) = self.peers.get_mut(vm)
+            && entry.beat.incarnation == incarnation
+        {
+            entry.risen = now;
+        }
+    }
+
+    /// Whether the next round asks for all heartbeats; it does so once for each unknown VM heard of.
+    pub fn take_asks_all(&mut self) -> bool {
+        self.peers.is_empty() || !std::mem::replace(&mut self.knows_all, true)
     }
 
     /// Drops VMs that have been silent for very long.
     pub fn forget(&mut self, now: MonoTime) {
         self.peers.retain(|_, entry| now.since(entry.risen) < FORGET_AFTER);
+        let peers = &self.peers;
+        self.tags.retain(|_, name| peers.contains_key(name));
     }
 
     /// How many VMs may exist, this one included; limits are divided by it.
@@ -146,15 +241,22 @@
         self.peers.len() + 1
     }
 
-    /// Whether any other VM has been heard.
-    pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
+    fn is_live(&self, entry: &PeerEntry, now: MonoTime) -> bool {
+        let limit = match entry.beat.region == self.region {
+            true => NEAR_SILENT_LIMIT,
+            false => FAR_SILENT_LIMIT,
+        };
+        now.since(entry.risen) <= limit
     }
 
     /// The VMs whose heartbeats go on rising.
     pub fn live(&self, now: MonoTime) -> impl Iterator<Item = &PeerBeat> {
-        let is_live = move |entry: &&PeerEntry| now.since(entry.risen) <= SILENT_LIMIT;
-        self.peers.values().filter(is_live).map(|entry| &entry.beat)
+        self.peers.values().filter(move |entry| self.is_live(entry, now)).map(|entry| &entry.beat)
+    }
+
+    /// The live VMs of this region.
+    pub fn near(&self, now: MonoTime) -> impl Iterator<Item = &PeerBeat> {
+        self.live(now).filter(|beat| beat.region == self.region)
     }
 
     /// The VMs that get the next round: a few in turn, silent ones too, so that cuts that have
@@ -166,7 +268,7 @@
         }
         let count = FAN_OUT.min(all.len());
         let targets = (0..count).map(|step| all[(self.turn + step) % all.len()]).collect();
-        self.turn = (self.turn + count) % all.len();
+        self.turn += count;
         targets
     }
 
@@ -175,15 +277,23 @@
         self.peers.values().map(|entry| entry.beat.peer).collect()
     }
 
-    /// The heartbeats that go with one's own: none where everybody is reached directly, else the
-    /// ones that were heard last.
-    pub fn relayed(&self, now: MonoTime) -> Vec<PeerBeat> {
+    /// The pulses that go with one's own heartbeat: none where everybody is reached directly within
+    /// two rounds, else those of live VMs in turn.
+    pub fn relayed(&mut self, now: MonoTime) -> Vec<PeerPulse> {
         if self.peers.len() <= 2 * FAN_OUT + 2 {
             return Vec::new();
         }
-        let mut fresh: Vec<&PeerEntry> = self.peers.values().collect();
-        fresh.retain(|entry| now.since(entry.risen) <= SILENT_LIMIT);
-        fresh.sort_by_key(|entry| std::cmp::Reverse(entry.risen));
-        fresh.into_iter().take(RELAYED).map(|entry| entry.beat.clone()).collect()
+        let pulse = |beat: &PeerBeat| PeerPulse {
+            vm: VmTag::of(&beat.vm),
+            incarnation: beat.incarnation,
+            sequence: beat.sequence,
+            phase: beat.phase,
+            revision: beat.revision,
+        };
+        let all: Vec<PeerPulse> = self.live(now).map(pulse).collect();
+        let count = RELAYED.min(all.len());
+        let pulses = (0..count).map(|step| all[(self.pulse_turn + step) % all.len()]).collect();
+        self.pulse_turn += count;
+        pulses
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -5,7 +5,7 @@
 use foldhaven_core::ids::IncarnationId;
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, UpstreamShare, share_interval};
-use foldhaven_core::opaque::peer_table::{PeerPhase, PeerTable};
+use foldhaven_core::opaque::peer_table::{PeerPhase, PeerPulse, PeerTable, VmTag};
 use foldhaven_core::opaque::upstream_table::{UpstreamRecord, UpstreamTable};
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
@@ -17,7 +17,7 @@
 }
 
 fn table() -> PeerTable {
-    PeerTable::new("own".parse().unwrap())
+    PeerTable::new("own".parse().unwrap(), "north".parse().unwrap())
 }
 
 fn live(table: &PeerTable, now: MonoTime) -> Vec<String> {
@@ -70,6 +70,84 @@
     assert_eq!(table.assumed_count(), 1);
 }
 
+fn pulse(vm: &str, incarnation: u64, sequence: u32) -> PeerPulse {
+    PeerPulse {
+        vm: VmTag::of(&vm.parse().unwrap()),
+        incarnation: IncarnationId(incarnation),
+        sequence,
+        phase: PeerPhase::Serving,
+        revision: 1,
+    }
+}
+
+#[test]
+fn pulses_keep_known_vms_alive_and_make_unknown_ones_asked_for() {
+    let mut table = table();
+    table.hear(beat("a", "south", 1), at(0));
+    assert!(table.take_asks_all(), "a process that has just started asks");
+    assert!(!table.take_asks_all());
+    for step in 1..10 {
+        table.hear_pulse(pulse("a", 1, 1 + step), at(u64::from(step) * 1_000));
+    }
+    assert_eq!(live(&table, at(10_000)), ["a"]);
+    table.hear_pulse(pulse("unknown", 1, 1), at(10_000));
+    assert!(table.take_asks_all());
+    table.hear_pulse(pulse("a", 2, 1), at(10_000));
+    assert!(table.take_asks_all(), "a new lifetime may have other addresses");
+}
+
+#[test]
+fn a_load_report_of_the_same_lifetime_is_a_sign_of_life() {
+    let mut table = table();
+    table.hear(beat("a", "north", 1), at(0));
+    table.note_report(&"a".parse().unwrap(), IncarnationId(1), at(2_000));
+    table.note_report(&"a".parse().unwrap(), IncarnationId(0), at(9_000));
+    assert_eq!(live(&table, at(4_000)), ["a"]);
+    assert!(live(&table, at(5_000)).is_empty(), "an earlier lifetime's report");
+}
+
+#[test]
+fn far_vms_may_be_silent_for_longer() {
+    let mut table = table();
+    table.hear(beat("near", "north", 1), at(0));
+    table.hear(beat("far", "south", 1), at(0));
+    assert_eq!(live(&table, at(4_000)), ["far"]);
+    assert!(live(&table, at(5_500)).is_empty());
+}
+
+#[test]
+fn in_a_large_fleet_pulses_of_all_live_vms_go_round() {
+    let mut table = table();
+    for number in 0..60 {
+        table.hear(beat(&format!("vm-{number}"), "north", 1), at(0));
+    }
+    let mut told = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        told.extend(table.relayed(at(100)).into_iter().map(|pulse| pulse.vm));
+    }
+    assert_eq!(told.len(), 60);
+    assert!(table.relayed(at(10_000)).is_empty(), "silent ones are not told of");
+}
+
+/// Found on a deployment of 69 VMs: all of them turned to the same few VMs at a time, so that the
+/// others were taken for dead meanwhile.
+#[test]
+fn vms_do_not_turn_to_the_same_few_at_a_time() {
+    let names: Vec<String> = (0..60).map(|number| format!("vm-{number}")).collect();
+    let mut hits = std::collections::BTreeMap::new();
+    for own in &names {
+        let mut table = PeerTable::new(own.parse().unwrap(), "north".parse().unwrap());
+        for name in names.iter().filter(|name| *name != own) {
+            table.hear(beat(name, "north", 1), at(0));
+        }
+        for target in table.next_targets() {
+            *hits.entry(target).or_insert(0) += 1;
+        }
+    }
+    assert!(hits.len() > 40, "one round reaches {} of 60 VMs", hits.len());
+    assert!(hits.values().all(|count| *count < 25), "{hits:?}");
+}
+
 #[test]
 fn every_vm_gets_a_heartbeat_in_its_turn() {
     let mut table = table();
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -26,15 +26,19 @@
     Load(LoadReport),
 }
 
+/// A VM without requests reports in every n-th round only.
+const IDLE_ROUNDS: u32 = 4;
+
 /// Tells the other VMs of the region of this one's requests at its upstreams.
 pub async fn send_reports(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
-    let mut was_idle = false;
+    let mut idle_rounds = 0;
     loop {
         let Ok(planned) = keeper.send(PlanReport).await else { return };
         let PlannedReport { targets, report, interval } = planned;
         let is_idle = report.shares.is_empty() && report.placements.is_empty();
-        // The first idle report says that the earlier requests have ended.
-        if !is_idle || !was_idle {
+        // The first idle report says that the earlier requests have ended; later ones that this VM
+        // lives.
+        if !is_idle || idle_rounds % IDLE_ROUNDS == 0 {
             let message = PeerMessage::Load(report);
             for target in targets {
                 if let Err(error) = send(&socket, target, &message).await {
@@ -42,7 +46,7 @@
                 }
             }
         }
-        was_idle = is_idle;
+        idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         sleep(interval).await;
     }
 }
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -75,7 +75,8 @@
 
 impl ControlKeeper {
     pub fn new(shared: Arc<GatewayShared>, incarnation: IncarnationId) -> Self {
-        let peers = PeerTable::new(shared.settings.vm.clone());
+        let settings = &shared.settings;
+        let peers = PeerTable::new(settings.vm.clone(), settings.region().clone());
         let settings = shared.settings.clone();
         Self {
             shared,
@@ -178,9 +179,7 @@
 
     /// The other VMs of this region.
     fn near_peers(&self) -> Vec<SocketAddr> {
-        let own_region = self.shared.settings.region();
-        let near = self.peers.live(self.now()).filter(|beat| beat.region == *own_region);
-        near.map(|beat| beat.peer).collect()
+        self.peers.near(self.now()).map(|beat| beat.peer).collect()
     }
 
     fn take_totals(&mut self) {
@@ -379,8 +378,8 @@
         ahead.max_by_key(|beat| beat.revision).map(|beat| beat.peer)
     }
 
-    fn message(&self, asks_all: bool, heard: Vec<PeerBeat>) -> BeatMessage {
-        BeatMessage { own: self.own_beat(), heard, asks_all }
+    fn message(&self, heard: Vec<PeerBeat>) -> BeatMessage {
+        BeatMessage { own: self.own_beat(), pulses: Vec::new(), heard, asks_all: false }
     }
 
     /// All heartbeats for a VM that knows nobody, in messages that fit a datagram.
@@ -389,9 +388,9 @@
         let beats: Vec<PeerBeat> = self.peers.live(self.now()).cloned().collect();
         let chunks = beats.chunks(PER_MESSAGE);
         let mut planned: PlannedBeats =
-            chunks.map(|chunk| (address, self.message(false, chunk.to_vec()))).collect();
+            chunks.map(|chunk| (address, self.message(chunk.to_vec()))).collect();
         if planned.is_empty() {
-            planned.push((address, self.message(false, Vec::new())));
+            planned.push((address, self.message(Vec::new())));
         }
         planned
     }
@@ -468,7 +467,7 @@
     type Return = PlannedBeats;
 
     async fn handle(&mut self, message: HearBeat, _: &mut Context<Self>) -> PlannedBeats {
-        let BeatMessage { own, heard, asks_all } = message.message;
+        let BeatMessage { own, pulses, heard, asks_all } = message.message;
         let now = self.now();
         let sender = own.peer;
         let (vm, phase) = (own.vm.clone(), own.phase);
@@ -479,6 +478,9 @@
         for beat in heard {
             is_news |= self.peers.hear(beat, now);
         }
+        for pulse in pulses {
+            is_news |= self.peers.hear_pulse(pulse, now);
+        }
         if is_news {
             self.publish();
         }
@@ -494,7 +496,7 @@
 
     async fn handle(&mut self, plan: PlanBeats, _: &mut Context<Self>) -> PlannedBeats {
         self.beats += 1;
-        let asks_all = self.peers.is_empty();
+        let asks_all = self.peers.take_asks_all();
         let mut targets = match plan.to_all {
             true => self.peers.all_addresses(),
             false => self.peers.next_targets(),
@@ -504,7 +506,8 @@
             targets.extend(self.settings.seed_peers());
         }
         let targets: BTreeSet<SocketAddr> = targets.into_iter().collect();
-        let message = self.message(asks_all, self.peers.relayed(self.now()));
+        let pulses = self.peers.relayed(self.now());
+        let message = BeatMessage { pulses, asks_all, ..self.message(Vec::new()) };
         targets.into_iter().map(|target| (target, message.clone())).collect()
     }
 }
@@ -559,9 +562,12 @@
     async fn handle(&mut self, message: HearLoad, _: &mut Context<Self>) {
         let mut report = message.report;
         let placements = std::mem::take(&mut report.placements);
-        if !self.loads.hear(report, self.now()) {
+        let now = self.now();
+        let (vm, incarnation) = (report.vm.clone(), report.incarnation);
+        if !self.loads.hear(report, now) {
             return;
         }
+        self.peers.note_report(&vm, incarnation, now);
         let mut hints = self.shared.hints.lock();
         for placement in &placements {
             hints.note(placement);
