--- a/crates/foldhaven-core/src/opaque/peer_table.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table.rs
@@ -14,7 +14,7 @@
 
 use crate::ids::{DataCentreName, IncarnationId, RegionName, ServiceName, VmName};
 use crate::opaque::route_table::RouteVersion;
-use crate::rank::rank_hash;
+use crate::rank::{rank_by, rank_hash};
 use crate::time::MonoTime;
 
 /// Between two rounds of heartbeats.
@@ -29,6 +29,10 @@
 /// The same for VMs of other regions, whose pulses come through others; callers must not be sent to a
 /// VM that has been dead for eight seconds.
 const FAR_SILENT_LIMIT: Duration = Duration::from_millis(5_000);
+/// How many VMs of a larger region read the platform. Each call has a price.
+const READERS: usize = 2;
+/// The key by which they are ranked.
+const READER_KEY: &str = "platform-reader";
 /// A VM silent for this long is forgotten. Until then it counts where limits are divided.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -85,8 +89,10 @@
     pub phase: PeerPhase,
     /// The description that it has in force.
     pub version: RouteVersion,
-    /// How far it has read the platform's changes.
+    /// How far it knows the platform's changes.
     pub revision: u64,
+    /// Whether the platform turns it away.
+    pub is_turned_away: bool,
     /// For each service that has upstreams in its region: the wait that a request would meet there.
     pub waits: Vec<ServiceWait>,
 }
@@ -114,8 +120,10 @@
     pub sequence: u32,
     /// What it does.
     pub phase: PeerPhase,
-    /// How far it has read the platform's changes.
+    /// How far it knows the platform's changes.
     pub revision: u64,
+    /// Whether the platform turns it away.
+    pub is_turned_away: bool,
 }
 
 /// What one VM sends another in a round.
@@ -150,6 +158,10 @@
 }
 
 impl PeerTable {
+    /// Where a region has no more other VMs than this, each VM reads the platform itself: few calls
+    /// are saved, and a VM that reads learns of a change within milliseconds.
+    pub const ALL_READ: usize = 4;
+
     /// An empty table of the daemon `own` in a region.
     pub fn new(own: VmName, region: RegionName) -> Self {
         // Each VM begins at another place of the common order; if all began at the first, they would
@@ -210,6 +222,7 @@
             sequence: pulse.sequence,
             phase: pulse.phase,
             revision: pulse.revision,
+            is_turned_away: pulse.is_turned_away,
             ..entry.beat.clone()
         };
         self.hear(beat, now)
@@ -259,6 +272,29 @@
         self.live(now).filter(|beat| beat.region == self.region)
     }
 
+    /// Whether this VM is one of those of its region that read the platform; the others are told by
+    /// them. VMs that the platform turns away do not count, unless it turns everybody away.
+    pub fn is_reader(&self, is_turned_away: bool, now: MonoTime) -> bool {
+        let near: Vec<&PeerBeat> = self.near(now).collect();
+        if near.len() < Self::ALL_READ {
+            return true;
+        }
+        let mut open: Vec<&VmName> = near
+            .iter()
+            .filter(|beat| !beat.is_turned_away && beat.phase == PeerPhase::Serving)
+            .map(|beat| &beat.vm)
+            .collect();
+        if open.is_empty() {
+            return true;
+        }
+        if !is_turned_away {
+            open.push(&self.own);
+        }
+        let ranked = rank_by(READER_KEY, open, |name| name.as_str());
+        // One that is turned away goes on asking, or it would not learn that this is over.
+        is_turned_away || ranked.into_iter().take(READERS).any(|name| *name == self.own)
+    }
+
     /// The VMs that get the next round: a few in turn, silent ones too, so that cuts that have
     /// healed are noticed.
     pub fn next_targets(&mut self) -> Vec<SocketAddr> {
@@ -289,6 +325,7 @@
             sequence: beat.sequence,
             phase: beat.phase,
             revision: beat.revision,
+            is_turned_away: beat.is_turned_away,
         };
         let all: Vec<PeerPulse> = self.live(now).map(pulse).collect();
         let count = RELAYED.min(all.len());
--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -77,6 +77,7 @@
         sequence,
         phase: PeerPhase::Serving,
         revision: 1,
+        is_turned_away: false,
     }
 }
 
@@ -148,6 +149,66 @@
     assert!(hits.values().all(|count| *count < 25), "{hits:?}");
 }
 
+/// Tables of all VMs of a region, in which those of `turned_away` say that the platform refuses them.
+fn region(vms: usize, turned_away: &[usize]) -> Vec<(PeerTable, bool)> {
+    let name = |at: usize| format!("vm-{at}");
+    let told = |at: usize| {
+        let mut beat = beat(&name(at), "north", 1);
+        beat.is_turned_away = turned_away.contains(&at);
+        beat
+    };
+    let table_of = |own: usize| {
+        let mut table = PeerTable::new(name(own).parse().unwrap(), "north".parse().unwrap());
+        (0..vms).filter(|at| *at != own).for_each(|at| drop(table.hear(told(at), at_start())));
+        (table, turned_away.contains(&own))
+    };
+    (0..vms).map(table_of).collect()
+}
+
+fn at_start() -> MonoTime {
+    at(0)
+}
+
+#[rstest]
+#[case::small_region(4, &[], 4)]
+#[case::large_region(12, &[], 2)]
+#[case::everybody_turned_away(12, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11], 12)]
+fn few_vms_of_a_large_region_read_the_platform(
+    #[case] vms: usize,
+    #[case] turned_away: &[usize],
+    #[case] readers: usize,
+) {
+    let region = region(vms, turned_away);
+    let reads = |(table, turned_away): &&(PeerTable, bool)| table.is_reader(*turned_away, at(100));
+    assert_eq!(region.iter().filter(reads).count(), readers);
+}
+
+#[test]
+fn others_read_when_the_platform_turns_the_readers_away() {
+    let before = region(12, &[]);
+    let readers: Vec<usize> =
+        (0..12).filter(|at| before[*at].0.is_reader(false, at_start())).collect();
+    let after = region(12, &readers);
+    let well =
+        (0..12).filter(|at| !readers.contains(at) && after[*at].0.is_reader(false, at_start()));
+    assert_eq!(well.count(), 2);
+}
+
+#[test]
+fn others_read_when_the_readers_are_silent() {
+    let mut tables = region(12, &[]);
+    let readers: Vec<usize> =
+        (0..12).filter(|at| tables[*at].0.is_reader(false, at_start())).collect();
+    for (own, (table, _)) in tables.iter_mut().enumerate() {
+        for other in (0..12).filter(|other| *other != own && !readers.contains(other)) {
+            table.hear(beat(&format!("vm-{other}"), "north", 2), at(4_000));
+        }
+    }
+    let now_reading = |at_: &usize| tables[*at_].0.is_reader(false, at(4_000));
+    let count = (0..12).filter(|own| !readers.contains(own)).filter(now_reading).count();
+    assert_eq!(count, 2);
+}
+
 #[test]
 fn every_vm_gets_a_heartbeat_in_its_turn() {
     let mut table = table();
--- a/crates/foldhaven-core/tests/testsuite/opaque_support.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_support.rs
@@ -20,6 +20,7 @@
         phase: PeerPhase::Serving,
         version: RouteVersion(1),
         revision: 1,
+        is_turned_away: false,
         waits: Vec::new(),
     }
 }
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -8,11 +8,13 @@
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, sleep};
 
+use crate::feed::ChangeSet;
 use crate::keeper::{
-    HearBeat, HearLoad, KeeperAddress, PlanBeats, PlanReport, PlannedBeats, PlannedReport,
+    HearBeat, HearChanges, HearLoad, KeeperAddress, PlanBeats, PlanReport, PlannedBeats,
+    PlannedReport, ToldChanges,
 };
 use crate::shared::StopStage;
 
@@ -24,6 +26,20 @@
 enum PeerMessage {
     Beat(BeatMessage),
     Load(LoadReport),
+    Changes(ChangeSet),
+}
+
+/// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
+/// a datagram are asked for.
+pub async fn tell_changes(socket: Arc<UdpSocket>, mut news: mpsc::UnboundedReceiver<ToldChanges>) {
+    while let Some(ToldChanges { targets, changes }) = news.recv().await {
+        let message = PeerMessage::Changes(changes);
+        for target in targets {
+            if let Err(error) = send(&socket, target, &message).await {
+                tracing::debug!(peer = %target, error = %error, "telling changes failed");
+            }
+        }
+    }
 }
 
 /// A VM without requests reports in every n-th round only.
@@ -72,6 +88,9 @@
         };
         let heard = match message {
             PeerMessage::Beat(message) => keeper.send(HearBeat { message }).await,
+            PeerMessage::Changes(changes) => {
+                keeper.send(HearChanges { changes }).await.map(|()| PlannedBeats::new())
+            }
             PeerMessage::Load(report) => {
                 keeper.send(HearLoad { report }).await.map(|()| PlannedBeats::new())
             }
@@ -113,5 +132,8 @@
 
 async fn send(socket: &UdpSocket, target: SocketAddr, message: &PeerMessage) -> io::Result<()> {
     let bytes = bincode::serialize(message).map_err(io::Error::other)?;
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len())));
+    }
     socket.send_to(&bytes, target).await.map(drop)
 }
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -11,10 +11,11 @@
 use foldhaven_wire::listen::listen_at;
 use tokio::net::UdpSocket;
 use tokio::runtime::{Builder, Runtime};
+use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use xtra::Mailbox;
 
-use crate::beats::{hear_beats, send_beats, send_reports};
+use crate::beats::{hear_beats, send_beats, send_reports, tell_changes};
 use crate::caller_front::{CallerHandler, OperatorHandler, ReadyHandler};
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
@@ -141,15 +142,18 @@
     settings_path: PathBuf,
 ) {
     let incarnation = new_incarnation();
-    let keeper = ControlKeeper::new(shared.clone(), incarnation);
+    let (news, told) = mpsc::unbounded_channel();
+    let keeper = ControlKeeper::new(shared.clone(), incarnation, news);
+    let turns = keeper.turns();
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
     tokio::spawn(hear_beats(socket.clone(), address.clone()));
+    tokio::spawn(tell_changes(socket.clone(), told));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.stage.subscribe()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
     tokio::spawn(tick(address.clone()));
-    feed.run(FeedSink::new(address)).await;
+    feed.run(FeedSink::new(address, turns)).await;
 }
 
 async fn tick(keeper: KeeperAddress) {
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -7,6 +7,8 @@
 use foldhaven_core::opaque::route_table::RouteDescription;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::sync::watch::error::RecvError;
 
 use crate::keeper::KeeperAddress;
 
@@ -24,7 +26,7 @@
 }
 
 /// One change.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FeedChange {
     /// A description was published.
     Description(Box<RouteDescription>),
@@ -38,18 +40,42 @@
     EvacuationEnded(DataCentreName),
 }
 
+/// A change with the platform's count of changes when it was made.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CountedChange {
+    /// The count.
+    pub revision: u64,
+    /// The change.
+    pub change: FeedChange,
+}
+
+/// All changes after one revision up to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChangeSet {
+    /// The revision after which they were made.
+    pub after: u64,
+    /// The revision up to which there are no others.
+    pub revision: u64,
+    /// The changes in their order.
+    pub changes: Vec<CountedChange>,
+}
+
+/// Whether this daemon is to read the platform now, and what it knows already.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FeedTurn {
+    /// Whether it is to read.
+    pub reads: bool,
+    /// The revision that it knows, from its own reading or from other VMs; nothing yet when absent.
+    pub known: Option<u64>,
+}
+
 /// What a feed tells.
 #[derive(Debug, Clone)]
 pub enum FeedNews {
     /// All that is published.
     Snapshot(FeedSnapshot),
     /// What changed up to a revision.
-    Changes {
-        /// The platform's count of changes after these.
-        revision: u64,
-        /// The changes in their order.
-        changes: Vec<FeedChange>,
-    },
+    Changes(ChangeSet),
     /// Nothing could be read.
     Disturbed {
         /// What was tried and what went wrong.
@@ -57,21 +83,28 @@
     },
 }
 
-/// Where a feed puts its news.
+/// Where a feed puts its news, and learns when it is to read.
 #[derive(Clone)]
 pub struct FeedSink {
     keeper: KeeperAddress,
+    turn: watch::Receiver<FeedTurn>,
 }
 
 impl FeedSink {
-    pub(crate) fn new(keeper: KeeperAddress) -> Self {
-        Self { keeper }
+    pub(crate) fn new(keeper: KeeperAddress, turn: watch::Receiver<FeedTurn>) -> Self {
+        Self { keeper, turn }
     }
 
     /// Tells news. Returns whether anybody still listens.
     pub async fn tell(&self, news: FeedNews) -> bool {
         self.keeper.send(news).await.is_ok()
     }
+
+    /// Waits until this daemon is to read, and gives the revision from which to go on; nothing when
+    /// everything is to be read. Returns an error when nobody listens any more.
+    pub async fn await_turn(&mut self) -> Result<Option<u64>, RecvError> {
+        self.turn.wait_for(|turn| turn.reads).await.map(|turn| turn.known)
+    }
 }
 
 /// Reads what the platform publishes. Nothing is ever written.
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -15,10 +15,11 @@
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::{UpstreamEntry, UpstreamTable};
 use foldhaven_core::time::MonoTime;
+use tokio::sync::{mpsc, watch};
 use xtra::{Context, Handler};
 
 use crate::connection::ConnectionPool;
-use crate::feed::{FeedChange, FeedNews, FeedSnapshot};
+use crate::feed::{ChangeSet, FeedChange, FeedNews, FeedSnapshot, FeedTurn};
 use crate::places::expected_wait;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
@@ -51,6 +52,16 @@
     reports: u32,
     behind_since: Option<MonoTime>,
     is_disturbed: bool,
+    /// Whether a snapshot was taken in, so that changes can follow it.
+    has_state: bool,
+    turn: watch::Sender<FeedTurn>,
+    news: mpsc::UnboundedSender<ToldChanges>,
+}
+
+/// Changes that other VMs are to be told of.
+pub struct ToldChanges {
+    pub targets: Vec<SocketAddr>,
+    pub changes: ChangeSet,
 }
 
 /// Looks the state over: what has lapsed, who has been silent.
@@ -74,7 +85,11 @@
 pub struct FindAhead;
 
 impl ControlKeeper {
-    pub fn new(shared: Arc<GatewayShared>, incarnation: IncarnationId) -> Self {
+    pub fn new(
+        shared: Arc<GatewayShared>,
+        incarnation: IncarnationId,
+        news: mpsc::UnboundedSender<ToldChanges>,
+    ) -> Self {
         let settings = &shared.settings;
         let peers = PeerTable::new(settings.vm.clone(), settings.region().clone());
         let settings = shared.settings.clone();
@@ -93,9 +108,25 @@
             reports: 0,
             behind_since: None,
             is_disturbed: false,
+            has_state: false,
+            turn: watch::Sender::new(FeedTurn { reads: true, known: None }),
+            news,
         }
     }
 
+    /// When the feed is to read, and from where.
+    pub fn turns(&self) -> watch::Receiver<FeedTurn> {
+        self.turn.subscribe()
+    }
+
+    fn set_turn(&self) {
+        let turn = FeedTurn {
+            reads: !self.has_state || self.peers.is_reader(self.is_disturbed, self.now()),
+            known: self.has_state.then_some(self.revision),
+        };
+        self.turn.send_if_modified(|held| std::mem::replace(held, turn) != turn);
+    }
+
     fn now(&self) -> MonoTime {
         self.shared.now()
     }
@@ -125,6 +156,7 @@
             phase: self.phase(),
             version: self.version(),
             revision: self.revision,
+            is_turned_away: self.is_disturbed,
             waits: self.own_waits(),
         }
     }
@@ -177,6 +209,15 @@
         waits
     }
 
+    /// Passes changes on to the VMs of this region that do not read the platform themselves.
+    fn tell_near(&self, changes: ChangeSet) {
+        let targets = self.near_peers();
+        if targets.len() >= PeerTable::ALL_READ {
+            // Nobody takes them only when the process ends.
+            let _ = self.news.send(ToldChanges { targets, changes });
+        }
+    }
+
     /// The other VMs of this region.
     fn near_peers(&self) -> Vec<SocketAddr> {
         self.peers.near(self.now()).map(|beat| beat.peer).collect()
@@ -214,6 +255,7 @@
         }
         let now = self.now();
         self.revision = snapshot.revision;
+        self.has_state = true;
         self.table.replace(snapshot.upstreams, now);
         self.table.set_evacuated(snapshot.evacuated);
         if let Some(description) = snapshot.description {
@@ -221,6 +263,20 @@
         }
     }
 
+    /// Takes in changes. Returns whether they follow what is known, or bring nothing new.
+    fn take_changes(&mut self, set: ChangeSet) -> bool {
+        if !self.has_state || set.after > self.revision {
+            return false;
+        }
+        for counted in set.changes {
+            if counted.revision > self.revision {
+                self.take_change(counted.change);
+            }
+        }
+        self.revision = self.revision.max(set.revision);
+        true
+    }
+
     fn take_change(&mut self, change: FeedChange) {
         let now = self.now();
         match change {
@@ -259,8 +315,9 @@
         (self.shared.uptime() >= LEARNING_TIME).then(|| self.peers.assumed_count())
     }
 
-    /// Makes a new view for traffic.
+    /// Makes a new view for traffic, and decides whether this daemon reads the platform.
     fn publish(&mut self) {
+        self.set_turn();
         let Some(routes) = self.routes.clone() else { return };
         let now = self.now();
         let upstreams = self.current_upstreams(&routes, now);
@@ -406,14 +463,18 @@
                 self.table.note_disturbed(now);
                 if !std::mem::replace(&mut self.is_disturbed, true) {
                     tracing::warn!(cause, revision = self.revision, "platform lost");
+                    self.set_turn();
                 }
                 return;
             }
             FeedNews::Snapshot(snapshot) => self.take_snapshot(snapshot),
-            FeedNews::Changes { revision, changes } => {
-                self.revision = self.revision.max(revision);
-                for change in changes {
-                    self.take_change(change);
+            FeedNews::Changes(set) => {
+                let is_empty = set.changes.is_empty();
+                let told = (!is_empty).then(|| set.clone());
+                if self.take_changes(set)
+                    && let Some(told) = told
+                {
+                    self.tell_near(told);
                 }
             }
         }
@@ -444,6 +505,26 @@
     }
 }
 
+/// Another VM of the region told of changes that it read.
+pub struct HearChanges {
+    pub changes: ChangeSet,
+}
+
+impl Handler<HearChanges> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearChanges, _: &mut Context<Self>) {
+        let before = self.revision;
+        if !self.take_changes(message.changes) {
+            // Some are missing; they are asked for, like after a lost datagram.
+            return;
+        }
+        if self.revision != before {
+            self.publish();
+        }
+    }
+}
+
 impl Handler<OfferSnapshot> for ControlKeeper {
     type Return = ();
 
