--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -68,6 +68,11 @@
         Self(TIME_SHARE * share + (1.0 - TIME_SHARE) * late)
     }
 
+    /// The cost of reading tokens of a request of some size again.
+    pub fn of_rereading(tokens: u32, size: u32) -> Self {
+        Self(REREAD_COST * f64::from(tokens) / f64::from(size.max(1)))
+    }
+
     /// The cost of moving bytes of a request of some size, by what a byte costs against a token.
     pub fn of_bytes(bytes: usize, price: f64, size: u32) -> Self {
         Self(bytes as f64 * price / f64::from(size.max(1)))
@@ -177,9 +182,8 @@
         let read_tokens = reread_tokens + query.own_tokens;
         let first = pace.first(facts.queue, read_tokens).mul_f64(facts.factor) + fetching;
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
-        let per_token = REREAD_COST / f64::from(query.size.max(1));
-        let reread = per_token * f64::from(reread_tokens) * (1.0 - meeting);
-        let moved = per_token * f64::from(fetched) * FETCH_SHARE;
+        let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
+        let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
         let fixed = RequestCost(reread + moved + facts.failures + facts.move_cost);
         let cost = RequestCost::of_time(first, query.target) + fixed;
         UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|it| it.1) }
--- a/crates/foldhaven-gateway/src/attempts.rs
+++ b/crates/foldhaven-gateway/src/attempts.rs
@@ -18,15 +18,12 @@
 use crate::connection::{FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
 use crate::job::GatewayJob;
 use crate::metrics::RequestEnd;
-use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place};
+use crate::places::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, choose_place};
 use crate::shared::GatewayShared;
 use crate::upstream::LoadSeat;
 
 /// How many places are tried at most, those included that could not be reached.
 const MAX_TRIES: usize = 4;
-/// Other VMs are told of prompts whose shared parts have at least so many tokens; for shorter ones
-/// the common ranking is good enough.
-const TOLD_TOKENS: u32 = 512;
 
 /// An answer that is being read, with the place that gives it.
 pub struct PlacedAnswer {
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
 use serde::{Deserialize, Serialize};
@@ -13,8 +14,8 @@
 
 use crate::feed::ChangeSet;
 use crate::keeper::{
-    HearBeat, HearChanges, HearLoad, KeeperAddress, PlanBeats, PlanReport, PlannedBeats,
-    PlannedReport, ToldChanges,
+    HearBeat, HearChanges, HearLoad, HearPlacements, KeeperAddress, PlanBeats, PlanReport,
+    PlannedBeats, PlannedReport, ToldChanges,
 };
 use crate::shared::StopStage;
 
@@ -26,6 +27,7 @@
 enum PeerMessage {
     Beat(BeatMessage),
     Load(LoadReport),
+    Placements(Vec<PromptPlacement>),
     Changes(ChangeSet),
 }
 
@@ -33,12 +35,7 @@
 /// a datagram are asked for.
 pub async fn tell_changes(socket: Arc<UdpSocket>, mut news: mpsc::UnboundedReceiver<ToldChanges>) {
     while let Some(ToldChanges { targets, changes }) = news.recv().await {
-        let message = PeerMessage::Changes(changes);
-        for target in targets {
-            if let Err(error) = send(&socket, target, &message).await {
-                tracing::debug!(peer = %target, error = %error, "telling changes failed");
-            }
-        }
+        send_to(&socket, &targets, &PeerMessage::Changes(changes)).await;
     }
 }
 
@@ -50,17 +47,15 @@
     let mut idle_rounds = 0;
     loop {
         let Ok(planned) = keeper.send(PlanReport).await else { return };
-        let PlannedReport { targets, report, interval } = planned;
+        let PlannedReport { targets, report, far_targets, far_placements, interval } = planned;
         let is_idle = report.shares.is_empty() && report.placements.is_empty();
         // The first idle report says that the earlier requests have ended; later ones that this VM
         // lives.
         if !is_idle || idle_rounds % IDLE_ROUNDS == 0 {
-            let message = PeerMessage::Load(report);
-            for target in targets {
-                if let Err(error) = send(&socket, target, &message).await {
-                    tracing::debug!(peer = %target, error = %error, "sending a load report failed");
-                }
-            }
+            send_to(&socket, &targets, &PeerMessage::Load(report)).await;
+        }
+        if !far_placements.is_empty() {
+            send_to(&socket, &far_targets, &PeerMessage::Placements(far_placements)).await;
         }
         idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         sleep(interval).await;
@@ -91,6 +86,9 @@
             PeerMessage::Changes(changes) => {
                 keeper.send(HearChanges { changes }).await.map(|()| PlannedBeats::new())
             }
+            PeerMessage::Placements(placements) => {
+                keeper.send(HearPlacements { placements }).await.map(|()| PlannedBeats::new())
+            }
             PeerMessage::Load(report) => {
                 keeper.send(HearLoad { report }).await.map(|()| PlannedBeats::new())
             }
@@ -122,11 +120,17 @@
     }
 }
 
+async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
+    for target in targets {
+        if let Err(error) = send(socket, *target, message).await {
+            tracing::debug!(peer = %target, error = %error, "sending to a peer failed");
+        }
+    }
+}
+
 async fn send_all(socket: &UdpSocket, planned: PlannedBeats) {
     for (target, message) in planned {
-        if let Err(error) = send(socket, target, &PeerMessage::Beat(message)).await {
-            tracing::debug!(peer = %target, error = %error, "sending a heartbeat failed");
-        }
+        send_to(socket, &[target], &PeerMessage::Beat(message)).await;
     }
 }
 
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{IncarnationId, RegionName, ServiceName, UpstreamName, VmName};
-use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::affinity::{PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::cold::cold_share;
 use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, share_interval};
 use foldhaven_core::opaque::peer_table::{
@@ -48,6 +48,8 @@
     peers: PeerTable,
     links: HashMap<VmName, Arc<PeerLink>>,
     loads: LoadBook,
+    /// Prompts in other regions, of which the VMs of this region are still to be told.
+    relayed: Vec<PromptPlacement>,
     beats: u32,
     reports: u32,
     behind_since: Option<MonoTime>,
@@ -104,6 +106,7 @@
             peers,
             links: HashMap::new(),
             loads: LoadBook::default(),
+            relayed: Vec::new(),
             beats: 0,
             reports: 0,
             behind_since: None,
@@ -223,6 +226,17 @@
         self.peers.near(self.now()).map(|beat| beat.peer).collect()
     }
 
+    /// One live VM of each other region, another one each time.
+    fn far_targets(&self) -> Vec<SocketAddr> {
+        let own_region = self.shared.settings.region();
+        let mut regions: BTreeMap<&RegionName, Vec<SocketAddr>> = BTreeMap::new();
+        for beat in self.peers.live(self.now()).filter(|beat| beat.region != *own_region) {
+            regions.entry(&beat.region).or_default().push(beat.peer);
+        }
+        let turn = self.reports as usize;
+        regions.into_values().map(|peers| peers[turn % peers.len()]).collect()
+    }
+
     fn take_totals(&mut self) {
         let interval = share_interval(self.near_peers().len());
         let totals = self.loads.totals(interval, self.now());
@@ -656,6 +670,23 @@
     }
 }
 
+/// A VM of another region told of prompts that were sent there.
+pub struct HearPlacements {
+    pub placements: Vec<PromptPlacement>,
+}
+
+impl Handler<HearPlacements> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearPlacements, _: &mut Context<Self>) {
+        let mut hints = self.shared.hints.lock();
+        for placement in &message.placements {
+            hints.note(placement);
+        }
+        self.relayed.extend(message.placements);
+    }
+}
+
 /// Asks for the load report of a round.
 pub struct PlanReport;
 
@@ -663,6 +694,9 @@
 pub struct PlannedReport {
     pub targets: Vec<SocketAddr>,
     pub report: LoadReport,
+    /// A VM of each other region, which tells the rest there of these prompts.
+    pub far_targets: Vec<SocketAddr>,
+    pub far_placements: Vec<PromptPlacement>,
     pub interval: Duration,
 }
 
@@ -675,13 +709,17 @@
         let targets = self.near_peers();
         let own = self.upstreams.values().map(|upstream| (upstream.tag, upstream.load.share()));
         let shares = own.filter(|(_, share)| share.in_flight > 0).collect();
+        let far_placements = std::mem::take(&mut *self.shared.placements.lock());
+        let mut placements = std::mem::take(&mut self.relayed);
+        placements.extend(far_placements.iter().cloned());
         let report = LoadReport {
             vm: self.shared.settings.vm.clone(),
             incarnation: self.incarnation,
             sequence: self.reports,
             shares,
-            placements: std::mem::take(&mut *self.shared.placements.lock()),
+            placements,
         };
-        PlannedReport { interval: share_interval(targets.len()), targets, report }
+        let interval = share_interval(targets.len());
+        PlannedReport { targets, report, far_targets: self.far_targets(), far_placements, interval }
     }
 }
--- a/crates/foldhaven-gateway/src/places.rs
+++ b/crates/foldhaven-gateway/src/places.rs
@@ -89,8 +89,11 @@
 const REGION_BYTE_PRICE: f64 = 0.014;
 /// The same between data centres of a region, where these prices are 0.0035 and 0.0145.
 const CENTRE_BYTE_PRICE: f64 = 0.007;
-/// The share of a prompt's shared parts that another region probably has to read.
+/// The share of a prompt's short shared parts that another region probably has to read.
 const FAR_MISSING_SHARE: f64 = 0.4;
+/// Other VMs are told of prompts whose shared parts have at least so many tokens; for shorter ones
+/// the common ranking is good enough.
+pub const TOLD_TOKENS: u32 = 512;
 
 /// Chooses a place: the best upstream here, unless another region is better by more than the way
 /// there costs.
@@ -218,52 +221,73 @@
     tried: &TriedPlaces,
 ) -> Option<FarChoice> {
     let own_region = shared.settings.region();
-    let regions = view.waits.keys().filter(|(region, service)| {
+    let regions = view.waits.iter().filter(|((region, service), _)| {
         *service == job.service && region != own_region && job.route.permits(region)
     });
-    let priced = regions.filter_map(|(region, service)| {
-        let wait = view.waits[&(region.clone(), service.clone())];
+    let priced = regions.filter_map(|((region, _), wait)| {
         let peer = pick_peer(view, region, tried)?;
-        Some((far_first(shared, view, job, region, wait), peer))
+        Some(FarPricer { shared, view, job, region, wait: *wait }.price(peer))
     });
-    let (first, peer) = priced.min_by_key(|(first, _)| *first)?;
-    let moving = RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, job.size());
-    let cost = RequestCost::of_time(first, job.route.target) + moving;
-    let choice = PlaceChoice {
-        place: RequestPlace::Peer(peer),
-        first,
-        read_tokens: query_of(job).own_tokens,
-        fetch_from: None,
-    };
-    Some(FarChoice { choice, cost })
+    priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
 }
 
-/// The expected time to the answer from another region: what its VMs say, and what the VMs of this
-/// region have sent there since, as far as it can be guessed from what this one has sent.
-fn far_first(
-    shared: &GatewayShared,
-    view: &GatewayView,
-    job: &GatewayJob,
-    region: &RegionName,
+/// Prices one other region for a request.
+struct FarPricer<'a> {
+    shared: &'a GatewayShared,
+    view: &'a GatewayView,
+    job: &'a GatewayJob,
+    region: &'a RegionName,
     wait: RegionWait,
-) -> Duration {
-    let pace = shared.measured_pace(&job.service);
-    let links = view.peers.iter().filter(|peer| peer.region == *region);
-    let sent = links.map(|peer| peer.load.share());
-    let (in_flight, tokens) = sent.fold((0, 0), |(in_flight, tokens), share| {
-        (in_flight + u32::from(share.in_flight), tokens + share.pending_tokens)
-    });
-    let near_vms = view.beats.iter().filter(|beat| beat.region == *shared.settings.region());
-    let near_vms = near_vms.count().max(1) as u32;
-    let upstreams = wait.upstreams.max(1) as u32;
-    let sent = QueueFacts {
-        slots: wait.slots,
-        in_flight: in_flight * near_vms / upstreams,
-        pending_tokens: tokens * near_vms / upstreams,
-    };
-    let query = query_of(job);
-    let missing = (f64::from(query.shared_tokens) * FAR_MISSING_SHARE) as u32;
-    REGION_ROUND_TRIP + wait.wait + pace.first(sent, query.own_tokens + missing)
+}
+
+impl FarPricer<'_> {
+    fn price(&self, peer: Arc<PeerLink>) -> FarChoice {
+        let job = self.job;
+        let query = query_of(job);
+        let missing = self.missing_tokens(query.shared_tokens);
+        let read_tokens = query.own_tokens + missing;
+        let pace = self.shared.measured_pace(&job.service);
+        let first = REGION_ROUND_TRIP + self.wait.wait + pace.first(self.sent_since(), read_tokens);
+        let moving = RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size);
+        let rereading = RequestCost::of_rereading(missing, query.size);
+        let cost = RequestCost::of_time(first, job.route.target) + moving + rereading;
+        let place = RequestPlace::Peer(peer);
+        FarChoice { choice: PlaceChoice { place, first, read_tokens, fetch_from: None }, cost }
+    }
+
+    /// What this region's VMs have sent there since its VMs told their waits, as far as it can be
+    /// guessed from what this one has sent.
+    fn sent_since(&self) -> QueueFacts {
+        let view = self.view;
+        let links = view.peers.iter().filter(|peer| peer.region == *self.region);
+        let sent = links.map(|peer| peer.load.share());
+        let (in_flight, tokens) = sent.fold((0, 0), |(in_flight, tokens), share| {
+            (in_flight + u32::from(share.in_flight), tokens + share.pending_tokens)
+        });
+        let own_region = self.shared.settings.region();
+        let near_vms = view.beats.iter().filter(|beat| beat.region == *own_region).count();
+        let factor = near_vms.max(1) as f64 / self.wait.upstreams.max(1) as f64;
+        QueueFacts {
+            slots: self.wait.slots,
+            in_flight: (f64::from(in_flight) * factor) as u32,
+            pending_tokens: (f64::from(tokens) * factor) as u32,
+        }
+    }
+
+    /// The tokens of the shared parts that would have to be read there.
+    fn missing_tokens(&self, shared_tokens: u32) -> u32 {
+        if shared_tokens < TOLD_TOKENS {
+            return (f64::from(shared_tokens) * FAR_MISSING_SHARE) as u32;
+        }
+        let parts = self.job.shared_parts();
+        let hints = self.shared.hints.lock();
+        let upstreams = self.view.upstreams_of(&self.job.service).iter();
+        let there = upstreams.filter(|upstream| upstream.identity.region == *self.region);
+        let held = there.map(|upstream| {
+            hints.held_tokens(upstream.tag, parts, upstream.identity.prompt_memory)
+        });
+        shared_tokens - held.max().unwrap_or_default().min(shared_tokens)
+    }
 }
 
 fn pick_peer(
