Try a resumable stream again when an upstream fails its start; send untold requests to their homes

At 35 s, after every VM had started anew, 41 requests bound to another region were refused since no VM there had told its wait yet. Ruled out: the retry budget, which was not spent.

--- a/crates/foldhaven-gateway/src/attempts.rs
+++ b/crates/foldhaven-gateway/src/attempts.rs
@@ -8,6 +8,7 @@
 use foldhaven_core::headers;
 use foldhaven_core::ids::DataCentreName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use http::header::CONTENT_TYPE;
 use http::request::Builder;
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
@@ -37,12 +38,31 @@
     pub sent: Instant,
 }
 
+impl PlacedAnswer {
+    fn is_event_stream(&self) -> bool {
+        let head = &self.answer.head;
+        let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+        let is_events = content_type.is_some_and(|value| value.starts_with(EVENT_STREAM));
+        head.status == StatusCode::OK && is_events
+    }
+}
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A whole answer of an upstream.
 pub struct WholeAnswer {
     pub head: Parts,
     pub body: Bytes,
 }
 
+/// How a stream began.
+pub enum StreamStart {
+    /// With events.
+    Events(PlacedAnswer),
+    /// With a whole answer, which tells of a failure or of a bad request.
+    Whole(WholeAnswer),
+}
+
 /// Drives one request.
 pub struct RequestDriver {
     pub shared: Arc<GatewayShared>,
@@ -109,6 +129,41 @@
         }
     }
 
+    /// Runs the request until an upstream has begun a stream of events, or has answered otherwise.
+    pub async fn run_stream(&mut self) -> Result<StreamStart, Refusal> {
+        let mut failed: Option<WholeAnswer> = None;
+        loop {
+            let placed = match self.open(None).await {
+                Ok(placed) if placed.is_event_stream() => return Ok(StreamStart::Events(placed)),
+                Ok(placed) => placed,
+                // An answer that tells of a failure is better than none.
+                Err(refusal) => return failed.map(StreamStart::Whole).ok_or(refusal),
+            };
+            let PlacedAnswer { answer, place, .. } = placed;
+            let (head, body) = match read_whole(answer, place.pool(), self.job.deadline).await {
+                Ok(whole) => whole,
+                Err(fault) => {
+                    self.note_fault(&place, &fault);
+                    match self.end_of_tries(&fault) {
+                        Some(refusal) => return Err(refusal),
+                        None => continue,
+                    }
+                }
+            };
+            self.may_have_run = true;
+            let is_failure = head.status.is_server_error();
+            if is_failure {
+                self.note_failed_answer(&place, head.status);
+            }
+            let whole = WholeAnswer { head, body };
+            let is_final = !is_failure || !self.job.route.repeat.is_repeatable();
+            if is_final || !self.may_send_again() {
+                return Ok(StreamStart::Whole(whole));
+            }
+            failed = Some(whole);
+        }
+    }
+
     /// Opens an answer at some place. With `resume_after` it goes on after that event.
     pub async fn open(&mut self, resume_after: Option<&str>) -> Result<PlacedAnswer, Refusal> {
         loop {
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,13 +4,11 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
-use crate::attempts::{RequestDriver, WholeAnswer};
-use crate::call::read_whole;
+use crate::attempts::{RequestDriver, StreamStart, WholeAnswer};
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
@@ -20,8 +18,6 @@
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
 
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// Answers callers.
 pub struct CallerHandler {
     pub shared: Arc<GatewayShared>,
@@ -95,21 +91,12 @@
             Err(refusal) => driver.end_refused(refusal),
         };
     }
-    let placed = match driver.get().open(None).await {
-        Ok(placed) => placed,
+    let placed = match driver.get().run_stream().await {
+        Ok(StreamStart::Events(placed)) => placed,
+        Ok(StreamStart::Whole(whole)) => return driver.end_whole(whole),
         Err(refusal) => return driver.end_refused(refusal),
     };
     let head = &placed.answer.head;
-    let content_type = head.headers.get(CONTENT_TYPE).map(|value| value.as_bytes());
-    let is_events = content_type.is_some_and(|value| value.starts_with(EVENT_STREAM));
-    if head.status != StatusCode::OK || !is_events {
-        let deadline = driver.get().job.deadline;
-        let pool = placed.place.pool();
-        return match read_whole(placed.answer, pool, deadline).await {
-            Ok((head, body)) => driver.end_whole(WholeAnswer { head, body }),
-            Err(_) => driver.end_refused(Refusal::Broken),
-        };
-    }
     let mut answer = answer_with(head.status, head.headers.clone());
     *answer.body_mut() =
         AnswerBody::Events(Box::new(EventRelay::new(driver.release(), placed, in_flight)));
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -34,6 +34,10 @@
 /// A VM that has read more of the platform's changes than this one for so long is asked for them.
 const BEHIND_LIMIT: Duration = Duration::from_millis(350);
 
+/// The wait in a region of which no VM has told one yet, as after a start: requests that may run only
+/// there are better sent than refused.
+const UNTOLD_WAIT: Duration = Duration::from_millis(100);
+
 /// The control state.
 #[derive(xtra::Actor)]
 pub struct ControlKeeper {
@@ -202,11 +206,13 @@
                 .filter(|wait| wait.service == tag)
                 .map(|wait| wait.wait_ms)
                 .collect();
-            if told.is_empty() {
-                continue;
-            }
-            let sum: u64 = told.iter().map(|wait| u64::from(*wait)).sum();
-            let wait = Duration::from_millis(sum / told.len() as u64);
+            let wait = match told.len() as u64 {
+                0 => UNTOLD_WAIT,
+                count => {
+                    let sum: u64 = told.iter().map(|wait| u64::from(*wait)).sum();
+                    Duration::from_millis(sum / count)
+                }
+            };
             waits.insert((region, service), RegionWait { wait, upstreams, slots });
         }
         waits
