Doubt upstreams of which nothing is heard

Ruled out: connecting, which fails after 0.4 s. Change: without an answer after 0.6 s or twice the expected time, an upstream that sent nothing at all since is left alone for a while, and what may be repeated goes elsewhere.

--- a/crates/foldhaven-gateway/src/attempts.rs
+++ b/crates/foldhaven-gateway/src/attempts.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
+use tokio::time::timeout;
 
 use crate::answer::Refusal;
 use crate::call::{CallFault, CallTarget, OpenAnswer, open_call, read_whole};
@@ -21,11 +22,17 @@
 use crate::metrics::RequestEnd;
 use crate::places::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, choose_place};
 use crate::shared::GatewayShared;
-use crate::upstream::LoadSeat;
+use crate::upstream::{LoadSeat, Upstream};
 
 /// How many places are tried at most, those included that could not be reached.
 const MAX_TRIES: usize = 4;
 
+/// After this time without an answer it is looked whether anything is heard of an upstream. Answers
+/// of a model that reads a long prompt take some hundred milliseconds.
+const LEAST_PATIENCE: Duration = Duration::from_millis(600);
+/// The same as a multiple of the expected time.
+const PATIENCE: u32 = 2;
+
 /// An answer that is being read, with the place that gives it.
 pub struct PlacedAnswer {
     pub answer: OpenAnswer,
@@ -210,7 +217,11 @@
         let target = CallTarget { address, pool: place.pool(), connect_limit };
         self.arrivals += 1;
         let sent = Instant::now();
-        let opened = open_call(&target, request, &self.shared.names, self.job.deadline).await;
+        let opening = open_call(&target, request, &self.shared.names, self.job.deadline);
+        let opened = match &place {
+            RequestPlace::Upstream(upstream) => self.watch(upstream, first, opening).await,
+            RequestPlace::Peer(_) => opening.await,
+        };
         if matches!(opened, Err(CallFault::NotSent(_))) {
             self.arrivals -= 1;
         }
@@ -218,6 +229,36 @@
         Ok(PlacedAnswer { answer, place, seat, expected: first, sent })
     }
 
+    /// Waits for the head of an answer, and doubts an upstream of which nothing at all is heard: one
+    /// that lost its power or was cut off says nothing. A long queue is no reason for doubt, as the
+    /// answers to earlier requests go on.
+    async fn watch(
+        &self,
+        upstream: &Upstream,
+        expected: Duration,
+        opening: impl Future<Output = Result<OpenAnswer, CallFault>>,
+    ) -> Result<OpenAnswer, CallFault> {
+        let shared = &self.shared;
+        let sent = shared.now();
+        let mut opening = std::pin::pin!(opening);
+        let patience = LEAST_PATIENCE.max(expected * PATIENCE);
+        if let Ok(opened) = timeout(patience, opening.as_mut()).await {
+            upstream.note_heard(shared.now());
+            return opened;
+        }
+        if upstream.is_silent_since(sent) {
+            upstream.health.lock().fail(true, shared.now());
+            upstream.pool.clear();
+            shared.metrics.count_event("upstream_silent");
+            if self.job.route.repeat.is_repeatable() {
+                return Err(CallFault::Silent);
+            }
+        }
+        let opened = opening.await;
+        upstream.note_heard(shared.now());
+        opened
+    }
+
     /// Remembers, and tells others, where the parts of a prompt will be held.
     fn note_placement(&self, place: &RequestPlace) {
         let (RequestPlace::Upstream(upstream), Some(outline)) = (place, &self.job.outline) else {
@@ -264,7 +305,9 @@
     /// Notes what a fault says of its place.
     fn note_fault(&mut self, place: &RequestPlace, fault: &CallFault) {
         self.last_fault = Some(fault.to_string());
-        self.may_have_run |= matches!(fault, CallFault::Broken(_) | CallFault::TimedOut);
+        let is_open =
+            matches!(fault, CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut);
+        self.may_have_run |= is_open;
         let RequestPlace::Upstream(upstream) = place else { return };
         let now = self.shared.now();
         match fault {
@@ -277,7 +320,7 @@
                 upstream.health.lock().fail(true, now);
                 upstream.pool.clear();
             }
-            CallFault::Broken(_) | CallFault::TimedOut => {
+            CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
                 upstream.health.lock().fail(false, now);
                 upstream.pace.lock().note_failure(now);
             }
@@ -318,7 +361,7 @@
         let may_repeat = match fault {
             CallFault::NotSent(_) => self.tried_count() < MAX_TRIES,
             CallFault::Declined { .. } => self.may_send_again(),
-            CallFault::Broken(_) | CallFault::TimedOut => {
+            CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
                 self.job.route.repeat.is_repeatable() && self.may_send_again()
             }
         };
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -33,6 +33,8 @@
     },
     /// broken after it may have started: {0}
     Broken(String),
+    /// nothing at all was heard of the upstream
+    Silent,
     /// no answer in time
     TimedOut,
 }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -160,6 +160,11 @@
                 Err(_) => RelayStep::Nothing,
                 Ok(bytes) => {
                     self.last_news = Instant::now();
+                    if let (RequestPlace::Upstream(upstream), Some(driver)) =
+                        (&reading.place, &self.driver)
+                    {
+                        upstream.note_heard(driver.shared.now());
+                    }
                     match self.blocks.push(bytes) {
                         Ok(events) if events.is_empty() => RelayStep::Nothing,
                         Ok(events) => {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -27,6 +27,8 @@
     pub load: Arc<LoadCounter>,
     others_in_flight: AtomicU32,
     others_pending: AtomicU32,
+    /// When anything was received from it last.
+    heard: AtomicU64,
     cold_until: AtomicU64,
     /// The rate at which this VM may send while it is cold, as the bits of a number.
     cold_rate: AtomicU64,
@@ -56,6 +58,7 @@
             load: Arc::default(),
             others_in_flight: AtomicU32::new(0),
             others_pending: AtomicU32::new(0),
+            heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
         })
@@ -77,6 +80,16 @@
         is_cold.then(|| f64::from_bits(self.cold_rate.load(Ordering::Relaxed)))
     }
 
+    /// Notes that something was received from it.
+    pub fn note_heard(&self, now: MonoTime) {
+        self.heard.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether nothing was received from it since a moment.
+    pub fn is_silent_since(&self, moment: MonoTime) -> bool {
+        self.heard.load(Ordering::Relaxed) < moment.0
+    }
+
     /// Takes in the requests that other VMs have there.
     pub fn set_others(&self, share: UpstreamShare) {
         self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
