--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -6,8 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{IncarnationId, VmName};
+use crate::ids::IncarnationId;
 use crate::opaque::affinity::{PromptPlacement, UpstreamTag};
+use crate::opaque::peer_table::VmTag;
 use crate::time::MonoTime;
 
 /// Between two reports of a VM, where few VMs share a region.
@@ -31,7 +32,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// The VM.
-    pub vm: VmName,
+    pub vm: VmTag,
     /// Its process lifetime.
     pub incarnation: IncarnationId,
     /// Rises with each report of one lifetime.
@@ -52,7 +53,7 @@
 /// The newest reports of the other VMs.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    reports: BTreeMap<VmName, HeardReport>,
+    reports: BTreeMap<VmTag, HeardReport>,
 }
 
 impl LoadBook {
--- a/crates/foldhaven-core/src/opaque/peer_table.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table.rs
@@ -229,8 +229,8 @@
     }
 
     /// Takes in that a VM of this region reported its load: it lives.
-    pub fn note_report(&mut self, vm: &VmName, incarnation: IncarnationId, now: MonoTime) {
-        if let Some(entry) = self.peers.get_mut(vm)
+    pub fn note_report(&mut self, vm: VmTag, incarnation: IncarnationId, now: MonoTime) {
+        if let Some(entry) = self.tags.get(&vm).and_then(|name| self.peers.get_mut(name))
             && entry.beat.incarnation == incarnation
         {
             entry.risen = now;
--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -101,8 +101,8 @@
 fn a_load_report_of_the_same_lifetime_is_a_sign_of_life() {
     let mut table = table();
     table.hear(beat("a", "north", 1), at(0));
-    table.note_report(&"a".parse().unwrap(), IncarnationId(1), at(2_000));
-    table.note_report(&"a".parse().unwrap(), IncarnationId(0), at(9_000));
+    table.note_report(VmTag::of(&"a".parse().unwrap()), IncarnationId(1), at(2_000));
+    table.note_report(VmTag::of(&"a".parse().unwrap()), IncarnationId(0), at(9_000));
     assert_eq!(live(&table, at(4_000)), ["a"]);
     assert!(live(&table, at(5_000)).is_empty(), "an earlier lifetime's report");
 }
@@ -283,7 +283,7 @@
 fn report(vm: &str, sequence: u32, in_flight: u16) -> LoadReport {
     let share = UpstreamShare { in_flight, pending_tokens: 10 };
     LoadReport {
-        vm: vm.parse().unwrap(),
+        vm: VmTag::of(&vm.parse().unwrap()),
         incarnation: IncarnationId(1),
         sequence,
         shares: vec![(UpstreamTag(1), share)],
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bincode::Options;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
@@ -39,6 +40,12 @@
     }
 }
 
+/// The codec of datagrams: numbers take as many bytes as they need, since bytes between data centres
+/// are paid for.
+fn codec() -> impl Options {
+    bincode::DefaultOptions::new()
+}
+
 /// A VM without requests reports in every n-th round only.
 const IDLE_ROUNDS: u32 = 4;
 
@@ -74,7 +81,7 @@
                 continue;
             }
         };
-        let message: PeerMessage = match bincode::deserialize(&buffer[..length]) {
+        let message: PeerMessage = match codec().deserialize(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 tracing::warn!(peer = %sender, error = %error, "a heartbeat could not be read");
@@ -135,7 +142,7 @@
 }
 
 async fn send(socket: &UdpSocket, target: SocketAddr, message: &PeerMessage) -> io::Result<()> {
-    let bytes = bincode::serialize(message).map_err(io::Error::other)?;
+    let bytes = codec().serialize(message).map_err(io::Error::other)?;
     if bytes.len() > MAX_DATAGRAM {
         return Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len())));
     }
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -10,7 +10,7 @@
 use foldhaven_core::opaque::cold::cold_share;
 use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, share_interval};
 use foldhaven_core::opaque::peer_table::{
-    BeatMessage, PeerBeat, PeerPhase, PeerTable, ServiceTag, ServiceWait,
+    BeatMessage, PeerBeat, PeerPhase, PeerTable, ServiceTag, ServiceWait, VmTag,
 };
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::{UpstreamEntry, UpstreamTable};
@@ -664,11 +664,11 @@
         let mut report = message.report;
         let placements = std::mem::take(&mut report.placements);
         let now = self.now();
-        let (vm, incarnation) = (report.vm.clone(), report.incarnation);
+        let (vm, incarnation) = (report.vm, report.incarnation);
         if !self.loads.hear(report, now) {
             return;
         }
-        self.peers.note_report(&vm, incarnation, now);
+        self.peers.note_report(vm, incarnation, now);
         let mut hints = self.shared.hints.lock();
         for placement in &placements {
             hints.note(placement);
@@ -719,7 +719,7 @@
         let mut placements = std::mem::take(&mut self.relayed);
         placements.extend(far_placements.iter().cloned());
         let report = LoadReport {
-            vm: self.shared.settings.vm.clone(),
+            vm: VmTag::of(&self.shared.settings.vm),
             incarnation: self.incarnation,
             sequence: self.reports,
             shares,
