--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -15,7 +15,7 @@
 pub const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 /// With more VMs the interval grows by this for each of them, so that a VM hears about as many
 /// reports a second in any region.
-pub const SHARE_INTERVAL_PER_VM: Duration = Duration::from_millis(24);
+pub const SHARE_INTERVAL_PER_VM: Duration = Duration::from_millis(6);
 /// A VM that reported nothing for this many intervals has no requests any more, or nobody knows.
 const STALE_INTERVALS: u32 = 8;
 
