Report loads every 50 ms, and beat faster right after a start

After a restart of everything, heartbeats to seeds that did not listen yet were lost and the next ones came half a second later, so that other regions stayed unknown.

--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -12,10 +12,10 @@
 use crate::time::MonoTime;
 
 /// Between two reports of a VM, where few VMs share a region.
-pub const SHARE_INTERVAL: Duration = Duration::from_millis(100);
+pub const SHARE_INTERVAL: Duration = Duration::from_millis(50);
 /// With more VMs the interval grows by this for each of them, so that a VM hears about as many
 /// reports a second in any region.
-pub const SHARE_INTERVAL_PER_VM: Duration = Duration::from_millis(6);
+pub const SHARE_INTERVAL_PER_VM: Duration = Duration::from_millis(3);
 /// A VM that reported nothing for this many intervals has no requests any more, or nobody knows.
 const STALE_INTERVALS: u32 = 8;
 
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/beats.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bincode::Options;
 use foldhaven_core::opaque::affinity::PromptPlacement;
@@ -10,15 +11,15 @@
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, sleep};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::feed::ChangeSet;
 use crate::keeper::{
-    HearBeat, HearChanges, HearLoad, HearPlacements, KeeperAddress, PlanBeats, PlanReport,
-    PlannedBeats, PlannedReport, ToldChanges,
+    HearBeat, HearChanges, HearLoad, HearPlacements, KeeperAddress, LEARNING_TIME, PlanBeats,
+    PlanReport, PlannedBeats, PlannedReport, ToldChanges,
 };
-use crate::shared::StopStage;
+use crate::shared::GatewayShared;
 
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 << 10;
@@ -107,17 +108,20 @@
     }
 }
 
+/// Between two rounds of a process that has just started: its seeds may start at the same moment and
+/// not have listened yet, and until it hears of others it can send nothing to their regions.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Sends heartbeats in rounds, and at once when this daemon starts to leave.
-pub async fn send_beats(
-    socket: Arc<UdpSocket>,
-    keeper: KeeperAddress,
-    mut stage: watch::Receiver<StopStage>,
-) {
-    let mut rounds = tokio::time::interval(BEAT_INTERVAL);
-    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+pub async fn send_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress, shared: Arc<GatewayShared>) {
+    let mut stage = shared.stage.subscribe();
     loop {
+        let pause = match shared.uptime() < LEARNING_TIME {
+            true => FIRST_INTERVAL,
+            false => BEAT_INTERVAL,
+        };
         let to_all = tokio::select! {
-            _ = rounds.tick() => false,
+            () = sleep(pause) => false,
             Ok(()) = stage.changed() => true,
         };
         match keeper.send(PlanBeats { to_all }).await {
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -149,7 +149,7 @@
     tokio::spawn(hear_beats(socket.clone(), address.clone()));
     tokio::spawn(tell_changes(socket.clone(), told));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
-    tokio::spawn(send_beats(socket, address.clone(), shared.stage.subscribe()));
+    tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
     tokio::spawn(tick(address.clone()));
--- a/crates/foldhaven-gateway/src/keeper.rs
+++ b/crates/foldhaven-gateway/src/keeper.rs
@@ -30,7 +30,7 @@
 pub type KeeperAddress = xtra::Address<ControlKeeper>;
 
 /// A process that has just started does not take the VMs that it heard of for all there are.
-const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+pub const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 /// A VM that has read more of the platform's changes than this one for so long is asked for them.
 const BEHIND_LIMIT: Duration = Duration::from_millis(350);
 
