Put the plain views, paths, ends and permissions of the daemon below what uses them

The views that control publishes and traffic reads stand in one module below both; paths, how service requests end, and where a description permits a request are no longer taken from a neighbour, so that tickets and service, origin, outgoing and receiver do not import each other in a ring. Behaviour is unchanged. SharedState still owns parts of both sides: open.

--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -293,14 +293,15 @@
 
 #[test]
 fn loads_add_up_and_old_reports_do_not_count() {
-    let mut book = LoadBook::default();
-    assert!(book.hear(report("a", 2, 3), at(0)));
-    assert!(!book.hear(report("a", 1, 9), at(10)), "overtaken");
-    assert!(book.hear(report("b", 1, 4), at(500)));
     let interval = share_interval(2);
+    let after = |intervals: u32| at(0) + interval * intervals;
+    let mut book = LoadBook::default();
+    assert!(book.hear(report("a", 2, 3), after(0)));
+    assert!(!book.hear(report("a", 1, 9), after(1)), "overtaken");
+    assert!(book.hear(report("b", 1, 4), after(5)));
     let total = |book: &mut LoadBook, now| {
         book.totals(interval, now).get(&UpstreamTag(1)).map_or(0, |share| share.in_flight)
     };
-    assert_eq!(total(&mut book, at(600)), 7);
-    assert_eq!(total(&mut book, at(1_200)), 4, "a is silent");
+    assert_eq!(total(&mut book, after(6)), 7);
+    assert_eq!(total(&mut book, after(12)), 4, "a is silent");
 }
--- a/crates/foldhavend/src/control/publish.rs
+++ b/crates/foldhavend/src/control/publish.rs
@@ -10,7 +10,7 @@
 use foldhaven_wire::platform::{UpstreamEntry, UpstreamKind};
 
 use super::keeper::ControlKeeper;
-use crate::shared::{MemberView, PublishedView, ServiceInstance};
+use crate::views::{MemberView, PublishedView, ServiceInstance};
 
 /// A daemon that starts takes requests after this long even if it knows of no engine.
 const WARM_LIMIT: Duration = Duration::from_secs(3);
--- a/crates/foldhavend/src/lib.rs
+++ b/crates/foldhavend/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 mod shared;
 mod traffic;
+mod views;
 
 pub use self::daemon::{DaemonError, run_daemon};
 pub use self::logging::start_logging;
--- a/crates/foldhavend/src/shared.rs
+++ b/crates/foldhavend/src/shared.rs
@@ -1,8 +1,6 @@
 //! What the control thread and the traffic threads share: immutable views one way, counters and
 //! notes the other.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -11,10 +9,8 @@
 use arc_swap::ArcSwapOption;
 use foldhaven_core::burn::BurnMeter;
 use foldhaven_core::description::DescriptionStamp;
-use foldhaven_core::ids::{AttemptId, IncarnationId, RequestId, ServiceName, UpstreamName, VmName};
-use foldhaven_core::membership::{MemberState, VmAddresses};
+use foldhaven_core::ids::{AttemptId, IncarnationId, RequestId};
 use foldhaven_core::pause::PauseDetector;
-use foldhaven_core::planner::RouteView;
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
 use foldhaven_core::time::MonoTime;
 use foldhaven_wire::counted::ByteCounter;
@@ -26,35 +22,7 @@
 use crate::metrics::MetricsBook;
 use crate::settings::DaemonSettings;
 use crate::traffic::{TicketDesk, TrafficFacts};
-
-/// A member of this data centre as traffic sees it.
-#[derive(Debug, Clone)]
-pub struct MemberView {
-    pub vm: VmName,
-    pub incarnation: IncarnationId,
-    pub addresses: VmAddresses,
-    pub state: MemberState,
-    pub in_flight: u32,
-}
-
-/// An instance of a plain service.
-#[derive(Debug, Clone)]
-pub struct ServiceInstance {
-    pub name: UpstreamName,
-    pub address: SocketAddr,
-}
-
-/// What the control thread publishes for traffic; replaced as a whole, never changed.
-#[derive(Debug)]
-pub struct PublishedView {
-    pub route: RouteView,
-    pub made: MonoTime,
-    pub engines: BTreeMap<UpstreamName, SocketAddr>,
-    pub services: BTreeMap<ServiceName, Vec<ServiceInstance>>,
-    pub members: Vec<MemberView>,
-    /// How many VMs of this data centre serve, this one included.
-    pub serving: u32,
-}
+use crate::views::PublishedView;
 
 /// A view older than this says nothing any more about other data centres.
 const VIEW_LIFETIME: Duration = Duration::from_secs(3);
--- a/crates/foldhavend/src/traffic/caller_front.rs
+++ b/crates/foldhavend/src/traffic/caller_front.rs
@@ -24,9 +24,10 @@
 use super::entries::list_entries;
 use super::front::{FrontRequest, HttpFront, serve_front};
 use super::origin::{JobEvent, RouteDesk};
+use super::paths::CALLER_SERVICE;
 use super::reply::{event_stream_reply, json_reply, refusal_reply, set_header};
 use super::request::{AnswerShape, ModelJob, bad_request, read_model_job};
-use super::service::{CALLER_SERVICE, RawRequest, ServiceDesk};
+use super::service::{RawRequest, ServiceDesk};
 
 /// How many parts of an answer wait for a slow caller.
 const PART_QUEUE: usize = 64;
--- a/crates/foldhavend/src/traffic/entries.rs
+++ b/crates/foldhavend/src/traffic/entries.rs
@@ -4,7 +4,8 @@
 use foldhaven_core::membership::MemberState;
 use foldhaven_wire::caller::{EntriesAnswer, EntryVm};
 
-use crate::shared::{PublishedView, SharedState};
+use crate::shared::SharedState;
+use crate::views::PublishedView;
 
 /// The weight of a VM with nothing under way.
 const FULL_WEIGHT: u32 = 100;
--- a/crates/foldhavend/src/traffic/mod.rs
+++ b/crates/foldhavend/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod caller_front;
+mod ends;
 mod entries;
 mod explain;
 mod facts;
@@ -10,7 +11,9 @@
 mod front;
 mod origin;
 mod outgoing;
+mod paths;
 mod peer_front;
+mod permission;
 mod receiver;
 mod reply;
 mod request;
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -5,11 +5,10 @@
 
 use foldhaven_core::attempt::{AttemptLog, AttemptState, RequestOutcome};
 use foldhaven_core::burn::BurnEvent;
-use foldhaven_core::description::{DescriptionIndex, DescriptionStamp};
-use foldhaven_core::ids::{AttemptId, DataCentreName, UpstreamName};
+use foldhaven_core::description::DescriptionStamp;
+use foldhaven_core::ids::{AttemptId, UpstreamName};
 use foldhaven_core::planner::{RouteOption, RoutePlan, RoutePolicy, RouteQuery, RouteTarget};
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason, jittered_return};
-use foldhaven_core::residency::ResidencyRule;
 use foldhaven_core::time::MonoTime;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -18,8 +17,10 @@
 use super::call::{AnswerPart, CallFault, UpstreamCall};
 use super::faults::{fault_answer, note_call_fault};
 use super::outgoing::{engine_call, peer_call};
-use super::request::{ModelJob, RequestHead};
-use crate::shared::{PublishedView, SharedState};
+use super::permission::{any_region_permitted, is_permitted};
+use super::request::ModelJob;
+use crate::shared::SharedState;
+use crate::views::PublishedView;
 
 const ROUTE_STEP: &str = "choosing where to run";
 /// How often one request is tried at most.
@@ -435,37 +436,6 @@
     }
 }
 
-/// Whether the description in force permits a request at a target.
-fn is_permitted(job: &ModelJob, view: &PublishedView, target: &RouteTarget) -> bool {
-    let centre = match target {
-        RouteTarget::Engine(_) => &view.route.centre,
-        RouteTarget::Centre(centre) => centre,
-    };
-    permits(&job.head, view, centre)
-}
-
-/// Whether the description in force permits a request in a data centre.
-pub fn permits(head: &RequestHead, view: &PublishedView, centre: &DataCentreName) -> bool {
-    let index = &view.route.index;
-    let permitted = || {
-        let account = index.account(&head.account)?;
-        let class = index.class(&head.class)?;
-        let rule = index.residency_of(account, class)?;
-        Some(rule.permits(&account.home, index.region_of(centre)?))
-    };
-    permitted().unwrap_or(false)
-}
-
-/// Whether any region at all is permitted for the account and class of a request.
-fn any_region_permitted(
-    index: &DescriptionIndex,
-    rule: &ResidencyRule,
-    head: &RequestHead,
-) -> bool {
-    let Some(account) = index.account(&head.account) else { return false };
-    index.description.regions.iter().any(|region| rule.permits(&account.home, &region.name))
-}
-
 /// The last fault says more than a refusal to try again.
 fn prefer_fault(progress: &mut JobProgress, refusal: RefusalAnswer) -> RefusalAnswer {
     match progress.last_fault.take() {
--- a/crates/foldhavend/src/traffic/outgoing.rs
+++ b/crates/foldhavend/src/traffic/outgoing.rs
@@ -10,10 +10,11 @@
 use http::{HeaderMap, Method};
 
 use super::call::UpstreamCall;
-use super::receiver::PEER_COMPLETIONS;
+use super::paths::PEER_COMPLETIONS;
 use super::reply::set_header;
 use super::request::{ModelJob, RequestHead};
-use crate::shared::{PublishedView, SharedState};
+use crate::shared::SharedState;
+use crate::views::PublishedView;
 
 /// The scale of priorities: worth of a slot second times this.
 const PRIORITY_SCALE: f64 = 100.0;
--- a/crates/foldhavend/src/traffic/peer_front.rs
+++ b/crates/foldhavend/src/traffic/peer_front.rs
@@ -13,9 +13,10 @@
 use super::explain::explain;
 use super::front::{FrontRequest, HttpFront, serve_front};
 use super::origin::RouteDesk;
-use super::receiver::{PEER_COMPLETIONS, receive_model, refusal_without_attempt};
+use super::paths::{PEER_COMPLETIONS, PEER_SERVICE, PEER_TICKETED};
+use super::receiver::{receive_model, refusal_without_attempt};
 use super::reply::{body_reply, json_reply, refusal_reply};
-use super::service::{PEER_SERVICE, PEER_TICKETED, RawRequest, ServiceDesk};
+use super::service::{RawRequest, ServiceDesk};
 
 /// The path under which other daemons pass requests on.
 const PEER_PREFIX: &str = "/peer/v1/";
--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -22,11 +22,10 @@
 use super::origin::RouteDesk;
 use super::reply::{event_stream_reply, refusal_reply, refused_attempt_reply, set_header};
 use super::request::{AnswerShape, ModelJob, header_text, header_value, read_model_job};
-use crate::shared::{PublishedView, SharedState};
+use crate::shared::SharedState;
+use crate::views::PublishedView;
 
 const STEP: &str = "receiving a forwarded request";
-/// The path under which peers take forwarded model requests.
-pub const PEER_COMPLETIONS: &str = "/peer/v1/completions";
 /// How long a receiver tries to get a description that the sender has and it has not.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(700);
 const CATCH_UP_CHECK: Duration = Duration::from_millis(20);
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -19,23 +19,19 @@
 
 use super::TrafficContext;
 use super::call::{CallFault, UpstreamCall, WholeAnswer};
+use super::ends::{ServiceEnd, ServiceResult};
 use super::faults::fault_answer;
-use super::origin::permits;
 use super::outgoing::{base_headers, pick_peer};
+use super::paths::{CALLER_SERVICE, PEER_SERVICE, PEER_TICKETED};
+use super::permission::permits;
 use super::receiver::{ForwardHead, admit_forward, read_forward_head, refusal_without_attempt};
 use super::reply::{pass_on, refusal_reply, refused_attempt_reply, set_header};
 use super::request::{RequestHead, header_text, header_value, read_head};
-use super::tickets::TicketResult;
-use crate::shared::{PublishedView, ServiceInstance, SharedState};
+use crate::shared::SharedState;
+use crate::views::{PublishedView, ServiceInstance};
 
 const STEP: &str = "calling a service";
 const MAX_ATTEMPTS: usize = 3;
-/// The path under which peers take forwarded service requests.
-pub const PEER_SERVICE: &str = "/peer/v1/service/";
-/// The path under which an owner takes requests with its tickets from other VMs.
-pub const PEER_TICKETED: &str = "/peer/v1/ticketed/";
-/// The path under which callers reach services.
-pub const CALLER_SERVICE: &str = "/service/";
 
 /// A request to a plain service.
 #[derive(Debug, Clone)]
@@ -49,14 +45,6 @@
     pub body: Bytes,
 }
 
-/// A service request that was answered by the service.
-#[derive(Debug, Clone)]
-pub struct ServiceEnd {
-    pub answer: WholeAnswer,
-    pub outcome: RequestOutcome,
-    pub served_by: String,
-}
-
 /// Where a service request can go.
 enum ServicePlace {
     Instance(ServiceInstance),
@@ -165,7 +153,7 @@
     }
 
     /// Tries places until one answers, as far as that is permitted.
-    pub(super) async fn run(&self, job: &ServiceJob) -> TicketResult {
+    pub(super) async fn run(&self, job: &ServiceJob) -> ServiceResult {
         let mut log = AttemptLog::default();
         let mut tried = Vec::new();
         let remaining = job.head.remaining(self.shared().now());
@@ -185,7 +173,7 @@
         job: &ServiceJob,
         log: &mut AttemptLog,
         tried: &mut Vec<String>,
-    ) -> TicketResult {
+    ) -> ServiceResult {
         let mut last_fault = None;
         loop {
             self.shared().await_fresh().await?;
@@ -344,7 +332,7 @@
     }
 
     /// Runs a forwarded request at one instance here, once.
-    async fn run_forwarded(&self, raw: &RawRequest, head: &ForwardHead) -> TicketResult {
+    async fn run_forwarded(&self, raw: &RawRequest, head: &ForwardHead) -> ServiceResult {
         let shared = self.shared();
         let _in_flight = shared.enter();
         let view = admit_forward(shared, head).await?;
@@ -373,7 +361,7 @@
         })
     }
 
-    pub(super) fn finish(&self, job: &ServiceJob, result: &TicketResult) {
+    pub(super) fn finish(&self, job: &ServiceJob, result: &ServiceResult) {
         let shared = self.shared();
         let now = shared.now();
         let head = &job.head;
@@ -492,7 +480,7 @@
     }
 }
 
-pub(super) fn reply_of(result: &TicketResult) -> Response {
+pub(super) fn reply_of(result: &ServiceResult) -> Response {
     match result {
         Ok(ServiceEnd { answer, outcome, served_by }) => {
             let WholeAnswer { status, headers, body } = answer.clone();
--- a/crates/foldhavend/src/traffic/ticketed.rs
+++ b/crates/foldhavend/src/traffic/ticketed.rs
@@ -13,11 +13,12 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::call::{UpstreamCall, WholeAnswer};
+use super::paths::PEER_TICKETED;
 use super::reply::{error_reply, pass_on, refusal_reply, set_header};
 use super::request::{header_text, header_value};
-use super::service::{PEER_TICKETED, RawRequest, ServiceDesk, ServiceJob, reply_of};
+use super::service::{RawRequest, ServiceDesk, ServiceJob, reply_of};
 use super::tickets::TicketUse;
-use crate::shared::PublishedView;
+use crate::views::PublishedView;
 
 const STEP: &str = "redeeming a ticket";
 
--- a/crates/foldhavend/src/traffic/tickets.rs
+++ b/crates/foldhavend/src/traffic/tickets.rs
@@ -3,18 +3,14 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{IncarnationId, VmName};
-use foldhaven_core::refusal::RefusalAnswer;
 use foldhaven_core::ticket::{RequestTicket, TicketLedger, TicketVerdict};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::service::ServiceEnd;
+use super::ends::ServiceResult;
 
-/// How a ticketed request ended, for everybody who waits for it.
-pub type TicketResult = Result<ServiceEnd, RefusalAnswer>;
-
-type ResultSlot = watch::Receiver<Option<TicketResult>>;
+type ResultSlot = watch::Receiver<Option<ServiceResult>>;
 
 /// What is to be done with a request that came with a ticket of this process.
 pub enum TicketUse {
@@ -28,12 +24,12 @@
 
 /// The one permitted run of a ticket.
 pub struct TicketRun {
-    sender: watch::Sender<Option<TicketResult>>,
+    sender: watch::Sender<Option<ServiceResult>>,
 }
 
 impl TicketRun {
     /// Tells the result to all who joined, now and later.
-    pub fn finish(self, result: TicketResult) {
+    pub fn finish(self, result: ServiceResult) {
         self.sender.send_replace(Some(result));
     }
 }
@@ -45,7 +41,7 @@
 
 impl TicketJoin {
     /// The result; nothing when the run was given up without one.
-    pub async fn wait(mut self) -> Option<TicketResult> {
+    pub async fn wait(mut self) -> Option<ServiceResult> {
         let waited = self.slot.wait_for(Option::is_some).await.ok()?;
         waited.clone()
     }
