--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -0,0 +1,142 @@
+//! The messages of membership: heartbeats, pulses, and what they are made of.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentreName, IncarnationId, RegionName, ServiceName, VmName};
+use crate::opaque::route_table::RouteVersion;
+use crate::rank::rank_hash;
+
+/// What one VM sends another in a round.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BeatMessage {
+    /// The sender's heartbeat.
+    pub own: PeerBeat,
+    /// Pulses of VMs that the sender heard.
+    pub pulses: Vec<PeerPulse>,
+    /// Heartbeats of VMs that the receiver did not know.
+    pub heard: Vec<PeerBeat>,
+    /// Whether the sender heard of VMs that it does not know, and asks for all heartbeats.
+    pub asks_all: bool,
+}
+
+/// The heartbeat of a VM: all that others know of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// The VM.
+    pub vm: VmName,
+    /// The process lifetime; a later one is larger.
+    pub incarnation: IncarnationId,
+    /// The number of this heartbeat within the lifetime; it rises with each.
+    pub sequence: u32,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// The region of that data centre.
+    pub region: RegionName,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+    /// Where other VMs reach it.
+    pub peer: SocketAddr,
+    /// What it does.
+    pub phase: PeerPhase,
+    /// The description that it has in force.
+    pub version: RouteVersion,
+    /// How far it knows the platform's changes.
+    pub revision: u64,
+    /// Whether the platform turns it away.
+    pub is_turned_away: bool,
+    /// For each service that has upstreams in its region: the wait that a request would meet there.
+    pub waits: Vec<ServiceWait>,
+}
+
+impl PeerBeat {
+    /// The pulse that repeats what changes often in this heartbeat.
+    pub(super) fn pulse(&self) -> PeerPulse {
+        PeerPulse {
+            vm: VmTag::of(&self.vm),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            phase: self.phase,
+            revision: self.revision,
+            is_turned_away: self.is_turned_away,
+        }
+    }
+
+    /// This heartbeat with what a later pulse of the same lifetime says.
+    pub(super) fn with_pulse(&self, pulse: &PeerPulse) -> Self {
+        Self {
+            sequence: pulse.sequence,
+            phase: pulse.phase,
+            revision: pulse.revision,
+            is_turned_away: pulse.is_turned_away,
+            ..self.clone()
+        }
+    }
+
+    /// Where this heartbeat stands among all of its VM; later ones are larger.
+    pub(super) fn order(&self) -> (IncarnationId, u32) {
+        (self.incarnation, self.sequence)
+    }
+}
+
+/// That the sequence of a VM has risen, and what changes often of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerPulse {
+    /// The VM.
+    pub vm: VmTag,
+    /// Its process lifetime.
+    pub incarnation: IncarnationId,
+    /// Its sequence.
+    pub sequence: u32,
+    /// What it does.
+    pub phase: PeerPhase,
+    /// How far it knows the platform's changes.
+    pub revision: u64,
+    /// Whether the platform turns it away.
+    pub is_turned_away: bool,
+}
+
+/// What a VM says of itself for others' decisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerPhase {
+    /// It has no description yet.
+    Starting,
+    /// It takes requests.
+    Serving,
+    /// It is about to end and takes nothing new.
+    Leaving,
+}
+
+/// The wait that a request of a service would meet in a region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWait {
+    /// The service.
+    pub service: ServiceTag,
+    /// The wait in milliseconds.
+    pub wait_ms: u16,
+}
+
+/// A service in messages between VMs: the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceTag(pub u32);
+
+impl ServiceTag {
+    /// The tag of a service.
+    pub fn of(name: &ServiceName) -> Self {
+        Self(rank_hash(&[name.as_str()]) as u32)
+    }
+}
+
+/// A VM in pulses and load reports: the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct VmTag(pub u32);
+
+impl VmTag {
+    /// The tag of a VM.
+    pub fn of(name: &VmName) -> Self {
+        Self(rank_hash(&[name.as_str()]) as u32)
+    }
+}
--- a/crates/foldhaven-core/src/opaque/peer_table.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -6,18 +6,20 @@
 //! that goes on rising counts. Inside a region the load reports, which go to everybody there, serve as
 //! pulses too, so that near VMs are missed sooner than far ones.
 
+mod messages;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use crate::ids::{DataCentreName, IncarnationId, RegionName, ServiceName, VmName};
-use crate::opaque::route_table::RouteVersion;
-use crate::rank::{rank_by, rank_hash};
+pub use self::messages::{
+    BeatMessage, PeerBeat, PeerPhase, PeerPulse, ServiceTag, ServiceWait, VmTag,
+};
+use crate::ids::{IncarnationId, RegionName, VmName};
+use crate::rank::rank_by;
 use crate::time::MonoTime;
 
-/// Between two rounds of heartbeats.
+/// The time between two rounds of heartbeats.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// How many VMs get a heartbeat in one round.
 const FAN_OUT: usize = 4;
@@ -36,124 +38,19 @@
 /// A VM silent for this long is forgotten. Until then it counts where limits are divided.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// What a VM says of itself for others' decisions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PeerPhase {
-    /// It has no description yet.
-    Starting,
-    /// It takes requests.
-    Serving,
-    /// It is about to end and takes nothing new.
-    Leaving,
-}
-
-/// A service in messages between VMs: the hash of its name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ServiceTag(pub u32);
-
-impl ServiceTag {
-    /// The tag of a service.
-    pub fn of(name: &ServiceName) -> Self {
-        Self(rank_hash(&[name.as_str()]) as u32)
-    }
-}
-
-/// The wait that a request of a service would meet in a region.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceWait {
-    /// The service.
-    pub service: ServiceTag,
-    /// The wait in milliseconds.
-    pub wait_ms: u16,
-}
-
-/// The heartbeat of a VM.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PeerBeat {
-    /// The VM.
-    pub vm: VmName,
-    /// The process lifetime; a later one is larger.
-    pub incarnation: IncarnationId,
-    /// Rises with each heartbeat of one lifetime.
-    pub sequence: u32,
-    /// The data centre that it stands in.
-    pub data_centre: DataCentreName,
-    /// The region of that data centre.
-    pub region: RegionName,
-    /// Where callers reach it.
-    pub caller: SocketAddr,
-    /// Where other VMs reach it.
-    pub peer: SocketAddr,
-    /// What it does.
-    pub phase: PeerPhase,
-    /// The description that it has in force.
-    pub version: RouteVersion,
-    /// How far it knows the platform's changes.
-    pub revision: u64,
-    /// Whether the platform turns it away.
-    pub is_turned_away: bool,
-    /// For each service that has upstreams in its region: the wait that a request would meet there.
-    pub waits: Vec<ServiceWait>,
-}
-
-/// A VM in pulses: the hash of its name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct VmTag(pub u32);
-
-impl VmTag {
-    /// The tag of a VM.
-    pub fn of(name: &VmName) -> Self {
-        Self(rank_hash(&[name.as_str()]) as u32)
-    }
-}
-
-/// That the sequence of a VM has risen, and what changes often of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerPulse {
-    /// The VM.
-    pub vm: VmTag,
-    /// Its process lifetime.
-    pub incarnation: IncarnationId,
-    /// Its sequence.
-    pub sequence: u32,
-    /// What it does.
-    pub phase: PeerPhase,
-    /// How far it knows the platform's changes.
-    pub revision: u64,
-    /// Whether the platform turns it away.
-    pub is_turned_away: bool,
-}
-
-/// What one VM sends another in a round.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct BeatMessage {
-    /// The sender's heartbeat.
-    pub own: PeerBeat,
-    /// Pulses of VMs that the sender heard.
-    pub pulses: Vec<PeerPulse>,
-    /// Heartbeats of VMs that the receiver did not know.
-    pub heard: Vec<PeerBeat>,
-    /// Whether the sender heard of VMs that it does not know, and asks for all heartbeats.
-    pub asks_all: bool,
-}
-
-#[derive(Debug, Clone)]
-struct PeerEntry {
-    beat: PeerBeat,
-    risen: MonoTime,
-}
-
 /// The VMs heard of.
 #[derive(Debug)]
 pub struct PeerTable {
     own: VmName,
     region: RegionName,
     peers: BTreeMap<VmName, PeerEntry>,
+    /// The names behind the tags in pulses.
     tags: HashMap<VmTag, VmName>,
+    /// Whether no pulse of an unknown VM or lifetime came since all heartbeats were asked for.
     knows_all: bool,
+    /// Where in the common order of VMs the next round of heartbeats begins.
     turn: usize,
+    /// The same for the pulses that go with them.
     pulse_turn: usize,
 }
 
@@ -189,8 +86,7 @@
             self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now });
             return true;
         };
-        let order = |beat: &PeerBeat| (beat.incarnation, beat.sequence);
-        if order(&beat) <= order(&known.beat) {
+        if beat.order() <= known.beat.order() {
             return false;
         }
         let is_news = !self.is_live(known, now)
@@ -214,17 +110,10 @@
             self.knows_all = false;
             return false;
         }
-        let order = (pulse.incarnation, pulse.sequence);
-        if order <= (entry.beat.incarnation, entry.beat.sequence) {
+        if (pulse.incarnation, pulse.sequence) <= entry.beat.order() {
             return false;
         }
-        let beat = PeerBeat {
-            sequence: pulse.sequence,
-            phase: pulse.phase,
-            revision: pulse.revision,
-            is_turned_away: pulse.is_turned_away,
-            ..entry.beat.clone()
-        };
+        let beat = entry.beat.with_pulse(&pulse);
         self.hear(beat, now)
     }
 
@@ -319,18 +208,17 @@
         if self.peers.len() <= 2 * FAN_OUT + 2 {
             return Vec::new();
         }
-        let pulse = |beat: &PeerBeat| PeerPulse {
-            vm: VmTag::of(&beat.vm),
-            incarnation: beat.incarnation,
-            sequence: beat.sequence,
-            phase: beat.phase,
-            revision: beat.revision,
-            is_turned_away: beat.is_turned_away,
-        };
-        let all: Vec<PeerPulse> = self.live(now).map(pulse).collect();
+        let all: Vec<PeerPulse> = self.live(now).map(PeerBeat::pulse).collect();
         let count = RELAYED.min(all.len());
         let pulses = (0..count).map(|step| all[(self.pulse_turn + step) % all.len()]).collect();
         self.pulse_turn += count;
         pulses
     }
 }
+
+#[derive(Debug, Clone)]
+struct PeerEntry {
+    beat: PeerBeat,
+    /// When its sequence rose last, or a load report of it came.
+    risen: MonoTime,
+}
