--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -46,33 +46,24 @@
     pub(super) fn note_failed_answer(&mut self, place: &RequestPlace, status: StatusCode) {
         self.last_fault = Some(format!("the upstream answered {status}"));
         if let RequestPlace::Upstream(upstream) = place {
-            let now = self.shared.now();
-            upstream.health.lock().fail(false, now);
-            upstream.pace.lock().note_failure(now);
+            upstream.note_failure(self.shared.now());
         }
     }
 
     /// Notes what a fault says of its place.
     pub(super) fn note_fault(&mut self, place: &RequestPlace, fault: &CallFault) {
         self.last_fault = Some(fault.to_string());
-        let is_open =
-            matches!(fault, CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut);
-        self.may_have_run |= is_open;
+        self.may_have_run |= fault.may_have_run();
         let RequestPlace::Upstream(upstream) = place else { return };
         let now = self.shared.now();
         match fault {
-            CallFault::NotSent(_) => {
-                upstream.health.lock().fail(true, now);
-                upstream.pool.clear();
-            }
+            CallFault::NotSent(_) => upstream.note_unreachable(now),
             CallFault::Declined { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
                 // Another process has the address now.
-                upstream.health.lock().fail(true, now);
-                upstream.pool.clear();
+                upstream.note_unreachable(now);
             }
             CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
-                upstream.health.lock().fail(false, now);
-                upstream.pace.lock().note_failure(now);
+                upstream.note_failure(now);
             }
             CallFault::Declined { .. } => upstream.pace.lock().note_failure(now),
         }
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -11,8 +11,7 @@
 use tokio::time::timeout;
 
 use super::{PlacedAnswer, RequestDriver};
-use crate::call::{CallFault, CallTarget, OpenAnswer, open_call};
-use crate::connection::{FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
+use crate::call::{CallFault, OpenAnswer, open_call};
 use crate::places::{PlaceChoice, RequestPlace};
 use crate::upstream::Upstream;
 
@@ -23,6 +22,7 @@
 const PATIENCE: u32 = 2;
 
 impl RequestDriver {
+    /// Sends the request to a place and waits for the head of the answer.
     pub(super) async fn call(
         &mut self,
         chosen: PlaceChoice,
@@ -35,12 +35,8 @@
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
         let seat = place.enter(read_tokens);
-        let (address, connect_limit) = match &place {
-            RequestPlace::Upstream(upstream) => (upstream.identity.address, NEAR_CONNECT_LIMIT),
-            RequestPlace::Peer(peer) => (peer.address, FAR_CONNECT_LIMIT),
-        };
         self.note_placement(&place);
-        let target = CallTarget { address, pool: place.pool(), connect_limit };
+        let target = place.call_target();
         self.arrivals += 1;
         let sent = Instant::now();
         let opening = open_call(&target, request, &self.shared.names, self.job.deadline);
@@ -55,6 +51,7 @@
         Ok(PlacedAnswer { answer, place, seat, expected: first, sent })
     }
 
+    /// The request with the headers that are set for each try.
     fn make_request(
         &self,
         place: &RequestPlace,
@@ -100,8 +97,7 @@
             return opened;
         }
         if upstream.is_silent_since(sent) {
-            upstream.health.lock().fail(true, shared.now());
-            upstream.pool.clear();
+            upstream.note_unreachable(shared.now());
             shared.metrics.count_event("upstream_silent");
             if self.job.route.repeat.is_repeatable() {
                 return Err(CallFault::Silent);
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -18,7 +18,7 @@
             return Some(self.refusal_for(fault));
         }
         let may_repeat = match fault {
-            CallFault::NotSent(_) => self.tried_count() < MAX_TRIES,
+            CallFault::NotSent(_) => self.tried.count() < MAX_TRIES,
             CallFault::Declined { .. } => self.may_send_again(),
             CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
                 self.job.route.repeat.is_repeatable() && self.may_send_again()
@@ -33,7 +33,7 @@
     /// Whether the request may be sent to one more place that counts it as arrived.
     pub fn may_send_again(&mut self) -> bool {
         let is_open = self.arrivals < self.job.route.max_attempts
-            && self.tried_count() < MAX_TRIES
+            && self.tried.count() < MAX_TRIES
             && !self.job.is_forwarded
             && Instant::now() < self.job.deadline;
         if !is_open {
@@ -45,10 +45,7 @@
         is_granted
     }
 
-    fn tried_count(&self) -> usize {
-        self.tried.upstreams.len() + self.tried.peers.len()
-    }
-
+    /// How the caller is refused after a fault: a try that may have run must not be denied.
     fn refusal_for(&self, fault: &CallFault) -> Refusal {
         if self.may_have_run {
             return match fault {
@@ -69,6 +66,7 @@
         if self.may_have_run { Refusal::Broken } else { refusal }
     }
 
+    /// How the caller is refused when its time has passed.
     pub(super) fn out_of_time(&self) -> Refusal {
         if self.may_have_run { Refusal::TimedOut } else { Refusal::NotReached }
     }
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -39,6 +39,13 @@
     TimedOut,
 }
 
+impl CallFault {
+    /// Whether the work behind the call may have been done.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Silent | Self::TimedOut)
+    }
+}
+
 /// Where a call goes.
 pub struct CallTarget<'a> {
     pub address: SocketAddr,
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -229,9 +229,7 @@
         if let RelayState::Reading(reading) = &self.state
             && let RequestPlace::Upstream(upstream) = &reading.place
         {
-            let now = driver.shared.now();
-            upstream.health.lock().fail(false, now);
-            upstream.pace.lock().note_failure(now);
+            upstream.note_failure(driver.shared.now());
         }
         if !driver.job.route.repeat.is_repeatable() || !driver.may_send_again() {
             self.driver = Some(driver);
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -14,7 +14,8 @@
 use self::near::choose_near;
 pub use self::near::expected_wait;
 use crate::answer::Refusal;
-use crate::connection::ConnectionPool;
+use crate::call::CallTarget;
+use crate::connection::{ConnectionPool, FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::upstream::{LoadSeat, Upstream};
@@ -52,6 +53,15 @@
         }
     }
 
+    /// Where calls go. Those to another region may take longer to connect.
+    pub fn call_target(&self) -> CallTarget<'_> {
+        let (address, connect_limit) = match self {
+            Self::Upstream(upstream) => (upstream.identity.address, NEAR_CONNECT_LIMIT),
+            Self::Peer(peer) => (peer.address, FAR_CONNECT_LIMIT),
+        };
+        CallTarget { address, pool: self.pool(), connect_limit }
+    }
+
     /// Counts a request there.
     pub fn enter(&self, tokens: u32) -> LoadSeat {
         match self {
@@ -86,6 +96,11 @@
             RequestPlace::Peer(peer) => self.peers.push(peer.vm.clone()),
         }
     }
+
+    /// How many places were tried, those included that could not be reached.
+    pub fn count(&self) -> usize {
+        self.upstreams.len() + self.peers.len()
+    }
 }
 
 /// Chooses a place: the best upstream here, unless another region is better by more than the way
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -90,6 +90,19 @@
         self.heard.load(Ordering::Relaxed) < moment.0
     }
 
+    /// Notes that it cannot be reached or says nothing: it is ejected at once, and connections to it
+    /// are closed.
+    pub fn note_unreachable(&self, now: MonoTime) {
+        self.health.lock().fail(true, now);
+        self.pool.clear();
+    }
+
+    /// Notes that a request failed there after it may have run.
+    pub fn note_failure(&self, now: MonoTime) {
+        self.health.lock().fail(false, now);
+        self.pace.lock().note_failure(now);
+    }
+
     /// Takes in the requests that other VMs have there.
     pub fn set_others(&self, share: UpstreamShare) {
         self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
