--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -12,8 +12,8 @@
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
-    GatewayJob, check_head, forwarded_headers, host_of, read_body, read_outline,
-    read_output_tokens, read_terms, remove_connection_headers,
+    CallerTerms, GatewayJob, ReadRequest, check_head, host_of, read_body, read_terms,
+    remove_connection_headers,
 };
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
@@ -60,24 +60,10 @@
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
     let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
     let terms = read_terms(&head, &shared.names)?;
+    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), ..terms };
     let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
-    let outline = read_outline(&head, &route, &shared.names);
-    let output_tokens = read_output_tokens(&head, &shared.names);
-    let deadline = started + terms.remaining.min(route.timeout);
-    Ok(GatewayJob {
-        attempt: terms.attempt,
-        service,
-        method: head.method,
-        target: head.uri,
-        headers: forwarded_headers(head.headers, &shared.names),
-        body,
-        started,
-        deadline,
-        outline,
-        output_tokens,
-        route,
-        is_forwarded: false,
-    })
+    let request = ReadRequest { head, body, started };
+    Ok(request.into_job(route, service, terms, &shared.names))
 }
 
 /// Runs a request and gives its answer.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -30,6 +30,7 @@
 /// A request that is to be run.
 #[derive(Clone)]
 pub struct GatewayJob {
+    /// The id by which the caller tells its tries apart; upstreams repeat it.
     pub attempt: HeaderValue,
     pub route: Arc<OpaqueRoute>,
     pub service: ServiceName,
@@ -41,6 +42,7 @@
     pub started: Instant,
     /// When the caller gives up, or the operators want it given up.
     pub deadline: Instant,
+    /// The parts of the prompt, where the caller names them and the route uses them.
     pub outline: Option<PromptOutline>,
     /// The longest answer in tokens, where the caller names it.
     pub output_tokens: u32,
@@ -74,6 +76,40 @@
     }
 }
 
+/// A request whose body was read to its end.
+pub struct ReadRequest {
+    pub head: Parts,
+    pub body: Bytes,
+    pub started: Instant,
+}
+
+impl ReadRequest {
+    /// Makes the job of a request that came from a caller.
+    pub fn into_job(
+        self,
+        route: Arc<OpaqueRoute>,
+        service: ServiceName,
+        terms: CallerTerms,
+        names: &HeaderNames,
+    ) -> GatewayJob {
+        let Self { head, body, started } = self;
+        GatewayJob {
+            attempt: terms.attempt,
+            outline: read_outline(&head, &route, names),
+            output_tokens: read_output_tokens(&head, names),
+            route,
+            service,
+            method: head.method,
+            target: head.uri,
+            headers: forwarded_headers(head.headers, names),
+            body,
+            started,
+            deadline: started + terms.remaining,
+            is_forwarded: false,
+        }
+    }
+}
+
 /// The host that a request names.
 pub fn host_of(head: &Parts) -> Option<&str> {
     if let Some(host) = head.uri.host() {
@@ -128,11 +164,7 @@
 }
 
 /// Reads the outline of the prompt, if the route wants requests that share one to meet.
-pub fn read_outline(
-    head: &Parts,
-    route: &OpaqueRoute,
-    names: &HeaderNames,
-) -> Option<PromptOutline> {
+fn read_outline(head: &Parts, route: &OpaqueRoute, names: &HeaderNames) -> Option<PromptOutline> {
     if !route.affinity {
         return None;
     }
@@ -141,14 +173,14 @@
 
 /// Reads the longest answer from the numbers of tokens that a caller names: those of the prompt, and
 /// those of the longest answer. Nothing depends on it but the choice of a place.
-pub fn read_output_tokens(head: &Parts, names: &HeaderNames) -> u32 {
+fn read_output_tokens(head: &Parts, names: &HeaderNames) -> u32 {
     let named = head.headers.get(&names.token_counts).and_then(|value| value.to_str().ok());
     let output = named.and_then(|text| text.split_once(',')).map(|(_, output)| output.trim());
     output.and_then(|output| output.parse().ok()).unwrap_or_default()
 }
 
 /// The headers that go on to an upstream: all but those of the connection and reserved ones.
-pub fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
     remove_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -12,9 +12,7 @@
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::caller_front::run_job;
 use crate::front::FrontHandler;
-use crate::job::{
-    GatewayJob, forwarded_headers, host_of, read_body, read_outline, read_output_tokens, read_terms,
-};
+use crate::job::{GatewayJob, ReadRequest, host_of, read_body, read_terms};
 use crate::peer_state::PEER_STATE_PATH;
 use crate::shared::GatewayShared;
 
@@ -83,21 +81,7 @@
         return Err(Refusal::NotPermitted);
     }
     let terms = read_terms(&head, &shared.names)?;
-    let outline = read_outline(&head, &route, &shared.names);
-    let output_tokens = read_output_tokens(&head, &shared.names);
-    let deadline = started + terms.remaining;
-    Ok(GatewayJob {
-        attempt: terms.attempt,
-        service,
-        method: head.method,
-        target: head.uri,
-        headers: forwarded_headers(head.headers, &shared.names),
-        body,
-        started,
-        deadline,
-        outline,
-        output_tokens,
-        route,
-        is_forwarded: true,
-    })
+    let request = ReadRequest { head, body, started };
+    let job = request.into_job(route, service, terms, &shared.names);
+    Ok(GatewayJob { is_forwarded: true, ..job })
 }
