--- a/crates/foldhaven-gateway/src/front.rs
+++ b/crates/foldhaven-gateway/src/front.rs
@@ -17,11 +17,11 @@
 use crate::connection::prepare;
 use crate::shared::StopStage;
 
-/// How long a connection may rest, or a head may take, before any description says otherwise.
+/// How long a connection may rest between requests, or a head may take to come.
 const HEAD_LIMIT: Duration = Duration::from_secs(20);
 /// The largest head that is read, in bytes; smaller limits are checked by the handlers.
 const MAX_HEAD_BYTES: usize = 128 << 10;
-/// After a failed accept, such as for want of descriptors.
+/// The pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Handles the requests of one front.
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -9,8 +9,6 @@
     pub attempt: HeaderName,
     /// The milliseconds for which the caller goes on waiting.
     pub remaining_ms: HeaderName,
-    /// Proves that an answer was made by an upstream.
-    pub seal: HeaderName,
     /// Tells an upstream which process is meant, so that another one at its address declines.
     pub expected_upstream: HeaderName,
     /// Set by an upstream that did not run the request and never will.
