--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -15,8 +15,8 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Mailbox;
 
-use crate::beats::{hear_beats, send_beats, send_reports, tell_changes};
 use crate::caller_front::{CallerHandler, OperatorHandler, ReadyHandler};
+use crate::datagrams::{hear_datagrams, send_beats, send_reports, tell_changes};
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
 use crate::front::{FrontHandler, serve_front};
@@ -146,7 +146,7 @@
     let keeper = ControlKeeper::new(shared.clone(), incarnation, news);
     let turns = keeper.turns();
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
-    tokio::spawn(hear_beats(socket.clone(), address.clone()));
+    tokio::spawn(hear_datagrams(socket.clone(), address.clone()));
     tokio::spawn(tell_changes(socket.clone(), told));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
--- a/crates/foldhaven-gateway/src/beats.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -1,4 +1,4 @@
-//! Sends and takes heartbeats over UDP: a silent VM must not hold up anybody.
+//! Sends and takes what VMs tell each other over UDP: a silent VM must not hold up anybody.
 
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +23,11 @@
 
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 << 10;
+/// A VM without requests reports in every n-th round only.
+const IDLE_ROUNDS: u32 = 4;
+/// Between two rounds of a process that has just started: its seeds may start at the same moment and
+/// not have listened yet, and until it hears of others it can send nothing to their regions.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What VMs tell each other in a datagram.
 #[derive(Debug, Serialize, Deserialize)]
@@ -47,9 +52,6 @@
     bincode::DefaultOptions::new()
 }
 
-/// A VM without requests reports in every n-th round only.
-const IDLE_ROUNDS: u32 = 4;
-
 /// Tells the other VMs of the region of this one's requests at its upstreams.
 pub async fn send_reports(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
     let mut idle_rounds = 0;
@@ -70,8 +72,8 @@
     }
 }
 
-/// Takes heartbeats and hands them to the keeper.
-pub async fn hear_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
+/// Takes datagrams and hands them to the keeper.
+pub async fn hear_datagrams(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let (length, sender) = match socket.recv_from(&mut buffer).await {
@@ -89,28 +91,26 @@
                 continue;
             }
         };
-        let heard = match message {
-            PeerMessage::Beat(message) => keeper.send(HearBeat { message }).await,
-            PeerMessage::Changes(changes) => {
-                keeper.send(HearChanges { changes }).await.map(|()| PlannedBeats::new())
-            }
-            PeerMessage::Placements(placements) => {
-                keeper.send(HearPlacements { placements }).await.map(|()| PlannedBeats::new())
-            }
-            PeerMessage::Load(report) => {
-                keeper.send(HearLoad { report }).await.map(|()| PlannedBeats::new())
-            }
-        };
-        match heard {
+        match hand_over(&keeper, message).await {
             Ok(replies) => send_all(&socket, replies).await,
             Err(_) => return,
         }
     }
 }
 
-/// Between two rounds of a process that has just started: its seeds may start at the same moment and
-/// not have listened yet, and until it hears of others it can send nothing to their regions.
-const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+/// Hands a message to the keeper. Returns the heartbeats to be sent in reply.
+async fn hand_over(
+    keeper: &KeeperAddress,
+    message: PeerMessage,
+) -> Result<PlannedBeats, xtra::Error> {
+    match message {
+        PeerMessage::Beat(message) => return keeper.send(HearBeat { message }).await,
+        PeerMessage::Changes(changes) => keeper.send(HearChanges { changes }).await?,
+        PeerMessage::Placements(placements) => keeper.send(HearPlacements { placements }).await?,
+        PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
+    }
+    Ok(PlannedBeats::new())
+}
 
 /// Sends heartbeats in rounds, and at once when this daemon starts to leave.
 pub async fn send_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress, shared: Arc<GatewayShared>) {
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -6,11 +6,11 @@
 
 pub mod answer;
 mod attempts;
-mod beats;
 mod call;
 mod caller_front;
 mod connection;
 mod daemon;
+mod datagrams;
 pub mod directory;
 mod events;
 pub mod feed;
