--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -18,7 +18,7 @@
 /// How long callers may use an answer. Shorter answers move callers sooner and cost more questions.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
 /// A process that has just started names nobody until it had time to hear of the others.
-const LEARNING_TIME: Duration = Duration::from_millis(1_200);
+const NAMING_DELAY: Duration = Duration::from_millis(1_200);
 
 /// What a caller asks.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,7 +47,7 @@
 impl DirectoryHandler {
     fn addresses(&self, query: &DirectoryQuery) -> Option<Vec<SocketAddr>> {
         let view = self.shared.view()?;
-        if self.shared.uptime() < LEARNING_TIME {
+        if self.shared.uptime() < NAMING_DELAY {
             return None;
         }
         let bound = |region: &RegionName| view.routes.bound_routes_in(&query.host, region);
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -34,8 +34,11 @@
     Pin<Box<dyn Future<Output = (RequestDriver, Result<PlacedAnswer, Refusal>)> + Send>>;
 
 enum RelayState {
+    /// Events of an upstream are passed on.
     Reading(Box<ReadingState>),
+    /// Another upstream is looked for.
     Resuming(Resumption),
+    /// The caller has everything that it will get.
     Ended,
 }
 
@@ -59,9 +62,13 @@
 
 /// What a poll of the upstream gave.
 enum RelayStep {
+    /// Whole events.
     Events(Bytes),
+    /// No whole event yet.
     Nothing,
+    /// The end of the stream, after a whole event.
     Whole,
+    /// A failure, with its cause.
     Broken(&'static str),
 }
 
@@ -72,9 +79,12 @@
     driver: Option<RequestDriver>,
     blocks: EventBlocks,
     timer: Pin<Box<Sleep>>,
+    /// When the upstream sent anything last.
     last_news: Instant,
+    /// The silence after which the stream is resumed elsewhere; absent where that is not permitted.
     stall: Option<Duration>,
     deadline: Instant,
+    /// Whether the caller has got an event.
     has_first: bool,
     _in_flight: InFlightGuard,
 }
@@ -116,14 +126,8 @@
                         ready!(self.poll_deadline(context));
                         return self.cut("the time for it has passed");
                     };
-                    self.driver = Some(driver);
-                    match result {
-                        Ok(placed) if placed.answer.head.status == StatusCode::OK => {
-                            self.last_news = Instant::now();
-                            self.state = RelayState::Reading(ReadingState::of(placed));
-                        }
-                        Ok(_) => return self.cut("it could not be resumed"),
-                        Err(refusal) => return self.cut(refusal.label()),
+                    if let Err(cause) = self.take_resumed(driver, result) {
+                        return self.cut(cause);
                     }
                 }
                 RelayState::Reading(_) => match self.poll_reading(context) {
@@ -158,26 +162,51 @@
             Some(Err(_)) => RelayStep::Broken("its connection broke"),
             Some(Ok(frame)) => match frame.into_data() {
                 Err(_) => RelayStep::Nothing,
-                Ok(bytes) => {
-                    self.last_news = Instant::now();
-                    if let (RequestPlace::Upstream(upstream), Some(driver)) =
-                        (&reading.place, &self.driver)
-                    {
-                        upstream.note_heard(driver.shared.now());
-                    }
-                    match self.blocks.push(bytes) {
-                        Ok(events) if events.is_empty() => RelayStep::Nothing,
-                        Ok(events) => {
-                            self.note_first();
-                            RelayStep::Events(events)
-                        }
-                        Err(_) => RelayStep::Broken("an event was too large"),
-                    }
-                }
+                Ok(bytes) => self.take_bytes(bytes),
             },
         })
     }
 
+    /// Takes in bytes of the upstream, and gives the events that they complete.
+    fn take_bytes(&mut self, bytes: Bytes) -> RelayStep {
+        self.last_news = Instant::now();
+        self.note_heard();
+        match self.blocks.push(bytes) {
+            Ok(events) if events.is_empty() => RelayStep::Nothing,
+            Ok(events) => {
+                self.note_first();
+                RelayStep::Events(events)
+            }
+            Err(_) => RelayStep::Broken("an event was too large"),
+        }
+    }
+
+    /// Goes on with the answer of another upstream, or says why that is not possible.
+    fn take_resumed(
+        &mut self,
+        driver: RequestDriver,
+        result: Result<PlacedAnswer, Refusal>,
+    ) -> Result<(), &'static str> {
+        self.driver = Some(driver);
+        let placed = result.map_err(Refusal::label)?;
+        if placed.answer.head.status != StatusCode::OK {
+            return Err("it could not be resumed");
+        }
+        self.last_news = Instant::now();
+        self.state = RelayState::Reading(ReadingState::of(placed));
+        Ok(())
+    }
+
+    /// Notes that something was received from the upstream.
+    fn note_heard(&self) {
+        if let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver)
+            && let RequestPlace::Upstream(upstream) = &reading.place
+        {
+            upstream.note_heard(driver.shared.now());
+        }
+    }
+
+    /// Notes the first event: of this upstream, and of the whole stream.
     fn note_first(&mut self) {
         let (RelayState::Reading(reading), Some(driver)) = (&mut self.state, &self.driver) else {
             return;
@@ -245,6 +274,7 @@
         true
     }
 
+    /// Ends a whole stream, and keeps the connection to its upstream.
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
         if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended)
         {
@@ -257,6 +287,7 @@
         Poll::Ready(None)
     }
 
+    /// Ends a stream that is not whole, by closing the connection to the caller.
     fn cut(&mut self, cause: &'static str) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
         self.state = RelayState::Ended;
         if let Some(driver) = &mut self.driver {
