--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -50,6 +50,13 @@
     pub body: Bytes,
 }
 
+impl WholeAnswer {
+    /// Whether the upstream says that it failed.
+    pub fn is_failure(&self) -> bool {
+        self.head.status.is_server_error()
+    }
+}
+
 /// How a stream began.
 pub enum StreamStart {
     /// With events.
@@ -98,29 +105,28 @@
             let PlacedAnswer { answer, place, seat, expected, sent } = placed;
             let read = read_whole(answer, place.pool(), self.job.deadline).await;
             drop(seat);
-            match read {
-                Ok((head, body)) => {
-                    let is_failure = head.status.is_server_error();
-                    let whole = WholeAnswer { head, body };
-                    self.may_have_run = true;
-                    if !is_failure {
-                        self.note_first(&place, expected, sent);
-                        self.note_success(&place, sent);
-                        return Ok(whole);
-                    }
-                    self.note_failed_answer(&place, whole.head.status);
-                    if !self.job.route.repeat.is_repeatable() || !self.may_send_again() {
-                        return Ok(whole);
-                    }
-                    failed = Some(whole);
-                }
+            let (head, body) = match read {
+                Ok(whole) => whole,
                 Err(fault) => {
                     self.note_fault(&place, &fault);
-                    if let Some(refusal) = self.end_of_tries(&fault) {
-                        return failed.ok_or(refusal);
+                    match self.end_of_tries(&fault) {
+                        Some(refusal) => return failed.ok_or(refusal),
+                        None => continue,
                     }
                 }
+            };
+            self.may_have_run = true;
+            let whole = WholeAnswer { head, body };
+            if !whole.is_failure() {
+                self.note_first(&place, expected, sent);
+                self.note_success(&place, sent);
+                return Ok(whole);
+            }
+            self.note_failed_answer(&place, whole.head.status);
+            if !self.may_repeat() {
+                return Ok(whole);
             }
+            failed = Some(whole);
         }
     }
 
@@ -146,13 +152,12 @@
                 }
             };
             self.may_have_run = true;
-            let is_failure = head.status.is_server_error();
-            if is_failure {
-                self.note_failed_answer(&place, head.status);
-            }
             let whole = WholeAnswer { head, body };
-            let is_final = !is_failure || !self.job.route.repeat.is_repeatable();
-            if is_final || !self.may_send_again() {
+            if !whole.is_failure() {
+                return Ok(StreamStart::Whole(whole));
+            }
+            self.note_failed_answer(&place, whole.head.status);
+            if !self.may_repeat() {
                 return Ok(StreamStart::Whole(whole));
             }
             failed = Some(whole);
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -20,9 +20,7 @@
         let may_repeat = match fault {
             CallFault::NotSent(_) => self.tried.count() < MAX_TRIES,
             CallFault::Declined { .. } => self.may_send_again(),
-            CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
-                self.job.route.repeat.is_repeatable() && self.may_send_again()
-            }
+            CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => self.may_repeat(),
         };
         match may_repeat {
             true => None,
@@ -30,8 +28,13 @@
         }
     }
 
+    /// Whether the request may run a second time, and may be sent to one more place.
+    pub fn may_repeat(&mut self) -> bool {
+        self.job.route.repeat.is_repeatable() && self.may_send_again()
+    }
+
     /// Whether the request may be sent to one more place that counts it as arrived.
-    pub fn may_send_again(&mut self) -> bool {
+    fn may_send_again(&mut self) -> bool {
         let is_open = self.arrivals < self.job.route.max_attempts
             && self.tried.count() < MAX_TRIES
             && !self.job.is_forwarded
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -114,6 +114,7 @@
 
     fn end_whole(&mut self, whole: WholeAnswer) -> Answer {
         let driver = self.release();
+        let is_failure = whole.is_failure();
         let WholeAnswer { head, body } = whole;
         // These promise that nothing ran, which only the gateway or a declining upstream can say.
         let is_false_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
@@ -121,7 +122,7 @@
             driver.note_end(RequestEnd::Refused(Refusal::Broken.label()));
             return Refusal::Broken.answer();
         }
-        let end = match head.status.is_server_error() {
+        let end = match is_failure {
             true => RequestEnd::FailedUpstream,
             false => RequestEnd::Served,
         };
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -260,7 +260,7 @@
         {
             upstream.note_failure(driver.shared.now());
         }
-        if !driver.job.route.repeat.is_repeatable() || !driver.may_send_again() {
+        if !driver.may_repeat() {
             self.driver = Some(driver);
             return false;
         }
