--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -42,23 +42,37 @@
     shared: Arc<GatewayShared>,
     /// The settings as they were read last; those of `shared` are the ones of the start.
     settings: GatewaySettings,
+    /// The lifetime of this process, as others tell it from earlier ones.
     incarnation: IncarnationId,
+    /// The description in force.
     routes: Option<Arc<RouteTable>>,
+    /// The upstreams as the platform lists them.
     table: UpstreamTable,
+    /// Up to which count the platform's changes are known.
     revision: u64,
+    /// The upstreams as traffic uses them.
     upstreams: HashMap<UpstreamName, Arc<Upstream>>,
+    /// The other VMs.
     peers: PeerTable,
+    /// Connections to those of them that serve.
     links: HashMap<VmName, Arc<PeerLink>>,
+    /// The load reports of other VMs.
     loads: LoadBook,
     /// Prompts in other regions, of which the VMs of this region are still to be told.
     relayed: Vec<PromptPlacement>,
+    /// How many rounds of heartbeats were sent.
     beats: u32,
+    /// How many rounds of load reports were made.
     reports: u32,
+    /// Since when another VM has known more of the platform's changes.
     behind_since: Option<MonoTime>,
+    /// Whether the last reading of the platform failed.
     is_disturbed: bool,
     /// Whether a snapshot was taken in, so that changes can follow it.
     has_state: bool,
+    /// Tells the feed when to read.
     turn: watch::Sender<FeedTurn>,
+    /// Takes changes that other VMs are to be told of.
     news: mpsc::UnboundedSender<ToldChanges>,
 }
 
@@ -68,9 +82,8 @@
         incarnation: IncarnationId,
         news: mpsc::UnboundedSender<ToldChanges>,
     ) -> Self {
-        let settings = &shared.settings;
-        let peers = PeerTable::new(settings.vm.clone(), settings.region().clone());
         let settings = shared.settings.clone();
+        let peers = PeerTable::new(settings.vm.clone(), settings.region().clone());
         Self {
             shared,
             settings,
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -36,20 +36,27 @@
 
 /// Everything that the threads of one daemon share.
 pub struct GatewayShared {
+    /// The settings as they were read at the start.
     pub settings: GatewaySettings,
     pub names: HeaderNames,
     pub metrics: GatewayMetrics,
+    /// Limits how many lines on requests are logged.
     pub quota: LogQuota,
     pub stage: watch::Sender<StopStage>,
     /// Which upstreams of the region probably hold which prompts.
     pub hints: Mutex<PromptHints>,
     /// Long prompts that were sent since other VMs were told last.
     pub placements: Mutex<Vec<PromptPlacement>>,
+    /// How long requests of each service held their upstreams, as measured.
     paces: Mutex<HashMap<ServiceName, ServicePace>>,
+    /// The start of the process, from which its clock counts.
     zero: Instant,
     view: ArcSwapOption<GatewayView>,
+    /// This VM's part of each service's retry budget.
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
+    /// Requests under way.
     in_flight: AtomicU32,
+    /// Told when none is under way any more.
     settled: Notify,
     is_leaving: AtomicBool,
 }
@@ -74,6 +81,7 @@
         })
     }
 
+    /// The time on the clock that never steps back.
     pub fn now(&self) -> MonoTime {
         MonoTime::default() + (self.zero.elapsed() + HEAD_START)
     }
@@ -83,10 +91,12 @@
         self.zero.elapsed()
     }
 
+    /// What requests are decided by; nothing before the first description.
     pub fn view(&self) -> Option<Arc<GatewayView>> {
         self.view.load_full()
     }
 
+    /// Replaces what requests are decided by.
     pub fn publish(&self, view: GatewayView) {
         self.view.store(Some(Arc::new(view)));
     }
@@ -95,6 +105,7 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Goes on to a stage of a planned stop.
     pub fn enter_stage(&self, stage: StopStage) {
         self.is_leaving.store(stage != StopStage::Serving, Ordering::Relaxed);
         self.stage.send_replace(stage);
@@ -143,6 +154,7 @@
         act(retries.entry(service.clone()).or_insert(share))
     }
 
+    /// How many requests are under way.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
     }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -18,17 +18,24 @@
 /// One process of an upstream. It lives as long as the process is listed; views share it.
 pub struct Upstream {
     pub identity: UpstreamIdentity,
+    /// What it is called in messages between VMs.
     pub tag: UpstreamTag,
     pub pool: ConnectionPool,
+    /// Whether it is ejected after failures.
     pub health: Mutex<TargetHealth>,
+    /// How far its times were off lately, and how often it failed.
     pub pace: Mutex<UpstreamPace>,
+    /// Spaces the requests that this VM sends while it is cold.
     pub pacer: Mutex<ColdPacer>,
     /// The requests of this VM.
     pub load: Arc<LoadCounter>,
+    /// The requests of the other VMs of the region, as they reported them.
     others_in_flight: AtomicU32,
+    /// The prompt tokens of those that were not answered yet.
     others_pending: AtomicU32,
     /// When anything was received from it last.
     heard: AtomicU64,
+    /// Until when it is cold.
     cold_until: AtomicU64,
     /// The rate at which this VM may send while it is cold, as the bits of a number.
     cold_rate: AtomicU64,
@@ -41,6 +48,7 @@
     pub address: SocketAddr,
     pub data_centre: DataCentreName,
     pub region: RegionName,
+    /// How many requests it runs at once.
     pub slots: u32,
     /// The tokens that its prompt memory holds; 0 when it keeps none.
     pub prompt_memory: u64,
@@ -125,10 +133,12 @@
 #[derive(Debug, Default)]
 pub struct LoadCounter {
     in_flight: AtomicU32,
+    /// The prompt tokens of requests that were not answered yet.
     pending_tokens: AtomicU32,
 }
 
 impl LoadCounter {
+    /// What is counted now.
     pub fn share(&self) -> UpstreamShare {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         UpstreamShare {
@@ -148,6 +158,7 @@
 /// One request at a place.
 pub struct LoadSeat {
     counter: Arc<LoadCounter>,
+    /// The prompt tokens still counted as to be read.
     pending: u32,
 }
 
