--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -9,6 +9,12 @@
 
 use crate::ids::UpstreamName;
 
+/// How many shared parts are remembered.
+const MAX_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
+/// The part of an upstream's memory after which older parts are taken for dropped: running requests
+/// use some of it, and placements of VMs that are not heard are missing.
+const USABLE_MEMORY: f64 = 0.7;
+
 /// A shared part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
@@ -77,18 +83,14 @@
     pub own_tokens: u32,
 }
 
-/// How many shared parts are remembered.
-const MAX_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
-/// The part of an upstream's memory after which older parts are taken for dropped: running requests
-/// use some of it, and placements of VMs that are not heard are missing.
-const USABLE_MEMORY: f64 = 0.7;
-
 /// Which upstreams probably hold which shared parts. Nothing but speed depends on it.
 ///
 /// An upstream drops the parts that were unused longest when its memory is full. So a part counts as
 /// held until so many other tokens have been sent there that they fill the memory.
 pub struct PromptHints {
+    /// By the key of a part: what `written` was for each upstream when the part was sent there.
     parts: LruCache<u64, HashMap<UpstreamTag, u64>>,
+    /// The tokens that each upstream has had to take up since it was first heard of.
     written: HashMap<UpstreamTag, u64>,
 }
 
--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -10,6 +10,25 @@
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::rank::rank_hash;
 
+/// How many tokens of a prompt one token of an answer counts for. The users weigh them so.
+pub const OUTPUT_WEIGHT: u32 = 10;
+/// The size of a request that names no tokens.
+pub const PLAIN_SIZE: u32 = 500;
+/// The cost of being a whole target late or early, while that alone does not decide whether the
+/// answer is in time. It keeps queues short at low load.
+const TIME_SHARE: f64 = 0.2;
+/// The spread of times around the expected one, as a share of the target.
+const LATE_SPREAD: f64 = 0.15;
+/// What reading all of a request's tokens again costs. From the prices of two deployments: 0.3 to
+/// 0.45 of what a request is worth.
+const REREAD_COST: f64 = 0.4;
+/// What taking parts over costs against reading them again: moved memory is paid for, at about a
+/// twentieth of that.
+const FETCH_SHARE: f64 = 0.06;
+/// By how much the upstream that ranks first for a meeting key is preferred while nobody is known to
+/// hold its parts, as a share of the cost of reading them.
+const MEETING_SHARE: f64 = 0.5;
+
 /// An upstream that may be chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct UpstreamFacts<'a> {
@@ -50,11 +69,6 @@
     pub draw: f64,
 }
 
-/// How many tokens of a prompt one token of an answer counts for. The users weigh them so.
-pub const OUTPUT_WEIGHT: u32 = 10;
-/// The size of a request that names no tokens.
-pub const PLAIN_SIZE: u32 = 500;
-
 /// What a decision costs, as a share of what the request is worth.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct RequestCost(pub f64);
@@ -102,21 +116,6 @@
     pub fetch_from: Option<usize>,
 }
 
-/// The cost of being a whole target late or early, while that alone does not decide whether the
-/// answer is in time. It keeps queues short at low load.
-const TIME_SHARE: f64 = 0.2;
-/// The spread of times around the expected one, as a share of the target.
-const LATE_SPREAD: f64 = 0.15;
-/// What reading all of a request's tokens again costs. From the prices of two deployments: 0.3 to
-/// 0.45 of what a request is worth.
-const REREAD_COST: f64 = 0.4;
-/// What taking parts over costs against reading them again: moved memory is paid for, at about a
-/// twentieth of that.
-const FETCH_SHARE: f64 = 0.06;
-/// By how much the upstream that ranks first for a meeting key is preferred while nobody is known to
-/// hold its parts, as a share of the cost of reading them.
-const MEETING_SHARE: f64 = 0.5;
-
 /// Chooses the upstream with the least cost. Suspects are taken only when nobody else is left, and
 /// upstreams that were tried only when all were.
 pub fn choose_upstream(
@@ -148,36 +147,49 @@
     }
 }
 
+/// The candidate at which requests with a key meet: the first in a rank that all VMs share.
 fn meeting_place(candidates: &[UpstreamFacts<'_>], open: &[usize], key: u64) -> Option<usize> {
     let text = key.to_string();
     let rank = |at: &usize| rank_hash(&[&text, candidates[*at].name.as_str()]);
     open.iter().copied().max_by_key(rank)
 }
 
+/// Prices the candidates for one request.
 struct UpstreamPricer<'a> {
     candidates: &'a [UpstreamFacts<'a>],
     query: &'a ChoiceQuery,
     pace: &'a ServicePace,
+    /// The candidate that ranks first for the meeting key.
     meeting: Option<usize>,
+    /// The candidate that probably holds most of the shared parts.
     holder: Option<usize>,
 }
 
+/// Shared parts that one candidate takes over from another.
+#[derive(Debug, Clone, Copy)]
+struct PartFetch {
+    holder: usize,
+    tokens: u32,
+    time: Duration,
+}
+
 impl UpstreamPricer<'_> {
-    /// How a candidate gets the shared parts that it does not hold: the tokens that it takes over,
-    /// from whom, and how long that takes.
-    fn fetch(&self, at: usize) -> Option<(u32, usize, Duration)> {
+    /// How a candidate gets the shared parts that it does not hold.
+    fn fetch(&self, at: usize) -> Option<PartFetch> {
         let holder = self.holder.filter(|holder| *holder != at)?;
         let held = self.candidates[at].held_tokens;
         let tokens = self.candidates[holder].held_tokens.checked_sub(held)?;
-        Some((tokens, holder, self.pace.fetching(tokens)?))
+        Some(PartFetch { holder, tokens, time: self.pace.fetching(tokens)? })
     }
 
+    /// What a candidate is expected to take and to cost.
     fn price(&self, at: usize) -> UpstreamChoice {
         let Self { query, pace, .. } = self;
         let facts = &self.candidates[at];
         let missing = query.shared_tokens.saturating_sub(facts.held_tokens);
         let fetch = self.fetch(at);
-        let (fetched, fetching) = fetch.map_or((0, Duration::ZERO), |it| (it.0, it.2));
+        let fetched = fetch.map_or(0, |fetch| fetch.tokens);
+        let fetching = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let reread_tokens = missing.saturating_sub(fetched);
         let read_tokens = reread_tokens + query.own_tokens;
         let first = pace.first(facts.queue, read_tokens).mul_f64(facts.factor) + fetching;
@@ -186,6 +198,6 @@
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
         let fixed = RequestCost(reread + moved + facts.failures + facts.move_cost);
         let cost = RequestCost::of_time(first, query.target) + fixed;
-        UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|it| it.1) }
+        UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|fetch| fetch.holder) }
     }
 }
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -5,6 +5,30 @@
 
 use crate::time::MonoTime;
 
+/// Prompt tokens a second that an engine of today's deployments reads beside the answers that it
+/// writes; from their published 51 to 64 tokens in a millisecond.
+const TOKENS_PER_S: f64 = 45_000.0;
+/// How long a request holds its place before any was measured.
+const FIRST_HOLD: Duration = Duration::from_millis(60);
+/// The weight of a new measurement of the time that a place is held.
+const HOLD_WEIGHT: f64 = 0.02;
+/// The least time to an answer: the way there and back.
+const LEAST_TIME: Duration = Duration::from_millis(8);
+/// Fewer tokens are read faster than taken over.
+const LEAST_FETCH: u32 = 1_000;
+/// Setting up one transfer between upstreams, 3 to 6 ms on today's deployments; transfers of one
+/// upstream wait for each other, so it counts more than once.
+const FETCH_SETUP: Duration = Duration::from_millis(15);
+/// The weight of a new measurement of one upstream.
+const RATIO_WEIGHT: f64 = 0.2;
+/// The weight of one more end of a request in the share that failed.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// After this time without news an upstream is taken for usual again by the factor e, so that one
+/// that got slow or failed is tried again.
+const FORGET_TIME: Duration = Duration::from_secs(4);
+/// The range of a single measurement; beyond it says something of the request, not of the upstream.
+const RATIO_RANGE: (f64, f64) = (0.5, 12.0);
+
 /// What is known of an upstream's queue, from this VM and from those that share their loads.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct QueueFacts {
@@ -27,22 +51,6 @@
     pub hold: Duration,
 }
 
-/// Prompt tokens a second that an engine of today's deployments reads beside the answers that it
-/// writes; from their published 51 to 64 tokens in a millisecond.
-const TOKENS_PER_S: f64 = 45_000.0;
-/// How long a request holds its place before any was measured.
-const FIRST_HOLD: Duration = Duration::from_millis(60);
-/// The weight of a new measurement of the time that a place is held.
-const HOLD_WEIGHT: f64 = 0.02;
-/// The least time to an answer: the way there and back.
-const LEAST_TIME: Duration = Duration::from_millis(8);
-
-/// Fewer tokens are read faster than taken over.
-const LEAST_FETCH: u32 = 1_000;
-/// Setting up one transfer between upstreams, 3 to 6 ms on today's deployments; transfers of one
-/// upstream wait for each other, so it counts more than once.
-const FETCH_SETUP: Duration = Duration::from_millis(15);
-
 impl Default for ServicePace {
     fn default() -> Self {
         Self { tokens_per_s: TOKENS_PER_S, fetched_per_s: 0.0, hold: FIRST_HOLD }
@@ -84,21 +92,14 @@
     }
 }
 
-/// The weight of a new measurement of one upstream.
-const RATIO_WEIGHT: f64 = 0.2;
-/// The weight of one more end of a request in the share that failed.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// After this time without news an upstream is taken for usual again by the factor e, so that one
-/// that got slow or failed is tried again.
-const FORGET_TIME: Duration = Duration::from_secs(4);
-/// The range of a single measurement; beyond it says something of the request, not of the upstream.
-const RATIO_RANGE: (f64, f64) = (0.5, 12.0);
-
 /// How far one upstream has been off.
 #[derive(Debug, Clone, Copy)]
 pub struct UpstreamPace {
+    /// The measured times against the expected ones.
     ratio: f64,
+    /// The share of requests that failed.
     failures: f64,
+    /// When these two were right; they fade from then on.
     noted: MonoTime,
 }
 
@@ -109,6 +110,7 @@
 }
 
 impl UpstreamPace {
+    /// Brings both values nearer to the usual ones, by the time that has passed.
     fn fade(&mut self, now: MonoTime) {
         let share = (-now.since(self.noted).as_secs_f64() / FORGET_TIME.as_secs_f64()).exp();
         self.ratio = 1.0 + (self.ratio - 1.0) * share;
--- a/crates/foldhaven-core/src/opaque/retry_share.rs
+++ b/crates/foldhaven-core/src/opaque/retry_share.rs
@@ -10,6 +10,14 @@
 
 use crate::time::MonoTime;
 
+/// The part of the share of requests that is used; the rest covers windows of another phase.
+const USED_SHARE: f64 = 0.85;
+/// The part of the fixed number that is used: a VM that is killed may have spent its part, and its
+/// next process spends another one within the same window.
+const USED_FIXED_SHARE: f64 = 0.45;
+/// The time slices by which a window is counted.
+const SLICES: u32 = 10;
+
 /// A retry budget over all VMs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -21,14 +29,7 @@
     pub window: Duration,
 }
 
-/// The part of the share of requests that is used; the rest covers windows of another phase.
-const USED_SHARE: f64 = 0.85;
-/// The part of the fixed number that is used: a VM that is killed may have spent its part, and its
-/// next process spends another one within the same window.
-const USED_FIXED_SHARE: f64 = 0.45;
-/// The time slices by which a window is counted.
-const SLICES: u32 = 10;
-
+/// The counts of one part of the window.
 #[derive(Debug, Clone, Copy)]
 struct RetrySlice {
     start: MonoTime,
@@ -49,6 +50,7 @@
         Self { limits, slices: VecDeque::new() }
     }
 
+    /// The current slice; those that the window has left are dropped.
     fn slice(&mut self, now: MonoTime) -> &mut RetrySlice {
         let length = self.limits.window / SLICES;
         let oldest = now - (self.limits.window + length);
