--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -12,8 +12,8 @@
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
-    GatewayJob, check_head, forwarded_headers, host_of, read_body, read_outline,
-    read_output_tokens, read_terms, remove_connection_headers,
+    CallerTerms, GatewayJob, ReadRequest, check_head, host_of, read_body, read_terms,
+    remove_connection_headers,
 };
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
@@ -60,24 +60,10 @@
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
     let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
     let terms = read_terms(&head, &shared.names)?;
+    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), ..terms };
     let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
-    let outline = read_outline(&head, &route, &shared.names);
-    let output_tokens = read_output_tokens(&head, &shared.names);
-    let deadline = started + terms.remaining.min(route.timeout);
-    Ok(GatewayJob {
-        attempt: terms.attempt,
-        service,
-        method: head.method,
-        target: head.uri,
-        headers: forwarded_headers(head.headers, &shared.names),
-        body,
-        started,
-        deadline,
-        outline,
-        output_tokens,
-        route,
-        is_forwarded: false,
-    })
+    let request = ReadRequest { head, body, started };
+    Ok(request.into_job(route, service, terms, &shared.names))
 }
 
 /// Runs a request and gives its answer.
@@ -128,6 +114,7 @@
 
     fn end_whole(&mut self, whole: WholeAnswer) -> Answer {
         let driver = self.release();
+        let is_failure = whole.is_failure();
         let WholeAnswer { head, body } = whole;
         // These promise that nothing ran, which only the gateway or a declining upstream can say.
         let is_false_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
@@ -135,7 +122,7 @@
             driver.note_end(RequestEnd::Refused(Refusal::Broken.label()));
             return Refusal::Broken.answer();
         }
-        let end = match head.status.is_server_error() {
+        let end = match is_failure {
             true => RequestEnd::FailedUpstream,
             false => RequestEnd::Served,
         };
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -18,17 +18,24 @@
 /// One process of an upstream. It lives as long as the process is listed; views share it.
 pub struct Upstream {
     pub identity: UpstreamIdentity,
+    /// What it is called in messages between VMs.
     pub tag: UpstreamTag,
     pub pool: ConnectionPool,
+    /// Whether it is ejected after failures.
     pub health: Mutex<TargetHealth>,
+    /// How far its times were off lately, and how often it failed.
     pub pace: Mutex<UpstreamPace>,
+    /// Spaces the requests that this VM sends while it is cold.
     pub pacer: Mutex<ColdPacer>,
     /// The requests of this VM.
     pub load: Arc<LoadCounter>,
+    /// The requests of the other VMs of the region, as they reported them.
     others_in_flight: AtomicU32,
+    /// The prompt tokens of those that were not answered yet.
     others_pending: AtomicU32,
     /// When anything was received from it last.
     heard: AtomicU64,
+    /// Until when it is cold.
     cold_until: AtomicU64,
     /// The rate at which this VM may send while it is cold, as the bits of a number.
     cold_rate: AtomicU64,
@@ -41,6 +48,7 @@
     pub address: SocketAddr,
     pub data_centre: DataCentreName,
     pub region: RegionName,
+    /// How many requests it runs at once.
     pub slots: u32,
     /// The tokens that its prompt memory holds; 0 when it keeps none.
     pub prompt_memory: u64,
@@ -90,6 +98,19 @@
         self.heard.load(Ordering::Relaxed) < moment.0
     }
 
+    /// Notes that it cannot be reached or says nothing: it is ejected at once, and connections to it
+    /// are closed.
+    pub fn note_unreachable(&self, now: MonoTime) {
+        self.health.lock().fail(true, now);
+        self.pool.clear();
+    }
+
+    /// Notes that a request failed there after it may have run.
+    pub fn note_failure(&self, now: MonoTime) {
+        self.health.lock().fail(false, now);
+        self.pace.lock().note_failure(now);
+    }
+
     /// Takes in the requests that other VMs have there.
     pub fn set_others(&self, share: UpstreamShare) {
         self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
@@ -112,10 +133,12 @@
 #[derive(Debug, Default)]
 pub struct LoadCounter {
     in_flight: AtomicU32,
+    /// The prompt tokens of requests that were not answered yet.
     pending_tokens: AtomicU32,
 }
 
 impl LoadCounter {
+    /// What is counted now.
     pub fn share(&self) -> UpstreamShare {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         UpstreamShare {
@@ -135,6 +158,7 @@
 /// One request at a place.
 pub struct LoadSeat {
     counter: Arc<LoadCounter>,
+    /// The prompt tokens still counted as to be read.
     pending: u32,
 }
 
