--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -146,7 +146,7 @@
                 Err(fault) => {
                     self.note_fault(&place, &fault);
                     match self.end_of_tries(&fault) {
-                        Some(refusal) => return Err(refusal),
+                        Some(refusal) => return failed.map(StreamStart::Whole).ok_or(refusal),
                         None => continue,
                     }
                 }
