--- a/crates/foldhaven-core/src/ticket.rs
+++ b/crates/foldhaven-core/src/ticket.rs
@@ -109,6 +109,7 @@
     next: u64,
     spent: BTreeMap<u64, SpentTicket<A>>,
     live: BTreeMap<u64, MonoTime>,
+    issues: bool,
     closed: bool,
 }
 
@@ -116,13 +117,14 @@
     /// An empty ledger. `key` is random and never leaves the process.
     pub fn new(owner: VmName, incarnation: IncarnationId, key: [u8; 32]) -> Self {
         let spent = BTreeMap::new();
-        Self { owner, incarnation, key, next: 1, spent, live: BTreeMap::new(), closed: false }
+        let live = BTreeMap::new();
+        Self { owner, incarnation, key, next: 1, spent, live, issues: true, closed: false }
     }
 
     /// Issues a ticket that holds for `span`, unless too many are alive or the process is leaving.
     pub fn issue(&mut self, now: MonoTime, span: Duration) -> Option<RequestTicket> {
         self.forget(now);
-        if self.closed || self.live.len() >= MAX_LIVE_TICKETS {
+        if !self.issues || self.live.len() >= MAX_LIVE_TICKETS {
             return None;
         }
         let sequence = self.next;
@@ -172,8 +174,15 @@
         self.spent.remove(&ticket.sequence);
     }
 
+    /// Ends the issue of tickets. Those that callers hold can still be used: a caller asks for one
+    /// just before it uses it.
+    pub fn stop_issuing(&mut self) {
+        self.issues = false;
+    }
+
     /// Ends the issue and the first use of tickets; spent ones can still be joined.
     pub fn close(&mut self) {
+        self.issues = false;
         self.closed = true;
     }
 
--- a/crates/foldhaven-core/tests/testsuite/tickets.rs
+++ b/crates/foldhaven-core/tests/testsuite/tickets.rs
@@ -86,3 +86,17 @@
     assert_eq!(ledger.redeem(&spent, 1, at(1), || 0), TicketVerdict::Join(5));
     assert_eq!(ledger.issue(at(1), SPAN), None);
 }
+
+/// Found by CI beside load: a caller that was given a ticket right before a planned stop was refused.
+#[test]
+fn tickets_that_callers_hold_can_be_used_after_the_last_was_issued() {
+    let mut ledger = ledger(1, 7);
+    let ticket = ledger.issue(at(0), SPAN).unwrap();
+    let unused = ledger.issue(at(0), SPAN).unwrap();
+    ledger.stop_issuing();
+    assert!(ledger.issue(at(1), SPAN).is_none());
+    assert_eq!(ledger.redeem(&ticket, 1, at(1), || 5), TicketVerdict::Run);
+    ledger.close();
+    assert_eq!(ledger.redeem(&unused, 1, at(1), || 6), TicketVerdict::Closed);
+    assert_eq!(ledger.redeem(&ticket, 1, at(1), || 7), TicketVerdict::Join(5));
+}
--- a/crates/foldhavend/src/daemon.rs
+++ b/crates/foldhavend/src/daemon.rs
@@ -125,6 +125,8 @@
     let linger = shared.settings.times.entries_hold.0;
     let settle = async {
         tokio::time::sleep(linger).await;
+        // Callers who were given a ticket before had this time to use it.
+        shared.tickets.close();
         shared.wait_settled().await;
     };
     match shared.settings.times.stop_limit {
--- a/crates/foldhavend/src/shared.rs
+++ b/crates/foldhavend/src/shared.rs
@@ -114,7 +114,7 @@
 
     pub fn start_leaving(&self) {
         self.leaving.store(true, Ordering::SeqCst);
-        self.tickets.close();
+        self.tickets.stop_issuing();
     }
 
     pub fn in_flight(&self) -> u32 {
--- a/crates/foldhavend/src/traffic/tickets.rs
+++ b/crates/foldhavend/src/traffic/tickets.rs
@@ -85,6 +85,10 @@
         self.ledger.lock().restore(ticket);
     }
 
+    pub fn stop_issuing(&self) {
+        self.ledger.lock().stop_issuing();
+    }
+
     pub fn close(&self) {
         self.ledger.lock().close();
     }
