--- a/crates/foldhavend/src/control/fetch.rs
+++ b/crates/foldhavend/src/control/fetch.rs
@@ -16,6 +16,8 @@
 /// After a pause, others are asked for this long; then this data centre counts as cut off and goes
 /// on with what it knows.
 const REFRESH_LIMIT: Duration = Duration::from_millis(1_000);
+/// How often peers are asked while none answers: on a busy machine they may need longer.
+const REFRESH_ATTEMPTS: u32 = 3;
 
 /// Fetches the newer parts of what a daemon has in force and offers them to the actor.
 pub(super) async fn fetch_from_peer(
@@ -96,8 +98,15 @@
 /// All peers of the data centre and one of each other are asked; one answer of each half is not
 /// waited for longer than [`REFRESH_LIMIT`].
 pub(super) async fn refresh_after_pause(shared: Arc<SharedState>, keeper: KeeperAddress) {
-    let asked = timeout(REFRESH_LIMIT, ask_peers(&shared, &keeper, usize::MAX)).await;
-    let answered = asked.unwrap_or_default();
-    tracing::info!(step = "refreshing after a pause", answered, "view compared with peers");
+    for attempt in 1..=REFRESH_ATTEMPTS {
+        let asked = timeout(REFRESH_LIMIT, ask_peers(&shared, &keeper, usize::MAX)).await;
+        let answered = asked.unwrap_or_default();
+        let step = "refreshing after a pause";
+        tracing::info!(step, answered, attempt, "view compared with peers");
+        if answered > 0 {
+            break;
+        }
+    }
+    // A VM that nobody answers may be cut off, and then has to go on with what it has.
     shared.note_refreshed();
 }
