Let a process that starts with an earlier clock be heard again

A VM whose clock was set back while it restarted was ignored by the others until they had forgotten its earlier lifetime, 30 s. Ruled out: a monotonic number of its own, since nothing lasts on a VM. Change: whoever holds a later lifetime of a VM than the one it hears of sends it that heartbeat; a process that hears of a later lifetime of its own VM takes the number after it.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub struct PeerTable {
     own: VmName,
+    /// The lifetime of this process, as others tell it from earlier ones.
+    incarnation: IncarnationId,
     region: RegionName,
     peers: BTreeMap<VmName, PeerEntry>,
     /// The names behind the tags in pulses.
@@ -59,13 +61,14 @@
     /// are saved, and a VM that reads learns of a change within milliseconds.
     pub const ALL_READ: usize = 4;
 
-    /// An empty table of the daemon `own` in a region.
-    pub fn new(own: VmName, region: RegionName) -> Self {
+    /// An empty table of the process `incarnation` of the daemon `own` in a region.
+    pub fn new(own: VmName, incarnation: IncarnationId, region: RegionName) -> Self {
         // Each VM begins at another place of the common order; if all began at the first, they would
         // all turn to the same few VMs at a time.
         let turn = VmTag::of(&own).0 as usize;
         Self {
             own,
+            incarnation,
             region,
             peers: BTreeMap::new(),
             tags: HashMap::new(),
@@ -79,6 +82,7 @@
     /// lifetime, another phase, or the end of a silence.
     pub fn hear(&mut self, beat: PeerBeat, now: MonoTime) -> bool {
         if beat.vm == self.own {
+            self.outlive(beat.incarnation);
             return false;
         }
         let Some(known) = self.peers.get(&beat.vm) else {
@@ -100,6 +104,7 @@
     /// asked for.
     pub fn hear_pulse(&mut self, pulse: PeerPulse, now: MonoTime) -> bool {
         if pulse.vm == VmTag::of(&self.own) {
+            self.outlive(pulse.incarnation);
             return false;
         }
         let Some(entry) = self.tags.get(&pulse.vm).and_then(|name| self.peers.get(name)) else {
@@ -117,6 +122,25 @@
         self.hear(beat, now)
     }
 
+    /// The lifetime of this process.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.incarnation
+    }
+
+    /// Takes a lifetime after one that others still hold for this VM. Lifetimes are named by the time
+    /// of day, which may have been set back between two starts; others ignore an earlier one.
+    fn outlive(&mut self, held: IncarnationId) {
+        if held > self.incarnation {
+            self.incarnation = IncarnationId(held.0 + 1);
+        }
+    }
+
+    /// The heartbeat held of a later lifetime of the VM that sent this one; the sender is to be told.
+    pub fn later_lifetime(&self, vm: &VmName, incarnation: IncarnationId) -> Option<&PeerBeat> {
+        let held = &self.peers.get(vm)?.beat;
+        (held.incarnation > incarnation).then_some(held)
+    }
+
     /// Takes in that a VM of this region reported its load: it lives.
     pub fn note_report(&mut self, vm: VmTag, incarnation: IncarnationId, now: MonoTime) {
         if let Some(entry) = self.tags.get(&vm).and_then(|name| self.peers.get_mut(name))
--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -17,7 +17,12 @@
 }
 
 fn table() -> PeerTable {
-    PeerTable::new("own".parse().unwrap(), "north".parse().unwrap())
+    table_of("own", 1)
+}
+
+/// The table of a process of a VM.
+fn table_of(vm: &str, incarnation: u64) -> PeerTable {
+    PeerTable::new(vm.parse().unwrap(), IncarnationId(incarnation), "north".parse().unwrap())
 }
 
 fn live(table: &PeerTable, now: MonoTime) -> Vec<String> {
@@ -47,6 +52,36 @@
     assert!(!table.hear(beat("a", "north", 901), at(20)), "the earlier lifetime is over");
 }
 
+/// Lifetimes are named by the time of day. A VM whose clock was set back while it restarted was not
+/// heard by the others until they had forgotten its earlier lifetime, for up to 30 seconds.
+#[test]
+fn a_process_that_starts_with_an_earlier_clock_is_heard_again() {
+    let mut other = table_of("other", 1);
+    let mut earlier = beat("own", "north", 40);
+    earlier.incarnation = IncarnationId(9_000);
+    other.hear(earlier, at(0));
+    let mut restarted = table_of("own", 7_000);
+    let mut first = beat("own", "north", 1);
+    first.incarnation = restarted.incarnation();
+    other.hear(first.clone(), at(8_000));
+    let told = other.later_lifetime(&first.vm, first.incarnation).expect("it is told").clone();
+    restarted.hear(told, at(8_010));
+    let mut second = beat("own", "north", 2);
+    second.incarnation = restarted.incarnation();
+    assert!(other.hear(second.clone(), at(8_500)), "it is news");
+    assert_eq!(live(&other, at(8_500)), ["own"]);
+    assert!(other.later_lifetime(&second.vm, second.incarnation).is_none());
+}
+
+#[test]
+fn a_pulse_of_an_earlier_lifetime_changes_nothing_and_one_of_a_later_is_outlived() {
+    let mut table = table_of("own", 50);
+    table.hear_pulse(pulse("own", 49, 3), at(0));
+    assert_eq!(table.incarnation(), IncarnationId(50));
+    table.hear_pulse(pulse("own", 60, 3), at(0));
+    assert_eq!(table.incarnation(), IncarnationId(61));
+}
+
 #[test]
 fn leaving_is_news_and_ones_own_heartbeat_is_none() {
     let mut table = table();
@@ -137,7 +172,7 @@
     let names: Vec<String> = (0..60).map(|number| format!("vm-{number}")).collect();
     let mut hits = std::collections::BTreeMap::new();
     for own in &names {
-        let mut table = PeerTable::new(own.parse().unwrap(), "north".parse().unwrap());
+        let mut table = table_of(own, 1);
         for name in names.iter().filter(|name| *name != own) {
             table.hear(beat(name, "north", 1), at(0));
         }
@@ -158,7 +193,7 @@
         beat
     };
     let table_of = |own: usize| {
-        let mut table = PeerTable::new(name(own).parse().unwrap(), "north".parse().unwrap());
+        let mut table = table_of(&name(own), 1);
         (0..vms).filter(|at| *at != own).for_each(|at| assert!(table.hear(told(at), at_start())));
         (table, turned_away.contains(&own))
     };
--- a/crates/foldhaven-gateway/src/keeper/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/keeper/heartbeats.rs
@@ -32,24 +32,39 @@
         let BeatMessage { own, pulses, heard, asks_all } = message.message;
         let now = self.now();
         let sender = own.peer;
-        let (vm, phase) = (own.vm.clone(), own.phase);
+        let (vm, phase, incarnation) = (own.vm.clone(), own.phase, own.incarnation);
         let mut is_news = self.peers.hear(own, now);
         if is_news {
             tracing::info!(peer = %vm, phase = ?phase, "peer heard");
         }
+        let lifetime = self.peers.incarnation();
         for beat in heard {
             is_news |= self.peers.hear(beat, now);
         }
         for pulse in pulses {
             is_news |= self.peers.hear_pulse(pulse, now);
         }
+        if self.peers.incarnation() != lifetime {
+            tracing::info!(
+                before = lifetime.0,
+                after = self.peers.incarnation().0,
+                "took a later lifetime, since others held one"
+            );
+        }
         if is_news {
             self.publish();
         }
-        match asks_all {
-            true => self.answer_all(sender),
-            false => Vec::new(),
+        let mut replies = if asks_all { self.answer_all(sender) } else { Vec::new() };
+        if let Some(later) = self.peers.later_lifetime(&vm, incarnation).cloned() {
+            tracing::warn!(
+                peer = %vm,
+                held = later.incarnation.0,
+                heard = incarnation.0,
+                "a VM names an earlier lifetime than it had"
+            );
+            replies.push((sender, self.message(vec![later])));
         }
+        replies
     }
 }
 
@@ -79,7 +94,7 @@
         let settings = &self.shared.settings;
         PeerBeat {
             vm: settings.vm.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.peers.incarnation(),
             sequence: self.beats,
             data_centre: settings.data_centre.clone(),
             region: settings.region().clone(),
--- a/crates/foldhaven-gateway/src/keeper/load_reports.rs
+++ b/crates/foldhaven-gateway/src/keeper/load_reports.rs
@@ -82,7 +82,7 @@
         let own = self.upstreams.values().map(|upstream| (upstream.tag, upstream.load.share()));
         LoadReport {
             vm: VmTag::of(&self.shared.settings.vm),
-            incarnation: self.incarnation,
+            incarnation: self.peers.incarnation(),
             sequence: self.reports,
             shares: own.filter(|(_, share)| share.in_flight > 0).collect(),
             placements,
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -42,8 +42,6 @@
     shared: Arc<GatewayShared>,
     /// The settings as they were read last; those of `shared` are the ones of the start.
     settings: GatewaySettings,
-    /// The lifetime of this process, as others tell it from earlier ones.
-    incarnation: IncarnationId,
     /// The description in force.
     routes: Option<Arc<RouteTable>>,
     /// The upstreams as the platform lists them.
@@ -83,11 +81,10 @@
         news: mpsc::UnboundedSender<ToldChanges>,
     ) -> Self {
         let settings = shared.settings.clone();
-        let peers = PeerTable::new(settings.vm.clone(), settings.region().clone());
+        let peers = PeerTable::new(settings.vm.clone(), incarnation, settings.region().clone());
         Self {
             shared,
             settings,
-            incarnation,
             routes: None,
             table: UpstreamTable::default(),
             revision: 0,
