Keep upstreams that lapsed in an outage at VMs that do not read the platform; log what whole lists change

Ruled out: sending the outage with each change, since a reader that has just taken over does not know of it either. Change: a VM that hears of two near VMs that cannot read the platform takes vanished entries for lapsed.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -35,6 +35,9 @@
 const READERS: usize = 2;
 /// The key by which they are ranked.
 const READER_KEY: &str = "platform-reader";
+/// So many VMs of this region that cannot read the platform tell of an outage for all, fewer of a
+/// fault of their own.
+const OUTAGE_REPORTS: usize = 2;
 /// A VM silent for this long is forgotten. Until then it counts where limits are divided.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -208,6 +211,12 @@
         is_turned_away || ranked.into_iter().take(READERS).any(|name| *name == self.own)
     }
 
+    /// Whether VMs of this region tell of an outage of the platform. One that does not read it itself
+    /// learns of outages in no other way.
+    pub fn hears_of_outage(&self, now: MonoTime) -> bool {
+        self.near(now).filter(|beat| beat.is_turned_away).count() >= OUTAGE_REPORTS
+    }
+
     /// The VMs that get the next round: a few in turn, silent ones too, so that cuts that have
     /// healed are noticed.
     pub fn next_targets(&mut self) -> Vec<SocketAddr> {
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -46,6 +46,15 @@
     lapses: Option<MonoTime>,
 }
 
+/// What a whole list changes against the entries that were held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListDifference {
+    /// The records that are new, or that begin or cease to leave.
+    pub listed: Vec<UpstreamRecord>,
+    /// The upstreams that are not listed any more.
+    pub unlisted: Vec<UpstreamName>,
+}
+
 /// The upstreams and the data centres that are evacuated.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
@@ -74,17 +83,25 @@
         }
     }
 
-    /// Takes in the whole list.
-    pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: MonoTime) {
+    /// Takes in the whole list. Returns what it changes.
+    pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: MonoTime) -> ListDifference {
         let listed: BTreeSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
-        let missing: Vec<UpstreamName> =
-            self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect();
-        for name in missing {
-            self.remove(&name, now);
+        let is_missing =
+            |entry: &&UpstreamEntry| entry.lapses.is_none() && !listed.contains(&entry.record.name);
+        let missing = self.entries.values().filter(is_missing);
+        let unlisted: Vec<UpstreamName> = missing.map(|entry| entry.record.name.clone()).collect();
+        for name in &unlisted {
+            self.remove(name, now);
         }
+        let is_new = |record: &&UpstreamRecord| {
+            let held = self.entries.get(&record.name);
+            held.is_none_or(|held| held.record.leaving != record.leaving)
+        };
+        let listed = records.iter().filter(is_new).cloned().collect();
         for record in records {
             self.put(record, now);
         }
+        ListDifference { listed, unlisted }
     }
 
     /// Notes that the list could not be read just now.
--- a/crates/foldhaven-core/tests/testsuite/opaque_members.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_members.rs
@@ -229,6 +229,19 @@
     assert_eq!(well.count(), 2);
 }
 
+#[rstest]
+#[case::nobody(&[], false)]
+#[case::one_vm_of_its_own(&[3], false)]
+#[case::the_readers(&[3, 7], true)]
+fn an_outage_is_believed_when_more_than_one_vm_tells_of_it(
+    #[case] turned_away: &[usize],
+    #[case] is_told: bool,
+) {
+    let region = region(12, turned_away);
+    assert_eq!(region[0].0.hears_of_outage(at(100)), is_told);
+    assert!(!region[0].0.hears_of_outage(at(9_000)), "silent VMs tell nothing");
+}
+
 #[test]
 fn others_read_when_the_readers_are_silent() {
     let mut tables = region(12, &[]);
@@ -307,6 +320,18 @@
     assert_eq!(!usable(&table).is_empty(), is_used);
 }
 
+#[test]
+fn a_whole_list_tells_what_it_changes() {
+    let mut table = UpstreamTable::default();
+    table.replace(vec![record("a", false, 0), record("b", false, 0)], at(0));
+    let leaving = record("b", true, 0);
+    let difference = table.replace(vec![leaving.clone(), record("c", false, 0)], at(10));
+    assert_eq!(difference.listed, [leaving.clone(), record("c", false, 0)]);
+    assert_eq!(difference.unlisted, ["a".parse().unwrap()]);
+    let same = table.replace(vec![leaving, record("c", false, 0)], at(20));
+    assert!(same.listed.is_empty() && same.unlisted.is_empty());
+}
+
 #[test]
 fn records_for_peers_carry_the_cold_time_that_is_left() {
     let mut table = UpstreamTable::default();
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::DataCentreName;
+use foldhaven_core::ids::{DataCentreName, UpstreamName};
 use foldhaven_core::opaque::peer_table::PeerTable;
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable};
+use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
@@ -112,6 +113,23 @@
         }
     }
 
+    /// Takes over from other VMs that the platform is away: what vanishes from its lists soon after may
+    /// only have failed to renew its entry.
+    pub(super) fn note_told_outage(&mut self) {
+        let now = self.now();
+        let is_told = self.peers.hears_of_outage(now);
+        if is_told {
+            self.table.note_disturbed(now);
+        }
+        if std::mem::replace(&mut self.is_told_outage, is_told) != is_told {
+            tracing::info!(
+                is_told,
+                revision = self.revision,
+                "other VMs tell of a platform outage"
+            );
+        }
+    }
+
     /// Takes in changes that this VM read itself, and passes them on if they follow what is known.
     fn take_and_tell(&mut self, set: ChangeSet) {
         let told = (!set.changes.is_empty()).then(|| set.clone());
@@ -164,8 +182,14 @@
         }
         let now = self.now();
         self.revision = snapshot.revision;
-        self.has_state = true;
-        self.table.replace(snapshot.upstreams, now);
+        let difference = self.table.replace(snapshot.upstreams, now);
+        if std::mem::replace(&mut self.has_state, true) {
+            difference.listed.iter().for_each(|record| self.log_listed(record));
+            difference.unlisted.iter().for_each(|name| self.log_unlisted(name));
+        } else {
+            let upstreams = difference.listed.len();
+            tracing::info!(upstreams, revision = self.revision, "first list of upstreams");
+        }
         self.table.set_evacuated(snapshot.evacuated);
         if let Some(description) = snapshot.description {
             self.adopt(description);
@@ -191,17 +215,11 @@
         match change {
             FeedChange::Description(description) => self.adopt(*description),
             FeedChange::UpstreamWritten(record) => {
-                tracing::info!(
-                    upstream = %record.name,
-                    leaving = record.leaving,
-                    cold_ms = record.cold_for.as_millis() as u64,
-                    revision = self.revision,
-                    "upstream listed"
-                );
+                self.log_listed(&record);
                 self.table.put(record, now);
             }
             FeedChange::UpstreamRemoved(name) => {
-                tracing::info!(upstream = %name, revision = self.revision, "upstream unlisted");
+                self.log_unlisted(&name);
                 self.table.remove(&name, now);
             }
             FeedChange::EvacuationStarted(centre) => {
@@ -215,6 +233,20 @@
         }
     }
 
+    fn log_listed(&self, record: &UpstreamRecord) {
+        tracing::info!(
+            upstream = %record.name,
+            leaving = record.leaving,
+            cold_ms = record.cold_for.as_millis() as u64,
+            revision = self.revision,
+            "upstream listed"
+        );
+    }
+
+    fn log_unlisted(&self, name: &UpstreamName) {
+        tracing::info!(upstream = %name, revision = self.revision, "upstream unlisted");
+    }
+
     fn change_evacuated(&mut self, change: impl FnOnce(&mut BTreeSet<DataCentreName>) -> bool) {
         let mut evacuated = self.table.evacuated().clone();
         change(&mut evacuated);
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -66,6 +66,8 @@
     behind_since: Option<MonoTime>,
     /// Whether the last reading of the platform failed.
     is_disturbed: bool,
+    /// Whether other VMs of the region tell of an outage of the platform.
+    is_told_outage: bool,
     /// Whether a snapshot was taken in, so that changes can follow it.
     has_state: bool,
     /// Tells the feed when to read.
@@ -97,6 +99,7 @@
             reports: 0,
             behind_since: None,
             is_disturbed: false,
+            is_told_outage: false,
             has_state: false,
             turn: watch::Sender::new(FeedTurn { reads: true, known: None }),
             news,
@@ -152,6 +155,7 @@
     async fn handle(&mut self, _: TickKeeper, _: &mut Context<Self>) {
         let now = self.now();
         self.peers.forget(now);
+        self.note_told_outage();
         if self.table.expire(now) {
             tracing::info!("upstreams dropped that were not listed again");
         }
