--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -24,7 +24,7 @@
 const REREAD_COST: f64 = 0.4;
 /// What taking parts over costs against reading them again: moved memory is paid for, at about a
 /// twentieth of that.
-const FETCH_SHARE: f64 = 0.06;
+const FETCH_SHARE: f64 = 0.11;
 /// By how much the upstream that ranks first for a meeting key is preferred while nobody is known to
 /// hold its parts, as a share of the cost of reading them.
 const MEETING_SHARE: f64 = 0.5;
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -16,7 +16,7 @@
 /// deployments are 55 ms apart one way.
 const REGION_ROUND_TRIP: Duration = Duration::from_millis(115);
 /// What a byte between regions costs against a token of work, by the prices of two deployments.
-const REGION_BYTE_PRICE: f64 = 0.014;
+const REGION_BYTE_PRICE: f64 = 0.03;
 /// The share of a prompt's short shared parts that another region probably has to read.
 const FAR_MISSING_SHARE: f64 = 0.4;
 
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -16,7 +16,7 @@
 
 /// What a byte between data centres of a region costs against a token of work, between the prices
 /// of two deployments: 0.0035 and 0.0145.
-const CENTRE_BYTE_PRICE: f64 = 0.007;
+const CENTRE_BYTE_PRICE: f64 = 0.03;
 
 /// The best upstream of this region.
 pub(super) struct NearChoice {
