Let two delegates of each region speak for it in the others

Cause: every VM sent heartbeats with 24 pulses to VMs of all regions, some 265 KB/s between regions at 79 VMs (sum), a third of all bytes there; the waits of another region were the mean of heartbeats up to ten seconds old; and each restart made every VM ask five others for all heartbeats. Ruled out: rarer heartbeats, since a far VM would then be missed later than the directory's eight seconds permit. Change: inside a region heartbeats as before; two delegates tell each other region every 250 ms of the waits and every 750 ms who serves, one VM there at a time, which passes it on with its load report. Heartbeats of unknown lifetimes are asked for by tag.

--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -9,6 +9,7 @@
 use crate::ids::IncarnationId;
 use crate::opaque::affinity::{PromptPlacement, UpstreamTag};
 use crate::opaque::peer_table::VmTag;
+use crate::opaque::region_book::RegionReport;
 use crate::time::MonoTime;
 
 /// Between two reports of a VM, where few VMs share a region.
@@ -41,6 +42,8 @@
     pub shares: Vec<(UpstreamTag, UpstreamShare)>,
     /// Long prompts that it sent since its last report.
     pub placements: Vec<PromptPlacement>,
+    /// What delegates of other regions told it since its last report.
+    pub regions: Vec<RegionReport>,
 }
 
 #[derive(Debug)]
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -8,6 +8,7 @@
 pub mod load_share;
 pub mod pace;
 pub mod peer_table;
+pub mod region_book;
 pub mod retry_share;
 pub mod route_table;
 pub mod upstream_table;
--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -17,8 +17,17 @@
     pub pulses: Vec<PeerPulse>,
     /// Heartbeats of VMs that the receiver did not know.
     pub heard: Vec<PeerBeat>,
-    /// Whether the sender heard of VMs that it does not know, and asks for all heartbeats.
-    pub asks_all: bool,
+    /// Which heartbeats the sender asks for.
+    pub asks: AskedBeats,
+}
+
+/// Which heartbeats of other VMs are asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AskedBeats {
+    /// Those of these VMs, of which no more than their tags or another lifetime is known.
+    Of(Vec<VmTag>),
+    /// All, by a process that knows nobody yet.
+    All,
 }
 
 /// The heartbeat of a VM: all that others know of it.
@@ -46,8 +55,6 @@
     pub revision: u64,
     /// Whether the platform turns it away.
     pub is_turned_away: bool,
-    /// For each service that has upstreams in its region: the wait that a request would meet there.
-    pub waits: Vec<ServiceWait>,
 }
 
 impl PeerBeat {
@@ -74,6 +81,11 @@
         }
     }
 
+    /// The lifetime that this heartbeat is of.
+    pub fn life(&self) -> VmLife {
+        VmLife::of(&self.vm, self.incarnation)
+    }
+
     /// Where this heartbeat stands among all of its VM; later ones are larger.
     pub(super) fn order(&self) -> (IncarnationId, u32) {
         (self.incarnation, self.sequence)
@@ -97,6 +109,22 @@
     pub is_turned_away: bool,
 }
 
+/// One lifetime of a VM, short enough to be told of all VMs of a region at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmLife {
+    /// The VM.
+    pub vm: VmTag,
+    /// The last bits of its incarnation, by which it differs from the lifetimes next to it.
+    pub lifetime: u16,
+}
+
+impl VmLife {
+    /// The lifetime of a VM.
+    pub fn of(vm: &VmName, incarnation: IncarnationId) -> Self {
+        Self { vm: VmTag::of(vm), lifetime: incarnation.0 as u16 }
+    }
+}
+
 /// What a VM says of itself for others' decisions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerPhase {
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -9,6 +9,7 @@
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
+use foldhaven_core::opaque::region_book::RegionReport;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,8 +17,8 @@
 
 use crate::feed::ChangeSet;
 use crate::keeper::{
-    HearBeat, HearChanges, HearLoad, HearPlacements, KeeperAddress, LEARNING_TIME, PlanBeats,
-    PlanReport, PlannedBeats, PlannedReport, ToldChanges,
+    HearBeat, HearChanges, HearLoad, HearPlacements, HearRegion, KeeperAddress, LEARNING_TIME,
+    PlanBeats, PlanReport, PlannedBeats, PlannedReport, ToldChanges,
 };
 use crate::shared::GatewayShared;
 
@@ -36,6 +37,7 @@
     Load(LoadReport),
     Placements(Vec<PromptPlacement>),
     Changes(ChangeSet),
+    Region(RegionReport),
 }
 
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
@@ -57,8 +59,10 @@
     let mut idle_rounds = 0;
     loop {
         let Ok(planned) = keeper.send(PlanReport).await else { return };
-        let PlannedReport { targets, report, far_targets, far_placements, interval } = planned;
-        let is_idle = report.shares.is_empty() && report.placements.is_empty();
+        let PlannedReport { targets, report, far_targets, far_placements, region, interval } =
+            planned;
+        let is_idle =
+            report.shares.is_empty() && report.placements.is_empty() && report.regions.is_empty();
         // The first idle report says that the earlier requests have ended; later ones that this VM
         // lives.
         if !is_idle || idle_rounds % IDLE_ROUNDS == 0 {
@@ -67,6 +71,9 @@
         if !far_placements.is_empty() {
             send_to(&socket, &far_targets, &PeerMessage::Placements(far_placements)).await;
         }
+        if let Some(region) = region {
+            send_to(&socket, &far_targets, &PeerMessage::Region(region)).await;
+        }
         idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         sleep(interval).await;
     }
@@ -107,6 +114,7 @@
         PeerMessage::Beat(message) => return keeper.send(HearBeat { message }).await,
         PeerMessage::Changes(changes) => keeper.send(HearChanges { changes }).await?,
         PeerMessage::Placements(placements) => keeper.send(HearPlacements { placements }).await?,
+        PeerMessage::Region(report) => keeper.send(HearRegion { report }).await?,
         PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
     }
     Ok(PlannedBeats::new())
--- a/crates/foldhaven-gateway/src/keeper/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/keeper/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use foldhaven_core::opaque::peer_table::{BeatMessage, PeerBeat};
+use foldhaven_core::opaque::peer_table::{AskedBeats, BeatMessage, BeatTargets, PeerBeat};
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
@@ -29,11 +29,12 @@
     type Return = PlannedBeats;
 
     async fn handle(&mut self, message: HearBeat, _: &mut Context<Self>) -> PlannedBeats {
-        let BeatMessage { own, pulses, heard, asks_all } = message.message;
+        let BeatMessage { own, pulses, heard, asks } = message.message;
         let now = self.now();
         let sender = own.peer;
         let (vm, phase, incarnation) = (own.vm.clone(), own.phase, own.incarnation);
         let mut is_news = self.peers.hear(own, now);
+        self.peers.note_heard(&vm, now);
         if is_news {
             tracing::info!(peer = %vm, phase = ?phase, "peer heard");
         }
@@ -54,7 +55,7 @@
         if is_news {
             self.publish();
         }
-        let mut replies = if asks_all { self.answer_all(sender) } else { Vec::new() };
+        let mut replies = self.answer(sender, &asks);
         if let Some(later) = self.peers.later_lifetime(&vm, incarnation).cloned() {
             tracing::warn!(
                 peer = %vm,
@@ -73,19 +74,24 @@
 
     async fn handle(&mut self, plan: PlanBeats, _: &mut Context<Self>) -> PlannedBeats {
         self.beats += 1;
-        let asks_all = self.peers.take_asks_all();
-        let mut targets = match plan.to_all {
-            true => self.peers.all_addresses(),
-            false => self.peers.next_targets(),
+        let now = self.now();
+        let asks = self.peers.take_asks();
+        let BeatTargets { near, far } = match plan.to_all {
+            true => BeatTargets { near: self.peers.all_addresses(), far: Vec::new() },
+            false => self.peers.next_targets(now),
         };
-        let is_seed_round = asks_all || self.beats.is_multiple_of(SEED_ROUNDS);
-        if is_seed_round {
-            targets.extend(self.settings.seed_peers());
-        }
-        let targets: BTreeSet<SocketAddr> = targets.into_iter().collect();
-        let pulses = self.peers.relayed(self.now());
-        let message = BeatMessage { pulses, asks_all, ..self.message(Vec::new()) };
-        targets.into_iter().map(|target| (target, message.clone())).collect()
+        let is_seed_round = asks == AskedBeats::All || self.beats.is_multiple_of(SEED_ROUNDS);
+        let seeds = if is_seed_round { self.settings.seed_peers() } else { Vec::new() };
+        let pulses = self.peers.relayed(now);
+        let to_far = BeatMessage { asks, ..self.message(Vec::new()) };
+        let to_near = BeatMessage { pulses, ..to_far.clone() };
+        let near: BTreeSet<SocketAddr> = near.into_iter().collect();
+        let far: BTreeSet<SocketAddr> = far.into_iter().chain(seeds).collect();
+        let far = far.into_iter().filter(|target| !near.contains(target));
+        let to_far = far.map(|target| (target, to_far.clone()));
+        let mut planned: PlannedBeats = to_far.collect();
+        planned.extend(near.into_iter().map(|target| (target, to_near.clone())));
+        planned
     }
 }
 
@@ -104,22 +110,23 @@
             version: self.version(),
             revision: self.revision,
             is_turned_away: self.is_disturbed,
-            waits: self.own_waits(),
         }
     }
 
     fn message(&self, heard: Vec<PeerBeat>) -> BeatMessage {
-        BeatMessage { own: self.own_beat(), pulses: Vec::new(), heard, asks_all: false }
+        let asks = AskedBeats::Of(Vec::new());
+        BeatMessage { own: self.own_beat(), pulses: Vec::new(), heard, asks }
     }
 
-    /// All heartbeats for a VM that knows nobody, in messages that fit a datagram.
-    fn answer_all(&self, address: SocketAddr) -> PlannedBeats {
+    /// The heartbeats that a VM asks for, in messages that fit a datagram. One that knows nobody gets at
+    /// least this VM's own.
+    fn answer(&self, address: SocketAddr, asked: &AskedBeats) -> PlannedBeats {
         const PER_MESSAGE: usize = 7;
-        let beats: Vec<PeerBeat> = self.peers.live(self.now()).cloned().collect();
+        let beats = self.peers.answers(asked, self.now());
         let chunks = beats.chunks(PER_MESSAGE);
         let mut planned: PlannedBeats =
             chunks.map(|chunk| (address, self.message(chunk.to_vec()))).collect();
-        if planned.is_empty() {
+        if planned.is_empty() && *asked == AskedBeats::All {
             planned.push((address, self.message(Vec::new())));
         }
         planned
--- a/crates/foldhaven-gateway/src/keeper/load_reports.rs
+++ b/crates/foldhaven-gateway/src/keeper/load_reports.rs
@@ -1,13 +1,12 @@
-//! Takes in load reports and prompt placements of other VMs, and plans those of this one.
+//! Takes in load reports, prompt placements and reports of whole regions, and plans those of this VM.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::{LoadReport, share_interval};
-use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::peer_table::{PeerPhase, VmTag};
+use foldhaven_core::opaque::region_book::{LIVES_EVERY, REGION_INTERVAL, RegionReport};
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
@@ -23,6 +22,7 @@
     async fn handle(&mut self, message: HearLoad, _: &mut Context<Self>) {
         let mut report = message.report;
         let placements = std::mem::take(&mut report.placements);
+        let regions = std::mem::take(&mut report.regions);
         let now = self.now();
         let (vm, incarnation) = (report.vm, report.incarnation);
         if !self.loads.hear(report, now) {
@@ -30,6 +30,24 @@
         }
         self.peers.note_report(vm, incarnation, now);
         self.note_placements(&placements);
+        for region in &regions {
+            self.note_region(region);
+        }
+    }
+}
+
+/// A delegate of another region told of it.
+pub struct HearRegion {
+    pub report: RegionReport,
+}
+
+impl Handler<HearRegion> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearRegion, _: &mut Context<Self>) {
+        if self.note_region(&message.report) {
+            self.relayed_regions.push(message.report);
+        }
     }
 }
 
@@ -57,6 +75,8 @@
     /// A VM of each other region, which tells the rest there of these prompts.
     pub far_targets: Vec<SocketAddr>,
     pub far_placements: Vec<PromptPlacement>,
+    /// What the VMs of the far targets are told of this region, where this VM speaks for it.
+    pub region: Option<RegionReport>,
     pub interval: Duration,
 }
 
@@ -72,13 +92,17 @@
         placements.extend(far_placements.iter().cloned());
         let report = self.own_report(placements);
         let interval = share_interval(targets.len());
-        PlannedReport { targets, report, far_targets: self.far_targets(), far_placements, interval }
+        let region = self.due_region_report();
+        let is_far = region.is_some() || !far_placements.is_empty();
+        let far_targets = if is_far { self.peers.one_of_each_region() } else { Vec::new() };
+        PlannedReport { targets, report, far_targets, far_placements, region, interval }
     }
 }
 
 impl ControlKeeper {
     /// The requests that this VM has at each upstream, with prompts that others are to hear of.
-    fn own_report(&self, placements: Vec<PromptPlacement>) -> LoadReport {
+    fn own_report(&mut self, placements: Vec<PromptPlacement>) -> LoadReport {
+        let regions = std::mem::take(&mut self.relayed_regions);
         let own = self.upstreams.values().map(|upstream| (upstream.tag, upstream.load.share()));
         LoadReport {
             vm: VmTag::of(&self.shared.settings.vm),
@@ -86,9 +110,46 @@
             sequence: self.reports,
             shares: own.filter(|(_, share)| share.in_flight > 0).collect(),
             placements,
+            regions,
         }
     }
 
+    /// The report of this region to the others, when this VM speaks for it and one is due.
+    fn due_region_report(&mut self) -> Option<RegionReport> {
+        let now = self.now();
+        let is_due = self.region_told.is_none_or(|told| now.since(told) >= REGION_INTERVAL);
+        if !is_due || self.phase() != PeerPhase::Serving || !self.peers.is_delegate(now) {
+            return None;
+        }
+        self.region_told = Some(now);
+        self.region_reports += 1;
+        let mut lives = Vec::new();
+        if self.region_reports.is_multiple_of(LIVES_EVERY) {
+            lives = self.peers.heard_lives(now);
+            lives.push(self.own_beat().life());
+        }
+        Some(RegionReport {
+            region: self.shared.settings.region().clone(),
+            teller: VmTag::of(&self.shared.settings.vm),
+            incarnation: self.peers.incarnation(),
+            sequence: self.region_reports,
+            waits: self.own_waits(),
+            lives,
+        })
+    }
+
+    /// Takes in what a delegate tells of its region. Returns whether it is new.
+    fn note_region(&mut self, report: &RegionReport) -> bool {
+        let now = self.now();
+        if report.region == *self.shared.settings.region() || !self.regions.hear(report, now) {
+            return false;
+        }
+        if self.peers.note_lives(&report.lives, now) {
+            self.publish();
+        }
+        true
+    }
+
     fn note_placements(&self, placements: &[PromptPlacement]) {
         let mut hints = self.shared.hints.lock();
         for placement in placements {
@@ -104,15 +165,4 @@
             upstream.set_others(totals.get(&upstream.tag).copied().unwrap_or_default());
         }
     }
-
-    /// One live VM of each other region, another one each time.
-    fn far_targets(&self) -> Vec<SocketAddr> {
-        let own_region = self.shared.settings.region();
-        let mut regions: BTreeMap<&RegionName, Vec<SocketAddr>> = BTreeMap::new();
-        for beat in self.peers.live(self.now()).filter(|beat| beat.region != *own_region) {
-            regions.entry(&beat.region).or_default().push(beat.peer);
-        }
-        let turn = self.reports as usize;
-        regions.into_values().map(|peers| peers[turn % peers.len()]).collect()
-    }
 }
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -15,6 +15,7 @@
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadBook;
 use foldhaven_core::opaque::peer_table::{PeerPhase, PeerTable};
+use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::UpstreamTable;
 use foldhaven_core::time::MonoTime;
@@ -23,7 +24,7 @@
 
 pub use self::feed_changes::{FindAhead, HearChanges, OfferSnapshot, ToldChanges};
 pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
-pub use self::load_reports::{HearLoad, HearPlacements, PlanReport, PlannedReport};
+pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use crate::feed::FeedTurn;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
@@ -56,6 +57,14 @@
     links: HashMap<VmName, Arc<PeerLink>>,
     /// The load reports of other VMs.
     loads: LoadBook,
+    /// What delegates of other regions told.
+    regions: RegionBook,
+    /// Reports of them, of which the VMs of this region are still to be told.
+    relayed_regions: Vec<RegionReport>,
+    /// When the other regions were told of this one.
+    region_told: Option<MonoTime>,
+    /// How often they were.
+    region_reports: u32,
     /// Prompts in other regions, of which the VMs of this region are still to be told.
     relayed: Vec<PromptPlacement>,
     /// How many rounds of heartbeats were sent.
@@ -94,6 +103,10 @@
             peers,
             links: HashMap::new(),
             loads: LoadBook::default(),
+            regions: RegionBook::default(),
+            relayed_regions: Vec::new(),
+            region_told: None,
+            region_reports: 0,
             relayed: Vec::new(),
             beats: 0,
             reports: 0,
@@ -155,6 +168,7 @@
     async fn handle(&mut self, _: TickKeeper, _: &mut Context<Self>) {
         let now = self.now();
         self.peers.forget(now);
+        self.regions.forget(now);
         self.note_told_outage();
         if self.table.expire(now) {
             tracing::info!("upstreams dropped that were not listed again");
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, ServiceName};
-use foldhaven_core::opaque::peer_table::{PeerBeat, ServiceTag, ServiceWait};
+use foldhaven_core::opaque::peer_table::{ServiceTag, ServiceWait};
 
 use super::ControlKeeper;
 use crate::places::expected_wait;
 use crate::view::RegionWait;
 
-/// The wait in a region of which no VM has told one yet, as after a start: requests that may run only
-/// there are better sent than refused.
+/// The wait in a region of which no delegate has told one lately, as after a start: requests that may
+/// run only there are better sent than refused.
 const UNTOLD_WAIT: Duration = Duration::from_millis(100);
 
 impl ControlKeeper {
@@ -35,17 +35,15 @@
         by_service.into_iter().map(service_wait).collect()
     }
 
-    /// The waits in the other regions, as the mean of what the VMs there say.
-    pub(super) fn far_waits(
-        &self,
-        beats: &[PeerBeat],
-    ) -> HashMap<(RegionName, ServiceName), RegionWait> {
+    /// The waits in the other regions, as their delegates told.
+    pub(super) fn far_waits(&self) -> HashMap<(RegionName, ServiceName), RegionWait> {
+        let now = self.now();
         let mut waits: HashMap<(RegionName, ServiceName), RegionWait> = HashMap::new();
         for upstream in self.upstreams.values() {
             let identity = &upstream.identity;
             let key = (identity.region.clone(), identity.service.clone());
             let wait = waits.entry(key).or_insert_with_key(|(region, service)| RegionWait {
-                wait: told_wait(beats, region, service),
+                wait: self.regions.wait(region, service, now).unwrap_or(UNTOLD_WAIT),
                 upstreams: 0,
                 slots: 0,
             });
@@ -56,21 +54,6 @@
     }
 }
 
-/// The mean of the waits that the VMs of a region say for a service, in whole milliseconds.
-fn told_wait(beats: &[PeerBeat], region: &RegionName, service: &ServiceName) -> Duration {
-    let tag = ServiceTag::of(service);
-    let of_region = beats.iter().filter(|beat| beat.region == *region);
-    let told: Vec<u64> = of_region
-        .flat_map(|beat| &beat.waits)
-        .filter(|wait| wait.service == tag)
-        .map(|wait| u64::from(wait.wait_ms))
-        .collect();
-    match told.len() as u64 {
-        0 => UNTOLD_WAIT,
-        count => Duration::from_millis(told.iter().sum::<u64>() / count),
-    }
-}
-
 /// The mean of the lower half: what a request meets that goes to one of the better places.
 fn lower_mean(mut waits: Vec<Duration>) -> Duration {
     waits.sort();
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -26,7 +26,7 @@
         let upstreams = self.current_upstreams(&routes, now);
         let mut beats: Vec<PeerBeat> = self.peers.live(now).cloned().collect();
         let peers = self.current_links(&beats);
-        let waits = self.far_waits(&beats);
+        let waits = self.far_waits();
         beats.push(self.own_beat());
         let snapshot = self.snapshot(&routes, now);
         self.shared.publish(GatewayView {
