Let requests whose callers came back after their target go behind others

Change: the longest time that callers of a route give tells how long one has waited; late requests are given a later rank at upstreams, and their wait counts in the price of a place.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -32,5 +32,7 @@
 pub const PRIORITY: &str = "foldhaven-priority";
 /// The data centre of the origin of a forwarded ticketed request.
 pub const FORWARDED_TICKET: &str = "foldhaven-forwarded-ticket";
+/// How long the caller of a forwarded request had waited before, in milliseconds.
+pub const WAITED_MS: &str = "foldhaven-waited-ms";
 /// The service that the origin of a forwarded opaque request chose.
 pub const SERVICE: &str = "foldhaven-service";
--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -57,6 +57,8 @@
 pub struct ChoiceQuery {
     /// The time to the answer, or to its first event, that its caller wants.
     pub target: Duration,
+    /// How long its caller had waited before it came.
+    pub waited: Duration,
     /// Its work: the tokens of its prompt and [`OUTPUT_WEIGHT`] times those of its answer.
     pub size: u32,
     /// The tokens of the shared parts of its prompt.
@@ -197,7 +199,7 @@
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
         let fixed = RequestCost(reread + moved + facts.failures + facts.move_cost);
-        let cost = RequestCost::of_time(first, query.target) + fixed;
+        let cost = RequestCost::of_time(query.waited + first, query.target) + fixed;
         UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|fetch| fetch.holder) }
     }
 }
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod load_share;
 pub mod pace;
+pub mod patience;
 pub mod peer_table;
 pub mod region_book;
 pub mod retry_share;
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -6,6 +6,7 @@
 use foldhaven_core::opaque::affinity::{PromptHints, PromptOutline, PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost, UpstreamFacts, choose_upstream};
 use foldhaven_core::opaque::pace::{QueueFacts, ServicePace, UpstreamPace};
+use foldhaven_core::opaque::patience::CallerPatience;
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
 
@@ -31,7 +32,8 @@
 fn query(shared_tokens: u32, meeting_key: Option<u64>, draw: f64) -> ChoiceQuery {
     let target = Duration::from_millis(800);
     let size = shared_tokens + 600;
-    ChoiceQuery { target, size, shared_tokens, own_tokens: 100, meeting_key, draw }
+    let waited = Duration::ZERO;
+    ChoiceQuery { target, waited, size, shared_tokens, own_tokens: 100, meeting_key, draw }
 }
 
 fn chosen(candidates: &[UpstreamFacts<'_>], query: ChoiceQuery) -> Option<usize> {
@@ -178,3 +180,28 @@
     assert!((120..=130).contains(&full), "{full}");
     assert!(pace.wait(queue(0, 45_000)) >= Duration::from_millis(990));
 }
+
+#[test]
+fn what_a_caller_still_gives_tells_how_long_it_has_waited() {
+    let mut patience = CallerPatience::default();
+    let at = |seconds: u64| MonoTime::from_millis(1_000_000 + seconds * 1_000);
+    let secs = Duration::from_secs;
+    assert_eq!(patience.note(secs(5), at(0)), Duration::ZERO, "nothing to compare with");
+    assert_eq!(patience.note(secs(8), at(1)), Duration::ZERO);
+    assert_eq!(patience.note(secs(6), at(2)), secs(2));
+    assert_eq!(patience.note(secs(6), at(12)), secs(2), "the span before counts");
+    assert_eq!(patience.note(secs(6), at(60)), Duration::ZERO, "callers give less now");
+}
+
+/// A request that is late already has nothing to win by speed: it leaves the quick places to others.
+#[test]
+fn a_late_request_goes_where_it_costs_least() {
+    let names = names(2);
+    let mut candidates: Vec<_> = names.iter().map(facts).collect();
+    candidates[0].held_tokens = 5_000;
+    candidates[0].queue.pending_tokens = 45_000;
+    let fresh = query(5_000, None, 0.0);
+    let late = ChoiceQuery { waited: Duration::from_secs(3), ..fresh };
+    assert_eq!(chosen(&candidates, fresh), Some(1));
+    assert_eq!(chosen(&candidates, late), Some(0));
+}
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -12,6 +12,7 @@
 
 use super::{PlacedAnswer, RequestDriver};
 use crate::call::{CallFault, OpenAnswer, open_call};
+use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
 use crate::upstream::Upstream;
 
@@ -68,12 +69,17 @@
         }
         match place {
             RequestPlace::Upstream(upstream) => {
+                if job.is_late() {
+                    map.insert(&names.rank, HeaderValue::from(u16::from(HeaderNames::LATE_RANK)));
+                }
                 map.insert(&names.expected_upstream, text_value(upstream.name().as_str()));
             }
             RequestPlace::Peer(_) => {
                 let centre: &DataCentreName = &self.shared.settings.data_centre;
                 map.insert(headers::VISITED, text_value(centre.as_str()));
                 map.insert(headers::SERVICE, text_value(job.service.as_str()));
+                let waited = job.waited().as_millis();
+                map.insert(headers::WAITED_MS, HeaderValue::from(waited as u64));
             }
         }
         request.body(Full::new(job.body.clone())).expect("the parts were read from a request")
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -60,7 +60,8 @@
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
     let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
     let terms = read_terms(&head, &shared.names)?;
-    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), ..terms };
+    let waited = shared.note_patience(&route.name, terms.remaining);
+    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
     let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
     let request = ReadRequest { head, body, started };
     Ok(request.into_job(route, service, terms, &shared.names))
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -208,7 +208,8 @@
 
     /// Notes the first event: of this upstream, and of the whole stream.
     fn note_first(&mut self) {
-        let (RelayState::Reading(reading), Some(driver)) = (&mut self.state, &self.driver) else {
+        let (RelayState::Reading(reading), Some(driver)) = (&mut self.state, &mut self.driver)
+        else {
             return;
         };
         if !std::mem::replace(&mut reading.has_begun, true) {
@@ -216,6 +217,7 @@
             driver.note_first(&reading.place, reading.expected, reading.sent);
         }
         if !std::mem::replace(&mut self.has_first, true) {
+            driver.job.has_begun = true;
             let job = &driver.job;
             driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
         }
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -40,6 +40,10 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub started: Instant,
+    /// How long the caller had waited before, as far as the time that it still gives shows.
+    pub waited_before: Duration,
+    /// Whether the caller has got a first event; from then on no target is missed by waiting.
+    pub has_begun: bool,
     /// When the caller gives up, or the operators want it given up.
     pub deadline: Instant,
     /// The parts of the prompt, where the caller names them and the route uses them.
@@ -58,6 +62,19 @@
         HeaderValue::from(left)
     }
 
+    /// How long the caller has waited for a first answer.
+    pub fn waited(&self) -> Duration {
+        match self.has_begun {
+            true => Duration::ZERO,
+            false => self.waited_before + self.started.elapsed(),
+        }
+    }
+
+    /// Whether it cannot be answered within its target any more.
+    pub fn is_late(&self) -> bool {
+        self.waited() >= self.route.target
+    }
+
     /// The parts of the prompt that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.outline.as_ref().map_or(&[], |outline| &outline.shared)
@@ -104,6 +121,8 @@
             headers: forwarded_headers(head.headers, names),
             body,
             started,
+            waited_before: terms.waited,
+            has_begun: false,
             deadline: started + terms.remaining,
             is_forwarded: false,
         }
@@ -148,6 +167,8 @@
 pub struct CallerTerms {
     pub attempt: HeaderValue,
     pub remaining: Duration,
+    /// How long it has waited already.
+    pub waited: Duration,
 }
 
 /// Reads the terms of a request.
@@ -160,7 +181,8 @@
             Duration::from_millis(millis.ok_or(Refusal::Malformed)?)
         }
     };
-    Ok(CallerTerms { attempt, remaining: remaining.min(LONGEST_REMAINING) })
+    let waited = Duration::ZERO;
+    Ok(CallerTerms { attempt, remaining: remaining.min(LONGEST_REMAINING), waited })
 }
 
 /// Reads the outline of the prompt, if the route wants requests that share one to meet.
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -21,6 +21,14 @@
     pub fetch_from: HeaderName,
     /// The event after which a stream goes on.
     pub last_event: HeaderName,
+    /// The rank of a request at an upstream: 0 goes first, [`HeaderNames::LATE_RANK`] last.
+    pub rank: HeaderName,
     /// Headers that only this system may send to upstreams; taken out of callers' requests.
     pub reserved: Vec<HeaderName>,
 }
+
+impl HeaderNames {
+    /// The rank of requests that cannot be answered within their target any more. Others name none,
+    /// which stands for 5.
+    pub const LATE_RANK: u8 = 8;
+}
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -1,7 +1,7 @@
 //! Takes requests that other VMs forward, and tells them what the platform published.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use foldhaven_core::headers;
@@ -12,7 +12,7 @@
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::caller_front::run_job;
 use crate::front::FrontHandler;
-use crate::job::{GatewayJob, ReadRequest, host_of, read_body, read_terms};
+use crate::job::{CallerTerms, GatewayJob, ReadRequest, host_of, read_body, read_terms};
 use crate::peer_state::PEER_STATE_PATH;
 use crate::shared::GatewayShared;
 
@@ -80,7 +80,10 @@
         // The descriptions of the two VMs differ; the origin may ask elsewhere.
         return Err(Refusal::NotPermitted);
     }
-    let terms = read_terms(&head, &shared.names)?;
+    let waited = head.headers.remove(headers::WAITED_MS);
+    let waited = waited.and_then(|value| value.to_str().ok()?.parse().ok());
+    let waited = Duration::from_millis(waited.ok_or(Refusal::NotPermitted)?);
+    let terms = CallerTerms { waited, ..read_terms(&head, &shared.names)? };
     let request = ReadRequest { head, body, started };
     let job = request.into_job(route, service, terms, &shared.names);
     Ok(GatewayJob { is_forwarded: true, ..job })
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -64,7 +64,7 @@
         let first = REGION_ROUND_TRIP + self.wait.wait + pace.first(self.sent_since(), read_tokens);
         let moving = RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size);
         let rereading = RequestCost::of_rereading(missing, query.size);
-        let cost = RequestCost::of_time(first, job.route.target) + moving + rereading;
+        let cost = RequestCost::of_time(query.waited + first, query.target) + moving + rereading;
         let place = RequestPlace::Peer(peer);
         FarChoice { choice: PlaceChoice { place, first, read_tokens, fetch_from: None }, cost }
     }
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -130,6 +130,7 @@
     let outline = job.outline.as_ref();
     ChoiceQuery {
         target: job.route.target,
+        waited: job.waited(),
         size: job.size(),
         shared_tokens: outline.map_or(0, |outline| outline.shared_tokens()),
         own_tokens: outline.map_or(0, |outline| outline.own_tokens),
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use foldhaven_core::ids::ServiceName;
+use foldhaven_core::ids::{RouteName, ServiceName};
 use foldhaven_core::opaque::affinity::{PromptHints, PromptPlacement};
 use foldhaven_core::opaque::pace::ServicePace;
+use foldhaven_core::opaque::patience::CallerPatience;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -49,6 +50,8 @@
     pub placements: Mutex<Vec<PromptPlacement>>,
     /// How long requests of each service held their upstreams, as measured.
     paces: Mutex<HashMap<ServiceName, ServicePace>>,
+    /// The longest times that callers of each route give.
+    patiences: Mutex<HashMap<RouteName, CallerPatience>>,
     /// The start of the process, from which its clock counts.
     zero: Instant,
     view: ArcSwapOption<GatewayView>,
@@ -72,6 +75,7 @@
             hints: Mutex::default(),
             placements: Mutex::default(),
             paces: Mutex::default(),
+            patiences: Mutex::default(),
             zero: Instant::now(),
             view: ArcSwapOption::empty(),
             retries: Mutex::default(),
@@ -132,6 +136,16 @@
         paces.entry(service.clone()).or_default().note_hold(held);
     }
 
+    /// Takes in the time that a caller of a route still gives. Returns how long it has waited already.
+    pub fn note_patience(&self, route: &RouteName, remaining: Duration) -> Duration {
+        let now = self.now();
+        let mut patiences = self.patiences.lock();
+        if let Some(patience) = patiences.get_mut(route) {
+            return patience.note(remaining, now);
+        }
+        patiences.entry(route.clone()).or_default().note(remaining, now)
+    }
+
     /// Counts a request of a caller for the retry budget of its service.
     pub fn note_request(&self, service: &ServiceName) {
         let now = self.now();
