Price the streams whose pauses a long prompt breaks

Between two pieces of a prompt, 70 ms and more, a stream gets one token; digests were spread evenly over all upstreams, so that prompts were being read at all of them. Change: reading costs what it breaks: the streams at the upstream, by the mean size of requests, times the probability that the prompts waiting there take longer than the wanted pause.

--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -19,6 +19,9 @@
 const TIME_SHARE: f64 = 0.2;
 /// The spread of times around the expected one, as a share of the target.
 const LATE_SPREAD: f64 = 0.15;
+/// The spread of the longest pause around the time that the waiting prompts take to read, as a share of
+/// the pause that is wanted.
+const PAUSE_SPREAD: f64 = 0.12;
 /// What reading all of a request's tokens again costs. From the prices of two deployments: 0.3 to
 /// 0.45 of what a request is worth.
 const REREAD_COST: f64 = 0.4;
@@ -59,6 +62,8 @@
     pub target: Duration,
     /// How long its caller had waited before it came.
     pub waited: Duration,
+    /// The longest pause between two events that its caller wants, for streams.
+    pub event_gap: Option<Duration>,
     /// Its work: the tokens of its prompt and [`OUTPUT_WEIGHT`] times those of its answer.
     pub size: u32,
     /// The tokens of the shared parts of its prompt.
@@ -184,6 +189,21 @@
         Some(PartFetch { holder, tokens, time: self.pace.fetching(tokens)? })
     }
 
+    /// What reading some tokens costs the streams that a candidate is writing: between two pieces of a
+    /// prompt each stream gets one token, so that prompts that are read one after the other stretch the
+    /// pauses of all of them.
+    fn disturbance(&self, queue: QueueFacts, tokens: u32) -> RequestCost {
+        let Some(gap) = self.query.event_gap else { return RequestCost(0.0) };
+        let broken_by = |tokens: u32| {
+            let share = self.pace.reading(tokens).div_duration_f64(gap);
+            1.0 / (1.0 + (-(share - 1.0) / PAUSE_SPREAD).exp())
+        };
+        let pending = queue.pending_tokens;
+        let broken = broken_by(pending.saturating_add(tokens)) - broken_by(pending);
+        let streams = f64::from(queue.in_flight) * self.pace.usual_size;
+        RequestCost(broken * streams / f64::from(self.query.size.max(1)))
+    }
+
     /// What a candidate is expected to take and to cost.
     fn price(&self, at: usize) -> UpstreamChoice {
         let Self { query, pace, .. } = self;
@@ -198,7 +218,8 @@
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
-        let fixed = RequestCost(reread + moved + facts.failures + facts.move_cost);
+        let disturbed = self.disturbance(facts.queue, read_tokens).0;
+        let fixed = RequestCost(reread + moved + disturbed + facts.failures + facts.move_cost);
         let cost = RequestCost::of_time(query.waited + first, query.target) + fixed;
         UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|fetch| fetch.holder) }
     }
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -10,6 +10,10 @@
 const TOKENS_PER_S: f64 = 45_000.0;
 /// How long a request holds its place before any was measured.
 const FIRST_HOLD: Duration = Duration::from_millis(60);
+/// The mean size before any request was seen; from the mix of two deployments.
+const FIRST_SIZE: f64 = 1_500.0;
+/// The weight of one more request in the mean size.
+const SIZE_WEIGHT: f64 = 0.01;
 /// The weight of a new measurement of the time that a place is held.
 const HOLD_WEIGHT: f64 = 0.02;
 /// The least time to an answer: the way there and back.
@@ -49,11 +53,18 @@
     pub fetched_per_s: f64,
     /// How long a request holds its place.
     pub hold: Duration,
+    /// The mean size of requests in tokens.
+    pub usual_size: f64,
 }
 
 impl Default for ServicePace {
     fn default() -> Self {
-        Self { tokens_per_s: TOKENS_PER_S, fetched_per_s: 0.0, hold: FIRST_HOLD }
+        Self {
+            tokens_per_s: TOKENS_PER_S,
+            fetched_per_s: 0.0,
+            hold: FIRST_HOLD,
+            usual_size: FIRST_SIZE,
+        }
     }
 }
 
@@ -63,6 +74,11 @@
         self.hold = self.hold.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
     }
 
+    /// Takes in the size of a request.
+    pub fn note_size(&mut self, size: u32) {
+        self.usual_size += (f64::from(size) - self.usual_size) * SIZE_WEIGHT;
+    }
+
     /// The time that a prompt takes to read.
     pub fn reading(&self, tokens: u32) -> Duration {
         Duration::from_secs_f64(f64::from(tokens) / self.tokens_per_s)
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -33,7 +33,17 @@
     let target = Duration::from_millis(800);
     let size = shared_tokens + 600;
     let waited = Duration::ZERO;
-    ChoiceQuery { target, waited, size, shared_tokens, own_tokens: 100, meeting_key, draw }
+    let event_gap = None;
+    ChoiceQuery {
+        target,
+        waited,
+        event_gap,
+        size,
+        shared_tokens,
+        own_tokens: 100,
+        meeting_key,
+        draw,
+    }
 }
 
 fn chosen(candidates: &[UpstreamFacts<'_>], query: ChoiceQuery) -> Option<usize> {
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -28,7 +28,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         match read_job(&self.shared, request).await {
             Ok(job) => {
-                self.shared.note_request(&job.service);
+                self.shared.note_request(&job.service, job.size());
                 run_job(self.shared.clone(), job).await
             }
             Err(refusal) => {
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -131,6 +131,7 @@
     ChoiceQuery {
         target: job.route.target,
         waited: job.waited(),
+        event_gap: job.route.event_gap,
         size: job.size(),
         shared_tokens: outline.map_or(0, |outline| outline.shared_tokens()),
         own_tokens: outline.map_or(0, |outline| outline.own_tokens),
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -129,11 +129,15 @@
 
     /// Notes how long a request held its place at an upstream of a service.
     pub fn note_hold(&self, service: &ServiceName, held: Duration) {
+        self.with_pace(service, |pace| pace.note_hold(held));
+    }
+
+    fn with_pace(&self, service: &ServiceName, act: impl FnOnce(&mut ServicePace)) {
         let mut paces = self.paces.lock();
         if let Some(pace) = paces.get_mut(service) {
-            return pace.note_hold(held);
+            return act(pace);
         }
-        paces.entry(service.clone()).or_default().note_hold(held);
+        act(paces.entry(service.clone()).or_default());
     }
 
     /// Takes in the time that a caller of a route still gives. Returns how long it has waited already.
@@ -146,9 +150,10 @@
         patiences.entry(route.clone()).or_default().note(remaining, now)
     }
 
-    /// Counts a request of a caller for the retry budget of its service.
-    pub fn note_request(&self, service: &ServiceName) {
+    /// Counts a request of a caller, and its size, for the retry budget and the pace of its service.
+    pub fn note_request(&self, service: &ServiceName, size: u32) {
         let now = self.now();
+        self.with_pace(service, |pace| pace.note_size(size));
         self.with_share(service, |share| share.note_request(now));
     }
 
