--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -215,3 +215,30 @@
     assert_eq!(chosen(&candidates, fresh), Some(1));
     assert_eq!(chosen(&candidates, late), Some(0));
 }
+
+/// Found on a day of much load: long prompts were spread over all upstreams, and everywhere streams got
+/// one token between two pieces of a prompt.
+#[rstest]
+#[case::where_none_is_broken(3_000, Some(400), 0)]
+#[case::where_many_would_be(30_000, Some(400), 1)]
+#[case::for_requests_that_are_no_streams(30_000, None, 0)]
+fn a_long_prompt_goes_where_it_breaks_few_pauses(
+    #[case] tokens: u32,
+    #[case] gap_ms: Option<u64>,
+    #[case] expected: usize,
+) {
+    let names = names(2);
+    let mut candidates: Vec<_> = names.iter().map(facts).collect();
+    for candidate in &mut candidates {
+        candidate.queue.slots = 64;
+    }
+    candidates[0].queue.in_flight = 20;
+    // The other one is a little worse in another respect.
+    candidates[1].failures = 0.05;
+    let mut query = query(0, None, 0.0);
+    query.own_tokens = tokens;
+    query.size = tokens;
+    query.target = Duration::from_secs(2);
+    query.event_gap = gap_ms.map(Duration::from_millis);
+    assert_eq!(chosen(&candidates, query), Some(expected));
+}
