Answer operators of the gateway like those of foldhavend: status of all VMs, and burn per route

The gateway counts per route what was whole and on time, the caller's earlier waiting included, in the rings that foldhavend uses; foldhavenctl status and report find all VMs through one.

--- a/crates/foldhaven-core/src/burn.rs
+++ b/crates/foldhaven-core/src/burn.rs
@@ -68,8 +68,9 @@
     Refused,
 }
 
+/// The counts of one kind of requests over the long window, in a ring of buckets.
 #[derive(Debug, Clone)]
-struct BucketRing {
+pub struct BurnRing {
     buckets: Vec<BurnCount>,
     at: u64,
 }
@@ -77,7 +78,7 @@
 /// The counts of one daemon, in a ring of buckets per account and class.
 #[derive(Debug, Default)]
 pub struct BurnMeter {
-    rings: BTreeMap<(AccountName, ClassName), BucketRing>,
+    rings: BTreeMap<(AccountName, ClassName), BurnRing>,
 }
 
 /// One row of a report.
@@ -103,34 +104,16 @@
         worth: f64,
         now: MonoTime,
     ) {
-        let slot = bucket_number(now);
         let key = (account.clone(), class.clone());
-        let ring = self.rings.entry(key).or_insert_with(|| BucketRing::new(slot));
-        ring.turn_to(slot);
-        let lost = if event == BurnEvent::Good { 0.0 } else { worth };
-        ring.buckets[slot as usize % BUCKETS].add(&BurnCount {
-            total: 1,
-            bad: u64::from(event != BurnEvent::Good),
-            refused: u64::from(event == BurnEvent::Refused),
-            worth,
-            lost,
-        });
+        self.rings.entry(key).or_insert_with(|| BurnRing::new(now)).note(event, worth, now);
     }
 
     /// The rows of all accounts and classes that had requests in the long window.
     pub fn rows(&mut self, now: MonoTime) -> Vec<BurnRow> {
-        let slot = bucket_number(now);
-        let short = (SHORT_WINDOW.as_secs() / BUCKET.as_secs()) as usize;
         let mut rows = Vec::new();
         for ((account, class), ring) in &mut self.rings {
-            ring.turn_to(slot);
-            let row = BurnRow {
-                account: account.clone(),
-                class: class.clone(),
-                short: ring.sum(short),
-                long: ring.sum(BUCKETS),
-            };
-            rows.push(row);
+            let (short, long) = ring.counts(now);
+            rows.push(BurnRow { account: account.clone(), class: class.clone(), short, long });
         }
         self.rings.retain(|_, ring| ring.sum(BUCKETS).total > 0);
         rows.retain(|row| row.long.total > 0);
@@ -142,9 +125,31 @@
     now.0 / BUCKET.as_micros() as u64
 }
 
-impl BucketRing {
-    fn new(at: u64) -> Self {
-        Self { buckets: vec![BurnCount::default(); BUCKETS], at }
+impl BurnRing {
+    /// An empty ring.
+    pub fn new(now: MonoTime) -> Self {
+        Self { buckets: vec![BurnCount::default(); BUCKETS], at: bucket_number(now) }
+    }
+
+    /// Notes how one request ended.
+    pub fn note(&mut self, event: BurnEvent, worth: f64, now: MonoTime) {
+        let slot = bucket_number(now);
+        self.turn_to(slot);
+        let lost = if event == BurnEvent::Good { 0.0 } else { worth };
+        self.buckets[slot as usize % BUCKETS].add(&BurnCount {
+            total: 1,
+            bad: u64::from(event != BurnEvent::Good),
+            refused: u64::from(event == BurnEvent::Refused),
+            worth,
+            lost,
+        });
+    }
+
+    /// The counts over the short and the long window.
+    pub fn counts(&mut self, now: MonoTime) -> (BurnCount, BurnCount) {
+        self.turn_to(bucket_number(now));
+        let short = (SHORT_WINDOW.as_secs() / BUCKET.as_secs()) as usize;
+        (self.sum(short), self.sum(BUCKETS))
     }
 
     /// Empties the buckets that time has passed over.
--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -16,7 +16,7 @@
 pub use self::messages::{
     AskedBeats, BeatMessage, PeerBeat, PeerPhase, PeerPulse, ServiceTag, ServiceWait, VmLife, VmTag,
 };
-use crate::ids::{IncarnationId, RegionName, VmName};
+use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use crate::rank::rank_by;
 use crate::time::MonoTime;
 
@@ -279,6 +279,16 @@
         self.live(now).filter(|beat| beat.region == self.region)
     }
 
+    /// When something was heard of any VM of each data centre.
+    pub fn heard_by_centre(&self) -> HashMap<DataCentreName, MonoTime> {
+        let mut heard: HashMap<DataCentreName, MonoTime> = HashMap::new();
+        for entry in self.peers.values() {
+            let newest = heard.entry(entry.beat.data_centre.clone()).or_default();
+            *newest = entry.risen.max(*newest);
+        }
+        heard
+    }
+
     /// Whether this VM is one of those of its region that read the platform; the others are told by
     /// them. VMs that the platform turns away do not count, unless it turns everybody away.
     pub fn is_reader(&self, is_turned_away: bool, now: MonoTime) -> bool {
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use foldhaven_core::burn::BurnEvent;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use http::StatusCode;
 
 use super::RequestDriver;
 use crate::call::CallFault;
-use crate::metrics::RequestEnd;
+use crate::metrics::{RequestBurn, RequestEnd};
 use crate::places::{RequestPlace, TOLD_TOKENS};
 
 impl RequestDriver {
@@ -69,12 +70,27 @@
         }
     }
 
+    /// Whether the request was served on time.
+    fn burn_event(&self, end: RequestEnd) -> BurnEvent {
+        let is_timely = self.job.first_after.is_some_and(|first| first <= self.job.route.target);
+        match end {
+            RequestEnd::Served if is_timely => BurnEvent::Good,
+            RequestEnd::Refused(_) if !self.may_have_run => BurnEvent::Refused,
+            _ => BurnEvent::Bad,
+        }
+    }
+
     /// Counts and logs how the request ended.
     pub fn note_end(&self, end: RequestEnd) {
         let job = &self.job;
         let shared = &self.shared;
         if !job.is_forwarded {
-            shared.metrics.count_end(&job.route.name, end);
+            let burn = RequestBurn {
+                event: self.burn_event(end),
+                worth: f64::from(job.size()),
+                now: shared.now(),
+            };
+            shared.metrics.count_end(&job.route.name, end, burn);
         }
         let is_plain = end == RequestEnd::Served && self.arrivals == 1;
         if !shared.quota.take(is_plain) {
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -114,7 +114,7 @@
     }
 
     fn end_whole(&mut self, whole: WholeAnswer) -> Answer {
-        let driver = self.release();
+        let mut driver = self.release();
         let is_failure = whole.is_failure();
         let WholeAnswer { head, body } = whole;
         // These promise that nothing ran, which only the gateway or a declining upstream can say.
@@ -127,8 +127,8 @@
             true => RequestEnd::FailedUpstream,
             false => RequestEnd::Served,
         };
-        let job = &driver.job;
-        driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
+        let took = driver.job.note_first();
+        driver.shared.metrics.note_first(&driver.job.route.name, took);
         driver.note_end(end);
         let mut answer = answer_with(head.status, head.headers);
         *answer.body_mut() = AnswerBody::whole(body);
@@ -163,18 +163,3 @@
         body_answer(status, "text/plain", "")
     }
 }
-
-/// Shows operators what this daemon counts.
-pub struct OperatorHandler {
-    pub shared: Arc<GatewayShared>,
-}
-
-#[async_trait]
-impl FrontHandler for OperatorHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
-        match request.uri().path() {
-            "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
-            _ => Refusal::NoRoute.answer(),
-        }
-    }
-}
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -15,13 +15,14 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Mailbox;
 
-use crate::caller_front::{CallerHandler, OperatorHandler, ReadyHandler};
+use crate::caller_front::{CallerHandler, ReadyHandler};
 use crate::datagrams::{hear_datagrams, send_beats, send_reports, tell_changes};
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
 use crate::front::{FrontHandler, serve_front};
 use crate::keeper::{ControlKeeper, KeeperAddress, TickKeeper};
 use crate::names::HeaderNames;
+use crate::operator_front::OperatorHandler;
 use crate::peer_front::PeerHandler;
 use crate::peer_state::follow_peers;
 use crate::reload::follow_settings;
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -217,9 +217,8 @@
             driver.note_first(&reading.place, reading.expected, reading.sent);
         }
         if !std::mem::replace(&mut self.has_first, true) {
-            driver.job.has_begun = true;
-            let job = &driver.job;
-            driver.shared.metrics.note_first(&job.route.name, job.started.elapsed());
+            let took = driver.job.note_first();
+            driver.shared.metrics.note_first(&driver.job.route.name, took);
         }
     }
 
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -42,8 +42,9 @@
     pub started: Instant,
     /// How long the caller had waited before, as far as the time that it still gives shows.
     pub waited_before: Duration,
-    /// Whether the caller has got a first event; from then on no target is missed by waiting.
-    pub has_begun: bool,
+    /// How long the caller had waited when it got the answer, or its first event; from then on no
+    /// target is missed by waiting.
+    pub first_after: Option<Duration>,
     /// When the caller gives up, or the operators want it given up.
     pub deadline: Instant,
     /// The parts of the prompt, where the caller names them and the route uses them.
@@ -64,12 +65,19 @@
 
     /// How long the caller has waited for a first answer.
     pub fn waited(&self) -> Duration {
-        match self.has_begun {
-            true => Duration::ZERO,
-            false => self.waited_before + self.started.elapsed(),
+        match self.first_after {
+            Some(_) => Duration::ZERO,
+            None => self.waited_before + self.started.elapsed(),
         }
     }
 
+    /// Notes that the caller gets the answer, or its first event, now. Returns how long this VM took.
+    pub fn note_first(&mut self) -> Duration {
+        let took = self.started.elapsed();
+        self.first_after = Some(self.waited_before + took);
+        took
+    }
+
     /// Whether it cannot be answered within its target any more.
     pub fn is_late(&self) -> bool {
         self.waited() >= self.route.target
@@ -122,7 +130,7 @@
             body,
             started,
             waited_before: terms.waited,
-            has_begun: false,
+            first_after: None,
             deadline: started + terms.remaining,
             is_forwarded: false,
         }
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -35,6 +35,7 @@
             peers,
             waits,
             beats,
+            heard: self.peers.heard_by_centre(),
             assumed_vms: self.assumed_vms(),
             snapshot: Arc::new(snapshot),
         });
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logging;
 mod metrics;
 pub mod names;
+mod operator_front;
 mod peer_front;
 mod peer_state;
 mod places;
--- a/crates/foldhaven-gateway/src/metrics.rs
+++ b/crates/foldhaven-gateway/src/metrics.rs
@@ -4,7 +4,9 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use foldhaven_core::ids::RouteName;
+use foldhaven_core::burn::{BurnEvent, BurnRing, BurnRow};
+use foldhaven_core::ids::{AccountName, DataCentreName, RouteName};
+use foldhaven_core::time::MonoTime;
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 
@@ -56,13 +58,39 @@
 struct RouteCounts {
     ends: BTreeMap<RequestEnd, u64>,
     first: Option<Histogram<u64>>,
+    burn: Option<BurnRing>,
+}
+
+/// What a request counts for in the report on service-level burn.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestBurn {
+    pub event: BurnEvent,
+    /// Its size in tokens, to which its worth is in proportion.
+    pub worth: f64,
+    pub now: MonoTime,
 }
 
 impl GatewayMetrics {
-    /// Counts how a request of a route ended.
-    pub fn count_end(&self, route: &RouteName, end: RequestEnd) {
+    /// Counts how a request of a route ended, and what of its size was served on time.
+    pub fn count_end(&self, route: &RouteName, end: RequestEnd, burn: RequestBurn) {
+        let mut inner = self.inner.lock();
+        let counts = counts_of(&mut inner, route);
+        *counts.ends.entry(end).or_default() += 1;
+        let ring = counts.burn.get_or_insert_with(|| BurnRing::new(burn.now));
+        ring.note(burn.event, burn.worth, burn.now);
+    }
+
+    /// How fast each route uses up its error budget. Opaque requests belong to no account: the data
+    /// centre of this VM, which took them from their callers, stands in its place.
+    pub fn burn_rows(&self, data_centre: &DataCentreName, now: MonoTime) -> Vec<BurnRow> {
         let mut inner = self.inner.lock();
-        *counts_of(&mut inner, route).ends.entry(end).or_default() += 1;
+        let account: Result<AccountName, _> = data_centre.as_str().parse();
+        let rows = inner.routes.iter_mut().filter_map(|(route, counts)| {
+            let (short, long) = counts.burn.as_mut()?.counts(now);
+            let (account, class) = (account.clone().ok()?, route.as_str().parse().ok()?);
+            Some(BurnRow { account, class, short, long })
+        });
+        rows.filter(|row| row.long.total > 0).collect()
     }
 
     /// Notes the time to the answer, or to the first event.
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{RegionName, ServiceName, VmName};
+use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::peer_table::PeerBeat;
 use foldhaven_core::opaque::route_table::RouteTable;
+use foldhaven_core::time::MonoTime;
 
 use crate::connection::ConnectionPool;
 use crate::feed::FeedSnapshot;
@@ -45,6 +46,8 @@
     pub waits: HashMap<(RegionName, ServiceName), RegionWait>,
     /// The heartbeats of all VMs that live, the own one included.
     pub beats: Vec<PeerBeat>,
+    /// When something was heard of any VM of each data centre.
+    pub heard: HashMap<DataCentreName, MonoTime>,
     /// The number of VMs by which limits are divided; nothing while it is not known.
     pub assumed_vms: Option<usize>,
     /// What a VM that cannot read the platform may take over.
