Explain where a request of the gateway would go, and log what a refused one was weighed among

foldhavenctl explain-route shows each place with the parts of its price, from the code that prices real requests.

--- a/crates/foldhaven-core/src/opaque/choice.rs
+++ b/crates/foldhaven-core/src/opaque/choice.rs
@@ -6,6 +6,8 @@
 use std::ops::Add;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::rank::rank_hash;
@@ -108,6 +110,28 @@
     }
 }
 
+/// What a place costs, by what causes it; each a share of what the request is worth.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct CostParts {
+    /// Being late, or nearer to that.
+    pub time: f64,
+    /// Reading shared parts of the prompt again that are held elsewhere, or taking them over.
+    pub rereading: f64,
+    /// Pauses of the streams there that reading breaks.
+    pub disturbance: f64,
+    /// Failures there lately.
+    pub failures: f64,
+    /// Moving the body there.
+    pub moving: f64,
+}
+
+impl CostParts {
+    /// All of them together.
+    pub fn total(&self) -> RequestCost {
+        RequestCost(self.time + self.rereading + self.disturbance + self.failures + self.moving)
+    }
+}
+
 /// A chosen upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UpstreamChoice {
@@ -117,19 +141,31 @@
     pub first: Duration,
     /// What it costs.
     pub cost: RequestCost,
+    /// The same, by what causes it.
+    pub parts: CostParts,
     /// The prompt tokens that it has to read.
     pub read_tokens: u32,
     /// The candidate from which it takes over what it does not hold of the shared parts.
     pub fetch_from: Option<usize>,
 }
 
-/// Chooses the upstream with the least cost. Suspects are taken only when nobody else is left, and
-/// upstreams that were tried only when all were.
+/// Chooses the upstream with the least cost.
 pub fn choose_upstream(
     candidates: &[UpstreamFacts<'_>],
     query: &ChoiceQuery,
     pace: &ServicePace,
 ) -> Option<UpstreamChoice> {
+    let priced = price_upstreams(candidates, query, pace);
+    priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+}
+
+/// Prices the upstreams that a choice is made among, in the order in which equals are taken. Suspects
+/// are among them only when nobody else is left, and upstreams that were tried only when all were.
+pub fn price_upstreams(
+    candidates: &[UpstreamFacts<'_>],
+    query: &ChoiceQuery,
+    pace: &ServicePace,
+) -> Vec<UpstreamChoice> {
     let open: Vec<usize> =
         (0..candidates.len()).filter(|at| !candidates[*at].is_held_back).collect();
     let untried = narrow(&open, |at| !candidates[at].is_tried);
@@ -142,7 +178,7 @@
         let pricer = UpstreamPricer { candidates, query, pace, meeting, holder };
         pricer.price(at)
     };
-    turned.map(price).min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+    turned.map(price).collect()
 }
 
 /// Those that pass, or all of them when none does.
@@ -218,9 +254,14 @@
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
-        let disturbed = self.disturbance(facts.queue, read_tokens).0;
-        let fixed = RequestCost(reread + moved + disturbed + facts.failures + facts.move_cost);
-        let cost = RequestCost::of_time(query.waited + first, query.target) + fixed;
-        UpstreamChoice { at, first, cost, read_tokens, fetch_from: fetch.map(|fetch| fetch.holder) }
+        let parts = CostParts {
+            time: RequestCost::of_time(query.waited + first, query.target).0,
+            rereading: reread + moved,
+            disturbance: self.disturbance(facts.queue, read_tokens).0,
+            failures: facts.failures,
+            moving: facts.move_cost,
+        };
+        let fetch_from = fetch.map(|fetch| fetch.holder);
+        UpstreamChoice { at, first, cost: parts.total(), parts, read_tokens, fetch_from }
     }
 }
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -16,7 +16,7 @@
 use crate::answer::Refusal;
 use crate::call::{OpenAnswer, read_whole};
 use crate::job::GatewayJob;
-use crate::places::{RequestPlace, TriedPlaces, choose_place};
+use crate::places::{RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
 use crate::upstream::LoadSeat;
 
@@ -78,6 +78,10 @@
     pub last_fault: Option<String>,
     /// The place of the last try, for the log.
     pub last_place: Option<String>,
+    /// What was expected of it, in milliseconds, for the log.
+    pub last_expected_ms: u64,
+    /// What there was to choose among when no place was found, for the log.
+    pub weighed: Option<String>,
 }
 
 impl RequestDriver {
@@ -90,6 +94,8 @@
             may_have_run: false,
             last_fault: None,
             last_place: None,
+            last_expected_ms: 0,
+            weighed: None,
         }
     }
 
@@ -173,11 +179,15 @@
             let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
             let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
                 Ok(chosen) => chosen,
-                Err(refusal) => return Err(self.after_tries(refusal)),
+                Err(refusal) => {
+                    self.weighed = Some(describe_places(&self.shared, &view, &self.job));
+                    return Err(self.after_tries(refusal));
+                }
             };
             let place = chosen.place.clone();
             self.tried.note(&place);
             self.last_place = Some(place.name().to_owned());
+            self.last_expected_ms = chosen.first.as_millis() as u64;
             match self.call(chosen, resume_after).await {
                 Ok(placed) => return Ok(placed),
                 Err(fault) => {
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -103,6 +103,8 @@
             end = end.label(),
             tries = self.arrivals,
             place = self.last_place.as_deref().unwrap_or("-"),
+            expected_ms = self.last_expected_ms,
+            weighed = self.weighed.as_deref().unwrap_or("-"),
             fault = self.last_fault.as_deref().unwrap_or("-"),
             forwarded = job.is_forwarded,
             version = shared.view().map_or(0, |view| view.routes.version().0),
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod datagrams;
 pub mod directory;
 mod events;
+mod explain;
 pub mod feed;
 mod front;
 mod job;
--- a/crates/foldhaven-gateway/src/operator_front.rs
+++ b/crates/foldhaven-gateway/src/operator_front.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::answer::{Answer, Refusal, body_answer};
+use crate::explain::explain;
 use crate::front::FrontHandler;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
@@ -35,6 +36,13 @@
             "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
             "/operator/v1/status" => json_answer(&self.status()),
             "/operator/v1/burn" => json_answer(&self.burn()),
+            "/operator/v1/explain-route" => {
+                let query = request.uri().query().unwrap_or_default();
+                match explain(&self.shared, query) {
+                    Ok(explanation) => json_answer(&explanation),
+                    Err(refusal) => refusal.answer(),
+                }
+            }
             _ => Refusal::NoRoute.answer(),
         }
     }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::RegionName;
-use foldhaven_core::opaque::choice::RequestCost;
+use foldhaven_core::opaque::choice::{CostParts, RequestCost};
 use foldhaven_core::opaque::pace::QueueFacts;
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
@@ -24,6 +24,8 @@
 pub(super) struct FarChoice {
     pub(super) choice: PlaceChoice,
     pub(super) cost: RequestCost,
+    pub(super) parts: CostParts,
+    pub(super) region: RegionName,
 }
 
 /// Chooses among the other regions that the route permits and that have upstreams of the service.
@@ -33,6 +35,17 @@
     job: &GatewayJob,
     tried: &TriedPlaces,
 ) -> Option<FarChoice> {
+    let priced = price_far(shared, view, job, tried).into_iter();
+    priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+}
+
+/// Prices the other regions that can take a request, by a VM of each.
+pub(super) fn price_far(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedPlaces,
+) -> Vec<FarChoice> {
     let own_region = shared.settings.region();
     let regions = view.waits.iter().filter(|((region, service), _)| {
         *service == job.service && region != own_region && job.route.permits(region)
@@ -41,7 +54,7 @@
         let peer = pick_peer(view, region, tried)?;
         Some(FarPricer { shared, view, job, region, wait: *wait }.price(peer))
     });
-    priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+    priced.collect()
 }
 
 /// Prices one other region for a request.
@@ -62,11 +75,15 @@
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
         let first = REGION_ROUND_TRIP + self.wait.wait + pace.first(self.sent_since(), read_tokens);
-        let moving = RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size);
-        let rereading = RequestCost::of_rereading(missing, query.size);
-        let cost = RequestCost::of_time(query.waited + first, query.target) + moving + rereading;
+        let parts = CostParts {
+            time: RequestCost::of_time(query.waited + first, query.target).0,
+            rereading: RequestCost::of_rereading(missing, query.size).0,
+            moving: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size).0,
+            ..CostParts::default()
+        };
         let place = RequestPlace::Peer(peer);
-        FarChoice { choice: PlaceChoice { place, first, read_tokens, fetch_from: None }, cost }
+        let choice = PlaceChoice { place, first, read_tokens, fetch_from: None };
+        FarChoice { choice, cost: parts.total(), parts, region: self.region.clone() }
     }
 
     /// What this region's VMs have sent there since its VMs told their waits, as far as it can be
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::opaque::choice::{RequestCost, UpstreamChoice, UpstreamFacts, choose_upstream};
+use foldhaven_core::opaque::choice::{
+    RequestCost, UpstreamChoice, UpstreamFacts, choose_upstream, price_upstreams,
+};
 use foldhaven_core::opaque::pace::ServicePace;
 use foldhaven_core::time::MonoTime;
 
@@ -48,18 +50,46 @@
     job: &GatewayJob,
     tried: &TriedPlaces,
 ) -> Option<NearChoice> {
-    let now = shared.now();
-    let own_region = shared.settings.region();
-    let all = view.upstreams_of(&job.service).iter();
-    let near: Vec<&Arc<Upstream>> = all.filter(|it| it.identity.region == *own_region).collect();
-    let candidates: Vec<UpstreamFacts<'_>> =
-        near.iter().map(|upstream| facts_of(shared, upstream, job, tried, now)).collect();
+    let near = near_upstreams(shared, view, job);
+    let candidates = candidates_of(shared, &near, job, tried);
     let pace = shared.pace(&job.service, view);
     let choice = choose_upstream(&candidates, &query_of(job), &pace)?;
     let fetch_from = choice.fetch_from.map(|at| near[at].identity.address);
     Some(NearChoice { upstream: near[choice.at].clone(), choice, fetch_from })
 }
 
+/// Prices the upstreams of this region that a choice is made among.
+pub(super) fn price_near(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+) -> Vec<(Arc<Upstream>, UpstreamChoice)> {
+    let near = near_upstreams(shared, view, job);
+    let candidates = candidates_of(shared, &near, job, &TriedPlaces::default());
+    let priced = price_upstreams(&candidates, &query_of(job), &shared.pace(&job.service, view));
+    priced.into_iter().map(|choice| (near[choice.at].clone(), choice)).collect()
+}
+
+fn near_upstreams<'a>(
+    shared: &GatewayShared,
+    view: &'a GatewayView,
+    job: &GatewayJob,
+) -> Vec<&'a Arc<Upstream>> {
+    let own_region = shared.settings.region();
+    let all = view.upstreams_of(&job.service).iter();
+    all.filter(|upstream| upstream.identity.region == *own_region).collect()
+}
+
+fn candidates_of<'a>(
+    shared: &GatewayShared,
+    near: &[&'a Arc<Upstream>],
+    job: &GatewayJob,
+    tried: &TriedPlaces,
+) -> Vec<UpstreamFacts<'a>> {
+    let now = shared.now();
+    near.iter().map(|upstream| facts_of(shared, upstream, job, tried, now)).collect()
+}
+
 /// What the choice weighs of one upstream.
 fn facts_of<'a>(
     shared: &GatewayShared,
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -2,6 +2,7 @@
 
 use foldhaven_core::burn::BurnRow;
 use foldhaven_core::ids::{DataCentreName, IncarnationId, VmName};
+use foldhaven_core::opaque::choice::CostParts;
 use foldhaven_core::planner::RoutePlan;
 use serde::{Deserialize, Serialize};
 
@@ -98,6 +99,42 @@
     pub plan: RoutePlan,
 }
 
+/// The answer of `GET /operator/v1/explain-route`: where an opaque request would go, and why.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RouteExplanation {
+    /// The VM that was asked.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// The version of the description in force here.
+    pub version: u64,
+    /// The route that the host and the path find.
+    pub route: String,
+    /// The service that the route names.
+    pub service: String,
+    /// The regions in which it may run; all when empty.
+    pub homes: Vec<String>,
+    /// The places that were priced, the cheapest first.
+    pub places: Vec<PlacePrice>,
+    /// By how much another region must be cheaper than the best place of this one.
+    pub region_margin: f64,
+}
+
+/// What one place is expected to take and to cost.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlacePrice {
+    /// An upstream of the asked VM's region, or another region.
+    pub name: String,
+    /// Whether it is another region.
+    pub is_far: bool,
+    /// The expected time to the answer, or to its first event, in milliseconds.
+    pub first_ms: u64,
+    /// The prompt tokens that would have to be read.
+    pub read_tokens: u32,
+    /// The parts of its price, as shares of what the request is worth.
+    pub parts: CostParts,
+}
+
 /// The answer of `GET /operator/v1/burn`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BurnAnswer {
--- /dev/null
+++ b/crates/foldhavenctl/src/cmd/explain_route.rs
@@ -0,0 +1,102 @@
+//! `foldhavenctl explain-route`: shows where an opaque request would go, and why.
+
+use clap::{Arg, ArgMatches, Command};
+use foldhaven_wire::operator::RouteExplanation;
+
+use super::{client_of, json_arg, print_json, vm_arg};
+use crate::error::CtlError;
+use crate::table::lay_out;
+
+/// The field of the query, the name of the argument, and its help.
+const FIELDS: [(&str, &str, &str); 5] = [
+    ("host", "host", "The host that the request names"),
+    ("path", "path", "Its path"),
+    ("prompt", "prompt", "The parts of its prompt in order, ID:TOKENS separated by commas"),
+    ("output_tokens", "output-tokens", "The longest answer in tokens"),
+    ("body_bytes", "body-bytes", "The length of its body"),
+];
+
+/// The arguments of `explain-route`.
+pub fn make_subcommand() -> Command {
+    let command = Command::new("explain-route")
+        .about("Shows where a request of the gateway would go, and why")
+        .after_help(
+            "Example: foldhavenctl explain-route --vm 127.10.1.1:8146 --host desk.example \
+             --path /lookup/1 --prompt 5c1e:800,91bd:410\n\nPrices are shares of what the request \
+             is worth. The cheapest place is taken; another region only when it is cheaper by the \
+             margin.",
+        )
+        .arg(vm_arg())
+        .arg(json_arg());
+    FIELDS.iter().fold(command, |command, (name, long, help)| {
+        let arg = Arg::new(*name).long(*long).help(*help);
+        command.arg(arg.required(matches!(*name, "host" | "path")))
+    })
+}
+
+/// Carries `explain-route` out.
+///
+/// # Errors
+///
+/// When the VM cannot be reached or refuses the question.
+pub async fn execute(args: &ArgMatches) -> Result<(), CtlError> {
+    let client = client_of(args)?;
+    let pairs = FIELDS.iter().filter_map(|(name, ..)| {
+        args.get_one::<String>(name).map(|value| format!("{name}={value}"))
+    });
+    let query: Vec<String> = pairs.collect();
+    let path = format!("/operator/v1/explain-route?{}", query.join("&"));
+    let answer: RouteExplanation = client.get("explaining", client.first()[0], &path).await?;
+    match args.get_flag("json") {
+        true => print_json(&answer),
+        false => print!("{}", explanation_text(&answer)),
+    }
+    Ok(())
+}
+
+/// The explanation as text with a table.
+pub fn explanation_text(answer: &RouteExplanation) -> String {
+    let homes = match answer.homes.as_slice() {
+        [] => "any region".to_owned(),
+        homes => homes.join(", "),
+    };
+    let RouteExplanation { vm, data_centre, version, route, service, .. } = answer;
+    format!(
+        "{vm} in {data_centre}, by version {version}\nroute {route}, service {service}, may run in \
+         {homes}\n{}another region must be cheaper by {:.2}\n",
+        place_table(answer),
+        answer.region_margin,
+    )
+}
+
+fn place_table(answer: &RouteExplanation) -> String {
+    let heading = [
+        "place",
+        "kind",
+        "first",
+        "reads",
+        "time",
+        "rereading",
+        "pauses",
+        "failures",
+        "moving",
+        "price",
+    ];
+    let mut rows = vec![heading.map(str::to_owned).to_vec()];
+    for place in &answer.places {
+        let parts = place.parts;
+        rows.push(vec![
+            place.name.clone(),
+            if place.is_far { "region" } else { "upstream" }.to_owned(),
+            format!("{} ms", place.first_ms),
+            format!("{} tok", place.read_tokens),
+            format!("{:.3}", parts.time),
+            format!("{:.3}", parts.rereading),
+            format!("{:.3}", parts.disturbance),
+            format!("{:.3}", parts.failures),
+            format!("{:.3}", parts.moving),
+            format!("{:.3}", parts.total().0),
+        ]);
+    }
+    lay_out(&rows)
+}
--- a/crates/foldhavenctl/src/cmd/mod.rs
+++ b/crates/foldhavenctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod completions;
 pub mod entries;
 pub mod explain;
+pub mod explain_route;
 pub mod plan;
 pub mod report;
 pub mod status;
@@ -34,6 +35,7 @@
         .subcommand(apply::make_subcommand())
         .subcommand(status::make_subcommand())
         .subcommand(explain::make_subcommand())
+        .subcommand(explain_route::make_subcommand())
         .subcommand(entries::make_subcommand())
         .subcommand(report::make_subcommand())
         .subcommand(completions::make_subcommand())
@@ -52,6 +54,7 @@
         Some(("apply", args)) => block_on(apply::execute(args)),
         Some(("status", args)) => block_on(status::execute(args)),
         Some(("explain", args)) => block_on(explain::execute(args)),
+        Some(("explain-route", args)) => block_on(explain_route::execute(args)),
         Some(("entries", args)) => block_on(entries::execute(args)),
         Some(("report", args)) => block_on(report::execute(args)),
         Some(("completions", args)) => completions::execute(args),
