Let the VM that a request was forwarded to pass over upstreams that did not get it

Nothing had run, others stood idle, and the receiver gave up. Change: the receiver chooses again among its upstreams while none has got the request; after a 421, which the budget counts, only if it has a retry to spend; a 421 is no try of an upstream. Requests that met a fault are no longer logged as plain ones, whose lines are few.

--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -92,7 +92,7 @@
             };
             shared.metrics.count_end(&job.route.name, end, burn);
         }
-        let is_plain = end == RequestEnd::Served && self.arrivals == 1;
+        let is_plain = end == RequestEnd::Served && self.last_fault.is_none();
         if !shared.quota.take(is_plain) {
             return;
         }
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -45,7 +45,7 @@
             RequestPlace::Upstream(upstream) => self.watch(upstream, first, opening).await,
             RequestPlace::Peer(_) => opening.await,
         };
-        if matches!(opened, Err(CallFault::NotSent(_))) {
+        if opened.as_ref().is_err_and(CallFault::is_unmet) {
             self.arrivals -= 1;
         }
         let answer = opened?;
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -14,11 +14,12 @@
 impl RequestDriver {
     /// The refusal with which to end after a fault; nothing when another try may follow.
     pub(super) fn end_of_tries(&mut self, fault: &CallFault) -> Option<Refusal> {
-        if self.job.is_forwarded {
-            return Some(self.refusal_for(fault));
-        }
         let may_repeat = match fault {
-            CallFault::NotSent(_) => self.tried.count() < MAX_TRIES,
+            CallFault::NotSent(_) => self.may_choose_again(),
+            CallFault::Declined { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
+                // Another process has the address: no upstream of the service got the request.
+                self.may_choose_again() && self.take_retry()
+            }
             CallFault::Declined { .. } => self.may_send_again(),
             CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => self.may_repeat(),
         };
@@ -33,15 +34,20 @@
         self.job.route.repeat.is_repeatable() && self.may_send_again()
     }
 
+    /// Whether another place may be chosen for a request that no upstream has got. So may the VM that a
+    /// request was forwarded to, among the upstreams of its region.
+    fn may_choose_again(&self) -> bool {
+        self.tried.count() < MAX_TRIES && Instant::now() < self.job.deadline
+    }
+
     /// Whether the request may be sent to one more place that counts it as arrived.
     fn may_send_again(&mut self) -> bool {
-        let is_open = self.arrivals < self.job.route.max_attempts
-            && self.tried.count() < MAX_TRIES
-            && !self.job.is_forwarded
-            && Instant::now() < self.job.deadline;
-        if !is_open {
-            return false;
-        }
+        let is_open = self.arrivals < self.job.route.max_attempts && !self.job.is_forwarded;
+        is_open && self.may_choose_again() && self.take_retry()
+    }
+
+    /// Takes one retry out of this VM's part of the budget.
+    fn take_retry(&self) -> bool {
         let Some(view) = self.shared.view() else { return false };
         let is_granted = self.shared.take_retry(&self.job.service, &view);
         self.shared.metrics.count_event(if is_granted { "retry" } else { "retry_denied" });
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -40,6 +40,16 @@
 }
 
 impl CallFault {
+    /// Whether no upstream of the service got the request: nobody did, or another process at the address
+    /// of the one that was meant.
+    pub fn is_unmet(&self) -> bool {
+        match self {
+            Self::NotSent(_) => true,
+            Self::Declined { status } => *status == StatusCode::MISDIRECTED_REQUEST,
+            _ => false,
+        }
+    }
+
     /// Whether the work behind the call may have been done.
     pub fn may_have_run(&self) -> bool {
         matches!(self, Self::Broken(_) | Self::Silent | Self::TimedOut)
