Tell VMs that are behind just what changed, and make views of large deployments less often

A VM that had missed a change, as each does when a description does not fit a datagram, took over everything, some 600 KB of upstreams, from whoever knew most, mostly in another region; and every listed upstream and heard VM made a view of all 3,000 upstreams anew. Ruled out: load reports and heartbeats, some 60 KB/s (sum).

--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -40,6 +40,16 @@
     EvacuationEnded(DataCentreName),
 }
 
+impl FeedChange {
+    /// Whether requests may be sent wrongly until it is in force. An upstream more can wait a little.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            Self::UpstreamWritten(record) => record.leaving || !record.cold_for.is_zero(),
+            _ => true,
+        }
+    }
+}
+
 /// A change with the platform's count of changes when it was made.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CountedChange {
@@ -60,6 +70,15 @@
     pub changes: Vec<CountedChange>,
 }
 
+/// What one VM tells another of the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerState {
+    /// All that is published.
+    Snapshot(FeedSnapshot),
+    /// What changed after the revision that the asker knows.
+    Changes(ChangeSet),
+}
+
 /// Whether this daemon is to read the platform now, and what it knows already.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FeedTurn {
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -6,16 +6,19 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
-use foldhaven_core::opaque::peer_table::PeerTable;
+use foldhaven_core::opaque::peer_table::{PeerBeat, PeerTable};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
-use crate::feed::{ChangeSet, FeedChange, FeedNews, FeedSnapshot};
+use crate::feed::{ChangeSet, CountedChange, FeedChange, FeedNews, FeedSnapshot};
 
-/// A VM that has read more of the platform's changes than this one for so long is asked for them.
+/// A VM of this region that has read more of the platform's changes than this one for so long is asked
+/// for them.
 const BEHIND_LIMIT: Duration = Duration::from_millis(350);
+/// The same for a VM of another region, when no near one knows more: bytes between regions are paid for.
+const FAR_BEHIND_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Changes that other VMs are to be told of.
 pub struct ToldChanges {
@@ -29,13 +32,16 @@
     async fn handle(&mut self, news: FeedNews, _: &mut Context<Self>) {
         match news {
             FeedNews::Disturbed { cause } => return self.note_disturbed(&cause),
-            FeedNews::Snapshot(snapshot) => self.take_snapshot(snapshot),
+            FeedNews::Snapshot(snapshot) => {
+                self.take_snapshot(snapshot);
+                self.publish();
+            }
             FeedNews::Changes(set) => self.take_and_tell(set),
         }
         if std::mem::replace(&mut self.is_disturbed, false) {
             tracing::info!(revision = self.revision, "platform regained");
+            self.set_turn();
         }
-        self.publish();
     }
 }
 
@@ -48,14 +54,8 @@
     type Return = ();
 
     async fn handle(&mut self, message: HearChanges, _: &mut Context<Self>) {
-        let before = self.revision;
-        if !self.take_changes(message.changes) {
-            // Some are missing; they are asked for, like after a lost datagram.
-            return;
-        }
-        if self.revision != before {
-            self.publish();
-        }
+        // When some are missing, they are asked for, like after a lost datagram.
+        self.take_changes(message.changes);
     }
 }
 
@@ -84,21 +84,49 @@
     }
 }
 
+/// The changes that a VM was asked for.
+pub struct TakeChanges {
+    pub changes: ChangeSet,
+    pub peer: SocketAddr,
+}
+
+impl Handler<TakeChanges> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeChanges, _: &mut Context<Self>) {
+        let TakeChanges { changes, peer } = message;
+        let (before, revision) = (self.revision, changes.revision);
+        if revision > before && self.take_changes(changes) {
+            tracing::info!(peer = %peer, revision, before, "state taken from a peer");
+        }
+    }
+}
+
 /// Asks which VM knows more of the platform's changes.
 pub struct FindAhead;
 
+/// A VM that knows more, and the revision that this one knows.
+pub struct AheadPeer {
+    pub peer: SocketAddr,
+    pub known: Option<u64>,
+}
+
 impl Handler<FindAhead> for ControlKeeper {
-    type Return = Option<SocketAddr>;
+    type Return = Option<AheadPeer>;
 
-    async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<SocketAddr> {
+    async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
         let now = self.now();
         let Some(ahead) = self.most_ahead() else {
             self.behind_since = None;
             return None;
         };
+        let is_near = ahead.region == *self.shared.settings.region();
+        let limit = if is_near { BEHIND_LIMIT } else { FAR_BEHIND_LIMIT };
+        let peer = ahead.peer;
         let since = *self.behind_since.get_or_insert(now);
-        let is_due = self.routes.is_none() || now.since(since) >= BEHIND_LIMIT;
-        is_due.then_some(ahead)
+        let is_due = self.routes.is_none() || now.since(since) >= limit;
+        let known = self.has_state.then_some(self.revision);
+        is_due.then_some(AheadPeer { peer, known })
     }
 }
 
@@ -149,11 +177,16 @@
         }
     }
 
-    /// The VM that has read most of the platform's changes, if that is more than this one has.
-    fn most_ahead(&self) -> Option<SocketAddr> {
+    /// The VM that has read most of the platform's changes, if that is more than this one has. Those of
+    /// this data centre go first, then those of this region.
+    fn most_ahead(&self) -> Option<&PeerBeat> {
         let now = self.now();
+        let settings = &self.shared.settings;
         let ahead = self.peers.live(now).filter(|beat| beat.revision > self.revision);
-        ahead.max_by_key(|beat| beat.revision).map(|beat| beat.peer)
+        ahead.max_by_key(|beat| {
+            let is_here = beat.data_centre == settings.data_centre;
+            (beat.region == *settings.region(), is_here, beat.revision)
+        })
     }
 
     /// Puts a description in force, unless it is no newer than the one held.
@@ -182,6 +215,7 @@
         }
         let now = self.now();
         self.revision = snapshot.revision;
+        self.log.reset(snapshot.revision);
         let difference = self.table.replace(snapshot.upstreams, now);
         if std::mem::replace(&mut self.has_state, true) {
             difference.listed.iter().for_each(|record| self.log_listed(record));
@@ -201,12 +235,19 @@
         if !self.has_state || set.after > self.revision {
             return false;
         }
-        for counted in set.changes {
-            if counted.revision > self.revision {
-                self.take_change(counted.change);
-            }
+        let news: Vec<CountedChange> =
+            set.changes.into_iter().filter(|counted| counted.revision > self.revision).collect();
+        let is_urgent = news.iter().any(|counted| counted.change.is_urgent());
+        self.is_stale |= !news.is_empty();
+        for counted in news {
+            self.take_change(counted.change.clone());
+            self.log.push(counted);
         }
         self.revision = self.revision.max(set.revision);
+        match is_urgent {
+            true => self.publish(),
+            false => self.set_turn(),
+        }
         true
     }
 
--- a/crates/foldhaven-gateway/src/keeper/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/keeper/heartbeats.rs
@@ -53,7 +53,7 @@
             );
         }
         if is_news {
-            self.publish();
+            self.publish_soon();
         }
         let mut replies = self.answer(sender, &asks);
         if let Some(later) = self.peers.later_lifetime(&vm, incarnation).cloned() {
@@ -83,14 +83,22 @@
         let is_seed_round = asks == AskedBeats::All || self.beats.is_multiple_of(SEED_ROUNDS);
         let seeds = if is_seed_round { self.settings.seed_peers() } else { Vec::new() };
         let pulses = self.peers.relayed(now);
-        let to_far = BeatMessage { asks, ..self.message(Vec::new()) };
+        let to_far = self.message(Vec::new());
         let to_near = BeatMessage { pulses, ..to_far.clone() };
         let near: BTreeSet<SocketAddr> = near.into_iter().collect();
         let far: BTreeSet<SocketAddr> = far.into_iter().chain(seeds).collect();
         let far = far.into_iter().filter(|target| !near.contains(target));
         let to_far = far.map(|target| (target, to_far.clone()));
-        let mut planned: PlannedBeats = to_far.collect();
-        planned.extend(near.into_iter().map(|target| (target, to_near.clone())));
+        let to_near = near.iter().map(|target| (*target, to_near.clone()));
+        let mut planned: PlannedBeats = to_near.chain(to_far).collect();
+        // One VM is asked in a round, another one each time: each answers with all that it knows.
+        let asked = match near.len() {
+            0 => planned.len(),
+            near => near,
+        };
+        if let Some((_, message)) = planned.get_mut(self.beats as usize % asked.max(1)) {
+            message.asks = asks;
+        }
         planned
     }
 }
--- a/crates/foldhaven-gateway/src/keeper/load_reports.rs
+++ b/crates/foldhaven-gateway/src/keeper/load_reports.rs
@@ -85,6 +85,7 @@
 
     async fn handle(&mut self, _: PlanReport, _: &mut Context<Self>) -> PlannedReport {
         self.reports += 1;
+        self.publish_stale();
         self.take_totals();
         let targets = self.near_peers();
         let far_placements = std::mem::take(&mut *self.shared.placements.lock());
@@ -145,7 +146,7 @@
             return false;
         }
         if self.peers.note_lives(&report.lives, now) {
-            self.publish();
+            self.publish_soon();
         }
         true
     }
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! The control actor: the one place where this daemon's beliefs change.
 
+mod change_log;
 mod feed_changes;
 mod heartbeats;
 mod load_reports;
@@ -22,7 +23,11 @@
 use tokio::sync::{mpsc, watch};
 use xtra::{Context, Handler};
 
-pub use self::feed_changes::{FindAhead, HearChanges, OfferSnapshot, ToldChanges};
+use self::change_log::ChangeLog;
+pub use self::change_log::StateOffer;
+pub use self::feed_changes::{
+    AheadPeer, FindAhead, HearChanges, OfferSnapshot, TakeChanges, ToldChanges,
+};
 pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use crate::feed::FeedTurn;
@@ -49,6 +54,12 @@
     table: UpstreamTable,
     /// Up to which count the platform's changes are known.
     revision: u64,
+    /// The newest of them.
+    log: ChangeLog,
+    /// What other VMs may take over, as it was published last.
+    offer: Option<Arc<StateOffer>>,
+    /// Whether something has changed that traffic is still to be shown.
+    is_stale: bool,
     /// The upstreams as traffic uses them.
     upstreams: HashMap<UpstreamName, Arc<Upstream>>,
     /// The other VMs.
@@ -99,6 +110,9 @@
             routes: None,
             table: UpstreamTable::default(),
             revision: 0,
+            log: ChangeLog::default(),
+            offer: None,
+            is_stale: false,
             upstreams: HashMap::new(),
             peers,
             links: HashMap::new(),
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -12,6 +12,7 @@
 use foldhaven_core::time::MonoTime;
 
 use super::ControlKeeper;
+use super::change_log::StateOffer;
 use crate::connection::ConnectionPool;
 use crate::feed::FeedSnapshot;
 use crate::upstream::{Upstream, UpstreamIdentity};
@@ -21,6 +22,7 @@
     /// Makes a new view for traffic, and decides whether this daemon reads the platform.
     pub(super) fn publish(&mut self) {
         self.set_turn();
+        self.is_stale = false;
         let Some(routes) = self.routes.clone() else { return };
         let now = self.now();
         let upstreams = self.current_upstreams(&routes, now);
@@ -28,7 +30,7 @@
         let peers = self.current_links(&beats);
         let waits = self.far_waits();
         beats.push(self.own_beat());
-        let snapshot = self.snapshot(&routes, now);
+        let offer = self.current_offer(&routes, now);
         self.shared.publish(GatewayView {
             routes,
             upstreams,
@@ -37,11 +39,34 @@
             beats,
             heard: self.peers.heard_by_centre(),
             assumed_vms: self.assumed_vms(),
-            snapshot: Arc::new(snapshot),
+            offer,
         });
     }
 
-    /// What another VM may take over from this one.
+    /// Shows traffic what has changed with the next load report. For news of which many come at once,
+    /// as when a large deployment starts: a view of thousands of upstreams takes milliseconds to make.
+    pub(super) fn publish_soon(&mut self) {
+        self.is_stale = true;
+    }
+
+    /// Shows traffic what [`ControlKeeper::publish_soon`] has put off.
+    pub(super) fn publish_stale(&mut self) {
+        if self.is_stale {
+            self.publish();
+        }
+    }
+
+    /// What another VM may take over from this one, made anew when something of it has changed.
+    fn current_offer(&mut self, routes: &RouteTable, now: MonoTime) -> Arc<StateOffer> {
+        let known = self.offer.take().filter(|offer| offer.snapshot.revision == self.revision);
+        let offer = known.unwrap_or_else(|| {
+            let snapshot = self.snapshot(routes, now);
+            Arc::new(StateOffer { snapshot, log: self.log.clone() })
+        });
+        self.offer = Some(offer.clone());
+        offer
+    }
+
     fn snapshot(&self, routes: &RouteTable, now: MonoTime) -> FeedSnapshot {
         FeedSnapshot {
             revision: self.revision,
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -13,7 +13,7 @@
 use crate::caller_front::run_job;
 use crate::front::FrontHandler;
 use crate::job::{CallerTerms, GatewayJob, ReadRequest, host_of, read_body, read_terms};
-use crate::peer_state::PEER_STATE_PATH;
+use crate::peer_state::{PEER_STATE_AFTER, PEER_STATE_PATH};
 use crate::shared::GatewayShared;
 
 /// Answers other VMs.
@@ -25,7 +25,7 @@
 impl FrontHandler for PeerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         if request.uri().path() == PEER_STATE_PATH {
-            return self.state();
+            return self.state(request.uri().query());
         }
         let attempt = request.headers().get(&self.shared.names.attempt).cloned();
         let answer = match read_forwarded(&self.shared, request).await {
@@ -40,9 +40,12 @@
 }
 
 impl PeerHandler {
-    fn state(&self) -> Answer {
+    /// What the platform published, after the revision that the query names.
+    fn state(&self, query: Option<&str>) -> Answer {
         let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
-        match serde_json::to_vec(&*view.snapshot) {
+        let known = query.and_then(|query| query.strip_prefix(PEER_STATE_AFTER));
+        let state = view.offer.state_after(known.and_then(|known| known.parse().ok()));
+        match serde_json::to_vec(&state) {
             Ok(body) => body_answer(StatusCode::OK, "application/json", body),
             Err(error) => {
                 tracing::error!(error = %error, "writing the state for a peer failed");
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -11,12 +11,14 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{Connection, FAR_CONNECT_LIMIT};
-use crate::feed::FeedSnapshot;
-use crate::keeper::{FindAhead, KeeperAddress, OfferSnapshot};
+use crate::feed::PeerState;
+use crate::keeper::{AheadPeer, FindAhead, KeeperAddress, OfferSnapshot, TakeChanges};
 use crate::shared::GatewayShared;
 
 /// Where peers tell what the platform published.
 pub const PEER_STATE_PATH: &str = "/peer/v1/state";
+/// What goes before the revision that the asker knows, in the query.
+pub const PEER_STATE_AFTER: &str = "after=";
 /// How often it is looked whether another VM knows more.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a peer may take to tell.
@@ -48,12 +50,18 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let Ok(ahead) = keeper.send(FindAhead).await else { return };
-        let Some(peer) = ahead else { continue };
+        let Some(AheadPeer { peer, known }) = ahead else { continue };
         let started = Instant::now();
-        let asked = timeout(ANSWER_LIMIT, ask(peer)).await.unwrap_or(Err(AskError::Late));
+        let asked = timeout(ANSWER_LIMIT, ask(peer, known)).await.unwrap_or(Err(AskError::Late));
         match asked {
-            Ok(snapshot) => {
-                if keeper.send(OfferSnapshot { snapshot, peer }).await.is_err() {
+            Ok(state) => {
+                let taken = match state {
+                    PeerState::Snapshot(snapshot) => {
+                        keeper.send(OfferSnapshot { snapshot, peer }).await
+                    }
+                    PeerState::Changes(changes) => keeper.send(TakeChanges { changes, peer }).await,
+                };
+                if taken.is_err() {
                     return;
                 }
             }
@@ -66,10 +74,12 @@
     }
 }
 
-async fn ask(peer: SocketAddr) -> Result<FeedSnapshot, AskError> {
+async fn ask(peer: SocketAddr, known: Option<u64>) -> Result<PeerState, AskError> {
     let mut connection =
         Connection::open(peer, FAR_CONNECT_LIMIT).await.map_err(AskError::Connect)?;
-    let request = Request::get(PEER_STATE_PATH)
+    let after = known.map(|known| format!("?{PEER_STATE_AFTER}{known}"));
+    let path = format!("{PEER_STATE_PATH}{}", after.unwrap_or_default());
+    let request = Request::get(path)
         .header(HOST, peer.to_string())
         .body(Full::<Bytes>::default())
         .expect("a constant path makes a request");
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -11,7 +11,7 @@
 use foldhaven_core::time::MonoTime;
 
 use crate::connection::ConnectionPool;
-use crate::feed::FeedSnapshot;
+use crate::keeper::StateOffer;
 use crate::upstream::{LoadCounter, Upstream};
 
 /// Another VM that takes forwarded requests.
@@ -51,7 +51,7 @@
     /// The number of VMs by which limits are divided; nothing while it is not known.
     pub assumed_vms: Option<usize>,
     /// What a VM that cannot read the platform may take over.
-    pub snapshot: Arc<FeedSnapshot>,
+    pub offer: Arc<StateOffer>,
 }
 
 impl GatewayView {
