--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -1,7 +1,7 @@
 //! Takes the requests of callers, and tells the platform whether this daemon is ready.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -18,6 +18,9 @@
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
 
+/// How long a connection may rest before anything is described; callers that came so early come back.
+const UNDESCRIBED_LIMIT: Duration = Duration::from_secs(20);
+
 /// Answers callers.
 pub struct CallerHandler {
     pub shared: Arc<GatewayShared>,
@@ -42,6 +45,11 @@
             }
         }
     }
+
+    fn head_limit(&self) -> Duration {
+        let described = self.shared.view().map(|view| view.routes.description().limits);
+        described.map_or(UNDESCRIBED_LIMIT, |limits| limits.idle_time + limits.header_time)
+    }
 }
 
 /// Reads a request of a caller.
--- a/crates/foldhaven-gateway/src/front.rs
+++ b/crates/foldhaven-gateway/src/front.rs
@@ -17,7 +17,7 @@
 use crate::connection::prepare;
 use crate::shared::StopStage;
 
-/// How long a connection may rest between requests, or a head may take to come.
+/// How long a connection may rest and a head may take to come, where nothing else is described.
 const HEAD_LIMIT: Duration = Duration::from_secs(20);
 /// The largest head that is read, in bytes; smaller limits are checked by the handlers.
 const MAX_HEAD_BYTES: usize = 128 << 10;
@@ -29,6 +29,11 @@
 pub trait FrontHandler: Send + Sync + 'static {
     /// Answers a request.
     async fn handle(&self, request: Request<Incoming>) -> Answer;
+
+    /// How long a new connection may rest and the head of a request may take to come, together.
+    fn head_limit(&self) -> Duration {
+        HEAD_LIMIT
+    }
 }
 
 /// Serves connections until the daemon closes; those that are open then finish what is under way.
@@ -63,6 +68,7 @@
         // The peer has gone already.
         return;
     }
+    let head_limit = handler.head_limit();
     let stages = stage.clone();
     let service = service_fn(move |request| {
         let handler = handler.clone();
@@ -77,7 +83,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
+        .header_read_timeout(head_limit)
         .max_buf_size(MAX_HEAD_BYTES)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
