Keep no more unused connections to an upstream than leave room for requests

Each VM kept up to 24 to each upstream whatever limit is described: 28 VMs of a region would have met one of 540. Half of the described limit is divided by the VMs of the region now; shown by a table of the core.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -4,6 +4,7 @@
 pub mod affinity;
 pub mod choice;
 pub mod cold;
+pub mod connection_share;
 pub mod directory;
 pub mod load_share;
 pub mod pace;
--- a/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
@@ -5,9 +5,11 @@
 
 use foldhaven_core::ids::{UpstreamName, VmName};
 use foldhaven_core::opaque::cold::{ColdPacer, MAX_SENDERS, cold_share};
+use foldhaven_core::opaque::connection_share::kept_connections;
 use foldhaven_core::opaque::retry_share::{RetryLimits, RetryShare};
 use foldhaven_core::time::MonoTime;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const LIMITS: RetryLimits =
     RetryLimits { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) };
@@ -122,3 +124,17 @@
     assert!(pacer.take(2.0, now + Duration::from_millis(500)));
     assert!(!pacer.take(0.0, now + Duration::from_secs(60)), "no rate, no place");
 }
+
+/// 28 VMs that each kept 24 unused connections would have met the limit of 540 of an upstream.
+#[rstest]
+#[case::few_vms(370, 4, 24)]
+#[case::many_vms(540, 28, 9)]
+#[case::more_vms_than_connections(110, 300, 1)]
+#[case::no_limit(0, 300, 24)]
+fn all_vms_together_leave_room_for_requests(
+    #[case] limit: u32,
+    #[case] vms: usize,
+    #[case] kept: usize,
+) {
+    assert_eq!(kept_connections(limit, vms), kept);
+}
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -27,8 +28,8 @@
 const PROBES: u32 = 2;
 /// A kept connection is not used again after this long, unless its peer named a shorter time.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
-/// How many unused connections are kept to one address.
-const MAX_IDLE: usize = 24;
+/// How many unused connections are kept to one address, before a limit was set.
+const FIRST_KEPT: usize = 24;
 
 /// A connection on which one request at a time can be sent.
 pub struct Connection {
@@ -73,9 +74,15 @@
 }
 
 /// The unused connections to one address.
-#[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<Vec<Connection>>,
+    most_kept: AtomicUsize,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self { idle: Mutex::default(), most_kept: AtomicUsize::new(FIRST_KEPT) }
+    }
 }
 
 impl ConnectionPool {
@@ -98,11 +105,19 @@
         connection.idle_since = Instant::now();
         connection.idle_limit = limit.map_or(IDLE_LIMIT, |limit| limit.min(IDLE_LIMIT));
         let mut idle = self.idle.lock();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < self.most_kept.load(Ordering::Relaxed) {
             idle.push(connection);
         }
     }
 
+    /// Limits how many unused connections are kept; those beyond are closed, the oldest first.
+    pub fn keep_at_most(&self, count: usize) {
+        self.most_kept.store(count, Ordering::Relaxed);
+        let mut idle = self.idle.lock();
+        let surplus = idle.len().saturating_sub(count);
+        idle.drain(..surplus);
+    }
+
     /// Closes all unused connections.
     pub fn clear(&self) {
         self.idle.lock().clear();
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -6,6 +6,7 @@
 use foldhaven_core::ids::{ServiceName, VmName};
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::cold::cold_share;
+use foldhaven_core::opaque::connection_share::kept_connections;
 use foldhaven_core::opaque::peer_table::{PeerBeat, PeerPhase};
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::opaque::upstream_table::UpstreamEntry;
@@ -82,6 +83,8 @@
         routes: &RouteTable,
         now: MonoTime,
     ) -> HashMap<ServiceName, Vec<Arc<Upstream>>> {
+        // All VMs of a region connect to its upstreams.
+        let vms = self.peers.near(now).count() + 1;
         let mut kept = HashMap::new();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Upstream>>> = HashMap::new();
         for entry in self.table.usable() {
@@ -91,6 +94,9 @@
                 false => 0.0,
             };
             upstream.set_cold(entry.cold_until, rate);
+            let service = routes.service(&upstream.identity.service);
+            let limit = service.map_or(0, |service| service.connection_limit);
+            upstream.pool.keep_at_most(kept_connections(limit, vms));
             by_service.entry(upstream.identity.service.clone()).or_default().push(upstream.clone());
             kept.insert(upstream.name().clone(), upstream);
         }
