Let requests bound elsewhere wait for a first VM of their regions after a start

Ruled out: a missing wait of the region, which counts as 100 ms. Change: for 0.6 s after the first description such requests wait, looked at every 40 ms.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -12,6 +12,7 @@
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
+use tokio::time::sleep;
 
 use crate::answer::Refusal;
 use crate::call::{OpenAnswer, read_whole};
@@ -19,7 +20,13 @@
 use crate::places::{RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
 use crate::upstream::LoadSeat;
+use crate::view::GatewayView;
 
+/// So long after its first description a process has heard of the VMs that live: seeds answer within one
+/// round trip between regions, and are asked again every 100 ms.
+const PEERS_KNOWN_AFTER: Duration = Duration::from_millis(600);
+/// How often it is looked whether a VM of another region was heard.
+const PEER_POLL: Duration = Duration::from_millis(40);
 /// The content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -170,6 +177,16 @@
         }
     }
 
+    /// Whether this process has just started and may still hear of a VM of a region that can run the
+    /// request. After a loss of all VMs their callers come back in the first tenths of a second.
+    fn awaits_peers(&self, view: &GatewayView) -> bool {
+        let own_region = self.shared.settings.region();
+        let is_elsewhere = view.waits.keys().any(|(region, service)| {
+            *service == self.job.service && region != own_region && self.job.route.permits(region)
+        });
+        is_elsewhere && !self.job.is_forwarded && self.shared.viewed_for() < PEERS_KNOWN_AFTER
+    }
+
     /// Opens an answer at some place. With `resume_after` it goes on after that event.
     pub async fn open(&mut self, resume_after: Option<&str>) -> Result<PlacedAnswer, Refusal> {
         loop {
@@ -179,6 +196,10 @@
             let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
             let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
                 Ok(chosen) => chosen,
+                Err(Refusal::NoUpstream) if self.awaits_peers(&view) => {
+                    sleep(PEER_POLL).await;
+                    continue;
+                }
                 Err(refusal) => {
                     self.weighed = Some(describe_places(&self.shared, &view, &self.job));
                     return Err(self.after_tries(refusal));
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -1,8 +1,8 @@
 //! What the control thread and the traffic thread share: views one way, counts the other.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -55,6 +55,8 @@
     /// The start of the process, from which its clock counts.
     zero: Instant,
     view: ArcSwapOption<GatewayView>,
+    /// When the first view was published.
+    first_view: OnceLock<Instant>,
     /// This VM's part of each service's retry budget.
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
     /// Requests under way.
@@ -78,6 +80,7 @@
             patiences: Mutex::default(),
             zero: Instant::now(),
             view: ArcSwapOption::empty(),
+            first_view: OnceLock::new(),
             retries: Mutex::default(),
             in_flight: AtomicU32::new(0),
             settled: Notify::new(),
@@ -103,6 +106,12 @@
     /// Replaces what requests are decided by.
     pub fn publish(&self, view: GatewayView) {
         self.view.store(Some(Arc::new(view)));
+        self.first_view.get_or_init(Instant::now);
+    }
+
+    /// For how long this process has known what to decide by.
+    pub fn viewed_for(&self) -> Duration {
+        self.first_view.get().map_or(Duration::ZERO, Instant::elapsed)
     }
 
     pub fn is_leaving(&self) -> bool {
