Lead callers of bound routes to no region that must not run them

Ruled out: a lost heartbeat, since both were leaving by their own word. The table case fails without it.

--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -222,6 +222,12 @@
         homes.filter(|homes| homes.contains(region)).count()
     }
 
+    /// Whether any route of a host is bound to some regions.
+    pub fn has_bound_routes(&self, host: &str) -> bool {
+        let Some(routes) = self.routes_of(host) else { return false };
+        routes.iter().any(|at| !self.routes[*at].homes.is_empty())
+    }
+
     /// The service of that name.
     pub fn service(&self, name: &ServiceName) -> Option<&OpaqueService> {
         self.services.get(name).map(|at| &self.description.services[*at])
--- a/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
@@ -113,7 +113,7 @@
     let beats: Vec<PeerBeat> = vms.iter().map(|(vm, region)| beat(vm, region, 1)).collect();
     let region: RegionName = region.parse().unwrap();
     let bound = |region: &RegionName| usize::from(region.as_str() == "south");
-    let named = name_vms(&beats, &region, bound);
+    let named = name_vms(&beats, &region, bound, true);
     let wanted: Vec<_> = beats
         .iter()
         .filter(|beat| expected.contains(&beat.vm.as_str()))
@@ -122,9 +122,25 @@
     assert_eq!(named, wanted);
 }
 
+/// Found on a deployment of one VM a region: while two of the three restarted in turn, callers of bound
+/// routes were led to the third, which must not run them.
+#[rstest]
+#[case::nothing_is_bound(false, 1)]
+#[case::bound_elsewhere(true, 0)]
+fn a_host_with_bound_routes_leads_nobody_outside_their_regions(
+    #[case] has_bound: bool,
+    #[case] named: usize,
+) {
+    let leaving = PeerBeat { phase: PeerPhase::Leaving, ..beat("s1", "south", 1) };
+    let beats = [leaving, beat("e1", "east", 1)];
+    let bound = |region: &RegionName| usize::from(region.as_str() == "south");
+    let answer = name_vms(&beats, &"north".parse().unwrap(), bound, has_bound);
+    assert_eq!(answer.len(), named);
+}
+
 #[test]
 fn vms_that_start_or_leave_are_not_named() {
     let beats = [PeerPhase::Starting, PeerPhase::Leaving]
         .map(|phase| PeerBeat { phase, ..beat("n1", "north", 1) });
-    assert!(name_vms(&beats, &"north".parse().unwrap(), |_| 0).is_empty());
+    assert!(name_vms(&beats, &"north".parse().unwrap(), |_| 0, false).is_empty());
 }
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -51,7 +51,8 @@
             return None;
         }
         let bound = |region: &RegionName| view.routes.bound_routes_in(&query.host, region);
-        Some(name_vms(&view.beats, &query.region, bound))
+        let has_bound = view.routes.has_bound_routes(&query.host);
+        Some(name_vms(&view.beats, &query.region, bound, has_bound))
     }
 }
 
