Run whole and streamed requests of the gateway through one loop of tries

run_whole and run_stream differed only in whether events are passed on and whether a whole answer counts as a success of its place; one loop asks the route for both. Reading one answer and choosing one place are steps of their own. A streamed request's seat is given up right after a whole answer was read, a few lines earlier than before and with no wait between; otherwise behaviour is unchanged. cargo test -p foldhaven-platform passes, 102 tests.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -16,7 +16,7 @@
 use crate::answer::Refusal;
 use crate::call::{OpenAnswer, read_whole};
 use crate::job::GatewayJob;
-use crate::places::{RequestPlace, TriedPlaces, choose_place, describe_places};
+use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
 use crate::upstream::LoadSeat;
 
@@ -57,14 +57,24 @@
     }
 }
 
-/// How a stream began.
-pub enum StreamStart {
-    /// With events.
+/// How a request was answered.
+pub enum AnswerStart {
+    /// With events, of which the first are yet to come.
     Events(PlacedAnswer),
-    /// With a whole answer, which tells of a failure or of a bad request.
+    /// With a whole answer; where events were due, it tells of a failure or of a bad request.
     Whole(WholeAnswer),
 }
 
+/// What follows a try whose answer was read.
+enum TryEnd {
+    /// The caller gets this answer.
+    Answered(WholeAnswer),
+    /// The caller is refused, unless an earlier try gave an answer.
+    Refused(Refusal),
+    /// Another try, in place of an answer that tells of a failure or of none.
+    Repeat(Option<WholeAnswer>),
+}
+
 /// Drives one request.
 pub struct RequestDriver {
     pub shared: Arc<GatewayShared>,
@@ -99,75 +109,60 @@
         }
     }
 
-    /// Runs the request until an upstream has given a whole answer.
-    pub async fn run_whole(&mut self) -> Result<WholeAnswer, Refusal> {
+    /// Runs the request until an upstream has answered: with a whole answer, or for a streaming route
+    /// with the beginning of its events.
+    pub async fn run(&mut self) -> Result<AnswerStart, Refusal> {
         let mut failed: Option<WholeAnswer> = None;
         loop {
             let placed = match self.open(None).await {
+                Ok(placed) if self.is_relayed(&placed) => return Ok(AnswerStart::Events(placed)),
                 Ok(placed) => placed,
                 // An answer that tells of a failure is better than none.
-                Err(refusal) => return failed.ok_or(refusal),
+                Err(refusal) => return failed.map(AnswerStart::Whole).ok_or(refusal),
             };
-            let PlacedAnswer { answer, place, seat, expected, sent } = placed;
-            let read = read_whole(answer, place.pool(), self.job.deadline).await;
-            drop(seat);
-            let (head, body) = match read {
-                Ok(whole) => whole,
-                Err(fault) => {
-                    self.note_fault(&place, &fault);
-                    match self.end_of_tries(&fault) {
-                        Some(refusal) => return failed.ok_or(refusal),
-                        None => continue,
-                    }
+            match self.finish(placed).await {
+                TryEnd::Answered(whole) => return Ok(AnswerStart::Whole(whole)),
+                TryEnd::Refused(refusal) => {
+                    return failed.map(AnswerStart::Whole).ok_or(refusal);
                 }
-            };
-            self.may_have_run = true;
-            let whole = WholeAnswer { head, body };
-            if !whole.is_failure() {
-                self.note_first(&place, expected, sent);
-                self.note_success(&place, sent);
-                return Ok(whole);
-            }
-            self.note_failed_answer(&place, whole.head.status);
-            if !self.may_repeat() {
-                return Ok(whole);
+                TryEnd::Repeat(answer) => failed = answer.or(failed),
             }
-            failed = Some(whole);
         }
     }
 
-    /// Runs the request until an upstream has begun a stream of events, or has answered otherwise.
-    pub async fn run_stream(&mut self) -> Result<StreamStart, Refusal> {
-        let mut failed: Option<WholeAnswer> = None;
-        loop {
-            let placed = match self.open(None).await {
-                Ok(placed) if placed.is_event_stream() => return Ok(StreamStart::Events(placed)),
-                Ok(placed) => placed,
-                // An answer that tells of a failure is better than none.
-                Err(refusal) => return failed.map(StreamStart::Whole).ok_or(refusal),
-            };
-            let PlacedAnswer { answer, place, .. } = placed;
-            let (head, body) = match read_whole(answer, place.pool(), self.job.deadline).await {
-                Ok(whole) => whole,
-                Err(fault) => {
-                    self.note_fault(&place, &fault);
-                    match self.end_of_tries(&fault) {
-                        Some(refusal) => return failed.map(StreamStart::Whole).ok_or(refusal),
-                        None => continue,
-                    }
-                }
-            };
-            self.may_have_run = true;
-            let whole = WholeAnswer { head, body };
-            if !whole.is_failure() {
-                return Ok(StreamStart::Whole(whole));
+    /// Whether an answer's events are passed on as they come.
+    fn is_relayed(&self, placed: &PlacedAnswer) -> bool {
+        self.job.route.repeat.is_stream() && placed.is_event_stream()
+    }
+
+    /// Reads an answer to its end, and notes what it says of its place.
+    async fn finish(&mut self, placed: PlacedAnswer) -> TryEnd {
+        let PlacedAnswer { answer, place, seat, expected, sent } = placed;
+        let read = read_whole(answer, place.pool(), self.job.deadline).await;
+        drop(seat);
+        let (head, body) = match read {
+            Ok(whole) => whole,
+            Err(fault) => {
+                self.note_fault(&place, &fault);
+                let end = self.end_of_tries(&fault);
+                return end.map_or(TryEnd::Repeat(None), TryEnd::Refused);
             }
+        };
+        self.may_have_run = true;
+        let whole = WholeAnswer { head, body };
+        if whole.is_failure() {
             self.note_failed_answer(&place, whole.head.status);
-            if !self.may_repeat() {
-                return Ok(StreamStart::Whole(whole));
-            }
-            failed = Some(whole);
+            return match self.may_repeat() {
+                true => TryEnd::Repeat(Some(whole)),
+                false => TryEnd::Answered(whole),
+            };
+        }
+        // Only an answer of the kind that the route expects counts as a success of its place.
+        if !self.job.route.repeat.is_stream() {
+            self.note_first(&place, expected, sent);
+            self.note_success(&place, sent);
         }
+        TryEnd::Answered(whole)
     }
 
     /// Opens an answer at some place. With `resume_after` it goes on after that event.
@@ -176,18 +171,8 @@
             if Instant::now() >= self.job.deadline {
                 return Err(self.out_of_time());
             }
-            let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
-            let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
-                Ok(chosen) => chosen,
-                Err(refusal) => {
-                    self.weighed = Some(describe_places(&self.shared, &view, &self.job));
-                    return Err(self.after_tries(refusal));
-                }
-            };
+            let chosen = self.choose()?;
             let place = chosen.place.clone();
-            self.tried.note(&place);
-            self.last_place = Some(place.name().to_owned());
-            self.last_expected_ms = chosen.first.as_millis() as u64;
             match self.call(chosen, resume_after).await {
                 Ok(placed) => return Ok(placed),
                 Err(fault) => {
@@ -199,4 +184,20 @@
             }
         }
     }
+
+    /// Chooses the place of the next try, and notes it.
+    fn choose(&mut self) -> Result<PlaceChoice, Refusal> {
+        let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
+        let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
+            Ok(chosen) => chosen,
+            Err(refusal) => {
+                self.weighed = Some(describe_places(&self.shared, &view, &self.job));
+                return Err(self.after_tries(refusal));
+            }
+        };
+        self.tried.note(&chosen.place);
+        self.last_place = Some(chosen.place.name().to_owned());
+        self.last_expected_ms = chosen.first.as_millis() as u64;
+        Ok(chosen)
+    }
 }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
-use crate::attempts::{RequestDriver, StreamStart, WholeAnswer};
+use crate::attempts::{AnswerStart, RequestDriver, WholeAnswer};
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
@@ -70,17 +70,10 @@
 /// Runs a request and gives its answer.
 pub async fn run_job(shared: Arc<GatewayShared>, job: GatewayJob) -> Answer {
     let in_flight = shared.enter();
-    let is_stream = job.route.repeat.is_stream();
     let mut driver = EndNote { driver: Some(RequestDriver::new(shared, job)) };
-    if !is_stream {
-        return match driver.get().run_whole().await {
-            Ok(whole) => driver.end_whole(whole),
-            Err(refusal) => driver.end_refused(refusal),
-        };
-    }
-    let placed = match driver.get().run_stream().await {
-        Ok(StreamStart::Events(placed)) => placed,
-        Ok(StreamStart::Whole(whole)) => return driver.end_whole(whole),
+    let placed = match driver.get().run().await {
+        Ok(AnswerStart::Events(placed)) => placed,
+        Ok(AnswerStart::Whole(whole)) => return driver.end_whole(whole),
         Err(refusal) => return driver.end_refused(refusal),
     };
     let head = &placed.answer.head;
