Write the text of an error with its causes in one place

error_text in foldhaven-wire takes the place of two copies in the gateway and foldhavend. The gateway's three questions whether a call met another process at an upstream's address are one, CallFault::is_misdirected. Behaviour is unchanged.

--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -59,10 +59,8 @@
         let now = self.shared.now();
         match fault {
             CallFault::NotSent(_) => upstream.note_unreachable(now),
-            CallFault::Declined { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
-                // Another process has the address now.
-                upstream.note_unreachable(now);
-            }
+            // Another process has the address now.
+            CallFault::Declined { .. } if fault.is_misdirected() => upstream.note_unreachable(now),
             CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
                 upstream.note_failure(now);
             }
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -16,7 +16,7 @@
     pub(super) fn end_of_tries(&mut self, fault: &CallFault) -> Option<Refusal> {
         let may_repeat = match fault {
             CallFault::NotSent(_) => self.may_choose_again(),
-            CallFault::Declined { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
+            CallFault::Declined { .. } if fault.is_misdirected() => {
                 // Another process has the address: no upstream of the service got the request.
                 self.may_choose_again() && self.take_retry()
             }
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foldhaven_core::headers;
+use foldhaven_wire::error_text::error_text;
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -43,11 +44,12 @@
     /// Whether no upstream of the service got the request: nobody did, or another process at the address
     /// of the one that was meant.
     pub fn is_unmet(&self) -> bool {
-        match self {
-            Self::NotSent(_) => true,
-            Self::Declined { status } => *status == StatusCode::MISDIRECTED_REQUEST,
-            _ => false,
-        }
+        matches!(self, Self::NotSent(_)) || self.is_misdirected()
+    }
+
+    /// Whether another process at the address of the one that was meant got the request, and declined.
+    pub fn is_misdirected(&self) -> bool {
+        matches!(self, Self::Declined { status } if *status == StatusCode::MISDIRECTED_REQUEST)
     }
 
     /// Whether the work behind the call may have been done.
@@ -120,7 +122,7 @@
             Err(mut error) => match error.take_message() {
                 // The connection had ended before a byte of the request left.
                 Some(unsent) => request = unsent,
-                None => return Err(CallFault::Broken(describe(error.error()))),
+                None => return Err(CallFault::Broken(error_text(error.error()))),
             },
         }
     }
@@ -129,8 +131,8 @@
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((response, connection)),
         Err(mut error) => match error.take_message() {
-            Some(_) => Err(CallFault::NotSent(describe(error.error()))),
-            None => Err(CallFault::Broken(describe(error.error()))),
+            Some(_) => Err(CallFault::NotSent(error_text(error.error()))),
+            None => Err(CallFault::Broken(error_text(error.error()))),
         },
     }
 }
@@ -179,14 +181,3 @@
     lease.give_back(pool);
     Ok((head, bytes))
 }
-
-/// The error with its causes, innermost last.
-fn describe(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/crates/foldhaven-wire/src/lib.rs
+++ b/crates/foldhaven-wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod counted;
 pub mod engine;
+pub mod error_text;
 pub mod listen;
 pub mod operator;
 pub mod platform;
--- a/crates/foldhavend/src/traffic/call.rs
+++ b/crates/foldhavend/src/traffic/call.rs
@@ -8,6 +8,7 @@
 use foldhaven_core::headers;
 use foldhaven_core::refusal::RefusalReason;
 use foldhaven_wire::caller::{CompletionChunk, ErrorBody, TokenUsage};
+use foldhaven_wire::error_text::error_text;
 use foldhaven_wire::sse::{DONE, SseSplitter};
 use http::{HeaderMap, Method};
 
@@ -125,8 +126,8 @@
         let url = format!("http://{}{}", call.address, call.path);
         let request = self.client.request(call.method, url).headers(call.headers).body(call.body);
         let response = request.send().await.map_err(|error| match error.is_connect() {
-            true => CallFault::NotSent(describe(&error)),
-            false => CallFault::Broken(describe(&error)),
+            true => CallFault::NotSent(error_text(&error)),
+            false => CallFault::Broken(error_text(&error)),
         })?;
         let refused = response.headers().get(headers::REFUSED_ATTEMPT);
         if refused.is_some_and(|attempt| attempt.as_bytes() == call.attempt.as_bytes()) {
@@ -136,17 +137,6 @@
     }
 }
 
-/// The error with its causes, innermost last.
-fn describe(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
-
 /// Reads why an attempt was refused. That it was refused is certain from the header alone.
 async fn read_refusal(response: reqwest::Response) -> CallFault {
     let body = read_limited(response, MAX_ERROR_BYTES).await.unwrap_or_default();
@@ -174,7 +164,7 @@
     let mut body = Vec::new();
     loop {
         let chunk = response.chunk().await;
-        let chunk = chunk.map_err(|error| CallFault::Broken(describe(&error)))?;
+        let chunk = chunk.map_err(|error| CallFault::Broken(error_text(&error)))?;
         let Some(chunk) = chunk else { return Ok(body.into()) };
         if body.len() + chunk.len() > limit {
             return Err(CallFault::Broken(format!("an answer of more than {limit} bytes")));
@@ -241,7 +231,7 @@
     async fn fill(&mut self) -> Result<(), CallFault> {
         while self.ready.is_empty() {
             let chunk = self.response.chunk().await;
-            let chunk = chunk.map_err(|error| CallFault::Broken(describe(&error)))?;
+            let chunk = chunk.map_err(|error| CallFault::Broken(error_text(&error)))?;
             let Some(chunk) = chunk else {
                 return Err(CallFault::Broken("the answer ended before its end marker".to_owned()));
             };
