Set the status for operators and the overview of places apart

operator_front holds what is asked and status what is answered; what operators and logs are told of places has a module below places, beside the choice itself.

--- /dev/null
+++ b/crates/foldhaven-gateway/src/operator_front/mod.rs
@@ -0,0 +1,70 @@
+//! Tells operators how this daemon fares: metrics, its view of the others, and service-level burn.
+
+mod status;
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use foldhaven_wire::operator::BurnAnswer;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::answer::{Answer, Refusal, body_answer};
+use crate::explain::explain;
+use crate::front::FrontHandler;
+use crate::shared::GatewayShared;
+
+/// The share of requests that is to be served on time. Routes name no share of their own.
+const TARGET_SHARE: f64 = 0.99;
+
+/// Answers operators.
+pub struct OperatorHandler {
+    pub shared: Arc<GatewayShared>,
+}
+
+#[async_trait]
+impl FrontHandler for OperatorHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        match request.uri().path() {
+            "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
+            "/operator/v1/status" => json_answer(&self.status()),
+            "/operator/v1/burn" => json_answer(&self.burn()),
+            "/operator/v1/explain-route" => self.explain(request.uri().query()),
+            _ => Refusal::NoRoute.answer(),
+        }
+    }
+}
+
+impl OperatorHandler {
+    /// Where the request that a query describes would go.
+    fn explain(&self, query: Option<&str>) -> Answer {
+        match explain(&self.shared, query.unwrap_or_default()) {
+            Ok(explanation) => json_answer(&explanation),
+            Err(refusal) => refusal.answer(),
+        }
+    }
+
+    /// How fast the routes use up their error budgets, by the requests that this VM took.
+    fn burn(&self) -> BurnAnswer {
+        let settings = &self.shared.settings;
+        let rows = self.shared.metrics.burn_rows(&settings.data_centre, self.shared.now());
+        let targets = rows.iter().map(|row| (row.class.to_string(), TARGET_SHARE)).collect();
+        BurnAnswer {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            rows,
+            targets,
+        }
+    }
+}
+
+fn json_answer(answer: &impl Serialize) -> Answer {
+    match serde_json::to_vec(answer) {
+        Ok(body) => body_answer(StatusCode::OK, "application/json", body),
+        Err(error) => {
+            tracing::error!(error = %error, "writing an answer to operators failed");
+            Refusal::NoDescription.answer()
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -2,20 +2,19 @@
 
 mod far;
 mod near;
+mod overview;
 
-use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{RegionName, UpstreamName, VmName};
+use foldhaven_core::ids::{UpstreamName, VmName};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
-use foldhaven_wire::operator::PlacePrice;
 
-use self::far::{choose_far, price_far};
+use self::far::choose_far;
+use self::near::choose_near;
 pub use self::near::expected_wait;
-use self::near::{choose_near, price_near};
+pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::CallTarget;
 use crate::connection::{ConnectionPool, FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
@@ -129,54 +128,7 @@
     }
 }
 
-/// Prices all places that a request could be sent to.
-pub fn price_places(
-    shared: &GatewayShared,
-    view: &GatewayView,
-    job: &GatewayJob,
-) -> Vec<PlacePrice> {
-    let is_here = job.route.permits(shared.settings.region());
-    let near = if is_here { price_near(shared, view, job) } else { Vec::new() };
-    let near = near.into_iter().map(|(upstream, choice)| PlacePrice {
-        name: upstream.name().to_string(),
-        is_far: false,
-        first_ms: choice.first.as_millis() as u64,
-        read_tokens: choice.read_tokens,
-        parts: choice.parts,
-    });
-    let far = price_far(shared, view, job, &TriedPlaces::default());
-    let far = far.into_iter().map(|far| PlacePrice {
-        name: far.region.to_string(),
-        is_far: true,
-        first_ms: far.choice.first.as_millis() as u64,
-        read_tokens: far.choice.read_tokens,
-        parts: far.parts,
-    });
-    near.chain(far).collect()
-}
-
-/// What there was to choose among for a request that found no place, for the log.
-pub fn describe_places(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> String {
-    let own_region = shared.settings.region();
-    let mut text = String::new();
-    let listed = view.upstreams_of(&job.service).iter();
-    let mut by_region: BTreeMap<&RegionName, usize> = BTreeMap::new();
-    for upstream in listed {
-        *by_region.entry(&upstream.identity.region).or_default() += 1;
-    }
-    for (region, upstreams) in by_region {
-        let vms = view.peers.iter().filter(|peer| peer.region == *region).count();
-        let is_own = region == own_region;
-        let permitted = job.route.permits(region);
-        // Writing to a string cannot fail.
-        let _ = write!(
-            text,
-            "{region}: {upstreams} upstreams, {vms} other VMs, own {is_own}, permitted {permitted}; "
-        );
-    }
-    text
-}
-
+/// What the choice weighs of a request.
 fn query_of(job: &GatewayJob) -> ChoiceQuery {
     let outline = job.outline.as_ref();
     ChoiceQuery {
