--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -142,8 +142,10 @@
                         }
                     }
                     Poll::Pending => match ready!(self.poll_silence(context)) {
-                        Some(cause) if Instant::now() < self.deadline && self.resume(cause) => {}
-                        Some(cause) => return self.cut(cause),
+                        Some(cause) if Instant::now() >= self.deadline => return self.cut(cause),
+                        // A silent upstream may still go on; what cannot be resumed waits for it.
+                        Some(cause) if !self.resume(cause) => self.stall = None,
+                        Some(_) => {}
                         None => {}
                     },
                 },
--- a/crates/foldhaven-gateway/src/stop.rs
+++ b/crates/foldhaven-gateway/src/stop.rs
@@ -11,8 +11,9 @@
 use crate::shared::{GatewayShared, StopStage};
 
 /// How long requests that still come are served after others were told: callers hold the addresses
-/// that they were given for some seconds.
-const LEAVING_TIME: Duration = Duration::from_millis(3_200);
+/// that they were given for some seconds. The platform excuses work that the end of the grace time cuts
+/// only for requests sent up to three seconds after the signal.
+const LEAVING_TIME: Duration = Duration::from_millis(2_900);
 /// How long before the platform ends the process by force it ends by itself.
 const MARGIN: Duration = Duration::from_millis(400);
 /// For the last answers to reach their callers.
