Leave a stream's upstream only when nothing is heard from it

Ruled out: the stop of the VM, which had 6 s left. Change: as for the head of an answer, an upstream is left only when this VM hears nothing from it on any request. Streams of another region's VM wait for it: that VM gives them back when their upstream is silent.

--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -26,6 +26,9 @@
 /// The same at least; shorter silences are usual when an upstream reads a long prompt.
 const LEAST_STALL: Duration = Duration::from_millis(1_200);
 
+/// An upstream was heard from at the last event of the stream itself, which is noted a moment later.
+const HEARD_MARGIN: Duration = Duration::from_millis(20);
+
 /// The stream ended before its last event
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub struct RelayBroken;
@@ -143,8 +146,7 @@
                     }
                     Poll::Pending => match ready!(self.poll_silence(context)) {
                         Some(cause) if Instant::now() >= self.deadline => return self.cut(cause),
-                        // A silent upstream may still go on; what cannot be resumed waits for it.
-                        Some(cause) if !self.resume(cause) => self.stall = None,
+                        Some(cause) if !self.leave_silent(cause) => return self.cut(cause),
                         Some(_) => {}
                         None => {}
                     },
@@ -235,6 +237,33 @@
         }
     }
 
+    /// Acts on a long silence. An upstream from which other requests hear is busy, and the stream waits on
+    /// for it; so does one that cannot be resumed. A forwarded stream whose upstream is silent for all is
+    /// given back to its origin, which may resume it. Returns whether the stream goes on.
+    fn leave_silent(&mut self, cause: &'static str) -> bool {
+        if !self.is_upstream_dark() {
+            self.last_news = Instant::now();
+            return true;
+        }
+        if self.driver.as_ref().is_some_and(|driver| driver.job.is_forwarded) {
+            return false;
+        }
+        if !self.resume(cause) {
+            self.stall = None;
+        }
+        true
+    }
+
+    /// Whether this VM has heard nothing at all from the stream's upstream since its last event.
+    fn is_upstream_dark(&self) -> bool {
+        let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver) else {
+            return false;
+        };
+        let RequestPlace::Upstream(upstream) = &reading.place else { return false };
+        let last_news = driver.shared.now() - self.last_news.elapsed();
+        upstream.is_silent_since(last_news + HEARD_MARGIN)
+    }
+
     /// Waits for the deadline or a long silence; gives which of them it was.
     fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<Option<&'static str>> {
         loop {
