Price the time that streams take, own and others'

Ruled out: slow upstreams (the times follow the number of requests that an upstream has). Regions tell the load.

--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -14,6 +14,10 @@
 /// 0.45 of what a request is worth.
 const REREAD_COST: f64 = 0.4;
 
+/// What one second of writing events costs, as a share of what the stream is worth: its caller waits for the
+/// end, and a stream may break with its upstream or VM.
+const STREAM_SECOND_COST: f64 = 0.03;
+
 /// What a decision costs, as a share of what the request is worth.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct RequestCost(pub f64);
@@ -32,6 +36,11 @@
         Self(REREAD_COST * f64::from(tokens) / f64::from(size.max(1)))
     }
 
+    /// The cost of writing events for so many seconds.
+    pub fn of_streaming(seconds: f64) -> Self {
+        Self(STREAM_SECOND_COST * seconds)
+    }
+
     /// The cost of moving bytes of a request of some size, by what a byte costs against a token.
     pub fn of_bytes(bytes: usize, price: f64, size: u32) -> Self {
         Self(bytes as f64 * price / f64::from(size.max(1)))
@@ -55,6 +64,8 @@
     pub rereading: f64,
     /// Pauses of the streams there that reading breaks.
     pub disturbance: f64,
+    /// The time that its events take, and by which it lengthens that of the other streams there.
+    pub streaming: f64,
     /// Failures there lately.
     pub failures: f64,
     /// Moving the body there.
@@ -64,7 +75,8 @@
 impl CostParts {
     /// All of them together.
     pub fn total(&self) -> RequestCost {
-        RequestCost(self.time + self.rereading + self.disturbance + self.failures + self.moving)
+        let there = self.disturbance + self.streaming + self.failures;
+        RequestCost(self.time + self.rereading + there + self.moving)
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -10,6 +10,7 @@
 
 pub use self::cost::{CostParts, RequestCost};
 use self::pricer::UpstreamPricer;
+pub use self::pricer::streaming_cost;
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::rank::rank_hash;
@@ -51,6 +52,8 @@
     pub waited: Duration,
     /// The longest pause between two events that its caller wants, for streams.
     pub event_gap: Option<Duration>,
+    /// The number of events that its answer probably has; 0 when it is not a stream.
+    pub events: f64,
     /// Its work: the tokens of its prompt and [`OUTPUT_WEIGHT`] times those of its answer.
     pub size: u32,
     /// The tokens of the shared parts of its prompt.
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -27,6 +27,25 @@
     pub(super) holder: Option<usize>,
 }
 
+/// The cost of the time in which the request's events are written, and of that by which it lengthens the
+/// other streams of its upstream: while its prompt is read, and by one more stream in each step.
+pub fn streaming_cost(
+    query: &ChoiceQuery,
+    pace: &ServicePace,
+    queue: QueueFacts,
+    read_tokens: u32,
+) -> RequestCost {
+    if query.event_gap.is_none() {
+        return RequestCost(0.0);
+    }
+    let others = f64::from(queue.in_flight);
+    let own = query.events * pace.events.between(others + 1.0);
+    let lengthened =
+        pace.reading(read_tokens).as_secs_f64() + query.events * pace.events.slope();
+    let share = pace.usual_size / f64::from(query.size.max(1));
+    RequestCost::of_streaming(own + others * lengthened * share)
+}
+
 /// Shared parts that one candidate takes over from another.
 #[derive(Debug, Clone, Copy)]
 struct PartFetch {
@@ -54,6 +73,7 @@
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: reread + moved,
             disturbance: self.disturbance(facts.queue, read_tokens).0,
+            streaming: streaming_cost(query, pace, facts.queue, read_tokens).0,
             failures: facts.failures,
             moving: facts.move_cost,
         };
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::opaque::event_pace::EventPace;
 use crate::time::MonoTime;
 
 /// Prompt tokens a second that an engine of today's deployments reads beside the answers that it
@@ -56,6 +57,8 @@
     pub hold: Duration,
     /// The mean size of requests in tokens.
     pub usual_size: f64,
+    /// How fast events are written.
+    pub events: EventPace,
 }
 
 impl Default for ServicePace {
@@ -65,6 +68,7 @@
             fetched_per_s: 0.0,
             hold: FIRST_HOLD,
             usual_size: FIRST_SIZE,
+            events: EventPace::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -143,6 +143,8 @@
     pub service: ServiceTag,
     /// The wait in milliseconds.
     pub wait_ms: u16,
+    /// How many requests one of its upstreams has.
+    pub load: u16,
 }
 
 /// A service in messages between VMs: the hash of its name.
--- a/crates/foldhaven-core/src/opaque/region_book.rs
+++ b/crates/foldhaven-core/src/opaque/region_book.rs
@@ -69,20 +69,20 @@
         self.reports.retain(|_, report| now.since(report.heard) < WAIT_LIMIT);
     }
 
-    /// The wait for a service in a region by the newest report; nothing when none is fresh.
+    /// What a request for a service would meet in a region by the newest report; nothing when none is
+    /// fresh.
     pub fn wait(
         &self,
         region: &RegionName,
         service: &ServiceName,
         now: MonoTime,
-    ) -> Option<Duration> {
+    ) -> Option<ServiceWait> {
         let of_region = self.reports.iter().filter(|((name, _), _)| name == region);
         let newest = of_region.map(|(_, report)| report).max_by_key(|report| report.heard)?;
         if now.since(newest.heard) >= WAIT_LIMIT {
             return None;
         }
         let tag = ServiceTag::of(service);
-        let wait = newest.waits.iter().find(|wait| wait.service == tag)?;
-        Some(Duration::from_millis(wait.wait_ms.into()))
+        newest.waits.iter().find(|wait| wait.service == tag).copied()
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -43,7 +43,7 @@
         teller: VmTag::of(&teller.parse().unwrap()),
         incarnation: IncarnationId(1),
         sequence,
-        waits: vec![ServiceWait { service: ServiceTag::of(&"desk".parse().unwrap()), wait_ms }],
+        waits: vec![ServiceWait { service: ServiceTag::of(&"desk".parse().unwrap()), wait_ms, load: 0 }],
         lives: Vec::new(),
     }
 }
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -12,6 +12,9 @@
 use crate::places::{RequestPlace, TOLD_TOKENS};
 use crate::upstream::Upstream;
 
+/// The fewest events of a stream that tell how fast events are written.
+const LEAST_EVENTS: u32 = 4;
+
 impl RequestDriver {
     /// Remembers, and tells others, where the parts of a prompt will be held.
     pub(super) fn note_placement(&self, place: &RequestPlace) {
@@ -39,7 +42,7 @@
     /// Notes that a place answered whole.
     pub fn note_success(&self, place: &RequestPlace, sent: Instant) {
         if let RequestPlace::Upstream(upstream) = place {
-            let usual = self.shared.note_route_end(&self.job.route.name, false);
+            let usual = self.note_route_end(false);
             upstream.pace.lock().note_end(false, usual, self.shared.now());
             upstream.health.lock().succeed();
             self.shared.note_hold(&self.job.service, sent.elapsed());
@@ -56,8 +59,22 @@
 
     /// Notes that a request failed at an upstream after it may have run.
     pub fn note_failure(&self, upstream: &Upstream) {
-        let usual = self.shared.note_route_end(&self.job.route.name, true);
-        upstream.note_failure(usual, self.shared.now());
+        upstream.note_failure(self.note_route_end(true), self.shared.now());
+    }
+
+    /// Notes how a request of this route ended at an upstream. Returns the share that usually fails.
+    fn note_route_end(&self, has_failed: bool) -> f64 {
+        let route = &self.job.route.name;
+        self.shared.note_history(route, |history| history.note_end(has_failed)).failure_share()
+    }
+
+    /// Notes a whole stream: how many events it had, in what time from the first to the last, and how many
+    /// requests its upstream had meanwhile.
+    pub fn note_stream(&self, events: u32, time: Duration, load: f64) {
+        self.shared.note_history(&self.job.route.name, |history| history.note_events(events));
+        if events >= LEAST_EVENTS {
+            self.shared.note_event_pace(&self.job.service, time / (events - 1), load);
+        }
     }
 
     /// Notes what a fault says of its place.
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -53,13 +53,17 @@
     expected: Duration,
     sent: Instant,
     has_begun: bool,
+    /// When its first event came, and how many had been passed on before.
+    begun: Option<(Instant, u32)>,
+    /// The requests that its upstream had at each of its events, and how often that was looked at.
+    loads: (u64, u32),
 }
 
 impl ReadingState {
     fn of(placed: PlacedAnswer) -> Box<Self> {
         let PlacedAnswer { answer, place, seat, expected, sent } = placed;
         let (_, body, lease) = answer.into_parts();
-        Box::new(Self { body, lease, place, seat, expected, sent, has_begun: false })
+        Box::new(Self { body, lease, place, seat, expected, sent, has_begun: false, begun: None, loads: (0, 0) })
     }
 }
 
@@ -179,6 +183,7 @@
             Ok(events) if events.is_empty() => RelayStep::Nothing,
             Ok(events) => {
                 self.note_first();
+                self.note_load();
                 RelayStep::Events(events)
             }
             Err(_) => RelayStep::Broken("an event was too large"),
@@ -226,6 +231,15 @@
         }
     }
 
+    /// Notes how many requests the upstream has.
+    fn note_load(&mut self) {
+        let RelayState::Reading(reading) = &mut self.state else { return };
+        let RequestPlace::Upstream(upstream) = &reading.place else { return };
+        reading.begun.get_or_insert_with(|| (Instant::now(), self.blocks.count()));
+        reading.loads.0 += u64::from(upstream.queue().in_flight);
+        reading.loads.1 += 1;
+    }
+
     /// Waits until the deadline has passed.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<()> {
         loop {
@@ -312,6 +326,12 @@
         {
             if let Some(driver) = &self.driver {
                 driver.note_success(&reading.place, reading.sent);
+                if let (Some((begun, before)), (load, looks)) = (reading.begun, reading.loads) {
+                    // The first event that came at `begun` is among those before.
+                    let events = self.blocks.count() - before + 1;
+                    let load = load as f64 / f64::from(looks.max(1));
+                    driver.note_stream(events, self.last_news - begun, load);
+                }
             }
             reading.lease.give_back(reading.place.pool());
         }
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -22,15 +22,19 @@
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         let open =
             near.filter(|it| it.cold_rate(now).is_none() && !it.health.lock().is_ejected(now));
-        let mut by_service: BTreeMap<&ServiceName, Vec<Duration>> = BTreeMap::new();
+        let mut by_service: BTreeMap<&ServiceName, Vec<(Duration, u32)>> = BTreeMap::new();
         for upstream in open {
             let service = &upstream.identity.service;
             let wait = expected_wait(upstream, &self.shared.measured_pace(service), now);
-            by_service.entry(service).or_default().push(wait);
+            by_service.entry(service).or_default().push((wait, upstream.queue().in_flight));
         }
-        let service_wait = |(service, waits): (&ServiceName, Vec<Duration>)| ServiceWait {
-            service: ServiceTag::of(service),
-            wait_ms: u16::try_from(lower_mean(waits).as_millis()).unwrap_or(u16::MAX),
+        let service_wait = |(service, met): (&ServiceName, Vec<(Duration, u32)>)| {
+            let (wait, load) = lower_mean(met);
+            ServiceWait {
+                service: ServiceTag::of(service),
+                wait_ms: u16::try_from(wait.as_millis()).unwrap_or(u16::MAX),
+                load: u16::try_from(load).unwrap_or(u16::MAX),
+            }
         };
         by_service.into_iter().map(service_wait).collect()
     }
@@ -42,11 +46,18 @@
         for upstream in self.upstreams.values() {
             let identity = &upstream.identity;
             let key = (identity.region.clone(), identity.service.clone());
-            let wait = waits.entry(key).or_insert_with_key(|(region, service)| RegionWait {
-                wait: self.regions.wait(region, service, now).unwrap_or(UNTOLD_WAIT),
+            let wait = waits.entry(key).or_insert(RegionWait {
+                wait: UNTOLD_WAIT,
                 upstreams: 0,
                 slots: 0,
+                load: 0,
             });
+            if wait.upstreams == 0
+                && let Some(told) = self.regions.wait(&identity.region, &identity.service, now)
+            {
+                wait.wait = Duration::from_millis(told.wait_ms.into());
+                wait.load = told.load.into();
+            }
             wait.upstreams += 1;
             wait.slots = identity.slots;
         }
@@ -54,10 +65,12 @@
     }
 }
 
-/// The mean of the lower half: what a request meets that goes to one of the better places.
-fn lower_mean(mut waits: Vec<Duration>) -> Duration {
-    waits.sort();
-    waits.truncate(waits.len().div_ceil(2));
-    let count = waits.len().max(1) as u32;
-    waits.into_iter().sum::<Duration>() / count
+/// The mean wait and load of the better half: what a request meets that goes to one of the better places.
+fn lower_mean(mut met: Vec<(Duration, u32)>) -> (Duration, u32) {
+    met.sort();
+    met.truncate(met.len().div_ceil(2));
+    let count = met.len().max(1) as u32;
+    let wait: Duration = met.iter().map(|(wait, _)| *wait).sum();
+    let load: u32 = met.iter().map(|(_, load)| *load).sum();
+    (wait / count, load / count)
 }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::RegionName;
-use foldhaven_core::opaque::choice::{CostParts, RequestCost};
+use foldhaven_core::opaque::choice::{CostParts, RequestCost, streaming_cost};
 use foldhaven_core::opaque::pace::QueueFacts;
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
@@ -70,16 +70,19 @@
     /// What the request is expected to take and to cost when it is forwarded to a VM there.
     fn price(&self, peer: Arc<PeerLink>) -> FarChoice {
         let job = self.job;
-        let query = query_of(job);
+        let query = query_of(self.shared, job);
         let missing = self.missing_tokens(query.shared_tokens);
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
-        let first =
-            self.way(&peer) + self.wait.wait + pace.first(self.sent_since(), read_tokens);
+        let sent = self.sent_since();
+        let first = self.way(&peer) + self.wait.wait + pace.first(sent, read_tokens);
+        // What was told counts most requests that were sent since, too.
+        let queue = QueueFacts { in_flight: sent.in_flight.max(self.wait.load), ..sent };
         let parts = CostParts {
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: RequestCost::of_rereading(missing, query.size).0,
             moving: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size).0,
+            streaming: streaming_cost(&query, &pace, queue, read_tokens).0,
             ..CostParts::default()
         };
         let place = RequestPlace::Peer(peer);
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -129,12 +129,13 @@
 }
 
 /// What the choice weighs of a request.
-fn query_of(job: &GatewayJob) -> ChoiceQuery {
+fn query_of(shared: &GatewayShared, job: &GatewayJob) -> ChoiceQuery {
     let outline = job.outline.as_ref();
     ChoiceQuery {
         target: job.route.target,
         waited: job.waited(),
         event_gap: job.route.event_gap,
+        events: shared.route_history(&job.route.name).usual_events(),
         size: job.size(),
         shared_tokens: outline.map_or(0, |outline| outline.shared_tokens()),
         own_tokens: outline.map_or(0, |outline| outline.own_tokens),
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -11,7 +11,7 @@
 use foldhaven_core::opaque::pace::ServicePace;
 use foldhaven_core::opaque::patience::CallerPatience;
 use foldhaven_core::opaque::retry_share::RetryShare;
-use foldhaven_core::opaque::usual_failures::UsualFailures;
+use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -53,8 +53,8 @@
     paces: Mutex<HashMap<ServiceName, ServicePace>>,
     /// The longest times that callers of each route give.
     patiences: Mutex<HashMap<RouteName, CallerPatience>>,
-    /// How often requests of each route fail at upstreams.
-    failures: Mutex<HashMap<RouteName, UsualFailures>>,
+    /// What the requests of each route have shown.
+    histories: Mutex<HashMap<RouteName, RouteHistory>>,
     /// The start of the process, from which its clock counts.
     zero: Instant,
     view: ArcSwapOption<GatewayView>,
@@ -81,7 +81,7 @@
             placements: Mutex::default(),
             paces: Mutex::default(),
             patiences: Mutex::default(),
-            failures: Mutex::default(),
+            histories: Mutex::default(),
             zero: Instant::now(),
             view: ArcSwapOption::empty(),
             first_view: OnceLock::new(),
@@ -163,16 +163,30 @@
         patiences.entry(route.clone()).or_default().note(remaining, now)
     }
 
-    /// Takes in how a request of a route ended at an upstream. Returns the share that usually fails.
-    pub fn note_route_end(&self, route: &RouteName, has_failed: bool) -> f64 {
-        let mut failures = self.failures.lock();
-        if let Some(usual) = failures.get_mut(route) {
-            usual.note(has_failed);
-            return usual.share();
+    /// What the requests of a route have shown.
+    pub fn route_history(&self, route: &RouteName) -> RouteHistory {
+        self.histories.lock().get(route).copied().unwrap_or_default()
+    }
+
+    /// Takes in what a request of a route has shown, and gives what all of them have.
+    pub fn note_history(
+        &self,
+        route: &RouteName,
+        note: impl FnOnce(&mut RouteHistory),
+    ) -> RouteHistory {
+        let mut histories = self.histories.lock();
+        if let Some(history) = histories.get_mut(route) {
+            note(history);
+            return *history;
         }
-        let usual = failures.entry(route.clone()).or_default();
-        usual.note(has_failed);
-        usual.share()
+        let history = histories.entry(route.clone()).or_default();
+        note(history);
+        *history
+    }
+
+    /// Takes in the time between two events of a stream, and how many requests its upstream had.
+    pub fn note_event_pace(&self, service: &ServiceName, between: Duration, load: f64) {
+        self.with_pace(service, |pace| pace.events.note(between, load));
     }
 
     /// Counts a request of a caller, and its size, for the retry budget and the pace of its service.
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -33,6 +33,8 @@
     pub upstreams: usize,
     /// How many requests one of them runs at once.
     pub slots: u32,
+    /// How many requests one of them has, by the same heartbeats.
+    pub load: u32,
 }
 
 /// Everything that a decision on a request reads.
--- a/crates/foldhaven-wire/src/sse.rs
+++ b/crates/foldhaven-wire/src/sse.rs
@@ -89,6 +89,7 @@
 pub struct EventBlocks {
     rest: BytesMut,
     last_id: Option<String>,
+    count: u32,
 }
 
 impl EventBlocks {
@@ -100,7 +101,7 @@
     pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, SseError> {
         let is_whole = self.rest.is_empty() && bytes.ends_with(b"\n\n");
         if is_whole {
-            self.note_id(&bytes);
+            self.note_events(&bytes);
             return Ok(bytes);
         }
         self.rest.extend_from_slice(&bytes);
@@ -112,11 +113,13 @@
             };
         };
         let events = self.rest.split_to(end).freeze();
-        self.note_id(&events);
+        self.note_events(&events);
         Ok(events)
     }
 
-    fn note_id(&mut self, events: &[u8]) {
+    fn note_events(&mut self, events: &[u8]) {
+        let ends = events.windows(2).filter(|pair| *pair == b"\n\n").count();
+        self.count = self.count.saturating_add(u32::try_from(ends).unwrap_or(u32::MAX));
         let lines = events.rsplit(|byte| *byte == b'\n');
         let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"));
         if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
@@ -129,6 +132,11 @@
         self.last_id.as_deref()
     }
 
+    /// How many whole events there were.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
     /// Whether no part of an event is left over.
     pub fn is_at_boundary(&self) -> bool {
         self.rest.is_empty()
