Learn how fast upstreams read prompts

Cause: 45,000 tokens a second was a constant from two deployments' sheets, and what engines really read showed only as a factor that forgets within four seconds. With engines four times slower everything was accepted and almost nothing ended in time. Change: the rate is the sum of the tokens that were read until first answers, over the time that took, of the last 200,000 tokens; the first belief counts for as little as one prompt.

--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -79,6 +79,9 @@
     pub parts: CostParts,
     /// The prompt tokens that it has to read.
     pub read_tokens: u32,
+    /// The prompt tokens that it reads until it can answer, those that it had before included, where nothing
+    /// but reading takes time.
+    pub until_answer: Option<u32>,
     /// The candidate from which it takes over what it does not hold of the shared parts.
     pub fetch_from: Option<usize>,
 }
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -77,8 +77,16 @@
             failures: facts.failures,
             moving: facts.move_cost,
         };
-        let fetch_from = fetch.map(|fetch| fetch.holder);
-        UpstreamChoice { at, first, cost: parts.total(), parts, read_tokens, fetch_from }
+        let is_reading = fetch.is_none() && facts.queue.in_flight < facts.queue.slots;
+        UpstreamChoice {
+            at,
+            first,
+            cost: parts.total(),
+            parts,
+            read_tokens,
+            until_answer: is_reading.then(|| facts.queue.pending_tokens + read_tokens),
+            fetch_from: fetch.map(|fetch| fetch.holder),
+        }
     }
 
     /// How a candidate gets the shared parts that it does not hold.
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use crate::opaque::event_pace::EventPace;
+use crate::opaque::reading_pace::ReadingPace;
 use crate::time::MonoTime;
 
-/// Prompt tokens a second that an engine of today's deployments reads beside the answers that it
-/// writes; from their published 51 to 64 tokens in a millisecond.
-const TOKENS_PER_S: f64 = 45_000.0;
 /// How long a request holds its place before any was measured.
 const FIRST_HOLD: Duration = Duration::from_millis(60);
 /// The mean size before any request was seen; from the mix of two deployments.
@@ -49,8 +47,8 @@
 /// What is known of the service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServicePace {
-    /// Prompt tokens that an upstream reads in a second.
-    pub tokens_per_s: f64,
+    /// How fast an upstream reads prompts.
+    pub reading: ReadingPace,
     /// Prompt tokens that an upstream takes over from another one in a second; 0 when it cannot.
     pub fetched_per_s: f64,
     /// How long a request holds its place.
@@ -64,7 +62,7 @@
 impl Default for ServicePace {
     fn default() -> Self {
         Self {
-            tokens_per_s: TOKENS_PER_S,
+            reading: ReadingPace::default(),
             fetched_per_s: 0.0,
             hold: FIRST_HOLD,
             usual_size: FIRST_SIZE,
@@ -79,6 +77,12 @@
         self.hold = self.hold.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
     }
 
+    /// Takes in how long a request waited for its first answer at an upstream that had a free place, and had
+    /// so many prompt tokens to read before, its own included.
+    pub fn note_reading(&mut self, tokens: u32, took: Duration) {
+        self.reading.note(tokens, took.saturating_sub(LEAST_TIME));
+    }
+
     /// Takes in the size of a request.
     pub fn note_size(&mut self, size: u32) {
         self.usual_size += (f64::from(size) - self.usual_size) * SIZE_WEIGHT;
@@ -86,7 +90,7 @@
 
     /// The time that a prompt takes to read.
     pub fn reading(&self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens) / self.tokens_per_s)
+        Duration::from_secs_f64(f64::from(tokens) / self.reading.rate())
     }
 
     /// The time that taking tokens over from another upstream takes; nothing when that is not
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -30,6 +30,14 @@
 /// The content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// What was expected of a place until its first answer.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpectedFirst {
+    pub time: Duration,
+    /// The prompt tokens that it had to read until then, where nothing but reading takes time.
+    pub until_answer: Option<u32>,
+}
+
 /// An answer that is being read, with the place that gives it.
 pub struct PlacedAnswer {
     pub answer: OpenAnswer,
@@ -37,7 +45,7 @@
     /// Counts the request at its place until the answer ends.
     pub seat: LoadSeat,
     /// What was expected of the place when the request was sent.
-    pub expected: Duration,
+    pub expected: ExpectedFirst,
     /// When the request was sent.
     pub sent: Instant,
 }
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -6,7 +6,7 @@
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use http::StatusCode;
 
-use super::RequestDriver;
+use super::{ExpectedFirst, RequestDriver};
 use crate::call::CallFault;
 use crate::metrics::{RequestBurn, RequestEnd};
 use crate::places::{RequestPlace, TOLD_TOKENS};
@@ -33,9 +33,13 @@
     }
 
     /// Notes that a place has begun its answer.
-    pub fn note_first(&self, place: &RequestPlace, expected: Duration, sent: Instant) {
+    pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: Instant) {
         if let RequestPlace::Upstream(upstream) = place {
-            upstream.pace.lock().note_first(expected, sent.elapsed(), self.shared.now());
+            let took = sent.elapsed();
+            upstream.pace.lock().note_first(expected.time, took, self.shared.now());
+            if let Some(tokens) = expected.until_answer {
+                self.shared.note_reading(&self.job.service, tokens, took);
+            }
         }
     }
 
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
-use super::{PlacedAnswer, RequestDriver};
+use super::{ExpectedFirst, PlacedAnswer, RequestDriver};
 use crate::call::{CallFault, OpenAnswer, open_call};
 use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
@@ -29,7 +29,7 @@
         chosen: PlaceChoice,
         resume_after: Option<&str>,
     ) -> Result<PlacedAnswer, CallFault> {
-        let PlaceChoice { place, first, read_tokens, fetch_from } = chosen;
+        let PlaceChoice { place, first, read_tokens, until_answer, fetch_from } = chosen;
         let mut request = self.make_request(&place, resume_after);
         if let Some(holder) = fetch_from {
             let name = self.shared.names.fetch_from.clone();
@@ -49,7 +49,8 @@
             self.arrivals -= 1;
         }
         let answer = opened?;
-        Ok(PlacedAnswer { answer, place, seat, expected: first, sent })
+        let expected = ExpectedFirst { time: first, until_answer };
+        Ok(PlacedAnswer { answer, place, seat, expected, sent })
     }
 
     /// The request with the headers that are set for each try.
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -14,7 +14,7 @@
 use tokio::time::Sleep;
 
 use crate::answer::Refusal;
-use crate::attempts::{PlacedAnswer, RequestDriver};
+use crate::attempts::{ExpectedFirst, PlacedAnswer, RequestDriver};
 use crate::call::ConnectionLease;
 use crate::metrics::RequestEnd;
 use crate::places::RequestPlace;
@@ -50,7 +50,7 @@
     lease: ConnectionLease,
     place: RequestPlace,
     seat: LoadSeat,
-    expected: Duration,
+    expected: ExpectedFirst,
     sent: Instant,
     has_begun: bool,
     /// When its first event came, and how many had been passed on before.
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -86,7 +86,8 @@
             ..CostParts::default()
         };
         let place = RequestPlace::Peer(peer);
-        let choice = PlaceChoice { place, first, read_tokens, fetch_from: None };
+        let choice =
+            PlaceChoice { place, first, read_tokens, until_answer: None, fetch_from: None };
         FarChoice { choice, cost: parts.total(), parts, region: self.region.clone() }
     }
 
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -80,6 +80,8 @@
     pub first: Duration,
     /// The prompt tokens that are to be read.
     pub read_tokens: u32,
+    /// The prompt tokens that the place reads until it can answer, where nothing but reading takes time.
+    pub until_answer: Option<u32>,
     /// The upstream from which the chosen one takes over what it does not hold of the prompt.
     pub fetch_from: Option<SocketAddr>,
 }
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -38,6 +38,7 @@
             place: RequestPlace::Upstream(self.upstream),
             first: self.choice.first,
             read_tokens: self.choice.read_tokens,
+            until_answer: self.choice.until_answer,
             fetch_from: self.fetch_from,
         }
     }
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -184,6 +184,11 @@
         *history
     }
 
+    /// Takes in how long an upstream of a service took to read so many prompt tokens and to answer.
+    pub fn note_reading(&self, service: &ServiceName, tokens: u32, took: Duration) {
+        self.with_pace(service, |pace| pace.note_reading(tokens, took));
+    }
+
     /// Takes in the time between two events of a stream, and how many requests its upstream had.
     pub fn note_event_pace(&self, service: &ServiceName, between: Duration, load: f64) {
         self.with_pace(service, |pace| pace.events.note(between, load));
