Let requests that will be late go behind others, and learn from pauses that were too long

Change: what is expected to miss its target goes behind others at its upstream, and what there is to read is told by these two orders; requests whose callers would have left are refused with when to come back; long pauses count against an upstream and a region. Those behind others teach no speed. Logs tell expected and measured first times.

--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -14,6 +14,9 @@
 /// 0.45 of what a request is worth.
 const REREAD_COST: f64 = 0.4;
 
+/// What an answer loses that is late, as a share of what it is worth in time; the users pay late ones a tenth to
+/// three tenths.
+const LATE_LOSS: f64 = 0.7;
 /// What one second of writing events costs, as a share of what the stream is worth: its caller waits for the
 /// end, and a stream may break with its upstream or VM.
 const STREAM_SECOND_COST: f64 = 0.03;
@@ -36,6 +39,11 @@
         Self(REREAD_COST * f64::from(tokens) / f64::from(size.max(1)))
     }
 
+    /// The cost of a chance that a pause between events is longer than wanted.
+    pub fn of_long_pause(chance: f64) -> Self {
+        Self(LATE_LOSS * chance)
+    }
+
     /// The cost of writing events for so many seconds.
     pub fn of_streaming(seconds: f64) -> Self {
         Self(STREAM_SECOND_COST * seconds)
@@ -64,6 +72,8 @@
     pub rereading: f64,
     /// Pauses of the streams there that reading breaks.
     pub disturbance: f64,
+    /// Long pauses that its own events probably meet there.
+    pub pauses: f64,
     /// The time that its events take, and by which it lengthens that of the other streams there.
     pub streaming: f64,
     /// Failures there lately.
@@ -75,11 +85,16 @@
 impl CostParts {
     /// All of them together.
     pub fn total(&self) -> RequestCost {
-        let there = self.disturbance + self.streaming + self.failures;
+        let there = self.disturbance + self.pauses + self.streaming + self.failures;
         RequestCost(self.time + self.rereading + there + self.moving)
     }
 }
 
+/// The chance that at least one pause of an answer is longer than wanted, by the share of pauses that are.
+pub fn chance_of_long_pause(long_pauses: f64, events: f64) -> f64 {
+    1.0 - (1.0 - long_pauses.clamp(0.0, 1.0)).powf(events.max(0.0))
+}
+
 /// The chance that a value exceeds its limit, by the share of the limit that is expected of it and the
 /// spread around that share.
 pub(super) fn chance_beyond(share: f64, spread: f64) -> f64 {
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -8,9 +8,9 @@
 
 use std::time::Duration;
 
-pub use self::cost::{CostParts, RequestCost};
+pub use self::cost::{CostParts, RequestCost, chance_of_long_pause};
 use self::pricer::UpstreamPricer;
-pub use self::pricer::streaming_cost;
+pub use self::pricer::{pause_cost, streaming_cost};
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::rank::rank_hash;
@@ -31,6 +31,8 @@
     pub factor: f64,
     /// The share of requests that failed there lately.
     pub failures: f64,
+    /// The share of pauses between events there that were longer than wanted lately.
+    pub long_pauses: f64,
     /// What the way to it costs.
     pub move_cost: f64,
     /// The tokens of the request's shared prompt parts that it probably holds.
@@ -79,6 +81,8 @@
     pub parts: CostParts,
     /// The prompt tokens that it has to read.
     pub read_tokens: u32,
+    /// Whether it goes behind all others there, since it cannot be answered within its target.
+    pub is_behind: bool,
     /// The prompt tokens that it reads until it can answer, those that it had before included, where nothing
     /// but reading takes time.
     pub until_answer: Option<u32>,
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::cost::chance_beyond;
+use super::cost::{chance_beyond, chance_of_long_pause};
 use super::{ChoiceQuery, CostParts, RequestCost, UpstreamChoice, UpstreamFacts};
 use crate::opaque::pace::{QueueFacts, ServicePace};
 
@@ -40,12 +40,19 @@
     }
     let others = f64::from(queue.in_flight);
     let own = query.events * pace.events.between(others + 1.0);
-    let lengthened =
-        pace.reading(read_tokens).as_secs_f64() + query.events * pace.events.slope();
+    let lengthened = pace.reading(read_tokens).as_secs_f64() + query.events * pace.events.slope();
     let share = pace.usual_size / f64::from(query.size.max(1));
     RequestCost::of_streaming(own + others * lengthened * share)
 }
 
+/// The cost of long pauses that the request's own events probably meet.
+pub fn pause_cost(query: &ChoiceQuery, long_pauses: f64) -> RequestCost {
+    if query.event_gap.is_none() {
+        return RequestCost(0.0);
+    }
+    RequestCost::of_long_pause(chance_of_long_pause(long_pauses, query.events))
+}
+
 /// Shared parts that one candidate takes over from another.
 #[derive(Debug, Clone, Copy)]
 struct PartFetch {
@@ -65,26 +72,32 @@
         let fetching = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let reread_tokens = missing.saturating_sub(fetched);
         let read_tokens = reread_tokens + query.own_tokens;
-        let first = pace.first(facts.queue, read_tokens).mul_f64(facts.factor) + fetching;
+        let first_in = |queue| pace.first(queue, read_tokens).mul_f64(facts.factor) + fetching;
+        let is_behind = query.waited + first_in(facts.queue) > query.target;
+        let queue = if is_behind { facts.queue.from_behind() } else { facts.queue };
+        let first = first_in(queue);
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
         let parts = CostParts {
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: reread + moved,
-            disturbance: self.disturbance(facts.queue, read_tokens).0,
+            disturbance: self.disturbance(facts, read_tokens).0,
+            pauses: pause_cost(query, facts.long_pauses).0,
             streaming: streaming_cost(query, pace, facts.queue, read_tokens).0,
             failures: facts.failures,
             moving: facts.move_cost,
         };
-        let is_reading = fetch.is_none() && facts.queue.in_flight < facts.queue.slots;
+        let has_place = facts.queue.in_flight < facts.queue.slots;
+        let is_reading = fetch.is_none() && has_place && !is_behind;
         UpstreamChoice {
             at,
             first,
             cost: parts.total(),
             parts,
             read_tokens,
-            until_answer: is_reading.then(|| facts.queue.pending_tokens + read_tokens),
+            is_behind,
+            until_answer: is_reading.then(|| queue.pending_tokens + read_tokens),
             fetch_from: fetch.map(|fetch| fetch.holder),
         }
     }
@@ -100,7 +113,10 @@
     /// What reading some tokens costs the streams that a candidate is writing: between two pieces of a
     /// prompt each stream gets one token, so that prompts that are read one after the other stretch the
     /// pauses of all of them.
-    fn disturbance(&self, queue: QueueFacts, tokens: u32) -> RequestCost {
+    ///
+    /// Streams whose pauses are broken already lose nothing more.
+    fn disturbance(&self, facts: &UpstreamFacts<'_>, tokens: u32) -> RequestCost {
+        let queue = facts.queue;
         let Some(gap) = self.query.event_gap else { return RequestCost(0.0) };
         let broken_by = |tokens: u32| {
             let share = self.pace.reading(tokens).div_duration_f64(gap);
@@ -109,6 +125,7 @@
         let pending = queue.pending_tokens;
         let broken = broken_by(pending.saturating_add(tokens)) - broken_by(pending);
         let streams = f64::from(queue.in_flight) * self.pace.usual_size;
-        RequestCost(broken * streams / f64::from(self.query.size.max(1)))
+        let whole = 1.0 - chance_of_long_pause(facts.long_pauses, self.pace.usual_events);
+        RequestCost(broken * whole * streams / f64::from(self.query.size.max(1)))
     }
 }
--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -27,6 +27,8 @@
     pub in_flight: u16,
     /// Prompt tokens of those that were not answered yet.
     pub pending_tokens: u32,
+    /// Those of requests that go behind all others; not among the pending ones.
+    pub behind_tokens: u32,
 }
 
 /// What one VM reports.
@@ -84,6 +86,7 @@
             let total = totals.entry(*tag).or_default();
             total.in_flight = total.in_flight.saturating_add(share.in_flight);
             total.pending_tokens = total.pending_tokens.saturating_add(share.pending_tokens);
+            total.behind_tokens = total.behind_tokens.saturating_add(share.behind_tokens);
         }
         totals
     }
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -27,6 +27,9 @@
 /// The weight of one more end of a request in the failures beyond the usual ones. With 14 in 100 failing by
 /// nature the value then varies by 0.07, less than what another region costs.
 const FAILURE_WEIGHT: f64 = 0.08;
+/// The weight of one more event in the share of pauses that were too long; about half a second of a busy
+/// upstream.
+const PAUSE_WEIGHT: f64 = 0.02;
 /// After this time without news an upstream is taken for usual again by the factor e, so that one
 /// that got slow or failed is tried again.
 const FORGET_TIME: Duration = Duration::from_secs(4);
@@ -42,6 +45,16 @@
     pub in_flight: u32,
     /// Prompt tokens sent there of requests that have not answered yet.
     pub pending_tokens: u32,
+    /// Those of requests that were sent there to go behind all others; not among the pending ones.
+    pub behind_tokens: u32,
+}
+
+impl QueueFacts {
+    /// The queue that a request meets which goes behind all others.
+    pub fn from_behind(self) -> Self {
+        let pending_tokens = self.pending_tokens.saturating_add(self.behind_tokens);
+        Self { pending_tokens, behind_tokens: 0, ..self }
+    }
 }
 
 /// What is known of the service.
@@ -57,6 +70,8 @@
     pub usual_size: f64,
     /// How fast events are written.
     pub events: EventPace,
+    /// The mean number of events of an answer.
+    pub usual_events: f64,
 }
 
 impl Default for ServicePace {
@@ -67,6 +82,7 @@
             hold: FIRST_HOLD,
             usual_size: FIRST_SIZE,
             events: EventPace::default(),
+            usual_events: 0.0,
         }
     }
 }
@@ -83,6 +99,11 @@
         self.reading.note(tokens, took.saturating_sub(LEAST_TIME));
     }
 
+    /// Takes in how many events an answer had.
+    pub fn note_events(&mut self, events: u32) {
+        self.usual_events += (f64::from(events) - self.usual_events) * SIZE_WEIGHT;
+    }
+
     /// Takes in the size of a request.
     pub fn note_size(&mut self, size: u32) {
         self.usual_size += (f64::from(size) - self.usual_size) * SIZE_WEIGHT;
@@ -124,22 +145,25 @@
     ratio: f64,
     /// The share of requests that failed, less the usual one of their routes.
     failures: f64,
-    /// When these two were right; they fade from then on.
+    /// The share of pauses between events that were longer than wanted.
+    long_pauses: f64,
+    /// When these were right; they fade from then on.
     noted: MonoTime,
 }
 
 impl Default for UpstreamPace {
     fn default() -> Self {
-        Self { ratio: 1.0, failures: 0.0, noted: MonoTime::default() }
+        Self { ratio: 1.0, failures: 0.0, long_pauses: 0.0, noted: MonoTime::default() }
     }
 }
 
 impl UpstreamPace {
-    /// Brings both values nearer to the usual ones, by the time that has passed.
+    /// Brings the values nearer to the usual ones, by the time that has passed.
     fn fade(&mut self, now: MonoTime) {
         let share = (-now.since(self.noted).as_secs_f64() / FORGET_TIME.as_secs_f64()).exp();
         self.ratio = 1.0 + (self.ratio - 1.0) * share;
         self.failures *= share;
+        self.long_pauses *= share;
         self.noted = now;
     }
 
@@ -158,6 +182,19 @@
         self.failures += (beyond - self.failures) * FAILURE_WEIGHT;
     }
 
+    /// Takes in whether a pause between two events there was longer than wanted.
+    pub fn note_pause(&mut self, is_long: bool, now: MonoTime) {
+        self.fade(now);
+        self.long_pauses += (f64::from(u8::from(is_long)) - self.long_pauses) * PAUSE_WEIGHT;
+    }
+
+    /// The share of pauses there that were longer than wanted lately.
+    pub fn long_pauses(&self, now: MonoTime) -> f64 {
+        let mut current = *self;
+        current.fade(now);
+        current.long_pauses
+    }
+
     /// By what its times are to be multiplied; never below 1, since a faster upstream shows in its
     /// queue.
     pub fn factor(&self, now: MonoTime) -> f64 {
--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -145,6 +145,8 @@
     pub wait_ms: u16,
     /// How many requests one of its upstreams has.
     pub load: u16,
+    /// How many of a thousand pauses between events there were longer than wanted.
+    pub long_pauses: u16,
 }
 
 /// A service in messages between VMs: the hash of its name.
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -17,9 +17,10 @@
 fn facts(name: &UpstreamName) -> UpstreamFacts<'_> {
     UpstreamFacts {
         name,
-        queue: QueueFacts { slots: 4, in_flight: 0, pending_tokens: 0 },
+        queue: QueueFacts { slots: 4, ..QueueFacts::default() },
         factor: 1.0,
         failures: 0.0,
+        long_pauses: 0.0,
         move_cost: 0.0,
         held_tokens: 0,
         is_suspect: false,
@@ -38,6 +39,7 @@
         target,
         waited,
         event_gap,
+        events: 0.0,
         size,
         shared_tokens,
         own_tokens: 100,
@@ -184,7 +186,12 @@
 fn waits_grow_with_full_places_and_unread_prompts() {
     let mut pace = ServicePace::default();
     (0..2_000).for_each(|_| pace.note_hold(Duration::from_millis(100)));
-    let queue = |in_flight, pending_tokens| QueueFacts { slots: 4, in_flight, pending_tokens };
+    let queue = |in_flight, pending_tokens| QueueFacts {
+        slots: 4,
+        in_flight,
+        pending_tokens,
+        behind_tokens: 0,
+    };
     assert_eq!(pace.wait(queue(3, 0)), Duration::ZERO);
     let full = pace.wait(queue(8, 0)).as_millis();
     assert!((120..=130).contains(&full), "{full}");
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -11,7 +11,7 @@
 use crate::opaque_support::at;
 
 fn report(vm: &str, sequence: u32, in_flight: u16) -> LoadReport {
-    let share = UpstreamShare { in_flight, pending_tokens: 10 };
+    let share = UpstreamShare { in_flight, pending_tokens: 10, behind_tokens: 0 };
     LoadReport {
         vm: VmTag::of(&vm.parse().unwrap()),
         incarnation: IncarnationId(1),
@@ -43,7 +43,12 @@
         teller: VmTag::of(&teller.parse().unwrap()),
         incarnation: IncarnationId(1),
         sequence,
-        waits: vec![ServiceWait { service: ServiceTag::of(&"desk".parse().unwrap()), wait_ms, load: 0 }],
+        waits: vec![ServiceWait {
+            service: ServiceTag::of(&"desk".parse().unwrap()),
+            wait_ms,
+            load: 0,
+            long_pauses: 0,
+        }],
         lives: Vec::new(),
     }
 }
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -75,6 +75,11 @@
     NoUpstream,
     /// the upstreams are full
     Full,
+    /// no upstream could begin it in time
+    Overloaded {
+        /// After which time one probably could.
+        wait: Duration,
+    },
     /// this VM is leaving
     Leaving,
     /// not permitted here
@@ -98,6 +103,7 @@
             Self::NoDescription
             | Self::NoUpstream
             | Self::Full
+            | Self::Overloaded { .. }
             | Self::Leaving
             | Self::NotPermitted
             | Self::NotReached => StatusCode::SERVICE_UNAVAILABLE,
@@ -116,6 +122,7 @@
             Self::NoRoute => "no_route",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
+            Self::Overloaded { .. } => "overloaded",
             Self::Leaving => "leaving",
             Self::NotPermitted => "not_permitted",
             Self::Broken => "broken",
@@ -129,6 +136,7 @@
         let shortest = match self {
             Self::NoDescription | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
+            Self::Overloaded { wait } => wait.max(Duration::from_millis(250)),
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
         };
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -34,10 +34,36 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ExpectedFirst {
     pub time: Duration,
+    /// Whether it went behind all others, so that its time says nothing of the upstream.
+    pub is_behind: bool,
     /// The prompt tokens that it had to read until then, where nothing but reading takes time.
     pub until_answer: Option<u32>,
 }
 
+/// What the log tells of the choice of a place.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoggedChoice {
+    /// The expected time to the first answer, in milliseconds.
+    pub first_ms: u64,
+    /// The prompt tokens that were to be read.
+    pub read_tokens: u32,
+    /// The requests that the place had.
+    pub load: u32,
+    /// Whether it went behind all others there.
+    pub is_behind: bool,
+}
+
+impl LoggedChoice {
+    fn of(chosen: &PlaceChoice) -> Self {
+        Self {
+            first_ms: chosen.first.as_millis() as u64,
+            read_tokens: chosen.read_tokens,
+            load: chosen.load,
+            is_behind: chosen.is_behind,
+        }
+    }
+}
+
 /// An answer that is being read, with the place that gives it.
 pub struct PlacedAnswer {
     pub answer: OpenAnswer,
@@ -103,8 +129,8 @@
     pub last_fault: Option<String>,
     /// The place of the last try, for the log.
     pub last_place: Option<String>,
-    /// What was expected of it, in milliseconds, for the log.
-    pub last_expected_ms: u64,
+    /// What was expected of it, for the log.
+    pub last_expected: LoggedChoice,
     /// What there was to choose among when no place was found, for the log.
     pub weighed: Option<String>,
 }
@@ -119,7 +145,7 @@
             may_have_run: false,
             last_fault: None,
             last_place: None,
-            last_expected_ms: 0,
+            last_expected: LoggedChoice::default(),
             weighed: None,
         }
     }
@@ -217,7 +243,7 @@
         };
         self.tried.note(&chosen.place);
         self.last_place = Some(chosen.place.name().to_owned());
-        self.last_expected_ms = chosen.first.as_millis() as u64;
+        self.last_expected = LoggedChoice::of(&chosen);
         Ok(Some(chosen))
     }
 
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -34,7 +34,9 @@
 
     /// Notes that a place has begun its answer.
     pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: Instant) {
-        if let RequestPlace::Upstream(upstream) = place {
+        if let RequestPlace::Upstream(upstream) = place
+            && !expected.is_behind
+        {
             let took = sent.elapsed();
             upstream.pace.lock().note_first(expected.time, took, self.shared.now());
             if let Some(tokens) = expected.until_answer {
@@ -76,6 +78,7 @@
     /// requests its upstream had meanwhile.
     pub fn note_stream(&self, events: u32, time: Duration, load: f64) {
         self.shared.note_history(&self.job.route.name, |history| history.note_events(events));
+        self.shared.note_events(&self.job.service, events);
         if events >= LEAST_EVENTS {
             self.shared.note_event_pace(&self.job.service, time / (events - 1), load);
         }
@@ -132,7 +135,11 @@
             end = end.label(),
             tries = self.arrivals,
             place = self.last_place.as_deref().unwrap_or("-"),
-            expected_ms = self.last_expected_ms,
+            expected_ms = self.last_expected.first_ms,
+            first_ms = job.first_after.map_or(0, |first| first.as_millis() as u64),
+            read_tokens = self.last_expected.read_tokens,
+            load = self.last_expected.load,
+            behind = self.last_expected.is_behind,
             weighed = self.weighed.as_deref().unwrap_or("-"),
             fault = self.last_fault.as_deref().unwrap_or("-"),
             forwarded = job.is_forwarded,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -29,13 +29,14 @@
         chosen: PlaceChoice,
         resume_after: Option<&str>,
     ) -> Result<PlacedAnswer, CallFault> {
-        let PlaceChoice { place, first, read_tokens, until_answer, fetch_from } = chosen;
-        let mut request = self.make_request(&place, resume_after);
+        let PlaceChoice { place, first, read_tokens, is_behind, until_answer, fetch_from, .. } =
+            chosen;
+        let mut request = self.make_request(&place, resume_after, is_behind);
         if let Some(holder) = fetch_from {
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let seat = place.enter(read_tokens);
+        let seat = place.enter(read_tokens, is_behind);
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
@@ -49,7 +50,7 @@
             self.arrivals -= 1;
         }
         let answer = opened?;
-        let expected = ExpectedFirst { time: first, until_answer };
+        let expected = ExpectedFirst { time: first, is_behind, until_answer };
         Ok(PlacedAnswer { answer, place, seat, expected, sent })
     }
 
@@ -58,6 +59,7 @@
         &self,
         place: &RequestPlace,
         resume_after: Option<&str>,
+        is_behind: bool,
     ) -> Request<Full<Bytes>> {
         let job = &self.job;
         let names = &self.shared.names;
@@ -70,7 +72,7 @@
         }
         match place {
             RequestPlace::Upstream(upstream) => {
-                if job.is_late() {
+                if is_behind {
                     map.insert(&names.rank, HeaderValue::from(u16::from(HeaderNames::LATE_RANK)));
                 }
                 map.insert(&names.expected_upstream, text_value(upstream.name().as_str()));
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -140,8 +140,7 @@
             return;
         }
         connection.idle_since = Instant::now();
-        connection.idle_limit =
-            limit.map_or(self.idle_limit, |limit| limit.min(self.idle_limit));
+        connection.idle_limit = limit.map_or(self.idle_limit, |limit| limit.min(self.idle_limit));
         let mut idle = self.idle.lock();
         if idle.len() < self.most_kept.load(Ordering::Relaxed) {
             idle.push(connection);
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -63,7 +63,17 @@
     fn of(placed: PlacedAnswer) -> Box<Self> {
         let PlacedAnswer { answer, place, seat, expected, sent } = placed;
         let (_, body, lease) = answer.into_parts();
-        Box::new(Self { body, lease, place, seat, expected, sent, has_begun: false, begun: None, loads: (0, 0) })
+        Box::new(Self {
+            body,
+            lease,
+            place,
+            seat,
+            expected,
+            sent,
+            has_begun: false,
+            begun: None,
+            loads: (0, 0),
+        })
     }
 }
 
@@ -177,6 +187,7 @@
 
     /// Takes in bytes of the upstream, and gives the events that they complete.
     fn take_bytes(&mut self, bytes: Bytes) -> RelayStep {
+        self.note_pause();
         self.last_news = Instant::now();
         self.note_heard();
         match self.blocks.push(bytes) {
@@ -231,6 +242,19 @@
         }
     }
 
+    /// Notes whether the pause that ends now was longer than wanted.
+    fn note_pause(&self) {
+        let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver) else {
+            return;
+        };
+        if let (RequestPlace::Upstream(upstream), Some(wanted), true) =
+            (&reading.place, driver.job.route.event_gap, reading.has_begun)
+        {
+            let is_long = self.last_news.elapsed() > wanted;
+            upstream.pace.lock().note_pause(is_long, driver.shared.now());
+        }
+    }
+
     /// Notes how many requests the upstream has.
     fn note_load(&mut self) {
         let RelayState::Reading(reading) = &mut self.state else { return };
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -78,11 +78,6 @@
         took
     }
 
-    /// Whether it cannot be answered within its target any more.
-    pub fn is_late(&self) -> bool {
-        self.waited() >= self.route.target
-    }
-
     /// The parts of the prompt that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.outline.as_ref().map_or(&[], |outline| &outline.shared)
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -22,18 +22,21 @@
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         let open =
             near.filter(|it| it.cold_rate(now).is_none() && !it.health.lock().is_ejected(now));
-        let mut by_service: BTreeMap<&ServiceName, Vec<(Duration, u32)>> = BTreeMap::new();
+        let mut by_service: BTreeMap<&ServiceName, Vec<MetQueue>> = BTreeMap::new();
         for upstream in open {
             let service = &upstream.identity.service;
             let wait = expected_wait(upstream, &self.shared.measured_pace(service), now);
-            by_service.entry(service).or_default().push((wait, upstream.queue().in_flight));
+            let long_pauses = upstream.pace.lock().long_pauses(now);
+            let met = MetQueue { wait, load: upstream.queue().in_flight, long_pauses };
+            by_service.entry(service).or_default().push(met);
         }
-        let service_wait = |(service, met): (&ServiceName, Vec<(Duration, u32)>)| {
-            let (wait, load) = lower_mean(met);
+        let service_wait = |(service, met): (&ServiceName, Vec<MetQueue>)| {
+            let usual = lower_mean(met);
             ServiceWait {
                 service: ServiceTag::of(service),
-                wait_ms: u16::try_from(wait.as_millis()).unwrap_or(u16::MAX),
-                load: u16::try_from(load).unwrap_or(u16::MAX),
+                wait_ms: u16::try_from(usual.wait.as_millis()).unwrap_or(u16::MAX),
+                load: u16::try_from(usual.load).unwrap_or(u16::MAX),
+                long_pauses: (usual.long_pauses * 1_000.0) as u16,
             }
         };
         by_service.into_iter().map(service_wait).collect()
@@ -51,12 +54,14 @@
                 upstreams: 0,
                 slots: 0,
                 load: 0,
+                long_pauses: 0.0,
             });
             if wait.upstreams == 0
                 && let Some(told) = self.regions.wait(&identity.region, &identity.service, now)
             {
                 wait.wait = Duration::from_millis(told.wait_ms.into());
                 wait.load = told.load.into();
+                wait.long_pauses = f64::from(told.long_pauses) / 1_000.0;
             }
             wait.upstreams += 1;
             wait.slots = identity.slots;
@@ -65,12 +70,20 @@
     }
 }
 
-/// The mean wait and load of the better half: what a request meets that goes to one of the better places.
-fn lower_mean(mut met: Vec<(Duration, u32)>) -> (Duration, u32) {
-    met.sort();
+/// What a request would meet at one upstream.
+struct MetQueue {
+    wait: Duration,
+    load: u32,
+    long_pauses: f64,
+}
+
+/// The mean of the better half: what a request meets that goes to one of the better places.
+fn lower_mean(mut met: Vec<MetQueue>) -> MetQueue {
+    met.sort_by_key(|met| (met.wait, met.load));
     met.truncate(met.len().div_ceil(2));
     let count = met.len().max(1) as u32;
-    let wait: Duration = met.iter().map(|(wait, _)| *wait).sum();
-    let load: u32 = met.iter().map(|(_, load)| *load).sum();
-    (wait / count, load / count)
+    let wait: Duration = met.iter().map(|met| met.wait).sum();
+    let load: u32 = met.iter().map(|met| met.load).sum();
+    let long_pauses: f64 = met.iter().map(|met| met.long_pauses).sum();
+    MetQueue { wait: wait / count, load: load / count, long_pauses: long_pauses / f64::from(count) }
 }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::RegionName;
-use foldhaven_core::opaque::choice::{CostParts, RequestCost, streaming_cost};
+use foldhaven_core::opaque::choice::{CostParts, RequestCost, pause_cost, streaming_cost};
 use foldhaven_core::opaque::pace::QueueFacts;
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
@@ -82,12 +82,20 @@
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: RequestCost::of_rereading(missing, query.size).0,
             moving: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size).0,
+            pauses: pause_cost(&query, self.wait.long_pauses).0,
             streaming: streaming_cost(&query, &pace, queue, read_tokens).0,
             ..CostParts::default()
         };
         let place = RequestPlace::Peer(peer);
-        let choice =
-            PlaceChoice { place, first, read_tokens, until_answer: None, fetch_from: None };
+        let choice = PlaceChoice {
+            place,
+            first,
+            read_tokens,
+            load: queue.in_flight,
+            is_behind: query.waited + first > query.target,
+            until_answer: None,
+            fetch_from: None,
+        };
         FarChoice { choice, cost: parts.total(), parts, region: self.region.clone() }
     }
 
@@ -116,6 +124,7 @@
             slots: self.wait.slots,
             in_flight: (f64::from(in_flight) * factor) as u32,
             pending_tokens: (f64::from(tokens) * factor) as u32,
+            behind_tokens: 0,
         }
     }
 
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldhaven_core::ids::{UpstreamName, VmName};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
@@ -65,10 +65,10 @@
     }
 
     /// Counts a request there.
-    pub fn enter(&self, tokens: u32) -> LoadSeat {
+    pub fn enter(&self, tokens: u32, is_behind: bool) -> LoadSeat {
         match self {
-            Self::Upstream(upstream) => upstream.load.enter(tokens),
-            Self::Peer(peer) => peer.load.enter(tokens),
+            Self::Upstream(upstream) => upstream.load.enter(tokens, is_behind),
+            Self::Peer(peer) => peer.load.enter(tokens, is_behind),
         }
     }
 }
@@ -80,6 +80,10 @@
     pub first: Duration,
     /// The prompt tokens that are to be read.
     pub read_tokens: u32,
+    /// The requests that the place has.
+    pub load: u32,
+    /// Whether it goes behind all others there, since it cannot be answered within its target.
+    pub is_behind: bool,
     /// The prompt tokens that the place reads until it can answer, where nothing but reading takes time.
     pub until_answer: Option<u32>,
     /// The upstream from which the chosen one takes over what it does not hold of the prompt.
@@ -119,17 +123,34 @@
     let near = if is_here { choose_near(shared, view, job, tried) } else { None };
     if job.is_forwarded {
         let refusal = if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted };
-        return near.map(|near| near.take(shared)).ok_or(refusal);
+        let near = near.ok_or(refusal)?;
+        admit(job, near.choice.first)?;
+        return Ok(near.take(shared));
     }
     let far = choose_far(shared, view, job, tried);
     match (near, far) {
-        (Some(near), Some(far)) if far.cost + REGION_MARGIN < near.choice.cost => Ok(far.choice),
-        (Some(near), _) => Ok(near.take(shared)),
+        (Some(near), Some(far)) if far.cost + REGION_MARGIN < near.choice.cost => {
+            admit(job, far.choice.first)?;
+            Ok(far.choice)
+        }
+        (Some(near), _) => {
+            admit(job, near.choice.first)?;
+            Ok(near.take(shared))
+        }
         (None, Some(far)) => Ok(far.choice),
         (None, None) => Err(Refusal::NoUpstream),
     }
 }
 
+/// Refuses a request that cannot begin to be answered while its caller waits.
+fn admit(job: &GatewayJob, first: Duration) -> Result<(), Refusal> {
+    let remaining = job.deadline.saturating_duration_since(Instant::now());
+    match first > remaining {
+        true => Err(Refusal::Overloaded { wait: first.saturating_sub(job.route.target / 2) }),
+        false => Ok(()),
+    }
+}
+
 /// What the choice weighs of a request.
 fn query_of(shared: &GatewayShared, job: &GatewayJob) -> ChoiceQuery {
     let outline = job.outline.as_ref();
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -34,10 +34,13 @@
         if let Some(rate) = self.upstream.cold_rate(now) {
             self.upstream.pacer.lock().take(rate, now);
         }
+        let load = self.upstream.queue().in_flight;
         PlaceChoice {
             place: RequestPlace::Upstream(self.upstream),
             first: self.choice.first,
             read_tokens: self.choice.read_tokens,
+            load,
+            is_behind: self.choice.is_behind,
             until_answer: self.choice.until_answer,
             fetch_from: self.fetch_from,
         }
@@ -117,6 +120,7 @@
         queue: upstream.queue(),
         factor: pace.factor(now),
         failures: pace.failure_share(now),
+        long_pauses: pace.long_pauses(now),
         move_cost,
         held_tokens,
         is_suspect: upstream.health.lock().is_ejected(now),
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -33,6 +33,8 @@
     others_in_flight: AtomicU32,
     /// The prompt tokens of those that were not answered yet.
     others_pending: AtomicU32,
+    /// Those of requests that go behind all others.
+    others_behind: AtomicU32,
     /// When anything was received from it last.
     heard: AtomicU64,
     /// Until when it is cold.
@@ -66,6 +68,7 @@
             load: Arc::default(),
             others_in_flight: AtomicU32::new(0),
             others_pending: AtomicU32::new(0),
+            others_behind: AtomicU32::new(0),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
@@ -115,6 +118,7 @@
     pub fn set_others(&self, share: UpstreamShare) {
         self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
         self.others_pending.store(share.pending_tokens, Ordering::Relaxed);
+        self.others_behind.store(share.behind_tokens, Ordering::Relaxed);
     }
 
     /// The queue that all VMs of the region make.
@@ -125,6 +129,7 @@
             slots: self.identity.slots,
             in_flight: u32::from(own.in_flight) + others,
             pending_tokens: own.pending_tokens + self.others_pending.load(Ordering::Relaxed),
+            behind_tokens: own.behind_tokens + self.others_behind.load(Ordering::Relaxed),
         }
     }
 }
@@ -135,6 +140,8 @@
     in_flight: AtomicU32,
     /// The prompt tokens of requests that were not answered yet.
     pending_tokens: AtomicU32,
+    /// Those of requests that go behind all others.
+    behind_tokens: AtomicU32,
 }
 
 impl LoadCounter {
@@ -144,14 +151,20 @@
         UpstreamShare {
             in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
             pending_tokens: self.pending_tokens.load(Ordering::Relaxed),
+            behind_tokens: self.behind_tokens.load(Ordering::Relaxed),
         }
     }
 
     /// Counts a request with so many prompt tokens to read until the guard is dropped.
-    pub fn enter(self: &Arc<Self>, tokens: u32) -> LoadSeat {
+    pub fn enter(self: &Arc<Self>, tokens: u32, is_behind: bool) -> LoadSeat {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.pending_tokens.fetch_add(tokens, Ordering::Relaxed);
-        LoadSeat { counter: self.clone(), pending: tokens }
+        self.unread(is_behind).fetch_add(tokens, Ordering::Relaxed);
+        LoadSeat { counter: self.clone(), pending: tokens, is_behind }
+    }
+
+    /// The count of the prompt tokens of requests that do, or do not, go behind all others.
+    fn unread(&self, is_behind: bool) -> &AtomicU32 {
+        if is_behind { &self.behind_tokens } else { &self.pending_tokens }
     }
 }
 
@@ -160,13 +173,14 @@
     counter: Arc<LoadCounter>,
     /// The prompt tokens still counted as to be read.
     pending: u32,
+    is_behind: bool,
 }
 
 impl LoadSeat {
     /// Notes that the answer has begun: the prompt was read.
     pub fn note_answered(&mut self) {
         let pending = std::mem::take(&mut self.pending);
-        self.counter.pending_tokens.fetch_sub(pending, Ordering::Relaxed);
+        self.counter.unread(self.is_behind).fetch_sub(pending, Ordering::Relaxed);
     }
 }
 
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -35,6 +35,8 @@
     pub slots: u32,
     /// How many requests one of them has, by the same heartbeats.
     pub load: u32,
+    /// The share of pauses between events that were longer than wanted, by the same heartbeats.
+    pub long_pauses: f64,
 }
 
 /// Everything that a decision on a request reads.
