--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -13,6 +13,7 @@
 pub use self::pricer::{pause_cost, streaming_cost};
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
+use crate::opaque::queue_rank::QueueRank;
 use crate::rank::rank_hash;
 
 /// How many tokens of a prompt one token of an answer counts for. The users weigh them so.
@@ -52,6 +53,8 @@
     pub target: Duration,
     /// How long its caller had waited before it came.
     pub waited: Duration,
+    /// Its rank at upstreams where it can be answered within that.
+    pub rank: QueueRank,
     /// The longest pause between two events that its caller wants, for streams.
     pub event_gap: Option<Duration>,
     /// The number of events that its answer probably has; 0 when it is not a stream.
@@ -81,8 +84,8 @@
     pub parts: CostParts,
     /// The prompt tokens that it has to read.
     pub read_tokens: u32,
-    /// Whether it goes behind all others there, since it cannot be answered within its target.
-    pub is_behind: bool,
+    /// Its rank there: that of the query, or behind all others when it cannot be answered within its target.
+    pub rank: QueueRank,
     /// The prompt tokens that it reads until it can answer, those that it had before included, where nothing
     /// but reading takes time.
     pub until_answer: Option<u32>,
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -5,6 +5,7 @@
 use super::cost::{chance_beyond, chance_of_long_pause};
 use super::{ChoiceQuery, CostParts, RequestCost, UpstreamChoice, UpstreamFacts};
 use crate::opaque::pace::{QueueFacts, ServicePace};
+use crate::opaque::queue_rank::QueueRank;
 
 /// The spread of the longest pause around the time that the waiting prompts take to read, as a share of
 /// the pause that is wanted.
@@ -72,32 +73,35 @@
         let fetching = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let reread_tokens = missing.saturating_sub(fetched);
         let read_tokens = reread_tokens + query.own_tokens;
-        let first_in = |queue| pace.first(queue, read_tokens).mul_f64(facts.factor) + fetching;
-        let is_behind = query.waited + first_in(facts.queue) > query.target;
-        let queue = if is_behind { facts.queue.from_behind() } else { facts.queue };
-        let first = first_in(queue);
+        let first_as = |rank| pace.first(facts.queue, rank, read_tokens);
+        let timely = first_as(query.rank).mul_f64(facts.factor) + fetching;
+        // The factor tells of requests that do not go behind others.
+        let (rank, first) = match query.waited + timely > query.target {
+            true => (QueueRank::BEHIND, first_as(QueueRank::BEHIND) + fetching),
+            false => (query.rank, timely),
+        };
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
         let parts = CostParts {
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: reread + moved,
-            disturbance: self.disturbance(facts, read_tokens).0,
+            disturbance: self.disturbance(facts.queue, read_tokens).0,
             pauses: pause_cost(query, facts.long_pauses).0,
             streaming: streaming_cost(query, pace, facts.queue, read_tokens).0,
             failures: facts.failures,
             moving: facts.move_cost,
         };
         let has_place = facts.queue.in_flight < facts.queue.slots;
-        let is_reading = fetch.is_none() && has_place && !is_behind;
+        let is_reading = fetch.is_none() && has_place && rank != QueueRank::BEHIND;
         UpstreamChoice {
             at,
             first,
             cost: parts.total(),
             parts,
             read_tokens,
-            is_behind,
-            until_answer: is_reading.then(|| queue.pending_tokens + read_tokens),
+            rank,
+            until_answer: is_reading.then(|| facts.queue.unread.ahead_of(rank) + read_tokens),
             fetch_from: fetch.map(|fetch| fetch.holder),
         }
     }
@@ -114,18 +118,16 @@
     /// prompt each stream gets one token, so that prompts that are read one after the other stretch the
     /// pauses of all of them.
     ///
-    /// Streams whose pauses are broken already lose nothing more.
-    fn disturbance(&self, facts: &UpstreamFacts<'_>, tokens: u32) -> RequestCost {
-        let queue = facts.queue;
+    /// Streams that met a long pause already lose nothing more.
+    fn disturbance(&self, queue: QueueFacts, tokens: u32) -> RequestCost {
         let Some(gap) = self.query.event_gap else { return RequestCost(0.0) };
         let broken_by = |tokens: u32| {
             let share = self.pace.reading(tokens).div_duration_f64(gap);
             chance_beyond(share, PAUSE_SPREAD)
         };
-        let pending = queue.pending_tokens;
+        let pending = queue.unread.ahead_of(QueueRank::LAST_TIMELY);
         let broken = broken_by(pending.saturating_add(tokens)) - broken_by(pending);
-        let streams = f64::from(queue.in_flight) * self.pace.usual_size;
-        let whole = 1.0 - chance_of_long_pause(facts.long_pauses, self.pace.usual_events);
-        RequestCost(broken * whole * streams / f64::from(self.query.size.max(1)))
+        let streams = f64::from(queue.whole) * self.pace.usual_size;
+        RequestCost(broken * streams / f64::from(self.query.size.max(1)))
     }
 }
--- a/crates/foldhaven-core/src/opaque/load_share.rs
+++ b/crates/foldhaven-core/src/opaque/load_share.rs
@@ -9,6 +9,7 @@
 use crate::ids::IncarnationId;
 use crate::opaque::affinity::{PromptPlacement, UpstreamTag};
 use crate::opaque::peer_table::VmTag;
+use crate::opaque::queue_rank::UnreadTokens;
 use crate::opaque::region_book::RegionReport;
 use crate::time::MonoTime;
 
@@ -25,10 +26,10 @@
 pub struct UpstreamShare {
     /// Requests that it has.
     pub in_flight: u16,
+    /// Those of them that can still be answered as wanted.
+    pub whole: u16,
     /// Prompt tokens of those that were not answered yet.
-    pub pending_tokens: u32,
-    /// Those of requests that go behind all others; not among the pending ones.
-    pub behind_tokens: u32,
+    pub unread: UnreadTokens,
 }
 
 /// What one VM reports.
@@ -85,8 +86,8 @@
         for (tag, share) in self.reports.values().flat_map(|report| &report.shares) {
             let total = totals.entry(*tag).or_default();
             total.in_flight = total.in_flight.saturating_add(share.in_flight);
-            total.pending_tokens = total.pending_tokens.saturating_add(share.pending_tokens);
-            total.behind_tokens = total.behind_tokens.saturating_add(share.behind_tokens);
+            total.whole = total.whole.saturating_add(share.whole);
+            total.unread = total.unread.plus(share.unread);
         }
         totals
     }
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -11,6 +11,7 @@
 pub mod pace;
 pub mod patience;
 pub mod peer_table;
+pub mod queue_rank;
 pub mod reading_pace;
 pub mod region_book;
 pub mod retry_share;
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::opaque::event_pace::EventPace;
+use crate::opaque::queue_rank::{QueueRank, UnreadTokens};
 use crate::opaque::reading_pace::ReadingPace;
 use crate::time::MonoTime;
 
@@ -43,18 +44,11 @@
     pub slots: u32,
     /// Requests that it has.
     pub in_flight: u32,
+    /// Those of them that can still be answered as wanted: that do not go behind others, and whose events
+    /// met no long pause.
+    pub whole: u32,
     /// Prompt tokens sent there of requests that have not answered yet.
-    pub pending_tokens: u32,
-    /// Those of requests that were sent there to go behind all others; not among the pending ones.
-    pub behind_tokens: u32,
-}
-
-impl QueueFacts {
-    /// The queue that a request meets which goes behind all others.
-    pub fn from_behind(self) -> Self {
-        let pending_tokens = self.pending_tokens.saturating_add(self.behind_tokens);
-        Self { pending_tokens, behind_tokens: 0, ..self }
-    }
+    pub unread: UnreadTokens,
 }
 
 /// What is known of the service.
@@ -70,8 +64,6 @@
     pub usual_size: f64,
     /// How fast events are written.
     pub events: EventPace,
-    /// The mean number of events of an answer.
-    pub usual_events: f64,
 }
 
 impl Default for ServicePace {
@@ -82,7 +74,6 @@
             hold: FIRST_HOLD,
             usual_size: FIRST_SIZE,
             events: EventPace::default(),
-            usual_events: 0.0,
         }
     }
 }
@@ -99,11 +90,6 @@
         self.reading.note(tokens, took.saturating_sub(LEAST_TIME));
     }
 
-    /// Takes in how many events an answer had.
-    pub fn note_events(&mut self, events: u32) {
-        self.usual_events += (f64::from(events) - self.usual_events) * SIZE_WEIGHT;
-    }
-
     /// Takes in the size of a request.
     pub fn note_size(&mut self, size: u32) {
         self.usual_size += (f64::from(size) - self.usual_size) * SIZE_WEIGHT;
@@ -123,18 +109,18 @@
         Some(FETCH_SETUP + Duration::from_secs_f64(f64::from(tokens) / self.fetched_per_s))
     }
 
-    /// The expected wait until the upstream turns to one more request.
-    pub fn wait(&self, queue: QueueFacts) -> Duration {
+    /// The expected wait until the upstream turns to one more request of a rank.
+    pub fn wait(&self, queue: QueueFacts, rank: QueueRank) -> Duration {
         let slots = queue.slots.max(1);
         let excess = (queue.in_flight + 1).saturating_sub(slots);
         let for_slot = self.hold.mul_f64(f64::from(excess) / f64::from(slots));
-        for_slot + self.reading(queue.pending_tokens)
+        for_slot + self.reading(queue.unread.ahead_of(rank))
     }
 
-    /// The expected time to the answer, or to its first event, of a request with so many prompt
+    /// The expected time to the answer, or to its first event, of a request of a rank with so many prompt
     /// tokens to read.
-    pub fn first(&self, queue: QueueFacts, tokens: u32) -> Duration {
-        LEAST_TIME + self.wait(queue) + self.reading(tokens)
+    pub fn first(&self, queue: QueueFacts, rank: QueueRank, tokens: u32) -> Duration {
+        LEAST_TIME + self.wait(queue, rank) + self.reading(tokens)
     }
 }
 
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -7,6 +7,7 @@
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost, UpstreamFacts, choose_upstream};
 use foldhaven_core::opaque::pace::{QueueFacts, ServicePace, UpstreamPace};
 use foldhaven_core::opaque::patience::CallerPatience;
+use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
 
@@ -14,6 +15,13 @@
     (0..count).map(|number| format!("i-{number}").parse().unwrap()).collect()
 }
 
+/// The rank of the requests of these tests.
+const RANK: QueueRank = QueueRank::LAST_TIMELY;
+
+fn unread(tokens: u32) -> UnreadTokens {
+    UnreadTokens::of(RANK, tokens)
+}
+
 fn facts(name: &UpstreamName) -> UpstreamFacts<'_> {
     UpstreamFacts {
         name,
@@ -38,6 +46,7 @@
     ChoiceQuery {
         target,
         waited,
+        rank: RANK,
         event_gap,
         events: 0.0,
         size,
@@ -55,7 +64,7 @@
 /// The second of three upstreams differs from the others in one respect.
 #[rstest]
 #[case::is_full(|it: &mut UpstreamFacts<'_>| it.queue.in_flight = 9, false)]
-#[case::reads_long_prompts(|it: &mut UpstreamFacts<'_>| it.queue.pending_tokens = 40_000, false)]
+#[case::reads_long_prompts(|it: &mut UpstreamFacts<'_>| it.queue.unread = unread(40_000), false)]
 #[case::is_slow(|it: &mut UpstreamFacts<'_>| it.factor = 4.0, false)]
 #[case::fails(|it: &mut UpstreamFacts<'_>| it.failures = 0.5, false)]
 #[case::is_suspect(|it: &mut UpstreamFacts<'_>| it.is_suspect = true, false)]
@@ -78,7 +87,7 @@
     let names = names(2);
     let mut candidates: Vec<_> = names.iter().map(facts).collect();
     candidates[0].held_tokens = 5_000;
-    candidates[0].queue.pending_tokens = 60_000;
+    candidates[0].queue.unread = unread(60_000);
     let able = ServicePace { fetched_per_s: 400_000.0, ..ServicePace::default() };
     let choice = choose_upstream(&candidates, &query(5_000, None, 0.0), &able).unwrap();
     assert_eq!((choice.at, choice.fetch_from, choice.read_tokens), (1, Some(0), 100));
@@ -189,13 +198,13 @@
     let queue = |in_flight, pending_tokens| QueueFacts {
         slots: 4,
         in_flight,
-        pending_tokens,
-        behind_tokens: 0,
+        whole: 0,
+        unread: unread(pending_tokens),
     };
-    assert_eq!(pace.wait(queue(3, 0)), Duration::ZERO);
-    let full = pace.wait(queue(8, 0)).as_millis();
+    assert_eq!(pace.wait(queue(3, 0), RANK), Duration::ZERO);
+    let full = pace.wait(queue(8, 0), RANK).as_millis();
     assert!((120..=130).contains(&full), "{full}");
-    assert!(pace.wait(queue(0, 45_000)) >= Duration::from_millis(990));
+    assert!(pace.wait(queue(0, 45_000), RANK) >= Duration::from_millis(990));
 }
 
 #[test]
@@ -216,7 +225,7 @@
     let names = names(2);
     let mut candidates: Vec<_> = names.iter().map(facts).collect();
     candidates[0].held_tokens = 5_000;
-    candidates[0].queue.pending_tokens = 45_000;
+    candidates[0].queue.unread = unread(45_000);
     let fresh = query(5_000, None, 0.0);
     let late = ChoiceQuery { waited: Duration::from_secs(3), ..fresh };
     assert_eq!(chosen(&candidates, fresh), Some(1));
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -11,7 +11,7 @@
 use crate::opaque_support::at;
 
 fn report(vm: &str, sequence: u32, in_flight: u16) -> LoadReport {
-    let share = UpstreamShare { in_flight, pending_tokens: 10, behind_tokens: 0 };
+    let share = UpstreamShare { in_flight, whole: 0, unread: UnreadTokens::default() };
     LoadReport {
         vm: VmTag::of(&vm.parse().unwrap()),
         incarnation: IncarnationId(1),
@@ -45,7 +45,7 @@
         sequence,
         waits: vec![ServiceWait {
             service: ServiceTag::of(&"desk".parse().unwrap()),
-            wait_ms,
+            wait_ms: [wait_ms; 3],
             load: 0,
             long_pauses: 0,
         }],
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
@@ -34,14 +35,14 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ExpectedFirst {
     pub time: Duration,
-    /// Whether it went behind all others, so that its time says nothing of the upstream.
-    pub is_behind: bool,
+    /// The rank that it had there.
+    pub rank: QueueRank,
     /// The prompt tokens that it had to read until then, where nothing but reading takes time.
     pub until_answer: Option<u32>,
 }
 
 /// What the log tells of the choice of a place.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct LoggedChoice {
     /// The expected time to the first answer, in milliseconds.
     pub first_ms: u64,
@@ -49,8 +50,8 @@
     pub read_tokens: u32,
     /// The requests that the place had.
     pub load: u32,
-    /// Whether it went behind all others there.
-    pub is_behind: bool,
+    /// Its rank there.
+    pub rank: QueueRank,
 }
 
 impl LoggedChoice {
@@ -59,7 +60,7 @@
             first_ms: chosen.first.as_millis() as u64,
             read_tokens: chosen.read_tokens,
             load: chosen.load,
-            is_behind: chosen.is_behind,
+            rank: chosen.rank,
         }
     }
 }
@@ -130,7 +131,7 @@
     /// The place of the last try, for the log.
     pub last_place: Option<String>,
     /// What was expected of it, for the log.
-    pub last_expected: LoggedChoice,
+    pub last_expected: Option<LoggedChoice>,
     /// What there was to choose among when no place was found, for the log.
     pub weighed: Option<String>,
 }
@@ -145,7 +146,7 @@
             may_have_run: false,
             last_fault: None,
             last_place: None,
-            last_expected: LoggedChoice::default(),
+            last_expected: None,
             weighed: None,
         }
     }
@@ -243,7 +244,7 @@
         };
         self.tried.note(&chosen.place);
         self.last_place = Some(chosen.place.name().to_owned());
-        self.last_expected = LoggedChoice::of(&chosen);
+        self.last_expected = Some(LoggedChoice::of(&chosen));
         Ok(Some(chosen))
     }
 
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -4,6 +4,7 @@
 
 use foldhaven_core::burn::BurnEvent;
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::StatusCode;
 
 use super::{ExpectedFirst, RequestDriver};
@@ -35,7 +36,7 @@
     /// Notes that a place has begun its answer.
     pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: Instant) {
         if let RequestPlace::Upstream(upstream) = place
-            && !expected.is_behind
+            && expected.rank != QueueRank::BEHIND
         {
             let took = sent.elapsed();
             upstream.pace.lock().note_first(expected.time, took, self.shared.now());
@@ -78,7 +79,6 @@
     /// requests its upstream had meanwhile.
     pub fn note_stream(&self, events: u32, time: Duration, load: f64) {
         self.shared.note_history(&self.job.route.name, |history| history.note_events(events));
-        self.shared.note_events(&self.job.service, events);
         if events >= LEAST_EVENTS {
             self.shared.note_event_pace(&self.job.service, time / (events - 1), load);
         }
@@ -128,6 +128,7 @@
         if !shared.quota.take(is_plain) {
             return;
         }
+        let expected = self.last_expected;
         tracing::info!(
             request = job.id(),
             route = %job.route.name,
@@ -135,11 +136,11 @@
             end = end.label(),
             tries = self.arrivals,
             place = self.last_place.as_deref().unwrap_or("-"),
-            expected_ms = self.last_expected.first_ms,
+            expected_ms = expected.map_or(0, |it| it.first_ms),
             first_ms = job.first_after.map_or(0, |first| first.as_millis() as u64),
-            read_tokens = self.last_expected.read_tokens,
-            load = self.last_expected.load,
-            behind = self.last_expected.is_behind,
+            read_tokens = expected.map_or(0, |it| it.read_tokens),
+            load = expected.map_or(0, |it| it.load),
+            rank = expected.map_or(0, |it| it.rank.index()),
             weighed = self.weighed.as_deref().unwrap_or("-"),
             fault = self.last_fault.as_deref().unwrap_or("-"),
             forwarded = job.is_forwarded,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use foldhaven_core::headers;
 use foldhaven_core::ids::DataCentreName;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::request::Builder;
 use http::{HeaderValue, Request};
 use http_body_util::Full;
@@ -29,14 +30,13 @@
         chosen: PlaceChoice,
         resume_after: Option<&str>,
     ) -> Result<PlacedAnswer, CallFault> {
-        let PlaceChoice { place, first, read_tokens, is_behind, until_answer, fetch_from, .. } =
-            chosen;
-        let mut request = self.make_request(&place, resume_after, is_behind);
+        let PlaceChoice { place, first, read_tokens, rank, until_answer, fetch_from, .. } = chosen;
+        let mut request = self.make_request(&place, resume_after, rank);
         if let Some(holder) = fetch_from {
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let seat = place.enter(read_tokens, is_behind);
+        let seat = place.enter(read_tokens, rank);
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
@@ -50,7 +50,7 @@
             self.arrivals -= 1;
         }
         let answer = opened?;
-        let expected = ExpectedFirst { time: first, is_behind, until_answer };
+        let expected = ExpectedFirst { time: first, rank, until_answer };
         Ok(PlacedAnswer { answer, place, seat, expected, sent })
     }
 
@@ -59,7 +59,7 @@
         &self,
         place: &RequestPlace,
         resume_after: Option<&str>,
-        is_behind: bool,
+        rank: QueueRank,
     ) -> Request<Full<Bytes>> {
         let job = &self.job;
         let names = &self.shared.names;
@@ -72,8 +72,8 @@
         }
         match place {
             RequestPlace::Upstream(upstream) => {
-                if is_behind {
-                    map.insert(&names.rank, HeaderValue::from(u16::from(HeaderNames::LATE_RANK)));
+                if let Some(value) = HeaderNames::rank_value(rank) {
+                    map.insert(&names.rank, HeaderValue::from(value));
                 }
                 map.insert(&names.expected_upstream, text_value(upstream.name().as_str()));
             }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -243,14 +243,17 @@
     }
 
     /// Notes whether the pause that ends now was longer than wanted.
-    fn note_pause(&self) {
-        let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver) else {
+    fn note_pause(&mut self) {
+        let (RelayState::Reading(reading), Some(driver)) = (&mut self.state, &self.driver) else {
             return;
         };
         if let (RequestPlace::Upstream(upstream), Some(wanted), true) =
             (&reading.place, driver.job.route.event_gap, reading.has_begun)
         {
             let is_long = self.last_news.elapsed() > wanted;
+            if is_long {
+                reading.seat.note_late();
+            }
             upstream.pace.lock().note_pause(is_long, driver.shared.now());
         }
     }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -1,5 +1,6 @@
 //! The names of the headers by which callers, this system and upstreams understand each other.
 
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::HeaderName;
 
 /// The header names that a platform prescribes.
@@ -21,14 +22,16 @@
     pub fetch_from: HeaderName,
     /// The event after which a stream goes on.
     pub last_event: HeaderName,
-    /// The rank of a request at an upstream: 0 goes first, [`HeaderNames::LATE_RANK`] last.
+    /// The rank of a request at an upstream: 0 goes first; see [`HeaderNames::rank_value`].
     pub rank: HeaderName,
     /// Headers that only this system may send to upstreams; taken out of callers' requests.
     pub reserved: Vec<HeaderName>,
 }
 
 impl HeaderNames {
-    /// The rank of requests that cannot be answered within their target any more. Others name none,
-    /// which stands for 5.
-    pub const LATE_RANK: u8 = 8;
+    /// What upstreams are told of a request's rank. None stands for 5.
+    pub fn rank_value(rank: QueueRank) -> Option<u16> {
+        const VALUES: [Option<u16>; QueueRank::COUNT] = [Some(3), Some(4), None, Some(8)];
+        VALUES[rank.index()]
+    }
 }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -6,6 +6,7 @@
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::choice::{CostParts, RequestCost, pause_cost, streaming_cost};
 use foldhaven_core::opaque::pace::QueueFacts;
+use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
 use crate::job::GatewayJob;
@@ -75,9 +76,11 @@
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
         let sent = self.sent_since();
-        let first = self.way(&peer) + self.wait.wait + pace.first(sent, read_tokens);
+        let told = self.wait.waits[query.rank.index()];
+        let first = self.way(&peer) + told + pace.first(sent, query.rank, read_tokens);
         // What was told counts most requests that were sent since, too.
         let queue = QueueFacts { in_flight: sent.in_flight.max(self.wait.load), ..sent };
+        let is_late = query.waited + first > query.target;
         let parts = CostParts {
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: RequestCost::of_rereading(missing, query.size).0,
@@ -92,7 +95,7 @@
             first,
             read_tokens,
             load: queue.in_flight,
-            is_behind: query.waited + first > query.target,
+            rank: if is_late { QueueRank::BEHIND } else { query.rank },
             until_answer: None,
             fetch_from: None,
         };
@@ -114,8 +117,9 @@
         let view = self.view;
         let links = view.peers.iter().filter(|peer| peer.region == *self.region);
         let sent = links.map(|peer| peer.load.share());
-        let (in_flight, tokens) = sent.fold((0, 0), |(in_flight, tokens), share| {
-            (in_flight + u32::from(share.in_flight), tokens + share.pending_tokens)
+        let none = (0, UnreadTokens::default());
+        let (in_flight, unread) = sent.fold(none, |(in_flight, unread), share| {
+            (in_flight + u32::from(share.in_flight), unread.plus(share.unread))
         });
         let own_region = self.shared.settings.region();
         let near_vms = view.beats.iter().filter(|beat| beat.region == *own_region).count();
@@ -123,8 +127,8 @@
         QueueFacts {
             slots: self.wait.slots,
             in_flight: (f64::from(in_flight) * factor) as u32,
-            pending_tokens: (f64::from(tokens) * factor) as u32,
-            behind_tokens: 0,
+            whole: 0,
+            unread: unread.times(factor),
         }
     }
 
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -10,10 +10,11 @@
 
 use foldhaven_core::ids::{UpstreamName, VmName};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
+use foldhaven_core::opaque::queue_rank::QueueRank;
 
 use self::far::choose_far;
 use self::near::choose_near;
-pub use self::near::expected_wait;
+pub use self::near::{RankWaits, expected_waits};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::CallTarget;
@@ -65,10 +66,10 @@
     }
 
     /// Counts a request there.
-    pub fn enter(&self, tokens: u32, is_behind: bool) -> LoadSeat {
+    pub fn enter(&self, tokens: u32, rank: QueueRank) -> LoadSeat {
         match self {
-            Self::Upstream(upstream) => upstream.load.enter(tokens, is_behind),
-            Self::Peer(peer) => peer.load.enter(tokens, is_behind),
+            Self::Upstream(upstream) => upstream.load.enter(tokens, rank),
+            Self::Peer(peer) => peer.load.enter(tokens, rank),
         }
     }
 }
@@ -82,8 +83,8 @@
     pub read_tokens: u32,
     /// The requests that the place has.
     pub load: u32,
-    /// Whether it goes behind all others there, since it cannot be answered within its target.
-    pub is_behind: bool,
+    /// Its rank there.
+    pub rank: QueueRank,
     /// The prompt tokens that the place reads until it can answer, where nothing but reading takes time.
     pub until_answer: Option<u32>,
     /// The upstream from which the chosen one takes over what it does not hold of the prompt.
@@ -157,6 +158,7 @@
     ChoiceQuery {
         target: job.route.target,
         waited: job.waited(),
+        rank: QueueRank::of_priority(job.route.priority),
         event_gap: job.route.event_gap,
         events: shared.route_history(&job.route.name).usual_events(),
         size: job.size(),
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -8,6 +8,7 @@
     RequestCost, UpstreamChoice, UpstreamFacts, choose_upstream, price_upstreams,
 };
 use foldhaven_core::opaque::pace::ServicePace;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::time::MonoTime;
 
 use super::{PlaceChoice, RequestPlace, TriedPlaces, query_of};
@@ -40,7 +41,7 @@
             first: self.choice.first,
             read_tokens: self.choice.read_tokens,
             load,
-            is_behind: self.choice.is_behind,
+            rank: self.choice.rank,
             until_answer: self.choice.until_answer,
             fetch_from: self.fetch_from,
         }
@@ -129,7 +130,16 @@
     }
 }
 
-/// The wait at an upstream as this VM expects it.
-pub fn expected_wait(upstream: &Upstream, pace: &ServicePace, now: MonoTime) -> Duration {
-    pace.wait(upstream.queue()).mul_f64(upstream.pace.lock().factor(now))
+/// Waits by the rank of requests that can be answered within their target.
+pub type RankWaits = [Duration; QueueRank::COUNT - 1];
+
+/// The waits at an upstream as this VM expects them.
+pub fn expected_waits(upstream: &Upstream, pace: &ServicePace, now: MonoTime) -> RankWaits {
+    let queue = upstream.queue();
+    let factor = upstream.pace.lock().factor(now);
+    let mut waits = RankWaits::default();
+    for rank in QueueRank::timely() {
+        waits[rank.index()] = pace.wait(queue, rank).mul_f64(factor);
+    }
+    waits
 }
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -189,11 +189,6 @@
         self.with_pace(service, |pace| pace.note_reading(tokens, took));
     }
 
-    /// Takes in how many events an answer of a service had.
-    pub fn note_events(&self, service: &ServiceName, events: u32) {
-        self.with_pace(service, |pace| pace.note_events(events));
-    }
-
     /// Takes in the time between two events of a stream, and how many requests its upstream had.
     pub fn note_event_pace(&self, service: &ServiceName, between: Duration, load: f64) {
         self.with_pace(service, |pace| pace.events.note(between, load));
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::cold::ColdPacer;
 use foldhaven_core::opaque::load_share::UpstreamShare;
 use foldhaven_core::opaque::pace::{QueueFacts, UpstreamPace};
+use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
@@ -31,10 +32,10 @@
     pub load: Arc<LoadCounter>,
     /// The requests of the other VMs of the region, as they reported them.
     others_in_flight: AtomicU32,
+    /// Those of them that can still be answered as wanted.
+    others_whole: AtomicU32,
     /// The prompt tokens of those that were not answered yet.
-    others_pending: AtomicU32,
-    /// Those of requests that go behind all others.
-    others_behind: AtomicU32,
+    others_unread: Mutex<UnreadTokens>,
     /// When anything was received from it last.
     heard: AtomicU64,
     /// Until when it is cold.
@@ -67,8 +68,8 @@
             pacer: Mutex::default(),
             load: Arc::default(),
             others_in_flight: AtomicU32::new(0),
-            others_pending: AtomicU32::new(0),
-            others_behind: AtomicU32::new(0),
+            others_whole: AtomicU32::new(0),
+            others_unread: Mutex::default(),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
@@ -117,8 +118,8 @@
     /// Takes in the requests that other VMs have there.
     pub fn set_others(&self, share: UpstreamShare) {
         self.others_in_flight.store(share.in_flight.into(), Ordering::Relaxed);
-        self.others_pending.store(share.pending_tokens, Ordering::Relaxed);
-        self.others_behind.store(share.behind_tokens, Ordering::Relaxed);
+        self.others_whole.store(share.whole.into(), Ordering::Relaxed);
+        *self.others_unread.lock() = share.unread;
     }
 
     /// The queue that all VMs of the region make.
@@ -128,8 +129,8 @@
         QueueFacts {
             slots: self.identity.slots,
             in_flight: u32::from(own.in_flight) + others,
-            pending_tokens: own.pending_tokens + self.others_pending.load(Ordering::Relaxed),
-            behind_tokens: own.behind_tokens + self.others_behind.load(Ordering::Relaxed),
+            whole: u32::from(own.whole) + self.others_whole.load(Ordering::Relaxed),
+            unread: own.unread.plus(*self.others_unread.lock()),
         }
     }
 }
@@ -138,33 +139,31 @@
 #[derive(Debug, Default)]
 pub struct LoadCounter {
     in_flight: AtomicU32,
-    /// The prompt tokens of requests that were not answered yet.
-    pending_tokens: AtomicU32,
-    /// Those of requests that go behind all others.
-    behind_tokens: AtomicU32,
+    /// Those of them that can still be answered as wanted.
+    whole: AtomicU32,
+    /// The prompt tokens of requests that were not answered yet, by rank.
+    unread: [AtomicU32; QueueRank::COUNT],
 }
 
 impl LoadCounter {
     /// What is counted now.
     pub fn share(&self) -> UpstreamShare {
-        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        let read =
+            |count: &AtomicU32| u16::try_from(count.load(Ordering::Relaxed)).unwrap_or(u16::MAX);
         UpstreamShare {
-            in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
-            pending_tokens: self.pending_tokens.load(Ordering::Relaxed),
-            behind_tokens: self.behind_tokens.load(Ordering::Relaxed),
+            in_flight: read(&self.in_flight),
+            whole: read(&self.whole),
+            unread: UnreadTokens::from_ranks(|at| self.unread[at].load(Ordering::Relaxed)),
         }
     }
 
-    /// Counts a request with so many prompt tokens to read until the guard is dropped.
-    pub fn enter(self: &Arc<Self>, tokens: u32, is_behind: bool) -> LoadSeat {
+    /// Counts a request of a rank with so many prompt tokens to read until the guard is dropped.
+    pub fn enter(self: &Arc<Self>, tokens: u32, rank: QueueRank) -> LoadSeat {
+        let is_whole = rank != QueueRank::BEHIND;
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.unread(is_behind).fetch_add(tokens, Ordering::Relaxed);
-        LoadSeat { counter: self.clone(), pending: tokens, is_behind }
-    }
-
-    /// The count of the prompt tokens of requests that do, or do not, go behind all others.
-    fn unread(&self, is_behind: bool) -> &AtomicU32 {
-        if is_behind { &self.behind_tokens } else { &self.pending_tokens }
+        self.whole.fetch_add(is_whole.into(), Ordering::Relaxed);
+        self.unread[rank.index()].fetch_add(tokens, Ordering::Relaxed);
+        LoadSeat { counter: self.clone(), unread: tokens, rank, is_whole }
     }
 }
 
@@ -172,21 +171,30 @@
 pub struct LoadSeat {
     counter: Arc<LoadCounter>,
     /// The prompt tokens still counted as to be read.
-    pending: u32,
-    is_behind: bool,
+    unread: u32,
+    rank: QueueRank,
+    /// Whether it can still be answered as wanted.
+    is_whole: bool,
 }
 
 impl LoadSeat {
     /// Notes that the answer has begun: the prompt was read.
     pub fn note_answered(&mut self) {
-        let pending = std::mem::take(&mut self.pending);
-        self.counter.unread(self.is_behind).fetch_sub(pending, Ordering::Relaxed);
+        let unread = std::mem::take(&mut self.unread);
+        self.counter.unread[self.rank.index()].fetch_sub(unread, Ordering::Relaxed);
+    }
+
+    /// Notes that it cannot be answered as wanted any more.
+    pub fn note_late(&mut self) {
+        let was_whole = std::mem::replace(&mut self.is_whole, false);
+        self.counter.whole.fetch_sub(was_whole.into(), Ordering::Relaxed);
     }
 }
 
 impl Drop for LoadSeat {
     fn drop(&mut self) {
         self.note_answered();
+        self.note_late();
         self.counter.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
