Refuse what would harm more than it is worth, and count pauses instead of guessing them

Cause: late long prompts were read for three tenths of their worth and broke the pauses of ten streams each; but whether reading breaks pauses depends on sizes that nobody describes: on the customer's own engines it hardly does. Only requests that are late already go behind others; the described priorities are out again.

--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -0,0 +1,65 @@
+//! Whether a request is sent to the best place that was found for it, or refused at once.
+
+use std::time::Duration;
+
+use crate::opaque::choice::CostParts;
+use crate::opaque::queue_rank::QueueRank;
+
+/// What an answer within its target is worth, as a share of what the request is worth.
+const TIMELY_VALUE: f64 = 1.0;
+/// The same of a later answer; the users pay a tenth to three tenths for those.
+const LATE_VALUE: f64 = 0.3;
+
+/// The best place for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceOffer {
+    /// The expected time to the answer, or to its first event.
+    pub first: Duration,
+    /// The rank that it would have there.
+    pub rank: QueueRank,
+    /// What it would cost.
+    pub parts: CostParts,
+}
+
+/// The limits within which it is to be answered.
+#[derive(Debug, Clone, Copy)]
+pub struct TimeLimits {
+    /// The time that is left until its caller wants the first answer.
+    pub target: Duration,
+    /// How long its caller still waits.
+    pub remaining: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unservable {
+    /// Its caller would have left before it began to be answered.
+    TooLate,
+    /// It would take more from the requests there than its own answer is worth.
+    TooHarmful,
+}
+
+/// Decides on a request whose best place is known.
+///
+/// # Errors
+///
+/// When it is better refused.
+pub fn admit(offer: &PlaceOffer, limits: TimeLimits) -> Result<(), Unservable> {
+    if offer.first > limits.remaining {
+        return Err(Unservable::TooLate);
+    }
+    let value = match offer.rank {
+        QueueRank::Behind => LATE_VALUE,
+        QueueRank::Timely => TIMELY_VALUE,
+    };
+    match offer.parts.disturbance > value {
+        true => Err(Unservable::TooHarmful),
+        false => Ok(()),
+    }
+}
+
+/// After which time a place like the best one could probably answer a refused request as wanted: when what
+/// it has now was read, and there is room for as much as half of the wanted time holds.
+pub fn come_back_after(offer: &PlaceOffer, limits: TimeLimits) -> Duration {
+    offer.first.saturating_sub(limits.target / 2)
+}
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -53,8 +53,6 @@
     pub target: Duration,
     /// How long its caller had waited before it came.
     pub waited: Duration,
-    /// Its rank at upstreams where it can be answered within that.
-    pub rank: QueueRank,
     /// The longest pause between two events that its caller wants, for streams.
     pub event_gap: Option<Duration>,
     /// The number of events that its answer probably has; 0 when it is not a stream.
@@ -71,6 +69,17 @@
     pub draw: f64,
 }
 
+impl ChoiceQuery {
+    /// Its rank: one that has missed its target already goes behind all others. One that is only expected to
+    /// miss it does not, as most such expectations come from short peaks.
+    pub fn rank(&self) -> QueueRank {
+        match self.waited >= self.target {
+            true => QueueRank::Behind,
+            false => QueueRank::Timely,
+        }
+    }
+}
+
 /// A chosen upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UpstreamChoice {
@@ -84,7 +93,7 @@
     pub parts: CostParts,
     /// The prompt tokens that it has to read.
     pub read_tokens: u32,
-    /// Its rank there: that of the query, or behind all others when it cannot be answered within its target.
+    /// Its rank there.
     pub rank: QueueRank,
     /// The prompt tokens that it reads until it can answer, those that it had before included, where nothing
     /// but reading takes time.
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -73,13 +73,13 @@
         let fetching = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let reread_tokens = missing.saturating_sub(fetched);
         let read_tokens = reread_tokens + query.own_tokens;
-        let first_as = |rank| pace.first(facts.queue, rank, read_tokens);
-        let timely = first_as(query.rank).mul_f64(facts.factor) + fetching;
-        // The factor tells of requests that do not go behind others.
-        let (rank, first) = match query.waited + timely > query.target {
-            true => (QueueRank::BEHIND, first_as(QueueRank::BEHIND) + fetching),
-            false => (query.rank, timely),
+        let rank = query.rank();
+        let factor = match rank {
+            QueueRank::Timely => facts.factor,
+            // The factor tells of requests that do not go behind others.
+            QueueRank::Behind => 1.0,
         };
+        let first = pace.first(facts.queue, rank, read_tokens).mul_f64(factor) + fetching;
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
@@ -93,7 +93,7 @@
             moving: facts.move_cost,
         };
         let has_place = facts.queue.in_flight < facts.queue.slots;
-        let is_reading = fetch.is_none() && has_place && rank != QueueRank::BEHIND;
+        let is_reading = fetch.is_none() && has_place && rank == QueueRank::Timely;
         UpstreamChoice {
             at,
             first,
@@ -123,10 +123,10 @@
         let Some(gap) = self.query.event_gap else { return RequestCost(0.0) };
         let broken_by = |tokens: u32| {
             let share = self.pace.reading(tokens).div_duration_f64(gap);
-            chance_beyond(share, PAUSE_SPREAD)
+            self.pace.pauses.chance(tokens, chance_beyond(share, PAUSE_SPREAD))
         };
-        let pending = queue.unread.ahead_of(QueueRank::LAST_TIMELY);
-        let broken = broken_by(pending.saturating_add(tokens)) - broken_by(pending);
+        let pending = queue.unread.ahead_of(QueueRank::Timely);
+        let broken = (broken_by(pending.saturating_add(tokens)) - broken_by(pending)).max(0.0);
         let streams = f64::from(queue.whole) * self.pace.usual_size;
         RequestCost(broken * streams / f64::from(self.query.size.max(1)))
     }
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions on opaque requests: requests that are routed by host and path and whose bodies are
 //! passed on as they are.
 
+pub mod admission;
 pub mod affinity;
 pub mod choice;
 pub mod cold;
@@ -10,6 +11,7 @@
 pub mod load_share;
 pub mod pace;
 pub mod patience;
+pub mod pause_book;
 pub mod peer_table;
 pub mod queue_rank;
 pub mod reading_pace;
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::opaque::event_pace::EventPace;
+use crate::opaque::pause_book::PauseBook;
 use crate::opaque::queue_rank::{QueueRank, UnreadTokens};
 use crate::opaque::reading_pace::ReadingPace;
 use crate::time::MonoTime;
@@ -64,6 +65,8 @@
     pub usual_size: f64,
     /// How fast events are written.
     pub events: EventPace,
+    /// How often reading makes pauses between events too long.
+    pub pauses: PauseBook,
 }
 
 impl Default for ServicePace {
@@ -74,6 +77,7 @@
             hold: FIRST_HOLD,
             usual_size: FIRST_SIZE,
             events: EventPace::default(),
+            pauses: PauseBook::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -5,7 +5,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreName, IncarnationId, RegionName, ServiceName, VmName};
-use crate::opaque::queue_rank::QueueRank;
 use crate::opaque::route_table::RouteVersion;
 use crate::rank::rank_hash;
 
@@ -142,8 +141,8 @@
 pub struct ServiceWait {
     /// The service.
     pub service: ServiceTag,
-    /// The wait in milliseconds, by the rank of requests that can be answered within their target.
-    pub wait_ms: [u16; QueueRank::COUNT - 1],
+    /// The wait of timely requests in milliseconds.
+    pub wait_ms: u16,
     /// How many requests one of its upstreams has.
     pub load: u16,
     /// How many of a thousand pauses between events there were longer than wanted.
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -16,10 +16,10 @@
 }
 
 /// The rank of the requests of these tests.
-const RANK: QueueRank = QueueRank::LAST_TIMELY;
+const RANK: QueueRank = QueueRank::Timely;
 
 fn unread(tokens: u32) -> UnreadTokens {
-    UnreadTokens::of(RANK, tokens)
+    UnreadTokens { timely: tokens, behind: 0 }
 }
 
 fn facts(name: &UpstreamName) -> UpstreamFacts<'_> {
@@ -46,7 +46,6 @@
     ChoiceQuery {
         target,
         waited,
-        rank: RANK,
         event_gap,
         events: 0.0,
         size,
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -6,6 +6,7 @@
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, UpstreamShare, share_interval};
 use foldhaven_core::opaque::peer_table::{ServiceTag, ServiceWait, VmTag};
+use foldhaven_core::opaque::queue_rank::UnreadTokens;
 use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 
 use crate::opaque_support::at;
@@ -45,7 +46,7 @@
         sequence,
         waits: vec![ServiceWait {
             service: ServiceTag::of(&"desk".parse().unwrap()),
-            wait_ms: [wait_ms; 3],
+            wait_ms,
             load: 0,
             long_pauses: 0,
         }],
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::opaque::admission::Unservable;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
@@ -75,8 +76,10 @@
     NoUpstream,
     /// the upstreams are full
     Full,
-    /// no upstream could begin it in time
+    /// the upstreams are overloaded
     Overloaded {
+        /// Why it was not sent to the best of them.
+        cause: Unservable,
         /// After which time one probably could.
         wait: Duration,
     },
@@ -122,7 +125,8 @@
             Self::NoRoute => "no_route",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
-            Self::Overloaded { .. } => "overloaded",
+            Self::Overloaded { cause: Unservable::TooLate, .. } => "overloaded",
+            Self::Overloaded { cause: Unservable::TooHarmful, .. } => "too_harmful",
             Self::Leaving => "leaving",
             Self::NotPermitted => "not_permitted",
             Self::Broken => "broken",
@@ -136,7 +140,7 @@
         let shortest = match self {
             Self::NoDescription | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
-            Self::Overloaded { wait } => wait.max(Duration::from_millis(250)),
+            Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
         };
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -36,7 +36,7 @@
     /// Notes that a place has begun its answer.
     pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: Instant) {
         if let RequestPlace::Upstream(upstream) = place
-            && expected.rank != QueueRank::BEHIND
+            && expected.rank == QueueRank::Timely
         {
             let took = sent.elapsed();
             upstream.pace.lock().note_first(expected.time, took, self.shared.now());
@@ -140,7 +140,7 @@
             first_ms = job.first_after.map_or(0, |first| first.as_millis() as u64),
             read_tokens = expected.map_or(0, |it| it.read_tokens),
             load = expected.map_or(0, |it| it.load),
-            rank = expected.map_or(0, |it| it.rank.index()),
+            rank = expected.map_or("-", |it| it.rank.label()),
             weighed = self.weighed.as_deref().unwrap_or("-"),
             fault = self.last_fault.as_deref().unwrap_or("-"),
             forwarded = job.is_forwarded,
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_wire::sse::EventBlocks;
 use http::StatusCode;
 use http_body::{Body, Frame};
@@ -57,6 +58,8 @@
     begun: Option<(Instant, u32)>,
     /// The requests that its upstream had at each of its events, and how often that was looked at.
     loads: (u64, u32),
+    /// The prompt tokens that its upstream had to read at its last event.
+    unread_before: u32,
 }
 
 impl ReadingState {
@@ -73,6 +76,7 @@
             has_begun: false,
             begun: None,
             loads: (0, 0),
+            unread_before: 0,
         })
     }
 }
@@ -255,6 +259,7 @@
                 reading.seat.note_late();
             }
             upstream.pace.lock().note_pause(is_long, driver.shared.now());
+            driver.shared.note_pause(&driver.job.service, reading.unread_before, is_long);
         }
     }
 
@@ -263,8 +268,10 @@
         let RelayState::Reading(reading) = &mut self.state else { return };
         let RequestPlace::Upstream(upstream) = &reading.place else { return };
         reading.begun.get_or_insert_with(|| (Instant::now(), self.blocks.count()));
-        reading.loads.0 += u64::from(upstream.queue().in_flight);
+        let queue = upstream.queue();
+        reading.loads.0 += u64::from(queue.in_flight);
         reading.loads.1 += 1;
+        reading.unread_before = queue.unread.ahead_of(QueueRank::Timely);
     }
 
     /// Waits until the deadline has passed.
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -5,10 +5,9 @@
 
 use foldhaven_core::ids::{RegionName, ServiceName};
 use foldhaven_core::opaque::peer_table::{ServiceTag, ServiceWait};
-use foldhaven_core::opaque::queue_rank::QueueRank;
 
 use super::ControlKeeper;
-use crate::places::{RankWaits, expected_waits};
+use crate::places::expected_wait;
 use crate::view::RegionWait;
 
 /// The wait in a region of which no delegate has told one lately, as after a start: requests that may
@@ -26,18 +25,16 @@
         let mut by_service: BTreeMap<&ServiceName, Vec<MetQueue>> = BTreeMap::new();
         for upstream in open {
             let service = &upstream.identity.service;
-            let waits = expected_waits(upstream, &self.shared.measured_pace(service), now);
+            let wait = expected_wait(upstream, &self.shared.measured_pace(service), now);
             let long_pauses = upstream.pace.lock().long_pauses(now);
-            let met = MetQueue { waits, load: upstream.queue().in_flight, long_pauses };
+            let met = MetQueue { wait, load: upstream.queue().in_flight, long_pauses };
             by_service.entry(service).or_default().push(met);
         }
         let service_wait = |(service, met): (&ServiceName, Vec<MetQueue>)| {
             let usual = lower_mean(met);
             ServiceWait {
                 service: ServiceTag::of(service),
-                wait_ms: usual
-                    .waits
-                    .map(|wait| u16::try_from(wait.as_millis()).unwrap_or(u16::MAX)),
+                wait_ms: u16::try_from(usual.wait.as_millis()).unwrap_or(u16::MAX),
                 load: u16::try_from(usual.load).unwrap_or(u16::MAX),
                 long_pauses: (usual.long_pauses * 1_000.0) as u16,
             }
@@ -53,7 +50,7 @@
             let identity = &upstream.identity;
             let key = (identity.region.clone(), identity.service.clone());
             let wait = waits.entry(key).or_insert(RegionWait {
-                waits: [UNTOLD_WAIT; QueueRank::COUNT - 1],
+                wait: UNTOLD_WAIT,
                 upstreams: 0,
                 slots: 0,
                 load: 0,
@@ -62,7 +59,7 @@
             if wait.upstreams == 0
                 && let Some(told) = self.regions.wait(&identity.region, &identity.service, now)
             {
-                wait.waits = told.wait_ms.map(|wait_ms| Duration::from_millis(wait_ms.into()));
+                wait.wait = Duration::from_millis(told.wait_ms.into());
                 wait.load = told.load.into();
                 wait.long_pauses = f64::from(told.long_pauses) / 1_000.0;
             }
@@ -75,22 +72,18 @@
 
 /// What a request would meet at one upstream.
 struct MetQueue {
-    waits: RankWaits,
+    wait: Duration,
     load: u32,
     long_pauses: f64,
 }
 
 /// The mean of the better half: what a request meets that goes to one of the better places.
 fn lower_mean(mut met: Vec<MetQueue>) -> MetQueue {
-    met.sort_by_key(|met| (met.waits[QueueRank::LAST_TIMELY.index()], met.load));
+    met.sort_by_key(|met| (met.wait, met.load));
     met.truncate(met.len().div_ceil(2));
     let count = met.len().max(1) as u32;
-    let wait = |at: usize| met.iter().map(|met| met.waits[at]).sum::<Duration>() / count;
+    let wait: Duration = met.iter().map(|met| met.wait).sum();
     let load: u32 = met.iter().map(|met| met.load).sum();
     let long_pauses: f64 = met.iter().map(|met| met.long_pauses).sum();
-    MetQueue {
-        waits: std::array::from_fn(wait),
-        load: load / count,
-        long_pauses: long_pauses / f64::from(count),
-    }
+    MetQueue { wait: wait / count, load: load / count, long_pauses: long_pauses / f64::from(count) }
 }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -29,9 +29,11 @@
 }
 
 impl HeaderNames {
-    /// What upstreams are told of a request's rank. None stands for 5.
+    /// What upstreams are told of a request's rank; none stands for 5.
     pub fn rank_value(rank: QueueRank) -> Option<u16> {
-        const VALUES: [Option<u16>; QueueRank::COUNT] = [Some(3), Some(4), None, Some(8)];
-        VALUES[rank.index()]
+        match rank {
+            QueueRank::Timely => None,
+            QueueRank::Behind => Some(8),
+        }
     }
 }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::RegionName;
+use foldhaven_core::opaque::admission::PlaceOffer;
 use foldhaven_core::opaque::choice::{CostParts, RequestCost, pause_cost, streaming_cost};
 use foldhaven_core::opaque::pace::QueueFacts;
-use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
+use foldhaven_core::opaque::queue_rank::UnreadTokens;
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
 use crate::job::GatewayJob;
@@ -29,6 +30,13 @@
     pub(super) region: RegionName,
 }
 
+impl FarChoice {
+    /// The place, for the decision whether the request is sent there.
+    pub(super) fn offer(&self) -> PlaceOffer {
+        PlaceOffer { first: self.choice.first, rank: self.choice.rank, parts: self.parts }
+    }
+}
+
 /// Chooses among the other regions that the route permits and that have upstreams of the service.
 pub(super) fn choose_far(
     shared: &GatewayShared,
@@ -76,11 +84,10 @@
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
         let sent = self.sent_since();
-        let told = self.wait.waits[query.rank.index()];
-        let first = self.way(&peer) + told + pace.first(sent, query.rank, read_tokens);
+        let rank = query.rank();
+        let first = self.way(&peer) + self.wait.wait + pace.first(sent, rank, read_tokens);
         // What was told counts most requests that were sent since, too.
         let queue = QueueFacts { in_flight: sent.in_flight.max(self.wait.load), ..sent };
-        let is_late = query.waited + first > query.target;
         let parts = CostParts {
             time: RequestCost::of_time(query.waited + first, query.target).0,
             rereading: RequestCost::of_rereading(missing, query.size).0,
@@ -95,7 +102,7 @@
             first,
             read_tokens,
             load: queue.in_flight,
-            rank: if is_late { QueueRank::BEHIND } else { query.rank },
+            rank,
             until_answer: None,
             fetch_from: None,
         };
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -9,12 +9,13 @@
 use std::time::{Duration, Instant};
 
 use foldhaven_core::ids::{UpstreamName, VmName};
+use foldhaven_core::opaque::admission::{PlaceOffer, TimeLimits, admit, come_back_after};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 
 use self::far::choose_far;
 use self::near::choose_near;
-pub use self::near::{RankWaits, expected_waits};
+pub use self::near::expected_wait;
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::CallTarget;
@@ -125,17 +126,17 @@
     if job.is_forwarded {
         let refusal = if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted };
         let near = near.ok_or(refusal)?;
-        admit(job, near.choice.first)?;
+        check_offer(job, &near.offer())?;
         return Ok(near.take(shared));
     }
     let far = choose_far(shared, view, job, tried);
     match (near, far) {
         (Some(near), Some(far)) if far.cost + REGION_MARGIN < near.choice.cost => {
-            admit(job, far.choice.first)?;
+            check_offer(job, &far.offer())?;
             Ok(far.choice)
         }
         (Some(near), _) => {
-            admit(job, near.choice.first)?;
+            check_offer(job, &near.offer())?;
             Ok(near.take(shared))
         }
         (None, Some(far)) => Ok(far.choice),
@@ -143,13 +144,17 @@
     }
 }
 
-/// Refuses a request that cannot begin to be answered while its caller waits.
-fn admit(job: &GatewayJob, first: Duration) -> Result<(), Refusal> {
-    let remaining = job.deadline.saturating_duration_since(Instant::now());
-    match first > remaining {
-        true => Err(Refusal::Overloaded { wait: first.saturating_sub(job.route.target / 2) }),
-        false => Ok(()),
+/// Refuses a request that is better not sent to its best place. One that was answered in part is sent on.
+fn check_offer(job: &GatewayJob, offer: &PlaceOffer) -> Result<(), Refusal> {
+    if job.first_after.is_some() {
+        return Ok(());
     }
+    let limits = TimeLimits {
+        target: job.route.target,
+        remaining: job.deadline.saturating_duration_since(Instant::now()),
+    };
+    admit(offer, limits)
+        .map_err(|cause| Refusal::Overloaded { cause, wait: come_back_after(offer, limits) })
 }
 
 /// What the choice weighs of a request.
@@ -158,7 +163,6 @@
     ChoiceQuery {
         target: job.route.target,
         waited: job.waited(),
-        rank: QueueRank::of_priority(job.route.priority),
         event_gap: job.route.event_gap,
         events: shared.route_history(&job.route.name).usual_events(),
         size: job.size(),
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::opaque::admission::PlaceOffer;
 use foldhaven_core::opaque::choice::{
     RequestCost, UpstreamChoice, UpstreamFacts, choose_upstream, price_upstreams,
 };
@@ -29,6 +30,12 @@
 }
 
 impl NearChoice {
+    /// The place, for the decision whether the request is sent there.
+    pub(super) fn offer(&self) -> PlaceOffer {
+        let UpstreamChoice { first, rank, parts, .. } = self.choice;
+        PlaceOffer { first, rank, parts }
+    }
+
     /// Takes the place of a cold upstream, which is counted by the second.
     pub(super) fn take(self, shared: &GatewayShared) -> PlaceChoice {
         let now = shared.now();
@@ -130,16 +137,8 @@
     }
 }
 
-/// Waits by the rank of requests that can be answered within their target.
-pub type RankWaits = [Duration; QueueRank::COUNT - 1];
-
-/// The waits at an upstream as this VM expects them.
-pub fn expected_waits(upstream: &Upstream, pace: &ServicePace, now: MonoTime) -> RankWaits {
-    let queue = upstream.queue();
-    let factor = upstream.pace.lock().factor(now);
-    let mut waits = RankWaits::default();
-    for rank in QueueRank::timely() {
-        waits[rank.index()] = pace.wait(queue, rank).mul_f64(factor);
-    }
-    waits
+/// The wait of a timely request at an upstream, as this VM expects it.
+pub fn expected_wait(upstream: &Upstream, pace: &ServicePace, now: MonoTime) -> Duration {
+    let wait = pace.wait(upstream.queue(), QueueRank::Timely);
+    wait.mul_f64(upstream.pace.lock().factor(now))
 }
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -189,6 +189,12 @@
         self.with_pace(service, |pace| pace.note_reading(tokens, took));
     }
 
+    /// Takes in whether a pause of a stream was longer than wanted, and the prompt tokens that its upstream
+    /// had to read when it began.
+    pub fn note_pause(&self, service: &ServiceName, unread_tokens: u32, is_long: bool) {
+        self.with_pace(service, |pace| pace.pauses.note(unread_tokens, is_long));
+    }
+
     /// Takes in the time between two events of a stream, and how many requests its upstream had.
     pub fn note_event_pace(&self, service: &ServiceName, between: Duration, load: f64) {
         self.with_pace(service, |pace| pace.events.note(between, load));
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -141,8 +141,10 @@
     in_flight: AtomicU32,
     /// Those of them that can still be answered as wanted.
     whole: AtomicU32,
-    /// The prompt tokens of requests that were not answered yet, by rank.
-    unread: [AtomicU32; QueueRank::COUNT],
+    /// The prompt tokens of timely requests that were not answered yet.
+    unread_timely: AtomicU32,
+    /// Those of requests that go behind them.
+    unread_behind: AtomicU32,
 }
 
 impl LoadCounter {
@@ -153,18 +155,28 @@
         UpstreamShare {
             in_flight: read(&self.in_flight),
             whole: read(&self.whole),
-            unread: UnreadTokens::from_ranks(|at| self.unread[at].load(Ordering::Relaxed)),
+            unread: UnreadTokens {
+                timely: self.unread_timely.load(Ordering::Relaxed),
+                behind: self.unread_behind.load(Ordering::Relaxed),
+            },
         }
     }
 
     /// Counts a request of a rank with so many prompt tokens to read until the guard is dropped.
     pub fn enter(self: &Arc<Self>, tokens: u32, rank: QueueRank) -> LoadSeat {
-        let is_whole = rank != QueueRank::BEHIND;
+        let is_whole = rank == QueueRank::Timely;
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.whole.fetch_add(is_whole.into(), Ordering::Relaxed);
-        self.unread[rank.index()].fetch_add(tokens, Ordering::Relaxed);
+        self.unread(rank).fetch_add(tokens, Ordering::Relaxed);
         LoadSeat { counter: self.clone(), unread: tokens, rank, is_whole }
     }
+
+    fn unread(&self, rank: QueueRank) -> &AtomicU32 {
+        match rank {
+            QueueRank::Timely => &self.unread_timely,
+            QueueRank::Behind => &self.unread_behind,
+        }
+    }
 }
 
 /// One request at a place.
@@ -181,7 +193,7 @@
     /// Notes that the answer has begun: the prompt was read.
     pub fn note_answered(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.counter.unread[self.rank.index()].fetch_sub(unread, Ordering::Relaxed);
+        self.counter.unread(self.rank).fetch_sub(unread, Ordering::Relaxed);
     }
 
     /// Notes that it cannot be answered as wanted any more.
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -7,7 +7,6 @@
 
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::peer_table::PeerBeat;
-use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::time::MonoTime;
 
@@ -28,9 +27,8 @@
 /// What a request would meet in another region.
 #[derive(Debug, Clone, Copy)]
 pub struct RegionWait {
-    /// The wait by the rank of requests that can be answered within their target, by the last heartbeats
-    /// from there.
-    pub waits: [Duration; QueueRank::COUNT - 1],
+    /// The wait of timely requests, by the last heartbeats from there.
+    pub wait: Duration,
     /// How many upstreams the service has there.
     pub upstreams: usize,
     /// How many requests one of them runs at once.
