--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use crate::opaque::choice::CostParts;
-use crate::opaque::queue_rank::QueueRank;
+use crate::opaque::choice::{CostParts, chance_of_lateness};
 
 /// What an answer within its target is worth, as a share of what the request is worth.
 const TIMELY_VALUE: f64 = 1.0;
@@ -15,8 +14,6 @@
 pub struct PlaceOffer {
     /// The expected time to the answer, or to its first event.
     pub first: Duration,
-    /// The rank that it would have there.
-    pub rank: QueueRank,
     /// What it would cost.
     pub parts: CostParts,
 }
@@ -24,8 +21,10 @@
 /// The limits within which it is to be answered.
 #[derive(Debug, Clone, Copy)]
 pub struct TimeLimits {
-    /// The time that is left until its caller wants the first answer.
+    /// The time to the first answer that its caller wants.
     pub target: Duration,
+    /// How long it had waited when it came.
+    pub waited: Duration,
     /// How long its caller still waits.
     pub remaining: Duration,
 }
@@ -48,10 +47,8 @@
     if offer.first > limits.remaining {
         return Err(Unservable::TooLate);
     }
-    let value = match offer.rank {
-        QueueRank::Behind => LATE_VALUE,
-        QueueRank::Timely => TIMELY_VALUE,
-    };
+    let late = chance_of_lateness(limits.waited + offer.first, limits.target);
+    let value = LATE_VALUE * late + TIMELY_VALUE * (1.0 - late);
     match offer.parts.disturbance > value {
         true => Err(Unservable::TooHarmful),
         false => Ok(()),
--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -30,7 +30,7 @@
     /// target, then rising until almost all is lost.
     pub fn of_time(first: Duration, target: Duration) -> Self {
         let share = first.as_secs_f64() / target.as_secs_f64().max(1e-3);
-        let late = chance_beyond(share, LATE_SPREAD);
+        let late = chance_of_lateness(first, target);
         Self(TIME_SHARE * share + (1.0 - TIME_SHARE) * late)
     }
 
@@ -90,6 +90,11 @@
     }
 }
 
+/// The chance that an answer that is expected after `first` misses its target.
+pub fn chance_of_lateness(first: Duration, target: Duration) -> f64 {
+    chance_beyond(first.as_secs_f64() / target.as_secs_f64().max(1e-3), LATE_SPREAD)
+}
+
 /// The chance that at least one pause of an answer is longer than wanted, by the share of pauses that are.
 pub fn chance_of_long_pause(long_pauses: f64, events: f64) -> f64 {
     1.0 - (1.0 - long_pauses.clamp(0.0, 1.0)).powf(events.max(0.0))
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-pub use self::cost::{CostParts, RequestCost, chance_of_long_pause};
+pub use self::cost::{CostParts, RequestCost, chance_of_lateness, chance_of_long_pause};
 use self::pricer::UpstreamPricer;
 pub use self::pricer::{pause_cost, streaming_cost};
 use crate::ids::UpstreamName;
@@ -16,6 +16,9 @@
 use crate::opaque::queue_rank::QueueRank;
 use crate::rank::rank_hash;
 
+/// From this chance on an answer counts as late before it is sent. An expectation just beyond the target is
+/// wrong too often.
+const SURELY_LATE: f64 = 0.9;
 /// How many tokens of a prompt one token of an answer counts for. The users weigh them so.
 pub const OUTPUT_WEIGHT: u32 = 10;
 /// The size of a request that names no tokens.
@@ -70,10 +73,10 @@
 }
 
 impl ChoiceQuery {
-    /// Its rank: one that has missed its target already goes behind all others. One that is only expected to
-    /// miss it does not, as most such expectations come from short peaks.
-    pub fn rank(&self) -> QueueRank {
-        match self.waited >= self.target {
+    /// The rank of an answer that is expected after `first`: one that has missed its target already, or will
+    /// almost surely, goes behind all others.
+    pub fn rank(&self, first: Duration) -> QueueRank {
+        match chance_of_lateness(self.waited + first, self.target) > SURELY_LATE {
             true => QueueRank::Behind,
             false => QueueRank::Timely,
         }
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -73,13 +73,14 @@
         let fetching = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let reread_tokens = missing.saturating_sub(fetched);
         let read_tokens = reread_tokens + query.own_tokens;
-        let rank = query.rank();
-        let factor = match rank {
-            QueueRank::Timely => facts.factor,
+        let first_as = |rank| pace.first(facts.queue, rank, read_tokens);
+        let timely = first_as(QueueRank::Timely).mul_f64(facts.factor) + fetching;
+        let rank = query.rank(timely);
+        let first = match rank {
+            QueueRank::Timely => timely,
             // The factor tells of requests that do not go behind others.
-            QueueRank::Behind => 1.0,
+            QueueRank::Behind => first_as(QueueRank::Behind) + fetching,
         };
-        let first = pace.first(facts.queue, rank, read_tokens).mul_f64(factor) + fetching;
         let meeting = if self.meeting == Some(at) { MEETING_SHARE } else { 0.0 };
         let reread = RequestCost::of_rereading(reread_tokens, query.size).0 * (1.0 - meeting);
         let moved = RequestCost::of_rereading(fetched, query.size).0 * FETCH_SHARE;
--- a/crates/foldhaven-core/tests/testsuite/opaque_admission.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_admission.rs
@@ -9,32 +9,30 @@
 use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 use rstest::rstest;
 
-const TIMELY: QueueRank = QueueRank::Timely;
-
-fn offer(first_ms: u64, rank: QueueRank, disturbance: f64) -> PlaceOffer {
+fn offer(first_ms: u64, disturbance: f64) -> PlaceOffer {
     let parts = CostParts { disturbance, ..CostParts::default() };
-    PlaceOffer { first: Duration::from_millis(first_ms), rank, parts }
+    PlaceOffer { first: Duration::from_millis(first_ms), parts }
 }
 
 fn limits(remaining_ms: u64) -> TimeLimits {
     let target = Duration::from_millis(800);
-    TimeLimits { target, remaining: Duration::from_millis(remaining_ms) }
+    TimeLimits { target, waited: Duration::ZERO, remaining: Duration::from_millis(remaining_ms) }
 }
 
 #[rstest]
-#[case::in_time(offer(300, TIMELY, 0.0), Ok(()))]
-#[case::late_but_wanted(offer(2_500, QueueRank::Behind, 0.0), Ok(()))]
-#[case::after_its_caller_has_left(offer(3_100, QueueRank::Behind, 0.0), Err(Unservable::TooLate))]
-#[case::breaks_half_of_another(offer(300, TIMELY, 0.5), Ok(()))]
-#[case::breaks_more_than_it_is_worth(offer(300, TIMELY, 1.5), Err(Unservable::TooHarmful))]
-#[case::late_and_breaks_another(offer(1_500, QueueRank::Behind, 0.5), Err(Unservable::TooHarmful))]
+#[case::in_time(offer(300, 0.0), Ok(()))]
+#[case::late_but_wanted(offer(2_500, 0.0), Ok(()))]
+#[case::after_its_caller_has_left(offer(3_100, 0.0), Err(Unservable::TooLate))]
+#[case::breaks_half_of_another(offer(300, 0.5), Ok(()))]
+#[case::breaks_more_than_it_is_worth(offer(300, 1.5), Err(Unservable::TooHarmful))]
+#[case::late_and_breaks_another(offer(1_500, 0.5), Err(Unservable::TooHarmful))]
 fn one_decision(#[case] offer: PlaceOffer, #[case] expected: Result<(), Unservable>) {
     assert_eq!(admit(&offer, limits(3_000)), expected);
 }
 
 #[test]
 fn the_time_to_come_back_follows_the_queue() {
-    let wait = |first| come_back_after(&offer(first, QueueRank::Behind, 0.0), limits(3_000));
+    let wait = |first| come_back_after(&offer(first, 0.0), limits(3_000));
     assert_eq!(wait(4_400), Duration::from_millis(4_000));
     assert_eq!(wait(100), Duration::ZERO);
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -234,12 +234,14 @@
 /// Found on a day of much load: long prompts were spread over all upstreams, and everywhere streams got
 /// one token between two pieces of a prompt.
 #[rstest]
-#[case::where_none_is_broken(3_000, Some(400), 0)]
-#[case::where_many_would_be(30_000, Some(400), 1)]
-#[case::for_requests_that_are_no_streams(30_000, None, 0)]
+#[case::where_none_is_broken(3_000, Some(400), 20, 0)]
+#[case::where_many_would_be(30_000, Some(400), 20, 1)]
+#[case::where_all_are_late_already(30_000, Some(400), 0, 0)]
+#[case::for_requests_that_are_no_streams(30_000, None, 20, 0)]
 fn a_long_prompt_goes_where_it_breaks_few_pauses(
     #[case] tokens: u32,
     #[case] gap_ms: Option<u64>,
+    #[case] whole: u32,
     #[case] expected: usize,
 ) {
     let names = names(2);
@@ -248,6 +250,7 @@
         candidate.queue.slots = 64;
     }
     candidates[0].queue.in_flight = 20;
+    candidates[0].queue.whole = whole;
     // The other one is a little worse in another respect.
     candidates[1].failures = 0.05;
     let mut query = query(0, None, 0.0);
--- a/crates/foldhaven-core/tests/testsuite/opaque_learning.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_learning.rs
@@ -5,6 +5,7 @@
 use foldhaven_core::opaque::choice::chance_of_long_pause;
 use foldhaven_core::opaque::event_pace::EventPace;
 use foldhaven_core::opaque::pace::UpstreamPace;
+use foldhaven_core::opaque::pause_book::PauseBook;
 use foldhaven_core::opaque::reading_pace::ReadingPace;
 use foldhaven_core::opaque::round_trip::RoundTrip;
 use foldhaven_core::opaque::route_history::RouteHistory;
@@ -37,7 +38,7 @@
     assert!((pace.rate() - 10_000.0).abs() < 300.0, "{}", pace.rate());
     (0..200).for_each(|_| pace.note(50, MS(400)));
     assert!((pace.rate() - 10_000.0).abs() < 300.0, "{}", pace.rate());
-    (0..150).for_each(|_| pace.note(4_000, MS(100)));
+    (0..200).for_each(|_| pace.note(4_000, MS(100)));
     assert!(pace.rate() > 35_000.0, "{}", pace.rate());
 }
 
@@ -116,3 +117,15 @@
     assert!(chance_of_long_pause(pace.long_pauses(now), 3.0) < 0.4);
     assert!(pace.long_pauses(now + Duration::from_secs(20)) < 0.01);
 }
+
+/// Whether reading breaks pauses is counted: the guess that was made before any were counted gives way.
+#[test]
+fn counted_pauses_outweigh_the_guess() {
+    let mut book = PauseBook::default();
+    assert_eq!(book.chance(20_000, 0.9), 0.9);
+    (0..1_000).for_each(|_| book.note(20_000, false));
+    assert!(book.chance(20_000, 0.9) < 0.15, "{}", book.chance(20_000, 0.9));
+    assert_eq!(book.chance(1_000, 0.9), 0.9, "other queues are counted apart");
+    (0..1_000).for_each(|_| book.note(20_000, true));
+    assert!(book.chance(20_000, 0.0) > 0.7, "{}", book.chance(20_000, 0.0));
+}
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -62,7 +62,8 @@
     assert!(!book.hear(&region_report("a", 2, 30), at(10)), "relayed by another VM too");
     assert!(book.hear(&region_report("b", 1, 50), at(500)));
     let wait = |book: &RegionBook, region: &str, now| {
-        book.wait(&region.parse().unwrap(), &"desk".parse().unwrap(), now)
+        let told = book.wait(&region.parse().unwrap(), &"desk".parse().unwrap(), now);
+        told.map(|told| Duration::from_millis(told.wait_ms.into()))
     };
     assert_eq!(wait(&book, "south", at(600)), Some(Duration::from_millis(50)));
     assert_eq!(wait(&book, "east", at(600)), None);
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -7,7 +7,7 @@
 use foldhaven_core::opaque::admission::PlaceOffer;
 use foldhaven_core::opaque::choice::{CostParts, RequestCost, pause_cost, streaming_cost};
 use foldhaven_core::opaque::pace::QueueFacts;
-use foldhaven_core::opaque::queue_rank::UnreadTokens;
+use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
 use crate::job::GatewayJob;
@@ -33,7 +33,7 @@
 impl FarChoice {
     /// The place, for the decision whether the request is sent there.
     pub(super) fn offer(&self) -> PlaceOffer {
-        PlaceOffer { first: self.choice.first, rank: self.choice.rank, parts: self.parts }
+        PlaceOffer { first: self.choice.first, parts: self.parts }
     }
 }
 
@@ -84,8 +84,8 @@
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
         let sent = self.sent_since();
-        let rank = query.rank();
-        let first = self.way(&peer) + self.wait.wait + pace.first(sent, rank, read_tokens);
+        let there = pace.first(sent, QueueRank::Timely, read_tokens);
+        let first = self.way(&peer) + self.wait.wait + there;
         // What was told counts most requests that were sent since, too.
         let queue = QueueFacts { in_flight: sent.in_flight.max(self.wait.load), ..sent };
         let parts = CostParts {
@@ -102,7 +102,7 @@
             first,
             read_tokens,
             load: queue.in_flight,
-            rank,
+            rank: query.rank(first),
             until_answer: None,
             fetch_from: None,
         };
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -151,6 +151,7 @@
     }
     let limits = TimeLimits {
         target: job.route.target,
+        waited: job.waited(),
         remaining: job.deadline.saturating_duration_since(Instant::now()),
     };
     admit(offer, limits)
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -32,8 +32,8 @@
 impl NearChoice {
     /// The place, for the decision whether the request is sent there.
     pub(super) fn offer(&self) -> PlaceOffer {
-        let UpstreamChoice { first, rank, parts, .. } = self.choice;
-        PlaceOffer { first, rank, parts }
+        let UpstreamChoice { first, parts, .. } = self.choice;
+        PlaceOffer { first, parts }
     }
 
     /// Takes the place of a cold upstream, which is counted by the second.
