Compare expected and measured times of an upstream by their sums

Cause: an answer expected after 10 ms that took 200 raised the factor on all times of its upstream by two.

--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -24,8 +24,11 @@
 /// Setting up one transfer between upstreams, 3 to 6 ms on today's deployments; transfers of one
 /// upstream wait for each other, so it counts more than once.
 const FETCH_SETUP: Duration = Duration::from_millis(15);
-/// The weight of a new measurement of one upstream.
-const RATIO_WEIGHT: f64 = 0.2;
+/// What is left of the weight of earlier measurements of one upstream after one more.
+const KEPT_TIMES: f64 = 0.8;
+/// An upstream counts as one that took this long, as expected, before anything was measured. So one short
+/// time that was missed says little.
+const FIRST_TIME_S: f64 = 0.2;
 /// The weight of one more end of a request in the failures beyond the usual ones. With 14 in 100 failing by
 /// nature the value then varies by 0.07, less than what another region costs.
 const FAILURE_WEIGHT: f64 = 0.08;
@@ -35,8 +38,9 @@
 /// After this time without news an upstream is taken for usual again by the factor e, so that one
 /// that got slow or failed is tried again.
 const FORGET_TIME: Duration = Duration::from_secs(4);
-/// The range of a single measurement; beyond it says something of the request, not of the upstream.
-const RATIO_RANGE: (f64, f64) = (0.5, 12.0);
+/// How often a single measurement may be the expected time at most; beyond it says something of the request,
+/// not of the upstream.
+const LARGEST_RATIO: f64 = 12.0;
 
 /// What is known of an upstream's queue, from this VM and from those that share their loads.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -131,8 +135,9 @@
 /// How far one upstream has been off.
 #[derive(Debug, Clone, Copy)]
 pub struct UpstreamPace {
-    /// The measured times against the expected ones.
-    ratio: f64,
+    /// The expected times of the last answers in seconds, and the measured ones.
+    expected_s: f64,
+    measured_s: f64,
     /// The share of requests that failed, less the usual one of their routes.
     failures: f64,
     /// The share of pauses between events that were longer than wanted.
@@ -143,7 +148,13 @@
 
 impl Default for UpstreamPace {
     fn default() -> Self {
-        Self { ratio: 1.0, failures: 0.0, long_pauses: 0.0, noted: MonoTime::default() }
+        Self {
+            expected_s: 0.0,
+            measured_s: 0.0,
+            failures: 0.0,
+            long_pauses: 0.0,
+            noted: MonoTime::default(),
+        }
     }
 }
 
@@ -151,7 +162,8 @@
     /// Brings the values nearer to the usual ones, by the time that has passed.
     fn fade(&mut self, now: MonoTime) {
         let share = (-now.since(self.noted).as_secs_f64() / FORGET_TIME.as_secs_f64()).exp();
-        self.ratio = 1.0 + (self.ratio - 1.0) * share;
+        self.expected_s *= share;
+        self.measured_s *= share;
         self.failures *= share;
         self.long_pauses *= share;
         self.noted = now;
@@ -160,9 +172,10 @@
     /// Takes in a time to an answer against the expected one.
     pub fn note_first(&mut self, expected: Duration, actual: Duration, now: MonoTime) {
         self.fade(now);
-        let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(1e-3);
-        let ratio = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1);
-        self.ratio += (ratio - self.ratio) * RATIO_WEIGHT;
+        let expected = expected.as_secs_f64().max(1e-3);
+        let measured = actual.as_secs_f64().min(expected * LARGEST_RATIO);
+        self.expected_s = self.expected_s * KEPT_TIMES + expected;
+        self.measured_s = self.measured_s * KEPT_TIMES + measured;
     }
 
     /// Takes in how a request ended there, where some share of its route's requests fails at any upstream.
@@ -190,7 +203,8 @@
     pub fn factor(&self, now: MonoTime) -> f64 {
         let mut current = *self;
         current.fade(now);
-        current.ratio.max(1.0)
+        let ratio = (current.measured_s + FIRST_TIME_S) / (current.expected_s + FIRST_TIME_S);
+        ratio.max(1.0)
     }
 
     /// The share of requests that failed there lately beyond the usual one of their routes.
