--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -16,6 +16,9 @@
 use crate::opaque::queue_rank::QueueRank;
 use crate::rank::rank_hash;
 
+/// From this chance on an answer counts as late before it is sent. An expectation just beyond the target is
+/// wrong too often.
+const SURELY_LATE: f64 = 0.9;
 /// How many tokens of a prompt one token of an answer counts for. The users weigh them so.
 pub const OUTPUT_WEIGHT: u32 = 10;
 /// The size of a request that names no tokens.
@@ -70,9 +73,10 @@
 }
 
 impl ChoiceQuery {
-    /// The rank of a request: one that has missed its target already goes behind all others.
-    pub fn rank(&self) -> QueueRank {
-        match self.waited >= self.target {
+    /// The rank of an answer that is expected after `first`: one that has missed its target already, or will
+    /// almost surely, goes behind all others.
+    pub fn rank(&self, first: Duration) -> QueueRank {
+        match chance_of_lateness(self.waited + first, self.target) > SURELY_LATE {
             true => QueueRank::Behind,
             false => QueueRank::Timely,
         }
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -75,7 +75,7 @@
         let read_tokens = reread_tokens + query.own_tokens;
         let first_as = |rank| pace.first(facts.queue, rank, read_tokens);
         let timely = first_as(QueueRank::Timely).mul_f64(facts.factor) + fetching;
-        let rank = query.rank();
+        let rank = query.rank(timely);
         let first = match rank {
             QueueRank::Timely => timely,
             // The factor tells of requests that do not go behind others.
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -102,7 +102,7 @@
             first,
             read_tokens,
             load: queue.in_flight,
-            rank: query.rank(),
+            rank: query.rank(first),
             until_answer: None,
             fetch_from: None,
         };
