--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -49,7 +49,7 @@
     }
     let late = chance_of_lateness(limits.waited + offer.first, limits.target);
     let value = LATE_VALUE * late + TIMELY_VALUE * (1.0 - late);
-    match offer.parts.disturbance > value {
+    match offer.parts.harm() > value {
         true => Err(Unservable::TooHarmful),
         false => Ok(()),
     }
--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -74,8 +74,10 @@
     pub disturbance: f64,
     /// Long pauses that its own events probably meet there.
     pub pauses: f64,
-    /// The time that its events take, and by which it lengthens that of the other streams there.
+    /// The time that its events take.
     pub streaming: f64,
+    /// The time by which it lengthens the other streams there.
+    pub slowing: f64,
     /// Failures there lately.
     pub failures: f64,
     /// Moving the body there.
@@ -83,10 +85,15 @@
 }
 
 impl CostParts {
+    /// What the requests there lose by it.
+    pub fn harm(&self) -> f64 {
+        self.disturbance + self.slowing
+    }
+
     /// All of them together.
     pub fn total(&self) -> RequestCost {
-        let there = self.disturbance + self.pauses + self.streaming + self.failures;
-        RequestCost(self.time + self.rereading + there + self.moving)
+        let there = self.pauses + self.streaming + self.failures;
+        RequestCost(self.time + self.rereading + there + self.harm() + self.moving)
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::cost::{CostParts, RequestCost, chance_of_lateness, chance_of_long_pause};
 use self::pricer::UpstreamPricer;
-pub use self::pricer::{pause_cost, streaming_cost};
+pub use self::pricer::{pause_cost, slowing_cost, streaming_cost};
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::opaque::queue_rank::QueueRank;
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -28,9 +28,15 @@
     pub(super) holder: Option<usize>,
 }
 
-/// The cost of the time in which the request's events are written, and of that by which it lengthens the
-/// other streams of its upstream: while its prompt is read, and by one more stream in each step.
-pub fn streaming_cost(
+/// The cost of the time in which the request's events are written.
+pub fn streaming_cost(query: &ChoiceQuery, pace: &ServicePace, queue: QueueFacts) -> RequestCost {
+    let load = f64::from(queue.in_flight) + 1.0;
+    RequestCost::of_streaming(query.events * pace.events.between(load))
+}
+
+/// The cost of the time by which a request lengthens the other streams of its upstream: while its prompt is
+/// read, and by one more stream in each step.
+pub fn slowing_cost(
     query: &ChoiceQuery,
     pace: &ServicePace,
     queue: QueueFacts,
@@ -39,11 +45,10 @@
     if query.event_gap.is_none() {
         return RequestCost(0.0);
     }
-    let others = f64::from(queue.in_flight);
-    let own = query.events * pace.events.between(others + 1.0);
-    let lengthened = pace.reading(read_tokens).as_secs_f64() + query.events * pace.events.slope();
+    let reading = pace.reading(read_tokens).as_secs_f64();
+    let lengthened = reading + query.events * pace.events.slope();
     let share = pace.usual_size / f64::from(query.size.max(1));
-    RequestCost::of_streaming(own + others * lengthened * share)
+    RequestCost::of_streaming(f64::from(queue.in_flight) * lengthened * share)
 }
 
 /// The cost of long pauses that the request's own events probably meet.
@@ -89,7 +94,8 @@
             rereading: reread + moved,
             disturbance: self.disturbance(facts.queue, read_tokens).0,
             pauses: pause_cost(query, facts.long_pauses).0,
-            streaming: streaming_cost(query, pace, facts.queue, read_tokens).0,
+            streaming: streaming_cost(query, pace, facts.queue).0,
+            slowing: slowing_cost(query, pace, facts.queue, read_tokens).0,
             failures: facts.failures,
             moving: facts.move_cost,
         };
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -5,7 +5,9 @@
 
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::admission::PlaceOffer;
-use foldhaven_core::opaque::choice::{CostParts, RequestCost, pause_cost, streaming_cost};
+use foldhaven_core::opaque::choice::{
+    CostParts, RequestCost, pause_cost, slowing_cost, streaming_cost,
+};
 use foldhaven_core::opaque::pace::QueueFacts;
 use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 
@@ -93,7 +95,8 @@
             rereading: RequestCost::of_rereading(missing, query.size).0,
             moving: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, query.size).0,
             pauses: pause_cost(&query, self.wait.long_pauses).0,
-            streaming: streaming_cost(&query, &pace, queue, read_tokens).0,
+            streaming: streaming_cost(&query, &pace, queue).0,
+            slowing: slowing_cost(&query, &pace, queue, read_tokens).0,
             ..CostParts::default()
         };
         let place = RequestPlace::Peer(peer);
