--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -19,7 +19,7 @@
 const LATE_LOSS: f64 = 0.7;
 /// What one second of writing events costs, as a share of what the stream is worth: its caller waits for the
 /// end, and a stream may break with its upstream or VM.
-const STREAM_SECOND_COST: f64 = 0.03;
+const STREAM_SECOND_COST: f64 = 0.06;
 
 /// What a decision costs, as a share of what the request is worth.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
