--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -10,9 +10,9 @@
 const TIME_SHARE: f64 = 0.2;
 /// The spread of times around the expected one, as a share of the target.
 const LATE_SPREAD: f64 = 0.15;
-/// What reading all of a request's tokens again costs. From the prices of two deployments: 0.3 to
-/// 0.45 of what a request is worth.
-const REREAD_COST: f64 = 0.4;
+/// What reading all of a request's tokens again costs, as a share of what it is worth. The users pay 0.3 to
+/// 1.0; halved and doubled it changes little (docs/decisions.md).
+const REREAD_COST: f64 = 0.7;
 
 /// What an answer loses that is late, as a share of what it is worth in time; the users pay late ones a tenth to
 /// three tenths.
--- a/crates/foldhaven-core/src/opaque/pause_book.rs
+++ b/crates/foldhaven-core/src/opaque/pause_book.rs
@@ -8,9 +8,9 @@
 const RANGE_ENDS: [u32; 8] = [500, 2_000, 4_000, 8_000, 16_000, 32_000, 64_000, 128_000];
 const RANGES: usize = RANGE_ENDS.len() + 1;
 /// What is left of the weight of earlier pauses of a range after one more.
-const KEPT_WEIGHT: f64 = 0.998;
+const KEPT_WEIGHT: f64 = 0.999;
 /// For how many pauses the guess counts that is made before any were counted.
-const GUESS_WEIGHT: f64 = 50.0;
+const GUESS_WEIGHT: f64 = 5.0;
 
 /// The pauses counted in one range.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
