Leave a region whose upstreams are dead, and lead nobody to one that tells of none

Ruled out: the retry budget (nothing was sent), a lack of places (karachi's six upstreams were open). Change: another region is taken when the best place here is doubted or was tried, or when two upstreams here have failed the request; a region that tells of itself but not of a service is closed for it.

--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -101,6 +101,8 @@
     /// The prompt tokens that it reads until it can answer, those that it had before included, where nothing
     /// but reading takes time.
     pub until_answer: Option<u32>,
+    /// Whether it was not tried for this request, and calls to it did not fail lately.
+    pub is_trusted: bool,
     /// The candidate from which it takes over what it does not hold of the shared parts.
     pub fetch_from: Option<usize>,
 }
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -109,6 +109,7 @@
             read_tokens,
             rank,
             until_answer: is_reading.then(|| facts.queue.unread.ahead_of(rank) + read_tokens),
+            is_trusted: !facts.is_suspect && !facts.is_tried,
             fetch_from: fetch.map(|fetch| fetch.holder),
         }
     }
--- a/crates/foldhaven-core/src/opaque/region_book.rs
+++ b/crates/foldhaven-core/src/opaque/region_book.rs
@@ -77,12 +77,19 @@
         service: &ServiceName,
         now: MonoTime,
     ) -> Option<ServiceWait> {
+        let tag = ServiceTag::of(service);
+        self.newest(region, now)?.waits.iter().find(|wait| wait.service == tag).copied()
+    }
+
+    /// Whether a region tells of itself, but of no wait for a service: none of its upstreams takes requests.
+    pub fn is_closed(&self, region: &RegionName, service: &ServiceName, now: MonoTime) -> bool {
+        self.newest(region, now).is_some() && self.wait(region, service, now).is_none()
+    }
+
+    /// The newest report of a region, if it is fresh.
+    fn newest(&self, region: &RegionName, now: MonoTime) -> Option<&HeardRegion> {
         let of_region = self.reports.iter().filter(|((name, _), _)| name == region);
         let newest = of_region.map(|(_, report)| report).max_by_key(|report| report.heard)?;
-        if now.since(newest.heard) >= WAIT_LIMIT {
-            return None;
-        }
-        let tag = ServiceTag::of(service);
-        newest.waits.iter().find(|wait| wait.service == tag).copied()
+        (now.since(newest.heard) < WAIT_LIMIT).then_some(newest)
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reports.rs
@@ -71,3 +71,17 @@
     book.forget(at(5_000));
     assert!(book.hear(&region_report("b", 1, 50), at(5_000)), "it is forgotten");
 }
+
+/// Found in a recorded day: a region whose upstreams had all crashed told no wait, and was taken for one of
+/// which nothing is known.
+#[test]
+fn a_region_that_tells_no_wait_for_a_service_is_closed() {
+    let mut book = RegionBook::default();
+    let south = "south".parse().unwrap();
+    let (desk, other) = ("desk".parse().unwrap(), "other".parse().unwrap());
+    assert!(!book.is_closed(&south, &desk, at(0)), "nothing is known of it");
+    book.hear(&region_report("a", 1, 30), at(0));
+    assert!(!book.is_closed(&south, &desk, at(10)));
+    assert!(book.is_closed(&south, &other, at(10)));
+    assert!(!book.is_closed(&south, &other, at(5_000)), "the report is old");
+}
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -42,12 +42,15 @@
         by_service.into_iter().map(service_wait).collect()
     }
 
-    /// The waits in the other regions, as their delegates told.
+    /// The waits in the other regions, as their delegates told; none where no upstream takes requests.
     pub(super) fn far_waits(&self) -> HashMap<(RegionName, ServiceName), RegionWait> {
         let now = self.now();
         let mut waits: HashMap<(RegionName, ServiceName), RegionWait> = HashMap::new();
         for upstream in self.upstreams.values() {
             let identity = &upstream.identity;
+            if self.regions.is_closed(&identity.region, &identity.service, now) {
+                continue;
+            }
             let key = (identity.region.clone(), identity.service.clone());
             let wait = waits.entry(key).or_insert(RegionWait {
                 wait: UNTOLD_WAIT,
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -13,9 +13,9 @@
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 
-use self::far::choose_far;
-use self::near::choose_near;
+use self::far::{FarChoice, choose_far};
 pub use self::near::expected_wait;
+use self::near::{NearChoice, choose_near};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::CallTarget;
@@ -27,6 +27,9 @@
 
 /// How much better another region must be, since what is known of it is up to a second old.
 pub const REGION_MARGIN: RequestCost = RequestCost(0.04);
+/// After so many upstreams of this region that failed a request, another region is trusted more: they may
+/// have been lost together, and stay listed for some seconds.
+const FAULTS_TO_LEAVE: usize = 2;
 /// Other VMs are told of prompts whose shared parts have at least so many tokens; for shorter ones
 /// the common ranking is good enough.
 pub const TOLD_TOKENS: u32 = 512;
@@ -131,7 +134,7 @@
     }
     let far = choose_far(shared, view, job, tried);
     match (near, far) {
-        (Some(near), Some(far)) if far.cost + REGION_MARGIN < near.choice.cost => {
+        (Some(near), Some(far)) if prefers_far(&near, &far, tried) => {
             check_offer(job, &far.offer())?;
             Ok(far.choice)
         }
@@ -144,6 +147,12 @@
     }
 }
 
+/// Whether another region is better: cheaper by more than the margin, or the only place that can be trusted.
+fn prefers_far(near: &NearChoice, far: &FarChoice, tried: &TriedPlaces) -> bool {
+    let is_near_sound = near.choice.is_trusted && tried.upstreams.len() < FAULTS_TO_LEAVE;
+    !is_near_sound || far.cost + REGION_MARGIN < near.choice.cost
+}
+
 /// Refuses a request that is better not sent to its best place. One that was answered in part is sent on.
 fn check_offer(job: &GatewayJob, offer: &PlaceOffer) -> Result<(), Refusal> {
     if job.first_after.is_some() {
