--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -2,12 +2,7 @@
 
 use std::time::Duration;
 
-use crate::opaque::choice::{CostParts, chance_of_lateness};
-
-/// What an answer within its target is worth, as a share of what the request is worth.
-const TIMELY_VALUE: f64 = 1.0;
-/// The same of a later answer; the users pay a tenth to three tenths for those.
-const LATE_VALUE: f64 = 0.3;
+use crate::opaque::choice::{CostParts, LATE_LOSS, chance_of_lateness};
 
 /// The best place for a request.
 #[derive(Debug, Clone, Copy)]
@@ -48,7 +43,7 @@
         return Err(Unservable::TooLate);
     }
     let late = chance_of_lateness(limits.waited + offer.first, limits.target);
-    let value = LATE_VALUE * late + TIMELY_VALUE * (1.0 - late);
+    let value = 1.0 - LATE_LOSS * late;
     match offer.parts.harm() > value {
         true => Err(Unservable::TooHarmful),
         false => Ok(()),
--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -16,7 +16,7 @@
 
 /// What an answer loses that is late, as a share of what it is worth in time; the users pay late ones a tenth to
 /// three tenths.
-const LATE_LOSS: f64 = 0.7;
+pub const LATE_LOSS: f64 = 0.7;
 /// What one second of writing events costs, as a share of what the stream is worth: its caller waits for the
 /// end, and a stream may break with its upstream or VM.
 const STREAM_SECOND_COST: f64 = 0.06;
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-pub use self::cost::{CostParts, RequestCost, chance_of_lateness, chance_of_long_pause};
+pub use self::cost::{CostParts, LATE_LOSS, RequestCost, chance_of_lateness, chance_of_long_pause};
 use self::pricer::UpstreamPricer;
 pub use self::pricer::{pause_cost, slowing_cost, streaming_cost};
 use crate::ids::UpstreamName;
--- a/crates/foldhaven-core/src/opaque/pace.rs
+++ b/crates/foldhaven-core/src/opaque/pace.rs
@@ -11,7 +11,7 @@
 
 /// How long a request holds its place before any was measured.
 const FIRST_HOLD: Duration = Duration::from_millis(60);
-/// The mean size before any request was seen; from the mix of two deployments.
+/// The mean size before any request was seen, in tokens. Some hundred requests replace it.
 const FIRST_SIZE: f64 = 1_500.0;
 /// The weight of one more request in the mean size.
 const SIZE_WEIGHT: f64 = 0.01;
@@ -21,8 +21,8 @@
 const LEAST_TIME: Duration = Duration::from_millis(8);
 /// Fewer tokens are read faster than taken over.
 const LEAST_FETCH: u32 = 1_000;
-/// Setting up one transfer between upstreams, 3 to 6 ms on today's deployments; transfers of one
-/// upstream wait for each other, so it counts more than once.
+/// Setting up one transfer between upstreams takes some milliseconds; transfers of one upstream wait for
+/// each other, so it counts more than once.
 const FETCH_SETUP: Duration = Duration::from_millis(15);
 /// What is left of the weight of earlier measurements of one upstream after one more.
 const KEPT_TIMES: f64 = 0.8;
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -19,7 +19,8 @@
 /// The way to a region and back before any connection there came up, which takes some tenths of a second
 /// after a start.
 const UNMEASURED_ROUND_TRIP: Duration = Duration::from_millis(120);
-/// What a byte between regions costs against a token of work, by the prices of two deployments.
+/// What a byte between regions costs against a token of work. Not described; the users' prices differ
+/// between deployments by a factor of four.
 const REGION_BYTE_PRICE: f64 = 0.03;
 /// The share of a prompt's short shared parts that another region probably has to read.
 const FAR_MISSING_SHARE: f64 = 0.4;
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -18,8 +18,8 @@
 use crate::upstream::Upstream;
 use crate::view::GatewayView;
 
-/// What a byte between data centres of a region costs against a token of work, between the prices
-/// of two deployments: 0.0035 and 0.0145.
+/// What a byte between data centres of a region costs against a token of work. Not described; doubled it
+/// changed nothing.
 const CENTRE_BYTE_PRICE: f64 = 0.03;
 
 /// The best upstream of this region.
