Send a stream on whose answer has begun, wherever it goes on

Admission knew of begun answers only at their origin, and only after a first event. Change: a forwarded request tells that its answer has begun; such a one is never refused for others' sake.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -34,5 +34,7 @@
 pub const FORWARDED_TICKET: &str = "foldhaven-forwarded-ticket";
 /// How long the caller of a forwarded request had waited before, in milliseconds.
 pub const WAITED_MS: &str = "foldhaven-waited-ms";
+/// Set on a forwarded request whose caller has got the beginning of an answer, which is to go on here.
+pub const BEGUN: &str = "foldhaven-begun";
 /// The service that the origin of a forwarded opaque request chose.
 pub const SERVICE: &str = "foldhaven-service";
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -81,6 +81,9 @@
                 let centre: &DataCentreName = &self.shared.settings.data_centre;
                 map.insert(headers::VISITED, text_value(centre.as_str()));
                 map.insert(headers::SERVICE, text_value(job.service.as_str()));
+                if job.is_begun {
+                    map.insert(headers::BEGUN, HeaderValue::from_static("1"));
+                }
                 let waited = job.waited().as_millis();
                 map.insert(headers::WAITED_MS, HeaderValue::from(waited as u64));
             }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -112,7 +112,8 @@
 
 impl EventRelay {
     /// Passes on an answer whose head was taken already.
-    pub fn new(driver: RequestDriver, placed: PlacedAnswer, in_flight: InFlightGuard) -> Self {
+    pub fn new(mut driver: RequestDriver, placed: PlacedAnswer, in_flight: InFlightGuard) -> Self {
+        driver.job.is_begun = true;
         let route = &driver.job.route;
         let stall = route.repeat.is_repeatable().then(|| {
             let gaps = route.event_gap.unwrap_or_default() * STALL_GAPS;
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -45,6 +45,9 @@
     /// How long the caller had waited when it got the answer, or its first event; from then on no
     /// target is missed by waiting.
     pub first_after: Option<Duration>,
+    /// Whether the caller has got the beginning of an answer. It is then gone on with at any price: nothing
+    /// else would keep the answer whole.
+    pub is_begun: bool,
     /// When the caller gives up, or the operators want it given up.
     pub deadline: Instant,
     /// The parts of the prompt, where the caller names them and the route uses them.
@@ -126,6 +129,7 @@
             started,
             waited_before: terms.waited,
             first_after: None,
+            is_begun: false,
             deadline: started + terms.remaining,
             is_forwarded: false,
         }
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -83,11 +83,12 @@
         // The descriptions of the two VMs differ; the origin may ask elsewhere.
         return Err(Refusal::NotPermitted);
     }
+    let is_begun = head.headers.remove(headers::BEGUN).is_some();
     let waited = head.headers.remove(headers::WAITED_MS);
     let waited = waited.and_then(|value| value.to_str().ok()?.parse().ok());
     let waited = Duration::from_millis(waited.ok_or(Refusal::NotPermitted)?);
     let terms = CallerTerms { waited, ..read_terms(&head, &shared.names)? };
     let request = ReadRequest { head, body, started };
     let job = request.into_job(route, service, terms, &shared.names);
-    Ok(GatewayJob { is_forwarded: true, ..job })
+    Ok(GatewayJob { is_forwarded: true, is_begun, ..job })
 }
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -153,9 +153,9 @@
     !is_near_sound || far.cost + REGION_MARGIN < near.choice.cost
 }
 
-/// Refuses a request that is better not sent to its best place. One that was answered in part is sent on.
+/// Refuses a request that is better not sent to its best place. One whose answer has begun is sent on.
 fn check_offer(job: &GatewayJob, offer: &PlaceOffer) -> Result<(), Refusal> {
-    if job.first_after.is_some() {
+    if job.is_begun {
         return Ok(());
     }
     let limits = TimeLimits {
