Name the time to come back by the whole target

Cause: half of the target stood in it without a reason of its own. A refused request is to come back when its place could answer it within its target. The test holds the new value; worth was not measured apart.

--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -50,8 +50,8 @@
     }
 }
 
-/// After which time a place like the best one could probably answer a refused request as wanted: when what
-/// it has now was read, and there is room for as much as half of the wanted time holds.
+/// After which time a place like the best one could probably answer a refused request within its target, if
+/// nothing else came.
 pub fn come_back_after(offer: &PlaceOffer, limits: TimeLimits) -> Duration {
-    offer.first.saturating_sub(limits.target / 2)
+    offer.first.saturating_sub(limits.target)
 }
