Tell how far behind a VM is, and what telling others of changes costs

Cause: the logs could not tell the hypotheses of the incident apart: how many bytes changes take, that they did not fit a datagram, for how long a VM has been behind, how large answers to askings are. No logic is changed.

--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -150,7 +150,7 @@
     let turns = keeper.turns();
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
     tokio::spawn(hear_datagrams(socket.clone(), address.clone()));
-    tokio::spawn(tell_changes(socket.clone(), told));
+    tokio::spawn(tell_changes(socket.clone(), told, shared.clone()));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -42,9 +42,26 @@
 
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
 /// a datagram are asked for.
-pub async fn tell_changes(socket: Arc<UdpSocket>, mut news: mpsc::UnboundedReceiver<ToldChanges>) {
+pub async fn tell_changes(
+    socket: Arc<UdpSocket>,
+    mut news: mpsc::UnboundedReceiver<ToldChanges>,
+    shared: Arc<GatewayShared>,
+) {
     while let Some(ToldChanges { targets, changes }) = news.recv().await {
-        send_to(&socket, &targets, &PeerMessage::Changes(changes)).await;
+        let (revision, count) = (changes.revision, changes.changes.len());
+        let bytes = match encode(&PeerMessage::Changes(changes)) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                shared.metrics.count_event("changes_too_large");
+                tracing::warn!(revision, count, error = %error, "changes have to be asked for");
+                continue;
+            }
+        };
+        shared.metrics.count_event("changes_told");
+        shared.metrics.add_events("changes_told_bytes", (bytes.len() * targets.len()) as u64);
+        for target in &targets {
+            send_bytes(&socket, *target, &bytes).await;
+        }
     }
 }
 
@@ -140,10 +157,12 @@
 }
 
 async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
+    let bytes = match encode(message) {
+        Ok(bytes) => bytes,
+        Err(error) => return tracing::warn!(error = %error, "a message was not sent"),
+    };
     for target in targets {
-        if let Err(error) = send(socket, *target, message).await {
-            tracing::debug!(peer = %target, error = %error, "sending to a peer failed");
-        }
+        send_bytes(socket, *target, &bytes).await;
     }
 }
 
@@ -153,10 +172,17 @@
     }
 }
 
-async fn send(socket: &UdpSocket, target: SocketAddr, message: &PeerMessage) -> io::Result<()> {
+/// Sends a datagram; one that is lost is made up for like one that was never sent.
+async fn send_bytes(socket: &UdpSocket, target: SocketAddr, bytes: &[u8]) {
+    if let Err(error) = socket.send_to(bytes, target).await {
+        tracing::debug!(peer = %target, error = %error, "sending to a peer failed");
+    }
+}
+
+fn encode(message: &PeerMessage) -> io::Result<Vec<u8>> {
     let bytes = codec().serialize(message).map_err(io::Error::other)?;
-    if bytes.len() > MAX_DATAGRAM {
-        return Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len())));
+    match bytes.len() <= MAX_DATAGRAM {
+        true => Ok(bytes),
+        false => Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len()))),
     }
-    socket.send_to(&bytes, target).await.map(drop)
 }
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -20,6 +20,9 @@
 /// The same for a VM of another region, when no near one knows more: bytes between regions are paid for.
 const FAR_BEHIND_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// From when on being behind is logged.
+const LONG_BEHIND: Duration = Duration::from_millis(1_000);
+
 /// Changes that other VMs are to be told of.
 pub struct ToldChanges {
     pub targets: Vec<SocketAddr>,
@@ -117,13 +120,15 @@
     async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
         let now = self.now();
         let Some(ahead) = self.most_ahead() else {
-            self.behind_since = None;
+            self.note_caught_up();
             return None;
         };
+        let ahead_revision = ahead.revision;
         let is_near = ahead.region == *self.shared.settings.region();
         let limit = if is_near { BEHIND_LIMIT } else { FAR_BEHIND_LIMIT };
         let peer = ahead.peer;
         let since = *self.behind_since.get_or_insert(now);
+        self.note_behind(now.since(since), peer, ahead_revision);
         let is_due = self.routes.is_none() || now.since(since) >= limit;
         let known = self.has_state.then_some(self.revision);
         is_due.then_some(AheadPeer { peer, known })
@@ -131,6 +136,28 @@
 }
 
 impl ControlKeeper {
+    /// Notes for how long this VM has known less than others do.
+    fn note_behind(&mut self, behind: Duration, peer: SocketAddr, ahead: u64) {
+        self.shared.metrics.set_level("behind_ms", behind.as_millis() as u64);
+        if behind >= LONG_BEHIND && !std::mem::replace(&mut self.is_long_behind, true) {
+            let behind_ms = behind.as_millis() as u64;
+            let (revision, version) = (self.revision, self.version().0);
+            tracing::warn!(peer = %peer, ahead, revision, version, behind_ms, "behind other VMs");
+        }
+    }
+
+    /// Notes that no other VM is known to know more.
+    fn note_caught_up(&mut self) {
+        let Some(since) = self.behind_since.take() else { return };
+        let behind = self.now().since(since);
+        self.shared.metrics.note_span("behind", behind);
+        self.shared.metrics.set_level("behind_ms", 0);
+        if std::mem::replace(&mut self.is_long_behind, false) {
+            let behind_ms = behind.as_millis() as u64;
+            tracing::info!(revision = self.revision, behind_ms, "caught up with other VMs");
+        }
+    }
+
     /// Notes that the platform could not be read.
     fn note_disturbed(&mut self, cause: &str) {
         let now = self.now();
@@ -200,7 +227,16 @@
         }
         let routes = description.routes.len();
         self.routes = Some(Arc::new(RouteTable::new(description)));
-        tracing::info!(version = offered.0, before = held.0, routes, "description adopted");
+        self.shared.metrics.set_level("description_version", offered.0);
+        tracing::info!(
+            version = offered.0,
+            before = held.0,
+            routes,
+            revision = self.revision,
+            behind_ms =
+                self.behind_since.map_or(0, |since| self.now().since(since).as_millis() as u64),
+            "description adopted"
+        );
     }
 
     /// Replaces what is known by a snapshot, unless the snapshot is older.
@@ -244,6 +280,7 @@
             self.log.push(counted);
         }
         self.revision = self.revision.max(set.revision);
+        self.shared.metrics.set_level("revision", self.revision);
         match is_urgent {
             true => self.publish(),
             false => self.set_turn(),
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -84,6 +84,8 @@
     reports: u32,
     /// Since when another VM has known more of the platform's changes.
     behind_since: Option<MonoTime>,
+    /// Whether that has lasted so long that it was logged.
+    is_long_behind: bool,
     /// Whether the last reading of the platform failed.
     is_disturbed: bool,
     /// Whether other VMs of the region tell of an outage of the platform.
@@ -125,6 +127,7 @@
             beats: 0,
             reports: 0,
             behind_since: None,
+            is_long_behind: false,
             is_disturbed: false,
             is_told_outage: false,
             has_state: false,
--- a/crates/foldhaven-gateway/src/metrics.rs
+++ b/crates/foldhaven-gateway/src/metrics.rs
@@ -52,6 +52,8 @@
 struct MetricsInner {
     routes: BTreeMap<RouteName, RouteCounts>,
     events: BTreeMap<&'static str, u64>,
+    spans: BTreeMap<&'static str, Histogram<u64>>,
+    levels: BTreeMap<&'static str, u64>,
 }
 
 #[derive(Default)]
@@ -95,18 +97,30 @@
 
     /// Notes the time to the answer, or to the first event.
     pub fn note_first(&self, route: &RouteName, span: Duration) {
-        let micros = u64::try_from(span.as_micros()).unwrap_or(LONGEST_MICROS);
         let mut inner = self.inner.lock();
         let first = &mut counts_of(&mut inner, route).first;
-        let histogram = first.get_or_insert_with(|| {
-            Histogram::new_with_bounds(1, LONGEST_MICROS, 2).expect("the bounds are valid")
-        });
-        histogram.saturating_record(micros.max(1));
+        record(first.get_or_insert_with(new_histogram), span);
+    }
+
+    /// Notes how long something of the control state took, such as being behind.
+    pub fn note_span(&self, name: &'static str, span: Duration) {
+        let mut inner = self.inner.lock();
+        record(inner.spans.entry(name).or_insert_with(new_histogram), span);
+    }
+
+    /// Replaces a level of the control state, such as the revision that is known.
+    pub fn set_level(&self, name: &'static str, level: u64) {
+        self.inner.lock().levels.insert(name, level);
     }
 
     /// Counts an event, such as a retry.
     pub fn count_event(&self, event: &'static str) {
-        *self.inner.lock().events.entry(event).or_default() += 1;
+        self.add_events(event, 1);
+    }
+
+    /// Counts several of an event, such as bytes.
+    pub fn add_events(&self, event: &'static str, count: u64) {
+        *self.inner.lock().events.entry(event).or_default() += count;
     }
 
     /// The page that collectors read.
@@ -118,13 +132,19 @@
                 let labels = format!("route=\"{route}\",end=\"{}\"", end.label());
                 put_line(&mut page, "foldhaven_opaque_requests_total", &labels, *count as f64);
             }
-            for quantile in QUANTILES {
-                let Some(first) = &counts.first else { continue };
-                let micros = first.value_at_quantile(quantile) as f64;
-                let labels = format!("route=\"{route}\",quantile=\"{quantile}\"");
-                put_line(&mut page, "foldhaven_opaque_first_seconds", &labels, micros / 1e6);
+            if let Some(first) = &counts.first {
+                let labels = format!("route=\"{route}\"");
+                put_quantiles(&mut page, "foldhaven_opaque_first_seconds", &labels, first);
             }
         }
+        for (span, histogram) in &inner.spans {
+            let labels = format!("span=\"{span}\"");
+            put_quantiles(&mut page, "foldhaven_opaque_span_seconds", &labels, histogram);
+        }
+        for (level, value) in &inner.levels {
+            let labels = format!("level=\"{level}\"");
+            put_line(&mut page, "foldhaven_opaque_level", &labels, *value as f64);
+        }
         for (event, count) in &inner.events {
             let labels = format!("event=\"{event}\"");
             put_line(&mut page, "foldhaven_opaque_events_total", &labels, *count as f64);
@@ -140,6 +160,22 @@
     inner.routes.get_mut(route).expect("it was just made")
 }
 
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, 2).expect("the bounds are valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(LONGEST_MICROS);
+    histogram.saturating_record(micros.max(1));
+}
+
+fn put_quantiles(page: &mut String, name: &str, labels: &str, histogram: &Histogram<u64>) {
+    for quantile in QUANTILES {
+        let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
+        put_line(page, name, &format!("{labels},quantile=\"{quantile}\""), seconds);
+    }
+}
+
 fn put_line(page: &mut String, name: &str, labels: &str, value: f64) {
     // Writing to a string cannot fail.
     let _ = writeln!(page, "{name}{{{labels}}} {value}");
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -46,7 +46,13 @@
         let known = query.and_then(|query| query.strip_prefix(PEER_STATE_AFTER));
         let state = view.offer.state_after(known.and_then(|known| known.parse().ok()));
         match serde_json::to_vec(&state) {
-            Ok(body) => body_answer(StatusCode::OK, "application/json", body),
+            Ok(body) => {
+                let bytes = body.len();
+                self.shared.metrics.count_event("state_told");
+                self.shared.metrics.add_events("state_told_bytes", bytes as u64);
+                tracing::info!(query, revision = view.offer.snapshot.revision, bytes, "state told");
+                body_answer(StatusCode::OK, "application/json", body)
+            }
             Err(error) => {
                 tracing::error!(error = %error, "writing the state for a peer failed");
                 Refusal::NoDescription.answer()
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -54,7 +54,9 @@
         let started = Instant::now();
         let asked = timeout(ANSWER_LIMIT, ask(peer, known)).await.unwrap_or(Err(AskError::Late));
         match asked {
-            Ok(state) => {
+            Ok(TakenState { state, bytes }) => {
+                shared.metrics.note_span("state_asked", started.elapsed());
+                shared.metrics.add_events("state_taken_bytes", bytes as u64);
                 let taken = match state {
                     PeerState::Snapshot(snapshot) => {
                         keeper.send(OfferSnapshot { snapshot, peer }).await
@@ -66,6 +68,7 @@
                 }
             }
             Err(error) => {
+                shared.metrics.count_event("state_not_taken");
                 let ms = started.elapsed().as_millis() as u64;
                 tracing::warn!(vm = %shared.settings.vm, peer = %peer, error = %error, ms, "asking a peer failed");
                 sleep(RETRY_PAUSE).await;
@@ -74,7 +77,13 @@
     }
 }
 
-async fn ask(peer: SocketAddr, known: Option<u64>) -> Result<PeerState, AskError> {
+/// What a peer told, and how large it was.
+struct TakenState {
+    state: PeerState,
+    bytes: usize,
+}
+
+async fn ask(peer: SocketAddr, known: Option<u64>) -> Result<TakenState, AskError> {
     let mut connection =
         Connection::open(peer, FAR_CONNECT_LIMIT).await.map_err(AskError::Connect)?;
     let after = known.map(|known| format!("?{PEER_STATE_AFTER}{known}"));
@@ -89,5 +98,6 @@
     }
     let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
     let body = body.map_err(AskError::Read)?.to_bytes();
-    serde_json::from_slice(&body).map_err(AskError::Content)
+    let state = serde_json::from_slice(&body).map_err(AskError::Content)?;
+    Ok(TakenState { state, bytes: body.len() })
 }
