Tell two versions of a description apart by what differs

A difference holds the routes that are written or removed between two versions and leads from any version that it spans to the newer one; two that follow each other make one, in which what is superseded is dropped. Routes are shared between versions and with the look-ups. Property tests over histories of versions.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -34,6 +34,8 @@
 pub const FORWARDED_TICKET: &str = "foldhaven-forwarded-ticket";
 /// How long the caller of a forwarded request had waited before, in milliseconds.
 pub const WAITED_MS: &str = "foldhaven-waited-ms";
+/// The count of the platform's changes that a told state goes up to.
+pub const REVISION: &str = "foldhaven-revision";
 /// Set on a forwarded request whose caller has got the beginning of an answer, which is to go on here.
 pub const BEGUN: &str = "foldhaven-begun";
 /// The service that the origin of a forwarded opaque request chose.
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -18,6 +18,7 @@
 pub mod region_book;
 pub mod retry_share;
 pub mod round_trip;
+pub mod route_delta;
 pub mod route_history;
 pub mod route_table;
 pub mod upstream_table;
--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/route_delta.rs
@@ -0,0 +1,134 @@
+//! What changes between two versions of a description, so that VMs tell each other no more than that.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::route_table::{
+    CallerLimits, OpaqueRoute, OpaqueService, RouteDescription, RouteVersion,
+};
+use crate::ids::RouteName;
+
+/// Why a difference does not lead from the description that is held to a newer one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum DeltaError {
+    /// the difference begins at version {after}, and version {held} is held
+    Gap {
+        /// The version that it begins at.
+        after: RouteVersion,
+        /// The version that is held.
+        held: RouteVersion,
+    },
+    /// the difference makes {made} routes where there are {wanted}
+    Count {
+        /// How many routes came out.
+        made: usize,
+        /// How many the description has.
+        wanted: usize,
+    },
+}
+
+/// The difference between two versions of a description. It holds what is written last in all versions
+/// between them, and so leads from any of these to the newer one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RouteDelta {
+    after: RouteVersion,
+    version: RouteVersion,
+    /// The routes that are new or differ.
+    written: Vec<Arc<OpaqueRoute>>,
+    removed: Vec<RouteName>,
+    /// All services, when any of them differs.
+    services: Option<Vec<OpaqueService>>,
+    limits: Option<CallerLimits>,
+    /// How many routes the newer version has.
+    count: usize,
+}
+
+impl RouteDelta {
+    /// The difference between two descriptions; nothing when routes in one of them share a name, so that
+    /// names do not tell them apart.
+    pub fn between(held: &RouteDescription, offered: &RouteDescription) -> Option<Self> {
+        let (before, then) = (by_name(held)?, by_name(offered)?);
+        let is_written = |route: &&Arc<OpaqueRoute>| before.get(&route.name) != Some(route);
+        let removed = before.keys().filter(|name| !then.contains_key(*name));
+        Some(Self {
+            after: held.version,
+            version: offered.version,
+            written: offered.routes.iter().filter(is_written).cloned().collect(),
+            removed: removed.map(|name| (*name).clone()).collect(),
+            services: (held.services != offered.services).then(|| offered.services.clone()),
+            limits: (held.limits != offered.limits).then_some(offered.limits),
+            count: offered.routes.len(),
+        })
+    }
+
+    /// The version that it leads to.
+    pub fn version(&self) -> RouteVersion {
+        self.version
+    }
+
+    /// How many routes it writes or removes.
+    pub fn size(&self) -> usize {
+        self.written.len() + self.removed.len()
+    }
+
+    /// The newer description, from the one that is held.
+    ///
+    /// # Errors
+    ///
+    /// When versions before this difference are missing, or the description that is held is another one.
+    pub fn apply(&self, held: &RouteDescription) -> Result<RouteDescription, DeltaError> {
+        if held.version < self.after {
+            return Err(DeltaError::Gap { after: self.after, held: held.version });
+        }
+        let removed: BTreeSet<&RouteName> = self.removed.iter().collect();
+        let mut written: BTreeMap<&RouteName, &Arc<OpaqueRoute>> =
+            self.written.iter().map(|route| (&route.name, route)).collect();
+        let kept = held.routes.iter().filter(|route| !removed.contains(&route.name));
+        let mut routes: Vec<Arc<OpaqueRoute>> =
+            kept.map(|route| written.remove(&route.name).unwrap_or(route).clone()).collect();
+        routes.extend(self.written.iter().filter(|it| written.contains_key(&it.name)).cloned());
+        if routes.len() != self.count {
+            return Err(DeltaError::Count { made: routes.len(), wanted: self.count });
+        }
+        Ok(RouteDescription {
+            version: self.version,
+            routes,
+            services: self.services.clone().unwrap_or_else(|| held.services.clone()),
+            limits: self.limits.unwrap_or(held.limits),
+        })
+    }
+
+    /// One difference in place of this one and the next: what the next one writes again is dropped.
+    ///
+    /// # Errors
+    ///
+    /// When versions between the two are missing.
+    pub fn followed_by(&self, next: &Self) -> Result<Self, DeltaError> {
+        if next.after > self.version {
+            return Err(DeltaError::Gap { after: next.after, held: self.version });
+        }
+        let rewritten: BTreeSet<&RouteName> = next.written.iter().map(|it| &it.name).collect();
+        let dropped: BTreeSet<&RouteName> = next.removed.iter().collect();
+        let is_last = |name: &RouteName| !rewritten.contains(name) && !dropped.contains(name);
+        let written = self.written.iter().filter(|route| is_last(&route.name));
+        let removed = self.removed.iter().filter(|name| is_last(name));
+        Ok(Self {
+            after: self.after,
+            version: next.version,
+            written: written.chain(&next.written).cloned().collect(),
+            removed: removed.chain(&next.removed).cloned().collect(),
+            services: next.services.clone().or_else(|| self.services.clone()),
+            limits: next.limits.or(self.limits),
+            count: next.count,
+        })
+    }
+}
+
+/// The routes by their names; nothing when two share one.
+fn by_name(description: &RouteDescription) -> Option<BTreeMap<&RouteName, &Arc<OpaqueRoute>>> {
+    let routes: BTreeMap<&RouteName, &Arc<OpaqueRoute>> =
+        description.routes.iter().map(|route| (&route.name, route)).collect();
+    (routes.len() == description.routes.len()).then_some(routes)
+}
--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -152,7 +152,7 @@
     /// The version; one process never goes back to a smaller one.
     pub version: RouteVersion,
     /// The routes.
-    pub routes: Vec<OpaqueRoute>,
+    pub routes: Vec<Arc<OpaqueRoute>>,
     /// The services.
     pub services: Vec<OpaqueService>,
     /// The limits on callers.
@@ -163,7 +163,6 @@
 #[derive(Debug)]
 pub struct RouteTable {
     description: RouteDescription,
-    routes: Vec<Arc<OpaqueRoute>>,
     /// For each host, its routes with the longest path prefix first.
     hosts: BTreeMap<String, Vec<usize>>,
     services: BTreeMap<ServiceName, usize>,
@@ -177,12 +176,16 @@
             hosts.entry(route.host.clone()).or_default().push(at);
         }
         for routes in hosts.values_mut() {
-            routes.sort_by_key(|at| std::cmp::Reverse(description.routes[*at].path_prefix.len()));
+            // Of two routes with the same prefix all VMs take the same one, in whatever order they hold them.
+            routes.sort_by(|left, right| {
+                let (left, right) = (&description.routes[*left], &description.routes[*right]);
+                let by_length = right.path_prefix.len().cmp(&left.path_prefix.len());
+                by_length.then_with(|| left.name.cmp(&right.name))
+            });
         }
         let services = description.services.iter().enumerate();
         let services = services.map(|(at, service)| (service.name.clone(), at)).collect();
-        let routes = description.routes.iter().cloned().map(Arc::new).collect();
-        Self { description, routes, hosts, services }
+        Self { description, hosts, services }
     }
 
     /// The description.
@@ -199,7 +202,7 @@
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<OpaqueRoute>> {
         let routes = self.routes_of(host)?;
         let at = routes.iter().find(|at| self.matches(**at, path))?;
-        Some(&self.routes[*at])
+        Some(&self.description.routes[*at])
     }
 
     fn matches(&self, at: usize, path: &str) -> bool {
@@ -218,14 +221,14 @@
     /// answers for a whole host, whose routes may be bound to different regions.
     pub fn bound_routes_in(&self, host: &str, region: &RegionName) -> usize {
         let Some(routes) = self.routes_of(host) else { return 0 };
-        let homes = routes.iter().map(|at| &self.routes[*at].homes);
+        let homes = routes.iter().map(|at| &self.description.routes[*at].homes);
         homes.filter(|homes| homes.contains(region)).count()
     }
 
     /// Whether any route of a host is bound to some regions.
     pub fn has_bound_routes(&self, host: &str) -> bool {
         let Some(routes) = self.routes_of(host) else { return false };
-        routes.iter().any(|at| !self.routes[*at].homes.is_empty())
+        routes.iter().any(|at| !self.description.routes[*at].homes.is_empty())
     }
 
     /// The service of that name.
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -46,10 +46,19 @@
     lapses: Option<MonoTime>,
 }
 
+impl UpstreamEntry {
+    /// Whether a record says something else than what is held, the passing of time aside.
+    fn differs_from(&self, record: &UpstreamRecord, now: MonoTime) -> bool {
+        let is_cold = self.cold_until.since(now) > Duration::ZERO;
+        let held = UpstreamRecord { cold_for: record.cold_for, ..self.record.clone() };
+        self.lapses.is_some() || held != *record || is_cold == record.cold_for.is_zero()
+    }
+}
+
 /// What a whole list changes against the entries that were held.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListDifference {
-    /// The records that are new, or that begin or cease to leave.
+    /// The records that are new or differ from the ones held.
     pub listed: Vec<UpstreamRecord>,
     /// The upstreams that are not listed any more.
     pub unlisted: Vec<UpstreamName>,
@@ -94,8 +103,7 @@
             self.remove(name, now);
         }
         let is_new = |record: &&UpstreamRecord| {
-            let held = self.entries.get(&record.name);
-            held.is_none_or(|held| held.record.leaving != record.leaving)
+            self.entries.get(&record.name).is_none_or(|held| held.differs_from(record, now))
         };
         let listed = records.iter().filter(is_new).cloned().collect();
         for record in records {
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod opaque_admission;
 mod opaque_choice;
+mod opaque_deltas;
 mod opaque_heartbeats;
 mod opaque_learning;
 mod opaque_limits;
--- /dev/null
+++ b/crates/foldhaven-core/tests/testsuite/opaque_deltas.rs
@@ -0,0 +1,127 @@
+//! Differences between descriptions, as VMs tell each other of them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
+use foldhaven_core::opaque::route_table::{
+    CallerLimits, OpaqueRoute, OpaqueService, RouteDescription, RouteVersion,
+};
+use proptest::prelude::*;
+
+use crate::opaque_routes::route;
+
+fn limits(header_bytes: usize) -> CallerLimits {
+    CallerLimits {
+        header_bytes,
+        body_bytes: 1,
+        header_time: Duration::ZERO,
+        idle_time: Duration::ZERO,
+    }
+}
+
+fn service(name: &str) -> OpaqueService {
+    OpaqueService {
+        name: name.parse().unwrap(),
+        health_path: String::new(),
+        connection_limit: 1,
+        cold_time: Duration::ZERO,
+        cold_rate: 0.0,
+        prompt_memory: None,
+        fetch_rate: None,
+    }
+}
+
+/// A description of routes, by the numbers that name them and the time-outs that tell their versions apart.
+fn description(version: u64, routes: &[(u8, u64)]) -> RouteDescription {
+    let make = |(number, seconds): &(u8, u64)| {
+        let timeout = Duration::from_secs(*seconds);
+        let named = route(&format!("r{number}"), "a.example", &format!("/{number}/"), &[]);
+        Arc::new(OpaqueRoute { timeout, ..named })
+    };
+    RouteDescription {
+        version: RouteVersion(version),
+        routes: routes.iter().map(make).collect(),
+        services: vec![service("one")],
+        limits: limits(1),
+    }
+}
+
+/// The routes whatever their order.
+fn sorted(mut description: RouteDescription) -> RouteDescription {
+    description.routes.sort_by(|left, right| left.name.cmp(&right.name));
+    description
+}
+
+/// Versions of a description, each with some routes.
+fn versions() -> impl Strategy<Value = Vec<RouteDescription>> {
+    let routes = prop::collection::btree_map(0..12_u8, 1..4_u64, 0..10);
+    let history = prop::collection::vec((routes, 1..3_usize), 1..7);
+    history.prop_map(|history| {
+        let versions = history.into_iter().enumerate();
+        let make = |(at, (routes, services)): (usize, (_, usize))| {
+            let routes: std::collections::BTreeMap<u8, u64> = routes;
+            let routes: Vec<(u8, u64)> = routes.into_iter().collect();
+            let names = ["one", "two"];
+            RouteDescription {
+                services: names[..services].iter().map(|name| service(name)).collect(),
+                limits: limits(services),
+                ..description(at as u64 + 1, &routes)
+            }
+        };
+        versions.map(make).collect()
+    })
+}
+
+proptest! {
+    #[test]
+    fn a_difference_leads_from_any_version_it_spans_to_the_newest(versions in versions()) {
+        let steps: Vec<RouteDelta> = versions
+            .windows(2)
+            .map(|pair| RouteDelta::between(&pair[0], &pair[1]).unwrap())
+            .collect();
+        let newest = versions.last().unwrap();
+        let Some((first, rest)) = steps.split_first() else { return Ok(()) };
+        let whole = rest.iter().try_fold(first.clone(), |whole, next| whole.followed_by(next));
+        let whole = whole.unwrap();
+        prop_assert_eq!(whole.version(), newest.version);
+        for held in &versions[..versions.len() - 1] {
+            prop_assert_eq!(sorted(whole.apply(held).unwrap()), sorted(newest.clone()));
+        }
+        // However many versions there were, it is no larger than the routes that any of them had.
+        let all = versions.iter().flat_map(|version| &version.routes);
+        let names: BTreeSet<&str> = all.map(|route| route.name.as_str()).collect();
+        prop_assert!(whole.size() <= names.len());
+    }
+}
+
+#[test]
+fn a_difference_holds_what_changes_and_no_more() {
+    let held = description(3, &[(1, 1), (2, 1), (3, 1)]);
+    let offered = description(7, &[(1, 1), (2, 9), (4, 1)]);
+    let delta = RouteDelta::between(&held, &offered).unwrap();
+    assert_eq!(delta.size(), 3, "one is written again, one is new, one is gone");
+    assert_eq!(delta.apply(&held).unwrap(), offered);
+}
+
+#[test]
+fn a_difference_is_refused_where_versions_are_missing() {
+    let versions = [description(3, &[(1, 1)]), description(7, &[(2, 1)]), description(9, &[])];
+    let first = RouteDelta::between(&versions[0], &versions[1]).unwrap();
+    let second = RouteDelta::between(&versions[1], &versions[2]).unwrap();
+    let gap = DeltaError::Gap { after: RouteVersion(7), held: RouteVersion(3) };
+    assert_eq!(second.apply(&versions[0]), Err(gap));
+    let gap = DeltaError::Gap { after: RouteVersion(7), held: RouteVersion(3) };
+    let earlier = RouteDelta::between(&versions[0], &versions[0]).unwrap();
+    assert_eq!(earlier.followed_by(&second), Err(gap));
+    // A description of the same version that is another one shows in the count.
+    let other = description(3, &[(1, 1), (5, 1)]);
+    assert_eq!(first.apply(&other), Err(DeltaError::Count { made: 2, wanted: 1 }));
+}
+
+#[test]
+fn routes_that_share_a_name_make_no_difference() {
+    let held = description(1, &[(1, 1)]);
+    assert_eq!(RouteDelta::between(&held, &description(2, &[(1, 1), (1, 2)])), None);
+}
--- a/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
@@ -1,5 +1,6 @@
 //! Routes of opaque requests and the directory's answers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, ServiceName};
@@ -13,7 +14,7 @@
 
 use crate::opaque_support::beat;
 
-fn route(name: &str, host: &str, prefix: &str, homes: &[&str]) -> OpaqueRoute {
+pub fn route(name: &str, host: &str, prefix: &str, homes: &[&str]) -> OpaqueRoute {
     OpaqueRoute {
         name: name.parse().unwrap(),
         host: host.to_owned(),
@@ -43,7 +44,7 @@
     };
     RouteTable::new(RouteDescription {
         version: RouteVersion(1),
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: Vec::new(),
         limits,
     })
