Tell what changes, without what is superseded, whatever the backlog

One reader's link of 10 Mbit/s carried 22 times 12 KB nine times a second, what fit no datagram had to be asked for, the answer held every version since, and was given up after 1.5 s and asked for again, larger. Drain, evacuation and homes stood behind it in the order of changes. Ruled out as the first cause: late reading (readers were 0.1 to 1 s late, median) and processor time (at its limit only after 15 s).

- descriptions go from VM to VM as differences, and of several changes about the same only the last;
- what an upstream or an evacuation forbids goes ahead of a description that fits no datagram, and is put in force at once;
- askings are given up for silence, not for size, and spread over those VMs that know more;
- the state goes as binary; the kept log is bounded by the routes it touches;
- a VM that has known for a second that others know more answers 503 in place of 404.

--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -72,6 +72,8 @@
     BodyTooLarge,
     /// no such route
     NoRoute,
+    /// no such route is known yet
+    Behind,
     /// no upstream can take it
     NoUpstream,
     /// the upstreams are full
@@ -104,6 +106,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoDescription
+            | Self::Behind
             | Self::NoUpstream
             | Self::Full
             | Self::Overloaded { .. }
@@ -123,6 +126,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NoRoute => "no_route",
+            Self::Behind => "behind",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::Overloaded { cause: Unservable::TooLate, .. } => "overloaded",
@@ -138,7 +142,7 @@
     /// When the caller should come back, spread over callers by `draw` in 0..1.
     fn come_back(self, draw: f64) -> Option<Duration> {
         let shortest = match self {
-            Self::NoDescription | Self::NoUpstream => Duration::from_millis(400),
+            Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
             Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -66,7 +66,8 @@
     // The description may have changed while the body came.
     let view = shared.view().ok_or(Refusal::NoDescription)?;
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
-    let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+    let route = view.routes.find(host, head.uri.path());
+    let route = route.ok_or_else(|| unknown_route(shared))?.clone();
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.note_patience(&route.name, terms.remaining);
     let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
@@ -75,6 +76,15 @@
     Ok(request.into_job(route, service, terms, &shared.names))
 }
 
+/// What is said of a route that is not known. A VM that knows that others know more says no more than that
+/// nothing has run.
+fn unknown_route(shared: &GatewayShared) -> Refusal {
+    match shared.is_behind() {
+        true => Refusal::Behind,
+        false => Refusal::NoRoute,
+    }
+}
+
 /// Runs a request and gives its answer.
 pub async fn run_job(shared: Arc<GatewayShared>, job: GatewayJob) -> Answer {
     let in_flight = shared.enter();
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -15,10 +15,11 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::feed::ChangeSet;
+use crate::codec::peer_codec;
+use crate::feed::{ChangeSet, CountedChange};
 use crate::keeper::{
-    HearBeat, HearChanges, HearLoad, HearPlacements, HearRegion, KeeperAddress, LEARNING_TIME,
-    PlanBeats, PlanReport, PlannedBeats, PlannedReport, ToldChanges,
+    EarlyChanges, HearBeat, HearChanges, HearEarly, HearLoad, HearPlacements, HearRegion,
+    KeeperAddress, LEARNING_TIME, PlanBeats, PlanReport, PlannedBeats, PlannedReport, ToldChanges,
 };
 use crate::shared::GatewayShared;
 
@@ -37,11 +38,12 @@
     Load(LoadReport),
     Placements(Vec<PromptPlacement>),
     Changes(ChangeSet),
+    Early(Vec<CountedChange>),
     Region(RegionReport),
 }
 
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
-/// a datagram are asked for.
+/// a datagram are asked for; what must not wait for that goes ahead.
 pub async fn tell_changes(
     socket: Arc<UdpSocket>,
     mut news: mpsc::UnboundedReceiver<ToldChanges>,
@@ -49,28 +51,29 @@
 ) {
     while let Some(ToldChanges { targets, changes }) = news.recv().await {
         let (revision, count) = (changes.revision, changes.changes.len());
-        let bytes = match encode(&PeerMessage::Changes(changes)) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                shared.metrics.count_event("changes_too_large");
-                tracing::warn!(revision, count, error = %error, "changes have to be asked for");
-                continue;
+        let small = changes.changes.iter().filter(|it| EarlyChanges::may_precede(&it.change));
+        let small: Vec<CountedChange> = small.cloned().collect();
+        let told = encode(&PeerMessage::Changes(changes)).or_else(|error| {
+            shared.metrics.count_event("changes_too_large");
+            let early = small.len();
+            tracing::warn!(revision, count, early, error = %error, "changes have to be asked for");
+            encode(&PeerMessage::Early(small))
+        });
+        match told {
+            Ok(bytes) => {
+                shared.metrics.count_event("changes_told");
+                shared
+                    .metrics
+                    .add_events("changes_told_bytes", (bytes.len() * targets.len()) as u64);
+                for target in &targets {
+                    send_bytes(&socket, *target, &bytes).await;
+                }
             }
-        };
-        shared.metrics.count_event("changes_told");
-        shared.metrics.add_events("changes_told_bytes", (bytes.len() * targets.len()) as u64);
-        for target in &targets {
-            send_bytes(&socket, *target, &bytes).await;
+            Err(error) => tracing::warn!(revision, error = %error, "changes were not told"),
         }
     }
 }
 
-/// The codec of datagrams: numbers take as many bytes as they need, since bytes between data centres
-/// are paid for.
-fn codec() -> impl Options {
-    bincode::DefaultOptions::new()
-}
-
 /// Tells the other VMs of the region of this one's requests at its upstreams.
 pub async fn send_reports(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
     let mut idle_rounds = 0;
@@ -108,7 +111,7 @@
                 continue;
             }
         };
-        let message: PeerMessage = match codec().deserialize(&buffer[..length]) {
+        let message: PeerMessage = match peer_codec().deserialize(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 tracing::warn!(peer = %sender, error = %error, "a heartbeat could not be read");
@@ -130,6 +133,7 @@
     match message {
         PeerMessage::Beat(message) => return keeper.send(HearBeat { message }).await,
         PeerMessage::Changes(changes) => keeper.send(HearChanges { changes }).await?,
+        PeerMessage::Early(changes) => keeper.send(HearEarly { changes }).await?,
         PeerMessage::Placements(placements) => keeper.send(HearPlacements { placements }).await?,
         PeerMessage::Region(report) => keeper.send(HearRegion { report }).await?,
         PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
@@ -180,7 +184,7 @@
 }
 
 fn encode(message: &PeerMessage) -> io::Result<Vec<u8>> {
-    let bytes = codec().serialize(message).map_err(io::Error::other)?;
+    let bytes = peer_codec().serialize(message).map_err(io::Error::other)?;
     match bytes.len() <= MAX_DATAGRAM {
         true => Ok(bytes),
         false => Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len()))),
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -1,9 +1,11 @@
 //! The border to the platform: who tells this daemon of descriptions, upstreams and evacuations.
 
-use std::collections::BTreeSet;
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
 
 use async_trait::async_trait;
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
 use foldhaven_core::opaque::route_table::RouteDescription;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use serde::{Deserialize, Serialize};
@@ -30,6 +32,8 @@
 pub enum FeedChange {
     /// A description was published.
     Description(Box<RouteDescription>),
+    /// The same, as VMs tell each other of it: what differs from the description before.
+    DescriptionDelta(Box<RouteDelta>),
     /// An upstream wrote its record.
     UpstreamWritten(UpstreamRecord),
     /// The record of an upstream was removed.
@@ -40,7 +44,43 @@
     EvacuationEnded(DataCentreName),
 }
 
+/// What a change is about. Of two changes about the same, the later one is all that counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChangeSubject<'a> {
+    /// The description.
+    Description,
+    /// The record of an upstream.
+    Upstream(&'a UpstreamName),
+    /// The evacuation of a data centre.
+    Evacuation(&'a DataCentreName),
+}
+
 impl FeedChange {
+    /// What it is about.
+    pub fn subject(&self) -> ChangeSubject<'_> {
+        match self {
+            Self::Description(_) | Self::DescriptionDelta(_) => ChangeSubject::Description,
+            Self::UpstreamWritten(record) => ChangeSubject::Upstream(&record.name),
+            Self::UpstreamRemoved(name) => ChangeSubject::Upstream(name),
+            Self::EvacuationStarted(centre) | Self::EvacuationEnded(centre) => {
+                ChangeSubject::Evacuation(centre)
+            }
+        }
+    }
+
+    /// One change in place of this one and a later one about the same.
+    fn followed_by(&self, next: &Self) -> Result<Self, DeltaError> {
+        match (self, next) {
+            (Self::Description(held), Self::DescriptionDelta(delta)) => {
+                Ok(Self::Description(Box::new(delta.apply(held)?)))
+            }
+            (Self::DescriptionDelta(delta), Self::DescriptionDelta(next)) => {
+                Ok(Self::DescriptionDelta(Box::new(delta.followed_by(next)?)))
+            }
+            _ => Ok(next.clone()),
+        }
+    }
+
     /// Whether requests may be sent wrongly until it is in force. An upstream more can wait a little.
     pub fn is_urgent(&self) -> bool {
         match self {
@@ -59,6 +99,32 @@
     pub change: FeedChange,
 }
 
+/// Drops what later changes supersede, so that what is told is bounded by how much there is to know, and
+/// not by how often it changed.
+///
+/// # Errors
+///
+/// When a version between two descriptions is missing.
+pub fn drop_superseded<'a>(
+    changes: impl IntoIterator<Item = &'a CountedChange>,
+) -> Result<Vec<CountedChange>, DeltaError> {
+    let mut last: BTreeMap<ChangeSubject<'a>, Cow<'a, CountedChange>> = BTreeMap::new();
+    for counted in changes {
+        let subject = counted.change.subject();
+        let kept = match last.get(&subject) {
+            Some(held) => {
+                let change = held.change.followed_by(&counted.change)?;
+                Cow::Owned(CountedChange { revision: counted.revision, change })
+            }
+            None => Cow::Borrowed(counted),
+        };
+        last.insert(subject, kept);
+    }
+    let mut kept: Vec<CountedChange> = last.into_values().map(Cow::into_owned).collect();
+    kept.sort_by_key(|counted| counted.revision);
+    Ok(kept)
+}
+
 /// All changes after one revision up to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ChangeSet {
@@ -66,7 +132,7 @@
     pub after: u64,
     /// The revision up to which there are no others.
     pub revision: u64,
-    /// The changes in their order.
+    /// The changes in their order; of several about the same only the last.
     pub changes: Vec<CountedChange>,
 }
 
--- /dev/null
+++ b/crates/foldhaven-gateway/src/keeper/behind.rs
@@ -0,0 +1,120 @@
+//! Knows for how long other VMs have known more of the platform's changes, and which one to ask.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foldhaven_core::opaque::peer_table::PeerBeat;
+use foldhaven_core::rank::rank_hash;
+use foldhaven_core::time::MonoTime;
+use xtra::{Context, Handler};
+
+use super::ControlKeeper;
+
+/// A VM of this region that has read more of the platform's changes than this one for so long is asked
+/// for them.
+const BEHIND_LIMIT: Duration = Duration::from_millis(350);
+/// The same for a VM of another region, when no near one knows more: bytes between regions are paid for.
+const FAR_BEHIND_LIMIT: Duration = Duration::from_millis(1_000);
+/// From when on being behind is logged.
+const LONG_BEHIND: Duration = Duration::from_millis(1_000);
+
+/// That others know a revision that this VM does not.
+#[derive(Debug, Clone, Copy)]
+pub struct BehindMark {
+    since: MonoTime,
+    /// The revision that others knew then.
+    revision: u64,
+    /// Whether it has lasted so long that it was logged.
+    is_logged: bool,
+}
+
+/// Asks which VM knows more of the platform's changes.
+pub struct FindAhead;
+
+/// A VM that knows more, and the revision that this one knows.
+pub struct AheadPeer {
+    pub peer: SocketAddr,
+    pub known: Option<u64>,
+}
+
+impl Handler<FindAhead> for ControlKeeper {
+    type Return = Option<AheadPeer>;
+
+    async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
+        let now = self.now();
+        self.note_progress(now);
+        let ahead = self.ahead_peer()?;
+        let (peer, revision) = (ahead.peer, ahead.revision);
+        let is_near = ahead.region == *self.shared.settings.region();
+        let limit = if is_near { BEHIND_LIMIT } else { FAR_BEHIND_LIMIT };
+        let behind = self.note_behind(peer, revision, now);
+        let is_due = self.routes.is_none() || self.needs_all || behind >= limit;
+        let known = (self.has_state && !self.needs_all).then_some(self.revision);
+        self.askings = self.askings.wrapping_add(u32::from(is_due));
+        is_due.then_some(AheadPeer { peer, known })
+    }
+}
+
+impl ControlKeeper {
+    /// A VM that knows more of the platform's changes than this one. Those of this data centre go first,
+    /// then those of this region. Of these, two are drawn, other ones by each VM and at each asking, and the
+    /// one that knows more is taken: if all asked the same one, its link would carry everything.
+    fn ahead_peer(&self) -> Option<&PeerBeat> {
+        let now = self.now();
+        let settings = &self.shared.settings;
+        let is_ahead = |beat: &&PeerBeat| match self.needs_all {
+            true => beat.revision >= self.revision,
+            false => beat.revision > self.revision,
+        };
+        let nearness = |beat: &PeerBeat| {
+            (beat.region == *settings.region(), beat.data_centre == settings.data_centre)
+        };
+        let mut ahead: Vec<&PeerBeat> = self.peers.live(now).filter(is_ahead).collect();
+        let nearest = ahead.iter().map(|beat| nearness(beat)).max()?;
+        ahead.retain(|beat| nearness(beat) == nearest);
+        let turn = self.askings.to_string();
+        let rank = |beat: &&PeerBeat| rank_hash(&[settings.vm.as_str(), beat.vm.as_str(), &turn]);
+        ahead.sort_by_cached_key(rank);
+        ahead.into_iter().take(2).max_by_key(|beat| beat.revision)
+    }
+
+    /// Notes that a VM knows more. Returns for how long this one has not known what others did.
+    fn note_behind(&mut self, peer: SocketAddr, ahead: u64, now: MonoTime) -> Duration {
+        let fresh = BehindMark { since: now, revision: ahead, is_logged: false };
+        let mark = self.behind.get_or_insert(fresh);
+        let behind = now.since(mark.since);
+        if behind >= LONG_BEHIND && !std::mem::replace(&mut mark.is_logged, true) {
+            let behind_ms = behind.as_millis() as u64;
+            let (revision, version) = (self.revision, self.version().0);
+            tracing::warn!(peer = %peer, ahead, revision, version, behind_ms, "behind other VMs");
+        }
+        self.show_behind();
+        behind
+    }
+
+    /// Notes whether what others knew is known now, or nobody is left who knew it.
+    pub(super) fn note_progress(&mut self, now: MonoTime) {
+        let Some(mark) = self.behind else { return };
+        if self.revision < mark.revision && self.ahead_peer().is_some() {
+            return;
+        }
+        self.behind = None;
+        let behind = now.since(mark.since);
+        self.shared.metrics.note_span("behind", behind);
+        if mark.is_logged {
+            let behind_ms = behind.as_millis() as u64;
+            tracing::info!(revision = self.revision, behind_ms, "caught up with other VMs");
+        }
+        self.show_behind();
+    }
+
+    /// For how long this VM has not known what others did.
+    pub(super) fn behind_for(&self) -> Duration {
+        self.behind.map_or(Duration::ZERO, |mark| self.now().since(mark.since))
+    }
+
+    fn show_behind(&self) {
+        self.shared.set_behind_since(self.behind.map(|mark| mark.since));
+        self.shared.metrics.set_level("behind_ms", self.behind_for().as_millis() as u64);
+    }
+}
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -1,27 +1,18 @@
-//! Takes in what the platform publishes: from the feed itself, and from VMs that have read more.
+//! Takes in what the platform publishes, as the feed reads it or other VMs tell of it, and passes it on.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
-use foldhaven_core::opaque::peer_table::{PeerBeat, PeerTable};
-use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable};
+use foldhaven_core::opaque::peer_table::PeerTable;
+use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
+use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
-use crate::feed::{ChangeSet, CountedChange, FeedChange, FeedNews, FeedSnapshot};
-
-/// A VM of this region that has read more of the platform's changes than this one for so long is asked
-/// for them.
-const BEHIND_LIMIT: Duration = Duration::from_millis(350);
-/// The same for a VM of another region, when no near one knows more: bytes between regions are paid for.
-const FAR_BEHIND_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// From when on being behind is logged.
-const LONG_BEHIND: Duration = Duration::from_millis(1_000);
+use crate::feed::{ChangeSet, ChangeSubject, CountedChange, FeedChange, FeedNews, FeedSnapshot};
 
 /// Changes that other VMs are to be told of.
 pub struct ToldChanges {
@@ -36,8 +27,11 @@
         match news {
             FeedNews::Disturbed { cause } => return self.note_disturbed(&cause),
             FeedNews::Snapshot(snapshot) => {
-                self.take_snapshot(snapshot);
+                let taken = self.take_snapshot(snapshot);
                 self.publish();
+                if let Some(taken) = taken {
+                    self.tell_near(taken);
+                }
             }
             FeedNews::Changes(set) => self.take_and_tell(set),
         }
@@ -48,116 +42,7 @@
     }
 }
 
-/// Another VM of the region told of changes that it read.
-pub struct HearChanges {
-    pub changes: ChangeSet,
-}
-
-impl Handler<HearChanges> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, message: HearChanges, _: &mut Context<Self>) {
-        // When some are missing, they are asked for, like after a lost datagram.
-        self.take_changes(message.changes);
-    }
-}
-
-/// What a VM that was asked told of the platform's changes.
-pub struct OfferSnapshot {
-    pub snapshot: FeedSnapshot,
-    pub peer: SocketAddr,
-}
-
-impl Handler<OfferSnapshot> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, offer: OfferSnapshot, _: &mut Context<Self>) {
-        let OfferSnapshot { snapshot, peer } = offer;
-        if snapshot.revision <= self.revision {
-            return;
-        }
-        tracing::info!(
-            peer = %peer,
-            revision = snapshot.revision,
-            before = self.revision,
-            "state taken from a peer"
-        );
-        self.take_snapshot(snapshot);
-        self.publish();
-    }
-}
-
-/// The changes that a VM was asked for.
-pub struct TakeChanges {
-    pub changes: ChangeSet,
-    pub peer: SocketAddr,
-}
-
-impl Handler<TakeChanges> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, message: TakeChanges, _: &mut Context<Self>) {
-        let TakeChanges { changes, peer } = message;
-        let (before, revision) = (self.revision, changes.revision);
-        if revision > before && self.take_changes(changes) {
-            tracing::info!(peer = %peer, revision, before, "state taken from a peer");
-        }
-    }
-}
-
-/// Asks which VM knows more of the platform's changes.
-pub struct FindAhead;
-
-/// A VM that knows more, and the revision that this one knows.
-pub struct AheadPeer {
-    pub peer: SocketAddr,
-    pub known: Option<u64>,
-}
-
-impl Handler<FindAhead> for ControlKeeper {
-    type Return = Option<AheadPeer>;
-
-    async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
-        let now = self.now();
-        let Some(ahead) = self.most_ahead() else {
-            self.note_caught_up();
-            return None;
-        };
-        let ahead_revision = ahead.revision;
-        let is_near = ahead.region == *self.shared.settings.region();
-        let limit = if is_near { BEHIND_LIMIT } else { FAR_BEHIND_LIMIT };
-        let peer = ahead.peer;
-        let since = *self.behind_since.get_or_insert(now);
-        self.note_behind(now.since(since), peer, ahead_revision);
-        let is_due = self.routes.is_none() || now.since(since) >= limit;
-        let known = self.has_state.then_some(self.revision);
-        is_due.then_some(AheadPeer { peer, known })
-    }
-}
-
 impl ControlKeeper {
-    /// Notes for how long this VM has known less than others do.
-    fn note_behind(&mut self, behind: Duration, peer: SocketAddr, ahead: u64) {
-        self.shared.metrics.set_level("behind_ms", behind.as_millis() as u64);
-        if behind >= LONG_BEHIND && !std::mem::replace(&mut self.is_long_behind, true) {
-            let behind_ms = behind.as_millis() as u64;
-            let (revision, version) = (self.revision, self.version().0);
-            tracing::warn!(peer = %peer, ahead, revision, version, behind_ms, "behind other VMs");
-        }
-    }
-
-    /// Notes that no other VM is known to know more.
-    fn note_caught_up(&mut self) {
-        let Some(since) = self.behind_since.take() else { return };
-        let behind = self.now().since(since);
-        self.shared.metrics.note_span("behind", behind);
-        self.shared.metrics.set_level("behind_ms", 0);
-        if std::mem::replace(&mut self.is_long_behind, false) {
-            let behind_ms = behind.as_millis() as u64;
-            tracing::info!(revision = self.revision, behind_ms, "caught up with other VMs");
-        }
-    }
-
     /// Notes that the platform could not be read.
     fn note_disturbed(&mut self, cause: &str) {
         let now = self.now();
@@ -185,132 +70,242 @@
         }
     }
 
-    /// Takes in changes that this VM read itself, and passes them on if they follow what is known.
+    /// Takes in changes that this VM read itself, and passes on what is new.
     fn take_and_tell(&mut self, set: ChangeSet) {
-        let told = (!set.changes.is_empty()).then(|| set.clone());
-        if self.take_changes(set)
-            && let Some(told) = told
-        {
-            self.tell_near(told);
+        if let Some(taken) = self.take_changes(set) {
+            self.tell_near(taken);
         }
     }
 
     /// Passes changes on to the VMs of this region that do not read the platform themselves.
     fn tell_near(&self, changes: ChangeSet) {
         let targets = self.near_peers();
-        if targets.len() >= PeerTable::ALL_READ {
+        if targets.len() >= PeerTable::ALL_READ && !changes.changes.is_empty() {
             // Nobody takes them only when the process ends.
             let _ = self.news.send(ToldChanges { targets, changes });
         }
     }
 
-    /// The VM that has read most of the platform's changes, if that is more than this one has. Those of
-    /// this data centre go first, then those of this region.
-    fn most_ahead(&self) -> Option<&PeerBeat> {
-        let now = self.now();
-        let settings = &self.shared.settings;
-        let ahead = self.peers.live(now).filter(|beat| beat.revision > self.revision);
-        ahead.max_by_key(|beat| {
-            let is_here = beat.data_centre == settings.data_centre;
-            (beat.region == *settings.region(), is_here, beat.revision)
-        })
-    }
-
-    /// Puts a description in force, unless it is no newer than the one held.
-    fn adopt(&mut self, description: RouteDescription) {
+    /// Puts a description in force that is newer than the one held. Returns what it changes.
+    fn adopt(&mut self, description: RouteDescription) -> FeedChange {
         let (held, offered) = (self.version(), description.version);
-        if self.routes.is_some() && offered <= held {
-            if offered < held {
-                tracing::warn!(held = held.0, offered = offered.0, "older description ignored");
-            }
-            return;
-        }
         let routes = description.routes.len();
+        let known = self.routes.as_deref().map(RouteTable::description);
+        let delta = known.and_then(|known| RouteDelta::between(known, &description));
+        let touched = delta.as_ref().map_or(routes, RouteDelta::size);
+        let change = match delta {
+            Some(delta) => FeedChange::DescriptionDelta(Box::new(delta)),
+            None => FeedChange::Description(Box::new(description.clone())),
+        };
         self.routes = Some(Arc::new(RouteTable::new(description)));
         self.shared.metrics.set_level("description_version", offered.0);
         tracing::info!(
             version = offered.0,
             before = held.0,
             routes,
+            touched,
             revision = self.revision,
-            behind_ms =
-                self.behind_since.map_or(0, |since| self.now().since(since).as_millis() as u64),
+            behind_ms = self.behind_for().as_millis() as u64,
             "description adopted"
         );
+        change
     }
 
-    /// Replaces what is known by a snapshot, unless the snapshot is older.
-    fn take_snapshot(&mut self, snapshot: FeedSnapshot) {
-        if snapshot.revision < self.revision {
-            tracing::warn!(
-                held = self.revision,
-                offered = snapshot.revision,
-                "older state ignored"
-            );
-            return;
+    /// The description that changes lead to; nothing when they hold none that is newer than the one held.
+    fn newer_description(
+        &self,
+        changes: &[CountedChange],
+    ) -> Result<Option<RouteDescription>, DeltaError> {
+        let mut newer: Option<RouteDescription> = None;
+        for counted in changes {
+            let known = self.routes.as_deref().map(RouteTable::description);
+            let known = newer.as_ref().or(known);
+            let held = known.map(|known| known.version);
+            newer = match (&counted.change, known) {
+                (FeedChange::Description(it), _) if held < Some(it.version) => Some((**it).clone()),
+                (FeedChange::Description(it), _) => {
+                    self.note_older(it.version);
+                    continue;
+                }
+                (FeedChange::DescriptionDelta(it), Some(known)) if it.version() > known.version => {
+                    Some(it.apply(known)?)
+                }
+                (FeedChange::DescriptionDelta(it), None) => {
+                    let (after, held) = (it.version(), RouteVersion::default());
+                    return Err(DeltaError::Gap { after, held });
+                }
+                _ => continue,
+            };
         }
-        let now = self.now();
-        self.revision = snapshot.revision;
-        self.log.reset(snapshot.revision);
-        let difference = self.table.replace(snapshot.upstreams, now);
-        if std::mem::replace(&mut self.has_state, true) {
+        Ok(newer)
+    }
+
+    fn note_older(&self, offered: RouteVersion) {
+        let held = self.version();
+        if offered < held {
+            tracing::warn!(held = held.0, offered = offered.0, "older description ignored");
+        }
+    }
+
+    /// Replaces what is known by a snapshot, unless the snapshot is older. Returns what that changes; nothing
+    /// for the first one, after which there is no change to tell of.
+    pub(super) fn take_snapshot(&mut self, snapshot: FeedSnapshot) -> Option<ChangeSet> {
+        let FeedSnapshot { revision, description, upstreams, evacuated } = snapshot;
+        if revision < self.revision {
+            tracing::warn!(held = self.revision, offered = revision, "older state ignored");
+            return None;
+        }
+        let (now, after) = (self.now(), self.log.last_revision());
+        self.revision = revision;
+        self.needs_all = false;
+        let difference = self.table.replace(upstreams, now);
+        let is_first = !std::mem::replace(&mut self.has_state, true);
+        let mut changes = self.change_evacuations(evacuated);
+        if is_first {
+            let upstreams = difference.listed.len();
+            tracing::info!(upstreams, revision, "first list of upstreams");
+        } else {
             difference.listed.iter().for_each(|record| self.log_listed(record));
             difference.unlisted.iter().for_each(|name| self.log_unlisted(name));
-        } else {
-            let upstreams = difference.listed.len();
-            tracing::info!(upstreams, revision = self.revision, "first list of upstreams");
         }
-        self.table.set_evacuated(snapshot.evacuated);
-        if let Some(description) = snapshot.description {
-            self.adopt(description);
+        changes.extend(difference.listed.into_iter().map(FeedChange::UpstreamWritten));
+        changes.extend(difference.unlisted.into_iter().map(FeedChange::UpstreamRemoved));
+        let offered = description.as_ref().map(|description| description.version);
+        let is_newer = self.routes.is_none() || offered > Some(self.version());
+        match description.filter(|_| is_newer) {
+            Some(description) => changes.push(self.adopt(description)),
+            None => offered.into_iter().for_each(|offered| self.note_older(offered)),
         }
+        self.renew_early();
+        if is_first {
+            self.log.reset(revision);
+            return None;
+        }
+        let counted = changes.into_iter().map(|change| CountedChange { revision, change });
+        let changes: Vec<CountedChange> = counted.collect();
+        changes.iter().for_each(|counted| self.log.push(counted.clone()));
+        Some(ChangeSet { after, revision, changes })
+    }
+
+    /// Whether nothing is missing between what is known and these changes.
+    pub(super) fn follows(&self, set: &ChangeSet) -> bool {
+        self.has_state && set.after <= self.revision
     }
 
-    /// Takes in changes. Returns whether they follow what is known, or bring nothing new.
-    fn take_changes(&mut self, set: ChangeSet) -> bool {
-        if !self.has_state || set.after > self.revision {
-            return false;
+    /// Takes in changes. Returns what of them is new, as others are to be told of it; nothing when some
+    /// before them are missing.
+    pub(super) fn take_changes(&mut self, set: ChangeSet) -> Option<ChangeSet> {
+        if !self.follows(&set) {
+            return None;
         }
+        let (known, after) = (self.revision, self.log.last_revision());
         let news: Vec<CountedChange> =
-            set.changes.into_iter().filter(|counted| counted.revision > self.revision).collect();
+            set.changes.into_iter().filter(|counted| counted.revision > known).collect();
+        let description = match self.newer_description(&news) {
+            Ok(description) => description,
+            Err(error) => {
+                tracing::warn!(revision = known, error = %error, "everything is asked for");
+                self.needs_all = true;
+                return None;
+            }
+        };
+        self.revision = known.max(set.revision);
+        self.shared.metrics.set_level("revision", self.revision);
         let is_urgent = news.iter().any(|counted| counted.change.is_urgent());
-        self.is_stale |= !news.is_empty();
+        let mut taken: Vec<CountedChange> = Vec::new();
+        let mut described = known;
         for counted in news {
-            self.take_change(counted.change.clone());
-            self.log.push(counted);
+            if counted.change.subject() == ChangeSubject::Description {
+                described = counted.revision;
+                continue;
+            }
+            self.log_change(&counted.change);
+            self.apply_change(counted.change.clone());
+            taken.push(counted);
         }
-        self.revision = self.revision.max(set.revision);
-        self.shared.metrics.set_level("revision", self.revision);
+        if let Some(description) = description {
+            taken.push(CountedChange { revision: described, change: self.adopt(description) });
+        }
+        taken.sort_by_key(|counted| counted.revision);
+        taken.iter().for_each(|counted| self.log.push(counted.clone()));
+        self.renew_early();
+        self.is_stale |= !taken.is_empty();
         match is_urgent {
             true => self.publish(),
             false => self.set_turn(),
         }
-        true
+        Some(ChangeSet { after, revision: self.revision, changes: taken })
     }
 
-    fn take_change(&mut self, change: FeedChange) {
-        let now = self.now();
+    /// Puts changes in force of which some before them are missing, as far as requests could go wrong until
+    /// these are known.
+    pub(super) fn take_early(&mut self, changes: Vec<CountedChange>) {
+        if !self.has_state {
+            return;
+        }
+        let known = self.revision;
+        let mut is_news = false;
+        for counted in changes {
+            let revision = counted.revision;
+            let Some(change) = self.early.hold(counted, known) else { continue };
+            tracing::info!(revision, known, "a change is put in force before its turn");
+            self.log_change(&change);
+            self.apply_change(change);
+            is_news = true;
+        }
+        if is_news {
+            self.publish();
+        }
+    }
+
+    /// Puts in force again what is still ahead of what is known.
+    fn renew_early(&mut self) {
+        for change in self.early.drop_until(self.revision) {
+            self.apply_change(change);
+        }
+    }
+
+    fn log_change(&self, change: &FeedChange) {
         match change {
-            FeedChange::Description(description) => self.adopt(*description),
-            FeedChange::UpstreamWritten(record) => {
-                self.log_listed(&record);
-                self.table.put(record, now);
+            FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
+            FeedChange::UpstreamWritten(record) => self.log_listed(record),
+            FeedChange::UpstreamRemoved(name) => self.log_unlisted(name),
+            FeedChange::EvacuationStarted(centre) => {
+                tracing::info!(data_centre = %centre, "evacuation starts");
             }
-            FeedChange::UpstreamRemoved(name) => {
-                self.log_unlisted(&name);
-                self.table.remove(&name, now);
+            FeedChange::EvacuationEnded(centre) => {
+                tracing::info!(data_centre = %centre, "evacuation ends");
             }
+        }
+    }
+
+    /// Puts a change in force that is not about the description.
+    fn apply_change(&mut self, change: FeedChange) {
+        let now = self.now();
+        match change {
+            FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
+            FeedChange::UpstreamWritten(record) => self.table.put(record, now),
+            FeedChange::UpstreamRemoved(name) => self.table.remove(&name, now),
             FeedChange::EvacuationStarted(centre) => {
-                tracing::info!(data_centre = %centre, "evacuation starts");
                 self.change_evacuated(|evacuated| evacuated.insert(centre));
             }
             FeedChange::EvacuationEnded(centre) => {
-                tracing::info!(data_centre = %centre, "evacuation ends");
                 self.change_evacuated(|evacuated| evacuated.remove(&centre));
             }
         }
     }
 
+    /// Replaces the evacuated data centres. Returns the changes.
+    fn change_evacuations(&mut self, evacuated: BTreeSet<DataCentreName>) -> Vec<FeedChange> {
+        let held = self.table.evacuated();
+        let started = evacuated.difference(held).cloned().map(FeedChange::EvacuationStarted);
+        let ended = held.difference(&evacuated).cloned().map(FeedChange::EvacuationEnded);
+        let changes: Vec<FeedChange> = started.chain(ended).collect();
+        changes.iter().for_each(|change| self.log_change(change));
+        self.table.set_evacuated(evacuated);
+        changes
+    }
+
     fn log_listed(&self, record: &UpstreamRecord) {
         tracing::info!(
             upstream = %record.name,
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -1,9 +1,12 @@
 //! The control actor: the one place where this daemon's beliefs change.
 
+mod behind;
 mod change_log;
+mod early_changes;
 mod feed_changes;
 mod heartbeats;
 mod load_reports;
+mod peer_changes;
 mod region_waits;
 mod traffic_view;
 
@@ -23,13 +26,15 @@
 use tokio::sync::{mpsc, watch};
 use xtra::{Context, Handler};
 
+use self::behind::BehindMark;
+pub use self::behind::{AheadPeer, FindAhead};
 use self::change_log::ChangeLog;
 pub use self::change_log::StateOffer;
-pub use self::feed_changes::{
-    AheadPeer, FindAhead, HearChanges, OfferSnapshot, TakeChanges, ToldChanges,
-};
+pub use self::early_changes::EarlyChanges;
+pub use self::feed_changes::ToldChanges;
 pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
+pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
 use crate::feed::FeedTurn;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
@@ -82,10 +87,14 @@
     beats: u32,
     /// How many rounds of load reports were made.
     reports: u32,
+    /// Changes in force ahead of their turn.
+    early: EarlyChanges,
+    /// Whether changes do not lead from what is known to what others know, so that all of it is asked for.
+    needs_all: bool,
     /// Since when another VM has known more of the platform's changes.
-    behind_since: Option<MonoTime>,
-    /// Whether that has lasted so long that it was logged.
-    is_long_behind: bool,
+    behind: Option<BehindMark>,
+    /// How often other VMs were asked for what they know more.
+    askings: u32,
     /// Whether the last reading of the platform failed.
     is_disturbed: bool,
     /// Whether other VMs of the region tell of an outage of the platform.
@@ -126,8 +135,10 @@
             relayed: Vec::new(),
             beats: 0,
             reports: 0,
-            behind_since: None,
-            is_long_behind: false,
+            early: EarlyChanges::default(),
+            needs_all: false,
+            behind: None,
+            askings: 0,
             is_disturbed: false,
             is_told_outage: false,
             has_state: false,
--- /dev/null
+++ b/crates/foldhaven-gateway/src/keeper/peer_changes.rs
@@ -0,0 +1,79 @@
+//! Takes in what other VMs tell of the platform's changes, when asked and unasked.
+
+use std::net::SocketAddr;
+
+use xtra::{Context, Handler};
+
+use super::ControlKeeper;
+use crate::feed::{ChangeSet, CountedChange, FeedSnapshot};
+
+/// Another VM of the region told of changes that it read.
+pub struct HearChanges {
+    pub changes: ChangeSet,
+}
+
+impl Handler<HearChanges> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearChanges, _: &mut Context<Self>) {
+        let HearChanges { changes } = message;
+        if self.follows(&changes) {
+            self.take_changes(changes);
+        } else {
+            // What is missing is asked for, like after a lost datagram.
+            self.take_early(changes.changes);
+        }
+    }
+}
+
+/// Another VM of the region told of changes without those that precede them.
+pub struct HearEarly {
+    pub changes: Vec<CountedChange>,
+}
+
+impl Handler<HearEarly> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearEarly, _: &mut Context<Self>) {
+        self.take_early(message.changes);
+    }
+}
+
+/// What a VM that was asked told of the platform's changes.
+pub struct OfferSnapshot {
+    pub snapshot: FeedSnapshot,
+    pub peer: SocketAddr,
+}
+
+impl Handler<OfferSnapshot> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, offer: OfferSnapshot, _: &mut Context<Self>) {
+        let OfferSnapshot { snapshot, peer } = offer;
+        let (before, revision) = (self.revision, snapshot.revision);
+        let is_news = revision > before || self.needs_all && revision == before;
+        if is_news {
+            tracing::info!(peer = %peer, revision, before, "state taken from a peer");
+            self.take_snapshot(snapshot);
+            self.publish();
+        }
+    }
+}
+
+/// The changes that a VM was asked for.
+pub struct TakeChanges {
+    pub changes: ChangeSet,
+    pub peer: SocketAddr,
+}
+
+impl Handler<TakeChanges> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeChanges, _: &mut Context<Self>) {
+        let TakeChanges { changes, peer } = message;
+        let (before, revision) = (self.revision, changes.revision);
+        if revision > before && self.take_changes(changes).is_some() {
+            tracing::info!(peer = %peer, revision, before, "state taken from a peer");
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -15,7 +15,6 @@
 use super::ControlKeeper;
 use super::change_log::StateOffer;
 use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT};
-use crate::feed::FeedSnapshot;
 use crate::upstream::{Upstream, UpstreamIdentity};
 use crate::view::{GatewayView, PeerLink};
 
@@ -58,25 +57,21 @@
     }
 
     /// What another VM may take over from this one, made anew when something of it has changed.
-    fn current_offer(&mut self, routes: &RouteTable, now: MonoTime) -> Arc<StateOffer> {
-        let known = self.offer.take().filter(|offer| offer.snapshot.revision == self.revision);
+    fn current_offer(&mut self, routes: &Arc<RouteTable>, now: MonoTime) -> Arc<StateOffer> {
+        let known = self.offer.take().filter(|offer| offer.revision == self.revision);
         let offer = known.unwrap_or_else(|| {
-            let snapshot = self.snapshot(routes, now);
-            Arc::new(StateOffer { snapshot, log: self.log.clone() })
+            Arc::new(StateOffer {
+                revision: self.revision,
+                routes: routes.clone(),
+                upstreams: self.table.records(now),
+                evacuated: self.table.evacuated().clone(),
+                log: self.log.clone(),
+            })
         });
         self.offer = Some(offer.clone());
         offer
     }
 
-    fn snapshot(&self, routes: &RouteTable, now: MonoTime) -> FeedSnapshot {
-        FeedSnapshot {
-            revision: self.revision,
-            description: Some(routes.description().clone()),
-            upstreams: self.table.records(now),
-            evacuated: self.table.evacuated().clone(),
-        }
-    }
-
     /// The upstreams that may get new requests. What was measured of those that stay listed is kept.
     fn current_upstreams(
         &mut self,
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod call;
 mod caller_front;
+mod codec;
 mod connection;
 mod daemon;
 mod datagrams;
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
+use bincode::Options;
 use foldhaven_core::headers;
 use foldhaven_core::ids::ServiceName;
 use http::{HeaderValue, Request, StatusCode};
@@ -11,6 +12,7 @@
 
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::caller_front::run_job;
+use crate::codec::peer_codec;
 use crate::front::FrontHandler;
 use crate::job::{CallerTerms, GatewayJob, ReadRequest, host_of, read_body, read_terms};
 use crate::peer_state::{PEER_STATE_AFTER, PEER_STATE_PATH};
@@ -45,13 +47,15 @@
         let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
         let known = query.and_then(|query| query.strip_prefix(PEER_STATE_AFTER));
         let state = view.offer.state_after(known.and_then(|known| known.parse().ok()));
-        match serde_json::to_vec(&state) {
+        match peer_codec().serialize(&state) {
             Ok(body) => {
-                let bytes = body.len();
+                let (revision, bytes) = (view.offer.revision, body.len());
                 self.shared.metrics.count_event("state_told");
                 self.shared.metrics.add_events("state_told_bytes", bytes as u64);
-                tracing::info!(query, revision = view.offer.snapshot.revision, bytes, "state told");
-                body_answer(StatusCode::OK, "application/json", body)
+                tracing::info!(query, revision, bytes, "state told");
+                let mut answer = body_answer(StatusCode::OK, "application/octet-stream", body);
+                answer.headers_mut().insert(headers::REVISION, HeaderValue::from(revision));
+                answer
             }
             Err(error) => {
                 tracing::error!(error = %error, "writing the state for a peer failed");
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bincode::Options;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use tokio::time::{sleep, timeout};
 
+use crate::codec::peer_codec;
 use crate::connection::{Connection, FAR_CONNECT_LIMIT};
 use crate::feed::PeerState;
 use crate::keeper::{AheadPeer, FindAhead, KeeperAddress, OfferSnapshot, TakeChanges};
@@ -21,8 +24,9 @@
 pub const PEER_STATE_AFTER: &str = "after=";
 /// How often it is looked whether another VM knows more.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a peer may take to tell.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// For how long a peer may be silent, before its answer and within it. There is no limit on the whole: it would
+/// be met again and again by an answer that is larger than a narrow link carries in that time.
+const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 /// The largest state that is taken.
 const MAX_STATE_BYTES: usize = 16 << 20;
 /// After a peer could not be asked.
@@ -37,12 +41,12 @@
     Http(hyper::Error),
     /// status {0}
     Status(StatusCode),
-    /// reading the answer: {0}
-    Read(Box<dyn std::error::Error + Send + Sync>),
     /// the answer: {0}
-    Content(serde_json::Error),
-    /// no answer in time
-    Late,
+    Content(bincode::Error),
+    /// silent after {0} bytes
+    Silent(usize),
+    /// too large
+    TooLarge,
 }
 
 /// Takes over from peers what this daemon has not read itself.
@@ -52,7 +56,7 @@
         let Ok(ahead) = keeper.send(FindAhead).await else { return };
         let Some(AheadPeer { peer, known }) = ahead else { continue };
         let started = Instant::now();
-        let asked = timeout(ANSWER_LIMIT, ask(peer, known)).await.unwrap_or(Err(AskError::Late));
+        let asked = ask(peer, known).await;
         match asked {
             Ok(TakenState { state, bytes }) => {
                 shared.metrics.note_span("state_asked", started.elapsed());
@@ -92,12 +96,29 @@
         .header(HOST, peer.to_string())
         .body(Full::<Bytes>::default())
         .expect("a constant path makes a request");
-    let response = connection.sender.send_request(request).await.map_err(AskError::Http)?;
+    let response = timeout(SILENT_LIMIT, connection.sender.send_request(request)).await;
+    let response = response.map_err(|_| AskError::Silent(0))?.map_err(AskError::Http)?;
     if response.status() != StatusCode::OK {
         return Err(AskError::Status(response.status()));
     }
-    let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
-    let body = body.map_err(AskError::Read)?.to_bytes();
-    let state = serde_json::from_slice(&body).map_err(AskError::Content)?;
+    let body = read_state(response.into_body()).await?;
+    let state = peer_codec().deserialize(&body).map_err(AskError::Content)?;
     Ok(TakenState { state, bytes: body.len() })
 }
+
+/// Reads an answer for as long as more of it comes.
+async fn read_state(mut body: Incoming) -> Result<Vec<u8>, AskError> {
+    let mut bytes = Vec::new();
+    loop {
+        let frame = timeout(SILENT_LIMIT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| AskError::Silent(bytes.len()))? else {
+            return Ok(bytes);
+        };
+        if let Some(data) = frame.map_err(AskError::Http)?.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() > MAX_STATE_BYTES {
+            return Err(AskError::TooLarge);
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -25,6 +25,10 @@
 /// Readings start well above zero, so that spans can be taken off early ones.
 const HEAD_START: Duration = Duration::from_secs(3_600);
 
+/// From when on a VM that others are ahead of does not rule out what it does not know. Changes are in force
+/// everywhere within five seconds, by the operators' word; asking for them takes well under one.
+const BEHIND_BELIEF: Duration = Duration::from_millis(1_000);
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopStage {
@@ -67,6 +71,8 @@
     /// Told when none is under way any more.
     settled: Notify,
     is_leaving: AtomicBool,
+    /// Since when other VMs have known changes of the platform that this one does not.
+    behind_since: Mutex<Option<MonoTime>>,
 }
 
 impl GatewayShared {
@@ -89,6 +95,7 @@
             in_flight: AtomicU32::new(0),
             settled: Notify::new(),
             is_leaving: AtomicBool::new(false),
+            behind_since: Mutex::default(),
         })
     }
 
@@ -122,6 +129,17 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Notes since when other VMs have known changes of the platform that this one does not.
+    pub fn set_behind_since(&self, since: Option<MonoTime>) {
+        *self.behind_since.lock() = since;
+    }
+
+    /// Whether this VM knows that others know more, for longer than a change takes to reach it.
+    pub fn is_behind(&self) -> bool {
+        let since = *self.behind_since.lock();
+        since.is_some_and(|since| self.now().since(since) >= BEHIND_BELIEF)
+    }
+
     /// Goes on to a stage of a planned stop.
     pub fn enter_stage(&self, stage: StopStage) {
         self.is_leaving.store(stage != StopStage::Serving, Ordering::Relaxed);
