--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -25,6 +25,9 @@
 
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 << 10;
+/// How many parts of prompts go into one datagram. A part is a hash and a count of at most 14 bytes together, so that
+/// half of the datagram is left for the rest.
+const MAX_PARTS: usize = 580;
 /// A VM without requests reports in every n-th round only.
 const IDLE_ROUNDS: u32 = 4;
 /// Between two rounds of a process that has just started: its seeds may start at the same moment and
@@ -86,10 +89,10 @@
         // The first idle report says that the earlier requests have ended; later ones that this VM
         // lives.
         if !is_idle || idle_rounds % IDLE_ROUNDS == 0 {
-            send_to(&socket, &targets, &PeerMessage::Load(report)).await;
+            send_report(&socket, &targets, report).await;
         }
-        if !far_placements.is_empty() {
-            send_to(&socket, &far_targets, &PeerMessage::Placements(far_placements)).await;
+        for placements in fitting_chunks(far_placements) {
+            send_to(&socket, &far_targets, &PeerMessage::Placements(placements)).await;
         }
         if let Some(region) = region {
             send_to(&socket, &far_targets, &PeerMessage::Region(region)).await;
@@ -99,6 +102,38 @@
     }
 }
 
+/// Sends a load report. It is also the sign that this VM lives, and so must fit a datagram: prompts beyond that,
+/// which only make requests faster, are left out.
+async fn send_report(socket: &UdpSocket, targets: &[SocketAddr], mut report: LoadReport) {
+    let mut chunks = fitting_chunks(std::mem::take(&mut report.placements)).into_iter();
+    report.placements = chunks.next().unwrap_or_default();
+    let left_out: usize = chunks.map(|chunk| chunk.len()).sum();
+    if left_out > 0 {
+        tracing::warn!(placements = report.placements.len(), left_out, "a load report was cut");
+    }
+    send_to(socket, targets, &PeerMessage::Load(report)).await;
+}
+
+/// Prompts in portions of which each fits a datagram, with other things beside it.
+fn fitting_chunks(placements: Vec<PromptPlacement>) -> Vec<Vec<PromptPlacement>> {
+    let mut chunks: Vec<Vec<PromptPlacement>> = Vec::new();
+    let mut parts = MAX_PARTS;
+    for mut placement in placements {
+        // What is left is the beginning of the prompt, which is where prompts meet.
+        placement.shared.truncate(MAX_PARTS - 1);
+        let size = placement.shared.len() + 1;
+        match chunks.last_mut() {
+            Some(chunk) if parts + size <= MAX_PARTS => chunk.push(placement),
+            _ => {
+                parts = 0;
+                chunks.push(vec![placement]);
+            }
+        }
+        parts += size;
+    }
+    chunks
+}
+
 /// Takes datagrams and hands them to the keeper.
 pub async fn hear_datagrams(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
     let mut buffer = vec![0; MAX_DATAGRAM];
