Take no requests after four seconds behind VMs of the same region, and ask others when one is silent

It now answers 503 (behind) from four seconds on; a region in which nobody is ahead is cut off and goes on.

A VM that did not answer is asked again only when no other knows more. A VM that differences do not lead on takes the whole state even of the version that it holds.

--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -72,7 +72,7 @@
     BodyTooLarge,
     /// no such route
     NoRoute,
-    /// no such route is known yet
+    /// others know a newer description
     Behind,
     /// no upstream can take it
     NoUpstream,
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -63,6 +63,9 @@
     let limits = view.routes.description().limits;
     check_head(&head, &limits)?;
     let body = read_body(body, &limits).await?;
+    if shared.is_too_far_behind() {
+        return Err(Refusal::Behind);
+    }
     // The description may have changed while the body came.
     let view = shared.view().ok_or(Refusal::NoDescription)?;
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
@@ -79,7 +82,7 @@
 /// What is said of a route that is not known. A VM that knows that others know more says no more than that
 /// nothing has run.
 fn unknown_route(shared: &GatewayShared) -> Refusal {
-    match shared.is_behind() {
+    match shared.is_in_doubt() {
         true => Refusal::Behind,
         false => Refusal::NoRoute,
     }
--- a/crates/foldhaven-gateway/src/keeper/behind.rs
+++ b/crates/foldhaven-gateway/src/keeper/behind.rs
@@ -9,6 +9,7 @@
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
+use crate::shared::BehindBelief;
 
 /// A VM of this region that has read more of the platform's changes than this one for so long is asked
 /// for them.
@@ -24,12 +25,17 @@
     since: MonoTime,
     /// The revision that others knew then.
     revision: u64,
+    /// Whether a VM of this region was among them.
+    is_near: bool,
     /// Whether it has lasted so long that it was logged.
     is_logged: bool,
 }
 
 /// Asks which VM knows more of the platform's changes.
-pub struct FindAhead;
+pub struct FindAhead {
+    /// A VM that did not answer, and is asked again only when no other knows more.
+    pub avoided: Option<SocketAddr>,
+}
 
 /// A VM that knows more, and the revision that this one knows.
 pub struct AheadPeer {
@@ -40,14 +46,15 @@
 impl Handler<FindAhead> for ControlKeeper {
     type Return = Option<AheadPeer>;
 
-    async fn handle(&mut self, _: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
+    async fn handle(&mut self, find: FindAhead, _: &mut Context<Self>) -> Option<AheadPeer> {
         let now = self.now();
-        self.note_progress(now);
-        let ahead = self.ahead_peer()?;
+        self.note_progress();
+        let ahead = self.ahead_peer(find.avoided)?;
         let (peer, revision) = (ahead.peer, ahead.revision);
         let is_near = ahead.region == *self.shared.settings.region();
         let limit = if is_near { BEHIND_LIMIT } else { FAR_BEHIND_LIMIT };
-        let behind = self.note_behind(peer, revision, now);
+        let fresh = BehindMark { since: now, revision, is_near, is_logged: false };
+        let behind = self.note_behind(fresh, peer);
         let is_due = self.routes.is_none() || self.needs_all || behind >= limit;
         let known = (self.has_state && !self.needs_all).then_some(self.revision);
         self.askings = self.askings.wrapping_add(u32::from(is_due));
@@ -59,7 +66,7 @@
     /// A VM that knows more of the platform's changes than this one. Those of this data centre go first,
     /// then those of this region. Of these, two are drawn, other ones by each VM and at each asking, and the
     /// one that knows more is taken: if all asked the same one, its link would carry everything.
-    fn ahead_peer(&self) -> Option<&PeerBeat> {
+    fn ahead_peer(&self, avoided: Option<SocketAddr>) -> Option<&PeerBeat> {
         let now = self.now();
         let settings = &self.shared.settings;
         let is_ahead = |beat: &&PeerBeat| match self.needs_all {
@@ -67,7 +74,8 @@
             false => beat.revision > self.revision,
         };
         let nearness = |beat: &PeerBeat| {
-            (beat.region == *settings.region(), beat.data_centre == settings.data_centre)
+            let is_here = beat.data_centre == settings.data_centre;
+            (avoided != Some(beat.peer), beat.region == *settings.region(), is_here)
         };
         let mut ahead: Vec<&PeerBeat> = self.peers.live(now).filter(is_ahead).collect();
         let nearest = ahead.iter().map(|beat| nearness(beat)).max()?;
@@ -79,27 +87,29 @@
     }
 
     /// Notes that a VM knows more. Returns for how long this one has not known what others did.
-    fn note_behind(&mut self, peer: SocketAddr, ahead: u64, now: MonoTime) -> Duration {
-        let fresh = BehindMark { since: now, revision: ahead, is_logged: false };
-        let mark = self.behind.get_or_insert(fresh);
-        let behind = now.since(mark.since);
+    fn note_behind(&mut self, fresh: BehindMark, peer: SocketAddr) -> Duration {
+        let held = self.behind.filter(|held| held.is_near || !fresh.is_near);
+        let mut mark = held.unwrap_or(fresh);
+        let behind = fresh.since.since(mark.since);
         if behind >= LONG_BEHIND && !std::mem::replace(&mut mark.is_logged, true) {
             let behind_ms = behind.as_millis() as u64;
-            let (revision, version) = (self.revision, self.version().0);
-            tracing::warn!(peer = %peer, ahead, revision, version, behind_ms, "behind other VMs");
+            let (ahead, revision, version) = (fresh.revision, self.revision, self.version().0);
+            let is_near = mark.is_near;
+            tracing::warn!(peer = %peer, ahead, revision, version, is_near, behind_ms, "behind other VMs");
         }
+        self.behind = Some(mark);
         self.show_behind();
         behind
     }
 
     /// Notes whether what others knew is known now, or nobody is left who knew it.
-    pub(super) fn note_progress(&mut self, now: MonoTime) {
+    pub(super) fn note_progress(&mut self) {
         let Some(mark) = self.behind else { return };
-        if self.revision < mark.revision && self.ahead_peer().is_some() {
+        if self.revision < mark.revision && self.ahead_peer(None).is_some() {
             return;
         }
         self.behind = None;
-        let behind = now.since(mark.since);
+        let behind = self.now().since(mark.since);
         self.shared.metrics.note_span("behind", behind);
         if mark.is_logged {
             let behind_ms = behind.as_millis() as u64;
@@ -114,7 +124,8 @@
     }
 
     fn show_behind(&self) {
-        self.shared.set_behind_since(self.behind.map(|mark| mark.since));
+        let belief = |mark: BehindMark| BehindBelief { since: mark.since, is_near: mark.is_near };
+        self.shared.set_behind(self.behind.map(belief));
         self.shared.metrics.set_level("behind_ms", self.behind_for().as_millis() as u64);
     }
 }
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -157,7 +157,7 @@
         }
         let (now, after) = (self.now(), self.log.last_revision());
         self.revision = revision;
-        self.needs_all = false;
+        let replaces = std::mem::replace(&mut self.needs_all, false);
         let difference = self.table.replace(upstreams, now);
         let is_first = !std::mem::replace(&mut self.has_state, true);
         let mut changes = self.change_evacuations(evacuated);
@@ -171,7 +171,9 @@
         changes.extend(difference.listed.into_iter().map(FeedChange::UpstreamWritten));
         changes.extend(difference.unlisted.into_iter().map(FeedChange::UpstreamRemoved));
         let offered = description.as_ref().map(|description| description.version);
-        let is_newer = self.routes.is_none() || offered > Some(self.version());
+        let held = self.routes.as_deref().map(RouteTable::version);
+        // When differences do not lead on, the description that is held may be another one of its version.
+        let is_newer = offered > held || replaces && offered == held;
         match description.filter(|_| is_newer) {
             Some(description) => changes.push(self.adopt(description)),
             None => offered.into_iter().for_each(|offered| self.note_older(offered)),
@@ -210,6 +212,7 @@
             }
         };
         self.revision = known.max(set.revision);
+        self.needs_all = false;
         self.shared.metrics.set_level("revision", self.revision);
         let is_urgent = news.iter().any(|counted| counted.change.is_urgent());
         let mut taken: Vec<CountedChange> = Vec::new();
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -198,6 +198,7 @@
         self.peers.forget(now);
         self.regions.forget(now);
         self.note_told_outage();
+        self.note_progress();
         if self.table.expire(now) {
             tracing::info!("upstreams dropped that were not listed again");
         }
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -82,6 +82,9 @@
     let started = Instant::now();
     let (mut head, body) = request.into_parts();
     let view = shared.view().ok_or(Refusal::NoDescription)?;
+    if shared.is_too_far_behind() {
+        return Err(Refusal::Behind);
+    }
     head.headers.remove(headers::VISITED).ok_or(Refusal::NotPermitted)?;
     let service = head.headers.remove(headers::SERVICE).ok_or(Refusal::NotPermitted)?;
     let service: ServiceName =
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -51,14 +51,16 @@
 
 /// Takes over from peers what this daemon has not read itself.
 pub async fn follow_peers(shared: Arc<GatewayShared>, keeper: KeeperAddress) {
+    let mut avoided = None;
     loop {
         sleep(CHECK_INTERVAL).await;
-        let Ok(ahead) = keeper.send(FindAhead).await else { return };
+        let Ok(ahead) = keeper.send(FindAhead { avoided }).await else { return };
         let Some(AheadPeer { peer, known }) = ahead else { continue };
         let started = Instant::now();
         let asked = ask(peer, known).await;
         match asked {
             Ok(TakenState { state, bytes }) => {
+                avoided = None;
                 shared.metrics.note_span("state_asked", started.elapsed());
                 shared.metrics.add_events("state_taken_bytes", bytes as u64);
                 let taken = match state {
@@ -72,6 +74,7 @@
                 }
             }
             Err(error) => {
+                avoided = Some(peer);
                 shared.metrics.count_event("state_not_taken");
                 let ms = started.elapsed().as_millis() as u64;
                 tracing::warn!(vm = %shared.settings.vm, peer = %peer, error = %error, ms, "asking a peer failed");
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -27,7 +27,20 @@
 
 /// From when on a VM that others are ahead of does not rule out what it does not know. Changes are in force
 /// everywhere within five seconds, by the operators' word; asking for them takes well under one.
-const BEHIND_BELIEF: Duration = Duration::from_millis(1_000);
+const DOUBT_AFTER: Duration = Duration::from_millis(1_000);
+/// From when on a VM that others of its region are ahead of takes no requests, short of those five seconds: what
+/// it would do with them may be forbidden by now, and its callers have others to ask. A region that is cut off has
+/// nobody ahead in it and goes on.
+const REFUSE_AFTER: Duration = Duration::from_millis(4_000);
+
+/// That other VMs know changes of the platform that this one does not.
+#[derive(Debug, Clone, Copy)]
+pub struct BehindBelief {
+    /// Since when.
+    pub since: MonoTime,
+    /// Whether a VM of this region is among them.
+    pub is_near: bool,
+}
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -71,8 +84,8 @@
     /// Told when none is under way any more.
     settled: Notify,
     is_leaving: AtomicBool,
-    /// Since when other VMs have known changes of the platform that this one does not.
-    behind_since: Mutex<Option<MonoTime>>,
+    /// What is believed of others that know more.
+    behind: Mutex<Option<BehindBelief>>,
 }
 
 impl GatewayShared {
@@ -95,7 +108,7 @@
             in_flight: AtomicU32::new(0),
             settled: Notify::new(),
             is_leaving: AtomicBool::new(false),
-            behind_since: Mutex::default(),
+            behind: Mutex::default(),
         })
     }
 
@@ -129,15 +142,24 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
-    /// Notes since when other VMs have known changes of the platform that this one does not.
-    pub fn set_behind_since(&self, since: Option<MonoTime>) {
-        *self.behind_since.lock() = since;
+    /// Notes whether other VMs know changes of the platform that this one does not.
+    pub fn set_behind(&self, belief: Option<BehindBelief>) {
+        *self.behind.lock() = belief;
+    }
+
+    /// Whether what is not known here may well be known to others.
+    pub fn is_in_doubt(&self) -> bool {
+        self.behind_for(DOUBT_AFTER).is_some()
+    }
+
+    /// Whether others of the region have known more for so long that this VM is to take no requests.
+    pub fn is_too_far_behind(&self) -> bool {
+        self.behind_for(REFUSE_AFTER).is_some_and(|belief| belief.is_near)
     }
 
-    /// Whether this VM knows that others know more, for longer than a change takes to reach it.
-    pub fn is_behind(&self) -> bool {
-        let since = *self.behind_since.lock();
-        since.is_some_and(|since| self.now().since(since) >= BEHIND_BELIEF)
+    fn behind_for(&self, span: Duration) -> Option<BehindBelief> {
+        let belief = *self.behind.lock();
+        belief.filter(|belief| self.now().since(belief.since) >= span)
     }
 
     /// Goes on to a stage of a planned stop.
