--- a/crates/foldhaven-gateway/src/settings.rs
+++ b/crates/foldhaven-gateway/src/settings.rs
@@ -1,14 +1,13 @@
 //! The settings of a gateway daemon, in YAML.
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, RegionName, VmName};
 use foldhaven_core::opaque::retry_share::RetryLimits;
+use foldhaven_wire::settings_file::{CheckedSettings, SettingsError, SettingsFault, read_settings};
 use serde::{Deserialize, Serialize};
 
 /// The addresses on which a daemon listens.
@@ -83,69 +82,45 @@
     "info".to_owned()
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum SettingsError {
-    /// reading {path}: {source}
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// What went wrong.
-        source: io::Error,
-    },
-    /// {path}: {message}
-    Syntax {
-        /// The file.
-        path: PathBuf,
-        /// Line, column and what was expected.
-        message: String,
-    },
-    /// {path}: {field}: {message}
-    Field {
-        /// The file.
-        path: PathBuf,
-        /// The field.
-        field: &'static str,
-        /// What was expected.
-        message: &'static str,
-    },
-}
-
-impl GatewaySettings {
-    /// Reads settings from a file and checks them.
-    ///
-    /// # Errors
-    ///
-    /// When the file cannot be read, is not YAML of the right shape, or has a value out of range.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        let settings: Self = serde_saphyr::from_str(&text).map_err(|error| {
-            SettingsError::Syntax { path: path.to_owned(), message: error.to_string() }
-        })?;
-        match settings.fault() {
-            None => Ok(settings),
-            Some((field, message)) => {
-                Err(SettingsError::Field { path: path.to_owned(), field, message })
-            }
-        }
-    }
-
-    fn fault(&self) -> Option<(&'static str, &'static str)> {
+impl CheckedSettings for GatewaySettings {
+    fn fault(&self) -> Option<SettingsFault> {
         if !self.regions.contains_key(&self.data_centre) {
-            return Some(("regions", "expected the region of this VM's data centre"));
+            return Some(SettingsFault {
+                field: "regions",
+                message: "expected the region of this VM's data centre",
+            });
         }
         if !(self.limits.retry_ratio >= 0.0 && self.limits.retry_extra >= 0.0) {
-            return Some(("limits", "expected retry_ratio and retry_extra of at least 0"));
+            return Some(SettingsFault {
+                field: "limits",
+                message: "expected retry_ratio and retry_extra of at least 0",
+            });
         }
         if !(0.1..=3_600.0).contains(&self.limits.retry_window_s) {
-            return Some(("limits.retry_window_s", "expected 0.1 to 3600 seconds"));
+            return Some(SettingsFault {
+                field: "limits.retry_window_s",
+                message: "expected 0.1 to 3600 seconds",
+            });
         }
         if !(0.5..=3_600.0).contains(&self.grace_s) {
-            return Some(("grace_s", "expected 0.5 to 3600 seconds"));
+            return Some(SettingsFault {
+                field: "grace_s",
+                message: "expected 0.5 to 3600 seconds",
+            });
         }
         None
     }
+}
+
+impl GatewaySettings {
+    /// Reads settings from a file and checks them.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, is not YAML of the right shape, or has a value out of range.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        read_settings(path)
+    }
 
     /// The region of this VM.
     pub fn region(&self) -> &RegionName {
--- a/crates/foldhaven-wire/src/lib.rs
+++ b/crates/foldhaven-wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod listen;
 pub mod operator;
 pub mod platform;
+pub mod settings_file;
 pub mod sse;
--- a/crates/foldhavend/src/settings.rs
+++ b/crates/foldhavend/src/settings.rs
@@ -1,16 +1,15 @@
 //! The settings of one daemon: where it is, its addresses, and whom it asks first.
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, VmName};
 use foldhaven_core::membership::{MembershipTimes, VmAddresses};
 use foldhaven_core::policy::PolicyKind;
 use foldhaven_core::units::TimeSpan;
+use foldhaven_wire::settings_file::{CheckedSettings, SettingsError, SettingsFault, read_settings};
 use serde::{Deserialize, Serialize};
 
 /// The settings of one daemon, as they stand in YAML.
@@ -99,70 +98,43 @@
     }
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum SettingsError {
-    /// reading {path}: {source}
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// What went wrong.
-        source: io::Error,
-    },
-    /// {path}: {message}
-    Syntax {
-        /// The file.
-        path: PathBuf,
-        /// Line, column and what was expected.
-        message: String,
-    },
-    /// {path}: {field}: {message}
-    Field {
-        /// The file.
-        path: PathBuf,
-        /// The field.
-        field: &'static str,
-        /// What was expected.
-        message: &'static str,
-    },
-}
-
-impl DaemonSettings {
-    /// Reads settings from a file and checks them.
-    ///
-    /// # Errors
-    ///
-    /// When the file cannot be read, is not YAML of the right shape, or has a value out of range.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        let settings: Self = serde_saphyr::from_str(&text).map_err(|error| {
-            SettingsError::Syntax { path: path.to_owned(), message: error.to_string() }
-        })?;
-        match settings.fault() {
-            None => Ok(settings),
-            Some((field, message)) => {
-                Err(SettingsError::Field { path: path.to_owned(), field, message })
-            }
-        }
-    }
-
-    fn fault(&self) -> Option<(&'static str, &'static str)> {
+impl CheckedSettings for DaemonSettings {
+    fn fault(&self) -> Option<SettingsFault> {
         let VmAddresses { caller, peer, control } = &self.addresses;
         if caller == peer || peer == control || caller == control {
-            return Some(("addresses", "expected three different addresses"));
+            return Some(SettingsFault {
+                field: "addresses",
+                message: "expected three different addresses",
+            });
         }
         if self.times.heartbeat.0 < Duration::from_millis(10) {
-            return Some(("times.heartbeat", "expected at least 10ms"));
+            return Some(SettingsFault {
+                field: "times.heartbeat",
+                message: "expected at least 10ms",
+            });
         }
         if self.times.suspect.0 < self.times.heartbeat.0 * 2 {
-            return Some(("times.suspect", "expected at least twice times.heartbeat"));
+            return Some(SettingsFault {
+                field: "times.suspect",
+                message: "expected at least twice times.heartbeat",
+            });
         }
         if self.threads == 0 {
-            return Some(("threads", "expected at least 1"));
+            return Some(SettingsFault { field: "threads", message: "expected at least 1" });
         }
         None
     }
+}
+
+impl DaemonSettings {
+    /// Reads settings from a file and checks them.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, is not YAML of the right shape, or has a value out of range.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        read_settings(path)
+    }
 
     /// The address to dial for one that others name.
     pub fn reroute(&self, address: SocketAddr) -> SocketAddr {
