Tell everything, and no difference, after all items were read anew

Whoever knows less is again told everything; what forbids requests still goes ahead, also when several changes carry one revision.

--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -11,7 +11,7 @@
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use xtra::{Context, Handler};
 
-use super::ControlKeeper;
+use super::{ControlKeeper, EarlyChanges};
 use crate::feed::{ChangeSet, ChangeSubject, CountedChange, FeedChange, FeedNews, FeedSnapshot};
 
 /// Changes that other VMs are to be told of.
@@ -147,46 +147,41 @@
         }
     }
 
-    /// Replaces what is known by a snapshot, unless the snapshot is older. Returns what that changes; nothing
-    /// for the first one, after which there is no change to tell of.
+    /// Replaces what is known by a snapshot, unless the snapshot is older. Returns what of it may be in force at
+    /// others before they know all of it.
     pub(super) fn take_snapshot(&mut self, snapshot: FeedSnapshot) -> Option<ChangeSet> {
         let FeedSnapshot { revision, description, upstreams, evacuated } = snapshot;
         if revision < self.revision {
             tracing::warn!(held = self.revision, offered = revision, "older state ignored");
             return None;
         }
-        let (now, after) = (self.now(), self.log.last_revision());
+        let now = self.now();
         self.revision = revision;
+        // What came and went since is in no difference: whoever knows less is told everything.
+        self.log.reset(revision);
         let replaces = std::mem::replace(&mut self.needs_all, false);
         let difference = self.table.replace(upstreams, now);
-        let is_first = !std::mem::replace(&mut self.has_state, true);
         let mut changes = self.change_evacuations(evacuated);
-        if is_first {
-            let upstreams = difference.listed.len();
-            tracing::info!(upstreams, revision, "first list of upstreams");
-        } else {
-            difference.listed.iter().for_each(|record| self.log_listed(record));
-            difference.unlisted.iter().for_each(|name| self.log_unlisted(name));
-        }
+        let upstreams = difference.listed.len();
         changes.extend(difference.listed.into_iter().map(FeedChange::UpstreamWritten));
         changes.extend(difference.unlisted.into_iter().map(FeedChange::UpstreamRemoved));
+        match std::mem::replace(&mut self.has_state, true) {
+            true => changes.iter().for_each(|change| self.log_change(change)),
+            false => tracing::info!(upstreams, revision, "first list of upstreams"),
+        }
         let offered = description.as_ref().map(|description| description.version);
         let held = self.routes.as_deref().map(RouteTable::version);
         // When differences do not lead on, the description that is held may be another one of its version.
         let is_newer = offered > held || replaces && offered == held;
         match description.filter(|_| is_newer) {
-            Some(description) => changes.push(self.adopt(description)),
+            Some(description) => drop(self.adopt(description)),
             None => offered.into_iter().for_each(|offered| self.note_older(offered)),
         }
         self.renew_early();
-        if is_first {
-            self.log.reset(revision);
-            return None;
-        }
+        changes.retain(EarlyChanges::may_precede);
         let counted = changes.into_iter().map(|change| CountedChange { revision, change });
-        let changes: Vec<CountedChange> = counted.collect();
-        changes.iter().for_each(|counted| self.log.push(counted.clone()));
-        Some(ChangeSet { after, revision, changes })
+        // They follow on nothing before this revision.
+        Some(ChangeSet { after: revision, revision, changes: counted.collect() })
     }
 
     /// Whether nothing is missing between what is known and these changes.
@@ -303,8 +298,7 @@
         let held = self.table.evacuated();
         let started = evacuated.difference(held).cloned().map(FeedChange::EvacuationStarted);
         let ended = held.difference(&evacuated).cloned().map(FeedChange::EvacuationEnded);
-        let changes: Vec<FeedChange> = started.chain(ended).collect();
-        changes.iter().for_each(|change| self.log_change(change));
+        let changes = started.chain(ended).collect();
         self.table.set_evacuated(evacuated);
         changes
     }
