foldhaven-testkit simulate: the decisions of hundreds of VMs in simulated time

Drives the order of service, report plan, load book, choice and admission of the core. It does not show the bad first seconds, nor the busiest upstream: kept prompt memory is not simulated.

--- a/crates/foldhaven-testkit/src/cmd/mod.rs
+++ b/crates/foldhaven-testkit/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod measure;
 pub mod scenario;
+pub mod simulate;
 pub mod stand_ins;
 
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
         .subcommand(scenario::make_subcommand())
         .subcommand(chaos::make_subcommand())
         .subcommand(measure::make_subcommand())
+        .subcommand(simulate::make_subcommand())
         .subcommand(stand_ins::make_platform())
         .subcommand(stand_ins::make_engine())
         .subcommand(stand_ins::make_service())
@@ -37,6 +39,7 @@
         Some(("demo", args)) => demo::execute(args),
         Some(("scenario", args)) => scenario::execute(args),
         Some(("measure", args)) => measure::execute(args),
+        Some(("simulate", args)) => simulate::execute(args),
         Some(("chaos", args)) => chaos::execute(args),
         Some(("platform", args)) => stand_ins::execute_platform(args),
         Some(("engine", args)) => stand_ins::execute_engine(args),
--- /dev/null
+++ b/crates/foldhaven-testkit/src/cmd/simulate.rs
@@ -0,0 +1,51 @@
+//! `simulate`: plays the gateway's decisions before simulated engines.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::simulate::{Experiment, Trial, make_page, play};
+
+/// The arguments of `simulate`.
+pub fn make_subcommand() -> Command {
+    let file = |name: &'static str, help: &'static str| {
+        Arg::new(name).value_name("FILE").value_parser(value_parser!(PathBuf)).help(help)
+    };
+    Command::new("simulate")
+        .about(
+            "Plays the decisions of hundreds of VMs in simulated time; a JSON line for each trial",
+        )
+        .arg(file("experiment", "The experiment, in YAML").required(true))
+        .arg(file("html", "Writes a page with plots").long("html"))
+}
+
+/// Plays an experiment.
+pub fn execute(args: &ArgMatches) -> ExitCode {
+    let path: &PathBuf = args.get_one("experiment").expect("the argument is required");
+    match run(path, args.get_one("html")) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("foldhaven-testkit: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(path: &std::path::Path, html: Option<&PathBuf>) -> Result<(), String> {
+    let experiment = Experiment::read(path).map_err(|error| error.to_string())?;
+    let mut trials: Vec<Trial> = Vec::new();
+    for service in &experiment.service {
+        for choice in &experiment.choice {
+            for seed in &experiment.seeds {
+                let trial = play(&experiment, *service, *choice, *seed);
+                let line = serde_json::to_string(&trial).map_err(|error| error.to_string())?;
+                println!("{line}");
+                trials.push(trial);
+            }
+        }
+    }
+    let Some(html) = html else { return Ok(()) };
+    let page = make_page(&trials).map_err(|error| error.to_string())?;
+    std::fs::write(html, page).map_err(|error| format!("writing {}: {error}", html.display()))
+}
--- a/crates/foldhaven-testkit/src/lib.rs
+++ b/crates/foldhaven-testkit/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod measure;
 pub mod relay;
 pub mod scenario;
+pub mod simulate;
 pub mod stand_in;
--- /dev/null
+++ b/crates/foldhaven-testkit/src/simulate/page.rs
@@ -0,0 +1,90 @@
+//! An experiment as one HTML page with plots, which opens from a file.
+
+use std::fmt::Write;
+
+use plotters::prelude::*;
+
+use super::world::{SecondCounts, Trial};
+
+const SIZE: (u32, u32) = (900, 260);
+
+/// Takes one count of a second.
+type SecondCount = fn(&SecondCounts) -> u64;
+
+/// A plot could not be drawn: {0}
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub struct PageError(String);
+
+/// Writes the page: a row for each trial, and what happened in each second of it.
+///
+/// # Errors
+///
+/// When a plot cannot be drawn.
+pub fn make_page(trials: &[Trial]) -> Result<String, PageError> {
+    let mut page = String::from(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Simulation</title>\
+         <style>body{font:15px sans-serif;margin:2em}td,th{padding:.3em .8em;text-align:right}\
+         </style></head><body>\n<h1>Simulation</h1>\n<table><tr><th>VMs that take requests</th>\
+         <th>choice</th><th>seed</th><th>worth</th><th>first two seconds</th>\
+         <th>refused by engines</th><th>busiest</th><th>opened</th><th>heard a second</th>\
+         <th>p99, ms</th></tr>\n",
+    );
+    for trial in trials {
+        // Writing to a string cannot fail.
+        let _ = writeln!(page, "{}", row(trial));
+    }
+    page.push_str("</table>\n");
+    for trial in trials {
+        let title = format!("{:?}, {:?}, seed {}", trial.service, trial.choice, trial.seed);
+        page.push_str(&plot(&title, &trial.seconds)?);
+    }
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn row(trial: &Trial) -> String {
+    format!(
+        "<tr><td>{} ({:?})</td><td>{:?}</td><td>{}</td><td>{:.3}</td><td>{:.3}</td><td>{:.3}</td>\
+         <td>{:.2}</td><td>{:.3}</td><td>{:.0}</td><td>{:.0}</td></tr>",
+        trial.in_service,
+        trial.service,
+        trial.choice,
+        trial.seed,
+        trial.worth,
+        trial.first_worth,
+        trial.refused_arrivals,
+        trial.busiest,
+        trial.opened,
+        trial.heard_per_s,
+        trial.first_p99_ms,
+    )
+}
+
+/// The requests of each second: sent, in time, late, refused.
+fn plot(title: &str, seconds: &[SecondCounts]) -> Result<String, PageError> {
+    let most = seconds.iter().map(|counts| counts.sent).max().unwrap_or(1).max(1) as f64;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let failed = |error: &dyn std::fmt::Display| PageError(error.to_string());
+        area.fill(&WHITE).map_err(|error| failed(&error))?;
+        let lines: [(RGBColor, SecondCount); 4] = [
+            (BLACK, |counts| counts.sent),
+            (GREEN, |counts| counts.timely),
+            (BLUE, |counts| counts.late),
+            (RED, |counts| counts.refused),
+        ];
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .build_cartesian_2d(0.0..seconds.len() as f64, 0.0..most * 1.05)
+            .map_err(|error| failed(&error))?;
+        for (color, count) in lines {
+            let points = seconds.iter().enumerate().map(|(at, it)| (at as f64, count(it) as f64));
+            chart.draw_series(LineSeries::new(points, color)).map_err(|error| failed(&error))?;
+        }
+        area.present().map_err(|error| failed(&error))?;
+    }
+    Ok(format!(
+        "<h2>{title}</h2>\n<p>Black: sent; green: in time; blue: late; red: refused.</p>\n{svg}\n"
+    ))
+}
--- /dev/null
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -0,0 +1,337 @@
+//! A simulated VM: what it knows of engines, and how it chooses one.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use foldhaven_core::ids::{IncarnationId, UpstreamName};
+use foldhaven_core::opaque::admission::{PlaceOffer, TimeLimits, admit};
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::choice::{ChoiceQuery, UpstreamFacts, choose_upstream};
+use foldhaven_core::opaque::load_share::{LoadBook, LoadReport, UpstreamShare, share_interval};
+use foldhaven_core::opaque::pace::{QueueFacts, ServicePace, UpstreamPace};
+use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews, ReportPlan, ReportTarget};
+use foldhaven_core::time::MonoTime;
+use foldhaven_core::units::CoreShare;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::experiment::ChoicePolicy;
+
+/// How long the gateway keeps an unused connection to an upstream.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// A VM without requests reports in every n-th round, as the gateway does.
+const IDLE_ROUNDS: u32 = 4;
+
+/// What a VM knows of one engine.
+#[derive(Debug, Default)]
+struct KnownEngine {
+    own: UpstreamShare,
+    others: UpstreamShare,
+    pace: UpstreamPace,
+    /// Since when each unused connection has been so.
+    idle: Vec<MonoTime>,
+}
+
+/// One VM.
+pub(super) struct SimulatedVm {
+    pub tag: VmTag,
+    engines: Vec<KnownEngine>,
+    /// The place of each engine by its tag.
+    tags: HashMap<UpstreamTag, usize>,
+    book: LoadBook,
+    plan: ReportPlan,
+    pace: ServicePace,
+    sequence: u32,
+    idle_rounds: u32,
+    /// Connections that it has opened.
+    pub opened: u64,
+    /// Reports that it has heard.
+    pub heard: u64,
+}
+
+/// What it needs to know of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VmRequest {
+    pub tokens: u32,
+    pub events: f64,
+    pub size: u32,
+    pub target: Duration,
+    /// How long its caller has waited.
+    pub waited: Duration,
+    /// How long it will still wait.
+    pub remaining: Duration,
+}
+
+/// A chosen engine, and the time that was expected of it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VmChoice {
+    pub engine: usize,
+    pub expected: Duration,
+    pub until_answer: Option<u32>,
+    /// Its rank there.
+    pub rank: QueueRank,
+    /// The queue that it saw there.
+    pub queue: QueueFacts,
+}
+
+impl SimulatedVm {
+    pub(super) fn new(name: &str, engines: &[UpstreamName]) -> Self {
+        let tags = engines.iter().enumerate().map(|(at, name)| (UpstreamTag::of(name), at));
+        Self {
+            tag: VmTag::of(&name.parse().expect("a number makes a name")),
+            engines: engines.iter().map(|_| KnownEngine::default()).collect(),
+            tags: tags.collect(),
+            book: LoadBook::default(),
+            plan: ReportPlan::default(),
+            pace: ServicePace::default(),
+            sequence: 0,
+            idle_rounds: 0,
+            opened: 0,
+            heard: 0,
+        }
+    }
+
+    /// Chooses an engine; none when the request is better refused at once. `truth` is what the queues are, of which it sees `slots` alone unless the policy is
+    /// [`ChoicePolicy::Perfect`].
+    pub(super) fn choose(
+        &self,
+        policy: ChoicePolicy,
+        request: &VmRequest,
+        names: &[UpstreamName],
+        truth: &[QueueFacts],
+        now: MonoTime,
+        random: &mut StdRng,
+    ) -> Option<VmChoice> {
+        let queues: Vec<QueueFacts> = match policy {
+            ChoicePolicy::Perfect => truth.to_vec(),
+            _ => self.engines.iter().zip(truth).map(|(it, truth)| it.queue(truth.slots)).collect(),
+        };
+        let any = random.random_range(0..queues.len());
+        let chosen = match policy {
+            ChoicePolicy::Cost | ChoicePolicy::Perfect => {
+                return self.cheapest(request, names, &queues, now, random);
+            }
+            ChoicePolicy::Random => any,
+            ChoicePolicy::TwoChoices => {
+                let other = random.random_range(0..queues.len());
+                if queues[other].in_flight < queues[any].in_flight { other } else { any }
+            }
+            ChoicePolicy::LeastLoaded => (0..queues.len())
+                .map(|step| (any + step) % queues.len())
+                .min_by_key(|at| queues[*at].in_flight)
+                .expect("there is an engine"),
+        };
+        Some(VmChoice {
+            engine: chosen,
+            expected: Duration::ZERO,
+            until_answer: None,
+            rank: QueueRank::Timely,
+            queue: queues[chosen],
+        })
+    }
+
+    fn cheapest(
+        &self,
+        request: &VmRequest,
+        names: &[UpstreamName],
+        queues: &[QueueFacts],
+        now: MonoTime,
+        random: &mut StdRng,
+    ) -> Option<VmChoice> {
+        let facts = |at: usize| UpstreamFacts {
+            name: &names[at],
+            queue: queues[at],
+            factor: self.engines[at].pace.factor(now),
+            failures: self.engines[at].pace.failure_share(now),
+            long_pauses: 0.0,
+            move_cost: 0.0,
+            held_tokens: 0,
+            is_suspect: false,
+            is_held_back: false,
+            is_tried: false,
+        };
+        let candidates: Vec<UpstreamFacts<'_>> = (0..names.len()).map(facts).collect();
+        let query = ChoiceQuery {
+            target: request.target,
+            waited: request.waited,
+            event_gap: None,
+            events: request.events,
+            size: request.size,
+            shared_tokens: 0,
+            own_tokens: request.tokens,
+            meeting_key: None,
+            draw: random.random(),
+        };
+        let choice = choose_upstream(&candidates, &query, &self.pace).expect("there is an engine");
+        let offer = PlaceOffer {
+            first: choice.first,
+            parts: choice.parts,
+            rank: choice.rank,
+            queue: queues[choice.at],
+            is_full: choice.is_full,
+        };
+        let limits = TimeLimits {
+            target: request.target,
+            waited: request.waited,
+            remaining: request.remaining,
+        };
+        admit(&offer, limits).ok()?;
+        Some(VmChoice {
+            engine: choice.at,
+            expected: choice.first,
+            until_answer: choice.until_answer,
+            rank: choice.rank,
+            queue: queues[choice.at],
+        })
+    }
+
+    /// Counts a request at an engine, over a connection that is open or not.
+    pub(super) fn enter(&mut self, choice: &VmChoice, tokens: u32, now: MonoTime) {
+        let known = &mut self.engines[choice.engine];
+        known.own.in_flight += 1;
+        known.own.whole += u16::from(choice.rank == QueueRank::Timely);
+        known.own.behind += u16::from(choice.rank == QueueRank::Behind);
+        *unread_of(&mut known.own, choice.rank) += tokens;
+        known.idle.retain(|since| now.since(*since) < IDLE_LIMIT);
+        if known.idle.pop().is_none() {
+            self.opened += 1;
+        }
+    }
+
+    /// Notes the first event of an answer.
+    pub(super) fn note_first(
+        &mut self,
+        choice: &VmChoice,
+        tokens: u32,
+        took: Duration,
+        now: MonoTime,
+    ) {
+        let known = &mut self.engines[choice.engine];
+        take_off(&mut known.own, choice.rank, tokens);
+        self.pace.room.note_taken(choice.queue);
+        if choice.rank == QueueRank::Behind {
+            known.own.behind -= 1;
+            return;
+        }
+        known.pace.note_first(choice.expected, took, now);
+        if let Some(until_answer) = choice.until_answer {
+            self.pace.note_reading(until_answer, took);
+        }
+    }
+
+    /// Notes that a request has left an engine: with its last event, or refused.
+    pub(super) fn leave(
+        &mut self,
+        choice: &VmChoice,
+        held: Duration,
+        refused: Option<u32>,
+        now: MonoTime,
+    ) {
+        let known = &mut self.engines[choice.engine];
+        known.own.in_flight -= 1;
+        known.own.whole -= u16::from(choice.rank == QueueRank::Timely);
+        known.idle.push(now);
+        match refused {
+            Some(tokens) => {
+                take_off(&mut known.own, choice.rank, tokens);
+                known.own.behind -= u16::from(choice.rank == QueueRank::Behind);
+                self.pace.room.note_declined(choice.queue);
+                known.pace.note_end(true, 0.0, now);
+            }
+            None => self.pace.note_hold(held),
+        }
+    }
+
+    /// Whether it has requests.
+    fn is_active(&self) -> bool {
+        self.engines.iter().any(|known| known.own.in_flight > 0)
+    }
+
+    /// Plans its report of a round: what it tells, whom, and when the next one is due.
+    pub(super) fn report(
+        &mut self,
+        others: &[(VmTag, std::net::SocketAddr)],
+        now: MonoTime,
+    ) -> (LoadReport, Vec<ReportLeg>, Duration) {
+        self.take_totals(others.len(), now);
+        self.sequence += 1;
+        let is_active = self.is_active();
+        let active: std::collections::HashSet<VmTag> = self.book.active().collect();
+        let target = |(tag, address): &(VmTag, std::net::SocketAddr)| ReportTarget {
+            address: *address,
+            is_active: active.contains(tag),
+        };
+        let targets: Vec<ReportTarget> = others.iter().map(target).collect();
+        let (legs, interval) = match is_active {
+            true => {
+                let count = targets.iter().filter(|target| target.is_active).count();
+                let interval = share_interval(count);
+                (self.plan.next(&targets, ReportNews::default(), interval), interval)
+            }
+            false => (self.idle_legs(&targets), share_interval(targets.len())),
+        };
+        self.idle_rounds = if is_active { 0 } else { self.idle_rounds + 1 };
+        (self.own_report(), legs, interval)
+    }
+
+    fn idle_legs(&self, targets: &[ReportTarget]) -> Vec<ReportLeg> {
+        if !self.idle_rounds.is_multiple_of(IDLE_ROUNDS) {
+            return Vec::new();
+        }
+        let targets = targets.iter().map(|target| target.address).collect();
+        vec![ReportLeg { targets, news: ReportNews::default() }]
+    }
+
+    fn own_report(&self) -> LoadReport {
+        let shares = self.tags.iter().map(|(tag, at)| (*tag, self.engines[*at].own));
+        LoadReport {
+            vm: self.tag,
+            incarnation: IncarnationId(1),
+            sequence: self.sequence,
+            shares: shares.filter(|(_, share)| share.in_flight > 0).collect(),
+            placements: Vec::new(),
+            regions: Vec::new(),
+            busy: CoreShare::default(),
+        }
+    }
+
+    /// Takes in the report of another VM.
+    pub(super) fn hear(&mut self, report: LoadReport, now: MonoTime) {
+        self.heard += 1;
+        self.book.hear(report, now);
+    }
+
+    fn take_totals(&mut self, others: usize, now: MonoTime) {
+        let totals = self.book.totals(share_interval(others), now);
+        for (tag, at) in &self.tags {
+            self.engines[*at].others = totals.get(tag).copied().unwrap_or_default();
+        }
+    }
+}
+
+impl KnownEngine {
+    fn queue(&self, slots: u32) -> QueueFacts {
+        QueueFacts {
+            slots,
+            in_flight: u32::from(self.own.in_flight) + u32::from(self.others.in_flight),
+            whole: u32::from(self.own.whole) + u32::from(self.others.whole),
+            behind: u32::from(self.own.behind) + u32::from(self.others.behind),
+            unread: self.own.unread.plus(self.others.unread),
+        }
+    }
+}
+
+/// The tokens that are still to be read of requests of a rank.
+fn unread_of(share: &mut UpstreamShare, rank: QueueRank) -> &mut u32 {
+    match rank {
+        QueueRank::Timely => &mut share.unread.timely,
+        QueueRank::Behind => &mut share.unread.behind,
+    }
+}
+
+fn take_off(share: &mut UpstreamShare, rank: QueueRank, tokens: u32) {
+    let unread = unread_of(share, rank);
+    *unread = unread.saturating_sub(tokens);
+}
--- a/crates/foldhaven-testkit/tests/testsuite/main.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod operators;
 mod peers;
 mod scenarios;
+mod simulate;
 
 use std::path::PathBuf;
 
