--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -117,8 +117,8 @@
     }
 }
 
-/// Chooses a place: the best upstream here, unless another region is better by more than the way
-/// there costs.
+/// Chooses a place: the best upstream here, unless another region is better by more than the way there costs, or
+/// has room and there is none here.
 pub fn choose_place(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -139,10 +139,11 @@
             check_offer(job, &far.offer())?;
             Ok(far.choice)
         }
-        (Some(near), _) => {
-            check_offer(job, &near.offer())?;
-            Ok(near.take(shared))
-        }
+        (Some(near), far) => match (check_offer(job, &near.offer()), far) {
+            (Ok(()), _) => Ok(near.take(shared)),
+            (Err(_), Some(far)) if has_room(job, &far) => Ok(far.choice),
+            (Err(refusal), _) => Err(refusal),
+        },
         (None, Some(far)) => Ok(far.choice),
         (None, None) => Err(Refusal::NoUpstream),
     }
@@ -154,6 +155,14 @@
     !is_near_sound || far.cost + REGION_MARGIN < near.choice.cost
 }
 
+/// Whether a region can answer in time what is better not sent to the best upstream here: by its last report its
+/// upstreams have places left.
+fn has_room(job: &GatewayJob, far: &FarChoice) -> bool {
+    let PlaceOffer { rank, queue, .. } = far.offer();
+    let is_free = rank == QueueRank::Timely && queue.in_flight < queue.slots;
+    is_free && check_offer(job, &far.offer()).is_ok()
+}
+
 /// Refuses a request that is better not sent to its best place. One whose answer has begun is sent on.
 fn check_offer(job: &GatewayJob, offer: &PlaceOffer) -> Result<(), Refusal> {
     if job.is_begun {
