Leave silent VMs out of answers also when one of two data centres is lost

With more than half heard of as the condition, a loss of exactly half named the lost ones until 3.6 s had passed.

--- a/crates/foldhaven-core/src/opaque/directory.rs
+++ b/crates/foldhaven-core/src/opaque/directory.rs
@@ -11,6 +11,9 @@
 
 /// The most addresses that one answer names; callers use no more.
 pub const MAX_NAMED: usize = 64;
+/// Silent VMs are left out while more than one in so many is heard of, as when one of two data centres is lost;
+/// when fewer are, the fault is rather one of hearing them.
+const LEAST_HEARD: usize = 3;
 
 /// What the directory knows of its own region.
 pub struct NearService<'a> {
@@ -73,8 +76,7 @@
 ) -> Vec<&'a PeerBeat> {
     let heard: Vec<&PeerBeat> =
         open.iter().copied().filter(|beat| !near.doubted.contains(&beat.vm)).collect();
-    // When many are silent, the fault is rather one of hearing them.
-    let open = if heard.len() * 2 > open.len() { heard } else { open };
+    let open = if heard.len() * LEAST_HEARD > open.len() { heard } else { open };
     let order = ServiceOrder::of(open.iter().map(|beat| ServiceCandidate::of(beat)));
     let chosen = match region == near.region {
         true => order.for_demand(near.demand),
--- a/crates/foldhaven-core/tests/testsuite/opaque_service.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_service.rs
@@ -169,6 +169,9 @@
     let silent: BTreeSet<VmName> = [beats[0].vm.clone()].into();
     let named = answer(&beats, "n1", 0.0, &silent);
     assert!(!named.contains(&beats[0].caller) && !named.is_empty());
+    let centre: BTreeSet<VmName> = beats[..6].iter().map(|beat| beat.vm.clone()).collect();
+    let left = answer(&beats, "n1", 9.0, &centre);
+    assert!(beats[..6].iter().all(|beat| !left.contains(&beat.caller)), "one of two data centres");
     let most: BTreeSet<VmName> = beats[..8].iter().map(|beat| beat.vm.clone()).collect();
     assert!(answer(&beats, "n1", 9.0, &most).contains(&beats[0].caller));
 }
