--- a/crates/foldhaven-core/tests/testsuite/opaque_service.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_service.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foldhaven_core::ids::{DataCentreName, RegionName, VmName};
+use foldhaven_core::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use foldhaven_core::opaque::demand::DemandPeak;
 use foldhaven_core::opaque::directory::{MAX_NAMED, NearService, name_vms};
 use foldhaven_core::opaque::load_share::share_interval;
-use foldhaven_core::opaque::peer_table::PeerBeat;
+use foldhaven_core::opaque::peer_table::{PeerBeat, VmTag};
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::report_plan::{ReportNews, ReportPlan, ReportTarget};
 use foldhaven_core::opaque::service_order::{ServiceCandidate, ServiceOrder};
@@ -266,8 +266,8 @@
 fn told_region() -> RegionReport {
     RegionReport {
         region: "south".parse().unwrap(),
-        teller: foldhaven_core::opaque::peer_table::VmTag(1),
-        incarnation: foldhaven_core::ids::IncarnationId(1),
+        teller: VmTag(1),
+        incarnation: IncarnationId(1),
         sequence: 0,
         waits: Vec::new(),
         lives: Vec::new(),
--- a/crates/foldhaven-testkit/src/simulate/mod.rs
+++ b/crates/foldhaven-testkit/src/simulate/mod.rs
@@ -8,9 +8,11 @@
 mod engine;
 mod experiment;
 mod page;
+mod tally;
 mod vm;
 mod world;
 
 pub use self::experiment::{ChoicePolicy, Experiment, ExperimentError, LoadStep, ServicePolicy};
 pub use self::page::make_page;
-pub use self::world::{SecondCounts, Trial, play};
+pub use self::tally::SecondCounts;
+pub use self::world::{Trial, play};
--- a/crates/foldhaven-testkit/src/simulate/page.rs
+++ b/crates/foldhaven-testkit/src/simulate/page.rs
@@ -4,7 +4,8 @@
 
 use plotters::prelude::*;
 
-use super::world::{SecondCounts, Trial};
+use super::tally::SecondCounts;
+use super::world::Trial;
 
 const SIZE: (u32, u32) = (900, 260);
 
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -1,6 +1,7 @@
 //! A simulated VM: what it knows of engines, and how it chooses one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use foldhaven_core::ids::{IncarnationId, UpstreamName};
@@ -252,14 +253,14 @@
     /// Plans its report of a round: what it tells, whom, and when the next one is due.
     pub(super) fn report(
         &mut self,
-        others: &[(VmTag, std::net::SocketAddr)],
+        others: &[(VmTag, SocketAddr)],
         now: MonoTime,
     ) -> (LoadReport, Vec<ReportLeg>, Duration) {
         self.take_totals(others.len(), now);
         self.sequence += 1;
         let is_active = self.is_active();
-        let active: std::collections::HashSet<VmTag> = self.book.active().collect();
-        let target = |(tag, address): &(VmTag, std::net::SocketAddr)| ReportTarget {
+        let active: HashSet<VmTag> = self.book.active().collect();
+        let target = |(tag, address): &(VmTag, SocketAddr)| ReportTarget {
             address: *address,
             is_active: active.contains(tag),
         };
--- a/crates/foldhaven-testkit/src/simulate/world.rs
+++ b/crates/foldhaven-testkit/src/simulate/world.rs
@@ -20,6 +20,7 @@
 
 use super::engine::{EngineTimes, EngineWork, SimulatedEngine};
 use super::experiment::{ChoicePolicy, Experiment, RequestMix, ServicePolicy};
+use super::tally::{CountedRequest, RequestTally, SecondCounts};
 use super::vm::{SimulatedVm, VmChoice, VmRequest};
 
 /// How long VMs report to each other before callers send.
@@ -27,19 +28,6 @@
 /// How many tokens of a prompt one event counts for in the size of a request.
 const EVENT_TOKENS: u32 = 10;
 
-/// What happened in one second.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub struct SecondCounts {
-    /// Requests that callers sent, those that came back not counted again.
-    pub sent: u64,
-    /// Those that were answered within their target.
-    pub timely: u64,
-    /// Those that were answered later.
-    pub late: u64,
-    /// Those that were refused for good.
-    pub refused: u64,
-}
-
 /// One policy with one seed, played.
 #[derive(Debug, Clone, Serialize)]
 pub struct Trial {
@@ -114,12 +102,7 @@
     names: Vec<UpstreamName>,
     engines: Vec<SimulatedEngine>,
     requests: Vec<SimulatedRequest>,
-    firsts: Vec<f64>,
-    owed: f64,
-    earned: f64,
-    first_owed: f64,
-    first_earned: f64,
-    seconds: Vec<SecondCounts>,
+    tally: RequestTally,
 }
 
 /// Plays one policy with one seed.
@@ -157,7 +140,6 @@
         let addresses: Vec<(VmTag, SocketAddr)> =
             vms.iter().enumerate().map(|(at, vm)| (vm.tag, address(at))).collect();
         let by_address = addresses.iter().enumerate().map(|(at, (_, it))| (*it, at)).collect();
-        let length = experiment.length.0.as_secs_f64().ceil() as usize;
         Self {
             experiment,
             service,
@@ -175,12 +157,7 @@
             engines: (0..engines.count).map(|_| SimulatedEngine::new(engines)).collect(),
             names,
             requests: Vec::new(),
-            firsts: Vec::new(),
-            owed: 0.0,
-            earned: 0.0,
-            first_owed: 0.0,
-            first_earned: 0.0,
-            seconds: vec![SecondCounts::default(); length],
+            tally: RequestTally::new(experiment.length.0),
         }
     }
 
@@ -195,10 +172,6 @@
         MonoTime::default() + LEAD
     }
 
-    fn end() -> Duration {
-        LEAD
-    }
-
     fn begin(&mut self) {
         self.set_service();
         for vm in 0..self.vms.len() {
@@ -207,7 +180,7 @@
         }
         for mix in 0..self.experiment.requests.len() {
             let pause = self.pause(mix);
-            self.schedule(Self::end() + pause, WorldEvent::Send { mix });
+            self.schedule(LEAD + pause, WorldEvent::Send { mix });
         }
     }
 
@@ -281,10 +254,15 @@
         self.now.since(Self::zero()) >= self.experiment.length.0
     }
 
-    fn second(&mut self, moment: MonoTime) -> &mut SecondCounts {
-        let at = moment.since(Self::zero()).as_secs() as usize;
-        let last = self.seconds.len() - 1;
-        &mut self.seconds[at.min(last)]
+    /// A request as the tally counts it.
+    fn counted(&self, request: &SimulatedRequest) -> CountedRequest {
+        let kind = self.mix(request.mix);
+        CountedRequest {
+            asked: request.asked.since(Self::zero()),
+            size: f64::from(request.size),
+            target: kind.target.0,
+            patience: kind.patience.0,
+        }
     }
 
     fn send(&mut self, mix: usize) {
@@ -294,13 +272,8 @@
         let pause = self.pause(mix);
         self.schedule(pause, WorldEvent::Send { mix });
         let request = self.make_request(mix);
-        let worth = f64::from(request.size);
-        self.owed += worth;
-        if self.now.since(Self::zero()) < Duration::from_secs(2) {
-            self.first_owed += worth;
-        }
-        let asked = request.asked;
-        self.second(asked).sent += 1;
+        let counted = self.counted(&request);
+        self.tally.note_sent(&counted);
         self.requests.push(request);
         self.dispatch(self.requests.len() - 1);
     }
@@ -385,24 +358,11 @@
     fn first(&mut self, request: usize) {
         let held = &self.requests[request];
         let (vm, choice, tokens) = (held.vm, held.choice, held.work.tokens);
-        let (asked, size) = (held.asked, f64::from(held.size));
         let took = self.now.since(held.sent);
-        let kind = &self.experiment.requests[held.mix];
-        let (target, patience) = (kind.target.0, kind.patience.0);
+        let waited = self.now.since(held.asked);
+        let counted = self.counted(held);
         self.vms[vm].note_first(&choice, tokens, took, self.now);
-        let waited = self.now.since(asked);
-        self.firsts.push(waited.as_secs_f64() * 1e3);
-        if waited <= target {
-            self.earned += size;
-            if asked.since(Self::zero()) < Duration::from_secs(2) {
-                self.first_earned += size;
-            }
-            self.second(asked).timely += 1;
-        } else if waited <= patience {
-            self.second(asked).late += 1;
-        } else {
-            self.second(asked).refused += 1;
-        }
+        self.tally.note_answered(&counted, waited);
     }
 
     fn last(&mut self, request: usize) {
@@ -424,13 +384,12 @@
     /// A caller was refused: it comes back once, when it is told to, to another VM.
     fn turn_away(&mut self, request: usize) {
         let held = &mut self.requests[request];
-        let asked = held.asked;
-        let has_come_back = std::mem::replace(&mut held.has_come_back, true);
-        if has_come_back {
-            self.second(asked).refused += 1;
+        if !std::mem::replace(&mut held.has_come_back, true) {
+            self.schedule(self.experiment.come_back.0, WorldEvent::ComeBack { request });
             return;
         }
-        self.schedule(self.experiment.come_back.0, WorldEvent::ComeBack { request });
+        let counted = self.counted(&self.requests[request]);
+        self.tally.note_refused(&counted);
     }
 
     fn report(&mut self, vm: usize) {
@@ -449,8 +408,6 @@
     }
 
     fn trial(mut self, seed: u64) -> Trial {
-        self.firsts.sort_by(f64::total_cmp);
-        let at = (self.firsts.len() as f64 * 0.99) as usize;
         let arrivals: u64 = self.engines.iter().map(|engine| engine.arrivals).sum();
         let refused: u64 = self.engines.iter().map(|engine| engine.refused).sum();
         let most = self.engines.iter().map(|engine| engine.arrivals).max().unwrap_or_default();
@@ -463,14 +420,14 @@
             choice: self.choice,
             seed,
             in_service: self.in_service.len(),
-            worth: share(self.earned, self.owed),
-            first_worth: share(self.first_earned, self.first_owed),
+            worth: self.tally.worth(),
+            first_worth: self.tally.first_worth(),
             refused_arrivals: share(refused as f64, arrivals as f64),
             busiest: share(most as f64 * self.engines.len() as f64, arrivals as f64),
             opened: share(opened as f64, arrivals as f64),
             heard_per_s: heard as f64 / length / self.in_service.len().max(1) as f64,
-            first_p99_ms: self.firsts.get(at).copied().unwrap_or_default(),
-            seconds: self.seconds,
+            first_p99_ms: self.tally.p99_ms(),
+            seconds: self.tally.into_seconds(),
         }
     }
 }
