--- a/crates/foldhaven-core/src/opaque/report_plan.rs
+++ b/crates/foldhaven-core/src/opaque/report_plan.rs
@@ -1,7 +1,7 @@
 //! Whom a load report goes to, and what it repeats for those that hear of this VM less often.
 //!
 //! VMs that have requests tell each other in each round. The others are told in turn: each of them once in
-//! [`SLOW_INTERVAL`], of everything since its last turn. So what a VM hears grows with those that have requests,
+//! `SLOW_INTERVAL`, of everything since its last turn. So what a VM hears grows with those that have requests,
 //! not with the VMs of its region.
 
 use std::collections::VecDeque;
