A description is told to be in force once no request waits by an older one

A VM told the stamp of a description at once when it was adopted, on the control thread; requests that the one before had placed, and that wait in the queues of engines, are called back by the traffic threads. Where these are late, an engine begins such a request after everybody was told that the rule holds.

Ruled out: a request that is dispatched by the old view after adoption (the call-back looks at the view before it waits); forwarded requests judged by an older description (the receiver has the newer one).

Change: waiting requests are counted by the description that they were last checked by (WaitLedger, a pure part of the core, with a property over orders of adoption, checks and ends). What operators are told is the oldest of these, and of those that ended within the last 100 ms, in which their calls are closed at the engine. A receiver also calls back while its call opens, and closes the call before it tells the origin. The judge says how late a forbidden request ran.

--- a/crates/foldhaven-core/src/lib.rs
+++ b/crates/foldhaven-core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod ticket;
 pub mod time;
 pub mod units;
+pub mod waits;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -24,3 +24,4 @@
 mod routing;
 mod tickets;
 mod units;
+mod waits;
--- a/crates/foldhaven-testkit/src/scenario/judge.rs
+++ b/crates/foldhaven-testkit/src/scenario/judge.rs
@@ -90,7 +90,14 @@
             };
             let held = indexes.iter().filter(|(epoch, _)| could_hold(epoch));
             if !held.clone().any(|(_, index)| permits(index, sent, &line.data_centre)) {
-                let detail = format!("{} ran in {}", line.request, line.data_centre);
+                let permitted = indexes
+                    .iter()
+                    .filter(|(_, index)| permits(index, sent, &line.data_centre))
+                    .filter_map(|(epoch, _)| epoch.until_ms)
+                    .max();
+                let late = permitted.map(|until| line.at_ms.saturating_sub(until));
+                let late = late.map_or("never permitted".to_owned(), |it| format!("{it}ms after"));
+                let detail = format!("{} ran in {}, {late}", line.request, line.data_centre);
                 violations.push(Violation::new("residency", detail));
             }
         }
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper.rs
@@ -101,6 +101,12 @@
         self.index.as_ref().map(|index| index.stamp)
     }
 
+    /// The description that operators may rely on: no request that waits was placed by an older one.
+    pub(super) fn stamp_in_force(&self) -> Option<DescriptionStamp> {
+        // Before the first view no request has been placed at all.
+        self.shared.stamp_in_force().or_else(|| self.stamp())
+    }
+
     /// The upstreams of this data centre, leaving ones included.
     pub(super) fn upstreams(&self) -> impl Iterator<Item = &UpstreamEntry> {
         let centre = &self.shared.settings.data_centre;
--- a/crates/foldhavend/src/control/summary.rs
+++ b/crates/foldhavend/src/control/summary.rs
@@ -217,7 +217,7 @@
             data_centre: self.shared.settings.data_centre.clone(),
             incarnation: self.shared.incarnation,
             state,
-            stamp: self.stamp().map(|stamp| stamp.to_string()),
+            stamp: self.stamp_in_force().map(|stamp| stamp.to_string()),
             refused: self.refused.clone(),
             in_flight: self.shared.in_flight(),
             members: self.member_statuses(),
--- a/crates/foldhavend/src/shared.rs
+++ b/crates/foldhavend/src/shared.rs
@@ -13,6 +13,7 @@
 use foldhaven_core::pause::PauseDetector;
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
 use foldhaven_core::time::MonoTime;
+use foldhaven_core::waits::WaitLedger;
 use foldhaven_wire::counted::ByteCounter;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -42,6 +43,7 @@
     pub exchange_now: Notify,
     view: ArcSwapOption<PublishedView>,
     stamps: watch::Sender<Option<DescriptionStamp>>,
+    waits: Mutex<WaitLedger>,
     leaving: AtomicBool,
     in_flight: AtomicU32,
     settled: Notify,
@@ -70,6 +72,7 @@
             exchange_now: Notify::new(),
             view: ArcSwapOption::empty(),
             stamps: watch::Sender::new(None),
+            waits: Mutex::default(),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             settled: Notify::new(),
@@ -93,9 +96,24 @@
     }
 
     pub fn publish(&self, view: PublishedView) {
-        let stamp = Some(view.route.index.stamp);
+        let stamp = view.route.index.stamp;
         self.view.store(Some(Arc::new(view)));
-        self.stamps.send_if_modified(|held| std::mem::replace(held, stamp) != stamp);
+        // After the view: a request that enters with this stamp reads this view or a later one.
+        self.waits.lock().adopt(stamp);
+        self.stamps.send_if_modified(|held| held.replace(stamp) != Some(stamp));
+    }
+
+    /// Counts a request that is about to be placed as waiting, until the guard is dropped. Only a view
+    /// that is read afterwards may place it.
+    pub fn enter_wait(self: &Arc<Self>) -> WaitGuard {
+        let checked = self.waits.lock().enter();
+        WaitGuard { shared: self.clone(), checked }
+    }
+
+    /// The description that holds for every request of this VM that can still begin; nothing before the
+    /// first view.
+    pub fn stamp_in_force(&self) -> Option<DescriptionStamp> {
+        self.waits.lock().in_force(self.now())
     }
 
     /// Changes with each adopted description.
@@ -201,3 +219,25 @@
         }
     }
 }
+
+/// One request that is being placed or waits at an upstream for its first part.
+pub struct WaitGuard {
+    shared: Arc<SharedState>,
+    checked: Option<DescriptionStamp>,
+}
+
+impl WaitGuard {
+    /// Notes that the request is permitted by the description with this stamp.
+    pub fn note_permitted(&mut self, stamp: DescriptionStamp) {
+        if self.checked != Some(stamp) {
+            self.shared.waits.lock().recheck(self.checked, Some(stamp));
+            self.checked = Some(stamp);
+        }
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.shared.waits.lock().leave(self.checked, self.shared.now());
+    }
+}
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -19,7 +19,7 @@
 use super::outgoing::{engine_call, peer_call};
 use super::permission::{any_region_permitted, is_permitted};
 use super::request::ModelJob;
-use crate::shared::SharedState;
+use crate::shared::{SharedState, WaitGuard};
 use crate::views::PublishedView;
 
 const ROUTE_STEP: &str = "choosing where to run";
@@ -188,12 +188,13 @@
     ) -> Result<(), Option<RefusalAnswer>> {
         loop {
             self.shared().await_fresh().await.map_err(Some)?;
+            let waiting = self.shared().enter_wait();
             let view = self.shared().view().map_err(Some)?;
             let option = match self.choose(job, &view, true, &progress.tried) {
                 Ok(option) => option,
                 Err(refusal) => return Err(Some(prefer_fault(progress, refusal))),
             };
-            let tried = self.try_option(job, &view, &option, progress, parts).await;
+            let tried = self.try_option(job, &view, &option, progress, parts, waiting).await;
             // A refused connection cost nobody anything, so that trying elsewhere is free.
             let is_free = matches!(tried, Err(TryEnd::Fault(CallFault::NotSent(_))));
             match tried {
@@ -223,6 +224,7 @@
         option: &RouteOption,
         progress: &mut JobProgress,
         parts: &mpsc::Sender<JobEvent>,
+        waiting: WaitGuard,
     ) -> Result<(), TryEnd> {
         let shared = self.shared();
         let attempt = shared.new_attempt(&job.head.request);
@@ -267,7 +269,7 @@
             "attempt starts"
         );
         progress.log.record(AttemptState::Dispatched);
-        let result = self.follow(job, option, call, progress, parts).await;
+        let result = self.follow(job, option, call, progress, parts, waiting).await;
         match &result {
             Ok(()) => {
                 progress.log.record(AttemptState::Complete);
@@ -288,7 +290,7 @@
         result
     }
 
-    /// Makes the call and hands its parts over as they come.
+    /// Makes the call and hands its parts over as they come. It counts as waiting until its first part.
     async fn follow(
         &self,
         job: &ModelJob,
@@ -296,6 +298,7 @@
         call: UpstreamCall,
         progress: &mut JobProgress,
         parts: &mpsc::Sender<JobEvent>,
+        mut waiting: WaitGuard,
     ) -> Result<(), TryEnd> {
         let slow = |step: &str| TryEnd::Fault(CallFault::Broken(format!("{step} took too long")));
         let patience = (option.estimate * PATIENCE).max(LEAST_PATIENCE);
@@ -305,15 +308,16 @@
         let mut stamps = self.shared().watch_stamp();
         let opened = tokio::select! {
             opened = timeout(patience, opening) => opened.map_err(|_| slow("the start"))?,
-            () = self.wait_forbidden(job, &option.target, &mut stamps) => return Err(TryEnd::Recalled),
+            () = self.wait_forbidden(job, &option.target, &mut stamps, &mut waiting) => return Err(TryEnd::Recalled),
         };
         let mut answer = opened.map_err(TryEnd::Fault)?;
         let served_by = answer.served_by().map_or(here, str::to_owned);
         progress.served_by = Some(served_by.clone());
         let first = tokio::select! {
             first = timeout(patience, answer.next_part()) => first.map_err(|_| slow("a part"))?,
-            () = self.wait_forbidden(job, &option.target, &mut stamps) => return Err(TryEnd::Recalled),
+            () = self.wait_forbidden(job, &option.target, &mut stamps, &mut waiting) => return Err(TryEnd::Recalled),
         };
+        drop(waiting);
         let mut next = first;
         loop {
             let Some(part) = next.map_err(TryEnd::Fault)? else { return Ok(()) };
@@ -335,12 +339,14 @@
         job: &ModelJob,
         target: &RouteTarget,
         stamps: &mut watch::Receiver<Option<DescriptionStamp>>,
+        waiting: &mut WaitGuard,
     ) {
         loop {
-            if let Ok(view) = self.shared().view()
-                && !is_permitted(job, &view, target)
-            {
-                return;
+            if let Ok(view) = self.shared().view() {
+                if !is_permitted(job, &view, target) {
+                    return;
+                }
+                waiting.note_permitted(view.route.index.stamp);
             }
             if stamps.changed().await.is_err() {
                 return std::future::pending().await;
--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -12,7 +12,7 @@
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason};
 use foldhaven_core::residency::{ForwardFault, ForwardPath, check_forward};
 use http::HeaderMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
 use warp::reply::Response;
 
@@ -22,13 +22,14 @@
 use super::origin::RouteDesk;
 use super::reply::{event_stream_reply, refusal_reply, refused_attempt_reply, set_header};
 use super::request::{AnswerShape, ModelJob, header_text, header_value, read_model_job};
-use crate::shared::SharedState;
+use crate::shared::{SharedState, WaitGuard};
 use crate::views::PublishedView;
 
 const STEP: &str = "receiving a forwarded request";
 /// How long a receiver tries to get a description that the sender has and it has not.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(700);
 const CATCH_UP_CHECK: Duration = Duration::from_millis(20);
+const CALLED_BACK: &str = "called back: its region is not permitted any more";
 
 /// The fields that a forwarded request must have. A missing one is a refusal, not a default.
 pub struct ForwardHead {
@@ -131,6 +132,9 @@
     position: u64,
     target: RouteTarget,
     answer: Box<dyn PartStream>,
+    stamps: watch::Receiver<Option<DescriptionStamp>>,
+    /// Dropped after the answer, so that its call is closed first.
+    waiting: WaitGuard,
 }
 
 /// Why a forwarded request did not start.
@@ -154,6 +158,8 @@
     body: &Bytes,
 ) -> Result<StartedModel, StartFault> {
     let shared = &desk.context.shared;
+    let mut waiting = shared.enter_wait();
+    let mut stamps = shared.watch_stamp();
     let view = admit_forward(shared, head).await?;
     let new_id = || head.attempt.request.clone();
     let index = &view.route.index;
@@ -162,11 +168,16 @@
     let position = header_value(map, headers::RESUME_FROM)?.unwrap_or_default();
     let choice = desk.local_choice(&job, &view, position, &head.attempt)?;
     let opening = desk.context.upstream.open(choice.call, job.head.request.as_str(), position);
-    let opened = tokio::time::timeout(job.head.remaining(now), opening).await;
-    let opened = opened.unwrap_or_else(|_| Err(CallFault::Broken("the deadline passed".into())));
     let target = RouteTarget::Engine(choice.engine.clone());
+    let opened = tokio::select! {
+        opened = tokio::time::timeout(job.head.remaining(now), opening) => opened
+            .unwrap_or_else(|_| Err(CallFault::Broken("the deadline passed".into()))),
+        () = desk.wait_forbidden(&job, &target, &mut stamps, &mut waiting) => {
+            Err(CallFault::Broken(CALLED_BACK.to_owned()))
+        }
+    };
     match opened {
-        Ok(answer) => Ok(StartedModel { job, position, target, answer }),
+        Ok(answer) => Ok(StartedModel { job, position, target, answer, stamps, waiting }),
         Err(fault) => {
             note_call_fault(shared, &target, &job.model, &fault);
             let answer = fault_answer(&fault, &target).at_peer(choice.engine.as_str());
@@ -183,8 +194,7 @@
 /// Passes the parts of an answer to the origin as they come. A broken answer ends with an event that
 /// says so and breaks the connection, so that the origin cannot take it for a whole one.
 fn stream_parts(desk: RouteDesk, started: StartedModel) -> Response {
-    let StartedModel { job, position, target, mut answer } = started;
-    let mut stamps = desk.context.shared.watch_stamp();
+    let StartedModel { job, position, target, answer, mut stamps, waiting } = started;
     let (sender, receiver) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
     let served_by = desk.context.shared.settings.data_centre.to_string();
     tokio::spawn(async move {
@@ -192,15 +202,22 @@
         let _lent = desk.context.shared.facts.lend(&job.model);
         let mut writer = AnswerWriter::new(&job, position);
         let remaining = job.head.remaining(desk.context.shared.now());
-        let passing = async {
+        let origin = &sender;
+        let job = &job;
+        let target = &target;
+        let desk = &desk;
+        // Owns the call, so that one that is called back is closed before the origin is told.
+        let passing = async move {
+            let mut waiting = waiting;
+            let mut answer = answer;
             let first = tokio::select! {
                 first = answer.next_part() => first?,
-                () = desk.wait_forbidden(&job, &target, &mut stamps) => {
-                    let detail = "called back: its region is not permitted any more";
-                    return Err(CallFault::Broken(detail.to_owned()));
+                () = desk.wait_forbidden(job, target, &mut stamps, &mut waiting) => {
+                    return Err(CallFault::Broken(CALLED_BACK.to_owned()));
                 }
             };
-            pass_parts(&mut writer, first, answer.as_mut(), &sender).await
+            drop(waiting);
+            pass_parts(&mut writer, first, answer.as_mut(), origin).await
         };
         let passed = tokio::select! {
             passed = tokio::time::timeout(remaining, passing) => passed,
