Where many requests come between two reports, look at some upstreams only

Cause: each VM takes the cheapest of all upstreams by the same reports, so that all take the same few until the next one. With 51 VMs and reports 200 ms apart 38 in 100 arrivals were declined in a peak, none where queues are known.

Change: the choice draws as many upstreams as there are for each request that comes to one of them between two reports (by their queues, the time that a request holds its place and the age of reports), two at least; holders of long prompts, the best holder and the meeting place are always looked at. The policy of before stays in simulate as cost_of_all.

Tests: opaque_herds, without network, of that load.

--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -5,12 +5,14 @@
 
 mod cost;
 mod pricer;
+mod sample;
 
 use std::time::Duration;
 
 pub use self::cost::{CostParts, LATE_LOSS, RequestCost, chance_of_lateness, chance_of_long_pause};
 use self::pricer::UpstreamPricer;
 pub use self::pricer::{pause_cost, slowing_cost, streaming_cost};
+use self::sample::{NewsAge, draw_some};
 use crate::ids::UpstreamName;
 use crate::opaque::pace::{QueueFacts, ServicePace};
 use crate::opaque::queue_rank::QueueRank;
@@ -68,6 +70,8 @@
     pub own_tokens: u32,
     /// The key by which requests with the same shared parts meet.
     pub meeting_key: Option<u64>,
+    /// How old what is known of the requests of other VMs is.
+    pub news_age: Duration,
     /// A number that is uniform in 0..1.
     pub draw: f64,
 }
@@ -121,7 +125,7 @@
 
 /// Prices the upstreams that a choice is made among, in the order in which equals are taken. Suspects
 /// are among them only when nobody else is left, upstreams that were tried only when all were, and full ones only
-/// when all are.
+/// when all are. Where many requests come between two reports, some are drawn.
 pub fn price_upstreams(
     candidates: &[UpstreamFacts<'_>],
     query: &ChoiceQuery,
@@ -134,10 +138,11 @@
     let trusted = narrow(&sound, |at| !pace.room.is_full(candidates[at].queue));
     let meeting = query.meeting_key.and_then(|key| meeting_place(candidates, &trusted, key));
     let holder = trusted.iter().copied().max_by_key(|at| candidates[*at].held_tokens);
-    let first = (query.draw * trusted.len() as f64) as usize;
-    let turned = (0..trusted.len()).map(|step| trusted[(first + step) % trusted.len()]);
+    let news = NewsAge { age: query.news_age, hold: pace.hold };
+    let width = news.width(&trusted, candidates);
+    let drawn = draw_some(&trusted, candidates, width, query.draw, [meeting, holder]);
     let pricer = UpstreamPricer { candidates, query, pace, meeting, holder };
-    turned.map(|at| pricer.price(at)).collect()
+    drawn.into_iter().map(|at| pricer.price(at)).collect()
 }
 
 /// Those that pass, or all of them when none does.
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod opaque_choice;
 mod opaque_deltas;
 mod opaque_heartbeats;
+mod opaque_herds;
 mod opaque_learning;
 mod opaque_limits;
 mod opaque_peers;
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -52,6 +52,7 @@
         shared_tokens,
         own_tokens: 100,
         meeting_key,
+        news_age: Duration::ZERO,
         draw,
     }
 }
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -83,7 +83,7 @@
     /// What the request is expected to take and to cost when it is forwarded to a VM there.
     fn price(&self, peer: Arc<PeerLink>) -> FarChoice {
         let job = self.job;
-        let query = query_of(self.shared, job);
+        let query = query_of(self.shared, self.view, job);
         let missing = self.missing_tokens(query.shared_tokens);
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -178,7 +178,7 @@
 }
 
 /// What the choice weighs of a request.
-fn query_of(shared: &GatewayShared, job: &GatewayJob) -> ChoiceQuery {
+fn query_of(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> ChoiceQuery {
     let outline = job.outline.as_ref();
     ChoiceQuery {
         target: job.route.target,
@@ -189,6 +189,7 @@
         shared_tokens: outline.map_or(0, |outline| outline.shared_tokens()),
         own_tokens: outline.map_or(0, |outline| outline.own_tokens),
         meeting_key: outline.and_then(|outline| outline.meeting_key()),
+        news_age: view.news_age(),
         draw: rand::random(),
     }
 }
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -65,7 +65,7 @@
     let near = near_upstreams(shared, view, job);
     let candidates = candidates_of(shared, &near, job, tried);
     let pace = shared.pace(&job.service, view);
-    let choice = choose_upstream(&candidates, &query_of(shared, job), &pace)?;
+    let choice = choose_upstream(&candidates, &query_of(shared, view, job), &pace)?;
     let fetch_from = choice.fetch_from.map(|at| near[at].identity.address);
     Some(NearChoice { upstream: near[choice.at].clone(), choice, fetch_from })
 }
@@ -79,7 +79,7 @@
     let near = near_upstreams(shared, view, job);
     let candidates = candidates_of(shared, &near, job, &TriedPlaces::default());
     let pace = shared.pace(&job.service, view);
-    let priced = price_upstreams(&candidates, &query_of(shared, job), &pace);
+    let priced = price_upstreams(&candidates, &query_of(shared, view, job), &pace);
     priced.into_iter().map(|choice| (near[choice.at].clone(), choice)).collect()
 }
 
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
+use foldhaven_core::opaque::load_share::share_interval;
 use foldhaven_core::opaque::peer_table::PeerBeat;
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::time::MonoTime;
@@ -74,6 +75,11 @@
         there.filter_map(|peer| peer.pool.round_trip()).min()
     }
 
+    /// How old reports of other VMs are at most when the next ones come.
+    pub fn news_age(&self) -> Duration {
+        share_interval(self.senders.saturating_sub(1))
+    }
+
     /// The upstreams of a service.
     pub fn upstreams_of(&self, service: &ServiceName) -> &[Arc<Upstream>] {
         self.upstreams.get(service).map_or(&[], Vec::as_slice)
--- a/crates/foldhaven-testkit/src/simulate/experiment.rs
+++ b/crates/foldhaven-testkit/src/simulate/experiment.rs
@@ -48,6 +48,8 @@
 pub enum ChoicePolicy {
     /// As the gateway does: the least expected cost by what the VM knows.
     Cost,
+    /// The least expected cost over all engines, as if what the VM knows were new.
+    CostOfAll,
     /// The same by the queues as they are at that moment, which nobody can know.
     Perfect,
     /// The fewest requests by what the VM knows.
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -116,8 +116,12 @@
         };
         let any = random.random_range(0..queues.len());
         let chosen = match policy {
-            ChoicePolicy::Cost | ChoicePolicy::Perfect => {
-                return self.cheapest(request, names, &queues, now, random);
+            ChoicePolicy::Cost => {
+                let news_age = share_interval(self.book.active().count());
+                return self.cheapest(request, names, &queues, news_age, now, random);
+            }
+            ChoicePolicy::CostOfAll | ChoicePolicy::Perfect => {
+                return self.cheapest(request, names, &queues, Duration::ZERO, now, random);
             }
             ChoicePolicy::Random => any,
             ChoicePolicy::TwoChoices => {
@@ -143,6 +147,7 @@
         request: &VmRequest,
         names: &[UpstreamName],
         queues: &[QueueFacts],
+        news_age: Duration,
         now: MonoTime,
         random: &mut StdRng,
     ) -> Option<VmChoice> {
@@ -168,6 +173,7 @@
             shared_tokens: 0,
             own_tokens: request.tokens,
             meeting_key: None,
+            news_age,
             draw: random.random(),
         };
         let choice = choose_upstream(&candidates, &query, &self.pace).expect("there is an engine");
