--- /dev/null
+++ b/crates/foldhaven-testkit/src/scenario/runner/awaits.rs
@@ -0,0 +1,133 @@
+//! The steps that wait for something or check what has happened so far.
+
+use std::time::{Duration, Instant};
+
+use super::{ScenarioRunner, stamp_of};
+use crate::stand_in::ledger::{LedgerEvent, epoch_ms};
+
+/// How long an awaited event may take.
+pub(super) const AWAIT_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(25);
+
+impl ScenarioRunner {
+    /// The VMs of a group that run and are not frozen.
+    pub(super) fn running(&self, group: &str) -> Vec<String> {
+        let mut members = self.members(group);
+        members.retain(|name| !self.frozen.contains(name) && !self.ended.contains(name));
+        members
+    }
+
+    pub(super) async fn await_in_force(
+        &mut self,
+        group: &str,
+        within: Duration,
+    ) -> Result<(), String> {
+        let started = Instant::now();
+        let members = self.running(group);
+        let newest = self.newest;
+        let fleet = &self.fleet;
+        let all_newest = async || {
+            for name in &members {
+                let status = fleet.status(name).await;
+                let stamp = status.and_then(|it| it.stamp).and_then(|it| it.parse().ok());
+                if stamp != Some(newest) {
+                    return false;
+                }
+            }
+            true
+        };
+        let result = await_event(within, all_newest).await;
+        let took = started.elapsed().as_millis();
+        self.note(format!("in force on {} VMs after {took}ms", members.len()));
+        if result.is_ok() && group == "all" && !self.is_cut {
+            // Reading the states took a moment; only what begins later is judged by the new rule.
+            let now = epoch_ms();
+            let older = self.epochs.iter_mut().filter(|it| stamp_of(&it.description) != newest);
+            for epoch in older {
+                epoch.until_ms.get_or_insert(now);
+            }
+        }
+        result
+    }
+
+    pub(super) async fn await_judges(
+        &mut self,
+        vm: &str,
+        member: &str,
+        state: &str,
+    ) -> Result<(), String> {
+        let fleet = &self.fleet;
+        let judged = async || {
+            let Some(status) = fleet.status(vm).await else { return false };
+            let found = status.members.iter().find(|it| it.vm.as_str() == member);
+            found.map_or("unknown", |it| it.state.as_str()) == state
+        };
+        await_event(AWAIT_LIMIT, judged).await
+    }
+
+    pub(super) async fn await_serving(&mut self, group: &str) -> Result<(), String> {
+        let members = self.running(group);
+        let fleet = &self.fleet;
+        let serve = async || {
+            for name in &members {
+                if fleet.status(name).await.is_none_or(|status| status.stamp.is_none()) {
+                    return false;
+                }
+            }
+            true
+        };
+        await_event(AWAIT_LIMIT, serve).await
+    }
+
+    pub(super) async fn await_exit(&mut self, name: &str) -> Result<(), String> {
+        let started = Instant::now();
+        let code = loop {
+            if let Some(code) = self.fleet.exit_code(name) {
+                break code;
+            }
+            if started.elapsed() > AWAIT_LIMIT {
+                return Err("it has not ended".to_owned());
+            }
+            tokio::time::sleep(POLL).await;
+        };
+        if code == 0 { Ok(()) } else { Err(format!("it ended with {code}")) }
+    }
+
+    pub(super) fn check_runs(&mut self, name: &str, count: usize) -> Result<(), String> {
+        let request = self.request_id(name);
+        let ledger = self.fleet.ledger();
+        let starts = ledger.iter().filter(|it| it.event == LedgerEvent::Start);
+        let runs = starts.filter(|it| it.request == request).count();
+        if runs == count { Ok(()) } else { Err(format!("it ran {runs} times")) }
+    }
+
+    pub(super) fn check_region(&mut self, name: &str, region: &str) -> Result<(), String> {
+        let request = self.request_id(name);
+        let ledger = self.fleet.ledger();
+        let ended = ledger.iter().filter(|it| it.request == request);
+        let ended = ended.filter(|it| it.event == LedgerEvent::End);
+        let centres: Vec<&str> = ended.map(|it| it.data_centre.as_str()).collect();
+        let expected = self.current.regions.iter().find(|it| it.name.as_str() == region);
+        let expected = expected.ok_or_else(|| format!("no region is called {region}"))?;
+        let holds = |centre: &&str| expected.data_centres.iter().any(|it| it.as_str() == *centre);
+        match !centres.is_empty() && centres.iter().all(holds) {
+            true => Ok(()),
+            false => Err(format!("it ran in {centres:?}")),
+        }
+    }
+}
+
+/// Looks again and again whether something holds.
+pub(super) async fn await_event(
+    limit: Duration,
+    holds: impl AsyncFn() -> bool,
+) -> Result<(), String> {
+    let started = Instant::now();
+    while !holds().await {
+        if started.elapsed() > limit {
+            return Err(format!("not within {}ms", limit.as_millis()));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
--- a/crates/foldhaven-testkit/src/scenario/runner.rs
+++ b/crates/foldhaven-testkit/src/scenario/runner/mod.rs
@@ -1,5 +1,8 @@
 //! Runs a scenario step by step against a fleet of its own.
 
+mod awaits;
+mod requests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::PathBuf;
@@ -11,20 +14,16 @@
 use foldhavend::settings::TimeSettings;
 use tokio::task::JoinHandle;
 
-use super::judge::{Evidence, RuleEpoch, Violation};
-use super::observer::{StampObserver, adoption_violations};
-use super::steps::{EditSpec, LeaveWay, Scenario, SendSpec, StepKind};
-use super::traffic::{EntryFinder, PreparedAsk, RunningLoad, SentRequest};
 use crate::caller::CallerClient;
 use crate::fleet::{Fleet, FleetOptions, PLATFORM};
 use crate::relay::LinkEnds;
-use crate::stand_in::ledger::{LedgerEvent, epoch_ms};
+use crate::scenario::judge::{Evidence, RuleEpoch, Violation};
+use crate::scenario::observer::{StampObserver, adoption_violations};
+use crate::scenario::steps::{EditSpec, LeaveWay, Scenario, StepKind};
+use crate::scenario::traffic::{PreparedAsk, RunningLoad, SentRequest};
+use crate::stand_in::ledger::epoch_ms;
 use crate::stand_in::platform::PlatformMode;
 
-/// How long an awaited event may take.
-const AWAIT_LIMIT: Duration = Duration::from_secs(20);
-const POLL: Duration = Duration::from_millis(25);
-
 /// How a scenario ended.
 #[derive(Debug, Clone)]
 pub struct ScenarioReport {
@@ -247,120 +246,6 @@
         started.map_err(|error| error.to_string())
     }
 
-    fn directory(&self, account: &str) -> Vec<std::net::SocketAddr> {
-        let accounts = &self.current.accounts;
-        let home = accounts.iter().find(|it| it.name.as_str() == account);
-        let home = home.map(|it| it.home.to_string()).unwrap_or_default();
-        let mut vms: Vec<_> = self.fleet.vms.values().collect();
-        vms.sort_by_key(|vm| vm.region != home);
-        vms.into_iter().map(|vm| vm.settings.addresses.caller).collect()
-    }
-
-    fn entry(&self, spec: &SendSpec) -> Result<std::net::SocketAddr, String> {
-        match &spec.entry {
-            Some(name) => {
-                let vm =
-                    self.members(name).into_iter().next().and_then(|it| self.fleet.vms.get(&it));
-                let vm = vm.ok_or_else(|| format!("no VM is called {name}"))?;
-                Ok(vm.settings.addresses.caller)
-            }
-            None => Ok(self.directory(&spec.account)[0]),
-        }
-    }
-
-    async fn send(&mut self, name: &str, spec: &SendSpec) -> Result<(), String> {
-        let mut ask = match &spec.repeats {
-            Some(earlier) => self.prepared.get(earlier).cloned(),
-            None => PreparedAsk::new(&self.current, spec, name.to_owned()),
-        };
-        let Some(ask) = ask.as_mut() else {
-            self.note(format!("{name} is not sent: no such class or request"));
-            return Ok(());
-        };
-        if let Some(issuer) = &spec.ticket_from {
-            let answer = self.fleet.entries(issuer, &spec.account, 1).await;
-            let ticket = answer.and_then(|answer| answer.tickets.into_iter().next());
-            let Some(ticket) = ticket else {
-                // Whoever awaits the answer of a request that was not sent fails there.
-                self.note(format!("{name} is not sent: {issuer} issued no ticket"));
-                return Ok(());
-            };
-            ask.set_ticket(ticket);
-        }
-        self.prepared.insert(name.to_owned(), ask.clone());
-        let (ask, caller, entry) = (ask.clone(), self.caller.clone(), self.entry(spec)?);
-        let task = tokio::spawn(async move { ask.send(&caller, entry).await });
-        self.waiting.insert(name.to_owned(), task);
-        Ok(())
-    }
-
-    async fn take_answer(
-        &mut self,
-        name: &str,
-        outcomes: &[foldhaven_core::attempt::RequestOutcome],
-    ) -> Result<(), String> {
-        let task = self.waiting.remove(name).ok_or_else(|| "it was not sent".to_owned())?;
-        let sent = tokio::time::timeout(AWAIT_LIMIT, task).await;
-        let sent = sent.map_err(|_| "no answer in time".to_owned())?;
-        let sent = sent.map_err(|error| error.to_string())?;
-        let answer = sent.answer.clone();
-        self.note(format!("{name}: {} {:?} {:?}", answer.outcome, answer.error, answer.message));
-        self.sent.push(sent);
-        match outcomes.is_empty() || outcomes.contains(&answer.outcome) {
-            true => Ok(()),
-            false => Err(format!("got {}: {:?}", answer.outcome, answer.message)),
-        }
-    }
-
-    fn request_id(&self, name: &str) -> String {
-        match self.prepared.get(name) {
-            Some(PreparedAsk::Model(ask)) => ask.request.clone(),
-            Some(PreparedAsk::Service(ask, _)) => ask.request.clone(),
-            None => name.to_owned(),
-        }
-    }
-
-    async fn await_running(&mut self, name: &str) -> Result<(), String> {
-        let request = self.request_id(name);
-        let fleet = &self.fleet;
-        let runs = || {
-            let ledger = fleet.ledger();
-            ledger.iter().any(|it| it.request == request && it.event == LedgerEvent::Start)
-        };
-        await_event(AWAIT_LIMIT, async || runs()).await
-    }
-
-    fn start_load(&mut self, name: &str, spec: &SendSpec, rate: f64) {
-        let fixed = spec.entry.as_ref().and_then(|_| self.entry(spec).ok());
-        let is_fixed = fixed.is_some();
-        let directory = fixed.map_or_else(|| self.directory(&spec.account), |entry| vec![entry]);
-        let finder = EntryFinder { directory, is_fixed };
-        let description = self.current.clone();
-        let caller = self.caller.clone();
-        let load = RunningLoad::start(name, description, spec.clone(), rate, caller, finder);
-        self.loads.insert(name.to_owned(), load);
-    }
-
-    async fn end_load(&mut self, name: &str, share: f64) -> Result<(), String> {
-        let load = self.loads.remove(name).ok_or_else(|| "no such load".to_owned())?;
-        let sent = load.end().await;
-        let complete = sent.iter().filter(|sent| sent.answer.is_complete()).count();
-        let got = complete as f64 / sent.len().max(1) as f64;
-        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
-        for sent in sent.iter().filter(|sent| !sent.answer.is_complete()) {
-            let answer = &sent.answer;
-            let reason = answer.error.clone().unwrap_or_default();
-            *reasons.entry(format!("{reason} {}", answer.outcome)).or_default() += 1;
-        }
-        self.note(format!("{name}: {complete} of {} complete, {reasons:?}", sent.len()));
-        let worst = sent.iter().find(|sent| !sent.answer.is_complete()).cloned();
-        self.sent.extend(sent);
-        match got >= share {
-            true => Ok(()),
-            false => Err(format!("{got:.3} complete, {reasons:?}, such as {worst:?}")),
-        }
-    }
-
     /// Picks links by their ends, whichever side dials.
     fn chosen_links(&self, from: &str, to: &str) -> (BTreeSet<String>, BTreeSet<String>) {
         let from: BTreeSet<String> = self.members(from).into_iter().collect();
@@ -464,103 +349,6 @@
         Ok(())
     }
 
-    /// The VMs of a group that run and are not frozen.
-    fn running(&self, group: &str) -> Vec<String> {
-        let mut members = self.members(group);
-        members.retain(|name| !self.frozen.contains(name) && !self.ended.contains(name));
-        members
-    }
-
-    async fn await_in_force(&mut self, group: &str, within: Duration) -> Result<(), String> {
-        let started = Instant::now();
-        let members = self.running(group);
-        let newest = self.newest;
-        let fleet = &self.fleet;
-        let all_newest = async || {
-            for name in &members {
-                let status = fleet.status(name).await;
-                let stamp = status.and_then(|it| it.stamp).and_then(|it| it.parse().ok());
-                if stamp != Some(newest) {
-                    return false;
-                }
-            }
-            true
-        };
-        let result = await_event(within, all_newest).await;
-        let took = started.elapsed().as_millis();
-        self.note(format!("in force on {} VMs after {took}ms", members.len()));
-        if result.is_ok() && group == "all" && !self.is_cut {
-            // Reading the states took a moment; only what begins later is judged by the new rule.
-            let now = epoch_ms();
-            let older = self.epochs.iter_mut().filter(|it| stamp_of(&it.description) != newest);
-            for epoch in older {
-                epoch.until_ms.get_or_insert(now);
-            }
-        }
-        result
-    }
-
-    async fn await_judges(&mut self, vm: &str, member: &str, state: &str) -> Result<(), String> {
-        let fleet = &self.fleet;
-        let judged = async || {
-            let Some(status) = fleet.status(vm).await else { return false };
-            let found = status.members.iter().find(|it| it.vm.as_str() == member);
-            found.map_or("unknown", |it| it.state.as_str()) == state
-        };
-        await_event(AWAIT_LIMIT, judged).await
-    }
-
-    async fn await_serving(&mut self, group: &str) -> Result<(), String> {
-        let members = self.running(group);
-        let fleet = &self.fleet;
-        let serve = async || {
-            for name in &members {
-                if fleet.status(name).await.is_none_or(|status| status.stamp.is_none()) {
-                    return false;
-                }
-            }
-            true
-        };
-        await_event(AWAIT_LIMIT, serve).await
-    }
-
-    async fn await_exit(&mut self, name: &str) -> Result<(), String> {
-        let started = Instant::now();
-        let code = loop {
-            if let Some(code) = self.fleet.exit_code(name) {
-                break code;
-            }
-            if started.elapsed() > AWAIT_LIMIT {
-                return Err("it has not ended".to_owned());
-            }
-            tokio::time::sleep(POLL).await;
-        };
-        if code == 0 { Ok(()) } else { Err(format!("it ended with {code}")) }
-    }
-
-    fn check_runs(&mut self, name: &str, count: usize) -> Result<(), String> {
-        let request = self.request_id(name);
-        let ledger = self.fleet.ledger();
-        let starts = ledger.iter().filter(|it| it.event == LedgerEvent::Start);
-        let runs = starts.filter(|it| it.request == request).count();
-        if runs == count { Ok(()) } else { Err(format!("it ran {runs} times")) }
-    }
-
-    fn check_region(&mut self, name: &str, region: &str) -> Result<(), String> {
-        let request = self.request_id(name);
-        let ledger = self.fleet.ledger();
-        let ended = ledger.iter().filter(|it| it.request == request);
-        let ended = ended.filter(|it| it.event == LedgerEvent::End);
-        let centres: Vec<&str> = ended.map(|it| it.data_centre.as_str()).collect();
-        let expected = self.current.regions.iter().find(|it| it.name.as_str() == region);
-        let expected = expected.ok_or_else(|| format!("no region is called {region}"))?;
-        let holds = |centre: &&str| expected.data_centres.iter().any(|it| it.as_str() == *centre);
-        match !centres.is_empty() && centres.iter().all(holds) {
-            true => Ok(()),
-            false => Err(format!("it ran in {centres:?}")),
-        }
-    }
-
     /// Ends what is under way and judges everything.
     async fn finish(&mut self) {
         for name in std::mem::take(&mut self.frozen) {
@@ -630,14 +418,3 @@
         self.fleet.vms.keys().map(end).collect()
     }
 }
-
-async fn await_event(limit: Duration, holds: impl AsyncFn() -> bool) -> Result<(), String> {
-    let started = Instant::now();
-    while !holds().await {
-        if started.elapsed() > limit {
-            return Err(format!("not within {}ms", limit.as_millis()));
-        }
-        tokio::time::sleep(POLL).await;
-    }
-    Ok(())
-}
