What is on its way to another region is no queue there, and each service counts alone

A region counts as having room by what its VMs told and by what this VM has sent there since; that counted the requests of all services alike, those on their way too, times the VMs that may have sent as many, divided by two upstreams: one lookup bound for the region made a queue of 13 where six run.

Ruled out: the learnt room of upstreams as the cause: these declined with 20 to 32 believed requests, where 30 are the most.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod directory;
 pub mod event_pace;
+pub mod far_queue;
 pub mod load_share;
 pub mod pace;
 pub mod patience;
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -37,7 +37,7 @@
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let seat = place.enter(read_tokens, rank);
+        let seat = place.enter(&self.job.service, read_tokens, rank);
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -16,7 +16,6 @@
 
 use super::change_log::StateOffer;
 use super::{ControlKeeper, InService};
-use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT};
 use crate::upstream::{Upstream, UpstreamIdentity};
 use crate::view::{GatewayView, PeerLink};
 
@@ -209,15 +208,7 @@
         let mut links = HashMap::new();
         for beat in beats.iter().filter(|beat| beat.phase == PeerPhase::Serving) {
             let known = self.links.get(&beat.vm).filter(|link| link.address == beat.peer);
-            let link = known.cloned().unwrap_or_else(|| {
-                Arc::new(PeerLink {
-                    vm: beat.vm.clone(),
-                    region: beat.region.clone(),
-                    address: beat.peer,
-                    pool: ConnectionPool::new(PEER_IDLE_LIMIT),
-                    load: Arc::default(),
-                })
-            });
+            let link = known.cloned().unwrap_or_else(|| Arc::new(PeerLink::new(beat)));
             links.insert(beat.vm.clone(), link);
         }
         self.links = links;
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -8,8 +8,10 @@
 use foldhaven_core::opaque::choice::{
     CostParts, RequestCost, pause_cost, slowing_cost, streaming_cost,
 };
+use foldhaven_core::opaque::far_queue::FarService;
+use foldhaven_core::opaque::load_share::UpstreamShare;
 use foldhaven_core::opaque::pace::QueueFacts;
-use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
+use foldhaven_core::opaque::queue_rank::QueueRank;
 
 use super::{PlaceChoice, RequestPlace, TOLD_TOKENS, TriedPlaces, query_of};
 use crate::job::GatewayJob;
@@ -87,9 +89,10 @@
         let missing = self.missing_tokens(query.shared_tokens);
         let read_tokens = query.own_tokens + missing;
         let pace = self.shared.measured_pace(&job.service);
-        let sent = self.sent_since();
+        let way = self.way(&peer);
+        let sent = self.sent_since(pace.hold, way);
         let there = pace.first(sent, QueueRank::Timely, read_tokens);
-        let first = self.way(&peer) + self.wait.wait + there;
+        let first = way + self.wait.wait + there;
         // What was told counts most requests that were sent since, too.
         let queue = QueueFacts { in_flight: sent.in_flight.max(self.wait.load), ..sent };
         let parts = CostParts {
@@ -125,22 +128,16 @@
 
     /// What this region's VMs have sent there since its VMs told their waits, as far as it can be
     /// guessed from what this one has sent.
-    fn sent_since(&self) -> QueueFacts {
-        let view = self.view;
-        let links = view.peers.iter().filter(|peer| peer.region == *self.region);
-        let sent = links.map(|peer| peer.load.share());
-        let none = (0, UnreadTokens::default());
-        let (in_flight, unread) = sent.fold(none, |(in_flight, unread), share| {
-            (in_flight + u32::from(share.in_flight), unread.plus(share.unread))
+    fn sent_since(&self, hold: Duration, way: Duration) -> QueueFacts {
+        let links = self.view.peers.iter().filter(|peer| peer.region == *self.region);
+        let sent = links.map(|peer| peer.share(&self.job.service));
+        let own = sent.fold(UpstreamShare::default(), |sum, share| UpstreamShare {
+            in_flight: sum.in_flight.saturating_add(share.in_flight),
+            unread: sum.unread.plus(share.unread),
+            ..sum
         });
-        let factor = view.senders as f64 / self.wait.upstreams.max(1) as f64;
-        QueueFacts {
-            slots: self.wait.slots,
-            in_flight: (f64::from(in_flight) * factor) as u32,
-            whole: 0,
-            behind: 0,
-            unread: unread.times(factor),
-        }
+        let RegionWait { upstreams, slots, .. } = self.wait;
+        FarService { upstreams, slots, hold, way }.queue(own, self.view.senders)
     }
 
     /// The tokens of the shared parts that would have to be read there.
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foldhaven_core::ids::{UpstreamName, VmName};
+use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
 use foldhaven_core::opaque::admission::{PlaceOffer, TimeLimits, admit, come_back_after};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::pace::QueueFacts;
@@ -70,11 +70,11 @@
         CallTarget { address, pool: self.pool(), connect_limit }
     }
 
-    /// Counts a request there.
-    pub fn enter(&self, tokens: u32, rank: QueueRank) -> LoadSeat {
+    /// Counts a request of a service there.
+    pub fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadSeat {
         match self {
             Self::Upstream(upstream) => upstream.load.enter(tokens, rank),
-            Self::Peer(peer) => peer.load.enter(tokens, rank),
+            Self::Peer(peer) => peer.enter(service, tokens, rank),
         }
     }
 }
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -6,15 +6,17 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
-use foldhaven_core::opaque::load_share::share_interval;
+use foldhaven_core::opaque::load_share::{UpstreamShare, share_interval};
 use foldhaven_core::opaque::peer_table::PeerBeat;
+use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
+use parking_lot::Mutex;
 
-use crate::connection::ConnectionPool;
+use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT};
 use crate::keeper::StateOffer;
-use crate::upstream::{LoadCounter, Upstream};
+use crate::upstream::{LoadCounter, LoadSeat, Upstream};
 
 /// Another VM that takes forwarded requests.
 pub struct PeerLink {
@@ -22,8 +24,30 @@
     pub region: RegionName,
     pub address: SocketAddr,
     pub pool: ConnectionPool,
-    /// The requests that this VM has forwarded there.
-    pub load: Arc<LoadCounter>,
+    /// The requests that this VM has forwarded there, by service.
+    loads: Mutex<HashMap<ServiceName, Arc<LoadCounter>>>,
+}
+
+impl PeerLink {
+    pub fn new(beat: &PeerBeat) -> Self {
+        Self {
+            vm: beat.vm.clone(),
+            region: beat.region.clone(),
+            address: beat.peer,
+            pool: ConnectionPool::new(PEER_IDLE_LIMIT),
+            loads: Mutex::default(),
+        }
+    }
+
+    /// Counts a request of a service there until the guard is dropped.
+    pub fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadSeat {
+        self.loads.lock().entry(service.clone()).or_default().enter(tokens, rank)
+    }
+
+    /// The requests of a service that this VM has there.
+    pub fn share(&self, service: &ServiceName) -> UpstreamShare {
+        self.loads.lock().get(service).map_or(UpstreamShare::default(), |load| load.share())
+    }
 }
 
 /// What a request would meet in another region.
