--- /dev/null
+++ b/crates/foldhavend/src/control/keeper/descriptions.rs
@@ -0,0 +1,85 @@
+//! Descriptions: which is adopted, and what others are told of it.
+
+use foldhaven_core::description::DescriptionIndex;
+use xtra::{Context, Handler};
+
+use super::ControlKeeper;
+use crate::control::messages::*;
+
+impl Handler<NoteStamp> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: NoteStamp, context: &mut Context<Self>) {
+        if Some(message.stamp) > self.stamp() {
+            let keeper = context.mailbox().address().try_upgrade().expect("it runs");
+            self.fetch_from(message.source, &keeper);
+        }
+    }
+}
+
+impl Handler<EndFetch> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, _: EndFetch, _: &mut Context<Self>) {
+        self.fetching = false;
+    }
+}
+
+impl Handler<OfferDescription> for ControlKeeper {
+    type Return = bool;
+
+    async fn handle(&mut self, message: OfferDescription, _: &mut Context<Self>) -> bool {
+        let offered = message.manifest.stamp();
+        if Some(offered) <= self.stamp() {
+            return false;
+        }
+        match DescriptionIndex::from_sections(message.manifest, message.sections) {
+            Ok(index) => {
+                tracing::info!(stamp = %offered, peer = message.source, "description adopted");
+                self.index = Some(index);
+                self.refused = None;
+                self.publish();
+                self.shared.exchange_now.notify_one();
+                true
+            }
+            Err(error) => {
+                let refused = format!("{offered} from {}: {error}", message.source);
+                tracing::warn!(
+                    step = "adopting a description",
+                    peer = message.source,
+                    stamp = %offered,
+                    error = %error,
+                    "description refused"
+                );
+                self.refused = Some(refused);
+                false
+            }
+        }
+    }
+}
+
+impl Handler<ReadState> for ControlKeeper {
+    type Return = ControlDigest;
+
+    async fn handle(&mut self, _: ReadState, _: &mut Context<Self>) -> ControlDigest {
+        let index = self.index.as_ref();
+        ControlDigest {
+            stamp: self.stamp(),
+            manifest: index.map(|index| index.manifest.clone()),
+            sections: index.map(|index| index.sections.clone()).unwrap_or_default(),
+            list: self.list.clone(),
+            is_reader: self.is_reader(),
+            peers: self.peer_addresses(),
+        }
+    }
+}
+
+impl Handler<ReadSections> for ControlKeeper {
+    type Return = Vec<String>;
+
+    async fn handle(&mut self, message: ReadSections, _: &mut Context<Self>) -> Vec<String> {
+        let Some(index) = &self.index else { return Vec::new() };
+        let held = message.digests.iter().filter_map(|digest| index.sections.get(digest));
+        held.map(|content| content.to_string()).collect()
+    }
+}
--- a/crates/foldhavend/src/control/keeper.rs
+++ b/crates/foldhavend/src/control/keeper/mod.rs
@@ -1,5 +1,8 @@
 //! The control actor: the one place where control state changes.
 
+mod descriptions;
+mod exchanges;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,16 +11,15 @@
 use foldhaven_core::description::{DescriptionIndex, DescriptionStamp};
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
 use foldhaven_core::load::{EngineLoad, EngineView};
-use foldhaven_core::membership::{MemberState, MemberTable, VmBeat, partners_of};
+use foldhaven_core::membership::{MemberState, MemberTable, VmBeat};
 use foldhaven_core::placement::{EngineOrder, due_orders, issuer_of};
 use foldhaven_core::rank::rank_by;
 use foldhaven_core::time::MonoTime;
-use foldhaven_wire::control::{ExchangeReply, ExchangeRequest};
 use foldhaven_wire::platform::{UpstreamEntry, UpstreamKind, UpstreamList};
 use xtra::{Context, Handler};
 
-use super::fetch;
-use super::messages::*;
+use crate::control::fetch;
+use crate::control::messages::*;
 use crate::shared::SharedState;
 
 /// A load report older than this says nothing any more.
@@ -26,12 +28,6 @@
 const UNREPORTED_LIMIT: Duration = Duration::from_millis(1_500);
 /// An engine that does not answer this many polls in a row is not used.
 const FAILED_POLLS: u32 = 2;
-/// Seeds whose data centre is not seen are tried in every n-th round.
-const SEED_ROUNDS: u64 = 4;
-/// Other data centres are met in every n-th round, and less often when there are many partners.
-const CENTRE_ROUNDS: u64 = 2;
-const CENTRE_ROUNDS_MANY: u64 = 4;
-const MANY_PARTNERS: usize = 4;
 /// The key by which the reader of the platform is ranked.
 const READER_KEY: &str = "platform-reader";
 
@@ -267,78 +263,6 @@
         }
         addresses
     }
-
-    fn plan_member_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
-        let now = self.now();
-        let named = |beat: &VmBeat| (beat.vm.clone(), beat.addresses.control);
-        let members: Vec<_> = match std::mem::take(&mut self.meets_all) {
-            true => self.members.members(now).map(|(beat, _)| named(beat)).collect(),
-            false => self.members.round_members(self.round).into_iter().map(named).collect(),
-        };
-        for (at, (vm, address)) in members.into_iter().enumerate() {
-            // One of them is asked for newer summaries; whoever has them passes them on.
-            let held = (at == 0).then(|| self.members.summary_versions());
-            let request = ExchangeRequest { beat: self.make_beat(), held, own: None };
-            targets.push(ExchangeTarget { vm: Some(vm), address, request });
-        }
-    }
-
-    /// The data centres with which this one starts exchanges.
-    fn partners(&self) -> BTreeSet<DataCentreName> {
-        let Some(index) = &self.index else { return BTreeSet::new() };
-        let regions = index.description.regions.iter();
-        let named = regions.flat_map(|it| it.data_centres.iter().map(|dc| (dc, &it.name)));
-        let centres: Vec<_> = named.map(|(dc, region)| (dc.clone(), region.clone())).collect();
-        partners_of(&self.shared.settings.data_centre, &centres)
-    }
-
-    fn plan_centre_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
-        let now = self.now();
-        if !self.members.is_delegate(self.serves(), now) {
-            return;
-        }
-        let partners = self.partners();
-        let many = partners.len() > MANY_PARTNERS;
-        let rounds = if many { CENTRE_ROUNDS_MANY } else { CENTRE_ROUNDS };
-        if !self.round.is_multiple_of(rounds) {
-            return;
-        }
-        let seen = self.members.summaries(now);
-        let mut addresses = Vec::new();
-        for seen in seen.iter().filter(|it| partners.contains(&it.summary.data_centre)) {
-            // Two delegates turn through the VMs of the partner in step with the rounds.
-            let vms = &seen.summary.vms;
-            let at = (self.round / rounds) as usize % vms.len().max(1);
-            let centre = seen.summary.data_centre.clone();
-            addresses.extend(vms.get(at).map(|brief| (centre, brief.addresses.control)));
-        }
-        for (centre, address) in addresses {
-            let own = Some(self.make_summary(Some(&centre)));
-            let request = ExchangeRequest { beat: self.make_beat(), held: None, own };
-            targets.push(ExchangeTarget { vm: None, address, request });
-        }
-    }
-
-    fn plan_seed_exchanges(&mut self, targets: &mut Vec<ExchangeTarget>) {
-        let now = self.now();
-        let is_delegate = self.members.is_delegate(self.serves(), now);
-        let mut missed = self.partners();
-        for seen in self.members.summaries(now) {
-            missed.remove(&seen.summary.data_centre);
-        }
-        for address in self.shared.settings.seeds.clone() {
-            let due = match self.answered.get(&address) {
-                None => self.index.is_none() || self.round.is_multiple_of(SEED_ROUNDS),
-                Some(centre) => is_delegate && missed.contains(centre),
-            };
-            if !due {
-                continue;
-            }
-            let own = self.index.is_some().then(|| self.make_summary(None));
-            let request = ExchangeRequest { beat: self.make_beat(), held: None, own };
-            targets.push(ExchangeTarget { vm: None, address, request });
-        }
-    }
 }
 
 fn aged_load(view: &EngineView, now: MonoTime) -> EngineLoad {
@@ -346,65 +270,6 @@
     EngineLoad { age_ms, ..view.load.clone() }
 }
 
-impl Handler<HearExchange> for ControlKeeper {
-    type Return = ExchangeReply;
-
-    async fn handle(
-        &mut self,
-        message: HearExchange,
-        context: &mut Context<Self>,
-    ) -> ExchangeReply {
-        let now = self.now();
-        let ExchangeRequest { beat, held, own } = message.request;
-        self.hear_beat(&beat, &context.mailbox().address().try_upgrade().expect("it runs"));
-        let mut summaries = Vec::new();
-        if let Some(own) = own {
-            let asker = own.data_centre.clone();
-            self.members.hear_summary(own, now);
-            if self.index.is_some() {
-                summaries.push(self.make_summary(Some(&asker)));
-            }
-        }
-        if let Some(held) = held {
-            summaries.extend(self.members.summaries_newer_than(&held, now));
-        }
-        ExchangeReply { beat: self.make_beat(), summaries }
-    }
-}
-
-impl Handler<EndExchange> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, message: EndExchange, context: &mut Context<Self>) {
-        let now = self.now();
-        let Some(reply) = message.reply else {
-            if let Some(vm) = &message.target.vm {
-                self.members.note_failed(vm);
-            }
-            return;
-        };
-        self.answered.insert(message.target.address, reply.beat.data_centre.clone());
-        self.hear_beat(&reply.beat, &context.mailbox().address().try_upgrade().expect("it runs"));
-        self.members.note_reached(&reply.beat.vm, now);
-        for summary in reply.summaries {
-            self.members.hear_summary(summary, now);
-        }
-    }
-}
-
-impl Handler<PlanExchanges> for ControlKeeper {
-    type Return = Vec<ExchangeTarget>;
-
-    async fn handle(&mut self, _: PlanExchanges, _: &mut Context<Self>) -> Vec<ExchangeTarget> {
-        let mut targets = Vec::new();
-        self.plan_member_exchanges(&mut targets);
-        self.plan_centre_exchanges(&mut targets);
-        self.plan_seed_exchanges(&mut targets);
-        self.round += 1;
-        targets
-    }
-}
-
 impl Handler<PlanPolls> for ControlKeeper {
     type Return = Vec<PollTarget>;
 
@@ -490,84 +355,6 @@
     }
 }
 
-impl Handler<NoteStamp> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, message: NoteStamp, context: &mut Context<Self>) {
-        if Some(message.stamp) > self.stamp() {
-            let keeper = context.mailbox().address().try_upgrade().expect("it runs");
-            self.fetch_from(message.source, &keeper);
-        }
-    }
-}
-
-impl Handler<EndFetch> for ControlKeeper {
-    type Return = ();
-
-    async fn handle(&mut self, _: EndFetch, _: &mut Context<Self>) {
-        self.fetching = false;
-    }
-}
-
-impl Handler<OfferDescription> for ControlKeeper {
-    type Return = bool;
-
-    async fn handle(&mut self, message: OfferDescription, _: &mut Context<Self>) -> bool {
-        let offered = message.manifest.stamp();
-        if Some(offered) <= self.stamp() {
-            return false;
-        }
-        match DescriptionIndex::from_sections(message.manifest, message.sections) {
-            Ok(index) => {
-                tracing::info!(stamp = %offered, peer = message.source, "description adopted");
-                self.index = Some(index);
-                self.refused = None;
-                self.publish();
-                self.shared.exchange_now.notify_one();
-                true
-            }
-            Err(error) => {
-                let refused = format!("{offered} from {}: {error}", message.source);
-                tracing::warn!(
-                    step = "adopting a description",
-                    peer = message.source,
-                    stamp = %offered,
-                    error = %error,
-                    "description refused"
-                );
-                self.refused = Some(refused);
-                false
-            }
-        }
-    }
-}
-
-impl Handler<ReadState> for ControlKeeper {
-    type Return = ControlDigest;
-
-    async fn handle(&mut self, _: ReadState, _: &mut Context<Self>) -> ControlDigest {
-        let index = self.index.as_ref();
-        ControlDigest {
-            stamp: self.stamp(),
-            manifest: index.map(|index| index.manifest.clone()),
-            sections: index.map(|index| index.sections.clone()).unwrap_or_default(),
-            list: self.list.clone(),
-            is_reader: self.is_reader(),
-            peers: self.peer_addresses(),
-        }
-    }
-}
-
-impl Handler<ReadSections> for ControlKeeper {
-    type Return = Vec<String>;
-
-    async fn handle(&mut self, message: ReadSections, _: &mut Context<Self>) -> Vec<String> {
-        let Some(index) = &self.index else { return Vec::new() };
-        let held = message.digests.iter().filter_map(|digest| index.sections.get(digest));
-        held.map(|content| content.to_string()).collect()
-    }
-}
-
 impl Handler<NoteUpstreamLeaving> for ControlKeeper {
     type Return = ();
 
