--- a/crates/foldhaven-core/src/opaque/choice/sample.rs
+++ b/crates/foldhaven-core/src/opaque/choice/sample.rs
@@ -3,7 +3,7 @@
 //! The pattern that it answers: VMs that decide alone on the same reports. Each takes the upstream that these show
 //! as the cheapest, so that all take the same few until the next report: in a peak of 3,600 requests a second at
 //! 46 upstreams, 26 VMs whose reports were 80 ms old met upstreams with 48 requests that they believed to have 14,
-//! and every third arrival was declined, while all queues together were half full.
+//! and every fifth arrival of that day was declined, while all queues together were six tenths full.
 //!
 //! Where few requests come between two reports the cheapest of all is the best choice; where many come, the
 //! cheapest of a few that each VM draws anew (Mitzenmacher, "How Useful Is Old Information?").
