--- a/crates/foldhaven-core/src/opaque/far_queue.rs
+++ b/crates/foldhaven-core/src/opaque/far_queue.rs
@@ -3,7 +3,7 @@
 //! The pattern that it answers: a service with few upstreams in each region, of which one is lost or emptied. The
 //! other regions stand idle within reach, but each request on its way there counted for one at each upstream, times
 //! the VMs that may have sent as many: one request of 26 VMs made a queue of 13 at upstreams that run six, and requests
-//! were refused here. Counted so, such a service earned 0.88 of its worth on a day with a peak, and 0.96 since.
+//! were refused here. Such a service earned 0.88 of its worth on a day with a peak when counted so, 0.96 counted as here.
 
 use std::time::Duration;
 
