A request's fingerprint in the log, and a line for each connection that breaks under one

Cause: the logs could not tell which requests were at an upstream when it ended, nor whether two requests are the same.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -20,6 +20,7 @@
 pub mod reading_pace;
 pub mod region_book;
 pub mod report_plan;
+pub mod request_print;
 pub mod retry_share;
 pub mod round_trip;
 pub mod route_delta;
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -90,6 +90,24 @@
         upstream.note_failure(self.note_route_end(true), self.shared.now());
     }
 
+    /// Notes that the connection to an upstream ended while the request was there.
+    pub fn note_broken(&self, upstream: &Upstream, cause: &str) {
+        self.note_failure(upstream);
+        self.shared.metrics.count_event("connection_broke");
+        if self.shared.quota.take(false) {
+            tracing::info!(
+                upstream = %upstream.name(),
+                request = self.job.id(),
+                print = %self.job.print,
+                cause,
+                tries = self.arrivals,
+                others = upstream.load.share().in_flight,
+                ms = self.job.started.elapsed().as_millis() as u64,
+                "a connection broke under a request"
+            );
+        }
+    }
+
     /// Notes how a request of this route ended at an upstream. Returns the share that usually fails.
     fn note_route_end(&self, has_failed: bool) -> f64 {
         let route = &self.job.route.name;
@@ -115,9 +133,8 @@
             CallFault::NotSent(_) => upstream.note_unreachable(now),
             // Another process has the address now.
             CallFault::Declined { .. } if fault.is_misdirected() => upstream.note_unreachable(now),
-            CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => {
-                self.note_failure(upstream);
-            }
+            CallFault::Broken(cause) => self.note_broken(upstream, cause),
+            CallFault::Silent | CallFault::TimedOut => self.note_failure(upstream),
             // A full upstream says nothing of what is usual for the route.
             CallFault::Declined { .. } => upstream.pace.lock().note_end(true, 0.0, now),
         }
@@ -153,6 +170,7 @@
         let view = shared.view();
         tracing::info!(
             request = job.id(),
+            print = %job.print,
             route = %job.route.name,
             service = %job.service,
             end = end.label(),
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -20,7 +20,7 @@
 use crate::metrics::RequestEnd;
 use crate::places::RequestPlace;
 use crate::shared::InFlightGuard;
-use crate::upstream::LoadSeat;
+use crate::upstream::{LoadSeat, Upstream};
 
 /// A stream that can be resumed is resumed elsewhere after a silence of this many wanted pauses.
 const STALL_GAPS: u32 = 3;
@@ -159,6 +159,7 @@
                     Poll::Ready(RelayStep::Nothing) => {}
                     Poll::Ready(RelayStep::Whole) => return self.finish(),
                     Poll::Ready(RelayStep::Broken(cause)) => {
+                        self.note_broken(cause);
                         if !self.resume(cause) {
                             return self.cut(cause);
                         }
@@ -224,9 +225,7 @@
 
     /// Notes that something was received from the upstream.
     fn note_heard(&self) {
-        if let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver)
-            && let RequestPlace::Upstream(upstream) = &reading.place
-        {
+        if let Some((driver, upstream)) = self.reading_from() {
             upstream.note_heard(driver.shared.now());
         }
     }
@@ -300,18 +299,32 @@
         if self.driver.as_ref().is_some_and(|driver| driver.job.is_forwarded) {
             return false;
         }
+        if let Some((driver, upstream)) = self.reading_from() {
+            driver.note_failure(upstream);
+        }
         if !self.resume(cause) {
             self.stall = None;
         }
         true
     }
 
+    /// The upstream that events are read from.
+    fn reading_from(&self) -> Option<(&RequestDriver, &Upstream)> {
+        let RelayState::Reading(reading) = &self.state else { return None };
+        let RequestPlace::Upstream(upstream) = &reading.place else { return None };
+        Some((self.driver.as_ref()?, upstream))
+    }
+
+    /// Notes that the connection to the upstream ended before the stream did.
+    fn note_broken(&self, cause: &'static str) {
+        if let Some((driver, upstream)) = self.reading_from() {
+            driver.note_broken(upstream, cause);
+        }
+    }
+
     /// Whether this VM has heard nothing at all from the stream's upstream since its last event.
     fn is_upstream_dark(&self) -> bool {
-        let (RelayState::Reading(reading), Some(driver)) = (&self.state, &self.driver) else {
-            return false;
-        };
-        let RequestPlace::Upstream(upstream) = &reading.place else { return false };
+        let Some((driver, upstream)) = self.reading_from() else { return false };
         let last_news = driver.shared.now() - self.last_news.elapsed();
         upstream.is_silent_since(last_news + HEARD_MARGIN)
     }
@@ -339,11 +352,6 @@
         let Some(mut driver) = self.driver.take() else { return false };
         driver.may_have_run = true;
         driver.last_fault = Some(cause.to_owned());
-        if let RelayState::Reading(reading) = &self.state
-            && let RequestPlace::Upstream(upstream) = &reading.place
-        {
-            driver.note_failure(upstream);
-        }
         if !driver.may_repeat() {
             self.driver = Some(driver);
             return false;
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use foldhaven_core::opaque::affinity::PromptOutline;
+use foldhaven_core::opaque::request_print::{PrintedParts, RequestPrint};
 use foldhaven_wire::operator::{PlacePrice, RouteExplanation};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
@@ -56,6 +57,12 @@
     let service = route.pick_service(0.0).ok_or(Refusal::NoRoute)?.clone();
     let job = GatewayJob {
         attempt: HeaderValue::from_static("explain"),
+        print: RequestPrint::of(&PrintedParts {
+            host: query.host,
+            method: "GET",
+            target: query.path,
+            body: &[],
+        }),
         outline: query.prompt.filter(|_| route.affinity).and_then(PromptOutline::read),
         output_tokens: query.output_tokens,
         service,
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -7,6 +7,7 @@
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::affinity::{PromptOutline, PromptPart};
 use foldhaven_core::opaque::choice::{OUTPUT_WEIGHT, PLAIN_SIZE};
+use foldhaven_core::opaque::request_print::{PrintedParts, RequestPrint};
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
@@ -32,6 +33,8 @@
 pub struct GatewayJob {
     /// The id by which the caller tells its tries apart; upstreams repeat it.
     pub attempt: HeaderValue,
+    /// What it has in common with every other sending of the same request.
+    pub print: RequestPrint,
     pub route: Arc<OpaqueRoute>,
     pub service: ServiceName,
     pub method: Method,
@@ -118,6 +121,7 @@
         let Self { head, body, started } = self;
         GatewayJob {
             attempt: terms.attempt,
+            print: print_of(&head, &body),
             outline: read_outline(&head, &route, names),
             output_tokens: read_output_tokens(&head, names),
             route,
@@ -136,6 +140,16 @@
     }
 }
 
+/// The fingerprint of a request.
+fn print_of(head: &Parts, body: &[u8]) -> RequestPrint {
+    RequestPrint::of(&PrintedParts {
+        host: host_of(head).unwrap_or_default(),
+        method: head.method.as_str(),
+        target: head.uri.path_and_query().map_or("/", |target| target.as_str()),
+        body,
+    })
+}
+
 /// The host that a request names.
 pub fn host_of(head: &Parts) -> Option<&str> {
     if let Some(host) = head.uri.host() {
