A request under which upstreams ended is known again at every VM, and held back

Cause: a try that broke was noted against the upstream and never against the request, so each VM and each sending began with a clean sheet. Ruled out: retries of one VM (an unsafe route of one attempt shows the same), overload of cold upstreams as the cause (the stand-ins have none).

Change: fingerprints of the requests at an upstream that ended are noted and joined by all VMs; from two ends on one VM at a time sends it, from three on it is refused and tried in growing pauses; a whole answer clears it. An upstream's life is its name and its birth. A VM that starts is ready once a peer has told it what is held back.

--- a/crates/foldhaven-core/src/ids.rs
+++ b/crates/foldhaven-core/src/ids.rs
@@ -158,6 +158,30 @@
     }
 }
 
+/// When a process of an upstream started, in milliseconds since the epoch by its own clock.
+///
+/// A process that starts again may have the name of the one before it; its birth differs. Births are compared for equality
+/// only, since clocks are set back. 0 stands for an upstream that names none.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UpstreamBirth(pub u64);
+
+impl fmt::Display for UpstreamBirth {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for UpstreamBirth {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// One try to run a request at one upstream or peer, unique over all daemons.
 ///
 /// ```
--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -5,9 +5,9 @@
 
 use lru::LruCache;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::UpstreamName;
+use crate::ids::{UpstreamBirth, UpstreamName};
 
 /// How many shared parts are remembered.
 const MAX_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
@@ -60,15 +60,16 @@
     }
 }
 
-/// An upstream in messages between VMs: the hash of its name.
+/// One life of an upstream in messages between VMs: the hash of its name and of its birth. What is told of an earlier
+/// life names another tag, and so never counts for a later one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct UpstreamTag(pub u32);
 
 impl UpstreamTag {
-    /// The tag of an upstream.
-    pub fn of(name: &UpstreamName) -> Self {
-        Self(xxh3_64(name.as_str().as_bytes()) as u32)
+    /// The tag of the life of an upstream that began at its birth.
+    pub fn of(name: &UpstreamName, birth: UpstreamBirth) -> Self {
+        Self(xxh3_64_with_seed(name.as_str().as_bytes(), birth.0) as u32)
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -27,4 +27,5 @@
 pub mod route_history;
 pub mod route_table;
 pub mod service_order;
+pub mod suspects;
 pub mod upstream_table;
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentreName, ServiceName, UpstreamName};
+use crate::ids::{DataCentreName, ServiceName, UpstreamBirth, UpstreamName};
 use crate::time::MonoTime;
 
 /// An upstream that disappears from the list this soon after the list could not be read may only
@@ -16,11 +16,13 @@
 /// the return of the list's service, by its operators' word.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
-/// One process of an upstream, as it is listed. A later start has another name.
+/// One process of an upstream, as it is listed. A later start has another name or another birth.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// The name of the process.
     pub name: UpstreamName,
+    /// When it started.
+    pub birth: UpstreamBirth,
     /// The service that it runs.
     pub service: ServiceName,
     /// Where it takes requests. Another process may get the address later.
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -85,6 +85,11 @@
         /// After which time one probably could.
         wait: Duration,
     },
+    /// upstreams ended under this request
+    Suspect {
+        /// When it may be tried here.
+        wait: Duration,
+    },
     /// this VM is leaving
     Leaving,
     /// not permitted here
@@ -110,6 +115,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::Overloaded { .. }
+            | Self::Suspect { .. }
             | Self::Leaving
             | Self::NotPermitted
             | Self::NotReached => StatusCode::SERVICE_UNAVAILABLE,
@@ -133,6 +139,7 @@
             Self::Overloaded { cause: Unservable::TooHarmful, .. } => "too_harmful",
             Self::Overloaded { cause: Unservable::Full, .. } => "known_full",
             Self::Overloaded { cause: Unservable::Crowded, .. } => "crowded",
+            Self::Suspect { .. } => "suspect",
             Self::Leaving => "leaving",
             Self::NotPermitted => "not_permitted",
             Self::Broken => "broken",
@@ -147,6 +154,7 @@
             Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
             Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
+            Self::Suspect { wait } => wait,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
         };
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -4,6 +4,7 @@
 mod notes;
 mod requests;
 mod retries;
+mod suspicion;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,7 +21,7 @@
 use crate::job::GatewayJob;
 use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
-use crate::upstream::LoadSeat;
+use crate::upstream::{GuestSeat, LoadSeat};
 use crate::view::GatewayView;
 
 /// So long after its first description a process has heard of the VMs that live: seeds answer within one
@@ -71,6 +72,8 @@
     pub place: RequestPlace,
     /// Counts the request at its place until the answer ends.
     pub seat: LoadSeat,
+    /// Notes it at its upstream, where it is at one.
+    pub guest: Option<GuestSeat>,
     /// What was expected of the place when the request was sent.
     pub expected: ExpectedFirst,
     /// When the request was sent.
@@ -124,6 +127,10 @@
     tried: TriedPlaces,
     /// How many tries may have reached an upstream or another VM.
     pub arrivals: u32,
+    /// How many tries ended with their connection.
+    breaks: u32,
+    /// Whether the request is suspected, and sent on once to see whether it is rightly.
+    is_trial: bool,
     /// Whether any of it may have run.
     pub may_have_run: bool,
     /// The last fault, for the log.
@@ -143,6 +150,8 @@
             job,
             tried: TriedPlaces::default(),
             arrivals: 0,
+            breaks: 0,
+            is_trial: false,
             may_have_run: false,
             last_fault: None,
             last_place: None,
@@ -179,9 +188,13 @@
 
     /// Reads an answer to its end, and notes what it says of its place.
     async fn finish(&mut self, placed: PlacedAnswer) -> TryEnd {
-        let PlacedAnswer { answer, place, seat, expected, sent } = placed;
+        let PlacedAnswer { answer, place, seat, mut guest, expected, sent } = placed;
         let read = read_whole(answer, place.pool(), self.job.deadline).await;
         drop(seat);
+        if read.is_ok() {
+            self.note_answered(guest.as_mut());
+        }
+        drop(guest);
         let (head, body) = match read {
             Ok(whole) => whole,
             Err(fault) => {
@@ -234,6 +247,7 @@
     /// still be heard of.
     fn choose(&mut self) -> Result<Option<PlaceChoice>, Refusal> {
         let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
+        self.check_suspicion().map_err(|refusal| self.after_tries(refusal))?;
         let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
             Ok(chosen) => chosen,
             Err(Refusal::NoUpstream) if self.awaits_peers(&view) => return Ok(None),
@@ -242,6 +256,7 @@
                 return Err(self.after_tries(refusal));
             }
         };
+        self.begin_trial(&chosen.place).map_err(|refusal| self.after_tries(refusal))?;
         self.tried.note(&chosen.place);
         self.last_place = Some(chosen.place.name().to_owned());
         self.last_expected = Some(LoggedChoice::of(&chosen));
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -1,5 +1,6 @@
 //! Notes what tries say of their places, and how requests ended.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foldhaven_core::burn::BurnEvent;
@@ -13,6 +14,7 @@
 use crate::metrics::{RequestBurn, RequestEnd};
 use crate::places::{RequestPlace, TOLD_TOKENS};
 use crate::upstream::Upstream;
+use crate::upstream_ends::look_into_end;
 
 /// The fewest events of a stream that tell how fast events are written.
 const LEAST_EVENTS: u32 = 4;
@@ -91,8 +93,9 @@
     }
 
     /// Notes that the connection to an upstream ended while the request was there.
-    pub fn note_broken(&self, upstream: &Upstream, cause: &str) {
+    pub fn note_broken(&self, upstream: &Arc<Upstream>, cause: &str) {
         self.note_failure(upstream);
+        look_into_end(&self.shared, upstream);
         self.shared.metrics.count_event("connection_broke");
         if self.shared.quota.take(false) {
             tracing::info!(
@@ -127,6 +130,7 @@
     pub(super) fn note_fault(&mut self, place: &RequestPlace, fault: &CallFault) {
         self.last_fault = Some(fault.to_string());
         self.may_have_run |= fault.may_have_run();
+        self.breaks += u32::from(matches!(fault, CallFault::Broken(_)));
         let RequestPlace::Upstream(upstream) = place else { return };
         let now = self.shared.now();
         match fault {
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -15,7 +15,7 @@
 use crate::call::{CallFault, OpenAnswer, open_call};
 use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
-use crate::upstream::Upstream;
+use crate::upstream::{GuestSeat, Upstream};
 
 /// After this time without an answer it is looked whether anything is heard of an upstream. Answers
 /// of a model that reads a long prompt take some hundred milliseconds.
@@ -38,6 +38,7 @@
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
         let seat = place.enter(&self.job.service, read_tokens, rank);
+        let mut guest = self.admit(&place);
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
@@ -53,9 +54,12 @@
         if let RequestPlace::Upstream(upstream) = &place {
             self.note_room(upstream, queue, &opened);
         }
+        if opened.as_ref().is_err_and(|fault| !fault.may_have_run()) {
+            guest.iter_mut().for_each(GuestSeat::note_harmless);
+        }
         let answer = opened?;
         let expected = ExpectedFirst { time: first, rank, until_answer };
-        Ok(PlacedAnswer { answer, place, seat, expected, sent })
+        Ok(PlacedAnswer { answer, place, seat, guest, expected, sent })
     }
 
     /// The request with the headers that are set for each try.
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -43,7 +43,7 @@
     /// Whether the request may be sent to one more place that counts it as arrived.
     fn may_send_again(&mut self) -> bool {
         let is_open = self.arrivals < self.job.route.max_attempts && !self.job.is_forwarded;
-        is_open && self.may_choose_again() && self.take_retry()
+        is_open && !self.may_be_harmful() && self.may_choose_again() && self.take_retry()
     }
 
     /// Takes one retry out of this VM's part of the budget.
--- /dev/null
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -0,0 +1,73 @@
+//! Holds back requests under which upstreams ended.
+
+use std::sync::Arc;
+
+use foldhaven_core::opaque::suspects::{SuspectVerdict, TRIED_ENDS};
+
+use super::RequestDriver;
+use crate::answer::Refusal;
+use crate::places::RequestPlace;
+use crate::upstream::GuestSeat;
+
+impl RequestDriver {
+    /// Refuses a request that must not be sent on now.
+    pub(super) fn check_suspicion(&self) -> Result<(), Refusal> {
+        if self.is_trial {
+            return Ok(());
+        }
+        match self.shared.suspects.look(&self.job.print, self.shared.now()) {
+            SuspectVerdict::Refused { wait } => Err(Refusal::Suspect { wait }),
+            SuspectVerdict::Free | SuspectVerdict::Trial => Ok(()),
+        }
+    }
+
+    /// Begins a trial where one is due. Only the VM that sends to the upstream itself does: the others are told before
+    /// the request is there.
+    pub(super) fn begin_trial(&mut self, place: &RequestPlace) -> Result<(), Refusal> {
+        if self.is_trial || matches!(place, RequestPlace::Peer(_)) {
+            return Ok(());
+        }
+        let verdict = self.shared.suspects.judge(&self.job.print, &self.shared.change_context());
+        match verdict {
+            SuspectVerdict::Free => {}
+            SuspectVerdict::Trial => self.is_trial = true,
+            SuspectVerdict::Refused { wait } => return Err(Refusal::Suspect { wait }),
+        }
+        Ok(())
+    }
+
+    /// Whether another try would be a bet with another upstream that is likely to be lost: connections ended under the
+    /// request twice, here or as other VMs tell, or it is on trial.
+    pub(super) fn may_be_harmful(&self) -> bool {
+        let known = self.shared.suspects.ends(&self.job.print);
+        self.is_trial || known.max(self.breaks as usize) >= TRIED_ENDS
+    }
+
+    /// Counts a try that ended with its connection after its answer had begun.
+    pub fn count_break(&mut self) {
+        self.breaks += 1;
+    }
+
+    /// Notes the request at an upstream, until the guard is dropped.
+    pub(super) fn admit(&self, place: &RequestPlace) -> Option<GuestSeat> {
+        let RequestPlace::Upstream(upstream) = place else { return None };
+        Some(Arc::clone(upstream).admit(self.job.print, self.shared.clock))
+    }
+
+    /// Notes that the request was answered whole, and so has not ended its upstream.
+    pub fn note_answered(&mut self, guest: Option<&mut GuestSeat>) {
+        if let Some(guest) = guest {
+            guest.note_harmless();
+        }
+        self.is_trial = false;
+        self.shared.suspects.note_answered(self.job.print, &self.shared.change_context());
+    }
+}
+
+impl Drop for RequestDriver {
+    fn drop(&mut self) {
+        if self.is_trial {
+            self.shared.suspects.note_untried(&self.job.print, self.shared.now());
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -172,7 +172,7 @@
 #[async_trait]
 impl FrontHandler for ReadyHandler {
     async fn handle(&self, _request: Request<Incoming>) -> Answer {
-        let is_ready = self.shared.view().is_some() && !self.shared.is_leaving();
+        let is_ready = self.shared.is_prepared() && !self.shared.is_leaving();
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         body_answer(status, "text/plain", "")
     }
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -60,6 +60,11 @@
         Ok(Self { sender, idle_since: Instant::now(), idle_limit: IDLE_LIMIT })
     }
 
+    /// Whether its peer has ended it.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.idle_since.elapsed() < self.idle_limit
     }
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
 use crate::stop::stop_when_told;
+use crate::suspect_news::tell_suspects;
 use crate::warm_links::keep_links_warm;
 
 /// How often the control state is looked over.
@@ -149,9 +150,10 @@
     let keeper = ControlKeeper::new(shared.clone(), incarnation, news);
     let turns = keeper.turns();
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
-    tokio::spawn(hear_datagrams(socket.clone(), address.clone()));
+    tokio::spawn(hear_datagrams(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(tell_changes(socket.clone(), told, shared.clone()));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
+    tokio::spawn(tell_suspects(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bincode::Options;
+use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
-use foldhaven_core::opaque::peer_table::{BEAT_INTERVAL, BeatMessage};
+use foldhaven_core::opaque::peer_table::{AskedBeats, BEAT_INTERVAL, BeatMessage};
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews};
+use foldhaven_core::opaque::suspects::{RecordSource, SuspectRecord};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -35,15 +37,25 @@
 /// not have listened yet, and until it hears of others it can send nothing to their regions.
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What one VM tells another of suspected requests.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct SuspectTelling {
+    /// The region of the teller.
+    pub region: RegionName,
+    /// What it knows; nothing in the answer to a VM that has just started, where nothing is suspected.
+    pub records: Vec<SuspectRecord>,
+}
+
 /// What VMs tell each other in a datagram.
 #[derive(Debug, Serialize, Deserialize)]
-enum PeerMessage {
+pub enum PeerMessage {
     Beat(BeatMessage),
     Load(LoadReport),
     Placements(Vec<PromptPlacement>),
     Changes(ChangeSet),
     Early(Vec<CountedChange>),
     Region(RegionReport),
+    Suspects(SuspectTelling),
 }
 
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
@@ -141,7 +153,11 @@
 }
 
 /// Takes datagrams and hands them to the keeper.
-pub async fn hear_datagrams(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
+pub async fn hear_datagrams(
+    socket: Arc<UdpSocket>,
+    keeper: KeeperAddress,
+    shared: Arc<GatewayShared>,
+) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let (length, sender) = match socket.recv_from(&mut buffer).await {
@@ -159,6 +175,16 @@
                 continue;
             }
         };
+        if let Some(asker) = asker_of_all(&message) {
+            tell_starter(&socket, &shared, asker).await;
+        }
+        let message = match message {
+            PeerMessage::Suspects(telling) => {
+                hear_suspects(&shared, &telling);
+                continue;
+            }
+            message => message,
+        };
         match hand_over(&keeper, message).await {
             Ok(replies) => send_all(&socket, replies).await,
             Err(_) => return,
@@ -178,10 +204,35 @@
         PeerMessage::Placements(placements) => keeper.send(HearPlacements { placements }).await?,
         PeerMessage::Region(report) => keeper.send(HearRegion { report }).await?,
         PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
+        PeerMessage::Suspects(_) => {}
     }
     Ok(PlannedBeats::new())
 }
 
+/// The address of a VM that has just started and asks for all there is to know.
+fn asker_of_all(message: &PeerMessage) -> Option<SocketAddr> {
+    match message {
+        PeerMessage::Beat(beat) if beat.asks == AskedBeats::All => Some(beat.own.peer),
+        _ => None,
+    }
+}
+
+/// Tells a VM that has just started which requests are held back, also when there are none: it waits for that.
+async fn tell_starter(socket: &UdpSocket, shared: &GatewayShared, starter: SocketAddr) {
+    let records = shared.suspects.next_repeated();
+    let telling = SuspectTelling { region: shared.settings.region().clone(), records };
+    send_to(socket, &[starter], &PeerMessage::Suspects(telling)).await;
+}
+
+/// Takes in what another VM tells of suspected requests.
+fn hear_suspects(shared: &GatewayShared, telling: &SuspectTelling) {
+    let source = match telling.region == *shared.settings.region() {
+        true => RecordSource::Near,
+        false => RecordSource::Far,
+    };
+    shared.suspects.hear(&telling.records, source, &shared.change_context());
+}
+
 /// Sends heartbeats in rounds, and at once when this daemon starts to leave.
 pub async fn send_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress, shared: Arc<GatewayShared>) {
     let mut stage = shared.stage.subscribe();
@@ -201,14 +252,19 @@
     }
 }
 
-async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
+/// Sends a message to some VMs. Returns how many bytes it has.
+pub async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) -> usize {
     let bytes = match encode(message) {
         Ok(bytes) => bytes,
-        Err(error) => return tracing::warn!(error = %error, "a message was not sent"),
+        Err(error) => {
+            tracing::warn!(error = %error, "a message was not sent");
+            return 0;
+        }
     };
     for target in targets {
         send_bytes(socket, *target, &bytes).await;
     }
+    bytes.len()
 }
 
 async fn send_all(socket: &UdpSocket, planned: PlannedBeats) {
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -20,7 +21,7 @@
 use crate::metrics::RequestEnd;
 use crate::places::RequestPlace;
 use crate::shared::InFlightGuard;
-use crate::upstream::{LoadSeat, Upstream};
+use crate::upstream::{GuestSeat, LoadSeat, Upstream};
 
 /// A stream that can be resumed is resumed elsewhere after a silence of this many wanted pauses.
 const STALL_GAPS: u32 = 3;
@@ -51,6 +52,7 @@
     lease: ConnectionLease,
     place: RequestPlace,
     seat: LoadSeat,
+    guest: Option<GuestSeat>,
     expected: ExpectedFirst,
     sent: Instant,
     has_begun: bool,
@@ -64,13 +66,14 @@
 
 impl ReadingState {
     fn of(placed: PlacedAnswer) -> Box<Self> {
-        let PlacedAnswer { answer, place, seat, expected, sent } = placed;
+        let PlacedAnswer { answer, place, seat, guest, expected, sent } = placed;
         let (_, body, lease) = answer.into_parts();
         Box::new(Self {
             body,
             lease,
             place,
             seat,
+            guest,
             expected,
             sent,
             has_begun: false,
@@ -160,6 +163,7 @@
                     Poll::Ready(RelayStep::Whole) => return self.finish(),
                     Poll::Ready(RelayStep::Broken(cause)) => {
                         self.note_broken(cause);
+                        self.driver.iter_mut().for_each(RequestDriver::count_break);
                         if !self.resume(cause) {
                             return self.cut(cause);
                         }
@@ -309,7 +313,7 @@
     }
 
     /// The upstream that events are read from.
-    fn reading_from(&self) -> Option<(&RequestDriver, &Upstream)> {
+    fn reading_from(&self) -> Option<(&RequestDriver, &Arc<Upstream>)> {
         let RelayState::Reading(reading) = &self.state else { return None };
         let RequestPlace::Upstream(upstream) = &reading.place else { return None };
         Some((self.driver.as_ref()?, upstream))
@@ -368,9 +372,11 @@
 
     /// Ends a whole stream, and keeps the connection to its upstream.
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
-        if let RelayState::Reading(reading) = std::mem::replace(&mut self.state, RelayState::Ended)
+        if let RelayState::Reading(mut reading) =
+            std::mem::replace(&mut self.state, RelayState::Ended)
         {
-            if let Some(driver) = &self.driver {
+            if let Some(driver) = &mut self.driver {
+                driver.note_answered(reading.guest.as_mut());
                 driver.note_success(&reading.place, reading.sent);
                 if let (Some((begun, before)), (load, looks)) = (reading.begun, reading.loads) {
                     // The first event that came at `begun` is among those before.
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -8,6 +8,7 @@
 mod load_reports;
 mod peer_changes;
 mod region_waits;
+mod suspect_targets;
 mod traffic_view;
 
 use std::collections::HashMap;
@@ -37,6 +38,7 @@
 pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
+pub use self::suspect_targets::{PlanSuspectTargets, SuspectTargets, TellOccasion};
 use crate::demand_meter::DemandMeter;
 use crate::feed::FeedTurn;
 use crate::settings::GatewaySettings;
@@ -243,6 +245,7 @@
             (true, _) => PeerPhase::Leaving,
             (false, None) => PeerPhase::Starting,
             (false, Some(_)) if self.shared.is_too_far_behind() => PeerPhase::Starting,
+            (false, Some(_)) if !self.shared.is_prepared() => PeerPhase::Starting,
             (false, Some(_)) => PeerPhase::Serving,
         }
     }
@@ -268,6 +271,7 @@
         let now = self.now();
         self.peers.forget(now);
         self.regions.forget(now);
+        self.shared.suspects.forget(&self.shared.change_context());
         self.note_growth();
         self.note_told_outage();
         self.note_progress();
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -106,19 +106,23 @@
             by_service.entry(upstream.identity.service.clone()).or_default().push(upstream.clone());
             kept.insert(upstream.name().clone(), upstream);
         }
-        for (name, _) in self.upstreams.iter().filter(|(name, _)| !kept.contains_key(*name)) {
-            self.shared.hints.lock().forget(UpstreamTag::of(name));
+        let by_tag: HashMap<UpstreamTag, Arc<Upstream>> =
+            kept.values().map(|upstream| (upstream.tag, upstream.clone())).collect();
+        for tag in self.by_tag.keys().filter(|tag| !by_tag.contains_key(*tag)) {
+            self.shared.hints.lock().forget(*tag);
         }
-        self.by_tag = kept.values().map(|upstream| (upstream.tag, upstream.clone())).collect();
+        self.by_tag = by_tag;
         self.upstreams = kept;
         by_service
     }
 
-    /// The upstream of an entry: the one known already, unless its address has changed.
+    /// The upstream of an entry: the one known already, unless its address has changed or it has started again. Nothing
+    /// that was measured of an earlier life counts for a later one.
     fn upstream_of(&self, entry: &UpstreamEntry, routes: &RouteTable) -> Option<Arc<Upstream>> {
         let record = &entry.record;
         if let Some(known) = self.upstreams.get(&record.name)
             && known.identity.address == record.address
+            && known.identity.birth == record.birth
         {
             return Some(known.clone());
         }
@@ -126,6 +130,7 @@
         let service = routes.service(&record.service);
         Some(Upstream::new(UpstreamIdentity {
             name: record.name.clone(),
+            birth: record.birth,
             service: record.service.clone(),
             address: record.address,
             data_centre: record.data_centre.clone(),
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod call;
 mod caller_front;
+mod clock;
 mod codec;
 mod connection;
 mod daemon;
@@ -31,7 +32,10 @@
 pub mod settings;
 mod shared;
 mod stop;
+mod suspect_news;
+mod suspects;
 mod upstream;
+mod upstream_ends;
 mod view;
 mod warm_links;
 
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::affinity::{PromptHints, PromptPlacement};
 use foldhaven_core::opaque::pace::ServicePace;
 use foldhaven_core::opaque::patience::CallerPatience;
+use foldhaven_core::opaque::peer_table::VmTag;
 use foldhaven_core::opaque::queue_room::QueueRoom;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
@@ -17,15 +18,14 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::clock::MonoClock;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
 use crate::settings::GatewaySettings;
+use crate::suspects::{ChangeContext, SuspectDesk};
 use crate::view::GatewayView;
 
-/// Readings start well above zero, so that spans can be taken off early ones.
-const HEAD_START: Duration = Duration::from_secs(3_600);
-
 /// From when on a VM that others are ahead of does not rule out what it does not know. Changes are in force
 /// everywhere within five seconds, by the operators' word; asking for them takes well under one.
 const DOUBT_AFTER: Duration = Duration::from_millis(1_000);
@@ -73,8 +73,8 @@
     patiences: Mutex<HashMap<RouteName, CallerPatience>>,
     /// What the requests of each route have shown.
     histories: Mutex<HashMap<RouteName, RouteHistory>>,
-    /// The start of the process, from which its clock counts.
-    zero: Instant,
+    /// The clock of the process.
+    pub clock: MonoClock,
     view: ArcSwapOption<GatewayView>,
     /// When the first view was published.
     first_view: OnceLock<Instant>,
@@ -89,11 +89,14 @@
     is_leaving: AtomicBool,
     /// What is believed of others that know more.
     behind: Mutex<Option<BehindBelief>>,
+    /// Requests under which upstreams ended.
+    pub suspects: SuspectDesk,
 }
 
 impl GatewayShared {
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
         Arc::new(Self {
+            suspects: SuspectDesk::new(VmTag::of(&settings.vm)),
             settings,
             names,
             metrics: GatewayMetrics::default(),
@@ -104,7 +107,7 @@
             paces: Mutex::default(),
             patiences: Mutex::default(),
             histories: Mutex::default(),
-            zero: Instant::now(),
+            clock: MonoClock::start(),
             view: ArcSwapOption::empty(),
             first_view: OnceLock::new(),
             retries: Mutex::default(),
@@ -118,12 +121,12 @@
 
     /// The time on the clock that never steps back.
     pub fn now(&self) -> MonoTime {
-        MonoTime::default() + (self.zero.elapsed() + HEAD_START)
+        self.clock.now()
     }
 
     /// How long this process has run.
     pub fn uptime(&self) -> Duration {
-        self.zero.elapsed()
+        self.clock.uptime()
     }
 
     /// What requests are decided by; nothing before the first description.
@@ -142,6 +145,17 @@
         self.first_view.get().map_or(Duration::ZERO, Instant::elapsed)
     }
 
+    /// When and where a change of what is believed of a request is noted.
+    pub fn change_context(&self) -> ChangeContext<'_> {
+        ChangeContext { metrics: &self.metrics, now: self.now() }
+    }
+
+    /// Whether this process knows all that it needs to take requests: a description, and which requests must not be
+    /// sent on.
+    pub fn is_prepared(&self) -> bool {
+        self.view.load().is_some() && self.suspects.is_informed(self.viewed_for())
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
     }
--- /dev/null
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -0,0 +1,188 @@
+//! What this VM believes of requests under which upstreams ended, shared by both threads, with a log line for each
+//! change of it.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::request_print::RequestPrint;
+use foldhaven_core::opaque::suspects::{
+    REFUSED_ENDS, RecordSource, SuspectChange, SuspectNews, SuspectRecord, SuspectTable,
+    SuspectVerdict, TRIED_ENDS,
+};
+use foldhaven_core::time::MonoTime;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::logging::LogQuota;
+use crate::metrics::GatewayMetrics;
+
+/// So long after its first description a process that nobody has told anything takes requests: it is the first one, or
+/// alone. Seeds are asked every 100 ms and answer within one round trip between regions.
+const INFORMED_AFTER: Duration = Duration::from_millis(300);
+
+/// The suspected requests.
+pub struct SuspectDesk {
+    table: Mutex<SuspectTable>,
+    /// Limits how many lines on changes are logged.
+    quota: LogQuota,
+    /// Told when there is something to tell other VMs.
+    news: Notify,
+    /// Whether another VM has told what it knows since this process started.
+    is_informed: AtomicBool,
+}
+
+/// Counts and logs of a change.
+pub struct ChangeContext<'a> {
+    pub metrics: &'a GatewayMetrics,
+    pub now: MonoTime,
+}
+
+impl SuspectDesk {
+    pub fn new(own: VmTag) -> Self {
+        Self {
+            table: Mutex::new(SuspectTable::new(own)),
+            quota: LogQuota::default(),
+            news: Notify::new(),
+            is_informed: AtomicBool::new(false),
+        }
+    }
+
+    /// How many upstreams ended under a request.
+    pub fn ends(&self, print: &RequestPrint) -> usize {
+        self.table.lock().ends(print)
+    }
+
+    /// What would be done with a request.
+    pub fn look(&self, print: &RequestPrint, now: MonoTime) -> SuspectVerdict {
+        self.table.lock().look(print, now)
+    }
+
+    /// What is done with a request that is about to be sent to an upstream.
+    pub fn judge(&self, print: &RequestPrint, context: &ChangeContext<'_>) -> SuspectVerdict {
+        let verdict = self.table.lock().judge(print, context.now);
+        if verdict == SuspectVerdict::Trial {
+            context.metrics.count_event("suspect_tried");
+            tracing::info!(%print, "a suspected request is tried");
+            self.news.notify_one();
+        }
+        verdict
+    }
+
+    /// Notes that a trial has shown nothing.
+    pub fn note_untried(&self, print: &RequestPrint, now: MonoTime) {
+        self.table.lock().note_untried(print, now);
+    }
+
+    /// Notes that an upstream ended under a request of this VM.
+    pub fn note_end(
+        &self,
+        print: RequestPrint,
+        upstream: UpstreamTag,
+        context: &ChangeContext<'_>,
+    ) {
+        let change = self.table.lock().note_end(print, upstream, context.now);
+        self.note_change(change, "own", context);
+    }
+
+    /// Notes that a request was answered whole.
+    pub fn note_answered(&self, print: RequestPrint, context: &ChangeContext<'_>) {
+        let change = self.table.lock().note_answered(print, context.now);
+        self.note_change(change, "own", context);
+    }
+
+    /// Takes in what another VM told.
+    pub fn hear(
+        &self,
+        records: &[SuspectRecord],
+        source: RecordSource,
+        context: &ChangeContext<'_>,
+    ) {
+        self.is_informed.store(true, Ordering::Relaxed);
+        for record in records {
+            let heard = self.table.lock().hear(record, source, context.now);
+            match heard {
+                Ok(change) => self.note_change(change, "told", context),
+                Err(fault) => {
+                    context.metrics.count_event("suspect_record_dropped");
+                    if self.quota.take(false) {
+                        tracing::warn!(print = %record.print, error = %fault, "a record was dropped");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether what other VMs know is known here, as far as there are any to tell it.
+    pub fn is_informed(&self, described_for: Duration) -> bool {
+        self.is_informed.load(Ordering::Relaxed) || described_for >= INFORMED_AFTER
+    }
+
+    /// Waits until there may be something to tell.
+    pub async fn await_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// What is to be told at once.
+    pub fn take_news(&self) -> Vec<SuspectNews> {
+        self.table.lock().take_news()
+    }
+
+    /// What other VMs may be about to tell as well.
+    pub fn take_shared_news(&self) -> Vec<SuspectNews> {
+        self.table.lock().take_shared_news()
+    }
+
+    /// What is told again and again.
+    pub fn next_repeated(&self) -> Vec<SuspectRecord> {
+        self.table.lock().next_repeated()
+    }
+
+    /// All suspected requests, with the time since the last change of each.
+    pub fn rows(&self, now: MonoTime) -> Vec<(SuspectRecord, Duration)> {
+        let table = self.table.lock();
+        let records = table.records().into_iter();
+        records.map(|it| (it.clone(), table.age(&it.print, now).unwrap_or_default())).collect()
+    }
+
+    /// Drops what is too old to count.
+    pub fn forget(&self, context: &ChangeContext<'_>) {
+        let mut table = self.table.lock();
+        table.forget(context.now);
+        context.metrics.set_level("suspects_held_back", table.held_back() as u64);
+    }
+
+    /// Counts and logs a change, and has others told.
+    fn note_change(
+        &self,
+        change: Option<SuspectChange>,
+        source: &'static str,
+        context: &ChangeContext<'_>,
+    ) {
+        let Some(SuspectChange { record, ends_before }) = change else { return };
+        self.news.notify_one();
+        let ends = record.ends.len();
+        let event = match ends {
+            0 => "suspect_pardoned",
+            ends if ends >= REFUSED_ENDS && ends_before < REFUSED_ENDS => "suspect_refused",
+            ends if ends > ends_before => "suspect_ended",
+            _ => "suspect_changed",
+        };
+        context.metrics.count_event(event);
+        // One end each is what an upstream leaves of all that it had; more are a belief that others act by.
+        let is_plain = ends.max(ends_before) < TRIED_ENDS;
+        if self.quota.take(is_plain) {
+            tracing::info!(
+                print = %record.print,
+                event,
+                ends,
+                ends_before,
+                trials = record.trials,
+                pardons = record.pardons,
+                source,
+                "what is believed of a request changes"
+            );
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -2,18 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use foldhaven_core::health::TargetHealth;
-use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, UpstreamName};
+use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, UpstreamBirth, UpstreamName};
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::cold::ColdPacer;
 use foldhaven_core::opaque::load_share::UpstreamShare;
 use foldhaven_core::opaque::pace::{QueueFacts, UpstreamPace};
 use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
+use foldhaven_core::opaque::request_print::RequestPrint;
+use foldhaven_core::opaque::suspects::{GuestBook, GuestId};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
+use crate::clock::MonoClock;
 use crate::connection::{ConnectionPool, IDLE_LIMIT};
 
 /// One process of an upstream. It lives as long as the process is listed; views share it.
@@ -38,6 +41,10 @@
     others_behind: AtomicU32,
     /// The prompt tokens of those that were not answered yet.
     others_unread: Mutex<UnreadTokens>,
+    /// The requests of this VM there, by which it is known under which ones it ended.
+    guests: Mutex<GuestBook>,
+    /// Whether it is being found out whether it has ended.
+    is_probed: AtomicBool,
     /// When anything was received from it last.
     heard: AtomicU64,
     /// Until when it is cold.
@@ -49,6 +56,7 @@
 /// What is listed of an upstream and stays the same during its life.
 pub struct UpstreamIdentity {
     pub name: UpstreamName,
+    pub birth: UpstreamBirth,
     pub service: ServiceName,
     pub address: SocketAddr,
     pub data_centre: DataCentreName,
@@ -62,7 +70,7 @@
 impl Upstream {
     pub fn new(identity: UpstreamIdentity) -> Arc<Self> {
         Arc::new(Self {
-            tag: UpstreamTag::of(&identity.name),
+            tag: UpstreamTag::of(&identity.name, identity.birth),
             identity,
             pool: ConnectionPool::new(IDLE_LIMIT),
             health: Mutex::default(),
@@ -73,6 +81,8 @@
             others_whole: AtomicU32::new(0),
             others_behind: AtomicU32::new(0),
             others_unread: Mutex::default(),
+            guests: Mutex::default(),
+            is_probed: AtomicBool::new(false),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
@@ -105,6 +115,27 @@
         self.heard.load(Ordering::Relaxed) < moment.0
     }
 
+    /// Begins to find out whether it has ended, unless somebody does already.
+    pub fn begin_probe(&self) -> bool {
+        !self.is_probed.swap(true, Ordering::Relaxed)
+    }
+
+    /// Ends that.
+    pub fn end_probe(&self) {
+        self.is_probed.store(false, Ordering::Relaxed);
+    }
+
+    /// The requests of this VM that it may have ended under.
+    pub fn take_victims(&self, now: MonoTime) -> Vec<RequestPrint> {
+        self.guests.lock().take_victims(now)
+    }
+
+    /// Notes a request of this VM there until the guard is dropped.
+    pub fn admit(self: &Arc<Self>, print: RequestPrint, clock: MonoClock) -> GuestSeat {
+        let id = self.guests.lock().enter(print);
+        GuestSeat { upstream: self.clone(), id, clock, is_harmless: false }
+    }
+
     /// Notes that it cannot be reached or says nothing: it is ejected at once, and connections to it
     /// are closed.
     pub fn note_unreachable(&self, now: MonoTime) {
@@ -140,6 +171,31 @@
     }
 }
 
+/// One request at an upstream.
+pub struct GuestSeat {
+    upstream: Arc<Upstream>,
+    id: GuestId,
+    clock: MonoClock,
+    is_harmless: bool,
+}
+
+impl GuestSeat {
+    /// Notes that it has not harmed the upstream: it was answered whole, declined or never sent.
+    pub fn note_harmless(&mut self) {
+        self.is_harmless = true;
+    }
+}
+
+impl Drop for GuestSeat {
+    fn drop(&mut self) {
+        let mut guests = self.upstream.guests.lock();
+        match self.is_harmless {
+            true => guests.leave_harmless(self.id),
+            false => guests.leave(self.id, self.clock.now()),
+        }
+    }
+}
+
 /// The requests of this VM at one place.
 #[derive(Debug, Default)]
 pub struct LoadCounter {
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foldhaven_core::ids::{IncarnationId, UpstreamName};
+use foldhaven_core::ids::{IncarnationId, UpstreamBirth, UpstreamName};
 use foldhaven_core::opaque::admission::{PlaceOffer, TimeLimits, admit};
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::choice::{ChoiceQuery, UpstreamFacts, choose_upstream};
@@ -79,7 +79,10 @@
 
 impl SimulatedVm {
     pub(super) fn new(name: &str, engines: &[UpstreamName]) -> Self {
-        let tags = engines.iter().enumerate().map(|(at, name)| (UpstreamTag::of(name), at));
+        let tags = engines
+            .iter()
+            .enumerate()
+            .map(|(at, name)| (UpstreamTag::of(name, UpstreamBirth::default()), at));
         Self {
             tag: VmTag::of(&name.parse().expect("a number makes a name")),
             engines: engines.iter().map(|_| KnownEngine::default()).collect(),
