--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -235,4 +235,11 @@
     pub fn service(&self, name: &ServiceName) -> Option<&OpaqueService> {
         self.services.get(name).map(|at| &self.description.services[*at])
     }
+
+    /// Whether the description names a service, of its own or for a route.
+    pub fn names_service(&self, name: &ServiceName) -> bool {
+        let is_routed =
+            |route: &Arc<OpaqueRoute>| route.services.iter().any(|it| it.service == *name);
+        self.services.contains_key(name) || self.description.routes.iter().any(is_routed)
+    }
 }
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Takes in that the record of an upstream names none any more. It is not used, also while a removal would be taken for a
+    /// lapse.
+    pub fn withdraw(&mut self, name: &UpstreamName) {
+        self.entries.remove(name);
+    }
+
     /// Takes in the whole list. Returns what it changes.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: MonoTime) -> ListDifference {
         let listed: BTreeSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -23,6 +23,8 @@
     pub description: Option<RouteDescription>,
     /// The upstreams of all data centres.
     pub upstreams: Vec<UpstreamRecord>,
+    /// Upstreams whose records are of no form that names one.
+    pub unusable: BTreeSet<UpstreamName>,
     /// The data centres whose upstreams are to get nothing.
     pub evacuated: BTreeSet<DataCentreName>,
 }
@@ -38,6 +40,8 @@
     UpstreamWritten(UpstreamRecord),
     /// The record of an upstream was removed.
     UpstreamRemoved(UpstreamName),
+    /// The record of an upstream was written in a form that names none, whatever it was before.
+    UpstreamUnusable(UpstreamName),
     /// A data centre is to be evacuated.
     EvacuationStarted(DataCentreName),
     /// The evacuation of a data centre was withdrawn.
@@ -61,7 +65,9 @@
         match self {
             Self::Description(_) | Self::DescriptionDelta(_) => ChangeSubject::Description,
             Self::UpstreamWritten(record) => ChangeSubject::Upstream(&record.name),
-            Self::UpstreamRemoved(name) => ChangeSubject::Upstream(name),
+            Self::UpstreamRemoved(name) | Self::UpstreamUnusable(name) => {
+                ChangeSubject::Upstream(name)
+            }
             Self::EvacuationStarted(centre) | Self::EvacuationEnded(centre) => {
                 ChangeSubject::Evacuation(centre)
             }
--- a/crates/foldhaven-gateway/src/keeper/change_log.rs
+++ b/crates/foldhaven-gateway/src/keeper/change_log.rs
@@ -105,6 +105,7 @@
             revision: self.revision,
             description: Some(self.routes.description().clone()),
             upstreams: self.upstreams.clone(),
+            unusable: BTreeSet::new(),
             evacuated: self.evacuated.clone(),
         }
     }
--- a/crates/foldhaven-gateway/src/keeper/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/keeper/feed_changes.rs
@@ -150,7 +150,7 @@
     /// Replaces what is known by a snapshot, unless the snapshot is older. Returns what of it may be in force at
     /// others before they know all of it.
     pub(super) fn take_snapshot(&mut self, snapshot: FeedSnapshot) -> Option<ChangeSet> {
-        let FeedSnapshot { revision, description, upstreams, evacuated } = snapshot;
+        let FeedSnapshot { revision, description, upstreams, unusable, evacuated } = snapshot;
         if revision < self.revision {
             tracing::warn!(held = self.revision, offered = revision, "older state ignored");
             return None;
@@ -160,6 +160,9 @@
         // What came and went since is in no difference: whoever knows less is told everything.
         self.log.reset(revision);
         let replaces = std::mem::replace(&mut self.needs_all, false);
+        for name in &unusable {
+            self.withdraw(name);
+        }
         let difference = self.table.replace(upstreams, now);
         let mut changes = self.change_evacuations(evacuated);
         let upstreams = difference.listed.len();
@@ -267,7 +270,9 @@
         match change {
             FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
             FeedChange::UpstreamWritten(record) => self.log_listed(record),
-            FeedChange::UpstreamRemoved(name) => self.log_unlisted(name),
+            FeedChange::UpstreamRemoved(name) | FeedChange::UpstreamUnusable(name) => {
+                self.log_unlisted(name);
+            }
             FeedChange::EvacuationStarted(centre) => {
                 tracing::info!(data_centre = %centre, "evacuation starts");
             }
@@ -284,6 +289,7 @@
             FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
             FeedChange::UpstreamWritten(record) => self.table.put(record, now),
             FeedChange::UpstreamRemoved(name) => self.table.remove(&name, now),
+            FeedChange::UpstreamUnusable(name) => self.withdraw(&name),
             FeedChange::EvacuationStarted(centre) => {
                 self.change_evacuated(|evacuated| evacuated.insert(centre));
             }
@@ -293,6 +299,12 @@
         }
     }
 
+    /// Drops an upstream whose record names none any more.
+    fn withdraw(&mut self, name: &UpstreamName) {
+        self.shared.metrics.count_event("upstream_unusable");
+        self.table.withdraw(name);
+    }
+
     /// Replaces the evacuated data centres. Returns the changes.
     fn change_evacuations(&mut self, evacuated: BTreeSet<DataCentreName>) -> Vec<FeedChange> {
         let held = self.table.evacuated();
@@ -306,6 +318,7 @@
     fn log_listed(&self, record: &UpstreamRecord) {
         tracing::info!(
             upstream = %record.name,
+            birth = record.birth.0,
             leaving = record.leaving,
             cold_ms = record.cold_for.as_millis() as u64,
             revision = self.revision,
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -94,6 +94,9 @@
         let mut kept = HashMap::new();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Upstream>>> = HashMap::new();
         for entry in self.table.usable() {
+            if !routes.names_service(&entry.record.service) {
+                continue;
+            }
             let Some(upstream) = self.upstream_of(entry, routes) else { continue };
             let rate = match now < entry.cold_until {
                 true => self.cold_rate(entry, &upstream, routes, &standing),
@@ -116,13 +119,12 @@
         by_service
     }
 
-    /// The upstream of an entry: the one known already, unless its address has changed or it has started again. Nothing
+    /// The upstream of an entry: the one known already, unless it has started again or stands elsewhere. Nothing
     /// that was measured of an earlier life counts for a later one.
     fn upstream_of(&self, entry: &UpstreamEntry, routes: &RouteTable) -> Option<Arc<Upstream>> {
         let record = &entry.record;
         if let Some(known) = self.upstreams.get(&record.name)
-            && known.identity.address == record.address
-            && known.identity.birth == record.birth
+            && known.identity.is_of(record)
         {
             return Some(known.clone());
         }
--- a/crates/foldhaven-gateway/src/logging.rs
+++ b/crates/foldhaven-gateway/src/logging.rs
@@ -117,6 +117,11 @@
 }
 
 impl LogQuota {
+    /// A quota of which nothing was taken yet.
+    pub const fn new() -> Self {
+        Self { inner: Mutex::new(None) }
+    }
+
     /// Whether a line may be logged now.
     pub fn take(&self, is_plain: bool) -> bool {
         let mut inner = self.inner.lock();
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -13,6 +13,7 @@
 use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
 use foldhaven_core::opaque::request_print::RequestPrint;
 use foldhaven_core::opaque::suspects::{GuestBook, GuestId};
+use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
@@ -67,6 +68,15 @@
     pub prompt_memory: u64,
 }
 
+impl UpstreamIdentity {
+    /// Whether a record is still of the same process at the same place.
+    pub fn is_of(&self, record: &UpstreamRecord) -> bool {
+        (self.birth, self.address, self.slots) == (record.birth, record.address, record.slots)
+            && self.service == record.service
+            && self.data_centre == record.data_centre
+    }
+}
+
 impl Upstream {
     pub fn new(identity: UpstreamIdentity) -> Arc<Self> {
         Arc::new(Self {
