A clock that counts suspension, and a process that stood still asks before it serves

Cause: every clock was one that stands still with a suspended machine, so a VM that woke took what it believed for new: old descriptions, upstreams that had left, kept connections, windows of limits. The time of day is used for no span.

--- a/crates/foldhaven-core/src/opaque/peer_table/asks.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/asks.rs
@@ -15,6 +15,11 @@
         }
     }
 
+    /// Has the next round ask for all heartbeats again: those that are held are too old.
+    pub fn ask_again(&mut self) {
+        self.has_asked_all = false;
+    }
+
     /// The heartbeats that were asked for, of those that are held.
     pub fn answers(&self, asked: &AskedBeats, now: MonoTime) -> Vec<PeerBeat> {
         match asked {
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -7,7 +7,7 @@
 mod suspicion;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::opaque::queue_rank::QueueRank;
@@ -18,6 +18,7 @@
 
 use crate::answer::Refusal;
 use crate::call::{OpenAnswer, read_whole};
+use crate::clock::BootInstant;
 use crate::job::GatewayJob;
 use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
@@ -77,7 +78,7 @@
     /// What was expected of the place when the request was sent.
     pub expected: ExpectedFirst,
     /// When the request was sent.
-    pub sent: Instant,
+    pub sent: BootInstant,
 }
 
 impl PlacedAnswer {
@@ -223,7 +224,7 @@
     /// Opens an answer at some place. With `resume_after` it goes on after that event.
     pub async fn open(&mut self, resume_after: Option<&str>) -> Result<PlacedAnswer, Refusal> {
         loop {
-            if Instant::now() >= self.job.deadline {
+            if BootInstant::now() >= self.job.deadline {
                 return Err(self.out_of_time());
             }
             let Some(chosen) = self.choose()? else {
@@ -244,8 +245,11 @@
     }
 
     /// Chooses the place of the next try, and notes it; nothing while a VM that could run the request may
-    /// still be heard of.
+    /// still be heard of, or what is believed is not of now.
     fn choose(&mut self) -> Result<Option<PlaceChoice>, Refusal> {
+        if !self.shared.is_awake() {
+            return Ok(None);
+        }
         let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
         self.check_suspicion().map_err(|refusal| self.after_tries(refusal))?;
         let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -1,7 +1,7 @@
 //! Notes what tries say of their places, and how requests ended.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use foldhaven_core::burn::BurnEvent;
 use foldhaven_core::opaque::affinity::PromptPlacement;
@@ -11,6 +11,7 @@
 
 use super::{ExpectedFirst, RequestDriver};
 use crate::call::{CallFault, OpenAnswer};
+use crate::clock::BootInstant;
 use crate::metrics::{RequestBurn, RequestEnd};
 use crate::places::{RequestPlace, TOLD_TOKENS};
 use crate::upstream::Upstream;
@@ -57,7 +58,7 @@
     }
 
     /// Notes that a place has begun its answer.
-    pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: Instant) {
+    pub fn note_first(&self, place: &RequestPlace, expected: ExpectedFirst, sent: BootInstant) {
         if let RequestPlace::Upstream(upstream) = place
             && expected.rank == QueueRank::Timely
         {
@@ -70,7 +71,7 @@
     }
 
     /// Notes that a place answered whole.
-    pub fn note_success(&self, place: &RequestPlace, sent: Instant) {
+    pub fn note_success(&self, place: &RequestPlace, sent: BootInstant) {
         if let RequestPlace::Upstream(upstream) = place {
             let usual = self.note_route_end(false);
             upstream.pace.lock().note_end(false, usual, self.shared.now());
@@ -191,7 +192,7 @@
             version = view.as_ref().map_or(0, |view| view.routes.version().0),
             news_ms = view.as_ref().map_or(0, |view| view.news_age().as_millis() as u64),
             ms = job.started.elapsed().as_millis() as u64,
-            left_ms = job.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+            left_ms = job.deadline.saturating_duration_since(BootInstant::now()).as_millis() as u64,
             "request ended"
         );
     }
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -1,6 +1,6 @@
 //! Makes the request of one try, sends it, and waits for the head of its answer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::headers;
@@ -9,10 +9,10 @@
 use http::request::Builder;
 use http::{HeaderValue, Request};
 use http_body_util::Full;
-use tokio::time::timeout;
 
 use super::{ExpectedFirst, PlacedAnswer, RequestDriver};
 use crate::call::{CallFault, OpenAnswer, open_call};
+use crate::clock::{BootInstant, timeout};
 use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
 use crate::upstream::{GuestSeat, Upstream};
@@ -42,7 +42,7 @@
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
-        let sent = Instant::now();
+        let sent = BootInstant::now();
         let opening = open_call(&target, request, &self.shared.names, self.job.deadline);
         let opened = match &place {
             RequestPlace::Upstream(upstream) => self.watch(upstream, first, opening).await,
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -1,12 +1,11 @@
 //! Decides whether a request is tried once more, and how it is refused if not.
 
-use std::time::Instant;
-
 use http::StatusCode;
 
 use super::RequestDriver;
 use crate::answer::Refusal;
 use crate::call::CallFault;
+use crate::clock::BootInstant;
 
 /// How many places are tried at most, those included that could not be reached.
 const MAX_TRIES: usize = 4;
@@ -37,7 +36,7 @@
     /// Whether another place may be chosen for a request that no upstream has got. So may the VM that a
     /// request was forwarded to, among the upstreams of its region.
     fn may_choose_again(&self) -> bool {
-        self.tried.count() < MAX_TRIES && Instant::now() < self.job.deadline
+        self.tried.count() < MAX_TRIES && BootInstant::now() < self.job.deadline
     }
 
     /// Whether the request may be sent to one more place that counts it as arrived.
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! One call to an upstream or another VM, and what its end says of the work behind it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::headers;
@@ -10,8 +10,8 @@
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 
+use crate::clock::{BootInstant, timeout_at};
 use crate::connection::{Connection, ConnectionPool};
 use crate::names::HeaderNames;
 
@@ -104,12 +104,12 @@
     target: &CallTarget<'_>,
     request: Request<Full<Bytes>>,
     names: &HeaderNames,
-    deadline: Instant,
+    deadline: BootInstant,
 ) -> Result<OpenAnswer, CallFault> {
     let attempt = request.headers().get(&names.attempt).cloned();
     let opening = send(target, request);
     let (response, connection) =
-        timeout_at(deadline.into(), opening).await.map_err(|_| CallFault::TimedOut)??;
+        timeout_at(deadline, opening).await.map_err(|_| CallFault::TimedOut)??;
     let (head, body) = response.into_parts();
     judge_head(&head, attempt.as_ref(), names)?;
     let keep_for = keep_time(&head);
@@ -176,11 +176,11 @@
 pub async fn read_whole(
     answer: OpenAnswer,
     pool: &ConnectionPool,
-    deadline: Instant,
+    deadline: BootInstant,
 ) -> Result<(Parts, Bytes), CallFault> {
     let (head, body, lease) = answer.into_parts();
     let collecting = Limited::new(body, MAX_WHOLE_BYTES).collect();
-    let collected = timeout_at(deadline.into(), collecting).await;
+    let collected = timeout_at(deadline, collecting).await;
     let collected = collected.map_err(|_| CallFault::TimedOut)?;
     let bytes = collected.map_err(|error| CallFault::Broken(error.to_string()))?.to_bytes();
     lease.give_back(pool);
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -1,7 +1,7 @@
 //! Takes the requests of callers, and tells the platform whether this daemon is ready.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_trait::async_trait;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -9,6 +9,7 @@
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
 use crate::attempts::{AnswerStart, RequestDriver, WholeAnswer};
+use crate::clock::BootInstant;
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
@@ -57,13 +58,13 @@
     shared: &GatewayShared,
     request: Request<Incoming>,
 ) -> Result<GatewayJob, Refusal> {
-    let started = Instant::now();
+    let started = BootInstant::now();
     let (head, body) = request.into_parts();
     let view = shared.view().ok_or(Refusal::NoDescription)?;
     let limits = view.routes.description().limits;
     check_head(&head, &limits)?;
     let body = read_body(body, &limits).await?;
-    if shared.is_too_far_behind() {
+    if shared.is_too_far_behind() || !shared.is_awake() {
         return Err(Refusal::Behind);
     }
     // The description may have changed while the body came.
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::opaque::round_trip::RoundTrip;
@@ -14,7 +14,8 @@
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+
+use crate::clock::{BootInstant, timeout};
 
 /// How long a connection may take to come up. Data centres of one region are a few milliseconds
 /// apart; other regions need longer and have [`FAR_CONNECT_LIMIT`].
@@ -38,7 +39,7 @@
 /// A connection on which one request at a time can be sent.
 pub struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    idle_since: Instant,
+    idle_since: BootInstant,
     idle_limit: Duration,
 }
 
@@ -57,7 +58,7 @@
             // How a connection ends shows in the calls that were made on it.
             let _ = driver.await;
         });
-        Ok(Self { sender, idle_since: Instant::now(), idle_limit: IDLE_LIMIT })
+        Ok(Self { sender, idle_since: BootInstant::now(), idle_limit: IDLE_LIMIT })
     }
 
     /// Whether its peer has ended it.
@@ -90,7 +91,7 @@
     idle_limit: Duration,
     /// The way there and back, by how long connections took to come up.
     round_trip: Mutex<RoundTrip>,
-    made: Instant,
+    made: BootInstant,
 }
 
 impl ConnectionPool {
@@ -101,7 +102,7 @@
             most_kept: AtomicUsize::new(FIRST_KEPT),
             idle_limit,
             round_trip: Mutex::default(),
-            made: Instant::now(),
+            made: BootInstant::now(),
         }
     }
 
@@ -111,7 +112,7 @@
     ///
     /// When it does not come up within the limit.
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
-        let begun = Instant::now();
+        let begun = BootInstant::now();
         let connection = Connection::open(address, limit).await?;
         let now = MonoTime::default() + self.made.elapsed();
         self.round_trip.lock().note(begun.elapsed(), now);
@@ -144,7 +145,7 @@
         if connection.sender.is_closed() {
             return;
         }
-        connection.idle_since = Instant::now();
+        connection.idle_since = BootInstant::now();
         connection.idle_limit = limit.map_or(self.idle_limit, |limit| limit.min(self.idle_limit));
         let mut idle = self.idle.lock();
         if idle.len() < self.most_kept.load(Ordering::Relaxed) {
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bincode::Options;
 use foldhaven_core::ids::RegionName;
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::clock::BootInstant;
 use crate::codec::peer_codec;
 use crate::feed::{ChangeSet, CountedChange};
 use crate::keeper::{
@@ -114,7 +115,7 @@
             send_to(&socket, &far_targets, &PeerMessage::Region(region)).await;
         }
         idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
-        let slept = Instant::now();
+        let slept = BootInstant::now();
         sleep(interval).await;
         late = slept.elapsed().saturating_sub(interval);
     }
@@ -244,6 +245,7 @@
         let to_all = tokio::select! {
             () = sleep(pause) => false,
             Ok(()) = stage.changed() => true,
+            () = shared.wake.await_found() => false,
         };
         match keeper.send(PlanBeats { to_all }).await {
             Ok(planned) => send_all(&socket, planned).await,
--- a/crates/foldhaven-gateway/src/demand_meter.rs
+++ b/crates/foldhaven-gateway/src/demand_meter.rs
@@ -1,9 +1,11 @@
 //! Estimates the processor time that the requests of this VM need.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use foldhaven_core::units::CoreShare;
 
+use crate::clock::BootInstant;
+
 /// The span of one measurement. Shorter ones would show single requests.
 const SPAN: Duration = Duration::from_millis(1_000);
 /// The processor time of a request. Where the platform charges it, 102,000 requests more on a day took 57 s more,
@@ -15,7 +17,7 @@
 /// What the requests of the last whole span needed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DemandMeter {
-    begun: Instant,
+    begun: BootInstant,
     /// The requests taken until then.
     taken: u64,
     /// The latest timer of the span.
@@ -25,7 +27,12 @@
 
 impl Default for DemandMeter {
     fn default() -> Self {
-        Self { begun: Instant::now(), taken: 0, latest: Duration::ZERO, busy: CoreShare::default() }
+        Self {
+            begun: BootInstant::now(),
+            taken: 0,
+            latest: Duration::ZERO,
+            busy: CoreShare::default(),
+        }
     }
 }
 
@@ -47,7 +54,7 @@
         let needed = CoreShare::of_cores(needed);
         let is_strained = requests > 0 && self.latest >= LATE_TIMER;
         let busy = if is_strained { needed.max(cores) } else { needed };
-        *self = Self { begun: Instant::now(), taken, latest: Duration::ZERO, busy };
+        *self = Self { begun: BootInstant::now(), taken, latest: Duration::ZERO, busy };
         busy
     }
 }
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -69,7 +69,9 @@
         let uri = request.uri();
         let query = self.codec.read(uri.path(), uri.query().unwrap_or_default());
         let Some(query) = query else { return Refusal::Malformed.answer() };
-        match self.addresses(&query) {
+        // After a stand-still the VMs that are known may have ended long ago; callers ask another directory.
+        let addresses = self.shared.is_awake().then(|| self.addresses(&query)).flatten();
+        match addresses {
             Some(addresses) if !addresses.is_empty() => {
                 let body = self.codec.write(&addresses, ANSWER_LIFETIME);
                 body_answer(StatusCode::OK, "application/json", body)
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::opaque::queue_rank::QueueRank;
@@ -13,11 +13,11 @@
 use http::StatusCode;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
-use tokio::time::Sleep;
 
 use crate::answer::Refusal;
 use crate::attempts::{ExpectedFirst, PlacedAnswer, RequestDriver};
 use crate::call::ConnectionLease;
+use crate::clock::{BootInstant, BootSleep};
 use crate::metrics::RequestEnd;
 use crate::places::RequestPlace;
 use crate::shared::InFlightGuard;
@@ -54,10 +54,10 @@
     seat: LoadSeat,
     guest: Option<GuestSeat>,
     expected: ExpectedFirst,
-    sent: Instant,
+    sent: BootInstant,
     has_begun: bool,
     /// When its first event came, and how many had been passed on before.
-    begun: Option<(Instant, u32)>,
+    begun: Option<(BootInstant, u32)>,
     /// The requests that its upstream had at each of its events, and how often that was looked at.
     loads: (u64, u32),
     /// The prompt tokens that its upstream had to read at its last event.
@@ -102,12 +102,12 @@
     /// Absent while it looks for another upstream.
     driver: Option<RequestDriver>,
     blocks: EventBlocks,
-    timer: Pin<Box<Sleep>>,
+    timer: Pin<Box<BootSleep>>,
     /// When the upstream sent anything last.
-    last_news: Instant,
+    last_news: BootInstant,
     /// The silence after which the stream is resumed elsewhere; absent where that is not permitted.
     stall: Option<Duration>,
-    deadline: Instant,
+    deadline: BootInstant,
     /// Whether the caller has got an event.
     has_first: bool,
     _in_flight: InFlightGuard,
@@ -123,13 +123,13 @@
             gaps.max(LEAST_STALL)
         });
         let deadline = driver.job.deadline;
-        let now = Instant::now();
+        let now = BootInstant::now();
         let wake = stall.map_or(deadline, |stall| deadline.min(now + stall));
         Self {
             state: RelayState::Reading(ReadingState::of(placed)),
             driver: Some(driver),
             blocks: EventBlocks::default(),
-            timer: Box::pin(tokio::time::sleep_until(wake.into())),
+            timer: Box::pin(BootSleep::until(wake)),
             last_news: now,
             stall,
             deadline,
@@ -169,7 +169,9 @@
                         }
                     }
                     Poll::Pending => match ready!(self.poll_silence(context)) {
-                        Some(cause) if Instant::now() >= self.deadline => return self.cut(cause),
+                        Some(cause) if BootInstant::now() >= self.deadline => {
+                            return self.cut(cause);
+                        }
                         Some(cause) if !self.leave_silent(cause) => return self.cut(cause),
                         Some(_) => {}
                         None => {}
@@ -198,7 +200,7 @@
     /// Takes in bytes of the upstream, and gives the events that they complete.
     fn take_bytes(&mut self, bytes: Bytes) -> RelayStep {
         self.note_pause();
-        self.last_news = Instant::now();
+        self.last_news = BootInstant::now();
         self.note_heard();
         match self.blocks.push(bytes) {
             Ok(events) if events.is_empty() => RelayStep::Nothing,
@@ -222,7 +224,7 @@
         if placed.answer.head.status != StatusCode::OK {
             return Err("it could not be resumed");
         }
-        self.last_news = Instant::now();
+        self.last_news = BootInstant::now();
         self.state = RelayState::Reading(ReadingState::of(placed));
         Ok(())
     }
@@ -274,7 +276,7 @@
     fn note_load(&mut self) {
         let RelayState::Reading(reading) = &mut self.state else { return };
         let RequestPlace::Upstream(upstream) = &reading.place else { return };
-        reading.begun.get_or_insert_with(|| (Instant::now(), self.blocks.count()));
+        reading.begun.get_or_insert_with(|| (BootInstant::now(), self.blocks.count()));
         let queue = upstream.queue();
         reading.loads.0 += u64::from(queue.in_flight);
         reading.loads.1 += 1;
@@ -285,10 +287,10 @@
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<()> {
         loop {
             ready!(self.timer.as_mut().poll(context));
-            if Instant::now() >= self.deadline {
+            if BootInstant::now() >= self.deadline {
                 return Poll::Ready(());
             }
-            self.timer.as_mut().reset(self.deadline.into());
+            self.timer.reset(self.deadline);
         }
     }
 
@@ -297,7 +299,7 @@
     /// given back to its origin, which may resume it. Returns whether the stream goes on.
     fn leave_silent(&mut self, cause: &'static str) -> bool {
         if !self.is_upstream_dark() {
-            self.last_news = Instant::now();
+            self.last_news = BootInstant::now();
             return true;
         }
         if self.driver.as_ref().is_some_and(|driver| driver.job.is_forwarded) {
@@ -337,7 +339,7 @@
     fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<Option<&'static str>> {
         loop {
             ready!(self.timer.as_mut().poll(context));
-            let now = Instant::now();
+            let now = BootInstant::now();
             if now >= self.deadline {
                 return Poll::Ready(Some("the time for it has passed"));
             }
@@ -346,7 +348,7 @@
                 return Poll::Ready(Some("it was silent for too long"));
             }
             let wake = silent_until.map_or(self.deadline, |until| until.min(self.deadline));
-            self.timer.as_mut().reset(wake.into());
+            self.timer.reset(wake);
         }
     }
 
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -1,6 +1,6 @@
 //! Explains to operators where an opaque request would go, by the same prices as for a real one.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::opaque::affinity::PromptOutline;
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
 use crate::answer::Refusal;
+use crate::clock::BootInstant;
 use crate::job::GatewayJob;
 use crate::places::{REGION_MARGIN, price_places};
 use crate::shared::GatewayShared;
@@ -70,11 +71,11 @@
         target: query.path.parse::<Uri>().map_err(|_| Refusal::Malformed)?,
         headers: HeaderMap::new(),
         body: Bytes::from(vec![0; query.body_bytes]),
-        started: Instant::now(),
+        started: BootInstant::now(),
         waited_before: Duration::ZERO,
         first_after: None,
         is_begun: false,
-        deadline: Instant::now() + route.timeout,
+        deadline: BootInstant::now() + route.timeout,
         is_forwarded: false,
         route,
     };
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -1,7 +1,7 @@
 //! A request of a caller, read and checked.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldhaven_core::ids::ServiceName;
@@ -19,6 +19,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::Refusal;
+use crate::clock::BootInstant;
 use crate::names::HeaderNames;
 
 /// For a caller who does not say how long it waits.
@@ -42,7 +43,7 @@
     /// The headers that upstreams get, without those that are set for each try.
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub started: Instant,
+    pub started: BootInstant,
     /// How long the caller had waited before, as far as the time that it still gives shows.
     pub waited_before: Duration,
     /// How long the caller had waited when it got the answer, or its first event; from then on no
@@ -52,7 +53,7 @@
     /// else would keep the answer whole.
     pub is_begun: bool,
     /// When the caller gives up, or the operators want it given up.
-    pub deadline: Instant,
+    pub deadline: BootInstant,
     /// The parts of the prompt, where the caller names them and the route uses them.
     pub outline: Option<PromptOutline>,
     /// The longest answer in tokens, where the caller names it.
@@ -64,7 +65,7 @@
 impl GatewayJob {
     /// The time left, as upstreams are told.
     pub fn remaining_ms(&self) -> HeaderValue {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = self.deadline.saturating_duration_since(BootInstant::now()).as_millis();
         let left = u64::try_from(left.max(LEAST_REMAINING_MS)).unwrap_or(u64::MAX);
         HeaderValue::from(left)
     }
@@ -106,7 +107,7 @@
 pub struct ReadRequest {
     pub head: Parts,
     pub body: Bytes,
-    pub started: Instant,
+    pub started: BootInstant,
 }
 
 impl ReadRequest {
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -10,6 +10,7 @@
 mod region_waits;
 mod suspect_targets;
 mod traffic_view;
+mod waking;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -268,6 +269,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: TickKeeper, _: &mut Context<Self>) {
+        self.note_standstill();
         let now = self.now();
         self.peers.forget(now);
         self.regions.forget(now);
@@ -275,6 +277,7 @@
         self.note_growth();
         self.note_told_outage();
         self.note_progress();
+        self.note_awake();
         if self.table.expire(now) {
             tracing::info!("upstreams dropped that were not listed again");
         }
--- /dev/null
+++ b/crates/foldhaven-gateway/src/keeper/waking.rs
@@ -0,0 +1,29 @@
+//! What the control state does after the process stood still: asks before it serves.
+
+use super::ControlKeeper;
+
+impl ControlKeeper {
+    /// Finds out whether the process stood still. What others said before counts for nothing until they say it again, and kept
+    /// connections may have ended unseen.
+    pub(super) fn note_standstill(&mut self) {
+        let now = self.now();
+        let Some(still) = self.shared.wake.look(now) else { return };
+        let still_ms = still.as_millis() as u64;
+        let (revision, version) = (self.revision, self.version().0);
+        tracing::warn!(still_ms, revision, version, "this process stood still");
+        self.shared.metrics.count_event("stood_still");
+        self.shared.suspects.ask_again();
+        self.peers.ask_again();
+        self.upstreams.values().for_each(|upstream| upstream.pool.clear());
+        self.links.values().for_each(|link| link.pool.clear());
+    }
+
+    /// Notes whether what happened meanwhile is known: a VM has answered, and none knows more of the platform's changes.
+    pub(super) fn note_awake(&mut self) {
+        let is_known = self.shared.suspects.was_told() && self.behind_for().is_zero();
+        if let Some(span) = self.shared.wake.note_known(is_known, self.now()) {
+            let ms = span.as_millis() as u64;
+            tracing::info!(ms, is_known, revision = self.revision, "requests are taken again");
+        }
+    }
+}
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -8,7 +8,7 @@
 mod attempts;
 mod call;
 mod caller_front;
-mod clock;
+pub mod clock;
 mod codec;
 mod connection;
 mod daemon;
@@ -37,6 +37,7 @@
 mod upstream;
 mod upstream_ends;
 mod view;
+mod wake;
 mod warm_links;
 
 pub use self::daemon::{DaemonError, GatewayParts, run_gateway};
--- a/crates/foldhaven-gateway/src/logging.rs
+++ b/crates/foldhaven-gateway/src/logging.rs
@@ -3,12 +3,14 @@
 
 use std::io::{self, Write};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
+use crate::clock::BootInstant;
+
 /// How much is held that has not been written yet; lines beyond it are dropped and counted.
 const MAX_HELD_BYTES: usize = 256 << 10;
 /// How often held lines are written. Each write wakes the processor, which is metered.
@@ -111,7 +113,7 @@
 }
 
 struct QuotaSecond {
-    started: Instant,
+    started: BootInstant,
     plain: u32,
     faults: u32,
 }
@@ -128,7 +130,7 @@
         let second = inner
             .take()
             .filter(|second| second.started.elapsed() < Duration::from_secs(1))
-            .unwrap_or(QuotaSecond { started: Instant::now(), plain: 0, faults: 0 });
+            .unwrap_or(QuotaSecond { started: BootInstant::now(), plain: 0, faults: 0 });
         let second = inner.insert(second);
         let (count, limit) = match is_plain {
             true => (&mut second.plain, PLAIN_LINES_PER_S),
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -1,7 +1,7 @@
 //! Takes requests that other VMs forward, and tells them what the platform published.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bincode::Options;
@@ -12,6 +12,7 @@
 
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::caller_front::run_job;
+use crate::clock::BootInstant;
 use crate::codec::peer_codec;
 use crate::front::FrontHandler;
 use crate::job::{CallerTerms, GatewayJob, ReadRequest, host_of, read_body, read_terms};
@@ -79,10 +80,10 @@
     shared: &GatewayShared,
     request: Request<Incoming>,
 ) -> Result<GatewayJob, Refusal> {
-    let started = Instant::now();
+    let started = BootInstant::now();
     let (mut head, body) = request.into_parts();
     let view = shared.view().ok_or(Refusal::NoDescription)?;
-    if shared.is_too_far_behind() {
+    if shared.is_too_far_behind() || !shared.is_awake() {
         return Err(Refusal::Behind);
     }
     head.headers.remove(headers::VISITED).ok_or(Refusal::NotPermitted)?;
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bincode::Options;
 use bytes::Bytes;
@@ -10,8 +10,9 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
+use crate::clock::{BootInstant, timeout};
 use crate::codec::peer_codec;
 use crate::connection::{Connection, FAR_CONNECT_LIMIT};
 use crate::feed::PeerState;
@@ -56,7 +57,7 @@
         sleep(CHECK_INTERVAL).await;
         let Ok(ahead) = keeper.send(FindAhead { avoided }).await else { return };
         let Some(AheadPeer { peer, known }) = ahead else { continue };
-        let started = Instant::now();
+        let started = BootInstant::now();
         let asked = ask(peer, known).await;
         match asked {
             Ok(TakenState { state, bytes }) => {
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
 use foldhaven_core::opaque::admission::{PlaceOffer, TimeLimits, admit, come_back_after};
@@ -20,6 +20,7 @@
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::CallTarget;
+use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -171,7 +172,7 @@
     let limits = TimeLimits {
         target: job.route.target,
         waited: job.waited(),
-        remaining: job.deadline.saturating_duration_since(Instant::now()),
+        remaining: job.deadline.saturating_duration_since(BootInstant::now()),
     };
     admit(offer, limits)
         .map_err(|cause| Refusal::Overloaded { cause, wait: come_back_after(offer, limits) })
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::ids::{RouteName, ServiceName};
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::clock::BootInstant;
 use crate::clock::MonoClock;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
@@ -25,6 +26,7 @@
 use crate::settings::GatewaySettings;
 use crate::suspects::{ChangeContext, SuspectDesk};
 use crate::view::GatewayView;
+use crate::wake::WakeWatch;
 
 /// From when on a VM that others are ahead of does not rule out what it does not know. Changes are in force
 /// everywhere within five seconds, by the operators' word; asking for them takes well under one.
@@ -77,7 +79,7 @@
     pub clock: MonoClock,
     view: ArcSwapOption<GatewayView>,
     /// When the first view was published.
-    first_view: OnceLock<Instant>,
+    first_view: OnceLock<BootInstant>,
     /// This VM's part of each service's retry budget.
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
     /// Requests under way.
@@ -91,11 +93,14 @@
     behind: Mutex<Option<BehindBelief>>,
     /// Requests under which upstreams ended.
     pub suspects: SuspectDesk,
+    /// Whether what is believed is of now.
+    pub wake: WakeWatch,
 }
 
 impl GatewayShared {
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
         Arc::new(Self {
+            wake: WakeWatch::default(),
             suspects: SuspectDesk::new(VmTag::of(&settings.vm)),
             settings,
             names,
@@ -137,12 +142,12 @@
     /// Replaces what requests are decided by.
     pub fn publish(&self, view: GatewayView) {
         self.view.store(Some(Arc::new(view)));
-        self.first_view.get_or_init(Instant::now);
+        self.first_view.get_or_init(BootInstant::now);
     }
 
     /// For how long this process has known what to decide by.
     pub fn viewed_for(&self) -> Duration {
-        self.first_view.get().map_or(Duration::ZERO, Instant::elapsed)
+        self.first_view.get().map_or(Duration::ZERO, BootInstant::elapsed)
     }
 
     /// When and where a change of what is believed of a request is noted.
@@ -153,7 +158,13 @@
     /// Whether this process knows all that it needs to take requests: a description, and which requests must not be
     /// sent on.
     pub fn is_prepared(&self) -> bool {
-        self.view.load().is_some() && self.suspects.is_informed(self.viewed_for())
+        let is_informed = self.suspects.is_informed(self.viewed_for());
+        self.view.load().is_some() && is_informed && self.is_awake()
+    }
+
+    /// Whether requests may be decided by what is believed: the process did not stand still a moment ago.
+    pub fn is_awake(&self) -> bool {
+        self.wake.is_awake(self.now())
     }
 
     pub fn is_leaving(&self) -> bool {
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -116,7 +116,17 @@
 
     /// Whether what other VMs know is known here, as far as there are any to tell it.
     pub fn is_informed(&self, described_for: Duration) -> bool {
-        self.is_informed.load(Ordering::Relaxed) || described_for >= INFORMED_AFTER
+        self.was_told() || described_for >= INFORMED_AFTER
+    }
+
+    /// Whether another VM has told what it knows, since the start or since it was asked again.
+    pub fn was_told(&self) -> bool {
+        self.is_informed.load(Ordering::Relaxed)
+    }
+
+    /// Takes what was told so far for out of date.
+    pub fn ask_again(&self) {
+        self.is_informed.store(false, Ordering::Relaxed);
     }
 
     /// Waits until there may be something to tell.
