--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -264,6 +264,17 @@
         Some(SuspectChange { record: self.record(print), ends_before })
     }
 
+    /// Clears a request by hand. Returns what changes by that; nothing when nothing is held against it.
+    pub fn clear(&mut self, print: RequestPrint, now: MonoTime) -> Option<SuspectChange> {
+        let ends_before = self.ends(&print);
+        if ends_before == 0 {
+            return None;
+        }
+        self.pardon(print, now);
+        self.note_news(print, NewsReach::Wide);
+        Some(SuspectChange { record: self.record(print), ends_before })
+    }
+
     /// Takes in what another VM knows. Returns what changes by it.
     ///
     /// # Errors
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -1,6 +1,7 @@
 //! Holds back requests under which upstreams ended.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use foldhaven_core::opaque::suspects::{SuspectVerdict, TRIED_ENDS};
 
@@ -16,7 +17,7 @@
             return Ok(());
         }
         match self.shared.suspects.look(&self.job.print, self.shared.now()) {
-            SuspectVerdict::Refused { wait } => Err(Refusal::Suspect { wait }),
+            SuspectVerdict::Refused { wait } => Err(self.hold_back(wait)),
             SuspectVerdict::Free | SuspectVerdict::Trial => Ok(()),
         }
     }
@@ -31,11 +32,16 @@
         match verdict {
             SuspectVerdict::Free => {}
             SuspectVerdict::Trial => self.is_trial = true,
-            SuspectVerdict::Refused { wait } => return Err(Refusal::Suspect { wait }),
+            SuspectVerdict::Refused { wait } => return Err(self.hold_back(wait)),
         }
         Ok(())
     }
 
+    fn hold_back(&self, wait: Duration) -> Refusal {
+        self.shared.suspects.note_route(self.job.print, &self.job.route.name);
+        Refusal::Suspect { wait }
+    }
+
     /// Whether another try would be a bet with another upstream that is likely to be lost: connections ended under the
     /// request twice, here or as other VMs tell, or it is on trial.
     pub(super) fn may_be_harmful(&self) -> bool {
--- a/crates/foldhaven-gateway/src/operator_front/mod.rs
+++ b/crates/foldhaven-gateway/src/operator_front/mod.rs
@@ -1,12 +1,13 @@
 //! Tells operators how this daemon fares: metrics, its view of the others, and service-level burn.
 
 mod status;
+mod suspects;
 
 use std::sync::Arc;
 
 use async_trait::async_trait;
 use foldhaven_wire::operator::BurnAnswer;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 
@@ -29,6 +30,10 @@
         match request.uri().path() {
             "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
             "/operator/v1/status" => json_answer(&self.status()),
+            "/operator/v1/suspects" => json_answer(&self.suspects()),
+            "/operator/v1/suspects/clear" if request.method() == Method::POST => {
+                or_refusal(self.clear_suspect(request.uri().query()))
+            }
             "/operator/v1/burn" => json_answer(&self.burn()),
             "/operator/v1/explain-route" => self.explain(request.uri().query()),
             _ => Refusal::NoRoute.answer(),
@@ -39,10 +44,7 @@
 impl OperatorHandler {
     /// Where the request that a query describes would go.
     fn explain(&self, query: Option<&str>) -> Answer {
-        match explain(&self.shared, query.unwrap_or_default()) {
-            Ok(explanation) => json_answer(&explanation),
-            Err(refusal) => refusal.answer(),
-        }
+        or_refusal(explain(&self.shared, query.unwrap_or_default()))
     }
 
     /// How fast the routes use up their error budgets, by the requests that this VM took.
@@ -59,6 +61,13 @@
     }
 }
 
+fn or_refusal(answer: Result<impl Serialize, Refusal>) -> Answer {
+    match answer {
+        Ok(answer) => json_answer(&answer),
+        Err(refusal) => refusal.answer(),
+    }
+}
+
 fn json_answer(answer: &impl Serialize) -> Answer {
     match serde_json::to_vec(answer) {
         Ok(body) => body_answer(StatusCode::OK, "application/json", body),
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -1,9 +1,11 @@
 //! What this VM believes of requests under which upstreams ended, shared by both threads, with a log line for each
 //! change of it.
 
+use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use foldhaven_core::ids::RouteName;
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::peer_table::VmTag;
 use foldhaven_core::opaque::request_print::RequestPrint;
@@ -12,6 +14,7 @@
     SuspectVerdict, TRIED_ENDS,
 };
 use foldhaven_core::time::MonoTime;
+use lru::LruCache;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -22,9 +25,14 @@
 /// alone. Seeds are asked every 100 ms and answer within one round trip between regions.
 const INFORMED_AFTER: Duration = Duration::from_millis(300);
 
+/// How many routes of requests that were held back are remembered, for operators.
+const MAX_ROUTES: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
+
 /// The suspected requests.
 pub struct SuspectDesk {
     table: Mutex<SuspectTable>,
+    /// The routes of requests that were held back here.
+    routes: Mutex<LruCache<RequestPrint, RouteName>>,
     /// Limits how many lines on changes are logged.
     quota: LogQuota,
     /// Told when there is something to tell other VMs.
@@ -43,6 +51,7 @@
     pub fn new(own: VmTag) -> Self {
         Self {
             table: Mutex::new(SuspectTable::new(own)),
+            routes: Mutex::new(LruCache::new(MAX_ROUTES)),
             quota: LogQuota::default(),
             news: Notify::new(),
             is_informed: AtomicBool::new(false),
@@ -70,6 +79,24 @@
         verdict
     }
 
+    /// Notes which route a request is of that is held back.
+    pub fn note_route(&self, print: RequestPrint, route: &RouteName) {
+        self.routes.lock().get_or_insert(print, || route.clone());
+    }
+
+    /// The route of a request that was held back here.
+    pub fn route_of(&self, print: &RequestPrint) -> Option<RouteName> {
+        self.routes.lock().peek(print).cloned()
+    }
+
+    /// Clears a request as a whole answer does. Returns whether anything was held against it.
+    pub fn clear(&self, print: RequestPrint, context: &ChangeContext<'_>) -> bool {
+        let change = self.table.lock().clear(print, context.now);
+        let is_cleared = change.is_some();
+        self.note_change(change, "operator", context);
+        is_cleared
+    }
+
     /// Notes that a trial has shown nothing.
     pub fn note_untried(&self, print: &RequestPrint, now: MonoTime) {
         self.table.lock().note_untried(print, now);
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -135,6 +135,45 @@
     pub parts: CostParts,
 }
 
+/// A request under which upstreams ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRow {
+    /// Its fingerprint, as in the log.
+    pub print: String,
+    /// Its route, where the asked VM has held it back itself.
+    pub route: Option<String>,
+    /// `noted`, `on trial` (one VM at a time sends it on) or `refused`.
+    pub state: String,
+    /// The lives of upstreams that ended, by their tags; at most four are kept.
+    pub upstreams: Vec<String>,
+    /// How many trials were begun.
+    pub trials: u8,
+    /// How often it was cleared.
+    pub pardons: u32,
+    /// How long ago what is known of it has changed, in milliseconds.
+    pub since_ms: u64,
+    /// After how many milliseconds the asked VM may try it.
+    pub opens_ms: Option<u64>,
+}
+
+/// The answer of `GET /operator/v1/suspects`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectsAnswer {
+    /// The asked VM.
+    pub vm: VmName,
+    /// What it knows, the requests with the most ends first.
+    pub rows: Vec<SuspectRow>,
+}
+
+/// The answer of `POST /operator/v1/suspects/clear`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClearAnswer {
+    /// The fingerprint.
+    pub print: String,
+    /// Whether anything was held against it.
+    pub is_cleared: bool,
+}
+
 /// The answer of `GET /operator/v1/burn`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BurnAnswer {
--- a/crates/foldhavenctl/src/client.rs
+++ b/crates/foldhavenctl/src/client.rs
@@ -70,9 +70,34 @@
         step: &'static str,
         peer: SocketAddr,
         path: &str,
+    ) -> Result<T, CtlError> {
+        let asked = self.client.get(format!("http://{peer}{path}"));
+        self.send(step, peer, asked).await
+    }
+
+    /// Has one VM do something, and reads its JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// When the VM does not answer, or answers something else.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+    ) -> Result<T, CtlError> {
+        let asked = self.client.post(format!("http://{peer}{path}"));
+        self.send(step, peer, asked).await
+    }
+
+    async fn send<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        asked: reqwest::RequestBuilder,
     ) -> Result<T, CtlError> {
         let fault = |message: String| CtlError::Peer { step, peer: peer.to_string(), message };
-        let sent = self.client.get(format!("http://{peer}{path}")).send().await;
+        let sent = asked.send().await;
         let response = sent.map_err(|error| fault(error.to_string()))?;
         let status = response.status();
         let body = response.text().await.map_err(|error| fault(error.to_string()))?;
--- a/crates/foldhavenctl/src/cmd/mod.rs
+++ b/crates/foldhavenctl/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod plan;
 pub mod report;
 pub mod status;
+pub mod suspects;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -36,6 +37,7 @@
         .subcommand(status::make_subcommand())
         .subcommand(explain::make_subcommand())
         .subcommand(explain_route::make_subcommand())
+        .subcommand(suspects::make_subcommand())
         .subcommand(entries::make_subcommand())
         .subcommand(report::make_subcommand())
         .subcommand(completions::make_subcommand())
@@ -55,6 +57,7 @@
         Some(("status", args)) => block_on(status::execute(args)),
         Some(("explain", args)) => block_on(explain::execute(args)),
         Some(("explain-route", args)) => block_on(explain_route::execute(args)),
+        Some(("suspects", args)) => block_on(suspects::execute(args)),
         Some(("entries", args)) => block_on(entries::execute(args)),
         Some(("report", args)) => block_on(report::execute(args)),
         Some(("completions", args)) => completions::execute(args),
--- /dev/null
+++ b/crates/foldhavenctl/src/cmd/suspects.rs
@@ -0,0 +1,84 @@
+//! `foldhavenctl suspects`: shows the requests under which upstreams ended, and clears one.
+
+use clap::{Arg, ArgMatches, Command};
+use foldhaven_wire::operator::{ClearAnswer, SuspectsAnswer};
+
+use super::{client_of, json_arg, print_json, vm_arg};
+use crate::client::OperatorClient;
+use crate::error::CtlError;
+use crate::table::lay_out;
+
+/// The arguments of `suspects`.
+pub fn make_subcommand() -> Command {
+    Command::new("suspects")
+        .about("Shows the requests under which upstreams ended, and clears one")
+        .after_help(
+            "Example: foldhavenctl suspects --vm 127.10.1.1:8146\n\nA request at whose sending one upstream \
+             ended is noted, after two it is tried by one VM at a time, after three it is refused. A whole \
+             answer clears it. --clear does the same by hand: the VM tells all others, and nothing is written \
+             anywhere else. Fingerprints stand in the log lines of requests.",
+        )
+        .arg(vm_arg())
+        .arg(json_arg())
+        .arg(Arg::new("clear").long("clear").value_name("PRINT").help("Clear this fingerprint"))
+}
+
+/// Carries `suspects` out.
+///
+/// # Errors
+///
+/// When the VM cannot be reached or does not know such a fingerprint.
+pub async fn execute(args: &ArgMatches) -> Result<(), CtlError> {
+    let client = client_of(args)?;
+    if let Some(print) = args.get_one::<String>("clear") {
+        return clear(&client, print).await;
+    }
+    let answer = list(&client).await?;
+    match args.get_flag("json") {
+        true => print_json(&answer),
+        false => print!("{}", suspects_table(&answer)),
+    }
+    Ok(())
+}
+
+/// Reads the suspected requests of the first VM.
+///
+/// # Errors
+///
+/// When the VM cannot be reached.
+pub async fn list(client: &OperatorClient) -> Result<SuspectsAnswer, CtlError> {
+    client.get("reading suspects", client.first()[0], "/operator/v1/suspects").await
+}
+
+/// Clears a request at the first VM.
+///
+/// # Errors
+///
+/// When the VM cannot be reached, or nothing is held against the request.
+pub async fn clear(client: &OperatorClient, print: &str) -> Result<(), CtlError> {
+    let path = format!("/operator/v1/suspects/clear?print={print}");
+    let answer: ClearAnswer = client.post("clearing", client.first()[0], &path).await?;
+    match answer.is_cleared {
+        true => Ok(()),
+        false => Err(CtlError::Usage(format!("nothing is held against {print} there"))),
+    }
+}
+
+/// The suspects as a table.
+pub fn suspects_table(answer: &SuspectsAnswer) -> String {
+    let heading =
+        ["fingerprint", "route", "state", "upstreams ended", "trials", "since", "next try"];
+    let mut rows = vec![heading.map(str::to_owned).to_vec()];
+    for row in &answer.rows {
+        rows.push(vec![
+            row.print.clone(),
+            row.route.clone().unwrap_or_else(|| "-".to_owned()),
+            row.state.clone(),
+            row.upstreams.join(" "),
+            row.trials.to_string(),
+            format!("{} s", row.since_ms / 1_000),
+            row.opens_ms.map_or("-".to_owned(), |opens| format!("{} s", opens / 1_000)),
+        ]);
+    }
+    lay_out(&rows)
+}
