--- a/crates/foldhaven-core/src/opaque/suspects/record.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/record.rs
@@ -40,12 +40,14 @@
     pub ends: Vec<UpstreamTag>,
     /// How many trials were begun since.
     pub trials: u8,
+    /// How many ends answers have cleared it of in all. A request that some upstreams answer and others end under has many.
+    pub cleared: u8,
 }
 
 impl SuspectRecord {
     /// A record of a request that nothing is known of.
     pub fn new(print: RequestPrint) -> Self {
-        Self { print, pardons: 0, ends: Vec::new(), trials: 0 }
+        Self { print, pardons: 0, ends: Vec::new(), trials: 0, cleared: 0 }
     }
 
     /// Checks a record that came from another VM.
@@ -85,23 +87,22 @@
 
     /// Forgives everything so far.
     pub fn pardon(&mut self) {
-        *self = Self { pardons: self.pardons + 1, ..Self::new(self.print) };
+        let forgiven = u8::try_from(self.ends.len()).unwrap_or(u8::MAX);
+        let cleared = self.cleared.saturating_add(forgiven);
+        *self = Self { pardons: self.pardons + 1, cleared, ..Self::new(self.print) };
     }
 
     /// Joins what another VM knows of the same request. Returns whether that was news.
     pub fn join(&mut self, other: &Self) -> bool {
-        if other.pardons != self.pardons {
-            let is_news = other.pardons > self.pardons;
-            if is_news {
-                self.clone_from(other);
-            }
-            return is_news;
+        let before = self.clone();
+        if other.pardons > self.pardons {
+            self.clone_from(other);
         }
-        let before = (self.ends.clone(), self.trials);
-        for end in &other.ends {
-            self.add_end(*end);
+        if other.pardons == self.pardons {
+            other.ends.iter().for_each(|end| self.add_end(*end));
+            self.trials = self.trials.max(other.trials);
         }
-        self.trials = self.trials.max(other.trials);
-        before != (self.ends.clone(), self.trials)
+        self.cleared = before.cleared.max(other.cleared);
+        *self != before
     }
 }
--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -24,6 +24,8 @@
 const FIRST_PAUSE: Duration = Duration::from_secs(10);
 const PAUSE_GROWTH: u32 = 3;
 const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+/// How many turns a pause has, of which each VM has one.
+const TURNS: u32 = 10;
 /// So long a request is remembered after what was heard of it last: longer than it is refused at the longest.
 const MEMORY: Duration = Duration::from_secs(1_800);
 /// So long one is remembered that was pardoned, so that late news of its ends is known for old.
@@ -33,6 +35,9 @@
 const DROPPED: usize = 512;
 /// How many requests are remembered that were answered whole lately.
 const MAX_VOUCHERS: NonZeroUsize = NonZeroUsize::new(4_096).expect("not zero");
+/// A request that was cleared of so many ends is doubted: only a trial clears it from then on, after two ends each. An
+/// innocent one has been at that many upstreams that ended within half an hour; it is held back for 10 to 20 s.
+const DOUBTED_CLEARED: u8 = 8;
 /// For how long such an answer speaks for its request.
 const VOUCHER_AGE: Duration = Duration::from_secs(300);
 /// For so long what is new is told again in every round: of four VMs that are told in one, 300 know in four rounds.
@@ -141,18 +146,44 @@
         }
     }
 
-    /// When a VM may try it, as far as it knows. Each VM draws its place in the second half of the pause, so that those
-    /// that come later hear of the first trial before theirs.
-    fn opens(&self, vm: VmTag) -> MonoTime {
-        if self.is_untried {
-            return self.since;
-        }
+    /// After how long a VM may try it. Each VM draws when its turn begins after the pause, so that those that come later hear of
+    /// the first trial before theirs. A turn is a tenth of the pause and comes again after each pause: a request that comes to
+    /// all VMs at one moment, after none has met it for long, is tried by few.
+    fn wait(&self, vm: VmTag, now: MonoTime) -> Duration {
         let pause = self.pause();
-        self.since + pause + pause.mul_f64(self.draw(vm))
+        if self.is_untried || pause.is_zero() {
+            return Duration::ZERO;
+        }
+        let first_turn = self.since + pause + pause.mul_f64(self.draw(vm));
+        if now < first_turn {
+            return first_turn.since(now);
+        }
+        let since_turn = now.since(first_turn).as_micros() % pause.as_micros();
+        let since_turn = Duration::from_micros(u64::try_from(since_turn).unwrap_or_default());
+        match since_turn < pause / TURNS {
+            true => Duration::ZERO,
+            false => pause - since_turn,
+        }
+    }
+
+    /// Whether answers alone do not speak for it any more: it was cleared of so many ends that some upstreams answer it and others
+    /// end under it.
+    fn is_doubted(&self) -> bool {
+        self.record.cleared >= DOUBTED_CLEARED
+    }
+
+    /// From how many ends on it is tried by one VM at a time, or not at all.
+    fn is_held_back(&self) -> bool {
+        self.record.ends.len() >= TRIED_ENDS
     }
 
     fn pause(&self) -> Duration {
-        let SuspectRecord { ends, trials, .. } = &self.record;
+        let SuspectRecord { ends, trials, cleared, .. } = &self.record;
+        if self.is_doubted() && self.is_held_back() {
+            // Each time that it was cleared again makes the next pause longer, as a trial does.
+            let again = u32::from(cleared - DOUBTED_CLEARED) / TRIED_ENDS as u32;
+            return grown(FIRST_PAUSE, u32::from(*trials) + again);
+        }
         match ends.len() {
             ends if ends < TRIED_ENDS => Duration::ZERO,
             ends if ends < REFUSED_ENDS => match trials {
@@ -171,7 +202,8 @@
     }
 
     fn is_forgotten(&self, now: MonoTime) -> bool {
-        let memory = if self.record.ends.is_empty() { PARDON_MEMORY } else { MEMORY };
+        let is_cleared = self.record.ends.is_empty() && !self.is_doubted();
+        let memory = if is_cleared { PARDON_MEMORY } else { MEMORY };
         now.since(self.since) > memory
     }
 }
@@ -202,12 +234,12 @@
     /// What would be done with a request. Nothing is begun.
     pub fn look(&self, print: &RequestPrint, now: MonoTime) -> SuspectVerdict {
         let Some(entry) = self.entries.get(print) else { return SuspectVerdict::Free };
-        if entry.record.ends.len() < TRIED_ENDS {
+        if !entry.is_held_back() {
             return SuspectVerdict::Free;
         }
-        let opens = entry.opens(self.own);
-        match entry.is_trying || now < opens {
-            true => SuspectVerdict::Refused { wait: opens.since(now).max(TRIAL_PAUSE) },
+        let wait = entry.wait(self.own, now);
+        match entry.is_trying || !wait.is_zero() {
+            true => SuspectVerdict::Refused { wait: wait.max(TRIAL_PAUSE) },
             false => SuspectVerdict::Trial,
         }
     }
@@ -264,6 +296,10 @@
             self.vouchers.put(print, now);
             return None;
         }
+        let is_enough = |entry: &SuspectEntry| entry.is_trying || !entry.is_doubted();
+        if !self.entries.get(&print).is_some_and(is_enough) {
+            return None;
+        }
         self.pardon(print, now);
         // What one end made others think forbids nothing, and is forgotten by itself.
         if self.entries.get(&print).is_some_and(|entry| entry.is_wide) {
@@ -411,7 +447,8 @@
         entry.since = now;
         entry.is_untried = false;
         entry.is_wide |= entry.record.ends.len() >= TRIED_ENDS;
-        if entry.record.ends.len() >= TRIED_ENDS && self.has_voucher(&print, now) {
+        let may_be_vouched = entry.is_held_back() && !entry.is_doubted();
+        if may_be_vouched && self.has_voucher(&print, now) {
             self.pardon(print, now);
             self.news.insert(print, WaitingNews { reach: NewsReach::Wide, is_shared: true });
         }
--- a/crates/foldhaven-core/tests/testsuite/opaque_suspect_orders.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_suspect_orders.rs
@@ -274,7 +274,7 @@
         let mut model = play(&steps, true, true);
         model.pass(DYING_MS, print);
         model.is_deadly = false;
-        for number in 0..3_000 {
+        for number in 0..12_000 {
             model.act(Step::Send { vm: number % VMS }, print);
             model.pass(100, print);
         }
--- a/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
@@ -202,6 +202,30 @@
     assert!(table.take_news().is_empty(), "it is passed on once");
 }
 
+/// Found by a soak in which some upstreams answered what others ended under: each answer cleared it, and it was sent on
+/// without end.
+#[test]
+fn a_request_that_some_upstreams_answer_and_others_end_under_is_held_back() {
+    let print = print_of("a");
+    let mut table = table(1);
+    let (mut ends, mut sent_late) = (0, 0);
+    for step in 0..2_400 {
+        let now = at(step * 50);
+        if is_refused(table.judge(&print, now)) {
+            continue;
+        }
+        sent_late += u32::from(step > 100);
+        match step % 2 {
+            0 => {
+                ends += 1;
+                table.note_end(print, UpstreamTag(ends), now);
+            }
+            _ => drop(table.note_answered(print, now)),
+        }
+    }
+    assert!(ends <= 20 && sent_late <= 12, "{ends} ends, {sent_late} sent late in two minutes");
+}
+
 #[rstest]
 #[case::too_many(SuspectRecord { ends: (0..9).map(UpstreamTag).collect(), ..SuspectRecord::new(print_of("a")) })]
 #[case::disordered(SuspectRecord { ends: vec![UpstreamTag(2), UpstreamTag(1)], ..SuspectRecord::new(print_of("a")) })]
@@ -246,8 +270,9 @@
 
 fn records() -> impl Strategy<Value = SuspectRecord> {
     let ends = proptest::collection::btree_set(0_u32..8, 0..=MAX_ENDS);
-    (0_u32..3, ends, 0_u8..3).prop_map(|(pardons, ends, trials)| SuspectRecord {
+    (0_u32..3, ends, 0_u8..3, 0_u8..9).prop_map(|(pardons, ends, trials, cleared)| SuspectRecord {
         pardons,
+        cleared,
         ends: ends.into_iter().map(UpstreamTag).collect(),
         trials,
         ..SuspectRecord::new(print_of("a"))
