--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -172,7 +172,10 @@
         let message: PeerMessage = match peer_codec().deserialize(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
-                tracing::warn!(peer = %sender, error = %error, "a heartbeat could not be read");
+                shared.metrics.count_event("datagram_unreadable");
+                if shared.quota.take(true) {
+                    tracing::warn!(peer = %sender, error = %error, "a message could not be read");
+                }
                 continue;
             }
         };
