Copies of a refused request that wait at upstreams are called back

Cause: what waits at upstreams when the third one ends would each end one more as soon as it begins. Given up as may have run (502). Red before: the copy stayed until its route's time.

--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -140,6 +140,8 @@
             CallFault::Declined { .. } if fault.is_misdirected() => upstream.note_unreachable(now),
             CallFault::Broken(cause) => self.note_broken(upstream, cause),
             CallFault::Silent | CallFault::TimedOut => self.note_failure(upstream),
+            // The upstream did nothing wrong.
+            CallFault::CalledBack => self.shared.metrics.count_event("suspect_called_back"),
             // A full upstream says nothing of what is usual for the route.
             CallFault::Declined { .. } => upstream.pace.lock().note_end(true, 0.0, now),
         }
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -45,7 +45,10 @@
         let sent = BootInstant::now();
         let opening = open_call(&target, request, &self.shared.names, self.job.deadline);
         let opened = match &place {
-            RequestPlace::Upstream(upstream) => self.watch(upstream, first, opening).await,
+            RequestPlace::Upstream(upstream) => {
+                let answered = self.watch(upstream, first, opening);
+                self.unless_called_back(answered).await
+            }
             RequestPlace::Peer(_) => opening.await,
         };
         if opened.as_ref().is_err_and(CallFault::is_unmet) {
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -21,6 +21,7 @@
             }
             CallFault::Declined { .. } => self.may_send_again(),
             CallFault::Broken(_) | CallFault::Silent | CallFault::TimedOut => self.may_repeat(),
+            CallFault::CalledBack => false,
         };
         match may_repeat {
             true => None,
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -7,6 +7,7 @@
 
 use super::RequestDriver;
 use crate::answer::Refusal;
+use crate::call::{CallFault, OpenAnswer};
 use crate::places::RequestPlace;
 use crate::upstream::GuestSeat;
 
@@ -42,6 +43,22 @@
         Refusal::Suspect { wait }
     }
 
+    /// Waits for the head of an answer, and gives up when the request is refused meanwhile: of what waits at upstreams when
+    /// the third one ends, each copy that begins to run would end one more.
+    pub(super) async fn unless_called_back(
+        &self,
+        answered: impl Future<Output = Result<OpenAnswer, CallFault>>,
+    ) -> Result<OpenAnswer, CallFault> {
+        if self.is_trial {
+            return answered.await;
+        }
+        tokio::select! {
+            biased;
+            answered = answered => answered,
+            () = self.shared.suspects.until_refused(&self.job.print) => Err(CallFault::CalledBack),
+        }
+    }
+
     /// Whether another try would be a bet with another upstream that is likely to be lost: connections ended under the
     /// request twice, here or as other VMs tell, or it is on trial.
     pub(super) fn may_be_harmful(&self) -> bool {
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -38,6 +38,8 @@
     Silent,
     /// no answer in time
     TimedOut,
+    /// called back, since upstreams ended under it meanwhile
+    CalledBack,
 }
 
 impl CallFault {
@@ -59,7 +61,7 @@
 
     /// Whether the work behind the call may have been done.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::Silent | Self::TimedOut)
+        matches!(self, Self::Broken(_) | Self::Silent | Self::TimedOut | Self::CalledBack)
     }
 }
 
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -16,7 +16,7 @@
 use foldhaven_core::time::MonoTime;
 use lru::LruCache;
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
@@ -37,6 +37,8 @@
     quota: LogQuota,
     /// Told when there is something to tell other VMs.
     news: Notify,
+    /// Told when a request is refused from now on.
+    refused: watch::Sender<()>,
     /// Whether another VM has told what it knows since this process started.
     is_informed: AtomicBool,
 }
@@ -54,6 +56,7 @@
             routes: Mutex::new(LruCache::new(MAX_ROUTES)),
             quota: LogQuota::default(),
             news: Notify::new(),
+            refused: watch::Sender::new(()),
             is_informed: AtomicBool::new(false),
         }
     }
@@ -79,6 +82,17 @@
         verdict
     }
 
+    /// Waits until a request is refused that was not before.
+    pub async fn until_refused(&self, print: &RequestPrint) {
+        let mut refused = self.refused.subscribe();
+        // The sender lives as long as this desk.
+        while refused.changed().await.is_ok() {
+            if self.ends(print) >= REFUSED_ENDS {
+                return;
+            }
+        }
+    }
+
     /// Notes which route a request is of that is held back.
     pub fn note_route(&self, print: RequestPrint, route: &RouteName) {
         self.routes.lock().get_or_insert(print, || route.clone());
@@ -212,6 +226,9 @@
             _ => "suspect_changed",
         };
         context.metrics.count_event(event);
+        if event == "suspect_refused" {
+            self.refused.send_replace(());
+        }
         // One end each is what an upstream leaves of all that it had; more are a belief that others act by.
         let is_plain = ends.max(ends_before) < TRIED_ENDS;
         if self.quota.take(is_plain) {
--- a/crates/foldhaven-testkit/src/harm/world.rs
+++ b/crates/foldhaven-testkit/src/harm/world.rs
@@ -7,8 +7,8 @@
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::request_print::{PrintedParts, RequestPrint};
 use foldhaven_core::opaque::suspects::{
-    GuestId, MAX_TOLD, NewsReach, RecordSource, SuspectNews, SuspectRecord, SuspectVerdict,
-    TRIED_ENDS,
+    GuestId, MAX_TOLD, NewsReach, REFUSED_ENDS, RecordSource, SuspectNews, SuspectRecord,
+    SuspectVerdict, TRIED_ENDS,
 };
 use foldhaven_core::time::MonoTime;
 use rand::rngs::StdRng;
@@ -308,7 +308,14 @@
     }
 
     fn start_work(&mut self, request: usize) {
-        let HarmRequest { kind, life, .. } = self.requests[request];
+        let HarmRequest { kind, life, vm, engine, print, is_trial, .. } = self.requests[request];
+        let is_called_back = !is_trial && self.vms[vm].table.ends(&print) >= REFUSED_ENDS;
+        if is_called_back {
+            if let Some(next) = self.engines[engine].finish(request) {
+                self.start_work(next);
+            }
+            return self.hold_back(request);
+        }
         match kind {
             Kind::Deadly(_) => self.schedule(DYING_TIME, HarmEvent::EndUnder { request, life }),
             Kind::Innocent { .. } => {
