--- a/crates/foldhaven-testkit/src/harm/mod.rs
+++ b/crates/foldhaven-testkit/src/harm/mod.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod plan;
+mod telling;
 mod vm;
 mod world;
 
--- a/crates/foldhaven-testkit/src/harm/world.rs
+++ b/crates/foldhaven-testkit/src/harm/world.rs
@@ -7,8 +7,7 @@
 use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::request_print::{PrintedParts, RequestPrint};
 use foldhaven_core::opaque::suspects::{
-    GuestId, MAX_TOLD, NewsReach, REFUSED_ENDS, RecordSource, SuspectNews, SuspectRecord,
-    SuspectVerdict, TRIED_ENDS,
+    GuestId, REFUSED_ENDS, RecordSource, SuspectRecord, SuspectVerdict, TRIED_ENDS,
 };
 use foldhaven_core::time::MonoTime;
 use rand::rngs::StdRng;
@@ -17,6 +16,7 @@
 
 use super::engine::MortalEngine;
 use super::plan::{HarmOutcome, HarmPlan, TellPolicy};
+use super::telling::REPEAT_INTERVAL;
 use super::vm::HarmVm;
 
 /// From the beginning of a deadly request to the end of its engine.
@@ -25,22 +25,10 @@
 const DOWN_TIME: Duration = Duration::from_secs(3);
 /// After a loss of power all is back in this time.
 const DARK_TIME: Duration = Duration::from_millis(1_500);
-/// One way inside a region, with what a small VM takes to act, and between two.
-const NEAR_DELAY: Duration = Duration::from_millis(3);
-const FAR_DELAY: Duration = Duration::from_millis(60);
+/// One way inside a region, with what a small VM takes to act.
+pub(super) const NEAR_DELAY: Duration = Duration::from_millis(3);
 /// A caller whose request was lost comes back once after this.
 const BACK_AFTER: Duration = Duration::from_millis(200);
-/// Between two rounds in which a VM tells again.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// How many near VMs are told in one.
-const REPEAT_FAN_OUT: usize = 4;
-/// What several VMs may tell waits for up to this.
-const SHARED_PAUSE_MS: u64 = 80;
-/// How many VMs of another region are told of news.
-const TOLD_OF_EACH_REGION: usize = 2;
-/// The bytes of a record, and of a message around its records.
-const RECORD_BYTES: usize = 40;
-const MESSAGE_BYTES: usize = 40;
 /// How many VMs and engines a request tries at most.
 const MOST_TRIES: usize = 4;
 const MOST_ATTEMPTS: u32 = 2;
@@ -49,8 +37,9 @@
 /// From so long after its third end on a body is counted as sent late.
 const KNOWN_AFTER: Duration = Duration::from_secs(2);
 
+/// Something that happens.
 #[derive(Debug, Clone)]
-enum HarmEvent {
+pub(super) enum HarmEvent {
     Innocent,
     Deadly { body: usize },
     Arrive { request: usize },
@@ -85,21 +74,22 @@
     is_trial: bool,
 }
 
-struct World {
-    plan: HarmPlan,
-    policy: TellPolicy,
-    random: StdRng,
-    now: MonoTime,
+/// VMs, engines and what is on its way.
+pub(super) struct World {
+    pub(super) plan: HarmPlan,
+    pub(super) policy: TellPolicy,
+    pub(super) random: StdRng,
+    pub(super) now: MonoTime,
     queue: BinaryHeap<Reverse<(MonoTime, u64)>>,
     events: HashMap<u64, HarmEvent>,
     scheduled: u64,
-    vms: Vec<HarmVm>,
+    pub(super) vms: Vec<HarmVm>,
     engines: Vec<MortalEngine>,
     requests: Vec<HarmRequest>,
     deadly_ends: Vec<Vec<MonoTime>>,
     deadly_sends: Vec<Vec<MonoTime>>,
     /// What each VM told in each second.
-    told: BTreeMap<(usize, u64), usize>,
+    pub(super) told: BTreeMap<(usize, u64), usize>,
     innocent: usize,
     held_back: usize,
     lost: usize,
@@ -154,7 +144,7 @@
         }
     }
 
-    fn schedule(&mut self, after: Duration, event: HarmEvent) {
+    pub(super) fn schedule(&mut self, after: Duration, event: HarmEvent) {
         self.scheduled += 1;
         self.queue.push(Reverse((self.now + after, self.scheduled)));
         self.events.insert(self.scheduled, event);
@@ -436,90 +426,6 @@
         self.vms[vm].is_down = false;
     }
 
-    fn hear(&mut self, vm: usize, from: usize, records: &[SuspectRecord]) {
-        if self.vms[vm].is_down {
-            return;
-        }
-        let source = match self.vms[vm].region == self.vms[from].region {
-            true => RecordSource::Near,
-            false => RecordSource::Far,
-        };
-        for record in records {
-            let heard = self.vms[vm].table.hear(record, source, self.now);
-            debug_assert!(heard.is_ok(), "{heard:?}");
-        }
-        self.tell_news(vm);
-    }
-
-    fn tell_news(&mut self, vm: usize) {
-        let news = self.vms[vm].table.take_news();
-        self.tell(vm, &news);
-        let pause = Duration::from_millis(self.random.random_range(0..SHARED_PAUSE_MS));
-        if self.vms[vm].table.has_shared_news() {
-            self.schedule(pause, HarmEvent::TellShared { vm });
-        }
-    }
-
-    fn tell(&mut self, vm: usize, news: &[SuspectNews]) {
-        if news.is_empty() || self.policy != TellPolicy::Joined {
-            return;
-        }
-        let all: Vec<SuspectRecord> = news.iter().map(|news| news.record.clone()).collect();
-        let wide = news.iter().filter(|news| news.reach == NewsReach::Wide);
-        let wide: Vec<SuspectRecord> = wide.map(|news| news.record.clone()).collect();
-        let region = self.vms[vm].region;
-        for other in (region..self.plan.vms).step_by(self.plan.regions) {
-            self.send_records(vm, other, &all);
-        }
-        for other in (0..self.plan.regions).filter(|other| *other != region) {
-            for _ in 0..TOLD_OF_EACH_REGION {
-                let told = self.draw_of(other);
-                self.send_records(vm, told, &wide);
-            }
-        }
-    }
-
-    fn repeat(&mut self, vm: usize) {
-        self.schedule(REPEAT_INTERVAL, HarmEvent::Repeat { vm });
-        if self.vms[vm].is_down || self.policy != TellPolicy::Joined {
-            return;
-        }
-        let now = self.now;
-        self.vms[vm].table.forget(now);
-        let records = self.vms[vm].table.next_repeated(now);
-        let region = self.vms[vm].region;
-        for _ in 0..REPEAT_FAN_OUT {
-            let other = self.draw_of(region);
-            self.send_records(vm, other, &records);
-        }
-        let is_delegate = vm / self.plan.regions < 2;
-        for other in (0..self.plan.regions).filter(|other| is_delegate && *other != region) {
-            let told = self.draw_of(other);
-            self.send_records(vm, told, &records);
-        }
-    }
-
-    /// Some VM of a region.
-    fn draw_of(&mut self, region: usize) -> usize {
-        let count = (self.plan.vms - region).div_ceil(self.plan.regions);
-        region + self.random.random_range(0..count) * self.plan.regions
-    }
-
-    fn send_records(&mut self, from: usize, vm: usize, records: &[SuspectRecord]) {
-        if records.is_empty() || from == vm {
-            return;
-        }
-        let messages = records.len().div_ceil(MAX_TOLD);
-        let bytes = messages * MESSAGE_BYTES + records.len() * RECORD_BYTES;
-        *self.told.entry((from, self.now.0 / 1_000_000)).or_default() += bytes;
-        if self.random.random_bool(self.plan.lossy) {
-            return;
-        }
-        let is_near = self.vms[from].region == self.vms[vm].region;
-        let delay = if is_near { NEAR_DELAY } else { FAR_DELAY };
-        self.schedule(delay, HarmEvent::Hear { vm, from, records: records.to_vec() });
-    }
-
     fn leave_harmless(&mut self, request: usize) {
         let HarmRequest { vm, engine, life, guest, .. } = self.requests[request];
         if let (Some(guest), Some(guests)) = (guest, self.vms[vm].guests.get_mut(&(engine, life))) {
