A trial that was sent is not made again at once

Cause: a trial that ended without an answer was taken for one that no upstream got, and its VM might try again at once; the end of its upstream, noticed a millisecond later, undid that only while fewer ends than are kept were known. From the second trial of a request on, or when its caller left at once, one VM would have sent it on each time that it came. Found by reading the diff; the tests' plays end before the second trial. Now only a trial that nothing was sent of may be made again.

--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -259,10 +259,12 @@
         verdict
     }
 
-    /// Notes that a trial of this VM ended without reaching an upstream, or without showing anything.
-    pub fn note_untried(&mut self, print: &RequestPrint, now: MonoTime) {
+    /// Notes that a trial of this VM is over. One that no upstream got may be made again at once; any other one may have
+    /// ended its upstream, also when its caller has left or the end is noticed later.
+    pub fn end_trial(&mut self, print: &RequestPrint, was_sent: bool, now: MonoTime) {
         if let Some(entry) = self.entries.get_mut(print)
             && std::mem::take(&mut entry.is_trying)
+            && !was_sent
         {
             entry.is_untried = true;
             entry.since = now;
@@ -280,6 +282,7 @@
         record.add_end(upstream);
         if let Some(entry) = self.entries.get_mut(&print) {
             entry.is_trying = false;
+            entry.is_untried = false;
         }
         let change = self.take(record, now);
         if change.is_some() {
--- a/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
@@ -162,11 +162,46 @@
     let print = print_of("a");
     let mut table = blaming(print, 2, at(0));
     assert_eq!(table.judge(&print, at(1)), SuspectVerdict::Trial);
-    table.note_untried(&print, at(5));
+    table.end_trial(&print, false, at(5));
     assert_eq!(table.judge(&print, at(6)), SuspectVerdict::Trial);
     assert!(is_refused(table.judge(&print, at(7))));
 }
 
+/// Found by reading: once as many ends are kept as there can be, a trial that ended its upstream was taken for one that had
+/// reached none, and the same VM tried again at once, each time that the request came.
+#[rstest]
+#[case::its_end_is_noticed_later(Some(TrialEnd::AfterIt))]
+#[case::its_end_was_noticed_before(Some(TrialEnd::BeforeIt))]
+#[case::its_caller_has_left(None)]
+fn a_trial_that_was_sent_is_not_made_again_at_once(#[case] end: Option<TrialEnd>) {
+    let print = print_of("a");
+    let mut table = blaming(print, 4, at(0));
+    let open = (0..)
+        .map(|step| at(step * 50))
+        .find(|now| table.judge(&print, *now) == SuspectVerdict::Trial);
+    let open = open.expect("its turn comes");
+    // Of more ends than are kept, the first ones in order stay.
+    let last = UpstreamTag(99);
+    if matches!(end, Some(TrialEnd::BeforeIt)) {
+        table.note_end(print, last, open);
+    }
+    table.end_trial(&print, true, open);
+    if matches!(end, Some(TrialEnd::AfterIt)) {
+        table.note_end(print, last, open);
+    }
+    let again = (1..500).map(|step| open + Duration::from_millis(50 * step));
+    assert!(
+        again.into_iter().all(|now| is_refused(table.judge(&print, now))),
+        "tried again within 25 s"
+    );
+}
+
+/// When the end of a trial's upstream is noticed: before the trial is over, or after it.
+enum TrialEnd {
+    BeforeIt,
+    AfterIt,
+}
+
 /// When many upstreams end at once, each VM has many victims of one end: these are told near by, and forbid nothing.
 #[test]
 fn one_end_is_told_in_its_region_only() {
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -132,6 +132,8 @@
     breaks: u32,
     /// Whether the request is suspected, and sent on once to see whether it is rightly.
     is_trial: bool,
+    /// Whether an upstream may have got it on trial.
+    is_trial_sent: bool,
     /// Whether any of it may have run.
     pub may_have_run: bool,
     /// The last fault, for the log.
@@ -153,6 +155,7 @@
             arrivals: 0,
             breaks: 0,
             is_trial: false,
+            is_trial_sent: false,
             may_have_run: false,
             last_fault: None,
             last_place: None,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -42,6 +42,8 @@
         self.note_placement(&place);
         let target = place.call_target();
         self.arrivals += 1;
+        // Noted before it leaves: its caller may leave at any moment from then on.
+        self.is_trial_sent = self.is_trial;
         let sent = BootInstant::now();
         let opening = open_call(&target, request, &self.shared.names, self.job.deadline);
         let opened = match &place {
@@ -58,6 +60,7 @@
             self.note_room(upstream, queue, &opened);
         }
         if opened.as_ref().is_err_and(|fault| !fault.may_have_run()) {
+            self.is_trial_sent = false;
             guest.iter_mut().for_each(GuestSeat::note_harmless);
         }
         let answer = opened?;
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -90,7 +90,8 @@
 impl Drop for RequestDriver {
     fn drop(&mut self) {
         if self.is_trial {
-            self.shared.suspects.note_untried(&self.job.print, self.shared.now());
+            let was_sent = self.is_trial_sent;
+            self.shared.suspects.end_trial(&self.job.print, was_sent, self.shared.now());
         }
     }
 }
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -111,9 +111,9 @@
         is_cleared
     }
 
-    /// Notes that a trial has shown nothing.
-    pub fn note_untried(&self, print: &RequestPrint, now: MonoTime) {
-        self.table.lock().note_untried(print, now);
+    /// Notes that a trial of this VM is over, and whether an upstream may have got it.
+    pub fn end_trial(&self, print: &RequestPrint, was_sent: bool, now: MonoTime) {
+        self.table.lock().end_trial(print, was_sent, now);
     }
 
     /// Notes that an upstream ended under a request of this VM.
--- a/crates/foldhaven-testkit/src/harm/world.rs
+++ b/crates/foldhaven-testkit/src/harm/world.rs
@@ -437,7 +437,7 @@
         let HarmRequest { vm, print, is_trial, .. } = self.requests[request];
         if is_trial {
             let now = self.now;
-            self.vms[vm].table.note_untried(&print, now);
+            self.vms[vm].table.end_trial(&print, false, now);
         }
     }
 
