Sight: which VMs of its region a VM knows, and what it may send to cold upstreams by that

The logs told of VMs that were heard themselves only. Now a line tells whom a VM knows, with a digest that two VMs share when they hold the same lifetimes to live, at each change and every 10 s; and a line tells the part that a VM takes of a cold upstream, by how many, and what it has sent. No change of logic.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -23,7 +23,7 @@
 use self::targets::FAN_OUT;
 use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
-use crate::rank::rank_by;
+use crate::rank::{rank_by, rank_hash};
 use crate::time::MonoTime;
 use crate::units::CoreShare;
 
@@ -239,6 +239,20 @@
         self.live(now).filter(|beat| beat.region == self.region)
     }
 
+    /// How many VMs of this region are known, live or not; this one included.
+    pub fn region_count(&self) -> usize {
+        self.peers.values().filter(|entry| entry.beat.region == self.region).count() + 1
+    }
+
+    /// A number that two VMs of one region share when they hold the same lifetimes of its VMs to live, each its own among
+    /// them; different sets of lifetimes hardly ever have the same one.
+    pub fn region_digest(&self, now: MonoTime) -> u64 {
+        let own = VmLife::of(&self.own, self.incarnation);
+        let lives = self.near(now).map(PeerBeat::life).chain([own]);
+        let hash = |life: VmLife| rank_hash(&[&format!("{:08x}{:04x}", life.vm.0, life.lifetime)]);
+        lives.fold(0, |digest, life| digest ^ hash(life))
+    }
+
     /// When something was heard of any VM of each data centre.
     pub fn heard_by_centre(&self) -> HashMap<DataCentreName, MonoTime> {
         let mut heard: HashMap<DataCentreName, MonoTime> = HashMap::new();
--- /dev/null
+++ b/crates/foldhaven-gateway/src/keeper/members.rs
@@ -0,0 +1,66 @@
+//! Tells operators which VMs of the region this one knows, and what it may send to cold upstreams by that.
+
+use std::time::Duration;
+
+use foldhaven_core::opaque::peer_table::PeerPhase;
+use foldhaven_core::time::MonoTime;
+
+use super::ControlKeeper;
+use crate::upstream::Upstream;
+
+/// How many names one line holds.
+const LOGGED_NAMES: usize = 12;
+/// What is believed is logged again after this time, as collectors may lose lines when many come at once.
+const LOGGED_AGAIN: Duration = Duration::from_secs(10);
+
+/// What was logged last, and when.
+#[derive(Debug, Default)]
+pub(super) struct LoggedMembers {
+    members: KnownMembers,
+    at: MonoTime,
+}
+
+/// The VMs of the region as this one knows them, itself included.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct KnownMembers {
+    known: usize,
+    live: usize,
+    serving: usize,
+    /// The same at all VMs that hold the same lifetimes to live.
+    digest: u64,
+}
+
+impl ControlKeeper {
+    /// Counts and logs which VMs of the region are known, when that has changed and now and then.
+    pub(super) fn note_members(&mut self, now: MonoTime) {
+        let near = || self.peers.near(now);
+        let members = KnownMembers {
+            known: self.peers.region_count(),
+            live: near().count() + 1,
+            serving: near().filter(|beat| beat.phase == PeerPhase::Serving).count() + 1,
+            digest: self.peers.region_digest(now),
+        };
+        let metrics = &self.shared.metrics;
+        metrics.set_level("region_vms_known", members.known as u64);
+        metrics.set_level("region_vms_live", members.live as u64);
+        let is_recent = now.since(self.members.at) < LOGGED_AGAIN;
+        if members == self.members.members && is_recent {
+            return;
+        }
+        self.members = LoggedMembers { members, at: now };
+        let KnownMembers { known, live, serving, digest } = members;
+        let names: Vec<&str> = near().map(|beat| beat.vm.as_str()).take(LOGGED_NAMES).collect();
+        let digest = format!("{digest:016x}");
+        let beats = self.beats;
+        tracing::info!(known, live, serving, digest, beats, others = ?names, "VMs of the region");
+    }
+}
+
+/// Logs the rate at which this VM may send to a cold upstream, when it has changed.
+pub(super) fn note_cold_rate(upstream: &Upstream, rate: f64, standing: usize) {
+    if upstream.noted_cold_rate() != rate {
+        let sent = upstream.cold_sent();
+        let name = upstream.name();
+        tracing::info!(upstream = %name, per_s = rate, standing, sent, "part of a cold upstream");
+    }
+}
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -6,6 +6,7 @@
 mod feed_changes;
 mod heartbeats;
 mod load_reports;
+mod members;
 mod peer_changes;
 mod region_waits;
 mod suspect_targets;
@@ -38,6 +39,7 @@
 pub use self::feed_changes::ToldChanges;
 pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
+use self::members::LoggedMembers;
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
 pub use self::suspect_targets::{PlanSuspectTargets, SuspectTargets, TellOccasion};
 use crate::demand_meter::DemandMeter;
@@ -102,6 +104,8 @@
     demand: DemandPeak,
     /// Which VMs of the region that puts in service.
     in_service: InService,
+    /// Which VMs of the region are known, as far as the log tells.
+    members: LoggedMembers,
     /// What delegates of other regions told.
     regions: RegionBook,
     /// Reports of them, of which the VMs of this region are still to be told.
@@ -171,6 +175,7 @@
             meter: DemandMeter::default(),
             demand: DemandPeak::default(),
             in_service: InService::default(),
+            members: LoggedMembers::default(),
             regions: RegionBook::default(),
             relayed_regions: Vec::new(),
             region_told: None,
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -15,6 +15,7 @@
 use foldhaven_core::units::CoreShare;
 
 use super::change_log::StateOffer;
+use super::members::note_cold_rate;
 use super::{ControlKeeper, InService};
 use crate::upstream::{Upstream, UpstreamIdentity};
 use crate::view::{GatewayView, PeerLink};
@@ -35,6 +36,7 @@
         let offer = self.current_offer(&routes, now);
         let demand = self.current_demand(now);
         self.note_service(demand, now);
+        self.note_members(now);
         self.shared.publish(GatewayView {
             routes,
             upstreams,
@@ -102,6 +104,7 @@
                 true => self.cold_rate(entry, &upstream, routes, &standing),
                 false => 0.0,
             };
+            note_cold_rate(&upstream, rate, standing.len());
             upstream.set_cold(entry.cold_until, rate);
             let service = routes.service(&upstream.identity.service);
             let limit = service.map_or(0, |service| service.connection_limit);
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -40,7 +40,9 @@
     pub(super) fn take(self, shared: &GatewayShared) -> PlaceChoice {
         let now = shared.now();
         if let Some(rate) = self.upstream.cold_rate(now) {
-            self.upstream.pacer.lock().take(rate, now);
+            let was_free = self.upstream.pacer.lock().take(rate, now);
+            self.upstream.count_cold();
+            shared.metrics.count_event(if was_free { "cold_sent" } else { "cold_sent_unfree" });
         }
         let queue = self.upstream.queue();
         PlaceChoice {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -52,6 +52,8 @@
     cold_until: AtomicU64,
     /// The rate at which this VM may send while it is cold, as the bits of a number.
     cold_rate: AtomicU64,
+    /// How many requests this VM has sent while it was cold.
+    cold_sent: AtomicU32,
 }
 
 /// What is listed of an upstream and stays the same during its life.
@@ -96,6 +98,7 @@
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             cold_rate: AtomicU64::new(0),
+            cold_sent: AtomicU32::new(0),
         })
     }
 
@@ -115,6 +118,21 @@
         is_cold.then(|| f64::from_bits(self.cold_rate.load(Ordering::Relaxed)))
     }
 
+    /// The rate of [`Upstream::set_cold`] that was taken in last.
+    pub fn noted_cold_rate(&self) -> f64 {
+        f64::from_bits(self.cold_rate.load(Ordering::Relaxed))
+    }
+
+    /// Counts a request that this VM sends while it is cold.
+    pub fn count_cold(&self) {
+        self.cold_sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// How many those are.
+    pub fn cold_sent(&self) -> u32 {
+        self.cold_sent.load(Ordering::Relaxed)
+    }
+
     /// Notes that something was received from it.
     pub fn note_heard(&self, now: MonoTime) {
         self.heard.store(now.0, Ordering::Relaxed);
