--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -22,6 +22,13 @@
     pub asks: AskedBeats,
 }
 
+impl BeatMessage {
+    /// A message with one's own heartbeat and some of others, that asks for nothing.
+    pub fn of(own: PeerBeat, heard: Vec<PeerBeat>) -> Self {
+        Self { own, pulses: Vec::new(), heard, asks: AskedBeats::Of(Vec::new()) }
+    }
+}
+
 /// Which heartbeats of other VMs are asked for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AskedBeats {
--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -11,6 +11,7 @@
 mod delegates;
 mod messages;
 mod readers;
+mod rounds;
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -19,6 +20,7 @@
 pub use self::messages::{
     AskedBeats, BeatMessage, PeerBeat, PeerPhase, PeerPulse, ServiceTag, ServiceWait, VmLife, VmTag,
 };
+pub use self::rounds::{HeardMessage, PlannedBeats, RoundCall};
 pub use self::targets::BeatTargets;
 use self::targets::FAN_OUT;
 use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -9,7 +9,7 @@
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
-use foldhaven_core::opaque::peer_table::{AskedBeats, BEAT_INTERVAL, BeatMessage};
+use foldhaven_core::opaque::peer_table::{AskedBeats, BEAT_INTERVAL, BeatMessage, PlannedBeats};
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews};
 use foldhaven_core::opaque::suspects::{RecordSource, SuspectRecord};
@@ -23,7 +23,7 @@
 use crate::feed::{ChangeSet, CountedChange};
 use crate::keeper::{
     EarlyChanges, HearBeat, HearChanges, HearEarly, HearLoad, HearPlacements, HearRegion,
-    KeeperAddress, LEARNING_TIME, PlanBeats, PlanReport, PlannedBeats, PlannedReport, ToldChanges,
+    KeeperAddress, LEARNING_TIME, PlanBeats, PlanReport, PlannedReport, ToldChanges,
 };
 use crate::shared::GatewayShared;
 
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -37,7 +37,7 @@
 pub use self::change_log::StateOffer;
 pub use self::early_changes::EarlyChanges;
 pub use self::feed_changes::ToldChanges;
-pub use self::heartbeats::{HearBeat, PlanBeats, PlannedBeats};
+pub use self::heartbeats::{HearBeat, PlanBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use self::members::LoggedMembers;
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
