VMs compare which VMs of their region they hold to live, and exchange what differs

Cause: a process asks one VM for all others, once; where that one is not up yet, knows nobody, or the message is lost, two VMs that both know a third never meet, as nobody in a small region repeats what others said.

Change: a digest of the lives that a VM knows goes to one VM a round; one whose digest differs answers with its list, and what is lacking is told and asked for. A VM that met another view makes its rounds faster for two seconds in a small region.

--- a/crates/foldhaven-core/src/opaque/peer_table/messages.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/messages.rs
@@ -120,7 +120,7 @@
 }
 
 /// One lifetime of a VM, short enough to be told of all VMs of a region at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct VmLife {
     /// The VM.
     pub vm: VmTag,
--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -13,6 +13,7 @@
 mod readers;
 mod rounds;
 mod targets;
+mod views;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -23,14 +24,21 @@
 pub use self::rounds::{HeardMessage, PlannedBeats, RoundCall};
 pub use self::targets::BeatTargets;
 use self::targets::FAN_OUT;
+use self::views::HeardView;
+pub use self::views::{RegionTag, ViewAnswer, ViewList, ViewNotice};
 use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
-use crate::rank::{rank_by, rank_hash};
+use crate::rank::rank_by;
 use crate::time::MonoTime;
 use crate::units::CoreShare;
 
 /// The time between two rounds of heartbeats.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// A process that has just started does not take the VMs that it heard of for all there are.
+pub const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+/// The time between two rounds of such a process: its seeds may start at the same moment and not have listened yet, and
+/// until it hears of others it can send nothing to their regions.
+pub const LEARNING_INTERVAL: Duration = Duration::from_millis(100);
 /// A VM of this region whose sequence has not risen for this long is not named to callers and gets
 /// nothing. Load reports and heartbeats of it arrive several times in this time.
 const NEAR_SILENT_LIMIT: Duration = Duration::from_millis(2_600);
@@ -88,6 +96,12 @@
     told: HashMap<VmTag, (IncarnationId, u32)>,
     /// How many rounds of heartbeats were planned.
     rounds: u32,
+    /// Whose turn it is to get this VM's view.
+    view_turn: usize,
+    /// When a list of lives was sent last.
+    listed: Option<MonoTime>,
+    /// When another VM told of another view last.
+    differed: Option<MonoTime>,
 }
 
 impl PeerTable {
@@ -113,6 +127,9 @@
             pulse_turn: turn,
             told: HashMap::new(),
             rounds: 0,
+            view_turn: turn,
+            listed: None,
+            differed: None,
         }
     }
 
@@ -125,7 +142,8 @@
         }
         let Some(known) = self.peers.get(&beat.vm) else {
             self.tags.insert(VmTag::of(&beat.vm), beat.vm.clone());
-            self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard: None });
+            self.peers
+                .insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard: None, view: None });
             return true;
         };
         if beat.order() <= known.beat.order() {
@@ -134,8 +152,10 @@
         let is_news = !self.is_live(known, now)
             || beat.incarnation != known.beat.incarnation
             || beat.phase != known.beat.phase;
+        // A view is of the lifetime that told it.
+        let view = known.view.filter(|_| beat.incarnation == known.beat.incarnation);
         let heard = known.heard;
-        self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard });
+        self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard, view });
         is_news
     }
 
@@ -216,6 +236,10 @@
         self.peers.get(self.tags.get(&tag)?)
     }
 
+    fn entry_of_mut(&mut self, tag: VmTag) -> Option<&mut PeerEntry> {
+        self.peers.get_mut(self.tags.get(&tag)?)
+    }
+
     /// Whether there are more VMs than heartbeats reach directly within two rounds.
     fn is_large(&self) -> bool {
         self.peers.len() > 2 * FAN_OUT + 2
@@ -246,15 +270,6 @@
         self.peers.values().filter(|entry| entry.beat.region == self.region).count() + 1
     }
 
-    /// A number that two VMs of one region share when they hold the same lifetimes of its VMs to live, each its own among
-    /// them; different sets of lifetimes hardly ever have the same one.
-    pub fn region_digest(&self, now: MonoTime) -> u64 {
-        let own = VmLife::of(&self.own, self.incarnation);
-        let lives = self.near(now).map(PeerBeat::life).chain([own]);
-        let hash = |life: VmLife| rank_hash(&[&format!("{:08x}{:04x}", life.vm.0, life.lifetime)]);
-        lives.fold(0, |digest, life| digest ^ hash(life))
-    }
-
     /// When something was heard of any VM of each data centre.
     pub fn heard_by_centre(&self) -> HashMap<DataCentreName, MonoTime> {
         let mut heard: HashMap<DataCentreName, MonoTime> = HashMap::new();
@@ -304,4 +319,6 @@
     risen: MonoTime,
     /// When a message came from itself.
     heard: Option<MonoTime>,
+    /// What it has told of its own view of its region.
+    view: Option<HeardView>,
 }
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod opaque_reports;
 mod opaque_routes;
 mod opaque_service;
+mod opaque_starts;
 mod opaque_support;
 mod opaque_suspect_orders;
 mod opaque_suspects;
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -9,7 +9,9 @@
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
-use foldhaven_core::opaque::peer_table::{AskedBeats, BEAT_INTERVAL, BeatMessage, PlannedBeats};
+use foldhaven_core::opaque::peer_table::{
+    AskedBeats, BeatMessage, LEARNING_INTERVAL, PlannedBeats, ViewAnswer, ViewList, ViewNotice,
+};
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews};
 use foldhaven_core::opaque::suspects::{RecordSource, SuspectRecord};
@@ -22,8 +24,8 @@
 use crate::codec::peer_codec;
 use crate::feed::{ChangeSet, CountedChange};
 use crate::keeper::{
-    EarlyChanges, HearBeat, HearChanges, HearEarly, HearLoad, HearPlacements, HearRegion,
-    KeeperAddress, LEARNING_TIME, PlanBeats, PlanReport, PlannedReport, ToldChanges,
+    EarlyChanges, HearBeat, HearChanges, HearEarly, HearLoad, HearPlacements, HearRegion, HearView,
+    HearViewList, KeeperAddress, PlanBeats, PlanReport, PlannedReport, ToldChanges,
 };
 use crate::shared::GatewayShared;
 
@@ -34,9 +36,6 @@
 const MAX_PARTS: usize = 580;
 /// A VM without requests reports in every n-th round only.
 const IDLE_ROUNDS: u32 = 4;
-/// Between two rounds of a process that has just started: its seeds may start at the same moment and
-/// not have listened yet, and until it hears of others it can send nothing to their regions.
-const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What one VM tells another of suspected requests.
 #[derive(Debug, Serialize, Deserialize)]
@@ -57,6 +56,8 @@
     Early(Vec<CountedChange>),
     Region(RegionReport),
     Suspects(SuspectTelling),
+    View(ViewNotice),
+    ViewList(ViewList),
 }
 
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
@@ -196,13 +197,34 @@
     }
 }
 
-/// Hands a message to the keeper. Returns the heartbeats to be sent in reply.
+/// Messages with their receivers.
+type PlannedMessages = Vec<(SocketAddr, PeerMessage)>;
+
+fn beat_replies(replies: PlannedBeats) -> PlannedMessages {
+    replies.into_iter().map(|(target, beat)| (target, PeerMessage::Beat(beat))).collect()
+}
+
+/// Hands a message to the keeper. Returns what is to be sent in reply.
 async fn hand_over(
     keeper: &KeeperAddress,
     message: PeerMessage,
-) -> Result<PlannedBeats, xtra::Error> {
+) -> Result<PlannedMessages, xtra::Error> {
     match message {
-        PeerMessage::Beat(message) => return keeper.send(HearBeat { message }).await,
+        PeerMessage::Beat(message) => {
+            let replies = keeper.send(HearBeat { message }).await?;
+            return Ok(beat_replies(replies));
+        }
+        PeerMessage::View(notice) => {
+            let answer = keeper.send(HearView { notice }).await?;
+            return Ok(match answer {
+                ViewAnswer::Nothing => Vec::new(),
+                ViewAnswer::List(target, list) => vec![(target, PeerMessage::ViewList(list))],
+            });
+        }
+        PeerMessage::ViewList(list) => {
+            let replies = keeper.send(HearViewList { list }).await?;
+            return Ok(beat_replies(replies));
+        }
         PeerMessage::Changes(changes) => keeper.send(HearChanges { changes }).await?,
         PeerMessage::Early(changes) => keeper.send(HearEarly { changes }).await?,
         PeerMessage::Placements(placements) => keeper.send(HearPlacements { placements }).await?,
@@ -210,7 +232,7 @@
         PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
         PeerMessage::Suspects(_) => {}
     }
-    Ok(PlannedBeats::new())
+    Ok(PlannedMessages::new())
 }
 
 /// The address of a VM that has just started and asks for all there is to know.
@@ -240,20 +262,17 @@
 /// Sends heartbeats in rounds, and at once when this daemon starts to leave.
 pub async fn send_beats(socket: Arc<UdpSocket>, keeper: KeeperAddress, shared: Arc<GatewayShared>) {
     let mut stage = shared.stage.subscribe();
+    let mut pause = LEARNING_INTERVAL;
     loop {
-        let pause = match shared.uptime() < LEARNING_TIME {
-            true => FIRST_INTERVAL,
-            false => BEAT_INTERVAL,
-        };
         let to_all = tokio::select! {
             () = sleep(pause) => false,
             Ok(()) = stage.changed() => true,
             () = shared.wake.await_found() => false,
         };
-        match keeper.send(PlanBeats { to_all }).await {
-            Ok(planned) => send_all(&socket, planned).await,
-            Err(_) => return,
-        }
+        let Ok(round) = keeper.send(PlanBeats { to_all }).await else { return };
+        pause = round.pause;
+        send_all(&socket, beat_replies(round.beats)).await;
+        send_to(&socket, &round.view_targets, &PeerMessage::View(round.view)).await;
     }
 }
 
@@ -272,9 +291,9 @@
     bytes.len()
 }
 
-async fn send_all(socket: &UdpSocket, planned: PlannedBeats) {
+async fn send_all(socket: &UdpSocket, planned: PlannedMessages) {
     for (target, message) in planned {
-        send_to(socket, &[target], &PeerMessage::Beat(message)).await;
+        send_to(socket, &[target], &message).await;
     }
 }
 
--- a/crates/foldhaven-gateway/src/keeper/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/keeper/heartbeats.rs
@@ -1,6 +1,13 @@
 //! Takes in heartbeats of other VMs, and plans those of this one.
 
-use foldhaven_core::opaque::peer_table::{BeatMessage, PeerBeat, PlannedBeats, RoundCall};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foldhaven_core::opaque::peer_table::{
+    BeatMessage, LEARNING_TIME, PeerBeat, PlannedBeats, RegionTag, RoundCall, ViewAnswer, ViewList,
+    ViewNotice, VmTag,
+};
+use foldhaven_core::time::MonoTime;
 use xtra::{Context, Handler};
 
 use super::ControlKeeper;
@@ -10,6 +17,25 @@
     pub message: BeatMessage,
 }
 
+/// Another VM told which VMs of its region it holds to live, in short.
+pub struct HearView {
+    pub notice: ViewNotice,
+}
+
+/// Another VM told which VMs of a region it holds to live.
+pub struct HearViewList {
+    pub list: ViewList,
+}
+
+/// What is sent in a round, and when the next one is due.
+pub struct PlannedRound {
+    pub beats: PlannedBeats,
+    /// Who gets this VM's view.
+    pub view_targets: Vec<SocketAddr>,
+    pub view: ViewNotice,
+    pub pause: Duration,
+}
+
 /// Asks for the heartbeats of a round.
 pub struct PlanBeats {
     /// Whether all VMs get one, because there is news.
@@ -48,9 +74,9 @@
 }
 
 impl Handler<PlanBeats> for ControlKeeper {
-    type Return = PlannedBeats;
+    type Return = PlannedRound;
 
-    async fn handle(&mut self, plan: PlanBeats, _: &mut Context<Self>) -> PlannedBeats {
+    async fn handle(&mut self, plan: PlanBeats, _: &mut Context<Self>) -> PlannedRound {
         self.beats += 1;
         let call = RoundCall {
             own: self.own_beat(),
@@ -58,11 +84,52 @@
             is_to_all: plan.to_all,
         };
         let now = self.now();
-        self.peers.plan_round(call, now)
+        let is_learning = self.shared.uptime() < LEARNING_TIME;
+        let beats = self.peers.plan_round(call, now);
+        let view_targets = self.peers.view_targets(&beats, is_learning, now);
+        let pause = self.peers.round_pause(is_learning, now);
+        PlannedRound { beats, view_targets, view: self.own_view(now), pause }
+    }
+}
+
+impl Handler<HearView> for ControlKeeper {
+    type Return = ViewAnswer;
+
+    async fn handle(&mut self, message: HearView, _: &mut Context<Self>) -> ViewAnswer {
+        let now = self.now();
+        let answer = self.peers.take_view(&message.notice, now);
+        if let ViewAnswer::List(peer, list) = &answer {
+            self.shared.metrics.count_event("views_differed");
+            if self.shared.quota.take(true) {
+                tracing::info!(peer = %peer, lives = list.lives.len(), "a VM told of another view");
+            }
+        }
+        answer
+    }
+}
+
+impl Handler<HearViewList> for ControlKeeper {
+    type Return = PlannedBeats;
+
+    async fn handle(&mut self, message: HearViewList, _: &mut Context<Self>) -> PlannedBeats {
+        let now = self.now();
+        let own = self.own_beat();
+        self.peers.take_list(&message.list, &own, now)
     }
 }
 
 impl ControlKeeper {
+    /// Which VMs of its region this one holds to live, in short.
+    pub(super) fn own_view(&self, now: MonoTime) -> ViewNotice {
+        ViewNotice {
+            vm: VmTag::of(&self.shared.settings.vm),
+            incarnation: self.peers.incarnation(),
+            region: RegionTag::of(self.shared.settings.region()),
+            lives: self.peers.region_digest(now),
+            senders: 0,
+        }
+    }
+
     pub(super) fn own_beat(&self) -> PeerBeat {
         let settings = &self.shared.settings;
         PeerBeat {
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -22,7 +22,7 @@
 use foldhaven_core::opaque::affinity::{PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::demand::DemandPeak;
 use foldhaven_core::opaque::load_share::LoadBook;
-use foldhaven_core::opaque::peer_table::{OwnVm, PeerPhase, PeerTable};
+use foldhaven_core::opaque::peer_table::{LEARNING_TIME, OwnVm, PeerPhase, PeerTable};
 use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 use foldhaven_core::opaque::report_plan::ReportPlan;
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
@@ -37,7 +37,7 @@
 pub use self::change_log::StateOffer;
 pub use self::early_changes::EarlyChanges;
 pub use self::feed_changes::ToldChanges;
-pub use self::heartbeats::{HearBeat, PlanBeats};
+pub use self::heartbeats::{HearBeat, HearView, HearViewList, PlanBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use self::members::LoggedMembers;
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
@@ -52,8 +52,6 @@
 /// Where messages to the control actor go.
 pub type KeeperAddress = xtra::Address<ControlKeeper>;
 
-/// A process that has just started does not take the VMs that it heard of for all there are.
-pub const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 /// It has heard of those there are when no further one came for this long: heartbeats are asked for several times in
 /// it.
 const LEARNING_PAUSE: Duration = Duration::from_millis(750);
