Limits are divided by the most VMs that anybody tells of

A view now tells how many its VM knows; a VM divides by the largest such number. A test fails without it (three VMs that know only a fourth).

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -28,7 +28,7 @@
 pub use self::targets::BeatTargets;
 use self::targets::FAN_OUT;
 use self::views::HeardView;
-pub use self::views::{RegionTag, ViewAnswer, ViewList, ViewNotice};
+pub use self::views::{KnownCounts, RegionTag, ViewAnswer, ViewList, ViewNotice};
 use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
 use crate::rank::rank_by;
@@ -229,7 +229,7 @@
         self.told.retain(|tag, _| tags.contains_key(tag));
     }
 
-    /// How many VMs may exist, this one included; limits are divided by it.
+    /// How many VMs are known, live or silent for a short time, this one included.
     pub fn assumed_count(&self) -> usize {
         self.peers.len() + 1
     }
--- a/crates/foldhaven-core/src/opaque/peer_table/views.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/views.rs
@@ -56,6 +56,17 @@
     pub region: RegionTag,
     /// The same at all VMs that hold the same lives.
     pub lives: u64,
+    /// How many VMs it knows, itself included.
+    pub known: KnownCounts,
+}
+
+/// How many VMs one of them knows, live or silent for a short time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownCounts {
+    /// In its region.
+    pub near: u16,
+    /// In all regions.
+    pub all: u16,
 }
 
 /// The lives of one region that a VM knows.
@@ -105,7 +116,7 @@
         if entry.beat.incarnation != notice.incarnation {
             return ViewAnswer::Nothing;
         }
-        entry.view = Some(HeardView { lives: notice.lives });
+        entry.view = Some(HeardView { lives: notice.lives, known: notice.known });
         let target = entry.beat.peer;
         if own == notice.lives {
             return ViewAnswer::Nothing;
@@ -185,6 +196,27 @@
         near.map(|entry| entry.beat.peer).collect()
     }
 
+    /// How many VMs this one knows, itself included.
+    pub fn known_counts(&self) -> KnownCounts {
+        let count = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
+        KnownCounts { near: count(self.region_count()), all: count(self.peers.len() + 1) }
+    }
+
+    /// How many VMs may exist; limits are divided by it. The most that this VM or one that lives and that it hears knows:
+    /// what a VM does not know itself must not make its part larger.
+    pub fn assumed_counts(&self, now: MonoTime) -> KnownCounts {
+        let live = self.peers.values().filter(|entry| self.is_live(entry, now));
+        let told = live.filter_map(|entry| {
+            let is_near = entry.beat.region == self.region;
+            let known = entry.view?.known;
+            Some(KnownCounts { near: if is_near { known.near } else { 0 }, all: known.all })
+        });
+        told.fold(self.known_counts(), |most, told| KnownCounts {
+            near: most.near.max(told.near),
+            all: most.all.max(told.all),
+        })
+    }
+
     /// How many live VMs of this region told last of another view than this VM's.
     pub fn views_differ(&self, now: MonoTime) -> usize {
         let own = self.region_digest(now);
@@ -198,6 +230,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct HeardView {
     pub lives: u64,
+    pub known: KnownCounts,
 }
 
 /// A digest of lives, whatever their order.
--- a/crates/foldhaven-core/tests/testsuite/opaque_peers.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_peers.rs
@@ -2,7 +2,9 @@
 //! all.
 
 use foldhaven_core::ids::IncarnationId;
-use foldhaven_core::opaque::peer_table::{AskedBeats, PeerPhase, PeerPulse, PeerTable, VmTag};
+use foldhaven_core::opaque::peer_table::{
+    AskedBeats, KnownCounts, PeerPhase, PeerPulse, PeerTable, RegionTag, ViewNotice, VmTag,
+};
 use foldhaven_core::time::MonoTime;
 
 use crate::opaque_support::{at, beat, region_table, table, table_of};
@@ -87,6 +89,30 @@
     assert_eq!(table.assumed_count(), 1);
 }
 
+/// Three VMs that knew only a fourth one each divided a limit by two, where four shared it.
+#[test]
+fn what_a_vm_does_not_know_does_not_make_its_part_larger() {
+    let mut table = table();
+    table.hear(beat("a", "north", 1), at(0));
+    let counts = |near, all| KnownCounts { near, all };
+    assert_eq!(table.assumed_counts(at(0)), counts(2, 2));
+    let notice = ViewNotice {
+        vm: VmTag::of(&"a".parse().unwrap()),
+        incarnation: IncarnationId(1),
+        region: RegionTag::of(&"north".parse().unwrap()),
+        lives: 1,
+        known: counts(4, 9),
+    };
+    table.take_view(&notice, at(10));
+    assert_eq!(table.assumed_counts(at(20)), counts(4, 9));
+    table.hear(beat("a", "north", 2), at(2_000));
+    assert_eq!(table.assumed_counts(at(2_000)), counts(4, 9), "it still holds");
+    let mut restarted = beat("a", "north", 1);
+    restarted.incarnation = IncarnationId(2);
+    table.hear(restarted, at(2_100));
+    assert_eq!(table.assumed_counts(at(2_100)), counts(2, 2), "another process says so anew");
+}
+
 fn pulse(vm: &str, incarnation: u64, sequence: u32) -> PeerPulse {
     PeerPulse {
         vm: VmTag::of(&vm.parse().unwrap()),
--- a/crates/foldhaven-core/tests/testsuite/opaque_starts.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_starts.rs
@@ -178,6 +178,7 @@
             incarnation: own.incarnation,
             region: RegionTag::of(&own.region),
             lives: table.region_digest(now),
+            known: table.known_counts(),
         };
         beats.into_iter().for_each(|(to, beat)| self.send(vm, to, Message::Beat(beat)));
         targets.into_iter().for_each(|to| self.send(vm, to, Message::View(notice)));
--- a/crates/foldhaven-gateway/src/keeper/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/keeper/heartbeats.rs
@@ -126,6 +126,7 @@
             incarnation: self.peers.incarnation(),
             region: RegionTag::of(self.shared.settings.region()),
             lives: self.peers.region_digest(now),
+            known: self.peers.known_counts(),
         }
     }
 
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -276,7 +276,8 @@
 
     /// How many VMs limits are divided by; nothing while this process is learning who there is.
     fn assumed_vms(&self) -> Option<usize> {
-        (self.shared.uptime() >= LEARNING_TIME).then(|| self.peers.assumed_count())
+        let assumed = || usize::from(self.peers.assumed_counts(self.now()).all);
+        (self.shared.uptime() >= LEARNING_TIME).then(assumed)
     }
 }
 
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -87,7 +87,7 @@
         now: MonoTime,
     ) -> HashMap<ServiceName, Vec<Arc<Upstream>>> {
         // All VMs of a region connect to its upstreams.
-        let vms = self.peers.near(now).count() + 1;
+        let vms = usize::from(self.peers.assumed_counts(now).near);
         let mut kept = HashMap::new();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Upstream>>> = HashMap::new();
         for entry in self.table.usable() {
