A stream with events missing is not passed on

A trial that logs the ids that each relay sees: 1, 2, 3, 77, 78, 79 arrive at the origin, 73 events are gone, each in a chunk of its own, so that the framing stays whole; its sender had been told 1 s before that the connection was gone. Ruled out: resumption (the stream was not resumed), two runs joined, events that were taken in and not passed on (the hole is in what arrives).

Change: the ids of a stream are watched. They must rise, and by the usual step of the route, which is learnt from three whole streams, or by the stream's own after eight even ones. A stream with a gap is broken: resumed after the last event that was passed on, or cut. Streams that are numbered unevenly are left alone; after a gap nothing is usual until learnt anew.

The test fails without the change (the gap is passed on as a whole answer).

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -8,6 +8,7 @@
 pub mod connection_share;
 pub mod demand;
 pub mod directory;
+pub mod event_order;
 pub mod event_pace;
 pub mod far_queue;
 pub mod load_share;
--- a/crates/foldhaven-core/src/opaque/route_history.rs
+++ b/crates/foldhaven-core/src/opaque/route_history.rs
@@ -1,6 +1,8 @@
 //! What the requests of one route have shown, whichever upstream ran them: how often they fail by their
 //! nature, and how many events their answers have.
 
+use crate::opaque::event_order::{EventSteps, UsualSteps};
+
 /// The weight of one more end of a request. Small, so that an upstream that fails for some seconds does not
 /// become what is usual.
 const WEIGHT: f64 = 0.01;
@@ -25,6 +27,7 @@
 pub struct RouteHistory {
     failures: RunningMean,
     events: RunningMean,
+    steps: UsualSteps,
 }
 
 impl RouteHistory {
@@ -38,6 +41,16 @@
         self.events.note(f64::from(events));
     }
 
+    /// How the events of its streams are numbered.
+    pub fn steps_mut(&mut self) -> &mut UsualSteps {
+        &mut self.steps
+    }
+
+    /// The steps that its streams are judged by.
+    pub fn usual_steps(&self) -> Option<EventSteps> {
+        self.steps.steps()
+    }
+
     /// The share of requests that usually fails.
     pub fn failure_share(&self) -> f64 {
         self.failures.value
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod opaque_admission;
 mod opaque_choice;
 mod opaque_deltas;
+mod opaque_events;
 mod opaque_far;
 mod opaque_heartbeats;
 mod opaque_herds;
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -5,6 +5,7 @@
 
 use foldhaven_core::burn::BurnEvent;
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use foldhaven_core::opaque::event_order::EventOrder;
 use foldhaven_core::opaque::pace::QueueFacts;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::StatusCode;
@@ -127,6 +128,29 @@
         }
     }
 
+    /// What the ids of this request's events are judged by.
+    pub fn event_order(&self) -> EventOrder {
+        let usual = self.shared.route_history(&self.job.route.name).usual_steps();
+        let resumed_after = self.job.headers.get(&self.shared.names.last_event);
+        EventOrder::new(usual, resumed_after.and_then(|id| id.to_str().ok()))
+    }
+
+    /// Notes how the events of a whole stream were numbered.
+    pub fn note_event_order(&self, order: &EventOrder) {
+        if order.is_telling() {
+            let name = &self.job.route.name;
+            self.shared
+                .note_history(name, |history| history.steps_mut().note_whole(order.whole_steps()));
+        }
+    }
+
+    /// Notes that an event of a stream was missing.
+    pub fn note_event_gap(&self) {
+        self.shared.metrics.count_event("event_gaps");
+        let name = &self.job.route.name;
+        self.shared.note_history(name, |history| history.steps_mut().note_gap());
+    }
+
     /// Notes what a fault says of its place.
     pub(super) fn note_fault(&mut self, place: &RequestPlace, fault: &CallFault) {
         self.last_fault = Some(fault.to_string());
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::opaque::event_order::EventOrder;
 use foldhaven_core::opaque::queue_rank::QueueRank;
-use foldhaven_wire::sse::EventBlocks;
+use foldhaven_wire::sse::{EventBlocks, event_ids};
 use http::StatusCode;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
@@ -102,6 +103,8 @@
     /// Absent while it looks for another upstream.
     driver: Option<RequestDriver>,
     blocks: EventBlocks,
+    /// Whether events are missing, by their ids.
+    order: EventOrder,
     timer: Pin<Box<BootSleep>>,
     /// When the upstream sent anything last.
     last_news: BootInstant,
@@ -123,12 +126,14 @@
             gaps.max(LEAST_STALL)
         });
         let deadline = driver.job.deadline;
+        let order = driver.event_order();
         let now = BootInstant::now();
         let wake = stall.map_or(deadline, |stall| deadline.min(now + stall));
         Self {
             state: RelayState::Reading(ReadingState::of(placed)),
             driver: Some(driver),
             blocks: EventBlocks::default(),
+            order,
             timer: Box::pin(BootSleep::until(wake)),
             last_news: now,
             stall,
@@ -202,8 +207,13 @@
         self.note_pause();
         self.last_news = BootInstant::now();
         self.note_heard();
+        let passed_on = self.blocks.last_id().map(str::to_owned);
         match self.blocks.push(bytes) {
             Ok(events) if events.is_empty() => RelayStep::Nothing,
+            Ok(events) if self.has_gap(&events) => {
+                self.blocks.take_back(passed_on);
+                RelayStep::Broken("an event was missing")
+            }
             Ok(events) => {
                 self.note_first();
                 self.note_load();
@@ -213,6 +223,18 @@
         }
     }
 
+    /// Whether an event is missing before or among these. None of them is passed on then: a caller cannot be told later.
+    fn has_gap(&mut self, events: &[u8]) -> bool {
+        // An order that found a gap is not used again: the stream goes on elsewhere with what was passed on before.
+        let mut order = self.order;
+        let is_whole = event_ids(events).all(|id| order.take(id).is_ok());
+        match is_whole {
+            true => self.order = order,
+            false => self.driver.iter().for_each(RequestDriver::note_event_gap),
+        }
+        !is_whole
+    }
+
     /// Goes on with the answer of another upstream, or says why that is not possible.
     fn take_resumed(
         &mut self,
@@ -379,6 +401,7 @@
         {
             if let Some(driver) = &mut self.driver {
                 driver.note_answered(reading.guest.as_mut());
+                driver.note_event_order(&self.order);
                 driver.note_success(&reading.place, reading.sent);
                 if let (Some((begun, before)), (load, looks)) = (reading.begun, reading.loads) {
                     // The first event that came at `begun` is among those before.
--- a/crates/foldhaven-wire/src/sse.rs
+++ b/crates/foldhaven-wire/src/sse.rs
@@ -132,6 +132,11 @@
         self.last_id.as_deref()
     }
 
+    /// Takes the last id back to an earlier one: the events after it are not passed on.
+    pub fn take_back(&mut self, last_id: Option<String>) {
+        self.last_id = last_id;
+    }
+
     /// How many whole events there were.
     pub fn count(&self) -> u32 {
         self.count
@@ -148,6 +153,13 @@
     }
 }
 
+/// The ids of whole events, in their order. Events without an id have none here.
+pub fn event_ids(events: &[u8]) -> impl Iterator<Item = &str> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()).map(str::trim)
+}
+
 /// The end of the last blank line.
 fn last_blank_line(bytes: &[u8]) -> Option<usize> {
     bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
