--- /dev/null
+++ b/crates/foldhavenctl/src/cmd/members.rs
@@ -0,0 +1,113 @@
+//! `foldhavenctl members`: shows which VMs of its data centre each VM knows, and marks what differs.
+
+use std::collections::BTreeSet;
+
+use clap::{ArgMatches, Command};
+use foldhaven_core::ids::{DataCentreName, VmName};
+use foldhaven_wire::operator::{DaemonState, StatusAnswer};
+use serde::Serialize;
+
+use super::{client_of, json_arg, print_json, vm_arg};
+use crate::client::FleetState;
+use crate::error::CtlError;
+use crate::table::lay_out;
+
+/// The arguments of `members`.
+pub fn make_subcommand() -> Command {
+    Command::new("members")
+        .about("Shows which VMs of its data centre each VM knows, and marks what differs")
+        .after_help(
+            "Example: foldhavenctl members --vm 127.10.1.1:8146\n\nVMs divide limits, name each other to callers and \
+             place requests by the VMs that they know. A VM that lacks another for more than two seconds after \
+             both have started is to be looked into; one that holds another that was not found tells of a death \
+             that it has not noticed yet, or of a VM that cannot be reached from here.",
+        )
+        .arg(vm_arg())
+        .arg(json_arg())
+}
+
+/// Carries `members` out.
+///
+/// # Errors
+///
+/// When no VM can be reached.
+pub async fn execute(args: &ArgMatches) -> Result<(), CtlError> {
+    let state = client_of(args)?.survey().await?;
+    let views = views_of(&state);
+    match args.get_flag("json") {
+        true => print_json(&views),
+        false => print!("{}", views_table(&views)),
+    }
+    Ok(())
+}
+
+/// Which VMs of its data centre one VM knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct MemberView {
+    /// The VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// The others that it knows.
+    pub knows: Vec<VmName>,
+    /// Those that serve, by their own word, and that it does not know.
+    pub lacks: Vec<VmName>,
+    /// Those that it knows and that were not found.
+    pub not_found: Vec<VmName>,
+}
+
+impl MemberView {
+    /// Whether it knows exactly those that were found.
+    pub fn is_complete(&self) -> bool {
+        self.lacks.is_empty() && self.not_found.is_empty()
+    }
+}
+
+/// The view of each VM that answered, held against those that did.
+pub fn views_of(state: &FleetState) -> Vec<MemberView> {
+    let mut views: Vec<MemberView> =
+        state.vms.values().map(|status| view_of(status, state)).collect();
+    views
+        .sort_by(|left, right| (&left.data_centre, &left.vm).cmp(&(&right.data_centre, &right.vm)));
+    views
+}
+
+fn view_of(status: &StatusAnswer, state: &FleetState) -> MemberView {
+    let knows: BTreeSet<VmName> = status.members.iter().map(|member| member.vm.clone()).collect();
+    let same = state.vms.values().filter(|other| other.data_centre == status.data_centre);
+    let others: Vec<&StatusAnswer> = same.filter(|other| other.vm != status.vm).collect();
+    let found: BTreeSet<VmName> = others.iter().map(|other| other.vm.clone()).collect();
+    let serving = others.iter().filter(|other| other.state == DaemonState::Serving);
+    let lacks = serving.map(|other| other.vm.clone()).filter(|vm| !knows.contains(vm)).collect();
+    MemberView {
+        vm: status.vm.clone(),
+        data_centre: status.data_centre.clone(),
+        lacks,
+        not_found: knows.difference(&found).cloned().collect(),
+        knows: knows.into_iter().collect(),
+    }
+}
+
+/// The views as a table.
+pub fn views_table(views: &[MemberView]) -> String {
+    let heading = ["vm", "data centre", "knows", "lacks", "not found", "view"];
+    let mut rows = vec![heading.map(str::to_owned).to_vec()];
+    for view in views {
+        rows.push(vec![
+            view.vm.to_string(),
+            view.data_centre.to_string(),
+            view.knows.len().to_string(),
+            names(&view.lacks),
+            names(&view.not_found),
+            if view.is_complete() { "agrees" } else { "DIFFERS" }.to_owned(),
+        ]);
+    }
+    lay_out(&rows)
+}
+
+fn names(vms: &[VmName]) -> String {
+    match vms {
+        [] => "-".to_owned(),
+        vms => vms.iter().map(VmName::as_str).collect::<Vec<&str>>().join(" "),
+    }
+}
--- a/crates/foldhavenctl/src/cmd/mod.rs
+++ b/crates/foldhavenctl/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod entries;
 pub mod explain;
 pub mod explain_route;
+pub mod members;
 pub mod plan;
 pub mod report;
 pub mod status;
@@ -37,6 +38,7 @@
         .subcommand(status::make_subcommand())
         .subcommand(explain::make_subcommand())
         .subcommand(explain_route::make_subcommand())
+        .subcommand(members::make_subcommand())
         .subcommand(suspects::make_subcommand())
         .subcommand(entries::make_subcommand())
         .subcommand(report::make_subcommand())
@@ -57,6 +59,7 @@
         Some(("status", args)) => block_on(status::execute(args)),
         Some(("explain", args)) => block_on(explain::execute(args)),
         Some(("explain-route", args)) => block_on(explain_route::execute(args)),
+        Some(("members", args)) => block_on(members::execute(args)),
         Some(("suspects", args)) => block_on(suspects::execute(args)),
         Some(("entries", args)) => block_on(entries::execute(args)),
         Some(("report", args)) => block_on(report::execute(args)),
--- a/crates/foldhavenctl/tests/testsuite/main.rs
+++ b/crates/foldhavenctl/tests/testsuite/main.rs
@@ -1,9 +1,14 @@
 //! Tests of the tool's parts that ask nobody.
 
+use std::net::SocketAddr;
+
 use foldhaven_core::burn::{BurnCount, BurnRow};
-use foldhaven_wire::operator::BurnAnswer;
+use foldhaven_core::ids::IncarnationId;
+use foldhaven_wire::operator::{BurnAnswer, DaemonState, MemberStatus, StatusAnswer};
 use foldhavenctl::ExitStatus;
 use foldhavenctl::burn::gather_burn;
+use foldhavenctl::client::FleetState;
+use foldhavenctl::cmd::members::{views_of, views_table};
 use foldhavenctl::cmd::report::report_table;
 use foldhavenctl::cmd::{make_command, run_command};
 use foldhavenctl::html::burn_page;
@@ -45,11 +50,56 @@
     assert!(!page.contains("src=") && !page.contains("href="), "nothing is loaded from elsewhere");
 }
 
+/// The status of a VM that knows these others.
+fn status(vm: &str, members: &[&str], state: DaemonState) -> StatusAnswer {
+    let member = |name: &&str| MemberStatus {
+        vm: name.parse().unwrap(),
+        state: "live".to_owned(),
+        stamp: None,
+        peer: "127.0.0.1:1".to_owned(),
+    };
+    StatusAnswer {
+        vm: vm.parse().unwrap(),
+        data_centre: "west-1".parse().unwrap(),
+        incarnation: IncarnationId(1),
+        state,
+        stamp: None,
+        refused: None,
+        in_flight: 0,
+        members: members.iter().map(member).collect(),
+        upstreams: Vec::new(),
+        centres: Vec::new(),
+    }
+}
+
+/// Two VMs that know only a third, as after a start in which that one came last.
+#[test]
+fn members_marks_who_lacks_whom() {
+    let statuses = [
+        status("vm-1", &["vm-3"], DaemonState::Serving),
+        status("vm-2", &["vm-3", "vm-9"], DaemonState::Serving),
+        status("vm-3", &["vm-1", "vm-2"], DaemonState::Serving),
+        status("vm-4", &["vm-1", "vm-2", "vm-3"], DaemonState::Leaving),
+    ];
+    let addresses = (1..).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let vms = addresses.zip(statuses).collect();
+    let views = views_of(&FleetState { vms, ..FleetState::default() });
+    insta::assert_snapshot!(views_table(&views), @r"
+    vm    data centre  knows  lacks  not found  view
+    vm-1  west-1       1      vm-2   -          DIFFERS
+    vm-2  west-1       2      vm-1   vm-9       DIFFERS
+    vm-3  west-1       2      -      -          agrees
+    vm-4  west-1       3      -      -          agrees
+    ");
+}
+
 #[rstest]
 #[case(&["check", "no-such-file.yaml"], ExitStatus::Failure)]
 #[case(&["check", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml")], ExitStatus::BadInput)]
 #[case(&["check", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/kilima.yaml")], ExitStatus::Success)]
 #[case(&["status"], ExitStatus::BadInput)]
+#[case(&["members"], ExitStatus::BadInput)]
+#[case(&["members", "--vm", "127.0.0.1:1"], ExitStatus::Failure)]
 #[case(&["status", "--vm", "127.0.0.1:1"], ExitStatus::Failure)]
 #[case(&["completions", "bash"], ExitStatus::Success)]
 fn commands_end_with_documented_codes(#[case] words: &[&str], #[case] status: ExitStatus) {
