Messages between VMs in a file of their own, with recorded bytes of each kind

A kind is known by its place; the bytes of six kinds stand as fixtures, read and written as before. Kinds that are not known, what is cut and what is too long is no message.

--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -1,68 +1,35 @@
 //! Sends and takes what VMs tell each other over UDP: a silent VM must not hold up anybody.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bincode::Options;
-use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_share::LoadReport;
-use foldhaven_core::opaque::peer_table::{
-    AskedBeats, BeatMessage, LEARNING_INTERVAL, PlannedBeats, ViewAnswer, ViewList, ViewNotice,
-};
-use foldhaven_core::opaque::region_book::RegionReport;
+use foldhaven_core::opaque::peer_table::{AskedBeats, LEARNING_INTERVAL, PlannedBeats, ViewAnswer};
 use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews};
-use foldhaven_core::opaque::sender_pact::{PACT_INTERVAL, PactNotice};
-use foldhaven_core::opaque::suspects::{RecordSource, SuspectRecord};
-use serde::{Deserialize, Serialize};
+use foldhaven_core::opaque::sender_pact::PACT_INTERVAL;
+use foldhaven_core::opaque::suspects::RecordSource;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use crate::clock::BootInstant;
-use crate::codec::peer_codec;
-use crate::feed::{ChangeSet, CountedChange};
+use crate::feed::CountedChange;
 use crate::keeper::{
     EarlyChanges, HearBeat, HearChanges, HearEarly, HearLoad, HearPact, HearPlacements, HearRegion,
     HearView, HearViewList, KeeperAddress, PlanBeats, PlanPact, PlanReport, PlannedReport,
     ToldChanges,
 };
+use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectTelling};
 use crate::shared::GatewayShared;
 
-/// The largest datagram that is read.
-const MAX_DATAGRAM: usize = 16 << 10;
 /// How many parts of prompts go into one datagram. A part is a hash and a count of at most 14 bytes together, so that
 /// half of the datagram is left for the rest.
 const MAX_PARTS: usize = 580;
 /// A VM without requests reports in every n-th round only.
 const IDLE_ROUNDS: u32 = 4;
 
-/// What one VM tells another of suspected requests.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct SuspectTelling {
-    /// The region of the teller.
-    pub region: RegionName,
-    /// What it knows; nothing in the answer to a VM that has just started, where nothing is suspected.
-    pub records: Vec<SuspectRecord>,
-}
-
-/// What VMs tell each other in a datagram.
-#[derive(Debug, Serialize, Deserialize)]
-pub enum PeerMessage {
-    Beat(BeatMessage),
-    Load(LoadReport),
-    Placements(Vec<PromptPlacement>),
-    Changes(ChangeSet),
-    Early(Vec<CountedChange>),
-    Region(RegionReport),
-    Suspects(SuspectTelling),
-    View(ViewNotice),
-    ViewList(ViewList),
-    Pact(PactNotice),
-}
-
 /// Passes changes of the platform on to VMs that do not read them themselves. Those that do not fit
 /// a datagram are asked for; what must not wait for that goes ahead.
 pub async fn tell_changes(
@@ -74,11 +41,11 @@
         let (revision, count) = (changes.revision, changes.changes.len());
         let small = changes.changes.iter().filter(|it| EarlyChanges::may_precede(&it.change));
         let small: Vec<CountedChange> = small.cloned().collect();
-        let told = encode(&PeerMessage::Changes(changes)).or_else(|error| {
+        let told = PeerMessage::Changes(changes).bytes().or_else(|error| {
             shared.metrics.count_event("changes_too_large");
             let early = small.len();
             tracing::warn!(revision, count, early, error = %error, "changes have to be asked for");
-            encode(&PeerMessage::Early(small))
+            PeerMessage::Early(small).bytes()
         });
         match told {
             Ok(bytes) => {
@@ -173,7 +140,7 @@
                 continue;
             }
         };
-        let message: PeerMessage = match peer_codec().deserialize(&buffer[..length]) {
+        let message = match PeerMessage::read(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 shared.metrics.count_event("datagram_unreadable");
@@ -304,7 +271,7 @@
 
 /// Sends a message to some VMs. Returns how many bytes it has.
 pub async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) -> usize {
-    let bytes = match encode(message) {
+    let bytes = match message.bytes() {
         Ok(bytes) => bytes,
         Err(error) => {
             tracing::warn!(error = %error, "a message was not sent");
@@ -329,11 +296,3 @@
         tracing::debug!(peer = %target, error = %error, "sending to a peer failed");
     }
 }
-
-fn encode(message: &PeerMessage) -> io::Result<Vec<u8>> {
-    let bytes = peer_codec().serialize(message).map_err(io::Error::other)?;
-    match bytes.len() <= MAX_DATAGRAM {
-        true => Ok(bytes),
-        false => Err(io::Error::other(format!("{} bytes do not fit a datagram", bytes.len()))),
-    }
-}
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod names;
 mod operator_front;
 mod peer_front;
+pub mod peer_message;
 mod peer_state;
 mod places;
 mod reload;
--- a/crates/foldhaven-gateway/src/suspect_news.rs
+++ b/crates/foldhaven-gateway/src/suspect_news.rs
@@ -9,8 +9,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::datagrams::{PeerMessage, SuspectTelling, send_to};
+use crate::datagrams::send_to;
 use crate::keeper::{KeeperAddress, PlanSuspectTargets, SuspectTargets, TellOccasion};
+use crate::peer_message::{PeerMessage, SuspectTelling};
 use crate::shared::GatewayShared;
 
 /// Between two rounds in which what holds requests back is told again. Four VMs hear it in a round, and so hundreds
--- /dev/null
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -0,0 +1,126 @@
+//! Messages between VMs as they were recorded are still understood, and are still written in the same way.
+//!
+//! While daemons are replaced one by one, two versions of them tell each other. A kind or a field that changes its place would
+//! be read as another one, or not at all: VMs would take each other for dead.
+
+use foldhaven_core::ids::IncarnationId;
+use foldhaven_core::opaque::peer_table::{
+    AskedBeats, BeatMessage, KnownCounts, PeerBeat, PeerPhase, PeerPulse, RegionTag, ViewList,
+    ViewNotice, VmLife, VmTag,
+};
+use foldhaven_core::opaque::route_table::RouteVersion;
+use foldhaven_core::opaque::sender_pact::{ListDigest, PactNotice, PactRound};
+use foldhaven_core::units::CoreShare;
+use foldhaven_gateway::feed::ChangeSet;
+use foldhaven_gateway::peer_message::{PeerMessage, SuspectTelling};
+use rstest::rstest;
+
+fn beat() -> PeerMessage {
+    let own = PeerBeat {
+        vm: "vm-1".parse().unwrap(),
+        incarnation: IncarnationId(1_700_000_000_000),
+        sequence: 300,
+        data_centre: "hall-a".parse().unwrap(),
+        region: "north".parse().unwrap(),
+        cores: CoreShare::ONE,
+        caller: "127.0.0.1:8144".parse().unwrap(),
+        peer: "127.0.0.1:7660".parse().unwrap(),
+        phase: PeerPhase::Serving,
+        version: RouteVersion(7),
+        revision: 9,
+        is_turned_away: false,
+    };
+    let pulse = PeerPulse {
+        vm: VmTag(5),
+        incarnation: IncarnationId(6),
+        sequence: 7,
+        phase: PeerPhase::Leaving,
+        revision: 8,
+        is_turned_away: true,
+    };
+    let asks = AskedBeats::Of(vec![VmTag(3)]);
+    PeerMessage::Beat(BeatMessage { own, pulses: vec![pulse], heard: Vec::new(), asks })
+}
+
+fn changes() -> PeerMessage {
+    PeerMessage::Changes(ChangeSet { after: 4, revision: 5, changes: Vec::new() })
+}
+
+fn suspects() -> PeerMessage {
+    let region = "north".parse().unwrap();
+    PeerMessage::Suspects(SuspectTelling { region, records: Vec::new() })
+}
+
+fn view() -> PeerMessage {
+    PeerMessage::View(ViewNotice {
+        vm: VmTag(1),
+        incarnation: IncarnationId(2),
+        region: RegionTag(3),
+        lives: 4,
+        known: KnownCounts { near: 5, all: 6 },
+    })
+}
+
+fn list() -> PeerMessage {
+    let lives =
+        vec![VmLife { vm: VmTag(3), lifetime: 4 }, VmLife { vm: VmTag(70_000), lifetime: 300 }];
+    PeerMessage::ViewList(ViewList { vm: VmTag(1), region: RegionTag(2), lives })
+}
+
+fn pact() -> PeerMessage {
+    let round = |number| PactRound { incarnation: IncarnationId(2), number };
+    PeerMessage::Pact(PactNotice {
+        vm: VmTag(1),
+        round: round(3),
+        list: Some(ListDigest(4)),
+        answers: Some(round(5)),
+        is_call: true,
+    })
+}
+
+/// The bytes of each kind as this version writes them.
+#[rstest]
+#[case::beat(
+    beat(),
+    "0004766d2d31fd0068e5cf8b010000fb2c010668616c6c2d61056e6f727468000000000000f03f007f000001fbd01f007f000001fbec1d010709000105060702080100000103"
+)]
+#[case::changes(changes(), "03040500")]
+#[case::suspects(suspects(), "06056e6f72746800")]
+#[case::view(view(), "07010203040506")]
+#[case::list(list(), "080102020304fc70110100fb2c01")]
+#[case::pact(pact(), "09010203010401020501")]
+fn recorded_messages_are_read_and_written_as_before(
+    #[case] message: PeerMessage,
+    #[case] hex: &str,
+) {
+    let bytes = message.bytes().unwrap();
+    assert_eq!(hex_of(&bytes), hex);
+    let read = PeerMessage::read(&bytes).unwrap();
+    assert_eq!(read.bytes().unwrap(), bytes);
+}
+
+fn hex_of(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// What a later version adds is of a kind that is not known here, and is no message; so is what is cut, or too long.
+#[test]
+fn messages_of_another_form_are_dropped() {
+    for kind in 10..=250u8 {
+        assert!(PeerMessage::read(&[kind, 1, 2, 3, 4, 5, 6, 7, 8]).is_err(), "kind {kind}");
+    }
+    for message in [beat(), changes(), suspects(), view(), list(), pact()] {
+        let bytes = message.bytes().unwrap();
+        for length in 0..bytes.len() {
+            assert!(PeerMessage::read(&bytes[..length]).is_err(), "{message:?} cut to {length}");
+        }
+        let longer = [bytes.as_slice(), &[0]].concat();
+        assert!(PeerMessage::read(&longer).is_err(), "{message:?} with more");
+    }
+    let long = ViewList {
+        vm: VmTag(1),
+        region: RegionTag(2),
+        lives: vec![VmLife { vm: VmTag(u32::MAX), lifetime: u16::MAX }; 3_000],
+    };
+    assert!(PeerMessage::ViewList(long).bytes().is_err(), "it fits no datagram");
+}
