--- a/crates/foldhaven-gateway/src/keeper/cold_parts.rs
+++ b/crates/foldhaven-gateway/src/keeper/cold_parts.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use foldhaven_core::opaque::cold::{ColdPart, cold_part};
-use foldhaven_core::opaque::peer_table::{PeerPhase, SenderView, VmTag};
+use foldhaven_core::opaque::peer_table::{PeerPhase, VmTag};
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::time::MonoTime;
 use xtra::{Context, Handler};
@@ -31,12 +31,12 @@
 
     async fn handle(&mut self, _: PlanPact, _: &mut Context<Self>) -> PlannedPact {
         let now = self.now();
-        let view = self.current_senders(now);
+        self.look_at_senders(now);
         self.pact.begin_round(self.peers.incarnation(), now);
-        self.share_cold(&view, now);
+        self.share_cold(now);
         let notice =
             |(vm, peer): &(VmTag, SocketAddr)| (*peer, self.pact.notice_to(*vm, true, now));
-        view.others.iter().map(notice).collect()
+        self.senders.others.iter().map(notice).collect()
     }
 }
 
@@ -47,36 +47,36 @@
         let now = self.now();
         let notice = message.notice;
         self.pact.hear(&notice);
-        let view = self.current_senders(now);
-        self.share_cold(&view, now);
+        // The list was looked at in this VM's own last round: ranking a hundred VMs for each of a hundred notices a second
+        // would cost more than all else.
+        self.share_cold(now);
         let peer = self.peers.address_of(notice.vm).filter(|_| notice.is_call)?;
         Some((peer, self.pact.notice_to(notice.vm, false, now)))
     }
 }
 
 impl ControlKeeper {
-    /// The VMs that share the limits of the region.
-    pub(super) fn current_senders(&mut self, now: MonoTime) -> SenderView {
+    /// Looks who shares the limits of the region.
+    pub(super) fn look_at_senders(&mut self, now: MonoTime) {
         let has_learnt = self.assumed_vms().is_some();
         let is_serving = has_learnt && self.phase() == PeerPhase::Serving;
-        let view = self.peers.senders(is_serving, now);
-        self.pact.note_list(view.digest, now);
-        view
+        self.senders = self.peers.senders(is_serving, now);
+        self.pact.note_list(self.senders.digest, now);
     }
 
     /// Gives each cold upstream of the region its part, or takes it back.
-    pub(super) fn share_cold(&mut self, view: &SenderView, now: MonoTime) {
+    pub(super) fn share_cold(&mut self, now: MonoTime) {
         let cold: Vec<Arc<Upstream>> = self.cold_upstreams(now);
         let is_cold = !cold.is_empty();
         self.cold_watch.send_if_modified(|held| std::mem::replace(held, is_cold) != is_cold);
         if !is_cold {
             return;
         }
-        let others: Vec<VmTag> = view.others.iter().map(|(vm, _)| *vm).collect();
+        let others: Vec<VmTag> = self.senders.others.iter().map(|(vm, _)| *vm).collect();
         let until = self.pact.holds_until(&others, now);
         for upstream in cold {
             let part = match until {
-                Some(_) => self.part_of(&upstream, view),
+                Some(_) => self.part_of(&upstream),
                 None => ColdPart::default(),
             };
             note_part(&upstream, part, others.len() + 1);
@@ -90,13 +90,13 @@
         near.filter(|upstream| upstream.cold_rate(now).is_some()).cloned().collect()
     }
 
-    fn part_of(&self, upstream: &Upstream, view: &SenderView) -> ColdPart {
+    fn part_of(&self, upstream: &Upstream) -> ColdPart {
         let routes = self.routes.as_ref();
         let service = routes.and_then(|routes| routes.service(&upstream.identity.service));
         // A service that is not described permits nothing.
         let rate = service.map_or(0.0, |service| service.cold_rate);
         let own = &self.shared.settings.vm;
-        let part = cold_part(rate, upstream.name(), own, &view.list);
+        let part = cold_part(rate, upstream.name(), own, &self.senders.list);
         match self.is_witnessed() {
             true => part,
             false => ColdPart { per_s: part.per_s * UNWITNESSED_PART, ..part },
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -23,7 +23,9 @@
 use foldhaven_core::opaque::affinity::{PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::demand::DemandPeak;
 use foldhaven_core::opaque::load_share::LoadBook;
-use foldhaven_core::opaque::peer_table::{LEARNING_TIME, OwnVm, PeerPhase, PeerTable, VmTag};
+use foldhaven_core::opaque::peer_table::{
+    LEARNING_TIME, OwnVm, PeerPhase, PeerTable, SenderView, VmTag,
+};
 use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 use foldhaven_core::opaque::report_plan::ReportPlan;
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
@@ -107,6 +109,8 @@
     in_service: InService,
     /// Which VMs of the region are known, as far as the log tells.
     members: LoggedMembers,
+    /// Who shares the limits of the region, as it was looked at last.
+    senders: SenderView,
     /// Whether the VMs that share the limits of the region agree on who they are.
     pact: SenderPact,
     /// Whether an upstream of the region is cold, for whom that is told to.
@@ -182,6 +186,7 @@
             demand: DemandPeak::default(),
             in_service: InService::default(),
             members: LoggedMembers::default(),
+            senders: SenderView::default(),
             pact,
             cold_watch: watch::Sender::new(false),
             regions: RegionBook::default(),
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -109,9 +109,8 @@
         }
         self.by_tag = by_tag;
         self.upstreams = kept;
-        // Made once: a hundred VMs are ranked, and tens of upstreams may be cold at a time.
-        let senders = self.current_senders(now);
-        self.share_cold(&senders, now);
+        self.look_at_senders(now);
+        self.share_cold(now);
         by_service
     }
 
