simulate plays membership: how soon VMs that start know their region, by three ways; lines, page, example

The simulation moved from the core's tests to the testkit, with its checks as they were, and now sends the daemon's own messages, so that bytes can be counted. A test shows that heartbeats alone leave strangers.

--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -21,7 +21,6 @@
 mod opaque_reports;
 mod opaque_routes;
 mod opaque_service;
-mod opaque_starts;
 mod opaque_support;
 mod opaque_suspect_orders;
 mod opaque_suspects;
--- a/crates/foldhaven-testkit/src/cmd/simulate.rs
+++ b/crates/foldhaven-testkit/src/cmd/simulate.rs
@@ -1,10 +1,11 @@
-//! `simulate`: plays the gateway's decisions before simulated engines.
+//! `simulate`: plays the gateway's decisions before simulated engines, or how VMs that start learn of each other.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use crate::membership::{self, MembershipExperiment, StartTrial, play_starts};
 use crate::simulate::{Experiment, Trial, make_page, play};
 
 /// The arguments of `simulate`.
@@ -33,6 +34,9 @@
 }
 
 fn run(path: &std::path::Path, html: Option<&PathBuf>) -> Result<(), String> {
+    if let Some(experiment) = MembershipExperiment::read(path).map_err(|error| error.to_string())? {
+        return run_membership(&experiment, html);
+    }
     let experiment = Experiment::read(path).map_err(|error| error.to_string())?;
     let mut trials: Vec<Trial> = Vec::new();
     for service in &experiment.service {
@@ -49,3 +53,16 @@
     let page = make_page(&trials).map_err(|error| error.to_string())?;
     std::fs::write(html, page).map_err(|error| format!("writing {}: {error}", html.display()))
 }
+
+fn run_membership(experiment: &MembershipExperiment, html: Option<&PathBuf>) -> Result<(), String> {
+    let mut trials: Vec<StartTrial> = Vec::new();
+    for plan in experiment.plans() {
+        let trial = play_starts(&plan, experiment.plays);
+        let line = serde_json::to_string(&trial).map_err(|error| error.to_string())?;
+        println!("{line}");
+        trials.push(trial);
+    }
+    let Some(html) = html else { return Ok(()) };
+    let page = membership::make_page(&trials).map_err(|error| error.to_string())?;
+    std::fs::write(html, page).map_err(|error| format!("writing {}: {error}", html.display()))
+}
--- a/crates/foldhaven-testkit/src/lib.rs
+++ b/crates/foldhaven-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod harm;
 pub mod measure;
+pub mod membership;
 pub mod relay;
 pub mod scenario;
 pub mod simulate;
--- a/crates/foldhaven-testkit/tests/testsuite/main.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod harm;
+mod membership;
 mod operators;
 mod peers;
 mod scenarios;
