Views of other regions do not hurry a VM; a list that comes does

What a VM knows of other regions lags, so that it met other views there often and made its rounds 2.5 times as fast for it. The one that gets a list hurries now as the one that sends it. What nobody reads is taken out of the table.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -27,7 +27,6 @@
 pub use self::senders::SenderView;
 pub use self::targets::BeatTargets;
 use self::targets::FAN_OUT;
-use self::views::HeardView;
 pub use self::views::{KnownCounts, RegionTag, ViewAnswer, ViewList, ViewNotice};
 use crate::ids::{DataCentreName, IncarnationId, RegionName, VmName};
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
@@ -145,8 +144,10 @@
         }
         let Some(known) = self.peers.get(&beat.vm) else {
             self.tags.insert(VmTag::of(&beat.vm), beat.vm.clone());
-            self.peers
-                .insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard: None, view: None });
+            self.peers.insert(
+                beat.vm.clone(),
+                PeerEntry { beat, risen: now, heard: None, told_counts: None },
+            );
             return true;
         };
         if beat.order() <= known.beat.order() {
@@ -155,10 +156,10 @@
         let is_news = !self.is_live(known, now)
             || beat.incarnation != known.beat.incarnation
             || beat.phase != known.beat.phase;
-        // A view is of the lifetime that told it.
-        let view = known.view.filter(|_| beat.incarnation == known.beat.incarnation);
+        // What was told is of the lifetime that told it.
+        let told_counts = known.told_counts.filter(|_| beat.incarnation == known.beat.incarnation);
         let heard = known.heard;
-        self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard, view });
+        self.peers.insert(beat.vm.clone(), PeerEntry { beat, risen: now, heard, told_counts });
         is_news
     }
 
@@ -332,6 +333,6 @@
     risen: MonoTime,
     /// When a message came from itself.
     heard: Option<MonoTime>,
-    /// What it has told of its own view of its region.
-    view: Option<HeardView>,
+    /// How many VMs it knows, as it told last.
+    told_counts: Option<KnownCounts>,
 }
--- a/crates/foldhaven-core/src/opaque/peer_table/views.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/views.rs
@@ -116,12 +116,15 @@
         if entry.beat.incarnation != notice.incarnation {
             return ViewAnswer::Nothing;
         }
-        entry.view = Some(HeardView { lives: notice.lives, known: notice.known });
+        entry.told_counts = Some(notice.known);
         let target = entry.beat.peer;
         if own == notice.lives {
             return ViewAnswer::Nothing;
         }
-        self.differed = Some(now);
+        // Of another region this VM hears late, and hurrying would bring no news of it.
+        if notice.region == RegionTag::of(&self.region) {
+            self.differed = Some(now);
+        }
         if self.listed.is_some_and(|listed| now.since(listed) < LIST_PAUSE) {
             return ViewAnswer::Nothing;
         }
@@ -138,6 +141,9 @@
             self.wanted.insert(list.vm);
             return PlannedBeats::new();
         };
+        if list.region == RegionTag::of(&self.region) {
+            self.differed = Some(now);
+        }
         let theirs: BTreeMap<VmTag, u16> =
             list.lives.iter().map(|life| (life.vm, life.lifetime)).collect();
         let mine = self.lives_of(list.region, now);
@@ -208,7 +214,7 @@
         let live = self.peers.values().filter(|entry| self.is_live(entry, now));
         let told = live.filter_map(|entry| {
             let is_near = entry.beat.region == self.region;
-            let known = entry.view?.known;
+            let known = entry.told_counts?;
             Some(KnownCounts { near: if is_near { known.near } else { 0 }, all: known.all })
         });
         told.fold(self.known_counts(), |most, told| KnownCounts {
@@ -216,21 +222,6 @@
             all: most.all.max(told.all),
         })
     }
-
-    /// How many live VMs of this region told last of another view than this VM's.
-    pub fn views_differ(&self, now: MonoTime) -> usize {
-        let own = self.region_digest(now);
-        let near = self.peers.values().filter(|entry| entry.beat.region == self.region);
-        let live = near.filter(|entry| self.is_live(entry, now));
-        live.filter(|entry| entry.view.is_some_and(|view| view.lives != own)).count()
-    }
-}
-
-/// What a VM has told of its view last.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct HeardView {
-    pub lives: u64,
-    pub known: KnownCounts,
 }
 
 /// A digest of lives, whatever their order.
