--- a/crates/foldhaven-core/src/opaque/peer_table/targets.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/targets.rs
@@ -16,7 +16,7 @@
 /// lost each other meet again whoever their delegates are.
 const FAR_ROUNDS: u32 = 16;
 /// How many pulses of others go with one's own heartbeat.
-const RELAYED: usize = 48;
+pub(super) const RELAYED: usize = 48;
 
 /// Whom a round of heartbeats goes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/foldhaven-core/src/opaque/peer_table/views.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/views.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rounds::told_beats;
+use super::targets::RELAYED;
 use super::{
     AskedBeats, BEAT_INTERVAL, BeatMessage, LEARNING_INTERVAL, PeerBeat, PeerTable, PlannedBeats,
     VmLife, VmTag,
@@ -33,6 +34,9 @@
 /// seconds left a VM unknown in 1 of 400 cuts of 4 VMs that healed.
 const DIFFERED_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The most VMs of a region that hurry: those whose pulses three messages hold.
+const MOST_HURRYING: usize = 3 * RELAYED;
+
 /// A region in messages between VMs: the hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -192,9 +196,11 @@
         }
     }
 
-    /// Whether this VM met another view a moment ago.
+    /// Whether this VM met another view a moment ago, and hurrying helps. In a region of more VMs than pulses can keep alive at
+    /// all others, views differ at any time: hurrying there doubled the bytes of 300 VMs in calm, from 5.1 to 10.4 KB/s.
     fn has_differed(&self, now: MonoTime) -> bool {
-        self.differed.is_some_and(|differed| now.since(differed) < DIFFERED_FOR)
+        let is_recent = self.differed.is_some_and(|differed| now.since(differed) < DIFFERED_FOR);
+        is_recent && self.region_count() <= MOST_HURRYING
     }
 
     fn near_addresses(&self) -> BTreeSet<SocketAddr> {
