--- a/crates/foldhaven-testkit/src/membership/trial.rs
+++ b/crates/foldhaven-testkit/src/membership/trial.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use super::experiment::{StartKind, TellingWay};
-use super::world::{Cut, Event, Sim};
+use super::world::{LinkCut, StartEvent, StartWorld};
 
 /// So long after the last start or the heal each VM is to know all of its region, in milliseconds.
 pub const COMPLETE_AFTER: u64 = 2_000;
@@ -48,44 +48,44 @@
 }
 
 /// Sets a start up. Returns when the last VM starts, or the cut heals, in milliseconds.
-fn set_up(plan: &StartPlan, seed: u64) -> (Sim, u64) {
-    let mut sim = Sim::new(seed, plan);
+fn set_up(plan: &StartPlan, seed: u64) -> (StartWorld, u64) {
+    let mut world = StartWorld::new(seed, plan);
     let StartPlan { vms, regions, start, .. } = *plan;
     let mut last = 0;
     for vm in 0..vms {
         let moment = match start {
-            StartKind::Apart => last + sim.rng.random_range(0..300_000 / vms.min(30) as u64),
+            StartKind::Apart => last + world.rng.random_range(0..300_000 / vms.min(30) as u64),
             StartKind::SeedsLast if vm < regions => 40_000,
             StartKind::RegionLater if vm % regions == 0 => {
-                3_000_000 + sim.rng.random_range(0..50_000)
+                3_000_000 + world.rng.random_range(0..50_000)
             }
-            _ => sim.rng.random_range(0..50_000),
+            _ => world.rng.random_range(0..50_000),
         };
         last = last.max(moment);
-        sim.plan(moment, Event::Start(vm));
+        world.plan(moment, StartEvent::Start(vm));
     }
     if start == StartKind::HalfBack {
         for vm in (0..vms).filter(|vm| vm % 2 == (seed % 2) as usize) {
-            let back = 4_000_000 + sim.rng.random_range(100_000..1_000_000);
-            sim.plan(4_000_000, Event::Kill(vm));
-            sim.plan(back, Event::Start(vm));
+            let back = 4_000_000 + world.rng.random_range(100_000..1_000_000);
+            world.plan(4_000_000, StartEvent::Kill(vm));
+            world.plan(back, StartEvent::Start(vm));
             last = last.max(back);
         }
     }
     if start == StartKind::Cut {
         let side = (0..vms).filter(|vm| (vm / regions).is_multiple_of(2)).collect();
         let is_one_way = seed.is_multiple_of(2);
-        sim.cuts.push(Cut { from: 0, until: 5_000, side, is_one_way });
+        world.cuts.push(LinkCut { from: 0, until: 5_000, side, is_one_way });
         last = 5_000_000;
     }
-    (sim, last / 1_000)
+    (world, last / 1_000)
 }
 
 /// The VMs that do not know all of their region [`COMPLETE_AFTER`] the last start, with whom they lack.
 pub fn strangers_after(plan: &StartPlan, seed: u64) -> Vec<String> {
-    let (mut sim, last) = set_up(plan, seed);
-    sim.run_until(last + COMPLETE_AFTER);
-    sim.strangers()
+    let (mut world, last) = set_up(plan, seed);
+    world.run_until(last + COMPLETE_AFTER);
+    world.strangers()
 }
 
 /// Plays so many starts of one kind.
@@ -95,12 +95,12 @@
     let (mut incomplete, mut messages, mut bytes, mut vm_seconds) = (0, 0, 0, 0.0);
     let mut example = Vec::new();
     for seed in 0..plays {
-        let (mut sim, last) = set_up(plan, seed);
-        sim.counts_bytes = true;
+        let (mut world, last) = set_up(plan, seed);
+        world.counts_bytes = true;
         let mut seen = Vec::new();
         for (look, after) in looks.iter().enumerate() {
-            sim.run_until(last + after);
-            let strangers = sim.strangers();
+            world.run_until(last + after);
+            let strangers = world.strangers();
             complete[look] += u64::from(strangers.is_empty());
             if !strangers.is_empty() && *after == COMPLETE_AFTER {
                 incomplete += 1;
@@ -112,8 +112,8 @@
         if is_example && example.is_empty() {
             example = seen;
         }
-        messages += sim.sent;
-        bytes += sim.bytes;
+        messages += world.sent;
+        bytes += world.bytes;
         vm_seconds += plan.vms as f64 * (last + WATCHED) as f64 / 1_000.0;
     }
     let share = |count: &u64| *count as f64 / plays as f64;
--- a/crates/foldhaven-testkit/src/membership/world.rs
+++ b/crates/foldhaven-testkit/src/membership/world.rs
@@ -25,7 +25,7 @@
 
 /// What happens at a moment.
 #[derive(Debug, Clone)]
-pub(super) enum Event {
+pub(super) enum StartEvent {
     /// A VM starts, in a new lifetime.
     Start(usize),
     /// A VM is killed.
@@ -37,7 +37,7 @@
 }
 
 /// One VM of the simulation.
-pub(super) struct SimVm {
+pub(super) struct StartVm {
     pub name: VmName,
     pub region: RegionName,
     /// Nothing while it is down.
@@ -49,23 +49,28 @@
 
 /// Which VMs cannot reach each other, and when.
 #[derive(Debug, Clone)]
-pub(super) struct Cut {
+pub(super) struct LinkCut {
+    /// Milliseconds since the beginning.
     pub from: u64,
     pub until: u64,
+    /// The VMs on one side; one way only messages from it are lost.
     pub side: BTreeSet<usize>,
     pub is_one_way: bool,
 }
 
-pub(super) struct Sim {
+/// The VMs of one play, what is to happen, and the time.
+pub(super) struct StartWorld {
     pub rng: SmallRng,
-    pub vms: Vec<SimVm>,
+    pub vms: Vec<StartVm>,
     by_address: BTreeMap<SocketAddr, usize>,
     seeds: Vec<SocketAddr>,
+    /// When events are due, the order of those due at one moment, and where they are held.
     events: BinaryHeap<Reverse<(u64, u64, usize)>>,
-    held: Vec<Option<Event>>,
+    held: Vec<Option<StartEvent>>,
+    /// Microseconds since the beginning.
     now: u64,
     loss: f64,
-    pub cuts: Vec<Cut>,
+    pub cuts: Vec<LinkCut>,
     way: TellingWay,
     /// How many messages were sent, and their bytes without the headers of their datagrams.
     pub sent: u64,
@@ -74,14 +79,14 @@
     pub counts_bytes: bool,
 }
 
-impl Sim {
-    /// So many VMs of a region of so many regions; the first of each region is a seed.
+impl StartWorld {
+    /// The VMs of a plan, all down; the first of each region is a seed.
     pub fn new(seed: u64, plan: &StartPlan) -> Self {
         let StartPlan { vms, regions, loss, way, .. } = *plan;
         let region = |at: usize| format!("region-{}", at % regions).parse().expect("it is a name");
         let names = (0..vms).map(|at| (format!("vm-{at}"), region(at)));
-        let vms: Vec<SimVm> = names
-            .map(|(name, region)| SimVm {
+        let vms: Vec<StartVm> = names
+            .map(|(name, region)| StartVm {
                 name: name.parse().expect("it is a name"),
                 region,
                 table: None,
@@ -113,7 +118,7 @@
         }
     }
 
-    pub fn plan(&mut self, micros: u64, event: Event) {
+    pub fn plan(&mut self, micros: u64, event: StartEvent) {
         let number = self.held.len();
         self.held.push(Some(event));
         self.events.push(Reverse((micros, number as u64, number)));
@@ -137,28 +142,28 @@
         self.now = end;
     }
 
-    fn play(&mut self, event: Event) {
+    fn play(&mut self, event: StartEvent) {
         match event {
-            Event::Start(vm) => self.start(vm),
-            Event::Kill(vm) => self.vms[vm].table = None,
-            Event::Round(vm, incarnation) => self.round(vm, incarnation),
-            Event::Arrive(vm, message) => self.arrive(vm, *message),
+            StartEvent::Start(vm) => self.start(vm),
+            StartEvent::Kill(vm) => self.vms[vm].table = None,
+            StartEvent::Round(vm, incarnation) => self.round(vm, incarnation),
+            StartEvent::Arrive(vm, message) => self.arrive(vm, *message),
         }
     }
 
     fn start(&mut self, vm: usize) {
         let started = self.now;
-        let sim_vm = &mut self.vms[vm];
-        sim_vm.incarnation = started / 1_000 + 1;
-        sim_vm.started = started;
-        sim_vm.sequence = 0;
-        let incarnation = sim_vm.incarnation;
-        sim_vm.table = Some(new_table(sim_vm));
-        self.plan(started + micros(LEARNING_INTERVAL), Event::Round(vm, incarnation));
+        let vm_state = &mut self.vms[vm];
+        vm_state.incarnation = started / 1_000 + 1;
+        vm_state.started = started;
+        vm_state.sequence = 0;
+        let incarnation = vm_state.incarnation;
+        vm_state.table = Some(new_table(vm_state));
+        self.plan(started + micros(LEARNING_INTERVAL), StartEvent::Round(vm, incarnation));
     }
 
     fn own_beat(&self, vm: usize) -> PeerBeat {
-        let SimVm { name, region, sequence, .. } = &self.vms[vm];
+        let StartVm { name, region, sequence, .. } = &self.vms[vm];
         let table = self.vms[vm].table.as_ref().expect("it is up");
         let address = address_of(vm);
         PeerBeat {
@@ -179,12 +184,12 @@
 
     fn round(&mut self, vm: usize, incarnation: u64) {
         let now = self.time();
-        let sim_vm = &mut self.vms[vm];
-        if sim_vm.table.is_none() || sim_vm.incarnation != incarnation {
+        let vm_state = &mut self.vms[vm];
+        if vm_state.table.is_none() || vm_state.incarnation != incarnation {
             return;
         }
-        sim_vm.sequence += 1;
-        let is_learning = self.now - sim_vm.started < micros(LEARNING_TIME);
+        vm_state.sequence += 1;
+        let is_learning = self.now - vm_state.started < micros(LEARNING_TIME);
         let own = self.own_beat(vm);
         let seeds: Vec<SocketAddr> =
             self.seeds.iter().copied().filter(|seed| *seed != own.peer).collect();
@@ -209,7 +214,7 @@
         beats.into_iter().for_each(|(to, beat)| self.send(vm, to, PeerMessage::Beat(beat)));
         targets.into_iter().for_each(|to| self.send(vm, to, PeerMessage::View(notice)));
         let late = self.rng.random_range(0..2_000);
-        self.plan(self.now + micros(pause) + late, Event::Round(vm, incarnation));
+        self.plan(self.now + micros(pause) + late, StartEvent::Round(vm, incarnation));
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
@@ -230,7 +235,7 @@
             true => self.rng.random_range(100..1_500),
             false => self.rng.random_range(50_000..60_000),
         };
-        self.plan(self.now + way, Event::Arrive(to, Box::new(message)));
+        self.plan(self.now + way, StartEvent::Arrive(to, Box::new(message)));
     }
 
     fn arrive(&mut self, vm: usize, message: PeerMessage) {
@@ -266,7 +271,7 @@
     /// The VMs that are up and do not hold exactly those of their region to live that are up.
     pub fn strangers(&self) -> Vec<String> {
         let now = self.time();
-        let is_up = |vm: &&SimVm| vm.table.is_some();
+        let is_up = |vm: &&StartVm| vm.table.is_some();
         let mut strangers = Vec::new();
         for vm in self.vms.iter().filter(is_up) {
             let near = self.vms.iter().filter(is_up).filter(|other| other.region == vm.region);
@@ -287,14 +292,14 @@
     span.as_micros() as u64
 }
 
-fn new_table(sim_vm: &SimVm) -> PeerTable {
+fn new_table(vm_state: &StartVm) -> PeerTable {
     let own = OwnVm {
-        vm: sim_vm.name.clone(),
-        data_centre: centre_of(&sim_vm.region),
-        region: sim_vm.region.clone(),
+        vm: vm_state.name.clone(),
+        data_centre: centre_of(&vm_state.region),
+        region: vm_state.region.clone(),
         cores: CoreShare::ONE,
     };
-    PeerTable::new(own, IncarnationId(sim_vm.incarnation))
+    PeerTable::new(own, IncarnationId(vm_state.incarnation))
 }
 
 fn centre_of(region: &RegionName) -> DataCentreName {
