Client accounts on the path of opaque requests: keys, account header, homes

Cause: the decoder read no accounts, so keys were passed on to upstreams, unknown and withdrawn ones ran, and homes of accounts did not bind.

Ruled out: keys in routes (a key is of an account, not of a route); telling keys between VMs (a keyed hash is enough).

Change: accounts are decoded once, in the adapter, with prints in place of keys; descriptions and their differences carry them as kinds of their own, so that daemons of the version before read all others as they did. 401 for no key or an unknown one, 503 where the belief is old; the account header is set anew on each try; homes of route and account bind both; no try begins under a key that is gone.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions on opaque requests: requests that are routed by host and path and whose bodies are
 //! passed on as they are.
 
+pub mod account_table;
 pub mod admission;
 pub mod affinity;
 pub mod belief_age;
--- a/crates/foldhaven-core/src/opaque/route_delta.rs
+++ b/crates/foldhaven-core/src/opaque/route_delta.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::account_table::AccountDelta;
 use super::route_table::{
     CallerLimits, OpaqueRoute, OpaqueService, RouteDescription, RouteVersion,
 };
@@ -51,6 +52,9 @@
     /// some, they are told beside it.
     #[serde(skip)]
     through: Vec<RouteVersion>,
+    /// What changes of the accounts; told beside the rest.
+    #[serde(skip)]
+    accounts: AccountDelta,
 }
 
 impl RouteDelta {
@@ -69,6 +73,7 @@
             limits: (held.limits != offered.limits).then_some(offered.limits),
             count: offered.routes.len(),
             through: Vec::new(),
+            accounts: AccountDelta::between(held.accounts.as_deref(), offered.accounts.as_deref()),
         })
     }
 
@@ -87,14 +92,24 @@
         Self { through, ..self }
     }
 
+    /// What changes of the accounts.
+    pub fn accounts(&self) -> &AccountDelta {
+        &self.accounts
+    }
+
+    /// The same difference with what changes of the accounts.
+    pub fn with_accounts(self, accounts: AccountDelta) -> Self {
+        Self { accounts, ..self }
+    }
+
     /// Whether it leads from a version to the newer one.
     fn leads_from(&self, version: RouteVersion) -> bool {
         version == self.after || self.through.contains(&version)
     }
 
-    /// How many routes it writes or removes.
+    /// How many routes and accounts it writes or removes.
     pub fn size(&self) -> usize {
-        self.written.len() + self.removed.len()
+        self.written.len() + self.removed.len() + self.accounts.size()
     }
 
     /// The newer description, from the one that is held.
@@ -121,6 +136,10 @@
             routes,
             services: self.services.clone().unwrap_or_else(|| held.services.clone()),
             limits: self.limits.unwrap_or(held.limits),
+            accounts: match &self.accounts {
+                AccountDelta::Same => held.accounts.clone(),
+                changed => changed.apply(held.accounts.as_deref()).map(Arc::new),
+            },
         })
     }
 
@@ -149,6 +168,7 @@
             services: next.services.clone().or_else(|| self.services.clone()),
             limits: next.limits.or(self.limits),
             count: next.count,
+            accounts: self.accounts.followed_by(&next.accounts),
         })
     }
 }
--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::account_table::{AccountDescription, AccountTable};
 use crate::ids::{RegionName, RouteName, ServiceName};
 
 /// Orders the route descriptions of one deployment; a larger one is newer.
@@ -158,6 +159,10 @@
     pub services: Vec<OpaqueService>,
     /// The limits on callers.
     pub limits: CallerLimits,
+    /// The client accounts; nothing where requests need no key. Told beside the rest, so that daemons that know of none
+    /// read it as before.
+    #[serde(skip)]
+    pub accounts: Option<Arc<AccountDescription>>,
 }
 
 /// A route description with its look-ups.
@@ -167,6 +172,7 @@
     /// For each host, its routes with the longest path prefix first.
     hosts: BTreeMap<String, Vec<usize>>,
     services: BTreeMap<ServiceName, usize>,
+    accounts: AccountTable,
 }
 
 impl RouteTable {
@@ -186,7 +192,8 @@
         }
         let services = description.services.iter().enumerate();
         let services = services.map(|(at, service)| (service.name.clone(), at)).collect();
-        Self { description, hosts, services }
+        let accounts = AccountTable::new(description.accounts.as_deref());
+        Self { description, hosts, services, accounts }
     }
 
     /// The description.
@@ -199,6 +206,17 @@
         self.description.version
     }
 
+    /// The client accounts.
+    pub fn accounts(&self) -> &AccountTable {
+        &self.accounts
+    }
+
+    /// Whether requests of a route need a key.
+    pub fn needs_key(&self, route: &RouteName) -> bool {
+        let accounts = self.description.accounts.as_ref();
+        accounts.is_some_and(|accounts| !accounts.open_routes.contains(route))
+    }
+
     /// The route of a request, by the longest prefix of its path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<OpaqueRoute>> {
         let routes = self.routes_of(host)?;
--- a/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_routes.rs
@@ -50,6 +50,7 @@
         routes: routes.into_iter().map(Arc::new).collect(),
         services: Vec::new(),
         limits,
+        accounts: None,
     })
 }
 
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -6,12 +6,15 @@
 
 use bytes::Bytes;
 use foldhaven_core::opaque::admission::Unservable;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 
 use crate::events::{EventRelay, RelayBroken};
 
+/// When the caller of a request comes back whose homes leave no region: not before operators have changed them.
+const NO_HOME_PAUSE: Duration = Duration::from_secs(5);
+
 /// The body of an answer.
 pub enum AnswerBody {
     /// All of it.
@@ -72,6 +75,15 @@
     BodyTooLarge,
     /// no such route
     NoRoute,
+    /// a key of an account is needed
+    NoKey,
+    /// the account is over its limit
+    OverLimit {
+        /// When it probably is not.
+        wait: Duration,
+    },
+    /// its homes leave no region to run in
+    NoHome,
     /// others know a newer description
     Behind,
     /// no upstream can take it
@@ -110,6 +122,8 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoDescription
             | Self::Behind
             | Self::NoUpstream
@@ -118,6 +132,7 @@
             | Self::Suspect { .. }
             | Self::Leaving
             | Self::NotPermitted
+            | Self::NoHome
             | Self::NotReached => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -132,6 +147,9 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::OverLimit { .. } => "over_limit",
+            Self::NoHome => "no_home",
             Self::Behind => "behind",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
@@ -154,7 +172,8 @@
             Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
             Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
-            Self::Suspect { wait } => wait,
+            Self::Suspect { wait } | Self::OverLimit { wait } => wait,
+            Self::NoHome => NO_HOME_PAUSE,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
         };
@@ -167,6 +186,9 @@
         *answer.status_mut() = self.status();
         let headers = answer.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self == Self::NoKey {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(span) = self.come_back(rand::random()) {
             let text = format!("{:.2}", span.as_secs_f64());
             headers.insert(RETRY_AFTER, HeaderValue::from_str(&text).expect("digits and a dot"));
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -19,6 +19,7 @@
 use crate::answer::Refusal;
 use crate::call::{OpenAnswer, read_whole};
 use crate::clock::BootInstant;
+use crate::credential::{KeyState, key_state};
 use crate::job::GatewayJob;
 use crate::places::{PlaceChoice, RequestPlace, TriedPlaces, choose_place, describe_places};
 use crate::shared::GatewayShared;
@@ -254,6 +255,7 @@
             return Ok(None);
         }
         let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
+        self.check_key(&view).map_err(|refusal| self.after_tries(refusal))?;
         self.check_suspicion().map_err(|refusal| self.after_tries(refusal))?;
         let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
             Ok(chosen) => chosen,
@@ -270,12 +272,21 @@
         Ok(Some(chosen))
     }
 
+    /// Whether the request still is of the account that it came under: no try begins under a key that is gone.
+    fn check_key(&self, view: &GatewayView) -> Result<(), Refusal> {
+        match key_state(&view.routes, &self.job.route, self.job.account.as_ref()) {
+            KeyState::InForce => Ok(()),
+            KeyState::Moved => Err(Refusal::Behind),
+            KeyState::Gone => Err(Refusal::NoKey),
+        }
+    }
+
     /// Whether this process has just started and may still hear of a VM of a region that can run the
     /// request. After a loss of all VMs their callers come back in the first tenths of a second.
     fn awaits_peers(&self, view: &GatewayView) -> bool {
         let own_region = self.shared.settings.region();
         let is_elsewhere = view.waits.keys().any(|(region, service)| {
-            *service == self.job.service && region != own_region && self.job.route.permits(region)
+            *service == self.job.service && region != own_region && self.job.permits(region)
         });
         is_elsewhere && !self.job.is_forwarded && self.shared.viewed_for() < PEERS_KNOWN_AFTER
     }
--- a/crates/foldhaven-gateway/src/attempts/notes.rs
+++ b/crates/foldhaven-gateway/src/attempts/notes.rs
@@ -203,6 +203,8 @@
             request = job.id(),
             print = %job.print,
             route = %job.route.name,
+            account = job.account_label(),
+            priority = job.priority(),
             service = %job.service,
             end = end.label(),
             tries = self.arrivals,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -13,6 +13,7 @@
 use super::{ExpectedFirst, PlacedAnswer, RequestDriver};
 use crate::call::{CallFault, OpenAnswer, open_call};
 use crate::clock::{BootInstant, timeout};
+use crate::credential::print_value;
 use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
 use crate::upstream::{GuestSeat, Upstream};
@@ -95,6 +96,9 @@
                 let centre: &DataCentreName = &self.shared.settings.data_centre;
                 map.insert(headers::VISITED, text_value(centre.as_str()));
                 map.insert(headers::SERVICE, text_value(job.service.as_str()));
+                if let Some(account) = &job.account {
+                    map.insert(headers::KEY_PRINT, print_value(&account.key));
+                }
                 if job.is_begun {
                     map.insert(headers::BEGUN, HeaderValue::from_static("1"));
                 }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,20 +4,24 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use foldhaven_core::opaque::route_table::OpaqueRoute;
+use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
 use crate::attempts::{AnswerStart, RequestDriver, WholeAnswer};
 use crate::clock::BootInstant;
+use crate::credential::{JobAccount, KeyFault, find_account, take_credential};
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
 use crate::job::{
-    CallerTerms, GatewayJob, ReadRequest, check_head, host_of, read_body, read_terms,
+    CallerTerms, GatewayJob, ReadRequest, RoutedPlace, check_head, host_of, read_body, read_terms,
     remove_connection_headers,
 };
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
+use crate::view::GatewayView;
 
 /// How long a connection may rest before anything is described; callers that came so early come back.
 const UNDESCRIBED_LIMIT: Duration = Duration::from_secs(20);
@@ -59,7 +63,7 @@
     request: Request<Incoming>,
 ) -> Result<GatewayJob, Refusal> {
     let started = BootInstant::now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
     let view = shared.view().ok_or(Refusal::NoDescription)?;
     let limits = view.routes.description().limits;
     check_head(&head, &limits)?;
@@ -72,12 +76,32 @@
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
     let route = view.routes.find(host, head.uri.path());
     let route = route.ok_or_else(|| unknown_route(shared))?.clone();
+    let account = identify(shared, &view, &route, &mut head)?;
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.note_patience(&route.name, terms.remaining);
     let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
     let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
     let request = ReadRequest { head, body, started };
-    Ok(request.into_job(route, service, terms, &shared.names))
+    let place = RoutedPlace { route, service, account };
+    Ok(request.into_job(place, terms, &shared.names))
+}
+
+/// Finds the account of a request, and takes its key out. A VM that knows that others know more, or that has not heard
+/// of the platform for long, cannot say that a key is of no account.
+fn identify(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    route: &OpaqueRoute,
+    head: &mut Parts,
+) -> Result<Option<JobAccount>, Refusal> {
+    if !view.routes.accounts().is_described() {
+        return Ok(None);
+    }
+    let credential = take_credential(&mut head.headers, &shared.names);
+    find_account(&view.routes, route, credential).map_err(|fault| match fault {
+        KeyFault::Unknown if shared.is_in_doubt() => Refusal::Behind,
+        KeyFault::Unknown | KeyFault::Absent => Refusal::NoKey,
+    })
 }
 
 /// What is said of a route that is not known. A VM that knows that others know more says no more than that
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -77,6 +77,7 @@
         is_begun: false,
         deadline: BootInstant::now() + route.timeout,
         is_forwarded: false,
+        account: None,
         route,
     };
     let mut places: Vec<PlacePrice> = price_places(shared, &view, &job);
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -2,10 +2,12 @@
 
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::opaque::account_table::AccountDescription;
 use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteVersion};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
@@ -15,6 +17,7 @@
 
 use crate::clock::timeout;
 use crate::keeper::KeeperAddress;
+use crate::told_change::ToldChange;
 
 /// Everything that the platform publishes, at one revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -31,8 +34,19 @@
     pub evacuated: BTreeSet<DataCentreName>,
 }
 
+impl FeedSnapshot {
+    /// The same with the accounts of its description, which are told beside it.
+    pub fn with_accounts(mut self, accounts: Arc<AccountDescription>) -> Self {
+        if let Some(description) = &mut self.description {
+            description.accounts = Some(accounts);
+        }
+        self
+    }
+}
+
 /// One change.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "ToldChange", into = "ToldChange")]
 pub enum FeedChange {
     /// A description was published.
     Description(Box<RouteDescription>),
@@ -175,6 +189,19 @@
     /// The same, with a difference between descriptions that was put together over these versions. Only VMs that say that they
     /// understand it are told so.
     SpanningChanges(ChangeSet, Vec<RouteVersion>),
+    /// All that is published, with the accounts of its description.
+    KeyedSnapshot(FeedSnapshot, Arc<AccountDescription>),
+}
+
+impl PeerState {
+    /// All that is published, in the form that daemons without accounts read where it has none.
+    pub fn of_snapshot(snapshot: FeedSnapshot) -> Self {
+        let accounts = snapshot.description.as_ref().and_then(|it| it.accounts.clone());
+        match accounts {
+            Some(accounts) => Self::KeyedSnapshot(snapshot, accounts),
+            None => Self::Snapshot(snapshot),
+        }
+    }
 }
 
 /// Whether this daemon is to read the platform now, and what it knows already.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foldhaven_core::ids::ServiceName;
+use foldhaven_core::ids::{RegionName, ServiceName};
 use foldhaven_core::opaque::affinity::{PromptOutline, PromptPart};
 use foldhaven_core::opaque::choice::{OUTPUT_WEIGHT, PLAIN_SIZE};
 use foldhaven_core::opaque::request_print::{PrintedParts, RequestPrint};
@@ -20,6 +20,7 @@
 
 use crate::answer::Refusal;
 use crate::clock::BootInstant;
+use crate::credential::JobAccount;
 use crate::names::HeaderNames;
 
 /// For a caller who does not say how long it waits.
@@ -37,6 +38,8 @@
     /// What it has in common with every other sending of the same request.
     pub print: RequestPrint,
     pub route: Arc<OpaqueRoute>,
+    /// The account that it came under; none where its route needs none.
+    pub account: Option<JobAccount>,
     pub service: ServiceName,
     pub method: Method,
     pub target: Uri,
@@ -97,12 +100,36 @@
         prompt.saturating_add(self.output_tokens.saturating_mul(OUTPUT_WEIGHT)).max(1)
     }
 
+    /// Whether it may run in a region, by the homes of its route and of its account.
+    pub fn permits(&self, region: &RegionName) -> bool {
+        let by_account = self.account.as_ref().is_none_or(|account| account.permits(region));
+        by_account && self.route.permits(region)
+    }
+
+    /// Its rank against others of its service; 0 goes first.
+    pub fn priority(&self) -> u8 {
+        let by_account = self.account.as_ref().and_then(|it| it.account.priority);
+        by_account.unwrap_or(self.route.priority)
+    }
+
+    /// The account in logs.
+    pub fn account_label(&self) -> &str {
+        self.account.as_ref().map_or("-", |it| it.account.name.as_str())
+    }
+
     /// The id in logs.
     pub fn id(&self) -> &str {
         self.attempt.to_str().unwrap_or("unreadable")
     }
 }
 
+/// What a request was matched to.
+pub struct RoutedPlace {
+    pub route: Arc<OpaqueRoute>,
+    pub service: ServiceName,
+    pub account: Option<JobAccount>,
+}
+
 /// A request whose body was read to its end.
 pub struct ReadRequest {
     pub head: Parts,
@@ -114,12 +141,12 @@
     /// Makes the job of a request that came from a caller.
     pub fn into_job(
         self,
-        route: Arc<OpaqueRoute>,
-        service: ServiceName,
+        place: RoutedPlace,
         terms: CallerTerms,
         names: &HeaderNames,
     ) -> GatewayJob {
         let Self { head, body, started } = self;
+        let RoutedPlace { route, service, account } = place;
         GatewayJob {
             attempt: terms.attempt,
             print: print_of(&head, &body),
@@ -129,7 +156,8 @@
             service,
             method: head.method,
             target: head.uri,
-            headers: forwarded_headers(head.headers, names),
+            headers: forwarded_headers(head.headers, account.as_ref(), names),
+            account,
             body,
             started,
             waited_before: terms.waited,
@@ -224,7 +252,11 @@
 }
 
 /// The headers that go on to an upstream: all but those of the connection and reserved ones.
-fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+fn forwarded_headers(
+    mut headers: HeaderMap,
+    account: Option<&JobAccount>,
+    names: &HeaderNames,
+) -> HeaderMap {
     remove_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
@@ -233,6 +265,11 @@
     for name in &names.reserved {
         headers.remove(name);
     }
+    headers.remove(&names.account);
+    if let Some(account) = account {
+        let name = HeaderValue::from_str(account.account.name.as_str());
+        headers.insert(&names.account, name.expect("names are plain text"));
+    }
     headers
 }
 
--- a/crates/foldhaven-gateway/src/known/change_log.rs
+++ b/crates/foldhaven-gateway/src/known/change_log.rs
@@ -66,7 +66,10 @@
 /// Descriptions are kept as differences, whose size is that of the routes they touch.
 fn weight_of(change: &FeedChange) -> usize {
     1 + match change {
-        FeedChange::Description(description) => description.routes.len(),
+        FeedChange::Description(description) => {
+            let accounts = description.accounts.as_ref().map_or(0, |it| it.accounts.len());
+            description.routes.len() + accounts
+        }
         FeedChange::DescriptionDelta(delta) => delta.size(),
         _ => 0,
     }
@@ -104,7 +107,7 @@
                     false => PeerState::Changes(set),
                 }
             }
-            None => PeerState::Snapshot(self.snapshot()),
+            None => PeerState::of_snapshot(self.snapshot()),
         }
     }
 
--- a/crates/foldhaven-gateway/src/known/description_digest.rs
+++ b/crates/foldhaven-gateway/src/known/description_digest.rs
@@ -16,5 +16,8 @@
     }
     let rest = (&description.services, &description.limits);
     hasher.update(&peer_codec().serialize(&rest)?);
+    if let Some(accounts) = description.accounts.as_deref() {
+        hasher.update(&peer_codec().serialize(accounts)?);
+    }
     Ok(hasher.digest())
 }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -24,6 +24,10 @@
     pub last_event: HeaderName,
     /// The rank of a request at an upstream: 0 goes first; see [`HeaderNames::rank_value`].
     pub rank: HeaderName,
+    /// Names the account of a request to upstreams; only this system sets it.
+    pub account: HeaderName,
+    /// The scheme of the authorization header that carries a caller's key.
+    pub key_scheme: &'static str,
     /// Headers that only this system may send to upstreams; taken out of callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -14,8 +14,11 @@
 use crate::caller_front::run_job;
 use crate::clock::BootInstant;
 use crate::codec::peer_codec;
+use crate::credential::{find_account, take_forwarded};
 use crate::front::FrontHandler;
-use crate::job::{CallerTerms, GatewayJob, ReadRequest, host_of, read_body, read_terms};
+use crate::job::{
+    CallerTerms, GatewayJob, ReadRequest, RoutedPlace, host_of, read_body, read_terms,
+};
 use crate::peer_state::{PEER_STATE_AFTER, PEER_STATE_PATH};
 use crate::shared::GatewayShared;
 
@@ -103,7 +106,15 @@
     let waited = waited.and_then(|value| value.to_str().ok()?.parse().ok());
     let waited = Duration::from_millis(waited.ok_or(Refusal::NotPermitted)?);
     let terms = CallerTerms { waited, ..read_terms(&head, &shared.names)? };
+    let credential = take_forwarded(&mut head.headers);
+    // The key may have gone, or not have come yet, by the description of this VM.
+    let account = find_account(&view.routes, &route, credential);
+    let account = account.map_err(|_| Refusal::NotPermitted)?;
     let request = ReadRequest { head, body, started };
-    let job = request.into_job(route, service, terms, &shared.names);
+    let place = RoutedPlace { route, service, account };
+    let job = request.into_job(place, terms, &shared.names);
+    if !job.permits(shared.settings.region()) {
+        return Err(Refusal::NotPermitted);
+    }
     Ok(GatewayJob { is_forwarded: true, is_begun, ..job })
 }
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -73,6 +73,10 @@
                     PeerState::Snapshot(snapshot) => {
                         keeper.send(OfferSnapshot { snapshot, peer }).await
                     }
+                    PeerState::KeyedSnapshot(snapshot, accounts) => {
+                        let snapshot = snapshot.with_accounts(accounts);
+                        keeper.send(OfferSnapshot { snapshot, peer }).await
+                    }
                     PeerState::Changes(changes) => keeper.send(TakeChanges { changes, peer }).await,
                     PeerState::SpanningChanges(changes, through) => {
                         let changes = changes.told_through(&through);
--- a/crates/foldhaven-gateway/src/places/far.rs
+++ b/crates/foldhaven-gateway/src/places/far.rs
@@ -63,7 +63,7 @@
 ) -> Vec<FarChoice> {
     let own_region = shared.settings.region();
     let regions = view.waits.iter().filter(|((region, service), _)| {
-        *service == job.service && region != own_region && job.route.permits(region)
+        *service == job.service && region != own_region && job.permits(region)
     });
     let priced = regions.filter_map(|((region, _), wait)| {
         let peer = pick_peer(view, region, tried)?;
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -126,7 +126,7 @@
     job: &GatewayJob,
     tried: &TriedPlaces,
 ) -> Result<PlaceChoice, Refusal> {
-    let is_here = job.route.permits(shared.settings.region());
+    let is_here = job.permits(shared.settings.region());
     let near = if is_here { choose_near(shared, view, job, tried) } else { None };
     if job.is_forwarded {
         let refusal = if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted };
@@ -146,10 +146,16 @@
             (Err(refusal), _) => Err(refusal),
         },
         (None, Some(far)) => Ok(far.choice),
+        (None, None) if has_no_home(shared, job) => Err(Refusal::NoHome),
         (None, None) => Err(Refusal::NoUpstream),
     }
 }
 
+/// Whether the homes of a request's route and account have no region in common that there is.
+fn has_no_home(shared: &GatewayShared, job: &GatewayJob) -> bool {
+    !shared.settings.regions.values().any(|region| job.permits(region))
+}
+
 /// Whether another region is better: cheaper by more than the margin, or the only place that can be trusted.
 fn prefers_far(near: &NearChoice, far: &FarChoice, tried: &TriedPlaces) -> bool {
     let is_near_sound = near.choice.is_trusted && tried.upstreams.len() < FAULTS_TO_LEAVE;
--- a/crates/foldhaven-gateway/src/places/overview.rs
+++ b/crates/foldhaven-gateway/src/places/overview.rs
@@ -19,7 +19,7 @@
     view: &GatewayView,
     job: &GatewayJob,
 ) -> Vec<PlacePrice> {
-    let is_here = job.route.permits(shared.settings.region());
+    let is_here = job.permits(shared.settings.region());
     let near = if is_here { price_near(shared, view, job) } else { Vec::new() };
     let near = near.into_iter().map(|(upstream, choice)| PlacePrice {
         name: upstream.name().to_string(),
@@ -51,7 +51,7 @@
     for (region, upstreams) in by_region {
         let vms = view.peers.iter().filter(|peer| peer.region == *region).count();
         let is_own = region == own_region;
-        let permitted = job.route.permits(region);
+        let permitted = job.permits(region);
         // Writing to a string cannot fail.
         let _ = write!(
             text,
