Limits of client accounts over all VMs: parts by told wants

Cause: nothing was limited.

Change: limit_part, demand_book and demand_share in the core; a desk shared by both threads; two kinds of messages at the end of their list; settings account_share, account_extra, account_window_s from the description's bounds. 429 at once beyond the limit; what has not run is given back.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -324,6 +324,13 @@
         ServiceOrder::of(others.chain([self.own_candidate()]))
     }
 
+    /// The other VMs of this region of which something has come a moment ago.
+    pub fn heard_near(&self, now: MonoTime) -> BTreeSet<VmTag> {
+        let near = self.peers.values().filter(|entry| entry.beat.region == self.region);
+        let heard = near.filter(|entry| now.since(entry.risen) <= DOUBT_AFTER);
+        heard.map(|entry| VmTag::of(&entry.beat.vm)).collect()
+    }
+
     /// The VMs of this region of which nothing has come for a while, though they may still live.
     pub fn doubted(&self, now: MonoTime) -> BTreeSet<VmName> {
         let near = self.peers.values().filter(|entry| entry.beat.region == self.region);
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod descriptions;
 mod load;
 mod membership;
+mod opaque_account_limits;
 mod opaque_admission;
 mod opaque_choice;
 mod opaque_deltas;
--- /dev/null
+++ b/crates/foldhaven-gateway/src/account_desk.rs
@@ -0,0 +1,159 @@
+//! What limited accounts use at this VM, shared by both threads: traffic asks, the control thread renews the parts.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use foldhaven_core::ids::AccountName;
+use foldhaven_core::opaque::account_table::{AccountLimit, ClientAccount};
+use foldhaven_core::opaque::limit_part::{
+    LimitMeter, LimitPart, LimitSlack, SharerView, ToldWants, limit_part,
+};
+use foldhaven_core::time::MonoTime;
+use parking_lot::Mutex;
+
+/// What a limit said of a request that it did not let through.
+#[derive(Debug, Clone, Copy)]
+pub struct OverLimit {
+    /// After which time one could be let through.
+    pub wait: Duration,
+    /// The part in force.
+    pub part: LimitPart,
+    /// For how long it has been.
+    pub part_age: Duration,
+    /// What is owed.
+    pub level: f64,
+}
+
+/// One account at this VM.
+#[derive(Debug, Clone, Copy)]
+struct DeskEntry {
+    meter: LimitMeter,
+    /// How much was let through, and how much was not, in the unit of the limit.
+    let_through: f64,
+    refused: u64,
+}
+
+/// One account at this VM, as operators are told.
+#[derive(Debug, Clone)]
+pub struct AccountUse {
+    pub account: AccountName,
+    pub part: LimitPart,
+    pub part_age: Duration,
+    pub level: f64,
+    pub want: f64,
+    pub let_through: f64,
+    pub refused: u64,
+}
+
+/// The accounts with limits.
+pub struct AccountDesk {
+    slack: LimitSlack,
+    inner: Mutex<DeskInner>,
+}
+
+struct DeskInner {
+    view: SharerView,
+    entries: HashMap<AccountName, DeskEntry>,
+}
+
+impl AccountDesk {
+    /// The desk of a process that has heard of nobody, in one of so many regions.
+    pub fn new(regions: usize, slack: LimitSlack) -> Self {
+        let inner = DeskInner { view: SharerView::unknown(regions), entries: HashMap::new() };
+        Self { slack, inner: Mutex::new(inner) }
+    }
+
+    /// What is permitted above limits.
+    pub fn slack(&self) -> &LimitSlack {
+        &self.slack
+    }
+
+    /// Who shares the limits, as it was looked at last.
+    pub fn view(&self) -> SharerView {
+        self.inner.lock().view
+    }
+
+    /// Lets a request of an account through that counts for `cost`; `started` is when this process did.
+    pub fn ask(
+        &self,
+        account: &ClientAccount,
+        limit: &AccountLimit,
+        cost: f64,
+        started: MonoTime,
+        now: MonoTime,
+    ) -> Result<(), OverLimit> {
+        let mut inner = self.inner.lock();
+        let view = inner.view;
+        if !inner.entries.contains_key(&account.name) {
+            let part = limit_part(limit, &ToldWants::default(), &view, &self.slack);
+            let meter = LimitMeter::new(part, started, now);
+            let entry = DeskEntry { meter, let_through: 0.0, refused: 0 };
+            inner.entries.insert(account.name.clone(), entry);
+        }
+        let entry = inner.entries.get_mut(&account.name).expect("it was just made");
+        let asked = entry.meter.ask(cost, now);
+        match asked {
+            Ok(()) => entry.let_through += cost,
+            Err(_) => entry.refused += 1,
+        }
+        let (part, level) = (entry.meter.part(), entry.meter.level());
+        let part_age = entry.meter.part_age(now);
+        asked.map_err(|wait| OverLimit { wait, part, part_age, level })
+    }
+
+    /// Gives back what a request counted for that has not run.
+    pub fn give_back(&self, account: &AccountName, cost: f64) {
+        if let Some(entry) = self.inner.lock().entries.get_mut(account) {
+            entry.meter.give_back(cost);
+            entry.let_through -= cost;
+        }
+    }
+
+    /// What callers of each account want.
+    pub fn wants(&self, now: MonoTime) -> Vec<(AccountName, f64)> {
+        let inner = self.inner.lock();
+        let wants = inner.entries.iter().map(|(name, entry)| (name, entry.meter.want(now)));
+        wants.filter(|(_, want)| *want > 0.0).map(|(name, want)| (name.clone(), want)).collect()
+    }
+
+    /// Puts new parts in force, of all accounts that have limits. `started` is when this process did.
+    pub fn renew(
+        &self,
+        view: SharerView,
+        parts: Vec<(AccountName, LimitPart)>,
+        started: MonoTime,
+        now: MonoTime,
+    ) {
+        let mut inner = self.inner.lock();
+        inner.view = view;
+        let mut held = std::mem::take(&mut inner.entries);
+        for (name, part) in parts {
+            let mut entry = held.remove(&name).unwrap_or_else(|| {
+                let meter = LimitMeter::new(part, started, now);
+                DeskEntry { meter, let_through: 0.0, refused: 0 }
+            });
+            entry.meter.renew(part, now);
+            inner.entries.insert(name, entry);
+        }
+    }
+
+    /// The accounts that were used here.
+    pub fn uses(&self, now: MonoTime) -> Vec<AccountUse> {
+        let inner = self.inner.lock();
+        let mut uses: Vec<AccountUse> = inner.entries.iter().map(use_of(now)).collect();
+        uses.sort_by(|left, right| left.account.cmp(&right.account));
+        uses
+    }
+}
+
+fn use_of(now: MonoTime) -> impl Fn((&AccountName, &DeskEntry)) -> AccountUse {
+    move |(account, entry)| AccountUse {
+        account: account.clone(),
+        part: entry.meter.part(),
+        part_age: entry.meter.part_age(now),
+        level: entry.meter.level(),
+        want: entry.meter.want(now),
+        let_through: entry.let_through,
+        refused: entry.refused,
+    }
+}
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Whether its status promises that nothing has run.
+    pub fn promises_unrun(self) -> bool {
+        matches!(self.status().as_u16(), 408 | 421 | 429 | 503)
+    }
+
     /// The name in logs and metrics.
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -17,7 +17,7 @@
 use crate::front::FrontHandler;
 use crate::job::{
     CallerTerms, GatewayJob, ReadRequest, RoutedPlace, check_head, host_of, read_body, read_terms,
-    remove_connection_headers,
+    read_token_sum, remove_connection_headers,
 };
 use crate::metrics::RequestEnd;
 use crate::shared::GatewayShared;
@@ -26,6 +26,9 @@
 /// How long a connection may rest before anything is described; callers that came so early come back.
 const UNDESCRIBED_LIMIT: Duration = Duration::from_secs(20);
 
+/// The shortest time after which a caller over a limit is told to come back.
+const LEAST_LIMIT_WAIT: Duration = Duration::from_millis(100);
+
 /// Answers callers.
 pub struct CallerHandler {
     pub shared: Arc<GatewayShared>,
@@ -81,6 +84,10 @@
     let waited = shared.note_patience(&route.name, terms.remaining);
     let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
     let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
+    let account = match account {
+        Some(account) => Some(charge(shared, account, &head)?),
+        None => None,
+    };
     let request = ReadRequest { head, body, started };
     let place = RoutedPlace { route, service, account };
     Ok(request.into_job(place, terms, &shared.names))
@@ -104,6 +111,35 @@
     })
 }
 
+/// Counts a request for the limit of its account. One that is over it is refused at once.
+fn charge(
+    shared: &GatewayShared,
+    account: JobAccount,
+    head: &Parts,
+) -> Result<JobAccount, Refusal> {
+    let Some(limit) = account.account.limit else { return Ok(account) };
+    let cost = limit.cost(read_token_sum(head, &shared.names));
+    let asked = shared.accounts.ask(&account.account, &limit, cost, shared.started(), shared.now());
+    let Err(over) = asked else { return Ok(JobAccount { cost: Some(cost), ..account }) };
+    if shared.quota.take(false) {
+        let id = head.headers.get(&shared.names.attempt).and_then(|id| id.to_str().ok());
+        tracing::info!(
+            request = id.unwrap_or("unreadable"),
+            account = %account.account.name,
+            cost,
+            per_s = limit.per_s,
+            burst = limit.burst,
+            part_per_s = over.part.per_s,
+            part_age_ms = over.part_age.as_millis() as u64,
+            level = over.level,
+            view = ?shared.accounts.view(),
+            wait_ms = over.wait.as_millis() as u64,
+            "over the limit of its account"
+        );
+    }
+    Err(Refusal::OverLimit { wait: over.wait.max(LEAST_LIMIT_WAIT) })
+}
+
 /// What is said of a route that is not known. A VM that knows that others know more says no more than that
 /// nothing has run.
 fn unknown_route(shared: &GatewayShared) -> Refusal {
@@ -176,11 +212,22 @@
 
     fn end_refused(&mut self, refusal: Refusal) -> Answer {
         let driver = self.release();
+        if refusal.promises_unrun() {
+            give_back(&driver);
+        }
         driver.note_end(RequestEnd::Refused(refusal.label()));
         refusal.answer()
     }
 }
 
+/// Gives back what a request counted for that has not run.
+fn give_back(driver: &RequestDriver) {
+    let account = driver.job.account.as_ref();
+    if let Some((account, cost)) = account.and_then(|it| Some((&it.account.name, it.cost?))) {
+        driver.shared.accounts.give_back(account, cost);
+    }
+}
+
 impl Drop for EndNote {
     fn drop(&mut self) {
         if let Some(driver) = self.driver.take() {
--- a/crates/foldhaven-gateway/src/credential.rs
+++ b/crates/foldhaven-gateway/src/credential.rs
@@ -16,6 +16,8 @@
 pub struct JobAccount {
     pub account: Arc<ClientAccount>,
     pub key: KeyPrint,
+    /// What it counted for where the account is limited.
+    pub cost: Option<f64>,
 }
 
 impl JobAccount {
@@ -79,7 +81,9 @@
         Credential::Absent | Credential::Malformed => None,
     };
     match (found, credential) {
-        (Some((account, key)), _) => Ok(Some(JobAccount { account: account.clone(), key })),
+        (Some((account, key)), _) => {
+            Ok(Some(JobAccount { account: account.clone(), key, cost: None }))
+        }
         (None, _) if !routes.needs_key(&route.name) => Ok(None),
         (None, Credential::Key(_)) => Err(KeyFault::Unknown),
         (None, _) => Err(KeyFault::Absent),
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -16,7 +16,9 @@
 use xtra::Mailbox;
 
 use crate::caller_front::{CallerHandler, ReadyHandler};
-use crate::datagrams::{hear_datagrams, send_beats, send_pacts, send_reports, tell_changes};
+use crate::datagrams::{
+    hear_datagrams, send_beats, send_demands, send_pacts, send_reports, tell_changes,
+};
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
 use crate::front::{FrontHandler, serve_front};
@@ -156,6 +158,7 @@
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(tell_suspects(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_pacts(socket.clone(), address.clone(), is_cold));
+    tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(follow_peers(shared, address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use foldhaven_core::opaque::demand_book::{DEMAND_INTERVAL, MAX_WANTS, NearDemand};
 use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{AskedBeats, LEARNING_INTERVAL, PlannedBeats, ViewAnswer};
 use foldhaven_core::opaque::report_plan::{ReportLeg, ReportNews};
@@ -17,9 +18,9 @@
 use crate::clock::BootInstant;
 use crate::feed::CountedChange;
 use crate::keeper::{
-    HearBeat, HearChanges, HearEarly, HearLoad, HearNews, HearPact, HearPlacements, HearRegion,
-    HearView, HearViewList, KeeperAddress, PlanBeats, PlanPact, PlanReport, PlannedReport,
-    ToldChanges, ToldNews,
+    HearBeat, HearChanges, HearEarly, HearLoad, HearNearDemand, HearNews, HearPact, HearPlacements,
+    HearRegion, HearRegionDemand, HearView, HearViewList, KeeperAddress, PlanBeats, PlanDemands,
+    PlanPact, PlanReport, PlannedReport, ToldChanges, ToldNews,
 };
 use crate::known::EarlyChanges;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectTelling};
@@ -221,6 +222,8 @@
         PeerMessage::Region(report) => keeper.send(HearRegion { report }).await?,
         PeerMessage::Load(report) => keeper.send(HearLoad { report }).await?,
         PeerMessage::News(notice) => keeper.send(HearNews { notice }).await?,
+        PeerMessage::Demand(demand) => keeper.send(HearNearDemand { demand }).await?,
+        PeerMessage::RegionDemand(demand) => keeper.send(HearRegionDemand { demand }).await?,
         PeerMessage::Suspects(_) => {}
     }
     Ok(PlannedMessages::new())
@@ -289,6 +292,36 @@
     }
 }
 
+/// Tells other VMs what the callers of limited accounts want.
+pub async fn send_demands(socket: Arc<UdpSocket>, keeper: KeeperAddress) {
+    loop {
+        let Ok(planned) = keeper.send(PlanDemands).await else { return };
+        if let Some(near) = planned.near {
+            send_near_demand(&socket, &planned.near_targets, near).await;
+        }
+        if let Some(far) = planned.far {
+            send_to(&socket, &planned.far_targets, &PeerMessage::RegionDemand(far)).await;
+        }
+        sleep(DEMAND_INTERVAL).await;
+    }
+}
+
+/// Sends what one VM tells its region; in messages of one part each where all together may not fit a datagram.
+async fn send_near_demand(socket: &UdpSocket, targets: &[SocketAddr], demand: NearDemand) {
+    let own = demand.own.as_ref().map_or(0, |own| own.wants.len());
+    let wants: usize = own + demand.regions.iter().map(|it| it.wants.len()).sum::<usize>();
+    if wants <= MAX_WANTS {
+        send_to(socket, targets, &PeerMessage::Demand(demand)).await;
+        return;
+    }
+    let NearDemand { own, regions } = demand;
+    let own = own.map(|own| NearDemand { own: Some(own), regions: Vec::new() });
+    let regions = regions.into_iter().map(|it| NearDemand { own: None, regions: vec![it] });
+    for part in own.into_iter().chain(regions) {
+        send_to(socket, targets, &PeerMessage::Demand(part)).await;
+    }
+}
+
 /// Sends a message to some VMs. Returns how many bytes it has.
 pub async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) -> usize {
     let bytes = match message.bytes() {
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -243,6 +243,15 @@
     PromptOutline::read(head.headers.get(&names.prompt_outline)?.to_str().ok()?)
 }
 
+/// All tokens that a caller names: those of the prompt and those of the longest answer; nothing where it names none.
+pub fn read_token_sum(head: &Parts, names: &HeaderNames) -> Option<u64> {
+    let named = head.headers.get(&names.token_counts)?.to_str().ok()?;
+    let (prompt, output) = named.split_once(',')?;
+    let prompt: u32 = prompt.trim().parse().ok()?;
+    let output: u32 = output.trim().parse().ok()?;
+    Some(u64::from(prompt) + u64::from(output))
+}
+
 /// Reads the longest answer from the numbers of tokens that a caller names: those of the prompt, and
 /// those of the longest answer. Nothing depends on it but the choice of a place.
 fn read_output_tokens(head: &Parts, names: &HeaderNames) -> u32 {
--- /dev/null
+++ b/crates/foldhaven-gateway/src/keeper/account_limits.rs
@@ -0,0 +1,122 @@
+//! This VM's parts of the limits of accounts: hears and tells what callers want, and puts the parts in force.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use foldhaven_core::ids::AccountName;
+use foldhaven_core::opaque::demand_book::{AccountTag, NearDemand, RegionDemand};
+use foldhaven_core::opaque::demand_share::{LimitedWant, NearSharers};
+use foldhaven_core::opaque::limit_part::SharerView;
+use foldhaven_core::opaque::peer_table::PeerPhase;
+use foldhaven_core::time::MonoTime;
+use xtra::{Context, Handler};
+
+use super::ControlKeeper;
+
+/// Asks for what is to be told in a round.
+pub struct PlanDemands;
+
+/// What is to be told, and to whom.
+#[derive(Default)]
+pub struct PlannedDemands {
+    pub near_targets: Vec<SocketAddr>,
+    pub near: Option<NearDemand>,
+    pub far_targets: Vec<SocketAddr>,
+    pub far: Option<RegionDemand>,
+}
+
+/// Another VM of the region told what its callers want.
+pub struct HearNearDemand {
+    pub demand: NearDemand,
+}
+
+/// A delegate of another region told of its region.
+pub struct HearRegionDemand {
+    pub demand: RegionDemand,
+}
+
+impl Handler<PlanDemands> for ControlKeeper {
+    type Return = PlannedDemands;
+
+    async fn handle(&mut self, _: PlanDemands, _: &mut Context<Self>) -> PlannedDemands {
+        let now = self.now();
+        let (names, wants) = self.limited_accounts(now);
+        if wants.is_empty() {
+            self.demands.rest();
+            return PlannedDemands::default();
+        }
+        let heard = self.peers.heard_near(now);
+        let view = self.sharer_view(heard.len(), now);
+        let incarnation = self.peers.incarnation();
+        let near = self.demands.tell_near(&wants, &view, &heard, incarnation, now);
+        self.renew_parts(names, &wants, view, now);
+        let speaks = self.phase() == PeerPhase::Serving && self.peers.is_delegate(now);
+        let far = speaks.then(|| self.demands.tell_far(&wants, incarnation, now)).flatten();
+        PlannedDemands {
+            near_targets: near.as_ref().map(|_| self.near_peers()).unwrap_or_default(),
+            near,
+            far_targets: match far.is_some() {
+                true => self.peers.one_in_service_of_each_region(now),
+                false => Vec::new(),
+            },
+            far,
+        }
+    }
+}
+
+impl Handler<HearNearDemand> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearNearDemand, _: &mut Context<Self>) {
+        let now = self.now();
+        self.demands.hear_near(&message.demand, now);
+    }
+}
+
+impl Handler<HearRegionDemand> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearRegionDemand, _: &mut Context<Self>) {
+        let now = self.now();
+        self.demands.hear_region(message.demand, now);
+    }
+}
+
+impl ControlKeeper {
+    /// The accounts that have limits, and what their callers want here.
+    fn limited_accounts(&self, now: MonoTime) -> (Vec<AccountName>, Vec<LimitedWant>) {
+        let described = self.known.routes().and_then(|it| it.description().accounts.as_ref());
+        let Some(described) = described else { return Default::default() };
+        let wants: BTreeMap<AccountName, f64> =
+            self.shared.accounts.wants(now).into_iter().collect();
+        let limited = described.accounts.values().filter_map(|account| {
+            let name = account.name.clone();
+            let want = wants.get(&name).copied().unwrap_or_default();
+            let want = LimitedWant { account: AccountTag::of(&name), limit: account.limit?, want };
+            Some((name, want))
+        });
+        limited.unzip()
+    }
+
+    /// How sure this VM is of those that share limits of accounts with it, of which it heard so many a moment ago.
+    fn sharer_view(&self, heard: usize, now: MonoTime) -> SharerView {
+        let known = self.peers.region_count();
+        let vms = usize::from(self.peers.assumed_counts(now).near).max(known);
+        let is_informed = self.assumed_vms().is_some() && self.is_witnessed();
+        self.demands.view(NearSharers { vms, heard, is_informed }, now)
+    }
+
+    /// Divides the limits anew.
+    fn renew_parts(
+        &mut self,
+        names: Vec<AccountName>,
+        wants: &[LimitedWant],
+        view: SharerView,
+        now: MonoTime,
+    ) {
+        let desk = &self.shared.accounts;
+        let demands = &mut self.demands;
+        let parts = wants.iter().map(|want| demands.part(want, &view, desk.slack(), now));
+        desk.renew(view, names.into_iter().zip(parts).collect(), self.shared.started(), now);
+    }
+}
--- a/crates/foldhaven-gateway/src/keeper/cold_parts.rs
+++ b/crates/foldhaven-gateway/src/keeper/cold_parts.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether one of the VMs that all others ask first was heard of, or there is none but this one.
-    fn is_witnessed(&self) -> bool {
+    pub(super) fn is_witnessed(&self) -> bool {
         let seeds = self.settings.seed_peers();
         seeds.is_empty() || seeds.iter().any(|seed| self.peers.is_known_at(*seed))
     }
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! The control actor: the one place where this daemon's beliefs change.
 
+mod account_limits;
 mod behind;
 mod cold_parts;
 mod feed_changes;
@@ -22,9 +23,10 @@
 use foldhaven_core::opaque::affinity::{PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::belief_age::BeliefAge;
 use foldhaven_core::opaque::demand::DemandPeak;
+use foldhaven_core::opaque::demand_share::DemandShare;
 use foldhaven_core::opaque::load_share::LoadBook;
 use foldhaven_core::opaque::peer_table::{
-    LEARNING_TIME, OwnVm, PeerPhase, PeerTable, SenderView, VmTag,
+    LEARNING_TIME, OwnVm, PeerPhase, PeerTable, RegionTag, SenderView, VmTag,
 };
 use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 use foldhaven_core::opaque::report_plan::ReportPlan;
@@ -34,6 +36,7 @@
 use tokio::sync::{mpsc, watch};
 use xtra::{Context, Handler};
 
+pub use self::account_limits::{HearNearDemand, HearRegionDemand, PlanDemands};
 use self::behind::BehindMark;
 pub use self::behind::{AheadPeer, FindAhead};
 pub use self::cold_parts::{HearPact, PlanPact};
@@ -107,6 +110,8 @@
     senders: SenderView,
     /// Whether the VMs that share the limits of the region agree on who they are.
     pact: SenderPact,
+    /// What callers of limited accounts want, here and elsewhere.
+    demands: DemandShare,
     /// Whether an upstream of the region is cold, for whom that is told to.
     cold_watch: watch::Sender<bool>,
     /// What delegates of other regions told.
@@ -163,6 +168,9 @@
         };
         let pact = SenderPact::new(VmTag::of(&settings.vm), incarnation, shared.now());
         let peers = PeerTable::new(own, incarnation);
+        let regions = settings.regions.values().map(RegionTag::of);
+        let demands =
+            DemandShare::new(VmTag::of(&settings.vm), RegionTag::of(settings.region()), regions);
         Self {
             shared,
             settings,
@@ -181,6 +189,7 @@
             members: LoggedMembers::default(),
             senders: SenderView::default(),
             pact,
+            demands,
             cold_watch: watch::Sender::new(false),
             regions: RegionBook::default(),
             relayed_regions: Vec::new(),
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The words of the surrounding platform (header names, paths, formats) come in through
 //! [`names::HeaderNames`], [`directory::DirectoryCodec`] and [`feed::PlatformFeed`].
 
+mod account_desk;
 pub mod answer;
 mod attempts;
 mod call;
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -8,6 +8,7 @@
 use bincode::Options;
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use foldhaven_core::opaque::demand_book::{NearDemand, RegionDemand};
 use foldhaven_core::opaque::load_share::LoadReport;
 use foldhaven_core::opaque::peer_table::{BeatMessage, NewsNotice, ViewList, ViewNotice};
 use foldhaven_core::opaque::region_book::RegionReport;
@@ -55,6 +56,10 @@
     Pact(PactNotice),
     /// How far a VM knows the platform's changes.
     News(NewsNotice),
+    /// What callers of limited accounts want at a VM of the region.
+    Demand(NearDemand),
+    /// The same for a whole other region.
+    RegionDemand(RegionDemand),
 }
 
 impl PeerMessage {
--- a/crates/foldhaven-gateway/src/settings.rs
+++ b/crates/foldhaven-gateway/src/settings.rs
@@ -1,11 +1,12 @@
 //! The settings of a gateway daemon, in YAML.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use foldhaven_core::ids::{DataCentreName, RegionName, VmName};
+use foldhaven_core::opaque::limit_part::LimitSlack;
 use foldhaven_core::opaque::retry_share::RetryLimits;
 use foldhaven_core::units::CoreShare;
 use foldhaven_wire::settings_file::{CheckedSettings, SettingsError, SettingsFault, read_settings};
@@ -38,9 +39,27 @@
     pub retry_extra: f64,
     /// The length of that window in seconds.
     pub retry_window_s: f64,
+    /// What is permitted above the limits of accounts in a window, as a share of what they permit.
+    #[serde(default)]
+    pub account_share: Option<f64>,
+    /// What is permitted on top of that, in the unit of the limit.
+    #[serde(default)]
+    pub account_extra: Option<f64>,
+    /// The length of the window in seconds.
+    #[serde(default)]
+    pub account_window_s: Option<f64>,
 }
 
 impl SharedLimits {
+    /// What is permitted above the limits of accounts; nothing where the settings do not say.
+    pub fn accounts(&self) -> LimitSlack {
+        LimitSlack {
+            share: self.account_share.unwrap_or_default(),
+            extra: self.account_extra.unwrap_or_default(),
+            window: Duration::from_secs_f64(self.account_window_s.unwrap_or_default()),
+        }
+    }
+
     /// The retry budget.
     pub fn retries(&self) -> RetryLimits {
         RetryLimits {
@@ -110,6 +129,19 @@
                 message: "expected 0.1 to 3600 seconds",
             });
         }
+        let slack = [self.limits.account_share, self.limits.account_extra];
+        if !slack.into_iter().flatten().all(|it| (0.0..=1e15).contains(&it)) {
+            return Some(SettingsFault {
+                field: "limits",
+                message: "expected account_share and account_extra of at least 0",
+            });
+        }
+        if !self.limits.account_window_s.is_none_or(|it| (0.0..=3_600.0).contains(&it)) {
+            return Some(SettingsFault {
+                field: "limits.account_window_s",
+                message: "expected 0 to 3600 seconds",
+            });
+        }
         if self.cores == CoreShare::default() {
             return Some(SettingsFault { field: "cores", message: "expected more than 0 cores" });
         }
@@ -138,6 +170,12 @@
         &self.regions[&self.data_centre]
     }
 
+    /// How many regions there may be.
+    pub fn region_count(&self) -> usize {
+        let regions: BTreeSet<&RegionName> = self.regions.values().collect();
+        regions.len()
+    }
+
     /// Where the seeds take heartbeats.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         let port = self.addresses.peer.port();
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::account_desk::AccountDesk;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
 use crate::logging::LogQuota;
@@ -98,6 +99,8 @@
     proven: Mutex<Option<MonoTime>>,
     /// Requests under which upstreams ended.
     pub suspects: SuspectDesk,
+    /// What limited accounts use.
+    pub accounts: AccountDesk,
     /// Whether what is believed is of now.
     pub wake: WakeWatch,
 }
@@ -107,6 +110,7 @@
         Arc::new(Self {
             wake: WakeWatch::default(),
             suspects: SuspectDesk::new(VmTag::of(&settings.vm)),
+            accounts: AccountDesk::new(settings.region_count(), settings.limits.accounts()),
             settings,
             names,
             metrics: GatewayMetrics::default(),
@@ -135,6 +139,11 @@
         self.clock.now()
     }
 
+    /// When this process started.
+    pub fn started(&self) -> MonoTime {
+        self.now() - self.uptime()
+    }
+
     /// How long this process has run.
     pub fn uptime(&self) -> Duration {
         self.clock.uptime()
--- a/crates/foldhaven-testkit/src/cmd/simulate.rs
+++ b/crates/foldhaven-testkit/src/cmd/simulate.rs
@@ -1,10 +1,12 @@
-//! `simulate`: plays the gateway's decisions before simulated engines, or how VMs that start learn of each other.
+//! `simulate`: plays the gateway's decisions before simulated engines, how VMs that start learn of each other, or
+//! how they keep a limit together.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use crate::limits::{self, LimitsExperiment, LimitsTrial, play_limits};
 use crate::membership::{self, MembershipExperiment, StartTrial, play_starts};
 use crate::simulate::{Experiment, Trial, make_page, play};
 
@@ -37,6 +39,9 @@
     if let Some(experiment) = MembershipExperiment::read(path).map_err(|error| error.to_string())? {
         return run_membership(&experiment, html);
     }
+    if let Some(experiment) = LimitsExperiment::read(path).map_err(|error| error.to_string())? {
+        return run_limits(&experiment, html);
+    }
     let experiment = Experiment::read(path).map_err(|error| error.to_string())?;
     let mut trials: Vec<Trial> = Vec::new();
     for service in &experiment.service {
@@ -54,6 +59,21 @@
     std::fs::write(html, page).map_err(|error| format!("writing {}: {error}", html.display()))
 }
 
+fn run_limits(experiment: &LimitsExperiment, html: Option<&PathBuf>) -> Result<(), String> {
+    let mut trials: Vec<LimitsTrial> = Vec::new();
+    for plan in experiment.plans() {
+        for seed in &experiment.seeds {
+            let trial = play_limits(&plan, *seed);
+            let line = serde_json::to_string(&trial).map_err(|error| error.to_string())?;
+            println!("{line}");
+            trials.push(trial);
+        }
+    }
+    let Some(html) = html else { return Ok(()) };
+    let page = limits::make_page(&trials).map_err(|error| error.to_string())?;
+    std::fs::write(html, page).map_err(|error| format!("writing {}: {error}", html.display()))
+}
+
 fn run_membership(experiment: &MembershipExperiment, html: Option<&PathBuf>) -> Result<(), String> {
     let mut trials: Vec<StartTrial> = Vec::new();
     for plan in experiment.plans() {
--- a/crates/foldhaven-testkit/src/lib.rs
+++ b/crates/foldhaven-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod harm;
 mod html;
+pub mod limits;
 pub mod measure;
 pub mod membership;
 pub mod relay;
--- a/crates/foldhaven-testkit/tests/testsuite/main.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod harm;
+mod limits;
 mod membership;
 mod operators;
 mod peers;
--- a/deploy/settings.tpl
+++ b/deploy/settings.tpl
@@ -14,5 +14,8 @@
   retry_ratio: {{bounds.retry_budget_ratio}}
   retry_extra: {{bounds.retry_budget_extra}}
   retry_window_s: {{bounds.budget_window_s}}
+  account_share: {{bounds.quota_overshoot}}
+  account_extra: {{bounds.quota_slack}}
+  account_window_s: {{bounds.quota_window_s}}
 cores: {{limits.cpu_share}}
 grace_s: {{bounds.grace_s}}
