--- a/crates/foldhaven-gateway/src/operator_front/mod.rs
+++ b/crates/foldhaven-gateway/src/operator_front/mod.rs
@@ -1,5 +1,6 @@
 //! Tells operators how this daemon fares: metrics, its view of the others, and service-level burn.
 
+mod accounts;
 mod status;
 mod suspects;
 
@@ -30,6 +31,7 @@
         match request.uri().path() {
             "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
             "/operator/v1/status" => json_answer(&self.status()),
+            "/operator/v1/accounts" => json_answer(&self.accounts()),
             "/operator/v1/suspects" => json_answer(&self.suspects()),
             "/operator/v1/suspects/clear" if request.method() == Method::POST => {
                 or_refusal(self.clear_suspect(request.uri().query()))
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -180,6 +180,54 @@
     pub is_cleared: bool,
 }
 
+/// A client account, as one VM knows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AccountRow {
+    /// Its name.
+    pub account: String,
+    /// How many keys it has; none is told.
+    pub keys: usize,
+    /// The regions in which its requests may run; all when empty.
+    pub homes: Vec<String>,
+    /// What its limit counts: `requests` or `tokens`; nothing where it has none.
+    pub unit: Option<String>,
+    /// What all VMs together let through a second.
+    pub per_s: Option<f64>,
+    /// What they let through at once above that.
+    pub burst: Option<f64>,
+    /// The part of the asked VM a second.
+    pub part_per_s: Option<f64>,
+    /// For how long that part has been in force, in milliseconds.
+    pub part_age_ms: Option<u64>,
+    /// What that VM may let through at once; below 0 it is owed.
+    pub level: Option<f64>,
+    /// What callers want there a second.
+    pub want_per_s: Option<f64>,
+    /// What was let through there since the start.
+    pub let_through: f64,
+    /// How many requests were refused there since the start.
+    pub refused: u64,
+}
+
+/// The answer of `GET /operator/v1/accounts`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AccountsAnswer {
+    /// The asked VM.
+    pub vm: VmName,
+    /// The regions that there may be, its own included.
+    pub regions: usize,
+    /// Those that it does not hear, or that do not hear it.
+    pub silent_regions: usize,
+    /// The VMs of its region that there may be, itself included.
+    pub vms: usize,
+    /// Those that it does not hear.
+    pub silent_vms: usize,
+    /// Whether it has had the time to hear of the others.
+    pub is_informed: bool,
+    /// The accounts, by name.
+    pub rows: Vec<AccountRow>,
+}
+
 /// The answer of `GET /operator/v1/burn`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BurnAnswer {
--- a/crates/foldhavenctl/src/cmd/mod.rs
+++ b/crates/foldhavenctl/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The command line of the tool: one file per subcommand.
 
+pub mod accounts;
 pub mod apply;
 pub mod check;
 pub mod completions;
@@ -40,6 +41,7 @@
         .subcommand(explain_route::make_subcommand())
         .subcommand(members::make_subcommand())
         .subcommand(suspects::make_subcommand())
+        .subcommand(accounts::make_subcommand())
         .subcommand(entries::make_subcommand())
         .subcommand(report::make_subcommand())
         .subcommand(completions::make_subcommand())
@@ -61,6 +63,7 @@
         Some(("explain-route", args)) => block_on(explain_route::execute(args)),
         Some(("members", args)) => block_on(members::execute(args)),
         Some(("suspects", args)) => block_on(suspects::execute(args)),
+        Some(("accounts", args)) => block_on(accounts::execute(args)),
         Some(("entries", args)) => block_on(entries::execute(args)),
         Some(("report", args)) => block_on(report::execute(args)),
         Some(("completions", args)) => completions::execute(args),
