--- a/crates/foldhaven-gateway/src/keeper/account_limits.rs
+++ b/crates/foldhaven-gateway/src/keeper/account_limits.rs
@@ -6,7 +6,7 @@
 use foldhaven_core::ids::AccountName;
 use foldhaven_core::opaque::demand_book::{AccountTag, NearDemand, RegionDemand};
 use foldhaven_core::opaque::demand_share::{LimitedWant, NearSharers};
-use foldhaven_core::opaque::limit_part::SharerView;
+use foldhaven_core::opaque::limit_part::{LimitPart, SharerView};
 use foldhaven_core::opaque::peer_table::PeerPhase;
 use foldhaven_core::time::MonoTime;
 use xtra::{Context, Handler};
@@ -82,6 +82,23 @@
     }
 }
 
+/// Logs the part of the account that is wanted most here.
+fn log_largest(parts: &[(AccountName, LimitPart)], wants: &[LimitedWant], view: &SharerView) {
+    let both = parts.iter().zip(wants);
+    let largest = both.max_by(|left, right| left.1.want.total_cmp(&right.1.want));
+    let Some(((account, part), want)) = largest.filter(|(_, want)| want.want > 0.0) else { return };
+    tracing::info!(
+        account = %account,
+        per_s = want.limit.per_s,
+        part_per_s = part.per_s,
+        burst = part.burst,
+        owed = part.owed,
+        wanted_per_s = want.want,
+        view = ?view,
+        "part of the limit of an account"
+    );
+}
+
 impl ControlKeeper {
     /// The accounts that have limits, and what their callers want here.
     fn limited_accounts(&self, now: MonoTime) -> (Vec<AccountName>, Vec<LimitedWant>) {
@@ -117,6 +134,10 @@
         let desk = &self.shared.accounts;
         let demands = &mut self.demands;
         let parts = wants.iter().map(|want| demands.part(want, &view, desk.slack(), now));
-        desk.renew(view, names.into_iter().zip(parts).collect(), self.shared.started(), now);
+        let parts: Vec<(AccountName, LimitPart)> = names.into_iter().zip(parts).collect();
+        if self.shared.quota.take(true) {
+            log_largest(&parts, wants, &view);
+        }
+        desk.renew(view, parts, self.shared.started(), now);
     }
 }
--- a/crates/foldhaven-gateway/src/operator_front/accounts.rs
+++ b/crates/foldhaven-gateway/src/operator_front/accounts.rs
@@ -1,5 +1,7 @@
 //! What operators are told of accounts with limits.
 
+use std::fmt::Write;
+
 use foldhaven_core::opaque::account_table::{AccountLimit, LimitUnit};
 use foldhaven_wire::operator::{AccountRow, AccountsAnswer};
 
@@ -44,6 +46,21 @@
     }
 }
 
+/// The lines of one account in the metrics.
+pub(super) fn put_account(page: &mut String, used: &AccountUse) {
+    let account = &used.account;
+    let lines = [
+        ("foldhaven_opaque_account_let_through_total", used.let_through),
+        ("foldhaven_opaque_account_refused_total", used.refused as f64),
+        ("foldhaven_opaque_account_part_per_second", used.part.per_s),
+        ("foldhaven_opaque_account_wanted_per_second", used.want),
+    ];
+    for (name, value) in lines {
+        // Writing to a string cannot fail.
+        let _ = writeln!(page, "{name}{{account=\"{account}\"}} {value}");
+    }
+}
+
 fn unit_of(limit: &AccountLimit) -> &'static str {
     match limit.unit {
         LimitUnit::Requests => "requests",
--- a/crates/foldhaven-gateway/src/operator_front/mod.rs
+++ b/crates/foldhaven-gateway/src/operator_front/mod.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
+use self::accounts::put_account;
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::explain::explain;
 use crate::front::FrontHandler;
@@ -20,6 +21,9 @@
 /// The share of requests that is to be served on time. Routes name no share of their own.
 const TARGET_SHARE: f64 = 0.99;
 
+/// The most accounts that the metrics tell of.
+const MAX_METRIC_ACCOUNTS: usize = 1_000;
+
 /// Answers operators.
 pub struct OperatorHandler {
     pub shared: Arc<GatewayShared>,
@@ -29,7 +33,7 @@
 impl FrontHandler for OperatorHandler {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         match request.uri().path() {
-            "/metrics" => body_answer(StatusCode::OK, "text/plain", self.shared.metrics.page()),
+            "/metrics" => body_answer(StatusCode::OK, "text/plain", self.metrics_page()),
             "/operator/v1/status" => json_answer(&self.status()),
             "/operator/v1/accounts" => json_answer(&self.accounts()),
             "/operator/v1/suspects" => json_answer(&self.suspects()),
@@ -44,6 +48,16 @@
 }
 
 impl OperatorHandler {
+    /// The page that collectors read. Accounts have a few lines each.
+    fn metrics_page(&self) -> String {
+        let uses = self.shared.accounts.uses(self.shared.now());
+        let mut page = self.shared.metrics.page();
+        for used in uses.iter().take(MAX_METRIC_ACCOUNTS) {
+            put_account(&mut page, used);
+        }
+        page
+    }
+
     /// Where the request that a query describes would go.
     fn explain(&self, query: Option<&str>) -> Answer {
         or_refusal(explain(&self.shared, query.unwrap_or_default()))
