--- a/crates/foldhaven-core/src/opaque/limit_part.rs
+++ b/crates/foldhaven-core/src/opaque/limit_part.rs
@@ -25,6 +25,9 @@
 const OWED_SHARE: f64 = 0.5;
 /// While a process does not know who there is, it takes its region for at least this large.
 const ASSUMED_VMS: usize = 32;
+/// The share of what nobody wants that all have equal parts of. The rest goes by wants as well: where many requests come, long
+/// ones come in clusters too, and a VM that stands by needs no more than to begin with.
+const EQUAL_SHARE: f64 = 0.25;
 /// How much a region may take of what the others leave to it before they know that it wants more: when callers come to
 /// all regions at one moment, each of them would take the same room otherwise.
 const MOST_GROWTH: f64 = 2.0;
@@ -33,7 +36,7 @@
 /// A part that was not renewed for this long is no permission beyond the equal part.
 const PART_LASTS: Duration = Duration::from_millis(2_000);
 /// The time over which the wants of callers are averaged.
-const WANT_SPAN: Duration = Duration::from_millis(1_000);
+const WANT_SPAN: Duration = Duration::from_millis(2_000);
 
 /// How sure a VM is of those that share its limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,7 +137,7 @@
     let by_wants = divide(there, wants.own, wants.own + wants.near, heard);
     let per_s = by_wants.max(equal_per_s * LEAST_SHARE);
     let share = per_s / limit.per_s;
-    let owed = slack.owed(limit) / regions / vms;
+    let owed = slack.owed(limit) * (per_s / rate).min(1.0);
     LimitPart { per_s, equal_per_s, burst: limit.burst * share, owed }
 }
 
@@ -155,10 +158,11 @@
 
 /// What one of `count` gets that wants `own` of `all` that is wanted.
 fn divide(rate: f64, own: f64, all: f64, count: f64) -> f64 {
-    if all <= rate {
-        return own + (rate - all) / count;
+    if all > rate {
+        return rate * own / all;
     }
-    rate * own / all
+    let by_want = if all > 0.0 { own / all } else { 1.0 / count };
+    own + (rate - all) * (EQUAL_SHARE / count + (1.0 - EQUAL_SHARE) * by_want)
 }
 
 /// How much callers want a second, over about [`WANT_SPAN`].
