--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -3,15 +3,23 @@
 //! While daemons are replaced one by one, two versions of them tell each other. A kind or a field that changes its place would
 //! be read as another one, or not at all: VMs would take each other for dead.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use foldhaven_core::ids::IncarnationId;
+use foldhaven_core::opaque::account_table::{
+    AccountDescription, AccountLimit, ClientAccount, KeyPrint, LimitUnit,
+};
+use foldhaven_core::opaque::demand_book::{AccountTag, NearDemand, RegionDemand, VmDemand};
 use foldhaven_core::opaque::peer_table::{
     AskedBeats, BeatMessage, KnownCounts, NewsNotice, PeerBeat, PeerPhase, PeerPulse, RegionTag,
     ViewList, ViewNotice, VmLife, VmTag,
 };
-use foldhaven_core::opaque::route_table::RouteVersion;
+use foldhaven_core::opaque::route_delta::RouteDelta;
+use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_pact::{ListDigest, PactNotice, PactRound};
 use foldhaven_core::units::CoreShare;
-use foldhaven_gateway::feed::ChangeSet;
+use foldhaven_gateway::feed::{ChangeSet, CountedChange, FeedChange};
 use foldhaven_gateway::peer_message::{PeerMessage, SuspectTelling};
 use rstest::rstest;
 
@@ -88,6 +96,57 @@
     })
 }
 
+fn region_demand() -> RegionDemand {
+    RegionDemand {
+        region: RegionTag(1),
+        teller: VmTag(2),
+        incarnation: IncarnationId(3),
+        sequence: 4,
+        hears: vec![RegionTag(5)],
+        wants: vec![(AccountTag(6), 7.5)],
+    }
+}
+
+fn demand() -> PeerMessage {
+    let wants = vec![(AccountTag(6), 7.5)];
+    let own = VmDemand { vm: VmTag(2), incarnation: IncarnationId(3), sequence: 4, wants };
+    PeerMessage::Demand(NearDemand { own: Some(own), regions: vec![region_demand()] })
+}
+
+/// A description with an account, and what changes when it goes.
+fn keyed_changes() -> PeerMessage {
+    let account = ClientAccount {
+        name: "one".parse().unwrap(),
+        keys: [KeyPrint::of(b"key")].into(),
+        priority: Some(1),
+        homes: vec!["north".parse().unwrap()],
+        limit: Some(AccountLimit { unit: LimitUnit::Requests, per_s: 2.0, burst: 3.0 }),
+    };
+    let described = AccountDescription {
+        accounts: [(account.name.clone(), Arc::new(account))].into(),
+        open_routes: ["open".parse().unwrap()].into(),
+    };
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_time: Duration::ZERO,
+        idle_time: Duration::ZERO,
+    };
+    let before = RouteDescription {
+        version: RouteVersion(1),
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits,
+        accounts: Some(Arc::new(described)),
+    };
+    let after = RouteDescription { version: RouteVersion(2), accounts: None, ..before.clone() };
+    let delta = RouteDelta::between(&before, &after).unwrap();
+    let changes =
+        [FeedChange::Description(Box::new(before)), FeedChange::DescriptionDelta(Box::new(delta))];
+    let counted = changes.into_iter().map(|change| CountedChange { revision: 5, change });
+    PeerMessage::Changes(ChangeSet { after: 4, revision: 5, changes: counted.collect() })
+}
+
 /// The bytes of each kind as this version writes them.
 #[rstest]
 #[case::beat(
@@ -100,6 +159,12 @@
 #[case::list(list(), "080102020304fc70110100fb2c01")]
 #[case::pact(pact(), "09010203010401020501")]
 #[case::news(news(), "0a010203010401")]
+#[case::demand(demand(), "0b0102030401060000f0400101020304010501060000f040")]
+#[case::region_demand(PeerMessage::RegionDemand(region_demand()), "0c01020304010501060000f040")]
+#[case::keyed_changes(
+    keyed_changes(),
+    "03040502050701000001010000000001036f6e65036f6e65019584d52f48e0eb0e4eac57c18668befb010101056e6f72746801000000000000000040000000000000084001046f70656e05080102000000000001"
+)]
 fn recorded_messages_are_read_and_written_as_before(
     #[case] message: PeerMessage,
     #[case] hex: &str,
@@ -120,7 +185,18 @@
     for kind in 10..=250u8 {
         assert!(PeerMessage::read(&[kind, 1, 2, 3, 4, 5, 6, 7, 8]).is_err(), "kind {kind}");
     }
-    for message in [beat(), changes(), suspects(), view(), list(), pact()] {
+    let messages = [
+        beat(),
+        changes(),
+        suspects(),
+        view(),
+        list(),
+        pact(),
+        demand(),
+        PeerMessage::RegionDemand(region_demand()),
+        keyed_changes(),
+    ];
+    for message in messages {
         let bytes = message.bytes().unwrap();
         for length in 0..bytes.len() {
             assert!(PeerMessage::read(&bytes[..length]).is_err(), "{message:?} cut to {length}");
