--- a/crates/foldhavenctl/tests/testsuite/main.rs
+++ b/crates/foldhavenctl/tests/testsuite/main.rs
@@ -4,10 +4,13 @@
 
 use foldhaven_core::burn::{BurnCount, BurnRow};
 use foldhaven_core::ids::IncarnationId;
-use foldhaven_wire::operator::{BurnAnswer, DaemonState, MemberStatus, StatusAnswer};
+use foldhaven_wire::operator::{
+    AccountRow, AccountsAnswer, BurnAnswer, DaemonState, MemberStatus, StatusAnswer,
+};
 use foldhavenctl::ExitStatus;
 use foldhavenctl::burn::gather_burn;
 use foldhavenctl::client::FleetState;
+use foldhavenctl::cmd::accounts::accounts_text;
 use foldhavenctl::cmd::members::{views_of, views_table};
 use foldhavenctl::cmd::report::report_table;
 use foldhavenctl::cmd::status::vm_table;
@@ -137,3 +140,51 @@
         assert!(help.contains("Example"), "{}: {help}", command.get_name());
     }
 }
+
+/// Who is not heard decides how small a part is, so that it stands above the parts.
+#[test]
+fn accounts_are_shown_with_who_shares_their_limits() {
+    let limited = AccountRow {
+        account: "desk".to_owned(),
+        keys: 2,
+        homes: vec!["north".to_owned()],
+        unit: Some("tokens".to_owned()),
+        per_s: Some(1000.0),
+        burst: Some(500.0),
+        part_per_s: Some(62.5),
+        part_age_ms: Some(120),
+        level: Some(-4.0),
+        want_per_s: Some(80.0),
+        let_through: 1234.0,
+        refused: 7,
+    };
+    let free = AccountRow {
+        account: "free".to_owned(),
+        keys: 1,
+        homes: Vec::new(),
+        unit: None,
+        per_s: None,
+        burst: None,
+        part_per_s: None,
+        part_age_ms: None,
+        level: None,
+        want_per_s: None,
+        let_through: 0.0,
+        refused: 0,
+    };
+    let answer = AccountsAnswer {
+        vm: "vm-1".parse().unwrap(),
+        regions: 3,
+        silent_regions: 1,
+        vms: 9,
+        silent_vms: 2,
+        is_informed: false,
+        rows: vec![limited, free],
+    };
+    insta::assert_snapshot!(accounts_text(&answer), @r"
+    vm-1: 9 VMs in the region, 2 not heard; 3 regions, 1 not heard or not hearing this one, still learning who there is
+    account  keys  homes  limit a second  part  age     wanted  left  let through  refused
+    desk     2     north  1000 tokens     62.5  120 ms  80.0    -4.0  1234         7
+    free     1     all    none            -     -       -       -     0            0
+    ");
+}
