--- a/crates/foldhaven-core/src/opaque/demand_book.rs
+++ b/crates/foldhaven-core/src/opaque/demand_book.rs
@@ -177,12 +177,6 @@
         self.vms.values().filter_map(|heard| heard.wants.get(&account)).sum()
     }
 
-    /// The accounts of which anything was told.
-    pub fn told_accounts(&self) -> BTreeSet<AccountTag> {
-        let near = self.vms.values().flat_map(|heard| heard.wants.keys());
-        near.chain(self.far.values().flat_map(|heard| heard.wants.keys())).copied().collect()
-    }
-
     fn fresh(&self, now: MonoTime) -> impl Iterator<Item = (RegionTag, &HeardRegion)> {
         let is_fresh = move |heard: &HeardRegion| now.since(heard.heard) <= REGION_FRESH;
         self.far.iter().filter(move |(_, heard)| is_fresh(heard)).map(|(tag, heard)| (*tag, heard))
