LIMIT: the limits that upstreams name are read, logged and shown; nothing keeps to them yet

A listener hears the head of each answer of an upstream, also of answers that decline or do not belong to the request. With it the hypotheses can be told apart: whether a VM has read a limit, and what it sends under it.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -36,3 +36,4 @@
 pub mod service_order;
 pub mod suspects;
 pub mod upstream_table;
+pub mod upstream_words;
--- /dev/null
+++ b/crates/foldhaven-core/src/opaque/upstream_words.rs
@@ -0,0 +1,170 @@
+//! What upstreams say of themselves in their answers, by the newest answer that any VM of the region got.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::opaque::affinity::UpstreamTag;
+use crate::time::MonoTime;
+use crate::units::RequestRate;
+
+/// How long the end of a limit is remembered, so that a VM that has not heard of it does not put the limit back.
+const END_MEMORY: Duration = Duration::from_secs(10);
+/// How long a limit is remembered after its last answer while its upstream is not listed.
+const UNLISTED_MEMORY: Duration = Duration::from_secs(60);
+
+/// When an answer came, and when its request was sent.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerMoment {
+    /// When the request was sent.
+    pub sent: MonoTime,
+    /// When the head of the answer came.
+    pub heard: MonoTime,
+}
+
+/// The limit of one upstream, as a VM tells others of it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The upstream, in one of its process lifetimes.
+    pub upstream: UpstreamTag,
+    /// The requests a second that it takes from all VMs together; nothing when it names no limit any more.
+    pub per_s: Option<f64>,
+    /// How many milliseconds ago the answer came that says so.
+    pub age_ms: u32,
+}
+
+/// A limit that has changed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// The upstream.
+    pub upstream: UpstreamTag,
+    /// The limit before.
+    pub before: Option<RequestRate>,
+    /// The limit now.
+    pub now: Option<RequestRate>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LimitWord {
+    limit: Option<RequestRate>,
+    /// When the newest answer came that says so.
+    said: MonoTime,
+    /// Whether other VMs are still to be told.
+    is_news: bool,
+}
+
+/// The limits that upstreams name, each for one process lifetime.
+#[derive(Debug, Default)]
+pub struct LimitWords {
+    words: BTreeMap<UpstreamTag, LimitWord>,
+}
+
+impl LimitWords {
+    /// Takes in the limit that an answer names, or that it names none.
+    ///
+    /// An answer without a limit ends one only if its request was sent after the limit was heard: answers on several
+    /// connections may overtake each other.
+    pub fn note_answer(
+        &mut self,
+        upstream: UpstreamTag,
+        limit: Option<RequestRate>,
+        moment: AnswerMoment,
+    ) -> Option<LimitChange> {
+        let held = self.words.get(&upstream);
+        let is_newer = match (held, limit) {
+            (None, None) => false,
+            (None, Some(_)) => true,
+            (Some(held), Some(_)) => moment.heard >= held.said,
+            (Some(held), None) => held.limit.is_some() && moment.sent >= held.said,
+        };
+        is_newer.then(|| self.put(upstream, limit, moment.heard, true)).flatten()
+    }
+
+    /// Takes in what another VM tells. A rate that is no number of at least zero is dropped.
+    pub fn hear(&mut self, told: &ToldLimit, now: MonoTime) -> Option<LimitChange> {
+        let limit = match told.per_s {
+            Some(per_s) => Some(RequestRate::of_per_s(per_s).ok()?),
+            None => None,
+        };
+        let said = now - Duration::from_millis(told.age_ms.into());
+        match self.words.get_mut(&told.upstream) {
+            None if limit.is_none() => None,
+            Some(held) if said <= held.said => {
+                // Others know it as well.
+                held.is_news &= held.limit != limit;
+                None
+            }
+            _ => self.put(told.upstream, limit, said, false),
+        }
+    }
+
+    fn put(
+        &mut self,
+        upstream: UpstreamTag,
+        limit: Option<RequestRate>,
+        said: MonoTime,
+        is_own: bool,
+    ) -> Option<LimitChange> {
+        let held = self.words.get(&upstream).copied();
+        let before = held.and_then(|held| held.limit);
+        let has_changed = before != limit;
+        let was_news = held.is_some_and(|held| held.is_news);
+        let is_news = is_own && (has_changed || was_news);
+        self.words.insert(upstream, LimitWord { limit, said, is_news });
+        has_changed.then_some(LimitChange { upstream, before, now: limit })
+    }
+
+    /// The limit of an upstream.
+    pub fn limit(&self, upstream: UpstreamTag) -> Option<RequestRate> {
+        self.words.get(&upstream)?.limit
+    }
+
+    /// Whether anything is held.
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    /// How many upstreams name a limit.
+    pub fn count(&self) -> usize {
+        self.words.values().filter(|word| word.limit.is_some()).count()
+    }
+
+    /// What others are still to be told; it counts as told from then on.
+    pub fn take_news(&mut self, now: MonoTime) -> Vec<ToldLimit> {
+        let news = self.words.iter_mut().filter(|(_, word)| word.is_news);
+        let told = news.map(|(upstream, word)| {
+            word.is_news = false;
+            word.told(*upstream, now)
+        });
+        told.collect()
+    }
+
+    /// All that is held, for VMs that have missed news of it.
+    pub fn all(&self, now: MonoTime) -> Vec<ToldLimit> {
+        self.words.iter().map(|(upstream, word)| word.told(*upstream, now)).collect()
+    }
+
+    /// Forgets limits that have ended, and those of upstreams that are gone.
+    pub fn forget(&mut self, is_listed: impl Fn(UpstreamTag) -> bool, now: MonoTime) {
+        self.words.retain(|upstream, word| {
+            let memory = match (word.limit, is_listed(*upstream)) {
+                (None, _) => END_MEMORY,
+                (Some(_), false) => UNLISTED_MEMORY,
+                (Some(_), true) => return true,
+            };
+            now.since(word.said) < memory
+        });
+    }
+}
+
+impl LimitWord {
+    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> ToldLimit {
+        let age = now.since(self.said).as_millis();
+        ToldLimit {
+            upstream,
+            per_s: self.limit.map(RequestRate::per_s),
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+}
--- a/crates/foldhaven-core/src/units.rs
+++ b/crates/foldhaven-core/src/units.rs
@@ -182,6 +182,60 @@
 
 string_serde!(TokenRate);
 
+/// A rate in requests a second, written `2.5req/s`.
+///
+/// ```
+/// use foldhaven_core::units::RequestRate;
+/// let rate: RequestRate = "2.5req/s".parse().unwrap();
+/// assert_eq!(rate.to_string(), "2.5req/s");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// The highest rate that is told apart, in requests a second.
+    const MOST_PER_S: f64 = 1e9;
+
+    /// So many requests a second.
+    ///
+    /// # Errors
+    ///
+    /// When it is not a number of at least zero within range.
+    pub fn of_per_s(per_s: f64) -> Result<Self, UnitError> {
+        match (0.0..=Self::MOST_PER_S).contains(&per_s) {
+            true => Ok(Self(per_s)),
+            false => Err(UnitError::Range(per_s.to_string())),
+        }
+    }
+
+    /// The requests a second.
+    pub fn per_s(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}req/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        const UNITS: &str = "req/s";
+        let (value, unit) = split_number(text, UNITS)?;
+        if unit != UNITS {
+            return Err(UnitError::Unit { expected: UNITS, got: text.to_owned() });
+        }
+        Self::of_per_s(value)
+    }
+}
+
+string_serde!(RequestRate);
+
 /// A share between 0 and 1, written `99.5%`.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod opaque_suspect_orders;
 mod opaque_suspects;
 mod opaque_upstreams;
+mod opaque_words;
 mod placement;
 mod residency;
 mod routing;
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -11,12 +11,13 @@
 use http_body_util::Full;
 
 use super::{ExpectedFirst, PlacedAnswer, RequestDriver};
-use crate::call::{CallFault, OpenAnswer, open_call};
+use crate::call::{CallFault, HeadListener, OpenAnswer, open_call};
 use crate::clock::{BootInstant, timeout};
 use crate::credential::print_value;
 use crate::names::HeaderNames;
 use crate::places::{PlaceChoice, RequestPlace};
 use crate::upstream::{GuestSeat, Upstream};
+use crate::upstream_listener::{DeafListener, UpstreamListener};
 
 /// After this time without an answer it is looked whether anything is heard of an upstream. Answers
 /// of a model that reads a long prompt take some hundred milliseconds.
@@ -41,7 +42,8 @@
         let seat = place.enter(&self.job.service, read_tokens, rank);
         let mut guest = self.admit(&place);
         self.note_placement(&place);
-        let target = place.call_target();
+        let listener = self.listener(&place);
+        let target = place.call_target(listener.as_ref());
         self.arrivals += 1;
         // Noted before it leaves: its caller may leave at any moment from then on.
         self.is_trial_sent = self.is_trial;
@@ -69,6 +71,17 @@
         Ok(PlacedAnswer { answer, place, seat, guest, expected, sent })
     }
 
+    /// Hears what the place says in its answer. Another VM passes on what an upstream of its region says, which that VM
+    /// hears itself.
+    fn listener(&self, place: &RequestPlace) -> Box<dyn HeadListener> {
+        match place {
+            RequestPlace::Upstream(upstream) => {
+                Box::new(UpstreamListener::new(self.shared.clone(), upstream.clone()))
+            }
+            RequestPlace::Peer(_) => Box::new(DeafListener),
+        }
+    }
+
     /// The request with the headers that are set for each try.
     fn make_request(
         &self,
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -65,11 +65,19 @@
     }
 }
 
+/// Hears the head of each answer that a call brings, whatever becomes of it.
+pub trait HeadListener: Send + Sync {
+    /// Takes in the head of an answer.
+    fn hear(&self, head: &Parts);
+}
+
 /// Where a call goes.
 pub struct CallTarget<'a> {
     pub address: SocketAddr,
     pub pool: &'a ConnectionPool,
     pub connect_limit: Duration,
+    /// Hears what the peer says in its answers.
+    pub listener: &'a dyn HeadListener,
 }
 
 /// An answer whose head has come and belongs to the request.
@@ -113,6 +121,7 @@
     let (response, connection) =
         timeout_at(deadline, opening).await.map_err(|_| CallFault::TimedOut)??;
     let (head, body) = response.into_parts();
+    target.listener.hear(&head);
     judge_head(&head, attempt.as_ref(), names)?;
     let keep_for = keep_time(&head);
     Ok(OpenAnswer { head, body, connection, keep_for })
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -14,6 +14,8 @@
     pub expected_upstream: HeaderName,
     /// Set by an upstream that did not run the request and never will.
     pub not_run: HeaderName,
+    /// Names how many requests a second an upstream takes from all VMs together, as a decimal number.
+    pub rate_limit: HeaderName,
     /// Outlines the parts of the prompt, each an id and its tokens.
     pub prompt_outline: HeaderName,
     /// The tokens of the prompt and of the longest answer.
--- a/crates/foldhaven-gateway/src/operator_front/status.rs
+++ b/crates/foldhaven-gateway/src/operator_front/status.rs
@@ -72,6 +72,7 @@
             busy: upstream.queue().in_flight,
             slots: upstream.identity.slots,
             leaving: false,
+            limit: self.shared.limits.limit(upstream).map(|limit| limit.to_string()),
         };
         near.map(status).collect()
     }
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -19,7 +19,7 @@
 use self::near::{NearChoice, choose_near};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
-use crate::call::CallTarget;
+use crate::call::{CallTarget, HeadListener};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, FAR_CONNECT_LIMIT, NEAR_CONNECT_LIMIT};
 use crate::job::GatewayJob;
@@ -63,12 +63,12 @@
     }
 
     /// Where calls go. Those to another region may take longer to connect.
-    pub fn call_target(&self) -> CallTarget<'_> {
+    pub fn call_target<'a>(&'a self, listener: &'a dyn HeadListener) -> CallTarget<'a> {
         let (address, connect_limit) = match self {
             Self::Upstream(upstream) => (upstream.identity.address, NEAR_CONNECT_LIMIT),
             Self::Peer(peer) => (peer.address, FAR_CONNECT_LIMIT),
         };
-        CallTarget { address, pool: self.pool(), connect_limit }
+        CallTarget { address, pool: self.pool(), connect_limit, listener }
     }
 
     /// Counts a request of a service there.
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::account_desk::AccountDesk;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
+use crate::limit_desk::LimitDesk;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
@@ -99,6 +100,8 @@
     proven: Mutex<Option<MonoTime>>,
     /// Requests under which upstreams ended.
     pub suspects: SuspectDesk,
+    /// The limits that upstreams name.
+    pub limits: LimitDesk,
     /// What limited accounts use.
     pub accounts: AccountDesk,
     /// Whether what is believed is of now.
@@ -109,6 +112,7 @@
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
         Arc::new(Self {
             wake: WakeWatch::default(),
+            limits: LimitDesk::default(),
             suspects: SuspectDesk::new(VmTag::of(&settings.vm)),
             accounts: AccountDesk::new(settings.region_count(), settings.limits.accounts()),
             settings,
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -31,6 +31,9 @@
     pub slots: u32,
     /// Whether it gets no new work, because it is leaving.
     pub leaving: bool,
+    /// The requests a second that it takes from all VMs together, where it names a limit.
+    #[serde(default)]
+    pub limit: Option<String>,
 }
 
 /// Another data centre as a daemon sees it.
--- a/crates/foldhavenctl/src/cmd/status.rs
+++ b/crates/foldhavenctl/src/cmd/status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clap::{ArgMatches, Command};
-use foldhaven_wire::operator::StatusAnswer;
+use foldhaven_wire::operator::{StatusAnswer, UpstreamStatus};
 
 use super::{client_of, json_arg, print_json, vm_arg};
 use crate::client::FleetState;
@@ -92,6 +92,15 @@
 }
 
 /// The upstreams of each data centre, as the first VM of it sees them.
+/// What an upstream takes.
+fn upstream_state(upstream: &UpstreamStatus) -> String {
+    match (upstream.leaving, &upstream.limit) {
+        (true, _) => "leaving".to_owned(),
+        (false, None) => "takes work".to_owned(),
+        (false, Some(limit)) => format!("takes {limit}"),
+    }
+}
+
 fn upstream_table(state: &FleetState) -> String {
     let heading = ["upstream", "data centre", "holds", "busy", "slots", "state"];
     let mut rows = vec![heading.map(str::to_owned).to_vec()];
@@ -107,7 +116,7 @@
                 upstream.holds.join(", "),
                 upstream.busy.to_string(),
                 upstream.slots.to_string(),
-                if upstream.leaving { "leaving" } else { "takes work" }.to_owned(),
+                upstream_state(upstream),
             ]);
         }
     }
--- a/crates/foldhavend/src/control/summary.rs
+++ b/crates/foldhavend/src/control/summary.rs
@@ -188,6 +188,7 @@
             busy: load.map_or(0, |load| load.running + load.queued),
             slots: load.map_or(0, |load| load.slots),
             leaving: self.is_leaving(entry),
+            limit: None,
         }
     }
 
