--- a/crates/foldhaven-core/src/opaque/peer_table/senders.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/senders.rs
@@ -4,7 +4,7 @@
 
 use super::{PeerBeat, PeerEntry, PeerPhase, PeerTable, VmLife, VmTag};
 use crate::ids::VmName;
-use crate::opaque::cold::SenderList;
+use crate::opaque::rate_part::SenderList;
 use crate::opaque::sender_pact::ListDigest;
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
 use crate::rank::rank_hash;
--- a/crates/foldhaven-core/src/opaque/cold.rs
+++ b/crates/foldhaven-core/src/opaque/rate_part.rs
@@ -33,7 +33,7 @@
 
 /// The part of one VM of the rate of a cold upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct ColdPart {
+pub struct RatePart {
     /// Requests a second.
     pub per_s: f64,
     /// How long after it gets this part a VM takes its first place: places of several VMs that begin together are spaced.
@@ -41,25 +41,25 @@
 }
 
 /// The part of the rate, in requests a second, that this VM may send to a cold upstream while its list holds.
-pub fn cold_part(
+pub fn rate_part(
     rate: f64,
     upstream: &UpstreamName,
     own: &VmName,
     senders: &SenderList,
-) -> ColdPart {
+) -> RatePart {
     let place = |list: &[VmName]| -> Option<usize> {
         let ranked = rank_by(upstream.as_str(), list, |name| name.as_str());
         ranked.into_iter().take(MAX_SENDERS).position(|name| name == own)
     };
     // One that is first only because silent ones are left out might send beside them.
     let (Some(turn), Some(_)) = (place(&senders.live), place(&senders.with_silent)) else {
-        return ColdPart::default();
+        return RatePart::default();
     };
     if rate <= 0.0 {
-        return ColdPart::default();
+        return RatePart::default();
     }
     let used = rate * USED_SHARE;
-    ColdPart {
+    RatePart {
         per_s: used / senders.live.len().min(MAX_SENDERS) as f64,
         first_after: Duration::from_secs_f64((turn + 1) as f64 / used),
     }
@@ -67,11 +67,11 @@
 
 /// Spaces the requests of one VM to one cold upstream evenly.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct ColdPacer {
+pub struct RatePacer {
     next: MonoTime,
 }
 
-impl ColdPacer {
+impl RatePacer {
     /// Takes a place for one request at a rate; fails when none is free now.
     pub fn take(&mut self, rate: f64, now: MonoTime) -> bool {
         if !self.is_free(rate, now) {
--- a/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{UpstreamName, VmName};
-use foldhaven_core::opaque::cold::{ColdPacer, MAX_SENDERS, SenderList, cold_part};
 use foldhaven_core::opaque::connection_share::kept_connections;
+use foldhaven_core::opaque::rate_part::{MAX_SENDERS, RatePacer, SenderList, rate_part};
 use foldhaven_core::opaque::retry_share::{RetryLimits, RetryShare};
 use foldhaven_core::time::MonoTime;
 use proptest::prelude::*;
@@ -109,7 +109,7 @@
 /// The part of a VM of a rate of 9.7 a second, by those that live and by those that may.
 fn part(upstream: &UpstreamName, own: &VmName, live: &[VmName], with_silent: &[VmName]) -> f64 {
     let senders = SenderList { live: live.to_vec(), with_silent: with_silent.to_vec() };
-    cold_part(9.7, upstream, own, &senders).per_s
+    rate_part(9.7, upstream, own, &senders).per_s
 }
 
 /// Two halves of a region that lost sight of each other both reach the upstreams. As long as each remembers the other, both
@@ -134,8 +134,8 @@
 fn a_cold_upstream_without_a_described_rate_gets_nothing() {
     let (upstream, own) = ("i-1".parse().unwrap(), vm(0));
     let alone = SenderList { live: vec![own.clone()], with_silent: vec![own.clone()] };
-    assert_eq!(cold_part(0.0, &upstream, &own, &alone).per_s, 0.0);
-    assert_eq!(cold_part(9.7, &upstream, &own, &SenderList::default()).per_s, 0.0);
+    assert_eq!(rate_part(0.0, &upstream, &own, &alone).per_s, 0.0);
+    assert_eq!(rate_part(9.7, &upstream, &own, &SenderList::default()).per_s, 0.0);
 }
 
 #[test]
@@ -149,7 +149,7 @@
 
 #[test]
 fn places_at_a_cold_upstream_are_spaced() {
-    let mut pacer = ColdPacer::default();
+    let mut pacer = RatePacer::default();
     let now = MonoTime::from_millis(1_000);
     assert!(pacer.take(2.0, now));
     assert!(!pacer.is_free(2.0, now + Duration::from_millis(499)));
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -151,7 +151,7 @@
     let (news, told) = mpsc::unbounded_channel();
     let keeper = ControlKeeper::new(shared.clone(), incarnation, news);
     let turns = keeper.turns();
-    let is_cold = keeper.cold_watch();
+    let is_cold = keeper.rate_watch();
     let address = xtra::spawn_tokio(keeper, Mailbox::unbounded());
     tokio::spawn(hear_datagrams(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(tell_changes(socket.clone(), told, shared.clone()));
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -2,13 +2,13 @@
 
 mod account_limits;
 mod behind;
-mod cold_parts;
 mod feed_changes;
 mod heartbeats;
 mod load_reports;
 mod members;
 mod news;
 mod peer_changes;
+mod rate_parts;
 mod region_waits;
 mod suspect_targets;
 mod traffic_view;
@@ -39,13 +39,13 @@
 pub use self::account_limits::{HearNearDemand, HearRegionDemand, PlanDemands};
 use self::behind::BehindMark;
 pub use self::behind::{AheadPeer, FindAhead};
-pub use self::cold_parts::{HearPact, PlanPact};
 pub use self::heartbeats::{HearBeat, HearView, HearViewList, PlanBeats};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use self::members::LoggedMembers;
 use self::news::ToldRevisions;
 pub use self::news::{HearNews, ToldChanges, ToldNews};
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
+pub use self::rate_parts::{HearPact, PlanPact};
 pub use self::suspect_targets::{PlanSuspectTargets, SuspectTargets, TellOccasion};
 use crate::demand_meter::DemandMeter;
 use crate::feed::FeedTurn;
@@ -113,7 +113,7 @@
     /// What callers of limited accounts want, here and elsewhere.
     demands: DemandShare,
     /// Whether an upstream of the region is cold, for whom that is told to.
-    cold_watch: watch::Sender<bool>,
+    rate_watch: watch::Sender<bool>,
     /// What delegates of other regions told.
     regions: RegionBook,
     /// Reports of them, of which the VMs of this region are still to be told.
@@ -190,7 +190,7 @@
             senders: SenderView::default(),
             pact,
             demands,
-            cold_watch: watch::Sender::new(false),
+            rate_watch: watch::Sender::new(false),
             regions: RegionBook::default(),
             relayed_regions: Vec::new(),
             region_told: None,
@@ -219,8 +219,8 @@
     }
 
     /// Whether an upstream of the region is cold.
-    pub fn cold_watch(&self) -> watch::Receiver<bool> {
-        self.cold_watch.subscribe()
+    pub fn rate_watch(&self) -> watch::Receiver<bool> {
+        self.rate_watch.subscribe()
     }
 
     fn set_turn(&self) {
--- a/crates/foldhaven-gateway/src/keeper/cold_parts.rs
+++ b/crates/foldhaven-gateway/src/keeper/rate_parts.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foldhaven_core::opaque::cold::{ColdPart, cold_part};
 use foldhaven_core::opaque::peer_table::{PeerPhase, VmTag};
+use foldhaven_core::opaque::rate_part::{RatePart, rate_part};
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::time::MonoTime;
 use xtra::{Context, Handler};
@@ -33,7 +33,7 @@
         let now = self.now();
         self.look_at_senders(now);
         self.pact.begin_round(self.peers.incarnation(), now);
-        self.share_cold(now);
+        self.share_rates(now);
         let notice =
             |(vm, peer): &(VmTag, SocketAddr)| (*peer, self.pact.notice_to(*vm, true, now));
         self.senders.others.iter().map(notice).collect()
@@ -49,7 +49,7 @@
         self.pact.hear(&notice);
         // The list was looked at in this VM's own last round: ranking a hundred VMs for each of a hundred notices a second
         // would cost more than all else.
-        self.share_cold(now);
+        self.share_rates(now);
         let peer = self.peers.address_of(notice.vm).filter(|_| notice.is_call)?;
         Some((peer, self.pact.notice_to(notice.vm, false, now)))
     }
@@ -65,10 +65,10 @@
     }
 
     /// Gives each cold upstream of the region its part, or takes it back.
-    pub(super) fn share_cold(&mut self, now: MonoTime) {
-        let cold: Vec<Arc<Upstream>> = self.cold_upstreams(now);
+    pub(super) fn share_rates(&mut self, now: MonoTime) {
+        let cold: Vec<Arc<Upstream>> = self.bounded_upstreams(now);
         let is_cold = !cold.is_empty();
-        self.cold_watch.send_if_modified(|held| std::mem::replace(held, is_cold) != is_cold);
+        self.rate_watch.send_if_modified(|held| std::mem::replace(held, is_cold) != is_cold);
         if !is_cold {
             return;
         }
@@ -77,29 +77,29 @@
         for upstream in cold {
             let part = match until {
                 Some(_) => self.part_of(&upstream),
-                None => ColdPart::default(),
+                None => RatePart::default(),
             };
             note_part(&upstream, part, others.len() + 1);
             upstream.set_part(part, until, now);
         }
     }
 
-    fn cold_upstreams(&self, now: MonoTime) -> Vec<Arc<Upstream>> {
+    fn bounded_upstreams(&self, now: MonoTime) -> Vec<Arc<Upstream>> {
         let own_region = self.shared.settings.region();
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         near.filter(|upstream| upstream.cold_rate(now).is_some()).cloned().collect()
     }
 
-    fn part_of(&self, upstream: &Upstream) -> ColdPart {
+    fn part_of(&self, upstream: &Upstream) -> RatePart {
         let routes = self.known.routes();
         let service = routes.and_then(|routes| routes.service(&upstream.identity.service));
         // A service that is not described permits nothing.
         let rate = service.map_or(0.0, |service| service.cold_rate);
         let own = &self.shared.settings.vm;
-        let part = cold_part(rate, upstream.name(), own, &self.senders.list);
+        let part = rate_part(rate, upstream.name(), own, &self.senders.list);
         match self.is_witnessed() {
             true => part,
-            false => ColdPart { per_s: part.per_s * UNWITNESSED_PART, ..part },
+            false => RatePart { per_s: part.per_s * UNWITNESSED_PART, ..part },
         }
     }
 
@@ -111,7 +111,7 @@
 }
 
 /// Logs the part of a cold upstream that this VM takes, when it has changed.
-fn note_part(upstream: &Upstream, part: ColdPart, senders: usize) {
+fn note_part(upstream: &Upstream, part: RatePart, senders: usize) {
     let before = upstream.noted_part();
     if before != part.per_s {
         let (name, sent) = (upstream.name(), upstream.cold_sent());
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -109,7 +109,7 @@
         self.by_tag = by_tag;
         self.upstreams = kept;
         self.look_at_senders(now);
-        self.share_cold(now);
+        self.share_rates(now);
         by_service
     }
 
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -7,10 +7,10 @@
 use foldhaven_core::health::TargetHealth;
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, UpstreamBirth, UpstreamName};
 use foldhaven_core::opaque::affinity::UpstreamTag;
-use foldhaven_core::opaque::cold::{ColdPacer, ColdPart};
 use foldhaven_core::opaque::load_share::UpstreamShare;
 use foldhaven_core::opaque::pace::{QueueFacts, UpstreamPace};
 use foldhaven_core::opaque::queue_rank::{QueueRank, UnreadTokens};
+use foldhaven_core::opaque::rate_part::{RatePacer, RatePart};
 use foldhaven_core::opaque::request_print::RequestPrint;
 use foldhaven_core::opaque::suspects::{GuestBook, GuestId};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
@@ -31,7 +31,7 @@
     /// How far its times were off lately, and how often it failed.
     pub pace: Mutex<UpstreamPace>,
     /// Spaces the requests that this VM sends while it is cold.
-    pub pacer: Mutex<ColdPacer>,
+    pub pacer: Mutex<RatePacer>,
     /// The requests of this VM.
     pub load: Arc<LoadCounter>,
     /// The requests of the other VMs of the region, as they reported them.
@@ -115,7 +115,7 @@
     }
 
     /// Takes in this VM's part of what a cold upstream may get, and until when it may be used.
-    pub fn set_part(&self, part: ColdPart, until: Option<MonoTime>, now: MonoTime) {
+    pub fn set_part(&self, part: RatePart, until: Option<MonoTime>, now: MonoTime) {
         let has_part = now.0 < self.part_until.load(Ordering::Relaxed) && self.noted_part() > 0.0;
         if !has_part {
             self.pacer.lock().hold_until(now + part.first_after);
