LIMIT: upstreams that name a limit get no more than it from all VMs of a region together

Callers saw answers as before; an upstream in need that named 1 to 9.7 requests a second got its usual traffic, 115 to 180 in 4 s. Cause: what an upstream says of itself in an answer had no place to go. Class: words of a peer on the path of traffic that nobody reads. Ruled out: each VM keeping the whole limit by itself (at most 5 and 9.6 a second would have come), and VMs that had not read it yet.

A named limit is now a rate that holds over the region, as the one of a cold upstream is, by the same parts, list of senders and pact: no second mechanism. Where an upstream is cold as well, the narrower rate counts. VMs tell each other of limits at once and again every half second to four. Two answers that overtake each other: one without a limit ends it only if it was sent after the limit was heard. Requests go to other upstreams; where all name limits, they are refused at once with the time until this VM's next place.

--- a/crates/foldhaven-core/src/opaque/rate_part.rs
+++ b/crates/foldhaven-core/src/opaque/rate_part.rs
@@ -1,20 +1,24 @@
-//! How many requests one VM may send to a cold upstream, so that all VMs together stay under the
-//! rate that it bears.
+//! How many requests one VM may send to an upstream that is cold, or that names a limit, so that all VMs together stay
+//! under the rate.
 //!
-//! The VMs that take requests rank each other for an upstream in the same way, and only the first [`MAX_SENDERS`] of them
-//! send, each an equal part of the rate, and only while all of them agree on the list
+//! The VMs that take requests rank each other for an upstream in the same way, and only the first of them send, each an
+//! equal part of the rate, and only while all of them agree on the list
 //! ([`SenderPact`](crate::opaque::sender_pact::SenderPact)). What is not known is no permission: a VM that is learning who
-//! there is, or leaves, or whose list is disputed sends nothing; the upstream is warm after some seconds all the same.
+//! there is, or leaves, or whose list is disputed sends nothing.
 
 use std::time::Duration;
 
 use crate::ids::{UpstreamName, VmName};
 use crate::rank::rank_by;
 use crate::time::MonoTime;
+use crate::units::RequestRate;
 
 /// How many VMs send to one cold upstream. Each may send one request at once, so that this is also
 /// the burst over the rate within a second; the smallest slack of the deployments so far is 3.
 pub const MAX_SENDERS: usize = 3;
+/// The limit, in requests a second, that is used for one that is lower: an upstream that gets nothing could not say that
+/// its limit has ended.
+const LEAST_LIMIT: f64 = 0.1;
 /// The part of the permitted rate that is used. What is above it in one second comes from places that fall due at
 /// the same moment.
 const USED_SHARE: f64 = 0.9;
@@ -22,6 +26,33 @@
 /// without it a VM that is asked every 40 ms used 0.8 of its part in place of 0.9.
 const MADE_UP: f64 = 0.25;
 
+/// A rate that holds over all VMs of a region.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedRate {
+    /// Requests a second.
+    pub per_s: f64,
+    /// How many VMs may have a part of it.
+    pub senders: usize,
+}
+
+impl SharedRate {
+    /// What a cold upstream bears, in requests a second.
+    pub fn of_cold(per_s: f64) -> Self {
+        Self { per_s, senders: MAX_SENDERS }
+    }
+
+    /// The limit that an upstream names. More VMs may share a higher one: what they send at one moment is small against it.
+    pub fn of_limit(limit: RequestRate) -> Self {
+        let per_s = limit.per_s().max(LEAST_LIMIT);
+        Self { per_s, senders: MAX_SENDERS + per_s as usize }
+    }
+
+    /// The rate that keeps to both.
+    pub fn narrower(self, other: Self) -> Self {
+        Self { per_s: self.per_s.min(other.per_s), senders: self.senders.min(other.senders) }
+    }
+}
+
 /// The VMs that a VM holds for those that share a limit of the region.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SenderList {
@@ -31,7 +62,7 @@
     pub with_silent: Vec<VmName>,
 }
 
-/// The part of one VM of the rate of a cold upstream.
+/// The part of one VM of a shared rate.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RatePart {
     /// Requests a second.
@@ -40,32 +71,32 @@
     pub first_after: Duration,
 }
 
-/// The part of the rate, in requests a second, that this VM may send to a cold upstream while its list holds.
+/// The part of the rate of an upstream that this VM may use while its list holds.
 pub fn rate_part(
-    rate: f64,
+    rate: SharedRate,
     upstream: &UpstreamName,
     own: &VmName,
     senders: &SenderList,
 ) -> RatePart {
     let place = |list: &[VmName]| -> Option<usize> {
         let ranked = rank_by(upstream.as_str(), list, |name| name.as_str());
-        ranked.into_iter().take(MAX_SENDERS).position(|name| name == own)
+        ranked.into_iter().take(rate.senders).position(|name| name == own)
     };
     // One that is first only because silent ones are left out might send beside them.
     let (Some(turn), Some(_)) = (place(&senders.live), place(&senders.with_silent)) else {
         return RatePart::default();
     };
-    if rate <= 0.0 {
+    if rate.per_s <= 0.0 {
         return RatePart::default();
     }
-    let used = rate * USED_SHARE;
+    let used = rate.per_s * USED_SHARE;
     RatePart {
-        per_s: used / senders.live.len().min(MAX_SENDERS) as f64,
+        per_s: used / senders.live.len().min(rate.senders) as f64,
         first_after: Duration::from_secs_f64((turn + 1) as f64 / used),
     }
 }
 
-/// Spaces the requests of one VM to one cold upstream evenly.
+/// Spaces the requests of one VM to one upstream evenly.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RatePacer {
     next: MonoTime,
@@ -90,8 +121,20 @@
         rate > 0.0 && now >= self.next
     }
 
+    /// The time until a place is free at a rate; nothing where none will be.
+    pub fn wait(&self, rate: f64, now: MonoTime) -> Option<Duration> {
+        (rate > 0.0).then(|| self.next.since(now))
+    }
+
     /// Gives no place before a moment.
     pub fn hold_until(&mut self, moment: MonoTime) {
         self.next = self.next.max(moment);
     }
+
+    /// Takes in that a higher rate is in force from now on.
+    pub fn quicken(&mut self, rate: f64, now: MonoTime) {
+        if let Ok(pause) = Duration::try_from_secs_f64(1.0 / rate) {
+            self.next = self.next.min(now + pause);
+        }
+    }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_limits.rs
@@ -5,9 +5,12 @@
 
 use foldhaven_core::ids::{UpstreamName, VmName};
 use foldhaven_core::opaque::connection_share::kept_connections;
-use foldhaven_core::opaque::rate_part::{MAX_SENDERS, RatePacer, SenderList, rate_part};
+use foldhaven_core::opaque::rate_part::{
+    MAX_SENDERS, RatePacer, SenderList, SharedRate, rate_part,
+};
 use foldhaven_core::opaque::retry_share::{RetryLimits, RetryShare};
 use foldhaven_core::time::MonoTime;
+use foldhaven_core::units::RequestRate;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -109,7 +112,7 @@
 /// The part of a VM of a rate of 9.7 a second, by those that live and by those that may.
 fn part(upstream: &UpstreamName, own: &VmName, live: &[VmName], with_silent: &[VmName]) -> f64 {
     let senders = SenderList { live: live.to_vec(), with_silent: with_silent.to_vec() };
-    rate_part(9.7, upstream, own, &senders).per_s
+    rate_part(SharedRate::of_cold(9.7), upstream, own, &senders).per_s
 }
 
 /// Two halves of a region that lost sight of each other both reach the upstreams. As long as each remembers the other, both
@@ -129,13 +132,59 @@
     }
 }
 
+/// The most requests of VMs that ask all the time, in 4 s.
+fn most_sent(rate: SharedRate, vms: usize) -> usize {
+    let upstream: UpstreamName = "i-1".parse().unwrap();
+    let live: Vec<VmName> = (0..vms).map(vm).collect();
+    let senders = SenderList { live: live.clone(), with_silent: live.clone() };
+    let started = MonoTime::from_millis(1_000);
+    let mut sent: Vec<MonoTime> = Vec::new();
+    for own in &live {
+        let part = rate_part(rate, &upstream, own, &senders);
+        let mut pacer = RatePacer::default();
+        pacer.hold_until(started + part.first_after);
+        let moments = (0..3_000).map(|step| started + Duration::from_millis(20) * step);
+        sent.extend(moments.filter(|now| pacer.take(part.per_s, *now)));
+    }
+    sent.sort();
+    let within = |first: &MonoTime| {
+        let end = *first + Duration::from_secs(4);
+        sent.iter().filter(|at| *at >= first && **at < end).count()
+    };
+    sent.iter().map(within).max().unwrap_or_default()
+}
+
+/// Guards against parts of a named limit that add up to more than it allows, in a region of any size.
+#[rstest]
+fn parts_of_a_named_limit_hold_in_a_region_of_any_size(
+    #[values(1, 9, 74, 295)] vms: usize,
+    #[values(0.0, 0.2, 1.0, 2.0, 9.7, 50.0)] per_s: f64,
+) {
+    let rate = SharedRate::of_limit(RequestRate::of_per_s(per_s).unwrap());
+    let most = most_sent(rate, vms);
+    assert!(most as f64 <= 1.5 * per_s * 4.0 + 5.0, "{most} requests in 4 s");
+    assert!(most > 0, "an upstream that gets nothing cannot end its limit");
+}
+
+/// Guards against a limit that rises and is not used until a place of the lower one falls due.
+#[test]
+fn a_higher_rate_is_used_at_once() {
+    let mut pacer = RatePacer::default();
+    let now = MonoTime::from_millis(1_000);
+    assert!(pacer.take(0.05, now));
+    pacer.quicken(2.0, now + Duration::from_secs(1));
+    assert!(pacer.take(2.0, now + Duration::from_millis(1_500)));
+}
+
 /// What is not described is not permitted.
 #[test]
 fn a_cold_upstream_without_a_described_rate_gets_nothing() {
     let (upstream, own) = ("i-1".parse().unwrap(), vm(0));
     let alone = SenderList { live: vec![own.clone()], with_silent: vec![own.clone()] };
-    assert_eq!(rate_part(0.0, &upstream, &own, &alone).per_s, 0.0);
-    assert_eq!(rate_part(9.7, &upstream, &own, &SenderList::default()).per_s, 0.0);
+    let nothing = SharedRate::of_cold(0.0);
+    assert_eq!(rate_part(nothing, &upstream, &own, &alone).per_s, 0.0);
+    let bears = SharedRate::of_cold(9.7);
+    assert_eq!(rate_part(bears, &upstream, &own, &SenderList::default()).per_s, 0.0);
 }
 
 #[test]
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -88,6 +88,11 @@
     Behind,
     /// no upstream can take it
     NoUpstream,
+    /// the upstreams are at the limits that they name
+    AtLimit {
+        /// When one of them probably is not.
+        wait: Duration,
+    },
     /// the upstreams are full
     Full,
     /// the upstreams are overloaded
@@ -127,6 +132,7 @@
             Self::NoDescription
             | Self::Behind
             | Self::NoUpstream
+            | Self::AtLimit { .. }
             | Self::Full
             | Self::Overloaded { .. }
             | Self::Suspect { .. }
@@ -157,6 +163,7 @@
             Self::NoHome => "no_home",
             Self::Behind => "behind",
             Self::NoUpstream => "no_upstream",
+            Self::AtLimit { .. } => "at_limit",
             Self::Full => "full",
             Self::Overloaded { cause: Unservable::TooLate, .. } => "overloaded",
             Self::Overloaded { cause: Unservable::TooHarmful, .. } => "too_harmful",
@@ -176,7 +183,9 @@
         let shortest = match self {
             Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
-            Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
+            Self::AtLimit { wait } | Self::Overloaded { wait, .. } => {
+                wait.max(Duration::from_millis(250))
+            }
             Self::Suspect { wait } | Self::OverLimit { wait } => wait,
             Self::NoHome => NO_HOME_PAUSE,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -259,7 +259,9 @@
         self.check_suspicion().map_err(|refusal| self.after_tries(refusal))?;
         let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
             Ok(chosen) => chosen,
-            Err(Refusal::NoUpstream) if self.awaits_peers(&view) => return Ok(None),
+            Err(Refusal::NoUpstream | Refusal::AtLimit { .. }) if self.awaits_peers(&view) => {
+                return Ok(None);
+            }
             Err(refusal) => {
                 self.weighed = Some(describe_places(&self.shared, &view, &self.job));
                 return Err(self.after_tries(refusal));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -18,9 +18,9 @@
 use crate::clock::BootInstant;
 use crate::feed::CountedChange;
 use crate::keeper::{
-    HearBeat, HearChanges, HearEarly, HearLoad, HearNearDemand, HearNews, HearPact, HearPlacements,
-    HearRegion, HearRegionDemand, HearView, HearViewList, KeeperAddress, PlanBeats, PlanDemands,
-    PlanPact, PlanReport, PlannedReport, ToldChanges, ToldNews,
+    HearBeat, HearChanges, HearEarly, HearLimits, HearLoad, HearNearDemand, HearNews, HearPact,
+    HearPlacements, HearRegion, HearRegionDemand, HearView, HearViewList, KeeperAddress, PlanBeats,
+    PlanDemands, PlanPact, PlanReport, PlannedReport, ToldChanges, ToldNews,
 };
 use crate::known::EarlyChanges;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectTelling};
@@ -224,6 +224,7 @@
         PeerMessage::News(notice) => keeper.send(HearNews { notice }).await?,
         PeerMessage::Demand(demand) => keeper.send(HearNearDemand { demand }).await?,
         PeerMessage::RegionDemand(demand) => keeper.send(HearRegionDemand { demand }).await?,
+        PeerMessage::Limits(limits) => keeper.send(HearLimits { limits }).await?,
         PeerMessage::Suspects(_) => {}
     }
     Ok(PlannedMessages::new())
@@ -274,14 +275,15 @@
     }
 }
 
-/// Tells the VMs that share the limits of the region which list of them this one holds, while an upstream is cold.
+/// Tells the VMs that share the limits of the region which list of them this one holds, while a limit of an upstream is in
+/// use.
 pub async fn send_pacts(
     socket: Arc<UdpSocket>,
     keeper: KeeperAddress,
-    mut is_cold: watch::Receiver<bool>,
+    mut is_used: watch::Receiver<bool>,
 ) {
     loop {
-        if is_cold.wait_for(|is_cold| *is_cold).await.is_err() {
+        if is_used.wait_for(|is_used| *is_used).await.is_err() {
             return;
         }
         let Ok(planned) = keeper.send(PlanPact).await else { return };
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -4,6 +4,7 @@
 mod behind;
 mod feed_changes;
 mod heartbeats;
+mod limits;
 mod load_reports;
 mod members;
 mod news;
@@ -40,6 +41,7 @@
 use self::behind::BehindMark;
 pub use self::behind::{AheadPeer, FindAhead};
 pub use self::heartbeats::{HearBeat, HearView, HearViewList, PlanBeats};
+pub use self::limits::{HearLimits, PlanLimitTargets};
 pub use self::load_reports::{HearLoad, HearPlacements, HearRegion, PlanReport, PlannedReport};
 use self::members::LoggedMembers;
 use self::news::ToldRevisions;
@@ -112,7 +114,7 @@
     pact: SenderPact,
     /// What callers of limited accounts want, here and elsewhere.
     demands: DemandShare,
-    /// Whether an upstream of the region is cold, for whom that is told to.
+    /// Whether an upstream of the region is cold or names a limit.
     rate_watch: watch::Sender<bool>,
     /// What delegates of other regions told.
     regions: RegionBook,
@@ -218,7 +220,7 @@
         self.turn.subscribe()
     }
 
-    /// Whether an upstream of the region is cold.
+    /// Whether a rate that holds over the region is in use.
     pub fn rate_watch(&self) -> watch::Receiver<bool> {
         self.rate_watch.subscribe()
     }
@@ -304,6 +306,7 @@
         let peers = &self.peers;
         self.pact.keep_only(|vm| peers.address_of(vm).is_some());
         self.shared.suspects.forget(&self.shared.change_context());
+        self.forget_limits();
         self.note_growth();
         self.note_told_outage();
         self.note_progress();
--- a/crates/foldhaven-gateway/src/keeper/rate_parts.rs
+++ b/crates/foldhaven-gateway/src/keeper/rate_parts.rs
@@ -1,10 +1,11 @@
-//! This VM's parts of what cold upstreams may get from all VMs of the region, while these agree on who they are.
+//! This VM's parts of what upstreams that are cold or name a limit may get from all VMs of the region, while these agree
+//! on who they are.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use foldhaven_core::opaque::peer_table::{PeerPhase, VmTag};
-use foldhaven_core::opaque::rate_part::{RatePart, rate_part};
+use foldhaven_core::opaque::rate_part::{RatePart, SharedRate, rate_part};
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::time::MonoTime;
 use xtra::{Context, Handler};
@@ -64,19 +65,19 @@
         self.pact.note_list(self.senders.digest, now);
     }
 
-    /// Gives each cold upstream of the region its part, or takes it back.
+    /// Takes this VM's part of each rate that holds over the region, or gives it back.
     pub(super) fn share_rates(&mut self, now: MonoTime) {
-        let cold: Vec<Arc<Upstream>> = self.bounded_upstreams(now);
-        let is_cold = !cold.is_empty();
-        self.rate_watch.send_if_modified(|held| std::mem::replace(held, is_cold) != is_cold);
-        if !is_cold {
+        let bounded: Vec<Arc<Upstream>> = self.bounded_upstreams(now);
+        let is_used = !bounded.is_empty();
+        self.rate_watch.send_if_modified(|held| std::mem::replace(held, is_used) != is_used);
+        if !is_used {
             return;
         }
         let others: Vec<VmTag> = self.senders.others.iter().map(|(vm, _)| *vm).collect();
         let until = self.pact.holds_until(&others, now);
-        for upstream in cold {
+        for upstream in bounded {
             let part = match until {
-                Some(_) => self.part_of(&upstream),
+                Some(_) => self.part_of(&upstream, now),
                 None => RatePart::default(),
             };
             note_part(&upstream, part, others.len() + 1);
@@ -87,14 +88,22 @@
     fn bounded_upstreams(&self, now: MonoTime) -> Vec<Arc<Upstream>> {
         let own_region = self.shared.settings.region();
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
-        near.filter(|upstream| upstream.cold_rate(now).is_some()).cloned().collect()
+        near.filter(|upstream| upstream.bound_rate(now).is_some()).cloned().collect()
     }
 
-    fn part_of(&self, upstream: &Upstream) -> RatePart {
+    /// The rate that an upstream may get from all VMs of the region; nothing when it may get any.
+    fn shared_rate(&self, upstream: &Upstream, now: MonoTime) -> Option<SharedRate> {
         let routes = self.known.routes();
         let service = routes.and_then(|routes| routes.service(&upstream.identity.service));
         // A service that is not described permits nothing.
-        let rate = service.map_or(0.0, |service| service.cold_rate);
+        let described = service.map_or(0.0, |service| service.cold_rate);
+        let cold = upstream.is_cold(now).then(|| SharedRate::of_cold(described));
+        let named = self.shared.limits.limit(upstream).map(SharedRate::of_limit);
+        cold.into_iter().chain(named).reduce(SharedRate::narrower)
+    }
+
+    fn part_of(&self, upstream: &Upstream, now: MonoTime) -> RatePart {
+        let Some(rate) = self.shared_rate(upstream, now) else { return RatePart::default() };
         let own = &self.shared.settings.vm;
         let part = rate_part(rate, upstream.name(), own, &self.senders.list);
         match self.is_witnessed() {
@@ -110,12 +119,18 @@
     }
 }
 
-/// Logs the part of a cold upstream that this VM takes, when it has changed.
+/// Logs the part of an upstream's rate that this VM takes, when it has changed.
 fn note_part(upstream: &Upstream, part: RatePart, senders: usize) {
     let before = upstream.noted_part();
     if before != part.per_s {
-        let (name, sent) = (upstream.name(), upstream.cold_sent());
-        let per_s = part.per_s;
-        tracing::info!(upstream = %name, per_s, before, senders, sent, "part of a cold upstream");
+        tracing::info!(
+            upstream = %upstream.name(),
+            per_s = part.per_s,
+            before,
+            senders,
+            sent = upstream.bounded_sent(),
+            is_limited = upstream.is_limited(),
+            "part of the rate of an upstream"
+        );
     }
 }
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -21,7 +21,7 @@
         let own_region = self.shared.settings.region();
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         let open =
-            near.filter(|it| it.cold_rate(now).is_none() && !it.health.lock().is_ejected(now));
+            near.filter(|it| it.bound_rate(now).is_none() && !it.health.lock().is_ejected(now));
         let mut by_service: BTreeMap<&ServiceName, Vec<MetQueue>> = BTreeMap::new();
         for upstream in open {
             let service = &upstream.identity.service;
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod keeper;
 pub mod known;
 mod limit_desk;
+mod limit_news;
 pub mod logging;
 mod metrics;
 pub mod names;
--- a/crates/foldhaven-gateway/src/limit_desk.rs
+++ b/crates/foldhaven-gateway/src/limit_desk.rs
@@ -1,8 +1,11 @@
 //! The limits that upstreams name in their answers, shared by both threads, with a log line for each change.
 
-use foldhaven_core::opaque::upstream_words::{AnswerMoment, LimitChange, LimitWords};
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::upstream_words::{AnswerMoment, LimitChange, LimitWords, ToldLimit};
+use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
@@ -11,6 +14,8 @@
 #[derive(Default)]
 pub struct LimitDesk {
     words: Mutex<LimitWords>,
+    /// Told when there is something to tell other VMs.
+    news: Notify,
 }
 
 impl LimitDesk {
@@ -25,9 +30,46 @@
         let mut words = self.words.lock();
         let change = words.note_answer(upstream.tag, limit, moment);
         let Some(change) = change else { return };
+        upstream.set_limited(change.now.is_some());
         shared.metrics.set_level("limited_upstreams", words.count() as u64);
         drop(words);
-        note_change(shared, upstream, &change);
+        self.news.notify_one();
+        note_change(shared, upstream, &change, "answer");
+    }
+
+    /// Takes in what another VM tells. Returns what has changed.
+    pub fn hear(&self, told: &ToldLimit, now: MonoTime) -> Option<LimitChange> {
+        self.words.lock().hear(told, now)
+    }
+
+    /// Has an upstream kept to its limit, or to none any more.
+    pub fn apply(&self, upstream: &Upstream) {
+        let words = self.words.lock();
+        upstream.set_limited(words.limit(upstream.tag).is_some());
+    }
+
+    /// Waits until there may be something to tell.
+    pub async fn await_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// What is to be told at once.
+    pub fn take_news(&self, now: MonoTime) -> Vec<ToldLimit> {
+        self.words.lock().take_news(now)
+    }
+
+    /// What is told again and again.
+    pub fn all(&self, now: MonoTime) -> Vec<ToldLimit> {
+        self.words.lock().all(now)
+    }
+
+    /// Drops what is too old to count.
+    pub fn forget(&self, is_listed: impl Fn(UpstreamTag) -> bool, shared: &GatewayShared) {
+        let mut words = self.words.lock();
+        if !words.is_empty() {
+            words.forget(is_listed, shared.now());
+            shared.metrics.set_level("limited_upstreams", words.count() as u64);
+        }
     }
 
     /// The limit of an upstream.
@@ -36,8 +78,13 @@
     }
 }
 
-/// Counts and logs a change.
-fn note_change(shared: &GatewayShared, upstream: &Upstream, change: &LimitChange) {
+/// Counts and logs a change, of which this VM learnt from a source.
+pub fn note_change(
+    shared: &GatewayShared,
+    upstream: &Upstream,
+    change: &LimitChange,
+    source: &'static str,
+) {
     let event = match (change.before, change.now) {
         (None, _) => "upstream_limit_named",
         (_, None) => "upstream_limit_ended",
@@ -53,6 +100,7 @@
             per_s,
             before,
             event,
+            source,
             "the limit of an upstream changes"
         );
     }
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -14,6 +14,7 @@
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::opaque::suspects::SuspectRecord;
+use foldhaven_core::opaque::upstream_words::ToldLimit;
 use serde::{Deserialize, Serialize};
 
 use crate::codec::peer_codec;
@@ -60,6 +61,8 @@
     Demand(NearDemand),
     /// The same for a whole other region.
     RegionDemand(RegionDemand),
+    /// The limits that upstreams of the region name.
+    Limits(Vec<ToldLimit>),
 }
 
 impl PeerMessage {
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -16,7 +16,7 @@
 
 use self::far::{FarChoice, choose_far};
 pub use self::near::expected_wait;
-use self::near::{NearChoice, choose_near};
+use self::near::{NearChoice, choose_near, limited_wait};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::{CallTarget, HeadListener};
@@ -129,8 +129,10 @@
     let is_here = job.permits(shared.settings.region());
     let near = if is_here { choose_near(shared, view, job, tried) } else { None };
     if job.is_forwarded {
-        let refusal = if is_here { Refusal::NoUpstream } else { Refusal::NotPermitted };
-        let near = near.ok_or(refusal)?;
+        let near = near.ok_or_else(|| match is_here {
+            true => without_place(shared, view, job),
+            false => Refusal::NotPermitted,
+        })?;
         check_offer(job, &near.offer())?;
         return near.take(shared);
     }
@@ -147,7 +149,15 @@
         },
         (None, Some(far)) => Ok(far.choice),
         (None, None) if has_no_home(shared, job) => Err(Refusal::NoHome),
-        (None, None) => Err(Refusal::NoUpstream),
+        (None, None) => Err(without_place(shared, view, job)),
+    }
+}
+
+/// Why no place takes a request.
+fn without_place(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> Refusal {
+    match limited_wait(shared, view, job).filter(|_| job.permits(shared.settings.region())) {
+        Some(wait) => Refusal::AtLimit { wait },
+        None => Refusal::NoUpstream,
     }
 }
 
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -23,6 +23,9 @@
 /// changed nothing.
 const CENTRE_BYTE_PRICE: f64 = 0.03;
 
+/// When a VM without a part of a limit has callers come back, as other VMs may have one.
+const PARTLESS_WAIT: Duration = Duration::from_millis(500);
+
 /// The best upstream of this region.
 pub(super) struct NearChoice {
     upstream: Arc<Upstream>,
@@ -37,16 +40,17 @@
         PlaceOffer { first, parts, rank, queue: self.upstream.queue(), is_full }
     }
 
-    /// Takes the place of a cold upstream, which is counted by the second; fails when it is not free.
+    /// Takes the place of an upstream that is cold or names a limit; fails when none is free.
     pub(super) fn take(self, shared: &GatewayShared) -> Result<PlaceChoice, Refusal> {
         let now = shared.now();
-        if let Some(rate) = self.upstream.cold_rate(now) {
+        if let Some(rate) = self.upstream.bound_rate(now) {
             if !self.upstream.pacer.lock().take(rate, now) {
-                shared.metrics.count_event("cold_place_lost");
+                shared.metrics.count_event("bounded_place_lost");
                 return Err(Refusal::NoUpstream);
             }
-            self.upstream.count_cold();
-            shared.metrics.count_event("cold_sent");
+            self.upstream.count_bounded();
+            let event = if self.upstream.is_cold(now) { "cold_sent" } else { "limited_sent" };
+            shared.metrics.count_event(event);
         }
         let queue = self.upstream.queue();
         Ok(PlaceChoice {
@@ -76,6 +80,22 @@
     Some(NearChoice { upstream: near[choice.at].clone(), choice, fetch_from })
 }
 
+/// The shortest time until an upstream of this region that names a limit may get a request of this VM; nothing where none
+/// names one.
+pub(super) fn limited_wait(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+) -> Option<Duration> {
+    let now = shared.now();
+    let near = near_upstreams(shared, view, job).into_iter();
+    let wait = |upstream: &Arc<Upstream>| {
+        let rate = upstream.bound_rate(now).unwrap_or_default();
+        upstream.pacer.lock().wait(rate, now).unwrap_or(PARTLESS_WAIT)
+    };
+    near.filter(|upstream| upstream.is_limited()).map(wait).min()
+}
+
 /// Prices the upstreams of this region that a choice is made among.
 pub(super) fn price_near(
     shared: &GatewayShared,
@@ -119,7 +139,7 @@
     hold: Duration,
     now: MonoTime,
 ) -> UpstreamFacts<'a> {
-    let cold_rate = upstream.cold_rate(now);
+    let bound_rate = upstream.bound_rate(now);
     let pace = *upstream.pace.lock();
     let move_cost = match upstream.identity.data_centre == shared.settings.data_centre {
         true => 0.0,
@@ -140,7 +160,7 @@
         move_cost,
         held_tokens,
         is_suspect: upstream.health.lock().is_ejected(now),
-        is_held_back: cold_rate.is_some_and(|rate| !upstream.pacer.lock().is_free(rate, now)),
+        is_held_back: bound_rate.is_some_and(|rate| !upstream.pacer.lock().is_free(rate, now)),
         is_tried: tried.upstreams.contains(upstream.name()),
     }
 }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -30,7 +30,7 @@
     pub health: Mutex<TargetHealth>,
     /// How far its times were off lately, and how often it failed.
     pub pace: Mutex<UpstreamPace>,
-    /// Spaces the requests that this VM sends while it is cold.
+    /// Spaces the requests that this VM sends while it is cold or names a limit.
     pub pacer: Mutex<RatePacer>,
     /// The requests of this VM.
     pub load: Arc<LoadCounter>,
@@ -50,12 +50,14 @@
     heard: AtomicU64,
     /// Until when it is cold.
     cold_until: AtomicU64,
-    /// The rate at which this VM may send while it is cold, as the bits of a number.
-    cold_rate: AtomicU64,
+    /// Whether it names a limit.
+    is_limited: AtomicBool,
+    /// The rate at which this VM may send while it is cold or names a limit, as the bits of a number.
+    part_rate: AtomicU64,
     /// Until when that rate may be used.
     part_until: AtomicU64,
-    /// How many requests this VM has sent while it was cold.
-    cold_sent: AtomicU32,
+    /// How many requests this VM has sent at that rate.
+    bounded_sent: AtomicU32,
 }
 
 /// What is listed of an upstream and stays the same during its life.
@@ -99,9 +101,10 @@
             is_probed: AtomicBool::new(false),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
-            cold_rate: AtomicU64::new(0),
+            is_limited: AtomicBool::new(false),
+            part_rate: AtomicU64::new(0),
             part_until: AtomicU64::new(0),
-            cold_sent: AtomicU32::new(0),
+            bounded_sent: AtomicU32::new(0),
         })
     }
 
@@ -114,36 +117,56 @@
         self.cold_until.store(until.0, Ordering::Relaxed);
     }
 
-    /// Takes in this VM's part of what a cold upstream may get, and until when it may be used.
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: MonoTime) -> bool {
+        now.0 < self.cold_until.load(Ordering::Relaxed)
+    }
+
+    /// Takes in whether it names a limit.
+    pub fn set_limited(&self, is_limited: bool) {
+        self.is_limited.store(is_limited, Ordering::Relaxed);
+    }
+
+    /// Whether it names a limit.
+    pub fn is_limited(&self) -> bool {
+        self.is_limited.load(Ordering::Relaxed)
+    }
+
+    /// Takes in this VM's part of what it may get while it is cold or names a limit, and until when that may be used.
     pub fn set_part(&self, part: RatePart, until: Option<MonoTime>, now: MonoTime) {
         let has_part = now.0 < self.part_until.load(Ordering::Relaxed) && self.noted_part() > 0.0;
+        let mut pacer = self.pacer.lock();
+        if part.per_s > self.noted_part() {
+            pacer.quicken(part.per_s, now);
+        }
         if !has_part {
-            self.pacer.lock().hold_until(now + part.first_after);
+            pacer.hold_until(now + part.first_after);
         }
-        self.cold_rate.store(part.per_s.to_bits(), Ordering::Relaxed);
+        drop(pacer);
+        self.part_rate.store(part.per_s.to_bits(), Ordering::Relaxed);
         self.part_until.store(until.map_or(0, |until| until.0), Ordering::Relaxed);
     }
 
-    /// The rate to keep to now; nothing when it is warm.
-    pub fn cold_rate(&self, now: MonoTime) -> Option<f64> {
-        let is_cold = now.0 < self.cold_until.load(Ordering::Relaxed);
+    /// The rate to keep to now; nothing when it is neither cold nor names a limit.
+    pub fn bound_rate(&self, now: MonoTime) -> Option<f64> {
+        let is_bounded = self.is_cold(now) || self.is_limited();
         let may_send = now.0 < self.part_until.load(Ordering::Relaxed);
-        is_cold.then(|| if may_send { self.noted_part() } else { 0.0 })
+        is_bounded.then(|| if may_send { self.noted_part() } else { 0.0 })
     }
 
     /// The rate of [`Upstream::set_part`] that was taken in last.
     pub fn noted_part(&self) -> f64 {
-        f64::from_bits(self.cold_rate.load(Ordering::Relaxed))
+        f64::from_bits(self.part_rate.load(Ordering::Relaxed))
     }
 
-    /// Counts a request that this VM sends while it is cold.
-    pub fn count_cold(&self) {
-        self.cold_sent.fetch_add(1, Ordering::Relaxed);
+    /// Counts a request that this VM sends at its part of a rate.
+    pub fn count_bounded(&self) {
+        self.bounded_sent.fetch_add(1, Ordering::Relaxed);
     }
 
     /// How many those are.
-    pub fn cold_sent(&self) -> u32 {
-        self.cold_sent.load(Ordering::Relaxed)
+    pub fn bounded_sent(&self) -> u32 {
+        self.bounded_sent.load(Ordering::Relaxed)
     }
 
     /// Notes that something was received from it.
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::account_table::{
     AccountDescription, AccountLimit, ClientAccount, KeyPrint, LimitUnit,
 };
+use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::demand_book::{AccountTag, NearDemand, RegionDemand, VmDemand};
 use foldhaven_core::opaque::peer_table::{
     AskedBeats, BeatMessage, KnownCounts, NewsNotice, PeerBeat, PeerPhase, PeerPulse, RegionTag,
@@ -18,6 +19,7 @@
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_pact::{ListDigest, PactNotice, PactRound};
+use foldhaven_core::opaque::upstream_words::ToldLimit;
 use foldhaven_core::units::CoreShare;
 use foldhaven_gateway::feed::{ChangeSet, CountedChange, FeedChange};
 use foldhaven_gateway::peer_message::{PeerMessage, SuspectTelling};
@@ -113,6 +115,11 @@
     PeerMessage::Demand(NearDemand { own: Some(own), regions: vec![region_demand()] })
 }
 
+fn limits() -> PeerMessage {
+    let told = |upstream, per_s| ToldLimit { upstream: UpstreamTag(upstream), per_s, age_ms: 3 };
+    PeerMessage::Limits(vec![told(1, Some(2.5)), told(2, None)])
+}
+
 /// A description with an account, and what changes when it goes.
 fn keyed_changes() -> PeerMessage {
     let account = ClientAccount {
@@ -161,6 +168,7 @@
 #[case::news(news(), "0a010203010401")]
 #[case::demand(demand(), "0b0102030401060000f0400101020304010501060000f040")]
 #[case::region_demand(PeerMessage::RegionDemand(region_demand()), "0c01020304010501060000f040")]
+#[case::limits(limits(), "0d020101000000000000044003020003")]
 #[case::keyed_changes(
     keyed_changes(),
     "03040502050701000001010000000001036f6e65036f6e65019584d52f48e0eb0e4eac57c18668befb010101056e6f72746801000000000000000040000000000000084001046f70656e05080102000000000001"
@@ -194,6 +202,7 @@
         pact(),
         demand(),
         PeerMessage::RegionDemand(region_demand()),
+        limits(),
         keyed_changes(),
     ];
     for message in messages {
