DRAIN: an upstream that says in an answer that it leaves gets nothing new

Cause: only the store's word counted. Class: as of the limits, words of a peer on the path of traffic that nobody reads. Ruled out: late news of the store between VMs; the log of no VM names the upstream before the store had it.

The word is of one process lifetime and lasts as long as that: no entry of the store takes it back, a later process has another tag. The VMs of the region tell each other, with the age of the word, so that they do not keep it alive between them. Status shows such an upstream as leaving; where all leave, requests are refused at once.

--- a/crates/foldhaven-core/src/opaque/upstream_words.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_words.rs
@@ -11,7 +11,7 @@
 
 /// How long the end of a limit is remembered, so that a VM that has not heard of it does not put the limit back.
 const END_MEMORY: Duration = Duration::from_secs(10);
-/// How long a limit is remembered after its last answer while its upstream is not listed.
+/// How long what an upstream said is remembered while it is not listed.
 const UNLISTED_MEMORY: Duration = Duration::from_secs(60);
 
 /// When an answer came, and when its request was sent.
@@ -34,6 +34,87 @@
     pub age_ms: u32,
 }
 
+/// An upstream that leaves, as a VM tells others of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLeaving {
+    /// The upstream, in one of its process lifetimes.
+    pub upstream: UpstreamTag,
+    /// How many milliseconds ago the newest answer came that says so.
+    pub age_ms: u32,
+}
+
+/// The process lifetimes of upstreams that have said that they leave. None takes that back: a later process has another tag.
+#[derive(Debug, Default)]
+pub struct LeavingWords {
+    words: BTreeMap<UpstreamTag, LeavingWord>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LeavingWord {
+    /// When the newest answer came that says so.
+    said: MonoTime,
+    /// Whether other VMs are still to be told.
+    is_news: bool,
+}
+
+impl LeavingWords {
+    /// Takes in an answer that says so. Returns whether it is news.
+    pub fn note_answer(&mut self, upstream: UpstreamTag, now: MonoTime) -> bool {
+        self.put(upstream, true, now)
+    }
+
+    /// Takes in what another VM tells. Returns whether it is news.
+    pub fn hear(&mut self, told: &ToldLeaving, now: MonoTime) -> bool {
+        self.put(told.upstream, false, now - Duration::from_millis(told.age_ms.into()))
+    }
+
+    fn put(&mut self, upstream: UpstreamTag, is_own: bool, said: MonoTime) -> bool {
+        let held = self.words.get(&upstream).copied();
+        // What another VM has told needs not be told by this one.
+        let is_news = is_own && held.is_none_or(|held| held.is_news);
+        let said = held.map_or(said, |held| held.said.max(said));
+        self.words.insert(upstream, LeavingWord { said, is_news });
+        held.is_none()
+    }
+
+    /// Whether an upstream has said so.
+    pub fn has_said(&self, upstream: UpstreamTag) -> bool {
+        self.words.contains_key(&upstream)
+    }
+
+    /// Whether anything is held.
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    /// How many have said so.
+    pub fn count(&self) -> usize {
+        self.words.len()
+    }
+
+    /// What others are still to be told; it counts as told from then on.
+    pub fn take_news(&mut self, now: MonoTime) -> Vec<ToldLeaving> {
+        let news = self.words.iter_mut().filter(|(_, word)| word.is_news);
+        let told = news.map(|(upstream, word)| {
+            word.is_news = false;
+            word.told(*upstream, now)
+        });
+        told.collect()
+    }
+
+    /// All that is held, for VMs that have missed news of it.
+    pub fn all(&self, now: MonoTime) -> Vec<ToldLeaving> {
+        self.words.iter().map(|(upstream, word)| word.told(*upstream, now)).collect()
+    }
+
+    /// Forgets upstreams that are gone. One that is listed again soon is the same process.
+    pub fn forget(&mut self, is_listed: impl Fn(UpstreamTag) -> bool, now: MonoTime) {
+        self.words.retain(|upstream, word| {
+            is_listed(*upstream) || now.since(word.said) < UNLISTED_MEMORY
+        });
+    }
+}
+
 /// A limit that has changed.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitChange {
@@ -160,11 +241,17 @@
 
 impl LimitWord {
     fn told(&self, upstream: UpstreamTag, now: MonoTime) -> ToldLimit {
-        let age = now.since(self.said).as_millis();
-        ToldLimit {
-            upstream,
-            per_s: self.limit.map(RequestRate::per_s),
-            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-        }
+        let per_s = self.limit.map(RequestRate::per_s);
+        ToldLimit { upstream, per_s, age_ms: told_age(self.said, now) }
     }
 }
+
+impl LeavingWord {
+    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> ToldLeaving {
+        ToldLeaving { upstream, age_ms: told_age(self.said, now) }
+    }
+}
+
+fn told_age(said: MonoTime, now: MonoTime) -> u32 {
+    u32::try_from(now.since(said).as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/foldhaven-core/tests/testsuite/opaque_words.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_words.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::affinity::UpstreamTag;
-use foldhaven_core::opaque::upstream_words::{AnswerMoment, LimitWords, ToldLimit};
+use foldhaven_core::opaque::upstream_words::{
+    AnswerMoment, LeavingWords, LimitWords, ToldLeaving, ToldLimit,
+};
 use foldhaven_core::units::RequestRate;
 use rstest::rstest;
 
@@ -80,6 +82,36 @@
     assert_eq!(third.limit(UPSTREAM), rate(2.5));
 }
 
+/// Guards against VMs that keep each other's word on an upstream alive that is long gone.
+#[test]
+fn what_is_told_again_and_again_is_forgotten_all_the_same() {
+    let (mut first, mut second) = (LeavingWords::default(), LeavingWords::default());
+    assert!(first.note_answer(UPSTREAM, at(0)));
+    for second_at in 1..70 {
+        let now = at(second_at * 1_000);
+        for told in first.all(now) {
+            second.hear(&told, now);
+        }
+        for told in second.all(now) {
+            first.hear(&told, now);
+        }
+        first.forget(|_| false, now);
+        second.forget(|_| false, now);
+    }
+    assert!(first.is_empty() && second.is_empty());
+}
+
+/// Guards against a process that is left out by the word of another one, or used again since it is listed.
+#[test]
+fn a_process_leaves_for_good() {
+    let mut words = LeavingWords::default();
+    assert!(words.note_answer(UPSTREAM, at(0)));
+    assert!(!words.hear(&ToldLeaving { upstream: UPSTREAM, age_ms: 5 }, at(10)), "it is known");
+    words.forget(|_| true, at(0) + Duration::from_secs(3_600));
+    assert!(words.has_said(UPSTREAM));
+    assert!(!words.has_said(UpstreamTag(8)));
+}
+
 /// Guards against a book that grows with each upstream that ever named a limit.
 #[test]
 fn what_is_gone_is_forgotten() {
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -23,7 +23,6 @@
 use crate::feed::{FeedSink, PlatformFeed};
 use crate::front::{FrontHandler, serve_front};
 use crate::keeper::{ControlKeeper, KeeperAddress, TickKeeper};
-use crate::limit_news::tell_limits;
 use crate::names::HeaderNames;
 use crate::operator_front::OperatorHandler;
 use crate::peer_front::PeerHandler;
@@ -34,6 +33,7 @@
 use crate::stop::stop_when_told;
 use crate::suspect_news::tell_suspects;
 use crate::warm_links::keep_links_warm;
+use crate::word_news::tell_words;
 
 /// How often the control state is looked over.
 const TICK: Duration = Duration::from_millis(250);
@@ -159,7 +159,7 @@
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(tell_suspects(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_pacts(socket.clone(), address.clone(), is_rate_used));
-    tokio::spawn(tell_limits(socket.clone(), address.clone(), shared.clone()));
+    tokio::spawn(tell_words(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -18,9 +18,9 @@
 use crate::clock::BootInstant;
 use crate::feed::CountedChange;
 use crate::keeper::{
-    HearBeat, HearChanges, HearEarly, HearLimits, HearLoad, HearNearDemand, HearNews, HearPact,
-    HearPlacements, HearRegion, HearRegionDemand, HearView, HearViewList, KeeperAddress, PlanBeats,
-    PlanDemands, PlanPact, PlanReport, PlannedReport, ToldChanges, ToldNews,
+    HearBeat, HearChanges, HearEarly, HearLeavers, HearLimits, HearLoad, HearNearDemand, HearNews,
+    HearPact, HearPlacements, HearRegion, HearRegionDemand, HearView, HearViewList, KeeperAddress,
+    PlanBeats, PlanDemands, PlanPact, PlanReport, PlannedReport, ToldChanges, ToldNews,
 };
 use crate::known::EarlyChanges;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectTelling};
@@ -225,6 +225,7 @@
         PeerMessage::Demand(demand) => keeper.send(HearNearDemand { demand }).await?,
         PeerMessage::RegionDemand(demand) => keeper.send(HearRegionDemand { demand }).await?,
         PeerMessage::Limits(limits) => keeper.send(HearLimits { limits }).await?,
+        PeerMessage::Leavers(leavers) => keeper.send(HearLeavers { leavers }).await?,
         PeerMessage::Suspects(_) => {}
     }
     Ok(PlannedMessages::new())
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -1,6 +1,7 @@
 //! The waits that requests would meet: in this region as this VM expects them, in others as told.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, ServiceName};
@@ -8,6 +9,7 @@
 
 use super::ControlKeeper;
 use crate::places::expected_wait;
+use crate::upstream::Upstream;
 use crate::view::RegionWait;
 
 /// The wait in a region of which no delegate has told one lately, as after a start: requests that may
@@ -20,8 +22,10 @@
         let now = self.now();
         let own_region = self.shared.settings.region();
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
-        let open =
-            near.filter(|it| it.bound_rate(now).is_none() && !it.health.lock().is_ejected(now));
+        let is_open = |it: &&Arc<Upstream>| {
+            it.bound_rate(now).is_none() && !it.is_leaving() && !it.health.lock().is_ejected(now)
+        };
+        let open = near.filter(is_open);
         let mut by_service: BTreeMap<&ServiceName, Vec<MetQueue>> = BTreeMap::new();
         for upstream in open {
             let service = &upstream.identity.service;
--- a/crates/foldhaven-gateway/src/keeper/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/keeper/traffic_view.rs
@@ -96,6 +96,7 @@
             let Some(upstream) = self.upstream_of(entry, routes) else { continue };
             upstream.set_cold(entry.cold_until);
             self.shared.limits.apply(&upstream);
+            self.shared.leavers.apply(&upstream);
             let service = routes.service(&upstream.identity.service);
             let limit = service.map_or(0, |service| service.connection_limit);
             upstream.pool.keep_at_most(kept_connections(limit, vms));
--- a/crates/foldhaven-gateway/src/keeper/limits.rs
+++ b/crates/foldhaven-gateway/src/keeper/upstream_words.rs
@@ -1,11 +1,12 @@
-//! Takes in the limits of upstreams that other VMs tell of, and chooses whom to tell of those that this VM has heard.
+//! Takes in what upstreams have said of themselves to other VMs, and chooses whom to tell what they have said to this one.
 
 use std::net::SocketAddr;
 
-use foldhaven_core::opaque::upstream_words::ToldLimit;
+use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
 use xtra::{Context, Handler};
 
 use super::{ControlKeeper, TellOccasion};
+use crate::leaving_desk::note_leaving;
 use crate::limit_desk::note_change;
 
 /// Another VM of the region told of limits.
@@ -33,15 +34,36 @@
     }
 }
 
-/// Puts the limits in force that this VM has heard, and asks whom to tell of them.
-pub struct PlanLimitTargets {
+/// Another VM of the region told of upstreams that leave.
+pub struct HearLeavers {
+    pub leavers: Vec<ToldLeaving>,
+}
+
+impl Handler<HearLeavers> for ControlKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: HearLeavers, _: &mut Context<Self>) {
+        let now = self.now();
+        for told in &message.leavers {
+            if !self.shared.leavers.hear(told, now) {
+                continue;
+            }
+            let Some(upstream) = self.by_tag.get(&told.upstream) else { continue };
+            self.shared.leavers.apply(upstream);
+            note_leaving(&self.shared, upstream, "peer");
+        }
+    }
+}
+
+/// Puts in force what this VM has heard, and asks whom to tell of it.
+pub struct PlanWordTargets {
     pub occasion: TellOccasion,
 }
 
-impl Handler<PlanLimitTargets> for ControlKeeper {
+impl Handler<PlanWordTargets> for ControlKeeper {
     type Return = Vec<SocketAddr>;
 
-    async fn handle(&mut self, plan: PlanLimitTargets, _: &mut Context<Self>) -> Vec<SocketAddr> {
+    async fn handle(&mut self, plan: PlanWordTargets, _: &mut Context<Self>) -> Vec<SocketAddr> {
         let now = self.now();
         match plan.occasion {
             TellOccasion::News => {
@@ -54,9 +76,10 @@
 }
 
 impl ControlKeeper {
-    /// Forgets the limits of upstreams that are gone.
-    pub(super) fn forget_limits(&self) {
+    /// Forgets what upstreams said that are gone.
+    pub(super) fn forget_words(&self) {
         let is_listed = |tag| self.by_tag.contains_key(&tag);
         self.shared.limits.forget(is_listed, &self.shared);
+        self.shared.leavers.forget(is_listed, &self.shared);
     }
 }
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -24,8 +24,8 @@
 mod job;
 mod keeper;
 pub mod known;
+mod leaving_desk;
 mod limit_desk;
-mod limit_news;
 pub mod logging;
 mod metrics;
 pub mod names;
@@ -47,5 +47,6 @@
 mod view;
 mod wake;
 mod warm_links;
+mod word_news;
 
 pub use self::daemon::{DaemonError, GatewayParts, run_gateway};
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -16,6 +16,8 @@
     pub not_run: HeaderName,
     /// Names how many requests a second an upstream takes from all VMs together, as a decimal number.
     pub rate_limit: HeaderName,
+    /// Set to 1 by an upstream that leaves and takes nothing new.
+    pub leaving: HeaderName,
     /// Outlines the parts of the prompt, each an id and its tokens.
     pub prompt_outline: HeaderName,
     /// The tokens of the prompt and of the longest answer.
--- a/crates/foldhaven-gateway/src/operator_front/status.rs
+++ b/crates/foldhaven-gateway/src/operator_front/status.rs
@@ -71,7 +71,7 @@
             holds: vec![upstream.identity.service.to_string()],
             busy: upstream.queue().in_flight,
             slots: upstream.identity.slots,
-            leaving: false,
+            leaving: upstream.is_leaving(),
             limit: self.shared.limits.limit(upstream).map(|limit| limit.to_string()),
         };
         near.map(status).collect()
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -14,7 +14,7 @@
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::opaque::suspects::SuspectRecord;
-use foldhaven_core::opaque::upstream_words::ToldLimit;
+use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::peer_codec;
@@ -63,6 +63,8 @@
     RegionDemand(RegionDemand),
     /// The limits that upstreams of the region name.
     Limits(Vec<ToldLimit>),
+    /// Upstreams of the region that have said that they leave.
+    Leavers(Vec<ToldLeaving>),
 }
 
 impl PeerMessage {
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -116,7 +116,8 @@
 ) -> Vec<&'a Arc<Upstream>> {
     let own_region = shared.settings.region();
     let all = view.upstreams_of(&job.service).iter();
-    all.filter(|upstream| upstream.identity.region == *own_region).collect()
+    let near = all.filter(|upstream| upstream.identity.region == *own_region);
+    near.filter(|upstream| !upstream.is_leaving()).collect()
 }
 
 fn candidates_of<'a>(
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::account_desk::AccountDesk;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
+use crate::leaving_desk::LeavingDesk;
 use crate::limit_desk::LimitDesk;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
@@ -102,6 +103,8 @@
     pub suspects: SuspectDesk,
     /// The limits that upstreams name.
     pub limits: LimitDesk,
+    /// The upstreams that have said that they leave.
+    pub leavers: LeavingDesk,
     /// What limited accounts use.
     pub accounts: AccountDesk,
     /// Whether what is believed is of now.
@@ -113,6 +116,7 @@
         Arc::new(Self {
             wake: WakeWatch::default(),
             limits: LimitDesk::default(),
+            leavers: LeavingDesk::default(),
             suspects: SuspectDesk::new(VmTag::of(&settings.vm)),
             accounts: AccountDesk::new(settings.region_count(), settings.limits.accounts()),
             settings,
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -50,6 +50,8 @@
     heard: AtomicU64,
     /// Until when it is cold.
     cold_until: AtomicU64,
+    /// Whether it has said that it leaves.
+    is_leaving: AtomicBool,
     /// Whether it names a limit.
     is_limited: AtomicBool,
     /// The rate at which this VM may send while it is cold or names a limit, as the bits of a number.
@@ -101,6 +103,7 @@
             is_probed: AtomicBool::new(false),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
             part_rate: AtomicU64::new(0),
             part_until: AtomicU64::new(0),
@@ -122,6 +125,16 @@
         now.0 < self.cold_until.load(Ordering::Relaxed)
     }
 
+    /// Takes in that it has said that it leaves.
+    pub fn set_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Takes in whether it names a limit.
     pub fn set_limited(&self, is_limited: bool) {
         self.is_limited.store(is_limited, Ordering::Relaxed);
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -12,6 +12,9 @@
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
+/// What an upstream sets that leaves.
+const IS_LEAVING: &str = "1";
+
 /// Hears an upstream.
 pub struct UpstreamListener {
     shared: Arc<GatewayShared>,
@@ -36,6 +39,16 @@
         }
     }
 
+    fn is_leaving(&self, head: &Parts) -> bool {
+        let name = &self.shared.names.leaving;
+        let Some(value) = head.headers.get(name) else { return false };
+        let is_leaving = value == IS_LEAVING;
+        if !is_leaving {
+            self.note_unreadable(name.as_str(), value);
+        }
+        is_leaving
+    }
+
     fn rate_limit(&self, head: &Parts) -> Option<RequestRate> {
         let name = &self.shared.names.rate_limit;
         let value = head.headers.get(name)?;
@@ -52,6 +65,9 @@
         let moment = AnswerMoment { sent: self.sent, heard: self.shared.now() };
         let limit = self.rate_limit(head);
         self.shared.limits.note_answer(&self.shared, &self.upstream, limit, moment);
+        if self.is_leaving(head) {
+            self.shared.leavers.note_answer(&self.shared, &self.upstream);
+        }
     }
 }
 
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -19,7 +19,7 @@
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_pact::{ListDigest, PactNotice, PactRound};
-use foldhaven_core::opaque::upstream_words::ToldLimit;
+use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
 use foldhaven_core::units::CoreShare;
 use foldhaven_gateway::feed::{ChangeSet, CountedChange, FeedChange};
 use foldhaven_gateway::peer_message::{PeerMessage, SuspectTelling};
@@ -120,6 +120,11 @@
     PeerMessage::Limits(vec![told(1, Some(2.5)), told(2, None)])
 }
 
+fn leavers() -> PeerMessage {
+    let told = |upstream| ToldLeaving { upstream: UpstreamTag(upstream), age_ms: 3 };
+    PeerMessage::Leavers(vec![told(1), told(300)])
+}
+
 /// A description with an account, and what changes when it goes.
 fn keyed_changes() -> PeerMessage {
     let account = ClientAccount {
@@ -169,6 +174,7 @@
 #[case::demand(demand(), "0b0102030401060000f0400101020304010501060000f040")]
 #[case::region_demand(PeerMessage::RegionDemand(region_demand()), "0c01020304010501060000f040")]
 #[case::limits(limits(), "0d020101000000000000044003020003")]
+#[case::leavers(leavers(), "0e020103fb2c0103")]
 #[case::keyed_changes(
     keyed_changes(),
     "03040502050701000001010000000001036f6e65036f6e65019584d52f48e0eb0e4eac57c18668befb010101056e6f72746801000000000000000040000000000000084001046f70656e05080102000000000001"
@@ -203,6 +209,7 @@
         demand(),
         PeerMessage::RegionDemand(region_demand()),
         limits(),
+        leavers(),
         keyed_changes(),
     ];
     for message in messages {
