BUDGET: an upstream that turns a VM away and asks for a rest gets it

Callers' requests were turned away again by upstreams that had asked for a rest, and lost a try each. Cause: Retry-After of an upstream was not read. Class: as of the limits and of leaving. Ruled out: requests that were on their way (they come within milliseconds).

The rest counts for the process that asked and for the VM that was asked, on the clock that counts suspension; it ends up to 0.15 of its length later, so that VMs which were turned away at one moment do not come back at one. A longer one stands against a shorter one; 10 min are given at most. What is no time (negative, a word, a date, inf) is counted and logged, and none. Where all upstreams rest, requests are refused at once with the time that is left, also the one that was turned away; it was 0.25 to 0.5 s before.

--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -88,9 +88,9 @@
     Behind,
     /// no upstream can take it
     NoUpstream,
-    /// the upstreams are at the limits that they name
-    AtLimit {
-        /// When one of them probably is not.
+    /// the upstreams want nothing more for now
+    HeldBack {
+        /// When one of them probably does.
         wait: Duration,
     },
     /// the upstreams are full
@@ -132,7 +132,7 @@
             Self::NoDescription
             | Self::Behind
             | Self::NoUpstream
-            | Self::AtLimit { .. }
+            | Self::HeldBack { .. }
             | Self::Full
             | Self::Overloaded { .. }
             | Self::Suspect { .. }
@@ -163,7 +163,7 @@
             Self::NoHome => "no_home",
             Self::Behind => "behind",
             Self::NoUpstream => "no_upstream",
-            Self::AtLimit { .. } => "at_limit",
+            Self::HeldBack { .. } => "held_back",
             Self::Full => "full",
             Self::Overloaded { cause: Unservable::TooLate, .. } => "overloaded",
             Self::Overloaded { cause: Unservable::TooHarmful, .. } => "too_harmful",
@@ -183,7 +183,7 @@
         let shortest = match self {
             Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
-            Self::AtLimit { wait } | Self::Overloaded { wait, .. } => {
+            Self::HeldBack { wait } | Self::Overloaded { wait, .. } => {
                 wait.max(Duration::from_millis(250))
             }
             Self::Suspect { wait } | Self::OverLimit { wait } => wait,
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -259,7 +259,7 @@
         self.check_suspicion().map_err(|refusal| self.after_tries(refusal))?;
         let chosen = match choose_place(&self.shared, &view, &self.job, &self.tried) {
             Ok(chosen) => chosen,
-            Err(Refusal::NoUpstream | Refusal::AtLimit { .. }) if self.awaits_peers(&view) => {
+            Err(Refusal::NoUpstream | Refusal::HeldBack { .. }) if self.awaits_peers(&view) => {
                 return Ok(None);
             }
             Err(refusal) => {
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -6,6 +6,7 @@
 use crate::answer::Refusal;
 use crate::call::CallFault;
 use crate::clock::BootInstant;
+use crate::places::held_back_wait;
 
 /// How many places are tried at most, those included that could not be reached.
 const MAX_TRIES: usize = 4;
@@ -64,7 +65,9 @@
         }
         match fault {
             CallFault::Declined { status } if *status == StatusCode::SERVICE_UNAVAILABLE => {
-                Refusal::Full
+                let view = self.shared.view();
+                let wait = view.and_then(|view| held_back_wait(&self.shared, &view, &self.job));
+                wait.map_or(Refusal::Full, |wait| Refusal::HeldBack { wait })
             }
             _ => Refusal::NoUpstream,
         }
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -16,7 +16,7 @@
 
 use self::far::{FarChoice, choose_far};
 pub use self::near::expected_wait;
-use self::near::{NearChoice, choose_near, limited_wait};
+use self::near::{NearChoice, choose_near, has_open, said_wait};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::{CallTarget, HeadListener};
@@ -153,10 +153,24 @@
     }
 }
 
+/// When a request that an upstream turned away could be sent to one, where all that may run it want nothing for now.
+pub fn held_back_wait(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+) -> Option<Duration> {
+    let own_region = shared.settings.region();
+    let is_elsewhere = view.waits.keys().any(|(region, service)| {
+        *service == job.service && region != own_region && job.permits(region)
+    });
+    let is_open = is_elsewhere || has_open(shared, view, job);
+    if is_open { None } else { said_wait(shared, view, job) }
+}
+
 /// Why no place takes a request.
 fn without_place(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> Refusal {
-    match limited_wait(shared, view, job).filter(|_| job.permits(shared.settings.region())) {
-        Some(wait) => Refusal::AtLimit { wait },
+    match said_wait(shared, view, job).filter(|_| job.permits(shared.settings.region())) {
+        Some(wait) => Refusal::HeldBack { wait },
         None => Refusal::NoUpstream,
     }
 }
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -80,20 +80,35 @@
     Some(NearChoice { upstream: near[choice.at].clone(), choice, fetch_from })
 }
 
-/// The shortest time until an upstream of this region that names a limit may get a request of this VM; nothing where none
-/// names one.
-pub(super) fn limited_wait(
+/// For how much longer an upstream gets nothing from this VM: it rests, or this VM's part of its rate is used up.
+fn held_back_for(upstream: &Upstream, now: MonoTime) -> Option<Duration> {
+    let rest = upstream.rests_for(now);
+    let part = upstream.bound_rate(now).map_or(Duration::ZERO, |rate| {
+        let pacer = *upstream.pacer.lock();
+        pacer.wait(rate, now).unwrap_or(PARTLESS_WAIT)
+    });
+    Some(rest.max(part)).filter(|wait| !wait.is_zero())
+}
+
+/// Whether an upstream of this region may get a request now.
+pub(super) fn has_open(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
+    let now = shared.now();
+    let mut near = near_upstreams(shared, view, job).into_iter();
+    near.any(|upstream| held_back_for(upstream, now).is_none())
+}
+
+/// The shortest time until an upstream of this region that rests or names a limit may get a request of this VM; nothing
+/// where none does.
+pub(super) fn said_wait(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
 ) -> Option<Duration> {
     let now = shared.now();
     let near = near_upstreams(shared, view, job).into_iter();
-    let wait = |upstream: &Arc<Upstream>| {
-        let rate = upstream.bound_rate(now).unwrap_or_default();
-        upstream.pacer.lock().wait(rate, now).unwrap_or(PARTLESS_WAIT)
-    };
-    near.filter(|upstream| upstream.is_limited()).map(wait).min()
+    let has_said = |it: &&Arc<Upstream>| it.is_limited() || !it.rests_for(now).is_zero();
+    let wait = |it: &Arc<Upstream>| held_back_for(it, now).unwrap_or_default();
+    near.filter(has_said).map(wait).min()
 }
 
 /// Prices the upstreams of this region that a choice is made among.
@@ -140,7 +155,6 @@
     hold: Duration,
     now: MonoTime,
 ) -> UpstreamFacts<'a> {
-    let bound_rate = upstream.bound_rate(now);
     let pace = *upstream.pace.lock();
     let move_cost = match upstream.identity.data_centre == shared.settings.data_centre {
         true => 0.0,
@@ -161,7 +175,7 @@
         move_cost,
         held_tokens,
         is_suspect: upstream.health.lock().is_ejected(now),
-        is_held_back: bound_rate.is_some_and(|rate| !upstream.pacer.lock().is_free(rate, now)),
+        is_held_back: held_back_for(upstream, now).is_some(),
         is_tried: tried.upstreams.contains(upstream.name()),
     }
 }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use foldhaven_core::health::TargetHealth;
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, UpstreamBirth, UpstreamName};
@@ -50,6 +51,8 @@
     heard: AtomicU64,
     /// Until when it is cold.
     cold_until: AtomicU64,
+    /// Until when it wants nothing from this VM.
+    rests_until: AtomicU64,
     /// Whether it has said that it leaves.
     is_leaving: AtomicBool,
     /// Whether it names a limit.
@@ -103,6 +106,7 @@
             is_probed: AtomicBool::new(false),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
+            rests_until: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
             part_rate: AtomicU64::new(0),
@@ -125,6 +129,18 @@
         now.0 < self.cold_until.load(Ordering::Relaxed)
     }
 
+    /// Takes in until when it wants nothing from this VM; an earlier word for longer stands. Returns whether it rested not
+    /// yet.
+    pub fn rest_until(&self, until: MonoTime, now: MonoTime) -> bool {
+        let before = self.rests_until.fetch_max(until.0, Ordering::Relaxed);
+        before <= now.0
+    }
+
+    /// For how much longer it wants nothing from this VM.
+    pub fn rests_for(&self, now: MonoTime) -> Duration {
+        MonoTime(self.rests_until.load(Ordering::Relaxed)).since(now)
+    }
+
     /// Takes in that it has said that it leaves.
     pub fn set_leaving(&self) {
         self.is_leaving.store(true, Ordering::Relaxed);
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -1,17 +1,23 @@
 //! Reads what an upstream says of itself in its answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use foldhaven_core::opaque::upstream_words::AnswerMoment;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
-use http::HeaderValue;
+use http::header::RETRY_AFTER;
 use http::response::Parts;
+use http::{HeaderValue, StatusCode};
 
 use crate::call::HeadListener;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
+/// The longest rest that is given. One that lives on for longer is asked again.
+const LONGEST_REST: Duration = Duration::from_secs(600);
+/// By up to this share of it a rest is longer than asked for.
+const REST_SPREAD: f64 = 0.15;
 /// What an upstream sets that leaves.
 const IS_LEAVING: &str = "1";
 
@@ -49,6 +55,36 @@
         is_leaving
     }
 
+    /// The rest that an upstream asks for that turns a request away.
+    fn rest(&self, head: &Parts) -> Option<Duration> {
+        if head.status != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
+        let value = head.headers.get(RETRY_AFTER)?;
+        let rest = read_span(value);
+        if rest.is_none() {
+            self.note_unreadable(RETRY_AFTER.as_str(), value);
+        }
+        rest
+    }
+
+    /// Gives the upstream its rest. VMs that were turned away at one moment come back at different ones.
+    fn note_rest(&self, rest: Duration) {
+        let span = rest.min(LONGEST_REST).mul_f64(1.0 + REST_SPREAD * rand::random::<f64>());
+        let is_new = self.upstream.rest_until(self.shared.now() + span, self.shared.now());
+        self.shared.metrics.count_event("upstream_rest_asked");
+        if is_new && self.shared.quota.take(false) {
+            tracing::info!(
+                upstream = %self.upstream.name(),
+                birth = self.upstream.identity.birth.0,
+                asked_ms = rest.as_millis() as u64,
+                given_ms = span.as_millis() as u64,
+                requests = self.upstream.load.share().in_flight,
+                "an upstream asks this VM for a rest"
+            );
+        }
+    }
+
     fn rate_limit(&self, head: &Parts) -> Option<RequestRate> {
         let name = &self.shared.names.rate_limit;
         let value = head.headers.get(name)?;
@@ -65,6 +101,9 @@
         let moment = AnswerMoment { sent: self.sent, heard: self.shared.now() };
         let limit = self.rate_limit(head);
         self.shared.limits.note_answer(&self.shared, &self.upstream, limit, moment);
+        if let Some(rest) = self.rest(head) {
+            self.note_rest(rest);
+        }
         if self.is_leaving(head) {
             self.shared.leavers.note_answer(&self.shared, &self.upstream);
         }
@@ -77,6 +116,13 @@
     RequestRate::of_per_s(per_s).ok()
 }
 
+/// Reads a span as upstreams write it: a number of seconds. A date is none: clocks differ.
+fn read_span(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let is_span = seconds.is_finite() && seconds >= 0.0;
+    is_span.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Hears nothing.
 pub struct DeafListener;
 
