What another process at an upstream's address says in a 421 is not the word of the upstream

Found by reading the new listener: an address is used again, and an upstream that was meant would have been left out, or kept to a limit, by the word of its successor. Test red before (leaving, 1req/s), green now.

--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -98,6 +98,10 @@
 
 impl HeadListener for UpstreamListener {
     fn hear(&self, head: &Parts) {
+        // Another process has the address now.
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
         let moment = AnswerMoment { sent: self.sent, heard: self.shared.now() };
         let limit = self.rate_limit(head);
         self.shared.limits.note_answer(&self.shared, &self.upstream, limit, moment);
