--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -129,8 +129,8 @@
         now.0 < self.cold_until.load(Ordering::Relaxed)
     }
 
-    /// Takes in until when it wants nothing from this VM; an earlier word for longer stands. Returns whether it rested not
-    /// yet.
+    /// Takes in until when it wants nothing from this VM; an earlier word for longer stands. Returns whether it did not rest
+    /// before.
     pub fn rest_until(&self, until: MonoTime, now: MonoTime) -> bool {
         let before = self.rests_until.fetch_max(until.0, Ordering::Relaxed);
         before <= now.0
