--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -59,6 +59,11 @@
     }
 }
 
+/// The shortest time after which callers come back whose upstreams want nothing more for now.
+const SHORTEST_HELD_BACK: Duration = Duration::from_millis(250);
+/// By how much they are spread.
+const HELD_BACK_SPREAD: Duration = Duration::from_millis(500);
+
 /// An answer.
 pub type Answer = Response<AnswerBody>;
 
@@ -183,9 +188,11 @@
         let shortest = match self {
             Self::NoDescription | Self::Behind | Self::NoUpstream => Duration::from_millis(400),
             Self::Full => Duration::from_millis(250),
-            Self::HeldBack { wait } | Self::Overloaded { wait, .. } => {
-                wait.max(Duration::from_millis(250))
+            // The time is known, so that callers are spread a little only.
+            Self::HeldBack { wait } => {
+                return Some(wait.max(SHORTEST_HELD_BACK) + HELD_BACK_SPREAD.mul_f64(draw));
             }
+            Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
             Self::Suspect { wait } | Self::OverLimit { wait } => wait,
             Self::NoHome => NO_HOME_PAUSE,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
