--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -94,6 +94,8 @@
     across_turn: usize,
     /// The same for far VMs.
     far_turn: usize,
+    /// The same for what is told again beside heartbeats.
+    told_turn: usize,
     /// The same for the pulses that go with them.
     pulse_turn: usize,
     /// The heartbeats of which others were told last.
@@ -128,6 +130,7 @@
             near_turn: turn,
             across_turn: turn,
             far_turn: turn,
+            told_turn: turn,
             pulse_turn: turn,
             told: HashMap::new(),
             rounds: 0,
--- a/crates/foldhaven-core/src/opaque/peer_table/targets.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/targets.rs
@@ -45,6 +45,19 @@
         BeatTargets { near, far: self.next_far_targets(now) }
     }
 
+    /// The VMs that are told again in a round of something that may have been lost: a few of this region in turn, and of the
+    /// other regions one each from a delegate. Their turn is not the one of heartbeats: of two that take turns in one, each
+    /// might always meet the same VMs.
+    pub fn next_told_targets(&mut self, now: MonoTime) -> BeatTargets {
+        let near = self.addresses_of(|region, own| region == own);
+        let near = take_in_turn(&near, FAN_OUT, &mut self.told_turn);
+        let far = match self.is_delegate(now) {
+            true => self.one_of_each_region_at(self.told_turn),
+            false => Vec::new(),
+        };
+        BeatTargets { near, far }
+    }
+
     fn next_far_targets(&mut self, now: MonoTime) -> Vec<SocketAddr> {
         if self.is_delegate(now) {
             return self.one_of_each_region();
@@ -59,13 +72,17 @@
 
     /// One VM of each other region, another one each time.
     pub fn one_of_each_region(&mut self) -> Vec<SocketAddr> {
+        self.far_turn += 1;
+        self.one_of_each_region_at(self.far_turn)
+    }
+
+    fn one_of_each_region_at(&self, turn: usize) -> Vec<SocketAddr> {
         let far = self.peers.values().filter(|entry| entry.beat.region != self.region);
         let mut regions: BTreeMap<&RegionName, Vec<SocketAddr>> = BTreeMap::new();
         for entry in far {
             regions.entry(&entry.beat.region).or_default().push(entry.beat.peer);
         }
-        self.far_turn += 1;
-        regions.into_values().map(|peers| peers[self.far_turn % peers.len()]).collect()
+        regions.into_values().map(|peers| peers[turn % peers.len()]).collect()
     }
 
     /// One VM of each other region that takes requests there, another one each time: it hears and tells the
--- a/crates/foldhaven-core/tests/testsuite/opaque_heartbeats.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_heartbeats.rs
@@ -1,6 +1,6 @@
 //! Whom heartbeats go to, and what goes with them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use foldhaven_core::ids::IncarnationId;
@@ -141,3 +141,22 @@
     let looks = ROUNDS as usize * NEAR * (NEAR - 1);
     assert!(missed * 10_000 < looks, "{missed} of {looks} looks missed a VM");
 }
+
+/// Guards against a VM that gets no heartbeats for as long as something else is told again and again: both took the VMs of
+/// one turn, so that of eight the same four got heartbeats.
+#[test]
+fn every_vm_gets_its_heartbeats_while_others_are_told_again() {
+    const OTHERS: usize = 8;
+    let mut table = table_of("vm-0", 1);
+    for number in 1..=OTHERS {
+        table.hear(beat(&format!("vm-{number}"), "north", 1), at(0));
+    }
+    for _ in 0..6 {
+        let (mut beats, mut told) = (BTreeSet::new(), BTreeSet::new());
+        for _ in 0..2 {
+            beats.extend(table.next_targets(at(0)).near);
+            told.extend(table.next_told_targets(at(0)).near);
+        }
+        assert_eq!((beats.len(), told.len()), (OTHERS, OTHERS));
+    }
+}
--- a/crates/foldhaven-gateway/src/keeper/suspect_targets.rs
+++ b/crates/foldhaven-gateway/src/keeper/suspect_targets.rs
@@ -39,7 +39,7 @@
     async fn handle(&mut self, plan: PlanSuspectTargets, _: &mut Context<Self>) -> SuspectTargets {
         let now = self.now();
         if plan.occasion == TellOccasion::Repeat {
-            let BeatTargets { near, far } = self.peers.next_targets(now);
+            let BeatTargets { near, far } = self.peers.next_told_targets(now);
             return SuspectTargets { near, far };
         }
         let mut far = Vec::new();
--- a/crates/foldhaven-gateway/src/keeper/upstream_words.rs
+++ b/crates/foldhaven-gateway/src/keeper/upstream_words.rs
@@ -3,16 +3,12 @@
 use std::net::SocketAddr;
 
 use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
-use rand::seq::IndexedRandom;
 use xtra::{Context, Handler};
 
 use super::{ControlKeeper, TellOccasion};
 use crate::leaving_desk::note_leaving;
 use crate::limit_desk::note_change;
 
-/// How many VMs are told again in a round.
-const REPEATED_TO: usize = 4;
-
 /// Another VM of the region told of limits.
 pub struct HearLimits {
     pub limits: Vec<ToldLimit>,
@@ -74,19 +70,12 @@
                 self.share_rates(now);
                 self.near_peers()
             }
-            TellOccasion::Repeat => self.drawn_peers(),
+            TellOccasion::Repeat => self.peers.next_told_targets(now).near,
         }
     }
 }
 
 impl ControlKeeper {
-    /// A few VMs of this region. They are drawn, since whoever took them in the turn of heartbeats would leave the same
-    /// VMs without these.
-    fn drawn_peers(&self) -> Vec<SocketAddr> {
-        let near = self.near_peers();
-        near.choose_multiple(&mut rand::rng(), REPEATED_TO).copied().collect()
-    }
-
     /// Forgets what upstreams said that are gone.
     pub(super) fn forget_words(&self) {
         let is_listed = |tag| self.by_tag.contains_key(&tag);
