Names of the field for what upstreams signal: rate limits, leaving and back-off

Words, rests and what is said become signals, back-offs and notices, in code, tests, logs and metrics; the tests keep their checks. No change of behaviour.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -35,5 +35,5 @@
 pub mod sender_pact;
 pub mod service_order;
 pub mod suspects;
+pub mod upstream_signals;
 pub mod upstream_table;
-pub mod upstream_words;
--- a/crates/foldhaven-core/src/opaque/upstream_words.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_signals.rs
@@ -25,7 +25,7 @@
 
 /// The limit of one upstream, as a VM tells others of it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct ToldLimit {
+pub struct LimitNotice {
     /// The upstream, in one of its process lifetimes.
     pub upstream: UpstreamTag,
     /// The requests a second that it takes from all VMs together; nothing when it names no limit any more.
@@ -36,7 +36,7 @@
 
 /// An upstream that leaves, as a VM tells others of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLeaving {
+pub struct LeavingNotice {
     /// The upstream, in one of its process lifetimes.
     pub upstream: UpstreamTag,
     /// How many milliseconds ago the newest answer came that says so.
@@ -45,72 +45,72 @@
 
 /// The process lifetimes of upstreams that have said that they leave. None takes that back: a later process has another tag.
 #[derive(Debug, Default)]
-pub struct LeavingWords {
-    words: BTreeMap<UpstreamTag, LeavingWord>,
+pub struct LeavingUpstreams {
+    entries: BTreeMap<UpstreamTag, LeavingEntry>,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct LeavingWord {
+struct LeavingEntry {
     /// When the newest answer came that says so.
     said: MonoTime,
     /// Whether other VMs are still to be told.
     is_news: bool,
 }
 
-impl LeavingWords {
+impl LeavingUpstreams {
     /// Takes in an answer that says so. Returns whether it is news.
     pub fn note_answer(&mut self, upstream: UpstreamTag, now: MonoTime) -> bool {
         self.put(upstream, true, now)
     }
 
     /// Takes in what another VM tells. Returns whether it is news.
-    pub fn hear(&mut self, told: &ToldLeaving, now: MonoTime) -> bool {
+    pub fn hear(&mut self, told: &LeavingNotice, now: MonoTime) -> bool {
         self.put(told.upstream, false, now - Duration::from_millis(told.age_ms.into()))
     }
 
     fn put(&mut self, upstream: UpstreamTag, is_own: bool, said: MonoTime) -> bool {
-        let held = self.words.get(&upstream).copied();
+        let held = self.entries.get(&upstream).copied();
         // What another VM has told needs not be told by this one.
         let is_news = is_own && held.is_none_or(|held| held.is_news);
         let said = held.map_or(said, |held| held.said.max(said));
-        self.words.insert(upstream, LeavingWord { said, is_news });
+        self.entries.insert(upstream, LeavingEntry { said, is_news });
         held.is_none()
     }
 
     /// Whether an upstream has said so.
     pub fn has_said(&self, upstream: UpstreamTag) -> bool {
-        self.words.contains_key(&upstream)
+        self.entries.contains_key(&upstream)
     }
 
     /// Whether anything is held.
     pub fn is_empty(&self) -> bool {
-        self.words.is_empty()
+        self.entries.is_empty()
     }
 
     /// How many have said so.
     pub fn count(&self) -> usize {
-        self.words.len()
+        self.entries.len()
     }
 
     /// What others are still to be told; it counts as told from then on.
-    pub fn take_news(&mut self, now: MonoTime) -> Vec<ToldLeaving> {
-        let news = self.words.iter_mut().filter(|(_, word)| word.is_news);
-        let told = news.map(|(upstream, word)| {
-            word.is_news = false;
-            word.told(*upstream, now)
+    pub fn take_news(&mut self, now: MonoTime) -> Vec<LeavingNotice> {
+        let news = self.entries.iter_mut().filter(|(_, entry)| entry.is_news);
+        let told = news.map(|(upstream, entry)| {
+            entry.is_news = false;
+            entry.told(*upstream, now)
         });
         told.collect()
     }
 
     /// All that is held, for VMs that have missed news of it.
-    pub fn all(&self, now: MonoTime) -> Vec<ToldLeaving> {
-        self.words.iter().map(|(upstream, word)| word.told(*upstream, now)).collect()
+    pub fn all(&self, now: MonoTime) -> Vec<LeavingNotice> {
+        self.entries.iter().map(|(upstream, entry)| entry.told(*upstream, now)).collect()
     }
 
     /// Forgets upstreams that are gone. One that is listed again soon is the same process.
     pub fn forget(&mut self, is_listed: impl Fn(UpstreamTag) -> bool, now: MonoTime) {
-        self.words.retain(|upstream, word| {
-            is_listed(*upstream) || now.since(word.said) < UNLISTED_MEMORY
+        self.entries.retain(|upstream, entry| {
+            is_listed(*upstream) || now.since(entry.said) < UNLISTED_MEMORY
         });
     }
 }
@@ -127,7 +127,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct LimitWord {
+struct RateLimitEntry {
     limit: Option<RequestRate>,
     /// When the newest answer came that says so.
     said: MonoTime,
@@ -137,11 +137,11 @@
 
 /// The limits that upstreams name, each for one process lifetime.
 #[derive(Debug, Default)]
-pub struct LimitWords {
-    words: BTreeMap<UpstreamTag, LimitWord>,
+pub struct RateLimits {
+    entries: BTreeMap<UpstreamTag, RateLimitEntry>,
 }
 
-impl LimitWords {
+impl RateLimits {
     /// Takes in the limit that an answer names, or that it names none.
     ///
     /// An answer without a limit ends one only if its request was sent after the limit was heard: answers on several
@@ -152,7 +152,7 @@
         limit: Option<RequestRate>,
         moment: AnswerMoment,
     ) -> Option<LimitChange> {
-        let held = self.words.get(&upstream);
+        let held = self.entries.get(&upstream);
         let is_newer = match (held, limit) {
             (None, None) => false,
             (None, Some(_)) => true,
@@ -163,13 +163,13 @@
     }
 
     /// Takes in what another VM tells. A rate that is no number of at least zero is dropped.
-    pub fn hear(&mut self, told: &ToldLimit, now: MonoTime) -> Option<LimitChange> {
+    pub fn hear(&mut self, told: &LimitNotice, now: MonoTime) -> Option<LimitChange> {
         let limit = match told.per_s {
             Some(per_s) => Some(RequestRate::of_per_s(per_s).ok()?),
             None => None,
         };
         let said = now - Duration::from_millis(told.age_ms.into());
-        match self.words.get_mut(&told.upstream) {
+        match self.entries.get_mut(&told.upstream) {
             None if limit.is_none() => None,
             Some(held) if said <= held.said => {
                 // Others know it as well.
@@ -187,68 +187,68 @@
         said: MonoTime,
         is_own: bool,
     ) -> Option<LimitChange> {
-        let held = self.words.get(&upstream).copied();
+        let held = self.entries.get(&upstream).copied();
         let before = held.and_then(|held| held.limit);
         let has_changed = before != limit;
         let was_news = held.is_some_and(|held| held.is_news);
         let is_news = is_own && (has_changed || was_news);
-        self.words.insert(upstream, LimitWord { limit, said, is_news });
+        self.entries.insert(upstream, RateLimitEntry { limit, said, is_news });
         has_changed.then_some(LimitChange { upstream, before, now: limit })
     }
 
     /// The limit of an upstream.
     pub fn limit(&self, upstream: UpstreamTag) -> Option<RequestRate> {
-        self.words.get(&upstream)?.limit
+        self.entries.get(&upstream)?.limit
     }
 
     /// Whether anything is held.
     pub fn is_empty(&self) -> bool {
-        self.words.is_empty()
+        self.entries.is_empty()
     }
 
     /// How many upstreams name a limit.
     pub fn count(&self) -> usize {
-        self.words.values().filter(|word| word.limit.is_some()).count()
+        self.entries.values().filter(|entry| entry.limit.is_some()).count()
     }
 
     /// What others are still to be told; it counts as told from then on.
-    pub fn take_news(&mut self, now: MonoTime) -> Vec<ToldLimit> {
-        let news = self.words.iter_mut().filter(|(_, word)| word.is_news);
-        let told = news.map(|(upstream, word)| {
-            word.is_news = false;
-            word.told(*upstream, now)
+    pub fn take_news(&mut self, now: MonoTime) -> Vec<LimitNotice> {
+        let news = self.entries.iter_mut().filter(|(_, entry)| entry.is_news);
+        let told = news.map(|(upstream, entry)| {
+            entry.is_news = false;
+            entry.told(*upstream, now)
         });
         told.collect()
     }
 
     /// All that is held, for VMs that have missed news of it.
-    pub fn all(&self, now: MonoTime) -> Vec<ToldLimit> {
-        self.words.iter().map(|(upstream, word)| word.told(*upstream, now)).collect()
+    pub fn all(&self, now: MonoTime) -> Vec<LimitNotice> {
+        self.entries.iter().map(|(upstream, entry)| entry.told(*upstream, now)).collect()
     }
 
     /// Forgets limits that have ended, and those of upstreams that are gone.
     pub fn forget(&mut self, is_listed: impl Fn(UpstreamTag) -> bool, now: MonoTime) {
-        self.words.retain(|upstream, word| {
-            let memory = match (word.limit, is_listed(*upstream)) {
+        self.entries.retain(|upstream, entry| {
+            let memory = match (entry.limit, is_listed(*upstream)) {
                 (None, _) => END_MEMORY,
                 (Some(_), false) => UNLISTED_MEMORY,
                 (Some(_), true) => return true,
             };
-            now.since(word.said) < memory
+            now.since(entry.said) < memory
         });
     }
 }
 
-impl LimitWord {
-    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> ToldLimit {
+impl RateLimitEntry {
+    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> LimitNotice {
         let per_s = self.limit.map(RequestRate::per_s);
-        ToldLimit { upstream, per_s, age_ms: told_age(self.said, now) }
+        LimitNotice { upstream, per_s, age_ms: told_age(self.said, now) }
     }
 }
 
-impl LeavingWord {
-    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> ToldLeaving {
-        ToldLeaving { upstream, age_ms: told_age(self.said, now) }
+impl LeavingEntry {
+    fn told(&self, upstream: UpstreamTag, now: MonoTime) -> LeavingNotice {
+        LeavingNotice { upstream, age_ms: told_age(self.said, now) }
     }
 }
 
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -30,10 +30,10 @@
 use crate::reload::follow_settings;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
+use crate::signal_news::tell_signals;
 use crate::stop::stop_when_told;
 use crate::suspect_news::tell_suspects;
 use crate::warm_links::keep_links_warm;
-use crate::word_news::tell_words;
 
 /// How often the control state is looked over.
 const TICK: Duration = Duration::from_millis(250);
@@ -159,7 +159,7 @@
     tokio::spawn(send_reports(socket.clone(), address.clone()));
     tokio::spawn(tell_suspects(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_pacts(socket.clone(), address.clone(), is_rate_used));
-    tokio::spawn(tell_words(socket.clone(), address.clone(), shared.clone()));
+    tokio::spawn(tell_signals(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -12,7 +12,7 @@
 mod region_waits;
 mod suspect_targets;
 mod traffic_view;
-mod upstream_words;
+mod upstream_signals;
 mod waking;
 
 use std::collections::HashMap;
@@ -48,7 +48,7 @@
 pub use self::peer_changes::{HearChanges, HearEarly, OfferSnapshot, TakeChanges};
 pub use self::rate_parts::{HearPact, PlanPact};
 pub use self::suspect_targets::{PlanSuspectTargets, SuspectTargets, TellOccasion};
-pub use self::upstream_words::{HearLeavers, HearLimits, PlanWordTargets};
+pub use self::upstream_signals::{HearLeavers, HearLimits, PlanSignalTargets};
 use crate::demand_meter::DemandMeter;
 use crate::feed::FeedTurn;
 use crate::known::{PlatformKnowledge, StateOffer};
@@ -306,7 +306,7 @@
         let peers = &self.peers;
         self.pact.keep_only(|vm| peers.address_of(vm).is_some());
         self.shared.suspects.forget(&self.shared.change_context());
-        self.forget_words();
+        self.forget_signals();
         self.note_growth();
         self.note_told_outage();
         self.note_progress();
--- a/crates/foldhaven-gateway/src/keeper/region_waits.rs
+++ b/crates/foldhaven-gateway/src/keeper/region_waits.rs
@@ -23,7 +23,7 @@
         let own_region = self.shared.settings.region();
         let near = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         let is_open = |it: &&Arc<Upstream>| {
-            let is_welcome = it.rests_for(now).is_zero() && !it.is_leaving();
+            let is_welcome = it.backoff_left(now).is_zero() && !it.is_leaving();
             is_welcome && it.bound_rate(now).is_none() && !it.health.lock().is_ejected(now)
         };
         let open = near.filter(is_open);
--- a/crates/foldhaven-gateway/src/keeper/upstream_words.rs
+++ b/crates/foldhaven-gateway/src/keeper/upstream_signals.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
+use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use xtra::{Context, Handler};
 
 use super::{ControlKeeper, TellOccasion};
@@ -11,7 +11,7 @@
 
 /// Another VM of the region told of limits.
 pub struct HearLimits {
-    pub limits: Vec<ToldLimit>,
+    pub limits: Vec<LimitNotice>,
 }
 
 impl Handler<HearLimits> for ControlKeeper {
@@ -36,7 +36,7 @@
 
 /// Another VM of the region told of upstreams that leave.
 pub struct HearLeavers {
-    pub leavers: Vec<ToldLeaving>,
+    pub leavers: Vec<LeavingNotice>,
 }
 
 impl Handler<HearLeavers> for ControlKeeper {
@@ -56,14 +56,14 @@
 }
 
 /// Puts in force what this VM has heard, and asks whom to tell of it.
-pub struct PlanWordTargets {
+pub struct PlanSignalTargets {
     pub occasion: TellOccasion,
 }
 
-impl Handler<PlanWordTargets> for ControlKeeper {
+impl Handler<PlanSignalTargets> for ControlKeeper {
     type Return = Vec<SocketAddr>;
 
-    async fn handle(&mut self, plan: PlanWordTargets, _: &mut Context<Self>) -> Vec<SocketAddr> {
+    async fn handle(&mut self, plan: PlanSignalTargets, _: &mut Context<Self>) -> Vec<SocketAddr> {
         let now = self.now();
         match plan.occasion {
             TellOccasion::News => {
@@ -77,7 +77,7 @@
 
 impl ControlKeeper {
     /// Forgets what upstreams said that are gone.
-    pub(super) fn forget_words(&self) {
+    pub(super) fn forget_signals(&self) {
         let is_listed = |tag| self.by_tag.contains_key(&tag);
         self.shared.limits.forget(is_listed, &self.shared);
         self.shared.leavers.forget(is_listed, &self.shared);
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod reload;
 pub mod settings;
 mod shared;
+mod signal_news;
 mod stop;
 mod suspect_news;
 mod suspects;
@@ -47,6 +48,5 @@
 mod view;
 mod wake;
 mod warm_links;
-mod word_news;
 
 pub use self::daemon::{DaemonError, GatewayParts, run_gateway};
--- a/crates/foldhaven-gateway/src/limit_desk.rs
+++ b/crates/foldhaven-gateway/src/limit_desk.rs
@@ -1,7 +1,9 @@
 //! The limits that upstreams name in their answers, shared by both threads, with a log line for each change.
 
 use foldhaven_core::opaque::affinity::UpstreamTag;
-use foldhaven_core::opaque::upstream_words::{AnswerMoment, LimitChange, LimitWords, ToldLimit};
+use foldhaven_core::opaque::upstream_signals::{
+    AnswerMoment, LimitChange, LimitNotice, RateLimits,
+};
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
 use parking_lot::Mutex;
@@ -13,7 +15,7 @@
 /// The limits.
 #[derive(Default)]
 pub struct LimitDesk {
-    words: Mutex<LimitWords>,
+    limits: Mutex<RateLimits>,
     /// Told when there is something to tell other VMs.
     news: Notify,
 }
@@ -27,25 +29,25 @@
         limit: Option<RequestRate>,
         moment: AnswerMoment,
     ) {
-        let mut words = self.words.lock();
-        let change = words.note_answer(upstream.tag, limit, moment);
+        let mut limits = self.limits.lock();
+        let change = limits.note_answer(upstream.tag, limit, moment);
         let Some(change) = change else { return };
         upstream.set_limited(change.now.is_some());
-        shared.metrics.set_level("limited_upstreams", words.count() as u64);
-        drop(words);
+        shared.metrics.set_level("limited_upstreams", limits.count() as u64);
+        drop(limits);
         self.news.notify_one();
         note_change(shared, upstream, &change, "answer");
     }
 
     /// Takes in what another VM tells. Returns what has changed.
-    pub fn hear(&self, told: &ToldLimit, now: MonoTime) -> Option<LimitChange> {
-        self.words.lock().hear(told, now)
+    pub fn hear(&self, told: &LimitNotice, now: MonoTime) -> Option<LimitChange> {
+        self.limits.lock().hear(told, now)
     }
 
     /// Has an upstream kept to its limit, or to none any more.
     pub fn apply(&self, upstream: &Upstream) {
-        let words = self.words.lock();
-        upstream.set_limited(words.limit(upstream.tag).is_some());
+        let limits = self.limits.lock();
+        upstream.set_limited(limits.limit(upstream.tag).is_some());
     }
 
     /// Waits until there may be something to tell.
@@ -54,27 +56,27 @@
     }
 
     /// What is to be told at once.
-    pub fn take_news(&self, now: MonoTime) -> Vec<ToldLimit> {
-        self.words.lock().take_news(now)
+    pub fn take_news(&self, now: MonoTime) -> Vec<LimitNotice> {
+        self.limits.lock().take_news(now)
     }
 
     /// What is told again and again.
-    pub fn all(&self, now: MonoTime) -> Vec<ToldLimit> {
-        self.words.lock().all(now)
+    pub fn all(&self, now: MonoTime) -> Vec<LimitNotice> {
+        self.limits.lock().all(now)
     }
 
     /// Drops what is too old to count.
     pub fn forget(&self, is_listed: impl Fn(UpstreamTag) -> bool, shared: &GatewayShared) {
-        let mut words = self.words.lock();
-        if !words.is_empty() {
-            words.forget(is_listed, shared.now());
-            shared.metrics.set_level("limited_upstreams", words.count() as u64);
+        let mut limits = self.limits.lock();
+        if !limits.is_empty() {
+            limits.forget(is_listed, shared.now());
+            shared.metrics.set_level("limited_upstreams", limits.count() as u64);
         }
     }
 
     /// The limit of an upstream.
     pub fn limit(&self, upstream: &Upstream) -> Option<RequestRate> {
-        self.words.lock().limit(upstream.tag)
+        self.limits.lock().limit(upstream.tag)
     }
 }
 
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -14,7 +14,7 @@
 use foldhaven_core::opaque::region_book::RegionReport;
 use foldhaven_core::opaque::sender_pact::PactNotice;
 use foldhaven_core::opaque::suspects::SuspectRecord;
-use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
+use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::peer_codec;
@@ -62,9 +62,9 @@
     /// The same for a whole other region.
     RegionDemand(RegionDemand),
     /// The limits that upstreams of the region name.
-    Limits(Vec<ToldLimit>),
+    Limits(Vec<LimitNotice>),
     /// Upstreams of the region that have said that they leave.
-    Leavers(Vec<ToldLeaving>),
+    Leavers(Vec<LeavingNotice>),
 }
 
 impl PeerMessage {
--- a/crates/foldhaven-gateway/src/places/mod.rs
+++ b/crates/foldhaven-gateway/src/places/mod.rs
@@ -16,7 +16,7 @@
 
 use self::far::{FarChoice, choose_far};
 pub use self::near::expected_wait;
-use self::near::{NearChoice, choose_near, has_open, said_wait};
+use self::near::{NearChoice, choose_near, has_open, signalled_wait};
 pub use self::overview::{describe_places, price_places};
 use crate::answer::Refusal;
 use crate::call::{CallTarget, HeadListener};
@@ -164,12 +164,12 @@
         *service == job.service && region != own_region && job.permits(region)
     });
     let is_open = is_elsewhere || has_open(shared, view, job);
-    if is_open { None } else { said_wait(shared, view, job) }
+    if is_open { None } else { signalled_wait(shared, view, job) }
 }
 
 /// Why no place takes a request.
 fn without_place(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> Refusal {
-    match said_wait(shared, view, job).filter(|_| job.permits(shared.settings.region())) {
+    match signalled_wait(shared, view, job).filter(|_| job.permits(shared.settings.region())) {
         Some(wait) => Refusal::HeldBack { wait },
         None => Refusal::NoUpstream,
     }
--- a/crates/foldhaven-gateway/src/places/near.rs
+++ b/crates/foldhaven-gateway/src/places/near.rs
@@ -80,14 +80,14 @@
     Some(NearChoice { upstream: near[choice.at].clone(), choice, fetch_from })
 }
 
-/// For how much longer an upstream gets nothing from this VM: it rests, or this VM's part of its rate is used up.
+/// For how much longer an upstream gets nothing from this VM: it asked this VM to back off, or this VM's part of its rate is used up.
 fn held_back_for(upstream: &Upstream, now: MonoTime) -> Option<Duration> {
-    let rest = upstream.rests_for(now);
+    let backoff = upstream.backoff_left(now);
     let part = upstream.bound_rate(now).map_or(Duration::ZERO, |rate| {
         let pacer = *upstream.pacer.lock();
         pacer.wait(rate, now).unwrap_or(PARTLESS_WAIT)
     });
-    Some(rest.max(part)).filter(|wait| !wait.is_zero())
+    Some(backoff.max(part)).filter(|wait| !wait.is_zero())
 }
 
 /// Whether an upstream of this region may get a request now.
@@ -97,16 +97,16 @@
     near.any(|upstream| held_back_for(upstream, now).is_none())
 }
 
-/// The shortest time until an upstream of this region that rests or names a limit may get a request of this VM; nothing
+/// The shortest time until an upstream of this region that asked for a back-off or names a limit may get a request of this VM; nothing
 /// where none does.
-pub(super) fn said_wait(
+pub(super) fn signalled_wait(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
 ) -> Option<Duration> {
     let now = shared.now();
     let near = near_upstreams(shared, view, job).into_iter();
-    let has_said = |it: &&Arc<Upstream>| it.is_limited() || !it.rests_for(now).is_zero();
+    let has_said = |it: &&Arc<Upstream>| it.is_limited() || !it.backoff_left(now).is_zero();
     let wait = |it: &Arc<Upstream>| held_back_for(it, now).unwrap_or_default();
     near.filter(has_said).map(wait).min()
 }
--- a/crates/foldhaven-gateway/src/word_news.rs
+++ b/crates/foldhaven-gateway/src/signal_news.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
+use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::datagrams::send_to;
-use crate::keeper::{KeeperAddress, PlanWordTargets, TellOccasion};
+use crate::keeper::{KeeperAddress, PlanSignalTargets, TellOccasion};
 use crate::peer_message::PeerMessage;
 use crate::shared::GatewayShared;
 
@@ -22,12 +22,12 @@
 const MAX_TOLD: usize = 256;
 
 /// What VMs are told in one round.
-struct ToldWords {
-    limits: Vec<ToldLimit>,
-    leavers: Vec<ToldLeaving>,
+struct SignalBatch {
+    limits: Vec<LimitNotice>,
+    leavers: Vec<LeavingNotice>,
 }
 
-impl ToldWords {
+impl SignalBatch {
     fn is_empty(&self) -> bool {
         self.limits.is_empty() && self.leavers.is_empty()
     }
@@ -40,7 +40,11 @@
 }
 
 /// Tells until the control thread ends.
-pub async fn tell_words(socket: Arc<UdpSocket>, keeper: KeeperAddress, shared: Arc<GatewayShared>) {
+pub async fn tell_signals(
+    socket: Arc<UdpSocket>,
+    keeper: KeeperAddress,
+    shared: Arc<GatewayShared>,
+) {
     let mut next_round = Instant::now() + REPEAT_INTERVAL;
     loop {
         let told = tokio::select! {
@@ -62,12 +66,12 @@
     keeper: &KeeperAddress,
     shared: &GatewayShared,
 ) -> Result<(), xtra::Error> {
-    let targets = keeper.send(PlanWordTargets { occasion: TellOccasion::News }).await?;
+    let targets = keeper.send(PlanSignalTargets { occasion: TellOccasion::News }).await?;
     sleep(SHARED_PAUSE.mul_f64(rand::random())).await;
     let now = shared.now();
     let limits = shared.limits.take_news(now);
-    let words = ToldWords { limits, leavers: shared.leavers.take_news(now) };
-    send_words(socket, shared, &targets, &words).await;
+    let batch = SignalBatch { limits, leavers: shared.leavers.take_news(now) };
+    send_signals(socket, shared, &targets, &batch).await;
     Ok(())
 }
 
@@ -78,23 +82,23 @@
 ) -> Result<(), xtra::Error> {
     let now = shared.now();
     let limits = shared.limits.all(now);
-    let words = ToldWords { limits, leavers: shared.leavers.all(now) };
-    if words.is_empty() {
+    let batch = SignalBatch { limits, leavers: shared.leavers.all(now) };
+    if batch.is_empty() {
         return Ok(());
     }
-    let targets = keeper.send(PlanWordTargets { occasion: TellOccasion::Repeat }).await?;
-    send_words(socket, shared, &targets, &words).await;
+    let targets = keeper.send(PlanSignalTargets { occasion: TellOccasion::Repeat }).await?;
+    send_signals(socket, shared, &targets, &batch).await;
     Ok(())
 }
 
-async fn send_words(
+async fn send_signals(
     socket: &UdpSocket,
     shared: &GatewayShared,
     targets: &[SocketAddr],
-    words: &ToldWords,
+    batch: &SignalBatch,
 ) {
-    for message in words.messages() {
+    for message in batch.messages() {
         let bytes = send_to(socket, targets, &message).await;
-        shared.metrics.add_events("upstream_words_told_bytes", (bytes * targets.len()) as u64);
+        shared.metrics.add_events("upstream_signals_told_bytes", (bytes * targets.len()) as u64);
     }
 }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -51,8 +51,8 @@
     heard: AtomicU64,
     /// Until when it is cold.
     cold_until: AtomicU64,
-    /// Until when it wants nothing from this VM.
-    rests_until: AtomicU64,
+    /// Until when this VM is to back off.
+    backoff_until: AtomicU64,
     /// Whether it has said that it leaves.
     is_leaving: AtomicBool,
     /// Whether it names a limit.
@@ -106,7 +106,7 @@
             is_probed: AtomicBool::new(false),
             heard: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
-            rests_until: AtomicU64::new(0),
+            backoff_until: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
             part_rate: AtomicU64::new(0),
@@ -129,16 +129,16 @@
         now.0 < self.cold_until.load(Ordering::Relaxed)
     }
 
-    /// Takes in until when it wants nothing from this VM; an earlier word for longer stands. Returns whether it did not rest
+    /// Takes in until when this VM is to back off; a longer back-off that was asked for before stands. Returns whether it was not backing off
     /// before.
-    pub fn rest_until(&self, until: MonoTime, now: MonoTime) -> bool {
-        let before = self.rests_until.fetch_max(until.0, Ordering::Relaxed);
+    pub fn back_off_until(&self, until: MonoTime, now: MonoTime) -> bool {
+        let before = self.backoff_until.fetch_max(until.0, Ordering::Relaxed);
         before <= now.0
     }
 
-    /// For how much longer it wants nothing from this VM.
-    pub fn rests_for(&self, now: MonoTime) -> Duration {
-        MonoTime(self.rests_until.load(Ordering::Relaxed)).since(now)
+    /// For how much longer this VM is to back off.
+    pub fn backoff_left(&self, now: MonoTime) -> Duration {
+        MonoTime(self.backoff_until.load(Ordering::Relaxed)).since(now)
     }
 
     /// Takes in that it has said that it leaves.
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -1,9 +1,9 @@
-//! Reads what an upstream says of itself in its answers.
+//! Reads the signals in the answers of an upstream: its rate limit, that it leaves, and its back-off.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::opaque::upstream_words::AnswerMoment;
+use foldhaven_core::opaque::upstream_signals::AnswerMoment;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
 use http::header::RETRY_AFTER;
@@ -14,11 +14,11 @@
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
-/// The longest rest that is given. One that lives on for longer is asked again.
-const LONGEST_REST: Duration = Duration::from_secs(600);
-/// By up to this share of it a rest is longer than asked for.
-const REST_SPREAD: f64 = 0.15;
-/// What an upstream sets that leaves.
+/// The longest back-off. An upstream that asked for more is tried again after it.
+const MAX_BACKOFF: Duration = Duration::from_secs(600);
+/// A back-off is up to this share longer than asked for.
+const BACKOFF_JITTER: f64 = 0.15;
+/// The value that an upstream sets that leaves.
 const IS_LEAVING: &str = "1";
 
 /// Hears an upstream.
@@ -38,10 +38,10 @@
 
     /// Counts and logs a value that cannot be read; the answer counts as one without it.
     fn note_unreadable(&self, header: &str, value: &HeaderValue) {
-        self.shared.metrics.count_event("upstream_word_unreadable");
+        self.shared.metrics.count_event("upstream_signal_unreadable");
         if self.shared.quota.take(false) {
             let upstream = self.upstream.name();
-            tracing::warn!(%upstream, header, ?value, "an upstream says what cannot be read");
+            tracing::warn!(%upstream, header, ?value, "a header of an upstream cannot be parsed");
         }
     }
 
@@ -55,32 +55,32 @@
         is_leaving
     }
 
-    /// The rest that an upstream asks for that turns a request away.
-    fn rest(&self, head: &Parts) -> Option<Duration> {
+    /// The back-off that an upstream asks for as it turns a request away.
+    fn backoff(&self, head: &Parts) -> Option<Duration> {
         if head.status != StatusCode::SERVICE_UNAVAILABLE {
             return None;
         }
         let value = head.headers.get(RETRY_AFTER)?;
-        let rest = read_span(value);
-        if rest.is_none() {
+        let backoff = read_span(value);
+        if backoff.is_none() {
             self.note_unreadable(RETRY_AFTER.as_str(), value);
         }
-        rest
+        backoff
     }
 
-    /// Gives the upstream its rest. VMs that were turned away at one moment come back at different ones.
-    fn note_rest(&self, rest: Duration) {
-        let span = rest.min(LONGEST_REST).mul_f64(1.0 + REST_SPREAD * rand::random::<f64>());
-        let is_new = self.upstream.rest_until(self.shared.now() + span, self.shared.now());
-        self.shared.metrics.count_event("upstream_rest_asked");
+    /// Backs off. VMs that were turned away at one moment come back at different ones.
+    fn note_backoff(&self, asked: Duration) {
+        let span = asked.min(MAX_BACKOFF).mul_f64(1.0 + BACKOFF_JITTER * rand::random::<f64>());
+        let is_new = self.upstream.back_off_until(self.shared.now() + span, self.shared.now());
+        self.shared.metrics.count_event("upstream_backoff_asked");
         if is_new && self.shared.quota.take(false) {
             tracing::info!(
                 upstream = %self.upstream.name(),
                 birth = self.upstream.identity.birth.0,
-                asked_ms = rest.as_millis() as u64,
+                asked_ms = asked.as_millis() as u64,
                 given_ms = span.as_millis() as u64,
                 requests = self.upstream.load.share().in_flight,
-                "an upstream asks this VM for a rest"
+                "an upstream asks this VM to back off"
             );
         }
     }
@@ -105,8 +105,8 @@
         let moment = AnswerMoment { sent: self.sent, heard: self.shared.now() };
         let limit = self.rate_limit(head);
         self.shared.limits.note_answer(&self.shared, &self.upstream, limit, moment);
-        if let Some(rest) = self.rest(head) {
-            self.note_rest(rest);
+        if let Some(backoff) = self.backoff(head) {
+            self.note_backoff(backoff);
         }
         if self.is_leaving(head) {
             self.shared.leavers.note_answer(&self.shared, &self.upstream);
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -19,7 +19,7 @@
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_pact::{ListDigest, PactNotice, PactRound};
-use foldhaven_core::opaque::upstream_words::{ToldLeaving, ToldLimit};
+use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use foldhaven_core::units::CoreShare;
 use foldhaven_gateway::feed::{ChangeSet, CountedChange, FeedChange};
 use foldhaven_gateway::peer_message::{PeerMessage, SuspectTelling};
@@ -116,12 +116,12 @@
 }
 
 fn limits() -> PeerMessage {
-    let told = |upstream, per_s| ToldLimit { upstream: UpstreamTag(upstream), per_s, age_ms: 3 };
+    let told = |upstream, per_s| LimitNotice { upstream: UpstreamTag(upstream), per_s, age_ms: 3 };
     PeerMessage::Limits(vec![told(1, Some(2.5)), told(2, None)])
 }
 
 fn leavers() -> PeerMessage {
-    let told = |upstream| ToldLeaving { upstream: UpstreamTag(upstream), age_ms: 3 };
+    let told = |upstream| LeavingNotice { upstream: UpstreamTag(upstream), age_ms: 3 };
     PeerMessage::Leavers(vec![told(1), told(300)])
 }
 
