--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
@@ -37,6 +37,7 @@
 #[async_trait]
 impl FrontHandler for CallerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
+        let attempt = request.headers().get(&self.shared.names.attempt).cloned();
         match read_job(&self.shared, request).await {
             Ok(job) => {
                 self.shared.note_request(&job.service, job.size());
@@ -44,6 +45,7 @@
             }
             Err(refusal) => {
                 self.shared.metrics.count_event(refusal.label());
+                log_unread(&self.shared, attempt.as_ref(), refusal);
                 let mut answer = refusal.answer();
                 if matches!(refusal, Refusal::Malformed | Refusal::BodyTooLarge) {
                     // What follows on the connection may belong to the refused request.
@@ -60,6 +62,26 @@
     }
 }
 
+/// Logs why a request was refused before a place was looked for.
+fn log_unread(shared: &GatewayShared, attempt: Option<&HeaderValue>, refusal: Refusal) {
+    // Those over the limit of their account have a line of their own.
+    if matches!(refusal, Refusal::OverLimit { .. }) || !shared.quota.take(false) {
+        return;
+    }
+    let behind = shared.behind();
+    tracing::info!(
+        request = attempt.and_then(|id| id.to_str().ok()).unwrap_or("unreadable"),
+        refusal = refusal.label(),
+        status = refusal.status().as_u16(),
+        described_ms = shared.viewed_for().as_millis() as u64,
+        awake = shared.is_awake(),
+        belief_age_ms = shared.belief_age().as_millis() as u64,
+        behind_ms = behind.map(|it| shared.now().since(it.since).as_millis() as u64),
+        behind_near = behind.map(|it| it.is_near),
+        "refused before a place was looked for"
+    );
+}
+
 /// Reads a request of a caller.
 async fn read_job(
     shared: &GatewayShared,
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -173,6 +173,11 @@
         self.first_view.get().map_or(Duration::ZERO, BootInstant::elapsed)
     }
 
+    /// What is believed of others that know more.
+    pub fn behind(&self) -> Option<BehindBelief> {
+        *self.behind.lock()
+    }
+
     /// When and where a change of what is believed of a request is noted.
     pub fn change_context(&self) -> ChangeContext<'_> {
         ChangeContext { metrics: &self.metrics, now: self.now() }
--- a/crates/foldhavend/src/control/keeper/descriptions.rs
+++ b/crates/foldhavend/src/control/keeper/descriptions.rs
@@ -37,6 +37,7 @@
             Ok(index) => {
                 tracing::info!(stamp = %offered, peer = message.source, "description adopted");
                 self.index = Some(index);
+                self.adopted = self.now();
                 self.refused = None;
                 self.publish();
                 self.shared.exchange_now.notify_one();
@@ -58,6 +59,22 @@
     }
 }
 
+impl ControlKeeper {
+    /// Logs once for each description that no request waits any more that an older one placed.
+    pub(super) fn note_in_force(&mut self) {
+        let in_force = self.stamp_in_force();
+        if in_force.is_none() || in_force == self.logged_in_force || in_force != self.stamp() {
+            return;
+        }
+        self.logged_in_force = in_force;
+        tracing::info!(
+            stamp = in_force.map(|stamp| stamp.to_string()),
+            adopted_ms = self.now().since(self.adopted).as_millis() as u64,
+            "description in force"
+        );
+    }
+}
+
 impl Handler<ReadState> for ControlKeeper {
     type Return = ControlDigest;
 
--- a/crates/foldhavend/src/control/keeper/mod.rs
+++ b/crates/foldhavend/src/control/keeper/mod.rs
@@ -37,6 +37,10 @@
     pub(super) shared: Arc<SharedState>,
     pub(super) index: Option<Arc<DescriptionIndex>>,
     pub(super) refused: Option<String>,
+    /// When the description in `index` was adopted.
+    adopted: MonoTime,
+    /// The description that was logged last as in force for all requests.
+    logged_in_force: Option<DescriptionStamp>,
     pub(super) members: MemberTable,
     pub(super) list: Option<UpstreamList>,
     pub(super) loads: BTreeMap<UpstreamName, EngineView>,
@@ -68,6 +72,8 @@
             shared,
             index: None,
             refused: None,
+            adopted: started,
+            logged_in_force: None,
             members,
             list: None,
             loads: BTreeMap::new(),
@@ -388,6 +394,7 @@
         let now = self.now();
         self.members.forget_silent(now);
         self.publish();
+        self.note_in_force();
     }
 }
 
