A lack of engines is not said to be a lack of permission: 403 only where the description forbids

Cause: a receiver of a forwarded request that knew of no engine answered 'residency: not permitted, or not held, here'. A VM forgets an engine after two polls without an answer or 1.5 s without a report, and others learn of it with the next summary. The origin handed the peer's reason on as its own last word where it had no retry or no other place left.

With real daemons whose engines are killed the same answer comes each time: tests refusals::a_forwarded_request_is_not_forbidden_for_want_of_an_engine (403 in place of 503) and refusals::callers_are_not_forbidden_while_engines_are_lost_elsewhere (403 from east-1, at the caller), both red on the code before, both pass now.

Fix: UnplacedRequest (core, without I/O) says residency only where the description forbids every region that is meant, all at an origin and the own one at a receiver; a data centre that the description does not name is not forbidden. An origin takes residency and forward_path of a peer as said of that peer: no_upstream, with a time to come back.

The same fault elsewhere, mended: a service request whose permitted regions were not in reach (403), a request called back while other regions are permitted (403), forward_path (400) of a peer that had not got the sender's description in 0.7 s. The gateway has no refusal of the kind: without a place it answers 503, and rules out routes and keys only while its belief is young.

Property residency_is_said_only_where_the_description_forbids: drawn rules, homes, data centres known and unknown.

--- a/crates/foldhaven-core/src/refusal.rs
+++ b/crates/foldhaven-core/src/refusal.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// The reason that a caller is given when a peer refused its request for this one.
+    ///
+    /// Residency and the path are judged by the peer for its own data centre. They say nothing of other places.
+    pub fn of_peer(self) -> Self {
+        match self {
+            Self::Residency | Self::ForwardPath => Self::NoUpstream,
+            other => other,
+        }
+    }
+
     /// Whether asking again later, or elsewhere, may succeed without a change of the request.
     pub fn is_transient(self) -> bool {
         matches!(self.status(), 429 | 502 | 503)
--- a/crates/foldhaven-core/src/residency.rs
+++ b/crates/foldhaven-core/src/residency.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::description::{DescriptionStamp, ResidencyConfig};
+use crate::description::{DescriptionIndex, DescriptionStamp, ResidencyConfig};
 use crate::ids::{DataCentreName, RegionName};
+use crate::refusal::RefusalReason;
 
 /// A residency rule, ready for look-ups.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,51 @@
     }
 }
 
+/// Where a place is looked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceScope<'a> {
+    /// In every region, as the origin of a request does.
+    Anywhere,
+    /// In one data centre, as the receiver of a forwarded request does.
+    DataCentre(&'a DataCentreName),
+}
+
+/// A request for which no place was found.
+#[derive(Debug, Clone, Copy)]
+pub struct UnplacedRequest<'a> {
+    /// The residency rule that holds.
+    pub rule: &'a ResidencyRule,
+    /// The home of its account.
+    pub home: &'a RegionName,
+    /// Where a place was looked for.
+    pub scope: PlaceScope<'a>,
+}
+
+impl UnplacedRequest<'_> {
+    /// Whether the description forbids the request wherever a place was looked for. A data centre that it does not name
+    /// is not forbidden: this may be an old description.
+    pub fn is_forbidden(&self, index: &DescriptionIndex) -> bool {
+        let permits = |region: &RegionName| self.rule.permits(self.home, region);
+        match self.scope {
+            PlaceScope::Anywhere => {
+                !index.description.regions.iter().any(|region| permits(&region.name))
+            }
+            PlaceScope::DataCentre(centre) => {
+                index.region_of(centre).is_some_and(|region| !permits(region))
+            }
+        }
+    }
+
+    /// Why it is refused. [`RefusalReason::Residency`] tells a caller not to come back, so it is never given for a lack of
+    /// engines, instances or reports.
+    pub fn reason(&self, index: &DescriptionIndex) -> RefusalReason {
+        match self.is_forbidden(index) {
+            true => RefusalReason::Residency,
+            false => RefusalReason::NoUpstream,
+        }
+    }
+}
+
 /// What a forwarded request says of its path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardPath {
--- a/crates/foldhaven-core/tests/testsuite/residency.rs
+++ b/crates/foldhaven-core/tests/testsuite/residency.rs
@@ -1,7 +1,14 @@
 //! Residency and the path of forwarded requests.
 
-use foldhaven_core::description::DescriptionStamp;
-use foldhaven_core::residency::{ForwardFault, ForwardPath, check_forward};
+use std::collections::BTreeSet;
+
+use foldhaven_core::description::{DescriptionStamp, ResidencyConfig};
+use foldhaven_core::ids::{DataCentreName, RegionName};
+use foldhaven_core::refusal::RefusalReason;
+use foldhaven_core::residency::{
+    ForwardFault, ForwardPath, PlaceScope, ResidencyRule, UnplacedRequest, check_forward,
+};
+use proptest::prelude::*;
 use rstest::rstest;
 
 use crate::support::index;
@@ -49,3 +56,57 @@
         assert_eq!(rule.permits(&account.home, &south), permits_south);
     }
 }
+
+proptest! {
+    /// A lack of engines was refused as `residency`, which tells callers never to come back.
+    #[test]
+    fn residency_is_said_only_where_the_description_forbids(
+        regions in proptest::sample::subsequence(vec!["north", "south", "unknown"], 0..=3),
+        home in any::<bool>(),
+        account_home in proptest::sample::select(vec!["north", "south", "unknown"]),
+        centre in proptest::sample::select(vec!["north-1", "south-1", "unknown-1"]),
+        is_origin in any::<bool>(),
+    ) {
+        let permitted: BTreeSet<RegionName> = regions
+            .iter()
+            .chain(home.then_some(&account_home))
+            .map(|name| name.parse().unwrap())
+            .collect();
+        let rule = ResidencyRule::new(&ResidencyConfig {
+            name: "drawn".parse().unwrap(),
+            regions: regions.iter().map(|name| name.parse().unwrap()).collect(),
+            home,
+        });
+        let account_home: RegionName = account_home.parse().unwrap();
+        let centre: DataCentreName = centre.parse().unwrap();
+        let scope = match is_origin {
+            true => PlaceScope::Anywhere,
+            false => PlaceScope::DataCentre(&centre),
+        };
+        let request = UnplacedRequest { rule: &rule, home: &account_home, scope };
+        let meant: Vec<RegionName> = match (is_origin, centre.as_str()) {
+            (true, _) => vec!["north".parse().unwrap(), "south".parse().unwrap()],
+            (false, "north-1") => vec!["north".parse().unwrap()],
+            (false, "south-1") => vec!["south".parse().unwrap()],
+            (false, _) => Vec::new(),
+        };
+        let is_forbidden = !meant.is_empty() && meant.iter().all(|it| !permitted.contains(it));
+        let expected = match is_forbidden {
+            true => RefusalReason::Residency,
+            false => RefusalReason::NoUpstream,
+        };
+        prop_assert_eq!(request.reason(&index()), expected);
+    }
+}
+
+/// What a peer says of its own data centre or of the path was handed to the caller as said of its request.
+#[test]
+fn what_a_peer_says_of_itself_is_not_final_for_a_caller() {
+    for reason in [RefusalReason::Residency, RefusalReason::ForwardPath] {
+        assert!(!reason.is_transient(), "{reason}");
+        assert!(reason.of_peer().is_transient(), "{reason}");
+    }
+    for reason in [RefusalReason::UnknownAccount, RefusalReason::Capacity] {
+        assert_eq!(reason.of_peer(), reason);
+    }
+}
--- a/crates/foldhaven-testkit/tests/testsuite/main.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod operators;
 mod peers;
+mod refusals;
 mod scenarios;
 mod simulate;
 
--- /dev/null
+++ b/crates/foldhaven-testkit/tests/testsuite/refusals.rs
@@ -0,0 +1,117 @@
+//! Which refusals are final: a lack that passes never tells a caller to stay away.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foldhaven_core::headers;
+use foldhaven_testkit::caller::{CallerAnswer, CallerClient, ModelAsk};
+use foldhaven_testkit::fleet::Fleet;
+
+use crate::{run, small_fleet};
+
+/// How long a VM takes at most to notice that its engines are gone.
+const NOTICE_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(25);
+
+fn ask(number: usize) -> ModelAsk {
+    ModelAsk {
+        account: "west-bar".to_owned(),
+        class: "digest".to_owned(),
+        request: format!("ask-{number}"),
+        prompt: format!("case file {number}"),
+        max_tokens: 20,
+        stream: false,
+        chat: false,
+        deadline: None,
+        worth: None,
+    }
+}
+
+fn kill_engines(fleet: &mut Fleet, centre: &str) {
+    (1..=2).for_each(|number| fleet.kill(&format!("{centre}-engine-{number}")));
+}
+
+/// Waits until a VM knows of no engine that holds a model.
+async fn await_no_engine(fleet: &Fleet, vm: &str) {
+    let is_gone = async {
+        loop {
+            let status = fleet.status(vm).await;
+            let engines = |name: &str| name.contains("engine");
+            if status.is_some_and(|it| {
+                it.upstreams.iter().filter(|it| engines(&it.name)).all(|it| it.holds.is_empty())
+            }) {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(NOTICE_LIMIT, is_gone).await.expect("the VM notices");
+}
+
+/// A receiver that knew of no engine refused forwarded requests with 403 for `residency`, though its region was permitted.
+#[test]
+fn a_forwarded_request_is_not_forbidden_for_want_of_an_engine() {
+    run(async {
+        let mut fleet = small_fleet(1).await;
+        kill_engines(&mut fleet, "west-1");
+        await_no_engine(&fleet, "west-1-vm-1").await;
+        let stamp = fleet.status("west-1-vm-1").await.unwrap().stamp.unwrap();
+        let peer = fleet.vms["west-1-vm-1"].settings.addresses.peer;
+        let request = fleet
+            .client
+            .post(format!("http://{peer}/peer/v1/completions"))
+            .header("content-type", "application/json")
+            .header(headers::ACCOUNT, "mid-bar")
+            .header(headers::CLASS, "digest")
+            .header(headers::DEADLINE_MS, "4000")
+            .header(headers::REQUEST_ID, "r1")
+            .header(headers::ATTEMPT_ID, "r1@mid-1-vm-1.1.1")
+            .header(headers::VISITED, "mid-1")
+            .header(headers::STAMP, stamp)
+            .body(r#"{"prompt":"p","max_tokens":5}"#);
+        let response = request.send().await.unwrap();
+        let status = response.status().as_u16();
+        assert!(response.headers().contains_key(headers::REFUSED_ATTEMPT));
+        let body = response.text().await.unwrap();
+        assert_eq!(status, 503, "{body}");
+        assert!(body.contains("\"code\":\"no_upstream\""), "{body}");
+        assert!(body.contains("retry_after_ms"), "{body}");
+    });
+}
+
+/// Sends requests at a steady rate for some time.
+async fn send_steadily(entry: SocketAddr, span: Duration) -> Vec<CallerAnswer> {
+    const EACH: Duration = Duration::from_millis(25);
+    let caller = CallerClient::new(Duration::ZERO);
+    let mut sent = tokio::task::JoinSet::new();
+    let mut interval = tokio::time::interval(EACH);
+    for number in 0..(span.as_millis() / EACH.as_millis()) as usize {
+        interval.tick().await;
+        let caller = caller.clone();
+        sent.spawn(async move { caller.ask_model(entry, &ask(number)).await });
+    }
+    sent.join_all().await
+}
+
+/// Callers were refused for `residency` when the data centre that a request was forwarded to had just lost its engines.
+#[test]
+fn callers_are_not_forbidden_while_engines_are_lost_elsewhere() {
+    run(async {
+        let mut fleet = small_fleet(1).await;
+        let entry = fleet.vms["west-1-vm-1"].settings.addresses.caller;
+        kill_engines(&mut fleet, "west-1");
+        await_no_engine(&fleet, "west-1-vm-1").await;
+        let sending = tokio::spawn(send_steadily(entry, Duration::from_secs(8)));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        kill_engines(&mut fleet, "mid-1");
+        kill_engines(&mut fleet, "east-1");
+        let answers = sending.await.unwrap();
+        assert!(answers.iter().any(CallerAnswer::is_complete), "some were forwarded");
+        let refused: Vec<&CallerAnswer> = answers.iter().filter(|it| !it.is_complete()).collect();
+        assert!(!refused.is_empty(), "the engines are gone");
+        for answer in refused {
+            assert!(matches!(answer.status, 429 | 502 | 503), "{answer:?}");
+            assert!(answer.retry_after.is_some(), "{answer:?}");
+        }
+    });
+}
--- a/crates/foldhavend/src/traffic/faults.rs
+++ b/crates/foldhavend/src/traffic/faults.rs
@@ -42,15 +42,19 @@
         RouteTarget::Engine(_) => RefusalReason::UpstreamFailed,
         RouteTarget::Centre(_) => RefusalReason::PeerFailed,
     };
+    let told = |reason: RefusalReason| match target {
+        RouteTarget::Engine(_) => reason,
+        RouteTarget::Centre(_) => reason.of_peer(),
+    };
     let come_back = |wait: Duration| jittered_return(wait, rand::random());
     let soon = Duration::from_millis(500);
     match fault {
         CallFault::Refused { reason, detail, retry_after } => {
             let wait = retry_after.unwrap_or(soon);
-            RefusalAnswer::not_run(STEP, *reason, detail).with_retry_after(come_back(wait))
+            RefusalAnswer::not_run(STEP, told(*reason), detail).with_retry_after(come_back(wait))
         }
         CallFault::Failed { reason, detail } => {
-            RefusalAnswer::not_run(STEP, *reason, detail).with_retry_after(come_back(soon))
+            RefusalAnswer::not_run(STEP, told(*reason), detail).with_retry_after(come_back(soon))
         }
         CallFault::NotSent(detail) | CallFault::Broken(detail) => {
             RefusalAnswer::not_run(STEP, broken, detail).with_retry_after(come_back(soon))
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -9,6 +9,7 @@
 use foldhaven_core::ids::{AttemptId, UpstreamName};
 use foldhaven_core::planner::{RouteOption, RoutePlan, RoutePolicy, RouteQuery, RouteTarget};
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason, jittered_return};
+use foldhaven_core::residency::{PlaceScope, UnplacedRequest};
 use foldhaven_core::time::MonoTime;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -17,7 +18,7 @@
 use super::call::{AnswerPart, CallFault, UpstreamCall};
 use super::faults::{fault_answer, note_call_fault};
 use super::outgoing::{engine_call, peer_call};
-use super::permission::{any_region_permitted, is_permitted};
+use super::permission::{is_permitted, unplaced_reason};
 use super::request::ModelJob;
 use crate::shared::{SharedState, WaitGuard};
 use crate::views::PublishedView;
@@ -116,8 +117,16 @@
         };
         let draw = rand::random();
         let plan = self.policy.plan(&query, &view.route, &self.shared().facts, now, draw);
-        if plan.options.is_empty() && !any_region_permitted(index, rule, &job.head) {
-            let detail = "no region of the description is permitted";
+        let scope = match is_origin {
+            true => PlaceScope::Anywhere,
+            false => PlaceScope::DataCentre(&view.route.centre),
+        };
+        let request = UnplacedRequest { rule, home: &account.home, scope };
+        if plan.options.is_empty() && request.is_forbidden(index) {
+            let detail = match is_origin {
+                true => "no region of the description is permitted",
+                false => "this region is not permitted",
+            };
             return Err(RefusalAnswer::not_run(ROUTE_STEP, RefusalReason::Residency, detail));
         }
         Ok(plan)
@@ -139,11 +148,12 @@
             None if plan.any_permitted => {
                 (RefusalReason::Capacity, "no permitted place has capacity to spare".to_owned())
             }
-            None if !is_origin => {
-                (RefusalReason::Residency, "not permitted, or not held, here".to_owned())
-            }
             None => {
-                let detail = format!("no permitted region in reach holds {}", job.model);
+                let (engines, centres) = (view.route.engines.len(), view.route.centres.len());
+                let detail = format!(
+                    "no permitted place in reach holds {}; {engines} engines and {centres} other data centres are known",
+                    job.model
+                );
                 (RefusalReason::NoUpstream, detail)
             }
             Some(option) => refusal_detail(option, job.head.remaining(self.shared().now())),
@@ -201,9 +211,7 @@
                 Ok(()) => return Ok(()),
                 Err(TryEnd::Gone) => return Err(None),
                 Err(TryEnd::Recalled) => {
-                    let detail = "called back: its region is not permitted any more";
-                    let reason = RefusalReason::Residency;
-                    let answer = RefusalAnswer::not_run(ROUTE_STEP, reason, detail);
+                    let answer = self.called_back(job).map_err(Some)?;
                     progress.last_fault = Some(answer.at_peer(option.target.name()));
                 }
                 Err(TryEnd::Fault(fault)) => self.note_fault(job, &option, progress, &fault),
@@ -217,6 +225,19 @@
         }
     }
 
+    /// What the caller of a job is told that was called back and finds no other place.
+    fn called_back(&self, job: &ModelJob) -> Result<RefusalAnswer, RefusalAnswer> {
+        const COME_BACK: Duration = Duration::from_millis(500);
+        let view = self.shared().view()?;
+        let reason = unplaced_reason(&job.head, &view.route.index, PlaceScope::Anywhere);
+        let detail = "called back: its region is not permitted any more";
+        let answer = RefusalAnswer::not_run(ROUTE_STEP, reason, detail);
+        if reason == RefusalReason::Residency {
+            return Ok(answer);
+        }
+        Ok(answer.with_retry_after(jittered_return(COME_BACK, rand::random())))
+    }
+
     async fn try_option(
         &self,
         job: &ModelJob,
@@ -442,9 +463,9 @@
     }
 }
 
-/// The last fault says more than a refusal to try again.
+/// The last fault says more than a refusal to try again, unless that one is final.
 fn prefer_fault(progress: &mut JobProgress, refusal: RefusalAnswer) -> RefusalAnswer {
-    match progress.last_fault.take() {
+    match progress.last_fault.take().filter(|_| refusal.reason != RefusalReason::Residency) {
         Some(fault) => RefusalAnswer { retry_after: refusal.retry_after, ..fault },
         None => refusal,
     }
--- a/crates/foldhavend/src/traffic/permission.rs
+++ b/crates/foldhavend/src/traffic/permission.rs
@@ -3,7 +3,8 @@
 use foldhaven_core::description::DescriptionIndex;
 use foldhaven_core::ids::DataCentreName;
 use foldhaven_core::planner::RouteTarget;
-use foldhaven_core::residency::ResidencyRule;
+use foldhaven_core::refusal::RefusalReason;
+use foldhaven_core::residency::{PlaceScope, UnplacedRequest};
 
 use super::request::{ModelJob, RequestHead};
 use crate::views::PublishedView;
@@ -29,12 +30,24 @@
     permitted().unwrap_or(false)
 }
 
-/// Whether any region at all is permitted for the account and class of a request.
-pub fn any_region_permitted(
-    index: &DescriptionIndex,
-    rule: &ResidencyRule,
+/// A request as its refusal is judged; nothing where the description does not know its account, class or rule.
+pub fn unplaced<'a>(
     head: &RequestHead,
-) -> bool {
-    let Some(account) = index.account(&head.account) else { return false };
-    index.description.regions.iter().any(|region| rule.permits(&account.home, &region.name))
+    index: &'a DescriptionIndex,
+    scope: PlaceScope<'a>,
+) -> Option<UnplacedRequest<'a>> {
+    let account = index.account(&head.account)?;
+    let class = index.class(&head.class)?;
+    let rule = index.residency_of(account, class)?;
+    Some(UnplacedRequest { rule, home: &account.home, scope })
+}
+
+/// Why a request is refused for which no place was found.
+pub fn unplaced_reason(
+    head: &RequestHead,
+    index: &DescriptionIndex,
+    scope: PlaceScope<'_>,
+) -> RefusalReason {
+    let request = unplaced(head, index, scope);
+    request.map_or(RefusalReason::NoUpstream, |request| request.reason(index))
 }
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -11,6 +11,7 @@
 use foldhaven_core::ids::{DataCentreName, ServiceName};
 use foldhaven_core::planner::{RouteFacts, RouteTarget};
 use foldhaven_core::refusal::{RefusalAnswer, RefusalReason, jittered_return};
+use foldhaven_core::residency::PlaceScope;
 use foldhaven_core::ticket::RequestTicket;
 use http::header::{ACCEPT, CONTENT_TYPE};
 use http::{HeaderMap, Method};
@@ -23,7 +24,7 @@
 use super::faults::fault_answer;
 use super::outgoing::{base_headers, pick_peer};
 use super::paths::{CALLER_SERVICE, PEER_SERVICE, PEER_TICKETED};
-use super::permission::permits;
+use super::permission::{permits, unplaced_reason};
 use super::receiver::{ForwardHead, admit_forward, read_forward_head, refusal_without_attempt};
 use super::reply::{pass_on, refusal_reply, refused_attempt_reply, set_header};
 use super::request::{RequestHead, header_text, header_value, read_head};
@@ -211,31 +212,22 @@
         {
             return Ok(ServicePlace::Instance(instance));
         }
-        let mut is_permitted = false;
         for centre in &view.route.centres {
             let name = &centre.summary.data_centre;
-            if !permits(&job.head, view, name) {
-                continue;
-            }
-            is_permitted = true;
             let has = centre.summary.services.contains(&job.service);
             let is_tried = tried.iter().any(|it| it == name.as_str());
-            if has && !is_tried && self.shared().is_current(view) {
+            let is_open = has && !is_tried && self.shared().is_current(view);
+            if is_open && permits(&job.head, view, name) {
                 return Ok(ServicePlace::Centre(name.clone()));
             }
         }
-        let soon = jittered_return(Duration::from_secs(1), rand::random());
-        let here = permits(&job.head, view, &view.route.centre);
-        match is_permitted || here {
-            true => {
-                let detail = format!("no instance of {} can be reached", job.service);
-                Err(refuse(RefusalReason::NoUpstream, detail).with_retry_after(soon))
-            }
-            false => {
-                let detail = "no region in reach is permitted".to_owned();
-                Err(refuse(RefusalReason::Residency, detail).with_retry_after(soon))
-            }
+        let reason = unplaced_reason(&job.head, &view.route.index, PlaceScope::Anywhere);
+        if reason == RefusalReason::Residency {
+            return Err(refuse(reason, "no region of the description is permitted".to_owned()));
         }
+        let soon = jittered_return(Duration::from_secs(1), rand::random());
+        let detail = format!("no instance of {} can be reached", job.service);
+        Err(refuse(reason, detail).with_retry_after(soon))
     }
 
     fn pick_instance(
@@ -339,8 +331,11 @@
         let mut job = self.read_job(raw, PEER_SERVICE)?;
         job.head.request = head.attempt.request.clone();
         let refuse = |reason, detail: &str| RefusalAnswer::not_run(STEP, reason, detail);
-        if !permits(&job.head, &view, &view.route.centre) {
-            return Err(refuse(RefusalReason::Residency, "not permitted here"));
+        let here = &view.route.centre;
+        if !permits(&job.head, &view, here) {
+            let scope = PlaceScope::DataCentre(here);
+            let reason = unplaced_reason(&job.head, &view.route.index, scope);
+            return Err(refuse(reason, "not known to be permitted here"));
         }
         let instance = self.pick_instance(&job, &view, &[]);
         let instance = instance
