--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -65,7 +65,8 @@
 /// Logs why a request was refused before a place was looked for.
 fn log_unread(shared: &GatewayShared, attempt: Option<&HeaderValue>, refusal: Refusal) {
     // Those over the limit of their account have a line of their own.
-    if matches!(refusal, Refusal::OverLimit { .. }) || !shared.quota.take(false) {
+    let is_plain = matches!(refusal, Refusal::NoRoute | Refusal::NoKey);
+    if matches!(refusal, Refusal::OverLimit { .. }) || !shared.quota.take(is_plain) {
         return;
     }
     let behind = shared.behind();
