A connection that breaks is no sign of life: ends of upstreams are not missed any more

Cause: a VM that sees a connection break looks whether the upstream's port is closed and whether nothing was heard of it since. Any end of a wait for an answer counted as heard, also the end of the connection itself; so did an answer whose head came before the end and was read after. Then the look found a sign of life and gave up, and the requests there were not blamed. Also, what had left the upstream was remembered until 0.5 s before the look ended, not before the first sign.

Fix: only an answer counts as heard. Where the port is closed and something was heard since, it is looked again, up to five times 0.2 s apart, until nothing was heard between two looks; an upstream that leaves and serves its old connections on is heard all the while. Victims are counted from the first sign.

--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -136,7 +136,7 @@
         let mut opening = std::pin::pin!(opening);
         let patience = LEAST_PATIENCE.max(expected * PATIENCE);
         if let Ok(opened) = timeout(patience, opening.as_mut()).await {
-            upstream.note_heard(shared.now());
+            self.note_heard(upstream, &opened);
             return opened;
         }
         if upstream.is_silent_since(sent) {
@@ -147,9 +147,16 @@
             }
         }
         let opened = opening.await;
-        upstream.note_heard(shared.now());
+        self.note_heard(upstream, &opened);
         opened
     }
+
+    /// Notes that an upstream has answered. The end of a connection is no answer.
+    fn note_heard(&self, upstream: &Upstream, opened: &Result<OpenAnswer, CallFault>) {
+        if matches!(opened, Ok(_) | Err(CallFault::Declined { .. })) {
+            upstream.note_heard(self.shared.now());
+        }
+    }
 }
 
 fn text_value(text: &str) -> HeaderValue {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -218,9 +218,9 @@
         self.is_probed.store(false, Ordering::Relaxed);
     }
 
-    /// The requests of this VM that it may have ended under.
-    pub fn take_victims(&self, now: MonoTime) -> Vec<RequestPrint> {
-        self.guests.lock().take_victims(now)
+    /// The requests of this VM that it may have ended under, when a connection to it broke at this time.
+    pub fn take_victims(&self, broke: MonoTime) -> Vec<RequestPrint> {
+        self.guests.lock().take_victims(broke)
     }
 
     /// Notes a request of this VM there until the guard is dropped.
--- a/crates/foldhaven-gateway/src/upstream_ends.rs
+++ b/crates/foldhaven-gateway/src/upstream_ends.rs
@@ -14,6 +14,8 @@
 /// An upstream may close connections a moment before its port is closed. A new one that has come up is looked at again
 /// after this time.
 const SECOND_LOOK: Duration = Duration::from_millis(200);
+/// How often an upstream that takes no new connections is looked at, while something is still heard on old ones.
+const LOOKS: u32 = 5;
 /// How many fingerprints a log line names.
 const LOGGED_PRINTS: usize = 8;
 
@@ -24,10 +26,10 @@
         return;
     }
     let (shared, upstream) = (shared.clone(), upstream.clone());
+    let broke = shared.now();
     tokio::spawn(async move {
-        let broke = shared.now();
-        if has_ended(&upstream, broke).await {
-            note_ended(&shared, &upstream);
+        if has_ended(&shared, &upstream, broke).await {
+            note_ended(&shared, &upstream, broke);
         }
         upstream.end_probe();
     });
@@ -35,21 +37,36 @@
 
 /// Whether the process behind the address is gone: new connections are refused and nothing more is heard on old ones. One
 /// that cannot be reached at all may live behind a cut, and one that is alive resets what goes beyond its limit.
-async fn has_ended(upstream: &Upstream, broke: MonoTime) -> bool {
-    let is_gone = match connect(upstream).await {
-        Ok(connection) => {
-            sleep(SECOND_LOOK).await;
-            match connection.is_closed() {
-                true => connect(upstream).await.is_err_and(is_refusal),
-                false => {
-                    upstream.pool.put(connection, None);
-                    false
-                }
-            }
+///
+/// What is read after the first connection broke may have been sent before the end, and one that leaves may serve its old
+/// connections on. So it is looked again until nothing was heard between two looks.
+async fn has_ended(shared: &GatewayShared, upstream: &Upstream, broke: MonoTime) -> bool {
+    let mut looked = broke;
+    for _ in 0..LOOKS {
+        if !refuses_connections(upstream).await {
+            return false;
         }
-        Err(error) => is_refusal(error),
+        if upstream.is_silent_since(looked) {
+            return true;
+        }
+        looked = shared.now();
+        sleep(SECOND_LOOK).await;
+    }
+    false
+}
+
+/// Whether nothing listens at its address.
+async fn refuses_connections(upstream: &Upstream) -> bool {
+    let connection = match connect(upstream).await {
+        Ok(connection) => connection,
+        Err(error) => return is_refusal(error),
     };
-    is_gone && upstream.is_silent_since(broke)
+    sleep(SECOND_LOOK).await;
+    if connection.is_closed() {
+        return connect(upstream).await.is_err_and(is_refusal);
+    }
+    upstream.pool.put(connection, None);
+    false
 }
 
 async fn connect(upstream: &Upstream) -> io::Result<Connection> {
@@ -60,9 +77,9 @@
     error.kind() == io::ErrorKind::ConnectionRefused
 }
 
-/// Blames the requests that this VM had at an upstream that has ended.
-fn note_ended(shared: &GatewayShared, upstream: &Upstream) {
-    let victims = upstream.take_victims(shared.now());
+/// Blames the requests that this VM had at an upstream when its end began to show.
+fn note_ended(shared: &GatewayShared, upstream: &Upstream, broke: MonoTime) {
+    let victims = upstream.take_victims(broke);
     shared.metrics.count_event("upstream_ended");
     if !victims.is_empty() && shared.quota.take(false) {
         let prints: Vec<String> =
