Changes are written once for all VMs that ask for them

The answer is kept for the state that it was written from, two at most: one for VMs that know the same revision, one for those that start. Test: told_states (the same bytes for the same ask; other bytes for another ask or a newer state).

--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -104,7 +104,7 @@
     if let Some(metrics) = addresses.metrics {
         start_front(&shared, metrics, operator)?;
     }
-    start_front(&shared, addresses.peer, Arc::new(PeerHandler { shared: shared.clone() }))?;
+    start_front(&shared, addresses.peer, Arc::new(PeerHandler::new(shared.clone())))?;
     tokio::spawn(keep_links_warm(shared.clone()));
     tracing::info!(
         vm = %shared.settings.vm,
--- a/crates/foldhaven-gateway/src/known/mod.rs
+++ b/crates/foldhaven-gateway/src/known/mod.rs
@@ -8,6 +8,7 @@
 mod description_digest;
 mod early_changes;
 mod takes;
+mod told_states;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use self::change_log::ChangeLog;
 pub use self::change_log::StateOffer;
 pub use self::early_changes::EarlyChanges;
+pub use self::told_states::{StateAsk, ToldStates};
 use crate::feed::ChangeSet;
 
 /// When something is taken in, for the log and for what lapses.
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bincode::Options;
 use foldhaven_core::headers;
 use foldhaven_core::ids::ServiceName;
 use http::{HeaderValue, Request, StatusCode};
@@ -13,18 +12,19 @@
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::caller_front::run_job;
 use crate::clock::BootInstant;
-use crate::codec::peer_codec;
 use crate::credential::{find_account, take_forwarded};
 use crate::front::FrontHandler;
 use crate::job::{
     CallerTerms, GatewayJob, ReadRequest, RoutedPlace, host_of, read_body, read_terms,
 };
+use crate::known::{StateAsk, ToldStates};
 use crate::peer_state::{PEER_STATE_AFTER, PEER_STATE_PATH};
 use crate::shared::GatewayShared;
 
 /// Answers other VMs.
 pub struct PeerHandler {
-    pub shared: Arc<GatewayShared>,
+    shared: Arc<GatewayShared>,
+    told: ToldStates,
 }
 
 #[async_trait]
@@ -47,12 +47,16 @@
 }
 
 impl PeerHandler {
+    pub fn new(shared: Arc<GatewayShared>) -> Self {
+        Self { shared, told: ToldStates::default() }
+    }
+
     /// What the platform published, after the revision that the query names.
     fn state(&self, query: Option<&str>, is_spanning: bool) -> Answer {
         let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
         let known = query.and_then(|query| query.strip_prefix(PEER_STATE_AFTER));
-        let state = view.offer.state_after(known.and_then(|known| known.parse().ok()), is_spanning);
-        match peer_codec().serialize(&state) {
+        let known = known.and_then(|known| known.parse().ok());
+        match self.told.answer(&view.offer, StateAsk { known, is_spanning }) {
             Ok(body) => {
                 let (revision, bytes) = (view.offer.revision, body.len());
                 self.shared.metrics.count_event("state_told");
--- a/crates/foldhaven-gateway/tests/testsuite/main.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod known;
 mod peer_messages;
+mod told_states;
