An offer of changes is kept until they are known

An offer is kept by its revision (OfferedRevision, core, without I/O). Test: opaque_news::an_offer_stands_until_its_revision_is_known.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -24,7 +24,7 @@
 pub use self::messages::{
     AskedBeats, BeatMessage, PeerBeat, PeerPhase, PeerPulse, ServiceTag, ServiceWait, VmLife, VmTag,
 };
-pub use self::news::NewsNotice;
+pub use self::news::{NewsNotice, OfferedRevision};
 pub use self::rounds::{HeardMessage, PlannedBeats, RoundCall};
 pub use self::senders::SenderView;
 pub use self::targets::BeatTargets;
--- a/crates/foldhaven-core/src/opaque/peer_table/news.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/news.rs
@@ -38,6 +38,31 @@
     }
 }
 
+/// Up to which revision other VMs offered changes that have to be asked for.
+///
+/// It is kept by revision: what brings a VM to an earlier one does not answer the offer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OfferedRevision(u64);
+
+impl OfferedRevision {
+    /// Takes in a notice.
+    pub fn note(&mut self, notice: &NewsNotice) {
+        if notice.is_offer {
+            self.0 = self.0.max(notice.revision);
+        }
+    }
+
+    /// Whether there is more to ask for than a VM knows.
+    pub fn is_beyond(self, known: u64) -> bool {
+        self.0 > known
+    }
+
+    /// Forgets what was offered, as no VM that knows so much is left.
+    pub fn forget(&mut self) {
+        *self = Self::default();
+    }
+}
+
 impl PeerTable {
     /// Takes in how far a VM knows the platform's changes. Returns whether that VM is known; else it is asked for.
     pub fn take_news(&mut self, notice: &NewsNotice) -> bool {
--- a/crates/foldhaven-core/tests/testsuite/opaque_news.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_news.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::belief_age::{BeliefAge, RevisionProof};
-use foldhaven_core::opaque::peer_table::{NewsNotice, PeerTable, VmTag};
+use foldhaven_core::opaque::peer_table::{NewsNotice, OfferedRevision, PeerTable, VmTag};
 use foldhaven_core::time::MonoTime;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -163,3 +163,17 @@
     let reads = |table: &&PeerTable| table.is_reader(false, MILLIS(age_ms), at(100));
     assert_eq!(tables.iter().filter(reads).count(), readers);
 }
+
+/// A VM forgot an offer when it had caught up with an earlier revision, and asked for it 0.35 s later.
+#[test]
+fn an_offer_stands_until_its_revision_is_known() {
+    let mut offered = OfferedRevision::default();
+    assert!(!offered.is_beyond(0));
+    offered.note(&NewsNotice { is_offer: true, ..notice("vm-1", 100) });
+    offered.note(&NewsNotice { is_offer: true, ..notice("vm-2", 98) });
+    offered.note(&notice("vm-3", 200));
+    assert!(offered.is_beyond(98), "what leads to 98 does not answer the offer of 100");
+    assert!(!offered.is_beyond(100));
+    offered.forget();
+    assert!(!offered.is_beyond(98));
+}
--- a/crates/foldhaven-gateway/src/keeper/behind.rs
+++ b/crates/foldhaven-gateway/src/keeper/behind.rs
@@ -71,7 +71,7 @@
         let (vm, incarnation) = (VmTag::of(&ahead.vm), ahead.incarnation);
         let limit = match is_near {
             // What does not fit a datagram will not come by itself.
-            true if self.is_offered => Duration::ZERO,
+            true if self.offered.is_beyond(self.known.revision()) => Duration::ZERO,
             true => BEHIND_LIMIT,
             false => self.far_limit(now),
         };
@@ -149,11 +149,14 @@
     /// Notes whether what others knew is known now, or nobody is left who knew it.
     pub(super) fn note_progress(&mut self) {
         let Some(mark) = self.behind else { return };
-        if self.known.revision() < mark.revision && self.ahead_peer(None).is_some() {
+        let is_left = self.known.revision() < mark.revision;
+        if is_left && self.ahead_peer(None).is_some() {
             return;
         }
+        if is_left {
+            self.offered.forget();
+        }
         self.behind = None;
-        self.is_offered = false;
         let behind = self.now().since(mark.since);
         self.shared.metrics.note_span("behind", behind);
         if mark.is_logged {
--- a/crates/foldhaven-gateway/src/keeper/mod.rs
+++ b/crates/foldhaven-gateway/src/keeper/mod.rs
@@ -27,7 +27,7 @@
 use foldhaven_core::opaque::demand_share::DemandShare;
 use foldhaven_core::opaque::load_share::LoadBook;
 use foldhaven_core::opaque::peer_table::{
-    LEARNING_TIME, OwnVm, PeerPhase, PeerTable, RegionTag, SenderView, VmTag,
+    LEARNING_TIME, OfferedRevision, OwnVm, PeerPhase, PeerTable, RegionTag, SenderView, VmTag,
 };
 use foldhaven_core::opaque::region_book::{RegionBook, RegionReport};
 use foldhaven_core::opaque::report_plan::ReportPlan;
@@ -143,8 +143,8 @@
     is_belief_old: bool,
     /// Of which revisions others were told without waiting for heartbeats.
     told: ToldRevisions,
-    /// Whether another VM offers changes that do not fit a datagram.
-    is_offered: bool,
+    /// Up to where other VMs offer changes that do not fit a datagram.
+    offered: OfferedRevision,
     /// Whether the last reading of the platform failed.
     is_disturbed: bool,
     /// Whether other VMs of the region tell of an outage of the platform.
@@ -207,7 +207,7 @@
             belief: BeliefAge::default(),
             is_belief_old: false,
             told: ToldRevisions::default(),
-            is_offered: false,
+            offered: OfferedRevision::default(),
             is_disturbed: false,
             is_told_outage: false,
             turn: watch::Sender::new(FeedTurn { reads: true, known: None, is_overtaken: false }),
--- a/crates/foldhaven-gateway/src/keeper/news.rs
+++ b/crates/foldhaven-gateway/src/keeper/news.rs
@@ -63,7 +63,7 @@
             self.belief.hear(proof, self.known.revision());
         }
         if notice.revision > self.known.revision() {
-            self.is_offered |= notice.is_offer;
+            self.offered.note(&notice);
             self.shared.ahead_news.notify_one();
         }
     }
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -78,6 +78,7 @@
                 avoided = None;
                 shared.metrics.note_span("state_asked", started.elapsed());
                 shared.metrics.add_events("state_taken_bytes", bytes as u64);
+                let is_news = matches!(&state, PeerState::Changes(it) | PeerState::SpanningChanges(it, _) if Some(it.revision) > known);
                 let taken = match state {
                     PeerState::Snapshot(snapshot) => {
                         keeper.send(OfferSnapshot { snapshot, peer }).await
@@ -95,7 +96,10 @@
                 if taken.is_err() {
                     return;
                 }
-                sleep(CHECK_INTERVAL).await;
+                // A peer that had nothing new is not asked again at once.
+                if !is_news {
+                    sleep(CHECK_INTERVAL).await;
+                }
             }
             Err(error) => {
                 avoided = Some(peer);
