--- a/crates/foldhavend/src/traffic/receiver.rs
+++ b/crates/foldhavend/src/traffic/receiver.rs
@@ -182,7 +182,7 @@
             note_call_fault(shared, &target, &job.model, &fault);
             let answer = fault_answer(&fault, &target).at_peer(choice.engine.as_str());
             match fault {
-                CallFault::Broken(_) => {
+                CallFault::Broken(_) | CallFault::Failed { .. } => {
                     Err(StartFault::Broken(answer.with_outcome(RequestOutcome::Unknown)))
                 }
                 _ => Err(StartFault::Refused(answer)),
