429 and 503 are said only where nothing has run; a call-back is answered with 502

What callers saw: a request that had run was said not to have run.

Cause: the status goes by the reason alone. A reason of a refusal (no_upstream, capacity, deadline) can end a request of which an earlier try may have run.

Fix: RefusalAnswer::status: 429 and 503 only with not_run; else 504 where the time ran out and 502 for all others. A call-back ends as answer_broken. Test refusals (core): all reasons with both statuses, each with both outcomes. The faults of testkit/callers keep their statuses: none of them has run.

--- a/crates/foldhaven-core/src/refusal.rs
+++ b/crates/foldhaven-core/src/refusal.rs
@@ -135,6 +135,19 @@
         }
     }
 
+    /// The HTTP status of the answer. 429 and 503 promise that nothing has run, so that callers repeat the request
+    /// elsewhere; where some of it may have, the status says that the answer was lost instead.
+    pub fn status(&self) -> u16 {
+        const LOST: u16 = 502;
+        const LOST_TO_TIME: u16 = 504;
+        match (self.reason.status(), self.outcome) {
+            (status, RequestOutcome::NotRun) => status,
+            (429, _) if self.reason == RefusalReason::Deadline => LOST_TO_TIME,
+            (429 | 503, _) => LOST,
+            (status, _) => status,
+        }
+    }
+
     /// The same, met at a peer.
     pub fn at_peer(self, name: impl Into<String>) -> Self {
         Self { peer: name.into(), ..self }
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod opaque_suspects;
 mod opaque_upstreams;
 mod placement;
+mod refusals;
 mod residency;
 mod routing;
 mod tickets;
--- a/crates/foldhaven-testkit/src/scenario/runner/awaits.rs
+++ b/crates/foldhaven-testkit/src/scenario/runner/awaits.rs
@@ -39,6 +39,11 @@
         let result = await_event(within, all_newest).await;
         let took = started.elapsed().as_millis();
         self.note(format!("in force on {} VMs after {took}ms", members.len()));
+        if result.is_err() {
+            for text in ["\"description ", "this process slept", "view compared"] {
+                self.log_lines_with(text).into_iter().for_each(|line| self.note(line));
+            }
+        }
         if result.is_ok() && group == "all" && !self.is_cut {
             // Reading the states took a moment; only what begins later is judged by the new rule.
             let now = epoch_ms();
--- a/crates/foldhavend/src/traffic/origin.rs
+++ b/crates/foldhavend/src/traffic/origin.rs
@@ -229,13 +229,15 @@
     fn called_back(&self, job: &ModelJob) -> Result<RefusalAnswer, RefusalAnswer> {
         const COME_BACK: Duration = Duration::from_millis(500);
         let view = self.shared().view()?;
-        let reason = unplaced_reason(&job.head, &view.route.index, PlaceScope::Anywhere);
         let detail = "called back: its region is not permitted any more";
-        let answer = RefusalAnswer::not_run(ROUTE_STEP, reason, detail);
-        if reason == RefusalReason::Residency {
-            return Ok(answer);
+        let refuse = |reason| RefusalAnswer::not_run(ROUTE_STEP, reason, detail);
+        match unplaced_reason(&job.head, &view.route.index, PlaceScope::Anywhere) {
+            RefusalReason::Residency => Ok(refuse(RefusalReason::Residency)),
+            _ => {
+                let come_back = jittered_return(COME_BACK, rand::random());
+                Ok(refuse(RefusalReason::AnswerBroken).with_retry_after(come_back))
+            }
         }
-        Ok(answer.with_retry_after(jittered_return(COME_BACK, rand::random())))
     }
 
     async fn try_option(
--- a/crates/foldhavend/src/traffic/reply.rs
+++ b/crates/foldhavend/src/traffic/reply.rs
@@ -35,7 +35,7 @@
 
 /// The same, with a body that says more.
 pub fn error_reply(answer: &RefusalAnswer, body: &ErrorBody) -> Response {
-    let mut response = json_reply(answer.reason.status(), body);
+    let mut response = json_reply(answer.status(), body);
     let headers = response.headers_mut();
     set_header(headers, headers::OUTCOME, &answer.outcome.to_string());
     if let Some(span) = answer.retry_after {
