Scenarios that fail say when links and callers were held up

All links and callers of a scenario are tasks of the test's own process. The meter notes when a task that was due did not run for 0.1 s or more, and a failed scenario prints it: what the process measures of daemons is late by as much.

--- a/crates/foldhaven-testkit/src/lib.rs
+++ b/crates/foldhaven-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod harm;
+pub mod hold_up;
 mod html;
 pub mod limits;
 pub mod measure;
--- a/crates/foldhaven-testkit/src/scenario/runner/mod.rs
+++ b/crates/foldhaven-testkit/src/scenario/runner/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::caller::CallerClient;
 use crate::fleet::{Fleet, FleetOptions, PLATFORM};
+use crate::hold_up::HoldUpMeter;
 use crate::relay::LinkEnds;
 use crate::scenario::judge::{Evidence, RuleEpoch, Violation};
 use crate::scenario::observer::{StampObserver, adoption_violations};
@@ -57,6 +58,7 @@
     frozen: BTreeSet<String>,
     ended: BTreeSet<String>,
     is_cut: bool,
+    meter: HoldUpMeter,
     started: Instant,
     timeline: Vec<String>,
     failures: Vec<String>,
@@ -102,6 +104,7 @@
         frozen: BTreeSet::new(),
         ended: BTreeSet::new(),
         is_cut: false,
+        meter: HoldUpMeter::start(),
         started: Instant::now(),
         timeline: Vec::new(),
         failures: Vec::new(),
@@ -379,12 +382,24 @@
             let lines = self.log_lines_with(&format!("\"{request}\"")).join("\n");
             self.fail(format!("{violation}\n{lines}"));
         }
+        if !self.failures.is_empty() {
+            self.note_hold_ups();
+        }
         let writes = self.fleet.platform_counts().await.map_or(0, |counts| counts.writes);
         if writes > 0 {
             self.fail(format!("{writes} calls to the {PLATFORM} would have written"));
         }
     }
 
+    /// Notes when this process, and all links with it, were held up.
+    fn note_hold_ups(&mut self) {
+        for hold_up in self.meter.noted() {
+            let until = hold_up.until.into_std().saturating_duration_since(self.started);
+            let (until, late) = (until.as_secs_f64(), hold_up.late.as_millis());
+            self.note(format!("links and callers were held up for {late}ms until {until:.3}"));
+        }
+    }
+
     fn judge(&self) -> Vec<Violation> {
         let ledger = self.fleet.ledger();
         let evidence =
