--- a/crates/foldhaven-gateway/src/keeper/behind.rs
+++ b/crates/foldhaven-gateway/src/keeper/behind.rs
@@ -87,9 +87,8 @@
             self.askings = self.askings.wrapping_add(1);
             return NextAsking::Ask(AheadPeer { peer, known });
         }
-        let relay = RELAY_AFTER.saturating_sub(behind);
-        let is_relay_next = !is_near && !relay.is_zero();
-        NextAsking::After(if is_relay_next { relay } else { limit.saturating_sub(behind) })
+        let next = if !is_near && behind < RELAY_AFTER { RELAY_AFTER } else { limit };
+        NextAsking::After(next.saturating_sub(behind))
     }
 }
 
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -78,7 +78,7 @@
                 avoided = None;
                 shared.metrics.note_span("state_asked", started.elapsed());
                 shared.metrics.add_events("state_taken_bytes", bytes as u64);
-                let is_news = matches!(&state, PeerState::Changes(it) | PeerState::SpanningChanges(it, _) if Some(it.revision) > known);
+                let leads_on = leads_beyond(&state, known);
                 let taken = match state {
                     PeerState::Snapshot(snapshot) => {
                         keeper.send(OfferSnapshot { snapshot, peer }).await
@@ -97,7 +97,7 @@
                     return;
                 }
                 // A peer that had nothing new is not asked again at once.
-                if !is_news {
+                if !leads_on {
                     sleep(CHECK_INTERVAL).await;
                 }
             }
@@ -112,6 +112,14 @@
     }
 }
 
+/// Whether a state holds changes that lead on from a revision.
+fn leads_beyond(state: &PeerState, known: Option<u64>) -> bool {
+    match state {
+        PeerState::Changes(set) | PeerState::SpanningChanges(set, _) => Some(set.revision) > known,
+        PeerState::Snapshot(_) | PeerState::KeyedSnapshot(..) => false,
+    }
+}
+
 /// Waits until another VM says that it knows more, but no longer than this. What it said since the last wait counts.
 async fn await_news(shared: &GatewayShared, limit: Duration) {
     // Without news it is looked all the same.
--- a/crates/foldhavend/src/traffic/permission.rs
+++ b/crates/foldhavend/src/traffic/permission.rs
@@ -31,7 +31,7 @@
 }
 
 /// A request as its refusal is judged; nothing where the description does not know its account, class or rule.
-pub fn unplaced<'a>(
+fn unplaced<'a>(
     head: &RequestHead,
     index: &'a DescriptionIndex,
     scope: PlaceScope<'a>,
--- a/crates/foldhavend/src/traffic/service.rs
+++ b/crates/foldhavend/src/traffic/service.rs
@@ -335,7 +335,7 @@
         if !permits(&job.head, &view, here) {
             let scope = PlaceScope::DataCentre(here);
             let reason = unplaced_reason(&job.head, &view.route.index, scope);
-            return Err(refuse(reason, "not known to be permitted here"));
+            return Err(refuse(reason, "the description does not permit it here"));
         }
         let instance = self.pick_instance(&job, &view, &[]);
         let instance = instance
