--- a/crates/foldhaven-testkit/tests/testsuite/refusals.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/refusals.rs
@@ -1,16 +1,20 @@
 //! Which refusals are final: a lack that passes never tells a caller to stay away.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use foldhaven_core::headers;
 use foldhaven_testkit::caller::{CallerAnswer, CallerClient, ModelAsk};
 use foldhaven_testkit::fleet::Fleet;
+use tokio::sync::Notify;
 
 use crate::{run, small_fleet};
 
 /// How long a VM takes at most to notice that its engines are gone.
 const NOTICE_LIMIT: Duration = Duration::from_secs(20);
+/// How long requests are sent; engines are lost soon after the first answer.
+const SENT_FOR: Duration = Duration::from_secs(8);
 const POLL: Duration = Duration::from_millis(25);
 
 fn ask(number: usize) -> ModelAsk {
@@ -79,16 +83,26 @@
     });
 }
 
-/// Sends requests at a steady rate for some time.
-async fn send_steadily(entry: SocketAddr, span: Duration) -> Vec<CallerAnswer> {
+/// Sends requests at a steady rate for some time, and tells when the first one is answered whole.
+async fn send_steadily(
+    entry: SocketAddr,
+    span: Duration,
+    served: Arc<Notify>,
+) -> Vec<CallerAnswer> {
     const EACH: Duration = Duration::from_millis(25);
     let caller = CallerClient::new(Duration::ZERO);
     let mut sent = tokio::task::JoinSet::new();
     let mut interval = tokio::time::interval(EACH);
     for number in 0..(span.as_millis() / EACH.as_millis()) as usize {
         interval.tick().await;
-        let caller = caller.clone();
-        sent.spawn(async move { caller.ask_model(entry, &ask(number)).await });
+        let (caller, served) = (caller.clone(), served.clone());
+        sent.spawn(async move {
+            let answer = caller.ask_model(entry, &ask(number)).await;
+            if answer.is_complete() {
+                served.notify_one();
+            }
+            answer
+        });
     }
     sent.join_all().await
 }
@@ -101,8 +115,9 @@
         let entry = fleet.vms["west-1-vm-1"].settings.addresses.caller;
         kill_engines(&mut fleet, "west-1");
         await_no_engine(&fleet, "west-1-vm-1").await;
-        let sending = tokio::spawn(send_steadily(entry, Duration::from_secs(8)));
-        tokio::time::sleep(Duration::from_secs(1)).await;
+        let served = Arc::new(Notify::new());
+        let sending = tokio::spawn(send_steadily(entry, SENT_FOR, served.clone()));
+        tokio::time::timeout(NOTICE_LIMIT, served.notified()).await.expect("one is forwarded");
         kill_engines(&mut fleet, "mid-1");
         kill_engines(&mut fleet, "east-1");
         let answers = sending.await.unwrap();
