Signals of upstreams and suspected requests are told by one loop

NewsTeller waits for news, tells it, and repeats what holds; tell_until_end drives it. No change of what is told, or when.

--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -24,15 +24,16 @@
 use crate::front::{FrontHandler, serve_front};
 use crate::keeper::{ControlKeeper, KeeperAddress, TickKeeper};
 use crate::names::HeaderNames;
+use crate::news_teller::tell_until_end;
 use crate::operator_front::OperatorHandler;
 use crate::peer_front::PeerHandler;
 use crate::peer_state::follow_peers;
 use crate::reload::follow_settings;
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
-use crate::signal_news::tell_signals;
+use crate::signal_news::SignalTeller;
 use crate::stop::stop_when_told;
-use crate::suspect_news::tell_suspects;
+use crate::suspect_news::SuspectTeller;
 use crate::warm_links::keep_links_warm;
 
 /// How often the control state is looked over.
@@ -157,9 +158,13 @@
     tokio::spawn(hear_datagrams(socket.clone(), address.clone(), shared.clone()));
     tokio::spawn(tell_changes(socket.clone(), told, shared.clone()));
     tokio::spawn(send_reports(socket.clone(), address.clone()));
-    tokio::spawn(tell_suspects(socket.clone(), address.clone(), shared.clone()));
+    let keeper = address.clone();
+    let suspects = SuspectTeller { socket: socket.clone(), keeper, shared: shared.clone() };
+    tokio::spawn(tell_until_end(suspects));
     tokio::spawn(send_pacts(socket.clone(), address.clone(), is_rate_used));
-    tokio::spawn(tell_signals(socket.clone(), address.clone(), shared.clone()));
+    let keeper = address.clone();
+    let signals = SignalTeller { socket: socket.clone(), keeper, shared: shared.clone() };
+    tokio::spawn(tell_until_end(signals));
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_beats(socket, address.clone(), shared.clone()));
     tokio::spawn(follow_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod logging;
 mod metrics;
 pub mod names;
+mod news_teller;
 mod operator_front;
 mod peer_front;
 pub mod peer_message;
