--- a/crates/foldhaven-testkit/tests/testsuite/refusals.rs
+++ b/crates/foldhaven-testkit/tests/testsuite/refusals.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::attempt::RequestOutcome;
 use foldhaven_core::headers;
 use foldhaven_testkit::caller::{CallerAnswer, CallerClient, ModelAsk};
 use foldhaven_testkit::fleet::Fleet;
@@ -130,3 +131,19 @@
         }
     });
 }
+
+/// A request that had been sent to an engine when its time ran out was answered with 429, which promises that it has not run.
+#[test]
+fn a_request_that_may_have_run_is_not_answered_with_a_promise() {
+    run(async {
+        let fleet = small_fleet(1).await;
+        let entry = fleet.vms["west-1-vm-1"].settings.addresses.caller;
+        for centre in ["west-1", "mid-1", "east-1"] {
+            (1..=2).for_each(|number| fleet.freeze(&format!("{centre}-engine-{number}")));
+        }
+        let deadline = Some(Duration::from_millis(1_200));
+        let late = ModelAsk { deadline, ..ask(1) };
+        let answer = CallerClient::new(Duration::ZERO).ask_model(entry, &late).await;
+        assert_eq!((answer.status, answer.outcome), (504, RequestOutcome::Unknown), "{answer:?}");
+    });
+}
