--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of shared segments to keep track of.
 const MAX_SEGMENTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
+/// Maximum number of upstreams to keep track of for one segment. A segment that is used often
+/// enough to be cached by more of them is found at any of these.
+const MAX_HOLDERS: usize = 64;
 /// The fraction of an upstream's prompt cache after which older segments are assumed to be evicted.
 /// It is below 1 because running requests use some of the cache and placements by unreachable VMs
 /// are unknown.
@@ -72,7 +75,31 @@
 impl UpstreamTag {
     /// Returns the tag of the incarnation of an upstream that started at `birth`.
     pub fn of(name: &UpstreamName, birth: UpstreamStartTime) -> Self {
-        Self(xxh3_64_with_seed(name.as_str().as_bytes(), birth.0) as u32)
+        RingPosition::of(name, birth).tag()
+    }
+}
+
+/// The position of one incarnation of an upstream on a hash ring. Positions are spread evenly, so
+/// that the upstreams that follow any position are a random sample, and all VMs that start at the
+/// same position find the same ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RingPosition(pub u64);
+
+impl RingPosition {
+    /// Returns the position of the incarnation of an upstream that started at `birth`.
+    pub fn of(name: &UpstreamName, birth: UpstreamStartTime) -> Self {
+        // The upper half is the tag, so that upstreams can be looked up by it.
+        Self(xxh3_64_with_seed(name.as_str().as_bytes(), birth.0).rotate_left(32))
+    }
+
+    /// Returns the first position that upstreams with a tag may have.
+    pub fn first_of(tag: UpstreamTag) -> Self {
+        Self(u64::from(tag.0) << 32)
+    }
+
+    /// Returns the tag of the upstream.
+    pub fn tag(self) -> UpstreamTag {
+        UpstreamTag((self.0 >> 32) as u32)
     }
 }
 
@@ -94,13 +121,20 @@
 /// therefore assumed to be cached until enough other tokens to fill the cache were sent to the
 /// upstream.
 pub struct PrefixCacheIndex {
-    /// By segment key: the value of `written` for each upstream when the segment was last sent
-    /// there.
-    segments: LruCache<u64, HashMap<UpstreamTag, u64>>,
+    /// The holders of each segment by its key, the most recent one last.
+    segments: LruCache<u64, Vec<SegmentHolder>>,
     /// The number of tokens that each upstream had to cache since its first recorded placement.
     written: HashMap<UpstreamTag, u64>,
 }
 
+/// An upstream to which a segment was sent.
+#[derive(Debug, Clone, Copy)]
+struct SegmentHolder {
+    upstream: UpstreamTag,
+    /// The number of tokens that it had cached when the segment was last sent there.
+    sent_at: u64,
+}
+
 impl Default for PrefixCacheIndex {
     fn default() -> Self {
         Self { segments: LruCache::new(MAX_SEGMENTS), written: HashMap::new() }
@@ -110,34 +144,49 @@
 impl PrefixCacheIndex {
     /// Records that a prompt was sent to an upstream.
     pub fn record(&mut self, placement: &PromptPlacement) {
-        let tag = placement.upstream;
-        let mut written = self.written.get(&tag).copied().unwrap_or_default();
+        let upstream = placement.upstream;
+        let mut written = self.written.get(&upstream).copied().unwrap_or_default();
         for segment in &placement.shared {
-            let holders = self.segments.get_or_insert_mut(segment.key, HashMap::new);
-            let is_new = holders.insert(tag, written).is_none();
-            written += if is_new { u64::from(segment.tokens) } else { 0 };
+            let holders = self.segments.get_or_insert_mut(segment.key, Vec::new);
+            let held = holders.iter().position(|holder| holder.upstream == upstream);
+            match held {
+                Some(at) => drop(holders.remove(at)),
+                None if holders.len() >= MAX_HOLDERS => drop(holders.remove(0)),
+                None => {}
+            }
+            holders.push(SegmentHolder { upstream, sent_at: written });
+            written += if held.is_none() { u64::from(segment.tokens) } else { 0 };
         }
         written += u64::from(placement.unshared_tokens);
-        self.written.insert(tag, written);
+        self.written.insert(upstream, written);
+    }
+
+    /// Returns the upstreams to which the longest known prefix of the segments was sent, the most
+    /// recent one first.
+    pub fn holders(&self, shared: &[PromptSegment]) -> impl Iterator<Item = UpstreamTag> {
+        let mut known = shared.iter().rev().filter_map(|segment| self.segments.peek(&segment.key));
+        let longest = known.find(|holders| !holders.is_empty());
+        let holders = longest.into_iter().flat_map(|holders| holders.iter().rev());
+        holders.map(|holder| holder.upstream)
     }
 
     /// Returns the number of leading tokens of the shared segments that an upstream probably has
     /// cached. `capacity` is the size of its prompt cache in tokens.
     pub fn cached_tokens(&self, tag: UpstreamTag, shared: &[PromptSegment], capacity: u64) -> u32 {
-        let written = self.written.get(&tag).copied().unwrap_or_default();
+        let Some(written) = self.written.get(&tag) else { return 0 };
         let limit = (capacity as f64 * USABLE_CACHE) as u64;
         let is_cached = |segment: &&PromptSegment| {
-            let sent_at = self.segments.peek(&segment.key).and_then(|holders| holders.get(&tag));
-            sent_at.is_some_and(|sent_at| written - sent_at < limit)
+            let holders = self.segments.peek(&segment.key);
+            let holder = holders.and_then(|it| it.iter().find(|holder| holder.upstream == tag));
+            let since = holder.and_then(|holder| written.checked_sub(holder.sent_at));
+            since.is_some_and(|since| since < limit)
         };
         shared.iter().take_while(is_cached).map(|segment| segment.tokens).sum()
     }
 
     /// Removes an upstream that has exited.
     pub fn remove(&mut self, tag: UpstreamTag) {
+        // Its entries among the holders no longer count, and are displaced by later ones.
         self.written.remove(&tag);
-        for (_, holders) in self.segments.iter_mut() {
-            holders.remove(&tag);
-        }
     }
 }
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -119,40 +119,86 @@
     pub fetch_from: Option<usize>,
 }
 
-/// Chooses the upstream with the lowest cost. Returns `None` if all candidates are throttled.
+/// Candidates drawn from the upstreams of a service in a region.
+///
+/// A choice that looked at each of thousands of upstreams would cost more than the rest of the
+/// request, and the cheapest of some dozens is hardly worse.
+#[derive(Debug, Clone, Copy)]
+pub struct CandidateSample<'a> {
+    /// The candidates.
+    pub candidates: &'a [UpstreamCandidate<'a>],
+    /// The number of candidates, counted from the first, of which one is preferred for the affinity
+    /// key. All VMs have to draw the same ones for a key.
+    pub keyed: usize,
+}
+
+impl<'a> CandidateSample<'a> {
+    /// Returns the sample that consists of all upstreams.
+    pub fn of_all(candidates: &'a [UpstreamCandidate<'a>]) -> Self {
+        Self { candidates, keyed: candidates.len() }
+    }
+
+    /// Chooses the candidate with the lowest cost. Returns `None` if all are throttled.
+    pub fn choose(
+        &self,
+        query: &ChoiceQuery,
+        performance: &ServicePerformance,
+    ) -> Option<UpstreamChoice> {
+        let priced = self.price(query, performance);
+        priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+    }
+
+    /// Estimates the costs of the candidates to choose from; of equal ones the first is chosen.
+    ///
+    /// Throttled upstreams are left out. Upstreams that were tried are included only if all were,
+    /// ejected ones only if no other is left, and full ones only if all are full. If many requests
+    /// arrive between two load reports, only some of the candidates are used.
+    pub fn price(
+        &self,
+        query: &ChoiceQuery,
+        performance: &ServicePerformance,
+    ) -> Vec<UpstreamChoice> {
+        let candidates = self.candidates;
+        let open: Vec<usize> =
+            (0..candidates.len()).filter(|index| !candidates[*index].is_throttled).collect();
+        let untried = narrow(&open, |index| !candidates[index].is_tried);
+        let healthy = narrow(&untried, |index| !candidates[index].is_ejected);
+        let usable =
+            narrow(&healthy, |index| !performance.queue_capacity.is_full(candidates[index].queue));
+        let preferred = query.affinity_key.and_then(|key| self.preferred_candidate(&usable, key));
+        let holder = usable.iter().copied().max_by_key(|index| candidates[*index].cached_tokens);
+        let staleness = ReportStaleness { age: query.report_age, slot_time: performance.slot_time };
+        let size = staleness.sample_size(&usable, candidates);
+        let sample = sample_candidates(&usable, candidates, size, query.draw, [preferred, holder]);
+        let pricer = UpstreamPricer { candidates, query, performance, preferred, holder };
+        sample.into_iter().map(|index| pricer.price(index)).collect()
+    }
+
+    /// Returns the candidate preferred for an affinity key: the first by rendezvous hashing, on
+    /// which all VMs agree.
+    fn preferred_candidate(&self, usable: &[usize], key: u64) -> Option<usize> {
+        let key = key.to_string();
+        let rank = |index: &usize| rank_hash(&[&key, self.candidates[*index].name.as_str()]);
+        usable.iter().copied().filter(|index| *index < self.keyed).max_by_key(rank)
+    }
+}
+
+/// Chooses among all upstreams of a service, as [`CandidateSample::choose`] does.
 pub fn choose_upstream(
     candidates: &[UpstreamCandidate<'_>],
     query: &ChoiceQuery,
     performance: &ServicePerformance,
 ) -> Option<UpstreamChoice> {
-    let priced = price_upstreams(candidates, query, performance);
-    priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
+    CandidateSample::of_all(candidates).choose(query, performance)
 }
 
-/// Estimates the costs of the upstreams to choose from; of equal ones the first is chosen.
-///
-/// Throttled upstreams are left out. Upstreams that were tried are included only if all were,
-/// ejected ones only if no other is left, and full ones only if all are full. If many requests
-/// arrive between two load reports, a random sample of the upstreams is used.
+/// Prices all upstreams of a service, as [`CandidateSample::price`] does.
 pub fn price_upstreams(
     candidates: &[UpstreamCandidate<'_>],
     query: &ChoiceQuery,
     performance: &ServicePerformance,
 ) -> Vec<UpstreamChoice> {
-    let open: Vec<usize> =
-        (0..candidates.len()).filter(|index| !candidates[*index].is_throttled).collect();
-    let untried = narrow(&open, |index| !candidates[index].is_tried);
-    let healthy = narrow(&untried, |index| !candidates[index].is_ejected);
-    let usable =
-        narrow(&healthy, |index| !performance.queue_capacity.is_full(candidates[index].queue));
-    let preferred =
-        query.affinity_key.and_then(|key| preferred_candidate(candidates, &usable, key));
-    let holder = usable.iter().copied().max_by_key(|index| candidates[*index].cached_tokens);
-    let staleness = ReportStaleness { age: query.report_age, slot_time: performance.slot_time };
-    let size = staleness.sample_size(&usable, candidates);
-    let sample = sample_candidates(&usable, candidates, size, query.draw, [preferred, holder]);
-    let pricer = UpstreamPricer { candidates, query, performance, preferred, holder };
-    sample.into_iter().map(|index| pricer.price(index)).collect()
+    CandidateSample::of_all(candidates).price(query, performance)
 }
 
 /// Returns the indices that pass, or all of them if none does.
@@ -163,15 +209,3 @@
         false => passing,
     }
 }
-
-/// Returns the candidate preferred for an affinity key: the first by rendezvous hashing, on which
-/// all VMs agree.
-fn preferred_candidate(
-    candidates: &[UpstreamCandidate<'_>],
-    usable: &[usize],
-    key: u64,
-) -> Option<usize> {
-    let key = key.to_string();
-    let rank = |index: &usize| rank_hash(&[&key, candidates[*index].name.as_str()]);
-    usable.iter().copied().max_by_key(rank)
-}
--- a/crates/foldhaven-core/src/opaque/load_reports.rs
+++ b/crates/foldhaven-core/src/opaque/load_reports.rs
@@ -155,13 +155,16 @@
     }
 
     /// Drops the VMs that have not reported for several intervals, where `interval` is the time
-    /// between two reports.
-    pub fn remove_stale(&mut self, interval: Duration, now: MonoTime) {
+    /// between two reports. Returns the upstreams at which they had requests.
+    pub fn remove_stale(&mut self, interval: Duration, now: MonoTime) -> Vec<UpstreamTag> {
         let limit = interval * STALE_INTERVALS;
         let is_stale = |report: &ReceivedReport| now.since(report.received) >= limit;
-        for stale in self.reports.extract_if(.., |_, report| is_stale(report)) {
-            subtract(&mut self.sums, &stale.1);
+        let mut affected = Vec::new();
+        for (_, stale) in self.reports.extract_if(.., |_, report| is_stale(report)) {
+            subtract(&mut self.sums, &stale);
+            affected.extend(stale.shares.iter().map(|(tag, _)| *tag));
         }
+        affected
     }
 
     /// Returns the requests of all other VMs together at an upstream.
--- a/crates/foldhaven-core/src/opaque/upstream_signals.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_signals.rs
@@ -211,6 +211,12 @@
         self.entries.get(&upstream)?.limit
     }
 
+    /// Returns the upstreams that have a limit.
+    pub fn limited(&self) -> impl Iterator<Item = UpstreamTag> {
+        let limited = self.entries.iter().filter(|(_, entry)| entry.limit.is_some());
+        limited.map(|(upstream, _)| *upstream)
+    }
+
     /// Whether no limits are held.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -1,9 +1,14 @@
 //! The upstreams of all data centres that this daemon knows of.
+//!
+//! Deployments have thousands of upstreams, of which few change at a time. The table therefore
+//! remembers which ones changed, and shares its entries with its clones.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreName, ServiceName, UpstreamName, UpstreamStartTime};
@@ -67,21 +72,73 @@
     pub unlisted: Vec<UpstreamName>,
 }
 
+/// The upstreams that changed in a table since a moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangedUpstreams {
+    /// All of them may have changed.
+    All,
+    /// Those with these names.
+    Named(BTreeSet<UpstreamName>),
+}
+
+impl Default for ChangedUpstreams {
+    fn default() -> Self {
+        Self::Named(BTreeSet::new())
+    }
+}
+
+impl ChangedUpstreams {
+    /// Whether no upstream has changed.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, Self::Named(names) if names.is_empty())
+    }
+
+    fn insert(&mut self, name: &UpstreamName) {
+        if let Self::Named(names) = self {
+            names.insert(name.clone());
+        }
+    }
+}
+
+/// The entries of a table at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamList(OrdMap<UpstreamName, Arc<UpstreamEntry>>);
+
+impl UpstreamList {
+    /// Returns the records of all listed upstreams, to be sent to a peer, with their remaining cold
+    /// times at `now`.
+    pub fn records(&self, now: MonoTime) -> Vec<UpstreamRecord> {
+        let listed = self.0.values().filter(|entry| entry.expires.is_none());
+        let current = |entry: &Arc<UpstreamEntry>| UpstreamRecord {
+            cold_for: entry.cold_until.since(now),
+            ..entry.record.clone()
+        };
+        listed.map(current).collect()
+    }
+}
+
 /// The known upstreams and the evacuated data centres.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
-    entries: BTreeMap<UpstreamName, UpstreamEntry>,
+    entries: OrdMap<UpstreamName, Arc<UpstreamEntry>>,
+    /// The upstreams that are used for some time longer although they are no longer listed.
+    lapsed: BTreeSet<UpstreamName>,
     evacuated: BTreeSet<DataCentreName>,
     /// When the list was last found unavailable; `None` if it never was.
     list_failed_at: Option<MonoTime>,
+    /// What changed since [`UpstreamTable::take_changed`] was last called.
+    changed: ChangedUpstreams,
 }
 
 impl UpstreamTable {
     /// Adds or replaces a record.
     pub fn put(&mut self, record: UpstreamRecord, now: MonoTime) {
         let cold_until = now + record.cold_for;
+        let name = record.name.clone();
+        self.changed.insert(&name);
+        self.lapsed.remove(&name);
         let entry = UpstreamEntry { record, cold_until, expires: None };
-        self.entries.insert(entry.record.name.clone(), entry);
+        self.entries.insert(name, Arc::new(entry));
     }
 
     /// Removes an upstream that is no longer listed. If the list was unavailable recently, the
@@ -92,9 +149,10 @@
             self.list_failed_at.is_some_and(|at| now.since(at) < LIST_FAILURE_WINDOW);
         match self.entries.get_mut(name) {
             Some(entry) if may_have_lapsed && !entry.record.leaving => {
-                entry.expires.get_or_insert(now + LAPSE_GRACE);
+                Arc::make_mut(entry).expires.get_or_insert(now + LAPSE_GRACE);
+                self.lapsed.insert(name.clone());
             }
-            Some(_) => drop(self.entries.remove(name)),
+            Some(_) => self.withdraw(name),
             None => {}
         }
     }
@@ -102,13 +160,16 @@
     /// Removes an upstream whose record has become invalid. Unlike after
     /// [`UpstreamTable::remove`], it is never used for some time longer.
     pub fn withdraw(&mut self, name: &UpstreamName) {
-        self.entries.remove(name);
+        if self.entries.remove(name).is_some() {
+            self.lapsed.remove(name);
+            self.changed.insert(name);
+        }
     }
 
     /// Replaces the entries by a complete list. Returns what changed.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: MonoTime) -> ListDifference {
         let listed: BTreeSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
-        let is_missing = |entry: &&UpstreamEntry| {
+        let is_missing = |entry: &&Arc<UpstreamEntry>| {
             entry.expires.is_none() && !listed.contains(&entry.record.name)
         };
         let missing = self.entries.values().filter(is_missing);
@@ -133,7 +194,10 @@
 
     /// Sets the evacuated data centres, whose upstreams get no requests.
     pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentreName>) {
-        self.evacuated = evacuated;
+        if self.evacuated != evacuated {
+            self.evacuated = evacuated;
+            self.changed = ChangedUpstreams::All;
+        }
     }
 
     /// Returns the evacuated data centres, whose upstreams get no requests.
@@ -143,26 +207,48 @@
 
     /// Removes entries that have expired. Returns whether there were any.
     pub fn expire(&mut self, now: MonoTime) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|_, entry| entry.expires.is_none_or(|expires| now < expires));
-        before != self.entries.len()
+        let has_expired = |name: &&UpstreamName| {
+            let expires = self.entries.get(*name).and_then(|entry| entry.expires);
+            expires.is_some_and(|expires| expires <= now)
+        };
+        let expired: Vec<UpstreamName> = self.lapsed.iter().filter(has_expired).cloned().collect();
+        for name in &expired {
+            self.withdraw(name);
+        }
+        !expired.is_empty()
     }
 
     /// Returns the upstreams that may get new requests.
     pub fn usable(&self) -> impl Iterator<Item = &UpstreamEntry> {
-        self.entries.values().filter(|entry| {
-            !entry.record.leaving && !self.evacuated.contains(&entry.record.data_centre)
-        })
+        self.entries.values().map(Arc::as_ref).filter(|entry| self.is_usable(entry))
     }
 
-    /// Returns the records of all listed upstreams, to be sent to a peer, with their remaining cold
-    /// times at `now`.
+    /// Returns the entry of an upstream; `None` if it may not get new requests.
+    pub fn usable_entry(&self, name: &UpstreamName) -> Option<&UpstreamEntry> {
+        self.entries.get(name).map(Arc::as_ref).filter(|entry| self.is_usable(entry))
+    }
+
+    fn is_usable(&self, entry: &UpstreamEntry) -> bool {
+        !entry.record.leaving && !self.evacuated.contains(&entry.record.data_centre)
+    }
+
+    /// Marks all upstreams as changed, because something else that decides about them has changed.
+    pub fn mark_all_changed(&mut self) {
+        self.changed = ChangedUpstreams::All;
+    }
+
+    /// Returns which upstreams changed since the last call.
+    pub fn take_changed(&mut self) -> ChangedUpstreams {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns the current entries, which the table continues to share.
+    pub fn list(&self) -> UpstreamList {
+        UpstreamList(self.entries.clone())
+    }
+
+    /// Returns the records of all listed upstreams, as [`UpstreamList::records`] does.
     pub fn records(&self, now: MonoTime) -> Vec<UpstreamRecord> {
-        let listed = self.entries.values().filter(|entry| entry.expires.is_none());
-        let current = |entry: &UpstreamEntry| UpstreamRecord {
-            cold_for: entry.cold_until.since(now),
-            ..entry.record.clone()
-        };
-        listed.map(current).collect()
+        self.list().records(now)
     }
 }
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -46,7 +46,7 @@
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let load_guard = destination.enter(&self.job.service, prefill_tokens, rank);
+        let load_guard = destination.enter(&self.shared, &self.job.service, prefill_tokens, rank);
         let mut request_guard = self.register_request(&destination);
         self.record_placement(&destination);
         let listener = self.listener(&destination);
--- /dev/null
+++ b/crates/foldhaven-gateway/src/busy_upstreams.rs
@@ -0,0 +1,35 @@
+//! The upstreams at which this VM has requests, so that a load report needs not look at all others.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::load_reports::UpstreamShare;
+use parking_lot::Mutex;
+
+use crate::upstream::Upstream;
+
+/// The upstreams that this VM has sent requests to since the requests before were answered.
+#[derive(Default)]
+pub struct BusyUpstreams(Mutex<HashMap<UpstreamTag, Arc<Upstream>>>);
+
+impl BusyUpstreams {
+    /// Adds an upstream, after a request was counted there.
+    pub fn insert(&self, upstream: &Arc<Upstream>) {
+        self.0.lock().entry(upstream.tag).or_insert_with(|| upstream.clone());
+    }
+
+    /// Returns the requests of this VM at each upstream. Upstreams without requests are removed.
+    pub fn shares(&self) -> Vec<(UpstreamTag, UpstreamShare)> {
+        let mut shares = Vec::new();
+        self.0.lock().retain(|tag, upstream| {
+            let share = upstream.load.share();
+            let is_busy = share.in_flight > 0;
+            if is_busy {
+                shares.push((*tag, share));
+            }
+            is_busy
+        });
+        shares
+    }
+}
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -84,30 +85,54 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Measures the round-trip time when connections are established. The pools of several addresses
+/// may share one.
+pub struct RoundTripMeter {
+    round_trip: Mutex<RoundTrip>,
+    created: BootInstant,
+}
+
+impl Default for RoundTripMeter {
+    fn default() -> Self {
+        Self { round_trip: Mutex::default(), created: BootInstant::now() }
+    }
+}
+
+impl RoundTripMeter {
+    /// Returns the shortest recent round-trip time. `None` before the first measurement.
+    pub fn shortest(&self) -> Option<Duration> {
+        self.round_trip.lock().shortest()
+    }
+
+    fn record(&self, measured: Duration) {
+        let now = MonoTime::default() + self.created.elapsed();
+        self.round_trip.lock().record(measured, now);
+    }
+}
+
 /// The idle connections to one address.
 pub struct ConnectionPool {
     idle: Mutex<Vec<Connection>>,
     max_idle: AtomicUsize,
     /// Maximum idle time of a reused connection, if its peer names no shorter one.
     idle_limit: Duration,
-    /// The round-trip time, measured when connections are established.
-    round_trip: Mutex<RoundTrip>,
-    created: BootInstant,
+    /// `None` if nobody asks for the round-trip time.
+    meter: Option<Arc<RoundTripMeter>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool that reuses connections up to the given idle time.
     pub fn new(idle_limit: Duration) -> Self {
-        Self {
-            idle: Mutex::default(),
-            max_idle: AtomicUsize::new(INITIAL_MAX_IDLE),
-            idle_limit,
-            round_trip: Mutex::default(),
-            created: BootInstant::now(),
-        }
+        let max_idle = AtomicUsize::new(INITIAL_MAX_IDLE);
+        Self { idle: Mutex::default(), max_idle, idle_limit, meter: None }
     }
 
-    /// Opens a connection, and measures the round-trip time.
+    /// Creates a pool that also records the round-trip times of its connections.
+    pub fn with_meter(idle_limit: Duration, meter: Arc<RoundTripMeter>) -> Self {
+        Self { meter: Some(meter), ..Self::new(idle_limit) }
+    }
+
+    /// Opens a connection.
     ///
     /// # Errors
     ///
@@ -115,16 +140,12 @@
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
         let started = BootInstant::now();
         let connection = Connection::open(address, limit).await?;
-        let now = MonoTime::default() + self.created.elapsed();
-        self.round_trip.lock().record(started.elapsed(), now);
+        if let Some(meter) = &self.meter {
+            meter.record(started.elapsed());
+        }
         Ok(connection)
     }
 
-    /// Returns the shortest recent round-trip time. `None` before the first measurement.
-    pub fn round_trip(&self) -> Option<Duration> {
-        self.round_trip.lock().shortest()
-    }
-
     /// Whether the pool has a usable connection.
     pub fn has_usable_connection(&self) -> bool {
         self.idle.lock().iter().any(Connection::is_usable)
--- a/crates/foldhaven-gateway/src/control/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/control/feed_changes.rs
@@ -23,7 +23,7 @@
         }
         if std::mem::replace(&mut self.is_platform_unreachable, false) {
             tracing::info!(revision = self.platform.revision(), "platform regained");
-            self.update_read_assignment();
+            self.update_reader_role();
         }
     }
 }
@@ -35,7 +35,7 @@
         self.platform.table.record_list_failure(now);
         if !std::mem::replace(&mut self.is_platform_unreachable, true) {
             tracing::warn!(cause, revision = self.platform.revision(), "platform lost");
-            self.update_read_assignment();
+            self.update_reader_role();
         }
     }
 
--- a/crates/foldhaven-gateway/src/control/heartbeats.rs
+++ b/crates/foldhaven-gateway/src/control/heartbeats.rs
@@ -74,7 +74,7 @@
             );
         }
         if outcome.is_membership_change {
-            self.publish_later();
+            self.publish_members_later();
         }
         self.peers.reply_to(&message, &self.own_heartbeat(), now)
     }
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -29,7 +29,7 @@
         let now = self.now();
         let (vm, incarnation) = (report.vm, report.incarnation);
         let Some(touched) = self.loads.apply(report, now) else { return };
-        for upstream in touched.iter().filter_map(|tag| self.by_tag.get(tag)) {
+        for upstream in touched.iter().filter_map(|tag| self.upstreams.find(*tag)) {
             upstream.set_peer_load(self.loads.total(upstream.tag));
         }
         self.peers.record_load_report(vm, incarnation, now);
@@ -97,7 +97,7 @@
         self.meter.record_timer_delay(plan.timer_delay);
         self.load_report_rounds += 1;
         self.publish_deferred();
-        self.update_peer_loads();
+        self.remove_stale_loads();
         let targets = self.report_targets();
         let remote_placements = std::mem::take(&mut *self.shared.placements.lock());
         let mut placements = std::mem::take(&mut self.relayed_placements);
@@ -152,12 +152,11 @@
     /// Returns a report of the requests that this VM has at each upstream.
     fn own_report(&mut self) -> LoadReport {
         let busy = self.meter.busy(self.shared.accepted_requests(), self.shared.settings.cores);
-        let own = self.upstreams.values().map(|upstream| (upstream.tag, upstream.load.share()));
         LoadReport {
             vm: VmTag::of(&self.shared.settings.vm),
             incarnation: self.peers.incarnation(),
             sequence: self.load_report_rounds,
-            shares: own.filter(|(_, share)| share.in_flight > 0).collect(),
+            shares: self.shared.busy_upstreams.shares(),
             placements: Vec::new(),
             regions: Vec::new(),
             busy,
@@ -197,7 +196,7 @@
             return false;
         }
         if self.peers.apply_reported_incarnations(&report.live_vms, now) {
-            self.publish_later();
+            self.publish_members_later();
         }
         true
     }
@@ -209,12 +208,11 @@
         }
     }
 
-    /// Drops the loads of VMs that stopped reporting, and updates the load of other VMs at each
-    /// upstream.
-    fn update_peer_loads(&mut self) {
+    /// Drops the loads of VMs that stopped reporting.
+    fn remove_stale_loads(&mut self) {
         let interval = report_interval(self.local_peers().len());
-        self.loads.remove_stale(interval, self.now());
-        for upstream in self.upstreams.values() {
+        let touched = self.loads.remove_stale(interval, self.now());
+        for upstream in touched.iter().filter_map(|tag| self.upstreams.find(*tag)) {
             upstream.set_peer_load(self.loads.total(upstream.tag));
         }
     }
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -14,13 +14,14 @@
 mod suspension;
 mod traffic_view;
 mod upstream_signals;
+mod upstreams;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{IncarnationId, UpstreamName, VmName};
+use foldhaven_core::ids::{IncarnationId, RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::affinity::{PromptPlacement, UpstreamTag};
 use foldhaven_core::opaque::cpu_demand::PeakCpuDemand;
 use foldhaven_core::opaque::demand_exchange::DemandExchange;
@@ -30,7 +31,7 @@
 };
 use foldhaven_core::opaque::region_reports::{RegionReport, RegionReportTable};
 use foldhaven_core::opaque::report_planner::ReportPlanner;
-use foldhaven_core::opaque::route_table::RouteVersion;
+use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::SenderAgreement;
 use foldhaven_core::opaque::view_staleness::ViewStaleness;
 use foldhaven_core::time::MonoTime;
@@ -53,13 +54,15 @@
 pub use self::upstream_signals::{
     PlanSignalTargets, ReceiveLeavingNotices, ReceiveUpstreamRateLimits,
 };
+use self::upstreams::DescribedServices;
 use crate::demand_meter::DemandMeter;
 use crate::feed::ReadAssignment;
 use crate::platform_state::{PlatformState, StateOffer};
 use crate::settings::GatewaySettings;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
-use crate::view::PeerLink;
+use crate::upstream_set::UpstreamSet;
+use crate::view::{MemberView, PeerLink, RegionTraffic};
 
 /// The address to which messages for the control actor are sent.
 pub type ControlAddress = xtra::Address<ControlActor>;
@@ -93,14 +96,27 @@
     offer: Option<Arc<StateOffer>>,
     /// Whether there are changes that are not yet in the published view.
     needs_publish: bool,
-    /// The upstreams that are in the published view.
-    upstreams: HashMap<UpstreamName, Arc<Upstream>>,
-    /// The same upstreams by the tags that messages use.
-    by_tag: HashMap<UpstreamTag, Arc<Upstream>>,
+    /// Whether these include changes of the other VMs.
+    has_member_change: bool,
+    /// What the published view shows of the other VMs.
+    members_view: Arc<MemberView>,
+    /// The phase of this VM that it shows.
+    published_phase: Option<PeerPhase>,
+    /// The upstreams that may get requests.
+    upstreams: UpstreamSet,
+    /// The description that decided which upstreams these are, and its services.
+    used_routes: Option<Arc<RouteTable>>,
+    described_services: DescribedServices,
+    /// The upstreams of this region that were cold when they were listed.
+    cold_upstreams: HashMap<UpstreamTag, Arc<Upstream>>,
+    /// How many idle connections this VM may keep to each upstream of a service.
+    idle_limits: HashMap<ServiceName, usize>,
     /// The other VMs.
     peers: PeerTable,
     /// Connections to the other VMs that serve requests.
     links: HashMap<VmName, Arc<PeerLink>>,
+    /// What this VM has sent to each region.
+    region_traffic: HashMap<RegionName, Arc<RegionTraffic>>,
     /// The load reports of other VMs.
     loads: LoadTable,
     /// Chooses the targets of this VM's load reports.
@@ -155,6 +171,8 @@
     is_platform_unreachable: bool,
     /// Whether other VMs of the region report a platform outage.
     is_outage_reported: bool,
+    /// Whether this VM is one of those that read the platform for their region.
+    is_reader: bool,
     /// Tells the feed whether to read the platform, and from which revision.
     assignment: watch::Sender<ReadAssignment>,
     /// Queues updates for sending to other VMs.
@@ -185,10 +203,17 @@
             platform: PlatformState::default(),
             offer: None,
             needs_publish: false,
-            upstreams: HashMap::new(),
-            by_tag: HashMap::new(),
+            has_member_change: true,
+            members_view: Arc::default(),
+            published_phase: None,
+            upstreams: UpstreamSet::default(),
+            used_routes: None,
+            described_services: DescribedServices::default(),
+            cold_upstreams: HashMap::new(),
+            idle_limits: HashMap::new(),
             peers,
             links: HashMap::new(),
+            region_traffic: HashMap::new(),
             loads: LoadTable::default(),
             report_plan: ReportPlanner::default(),
             meter: DemandMeter::default(),
@@ -216,6 +241,7 @@
             offered: OfferedRevision::default(),
             is_platform_unreachable: false,
             is_outage_reported: false,
+            is_reader: false,
             assignment: watch::Sender::new(ReadAssignment {
                 is_reader: true,
                 known_revision: None,
@@ -237,15 +263,21 @@
         self.rate_watch.subscribe()
     }
 
-    fn update_read_assignment(&self) {
-        let is_reader = match self.has_learnt_peers() {
+    /// Decides whether this VM reads the platform. Ranks the VMs of the region.
+    fn update_reader_role(&mut self) {
+        self.is_reader = match self.has_learnt_peers() {
             true => {
                 self.peers.is_reader(self.is_platform_unreachable, self.staleness(), self.now())
             }
             false => self.is_seed(),
         };
+        self.update_read_assignment();
+    }
+
+    /// Tells the feed what it has to read.
+    fn update_read_assignment(&self) {
         let assignment = ReadAssignment {
-            is_reader: !self.platform.has_state() || is_reader,
+            is_reader: !self.platform.has_state() || self.is_reader,
             known_revision: self.platform.has_state().then_some(self.platform.revision()),
             is_superseded: self.lag_time() >= SUPERSEDED_AFTER,
         };
@@ -331,7 +363,7 @@
         if self.platform.table.expire(now) {
             tracing::info!("dropped upstreams that were not listed again");
         }
-        self.publish();
+        self.publish_members();
     }
 }
 
@@ -345,6 +377,7 @@
 
     async fn handle(&mut self, change: ReplaceSettings, _: &mut Context<Self>) {
         self.settings = change.settings;
-        self.publish();
+        self.platform.table.mark_all_changed();
+        self.publish_members();
     }
 }
--- a/crates/foldhaven-gateway/src/control/rate_shares.rs
+++ b/crates/foldhaven-gateway/src/control/rate_shares.rs
@@ -3,7 +3,6 @@
 //! senders.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use foldhaven_core::opaque::peer_table::{PeerPhase, VmTag};
 use foldhaven_core::opaque::rate_share::{RateShare, SharedRate, rate_share};
@@ -69,15 +68,15 @@
 
     /// Sets this VM's share of each shared rate. It is zero while the senders do not agree.
     pub(super) fn update_rate_shares(&mut self, now: MonoTime) {
-        let bounded: Vec<Arc<Upstream>> = self.bounded_upstreams(now);
-        let is_used = !bounded.is_empty();
+        let limited = self.rate_limited_upstreams(now);
+        let is_used = !limited.is_empty();
         self.rate_watch.send_if_modified(|held| std::mem::replace(held, is_used) != is_used);
         if !is_used {
             return;
         }
         let others: Vec<VmTag> = self.senders.others.iter().map(|(vm, _)| *vm).collect();
         let until = self.agreement.agreed_until(&others, now);
-        for upstream in bounded {
+        for upstream in limited {
             let share = match until {
                 Some(_) => self.rate_share(&upstream, now),
                 None => RateShare::default(),
@@ -87,12 +86,6 @@
         }
     }
 
-    fn bounded_upstreams(&self, now: MonoTime) -> Vec<Arc<Upstream>> {
-        let own_region = self.shared.settings.region();
-        let local = self.upstreams.values().filter(|it| it.identity.region == *own_region);
-        local.filter(|upstream| upstream.allowed_rate(now).is_some()).cloned().collect()
-    }
-
     /// Returns the rate at which all VMs of the region together may send to an upstream. `None` if
     /// it is not limited.
     fn shared_rate(&self, upstream: &Upstream, now: MonoTime) -> Option<SharedRate> {
--- a/crates/foldhaven-gateway/src/control/region_waits.rs
+++ b/crates/foldhaven-gateway/src/control/region_waits.rs
@@ -16,25 +16,31 @@
 /// The assumed wait in a region without a recent report, for example after a start. Requests that
 /// may run only there are better sent than refused.
 const UNREPORTED_WAIT: Duration = Duration::from_millis(100);
+/// The maximum number of upstreams of a service from which the wait in a region is estimated.
+const MAX_SAMPLE: usize = 128;
 
 impl ControlActor {
     /// Returns the expected waits at the upstreams of this region, by service.
     pub(super) fn local_waits(&self) -> Vec<ServiceWait> {
         let now = self.now();
         let own_region = self.shared.settings.region();
-        let local = self.upstreams.values().filter(|it| it.identity.region == *own_region);
         let is_open = |it: &&Arc<Upstream>| {
             let is_accepting = it.remaining_backoff(now).is_zero() && !it.is_leaving();
             is_accepting && it.allowed_rate(now).is_none() && !it.health.lock().is_ejected(now)
         };
-        let open = local.filter(is_open);
         let mut by_service: BTreeMap<&ServiceName, Vec<ExpectedQueue>> = BTreeMap::new();
-        for upstream in open {
-            let service = &upstream.identity.service;
-            let wait = expected_wait(upstream, &self.shared.measured_performance(service), now);
-            let long_pauses = upstream.performance.lock().long_pause_share(now);
-            let expected = ExpectedQueue { wait, load: upstream.queue().in_flight, long_pauses };
-            by_service.entry(service).or_default().push(expected);
+        for (service, group) in self.upstreams.groups_in(own_region) {
+            let performance = self.shared.measured_performance(service);
+            let expected_queue = |upstream: &Arc<Upstream>| ExpectedQueue {
+                wait: expected_wait(upstream, &performance, now),
+                load: upstream.queue().in_flight,
+                long_pauses: upstream.performance.lock().long_pause_share(now),
+            };
+            let open = group.iter_random().filter(is_open).take(MAX_SAMPLE);
+            let expected: Vec<ExpectedQueue> = open.map(expected_queue).collect();
+            if !expected.is_empty() {
+                by_service.insert(service, expected);
+            }
         }
         let service_wait = |(service, expected): (&ServiceName, Vec<ExpectedQueue>)| {
             let usual = better_half_mean(expected);
@@ -53,28 +59,25 @@
     pub(super) fn waits_by_region(&self) -> HashMap<(RegionName, ServiceName), RegionWait> {
         let now = self.now();
         let mut waits: HashMap<(RegionName, ServiceName), RegionWait> = HashMap::new();
-        for upstream in self.upstreams.values() {
-            let identity = &upstream.identity;
-            if self.regions.is_closed(&identity.region, &identity.service, now) {
-                continue;
-            }
-            let key = (identity.region.clone(), identity.service.clone());
-            let wait = waits.entry(key).or_insert(RegionWait {
-                wait: UNREPORTED_WAIT,
-                upstreams: 0,
-                slots: 0,
-                load: 0,
-                long_pauses: 0.0,
-            });
-            if wait.upstreams == 0
-                && let Some(reported) = self.regions.wait(&identity.region, &identity.service, now)
-            {
-                wait.wait = Duration::from_millis(reported.wait_ms.into());
-                wait.load = reported.load.into();
-                wait.long_pauses = f64::from(reported.long_pauses) / 1_000.0;
+        for (service, regions) in self.upstreams.groups() {
+            for (region, group) in regions {
+                let Some(first) = group.iter().next() else { continue };
+                if self.regions.is_closed(region, service, now) {
+                    continue;
+                }
+                let reported = self.regions.wait(region, service, now);
+                let wait = RegionWait {
+                    wait: reported.map_or(UNREPORTED_WAIT, |reported| {
+                        Duration::from_millis(reported.wait_ms.into())
+                    }),
+                    upstreams: group.len(),
+                    slots: first.identity.slots,
+                    load: reported.map_or(0, |reported| reported.load.into()),
+                    long_pauses: reported
+                        .map_or(0.0, |reported| f64::from(reported.long_pauses) / 1_000.0),
+                };
+                waits.insert((region.clone(), service.clone()), wait);
             }
-            wait.upstreams += 1;
-            wait.slots = identity.slots;
         }
         waits
     }
--- a/crates/foldhaven-gateway/src/control/suspension.rs
+++ b/crates/foldhaven-gateway/src/control/suspension.rs
@@ -15,7 +15,7 @@
         self.shared.metrics.count_event("stood_still");
         self.shared.suspects.mark_uninformed();
         self.peers.request_all_again();
-        self.upstreams.values().for_each(|upstream| upstream.pool.clear());
+        self.upstreams.iter().for_each(|upstream| upstream.pool.clear());
         self.links.values().for_each(|link| link.pool.clear());
     }
 
--- a/crates/foldhaven-gateway/src/control/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/control/traffic_view.rs
@@ -1,71 +1,93 @@
 //! Builds the view that the traffic thread reads: routes, upstreams, links to other VMs and
-//! expected waits.
+//! expected waits. Only what has changed is built anew.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use foldhaven_core::ids::{RegionName, ServiceName};
-use foldhaven_core::opaque::affinity::UpstreamTag;
-use foldhaven_core::opaque::idle_connections::max_idle_connections;
+use foldhaven_core::ids::{RegionName, VmName};
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase};
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::opaque::service_order::{ServiceCandidate, ServiceOrder};
-use foldhaven_core::opaque::upstream_table::UpstreamEntry;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
 
 use super::{ControlActor, InService};
 use crate::platform_state::StateOffer;
-use crate::upstream::{Upstream, UpstreamIdentity};
-use crate::view::{GatewayView, PeerLink};
+use crate::view::{GatewayView, MemberView, PeerLink, RegionPeers};
 
 impl ControlActor {
-    /// Publishes a new view for traffic, and decides whether this daemon reads the platform.
+    /// Publishes a new view for traffic. Costs as much as there are changes since the last one.
     pub(super) fn publish(&mut self) {
-        self.update_read_assignment();
+        match self.has_member_change {
+            true => self.update_reader_role(),
+            false => self.update_read_assignment(),
+        }
         self.needs_publish = false;
         let Some(routes) = self.platform.routes().cloned() else { return };
         let now = self.now();
-        let upstreams = self.current_upstreams(&routes, now);
-        let mut heartbeats: Vec<PeerHeartbeat> = self.peers.live(now).cloned().collect();
-        let peers = self.current_links(&heartbeats);
-        let remote_in_service = self.remote_in_service(&heartbeats);
-        let expected_waits = self.waits_by_region();
-        heartbeats.push(self.own_heartbeat());
+        self.update_upstreams(&routes, now);
+        let members = self.current_members(&routes, now);
+        self.update_rate_shares(now);
         let Some(offer) = self.current_offer(&routes, now) else { return };
         let demand = self.current_demand(now);
-        self.report_in_service(demand, now);
-        self.report_members(now);
         self.shared.publish(GatewayView {
             routes,
-            upstreams,
-            peers,
-            expected_waits,
-            remote_in_service,
-            heartbeats,
-            unresponsive_vms: self.peers.unresponsive_local_vms(now),
+            upstreams: self.upstreams.groups().clone(),
+            members,
+            expected_waits: self.waits_by_region(),
             demand,
             senders: self.loads.active_vms().count() + 1,
-            last_seen: self.peers.last_seen_by_data_centre(),
-            assumed_vms: self.assumed_vms(),
             offer,
         });
     }
 
-    /// Publishes a new view with the next load report. Used for changes that may come in large
-    /// numbers, such as at the start of a large deployment: building a view of thousands of
-    /// upstreams takes milliseconds.
-    pub(super) fn publish_later(&mut self) {
+    /// Publishes a view that also shows what has changed of the other VMs, such as which ones are
+    /// no longer live. Costs as much as there are VMs.
+    pub(super) fn publish_members(&mut self) {
+        self.has_member_change = true;
+        self.publish();
+    }
+
+    /// Publishes a new view with the next load report, since the membership has changed. Such
+    /// changes come in large numbers at the start of a large deployment.
+    pub(super) fn publish_members_later(&mut self) {
+        self.has_member_change = true;
         self.needs_publish = true;
     }
 
-    /// Publishes the changes deferred by [`ControlActor::publish_later`].
+    /// Publishes the changes that were deferred to the next load report.
     pub(super) fn publish_deferred(&mut self) {
         if self.needs_publish {
             self.publish();
         }
     }
 
+    /// Returns what is known of the other VMs. It is collected again only after a change.
+    fn current_members(&mut self, routes: &RouteTable, now: MonoTime) -> Arc<MemberView> {
+        let phase = self.phase();
+        if !self.has_member_change && self.published_phase == Some(phase) {
+            return self.members_view.clone();
+        }
+        self.has_member_change = false;
+        self.published_phase = Some(phase);
+        self.refresh_senders(now);
+        self.update_idle_limits(routes, now);
+        let mut heartbeats: Vec<PeerHeartbeat> = self.peers.live(now).cloned().collect();
+        let regions = self.current_peers(&heartbeats);
+        heartbeats.push(self.own_heartbeat());
+        let demand = self.current_demand(now);
+        self.report_in_service(demand, now);
+        self.report_members(now);
+        self.members_view = Arc::new(MemberView {
+            heartbeats,
+            regions,
+            unresponsive_vms: self.peers.unresponsive_local_vms(now),
+            last_seen: self.peers.last_seen_by_data_centre(),
+            assumed_vms: self.assumed_vms(),
+        });
+        self.members_view.clone()
+    }
+
     /// Returns the platform state that other VMs can fetch. It is rebuilt only after a change.
     fn current_offer(
         &mut self,
@@ -81,87 +103,6 @@
         self.offer.clone()
     }
 
-    /// Returns the upstreams that may get new requests. Upstreams that are still listed keep their
-    /// measurements.
-    fn current_upstreams(
-        &mut self,
-        routes: &RouteTable,
-        now: MonoTime,
-    ) -> HashMap<ServiceName, Vec<Arc<Upstream>>> {
-        // All VMs of a region connect to its upstreams.
-        let vms = usize::from(self.peers.assumed_counts(now).local);
-        let mut kept = HashMap::new();
-        let mut by_service: HashMap<ServiceName, Vec<Arc<Upstream>>> = HashMap::new();
-        for entry in self.platform.table.usable() {
-            if !routes.names_service(&entry.record.service) {
-                continue;
-            }
-            let Some(upstream) = self.upstream_of(entry, routes) else { continue };
-            upstream.set_cold(entry.cold_until);
-            self.shared.upstream_limits.apply(&upstream);
-            self.shared.leaving_upstreams.apply(&upstream);
-            let service = routes.service(&upstream.identity.service);
-            let limit = service.map_or(0, |service| service.connection_limit);
-            upstream.pool.set_max_idle(max_idle_connections(limit, vms));
-            by_service.entry(upstream.identity.service.clone()).or_default().push(upstream.clone());
-            kept.insert(upstream.name().clone(), upstream);
-        }
-        let by_tag: HashMap<UpstreamTag, Arc<Upstream>> =
-            kept.values().map(|upstream| (upstream.tag, upstream.clone())).collect();
-        for tag in self.by_tag.keys().filter(|tag| !by_tag.contains_key(*tag)) {
-            self.shared.prefix_caches.lock().remove(*tag);
-        }
-        self.by_tag = by_tag;
-        self.upstreams = kept;
-        self.refresh_senders(now);
-        self.update_rate_shares(now);
-        by_service
-    }
-
-    /// Returns the upstream of an entry. A known one is reused unless its process was restarted or
-    /// its address has changed, since measurements of an earlier process do not apply to a later
-    /// one.
-    fn upstream_of(&self, entry: &UpstreamEntry, routes: &RouteTable) -> Option<Arc<Upstream>> {
-        let record = &entry.record;
-        if let Some(known) = self.upstreams.get(&record.name)
-            && known.identity.matches_record(record)
-        {
-            return Some(known.clone());
-        }
-        let region = self.settings.regions.get(&record.data_centre)?;
-        let service = routes.service(&record.service);
-        Some(Upstream::new(UpstreamIdentity {
-            name: record.name.clone(),
-            birth: record.birth,
-            service: record.service.clone(),
-            address: record.address,
-            data_centre: record.data_centre.clone(),
-            region: region.clone(),
-            slots: record.slots,
-            prompt_memory: service.and_then(|service| service.prompt_memory).unwrap_or_default(),
-        }))
-    }
-
-    /// Returns links to the VMs of other regions that take requests there at any load.
-    fn remote_in_service(
-        &self,
-        heartbeats: &[PeerHeartbeat],
-    ) -> HashMap<RegionName, Vec<Arc<PeerLink>>> {
-        let own_region = self.shared.settings.region();
-        let serving = heartbeats.iter().filter(|heartbeat| heartbeat.phase == PeerPhase::Serving);
-        let mut by_region: HashMap<&RegionName, Vec<ServiceCandidate<'_>>> = HashMap::new();
-        for heartbeat in serving.filter(|heartbeat| heartbeat.region != *own_region) {
-            by_region.entry(&heartbeat.region).or_default().push(ServiceCandidate::of(heartbeat));
-        }
-        let links = by_region.into_iter().map(|(region, candidates)| {
-            let order = ServiceOrder::of(candidates);
-            let baseline = order.baseline().iter();
-            let links = baseline.filter_map(|candidate| self.links.get(candidate.vm).cloned());
-            (region.clone(), links.collect())
-        });
-        links.collect()
-    }
-
     /// Returns the peak processor time that the region's requests used in the last few seconds.
     fn current_demand(&mut self, now: MonoTime) -> CoreShare {
         let own = self.meter.busy(self.shared.accepted_requests(), self.shared.settings.cores);
@@ -190,16 +131,42 @@
         }
     }
 
-    /// Returns links to the VMs that serve. Known links are reused with their connections.
-    fn current_links(&mut self, heartbeats: &[PeerHeartbeat]) -> Vec<Arc<PeerLink>> {
+    /// Returns the VMs that serve, by region. Known links are reused with their connections.
+    fn current_peers(&mut self, heartbeats: &[PeerHeartbeat]) -> HashMap<RegionName, RegionPeers> {
         let mut links = HashMap::new();
-        for heartbeat in heartbeats.iter().filter(|heartbeat| heartbeat.phase == PeerPhase::Serving)
-        {
+        let mut by_region: HashMap<RegionName, Vec<&PeerHeartbeat>> = HashMap::new();
+        let serving = heartbeats.iter().filter(|heartbeat| heartbeat.phase == PeerPhase::Serving);
+        for heartbeat in serving {
             let known = self.links.get(&heartbeat.vm).filter(|link| link.address == heartbeat.peer);
-            let link = known.cloned().unwrap_or_else(|| Arc::new(PeerLink::new(heartbeat)));
+            let link = known.cloned().unwrap_or_else(|| {
+                let traffic = self.region_traffic.entry(heartbeat.region.clone()).or_default();
+                Arc::new(PeerLink::new(heartbeat, traffic.clone()))
+            });
             links.insert(heartbeat.vm.clone(), link);
+            by_region.entry(heartbeat.region.clone()).or_default().push(heartbeat);
         }
         self.links = links;
-        self.links.values().cloned().collect()
+        let peers = |(region, heartbeats): (RegionName, Vec<&PeerHeartbeat>)| {
+            let peers = self.region_peers(&region, &heartbeats);
+            (region, peers)
+        };
+        by_region.into_iter().map(peers).collect()
+    }
+
+    fn region_peers(&self, region: &RegionName, heartbeats: &[&PeerHeartbeat]) -> RegionPeers {
+        let link = |vm: &VmName| self.links.get(vm).cloned();
+        let in_service = match region == self.shared.settings.region() {
+            true => Vec::new(),
+            false => {
+                let candidates = heartbeats.iter().map(|heartbeat| ServiceCandidate::of(heartbeat));
+                let order = ServiceOrder::of(candidates);
+                order.baseline().iter().filter_map(|candidate| link(candidate.vm)).collect()
+            }
+        };
+        RegionPeers {
+            links: heartbeats.iter().filter_map(|heartbeat| link(&heartbeat.vm)).collect(),
+            in_service,
+            traffic: self.region_traffic.get(region).cloned().unwrap_or_default(),
+        }
     }
 }
--- a/crates/foldhaven-gateway/src/control/upstream_signals.rs
+++ b/crates/foldhaven-gateway/src/control/upstream_signals.rs
@@ -26,7 +26,7 @@
                 continue;
             };
             // The limit of an upstream that is not listed yet is applied once it is.
-            let Some(upstream) = self.by_tag.get(&notice.upstream) else { continue };
+            let Some(upstream) = self.upstreams.find(notice.upstream) else { continue };
             self.shared.upstream_limits.apply(upstream);
             record_limit_change(&self.shared, upstream, &change, "peer");
             has_changed = true;
@@ -51,7 +51,7 @@
             if !self.shared.leaving_upstreams.apply_notice(notice, now) {
                 continue;
             }
-            let Some(upstream) = self.by_tag.get(&notice.upstream) else { continue };
+            let Some(upstream) = self.upstreams.find(notice.upstream) else { continue };
             self.shared.leaving_upstreams.apply(upstream);
             record_leaving(&self.shared, upstream, "peer");
         }
@@ -82,7 +82,7 @@
 impl ControlActor {
     /// Removes the signals of upstreams that are no longer listed.
     pub(super) fn forget_signals(&self) {
-        let is_listed = |tag| self.by_tag.contains_key(&tag);
+        let is_listed = |tag| self.upstreams.find(tag).is_some();
         self.shared.upstream_limits.forget(is_listed, &self.shared);
         self.shared.leaving_upstreams.forget(is_listed, &self.shared);
     }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -5,18 +5,21 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::admission::DestinationEstimate;
+use foldhaven_core::opaque::affinity::{PromptOutline, UpstreamTag};
 use foldhaven_core::opaque::choice::{
-    RequestCost, UpstreamCandidate, UpstreamChoice, choose_upstream, price_upstreams,
+    CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::ServicePerformance;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::time::MonoTime;
 
+use super::drawing::{DrawnUpstreams, draw};
 use super::{DestinationChoice, RequestDestination, TriedDestinations, choice_query};
 use crate::answer::Refusal;
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
+use crate::upstream_set::UpstreamGroup;
 use crate::view::GatewayView;
 
 /// The cost of a byte sent between data centres of a region, relative to a token of work. It is not
@@ -27,6 +30,12 @@
 /// one.
 const NO_SHARE_WAIT: Duration = Duration::from_millis(500);
 
+/// The maximum number of upstreams to look at for whether any of them can take a request. If one in
+/// twenty can, one is found almost always.
+const MAX_EXAMINED: usize = 128;
+/// The maximum number of upstreams with cached segments of the prompt among the candidates.
+const MAX_DRAWN_HOLDERS: usize = 16;
+
 /// The best upstream of this region.
 pub(super) struct LocalChoice {
     upstream: Arc<Upstream>,
@@ -80,12 +89,14 @@
     job: &GatewayJob,
     tried: &TriedDestinations,
 ) -> Option<LocalChoice> {
-    let local = local_upstreams(shared, view, job);
-    let candidates = candidates_of(shared, &local, job, tried);
+    let group = local_group(shared, view, job)?;
+    let drawn = draw_upstreams(group, shared, job);
+    let candidates = candidates_of(shared, &drawn.upstreams, job, tried);
+    let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
-    let choice = choose_upstream(&candidates, &choice_query(shared, view, job), &performance)?;
-    let fetch_from = choice.fetch_from.map(|at| local[at].identity.address);
-    Some(LocalChoice { upstream: local[choice.index].clone(), choice, fetch_from })
+    let choice = sample.choose(&choice_query(shared, view, job), &performance)?;
+    let fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
+    Some(LocalChoice { upstream: drawn.upstreams[choice.index].clone(), choice, fetch_from })
 }
 
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
@@ -102,8 +113,9 @@
 /// Returns whether an upstream of this region can get a request now.
 pub(super) fn has_available(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
     let now = shared.now();
-    let mut local = local_upstreams(shared, view, job).into_iter();
-    local.any(|upstream| throttled_for(upstream, now).is_none())
+    let group = local_group(shared, view, job);
+    let mut examined = group.into_iter().flat_map(examined_upstreams);
+    examined.any(|upstream| throttled_for(upstream, now).is_none())
 }
 
 /// Returns the shortest time until this VM may send to an upstream of this region that asked it to
@@ -114,10 +126,11 @@
     job: &GatewayJob,
 ) -> Option<Duration> {
     let now = shared.now();
-    let local = local_upstreams(shared, view, job).into_iter();
+    let group = local_group(shared, view, job);
+    let examined = group.into_iter().flat_map(examined_upstreams);
     let has_said = |it: &&Arc<Upstream>| it.is_limited() || !it.remaining_backoff(now).is_zero();
     let wait = |it: &Arc<Upstream>| throttled_for(it, now).unwrap_or_default();
-    local.filter(has_said).map(wait).min()
+    examined.filter(has_said).map(wait).min()
 }
 
 /// Prices the candidate upstreams of this region.
@@ -126,22 +139,42 @@
     view: &GatewayView,
     job: &GatewayJob,
 ) -> Vec<(Arc<Upstream>, UpstreamChoice)> {
-    let local = local_upstreams(shared, view, job);
-    let candidates = candidates_of(shared, &local, job, &TriedDestinations::default());
+    let Some(group) = local_group(shared, view, job) else { return Vec::new() };
+    let DrawnUpstreams { upstreams, keyed } = draw_upstreams(group, shared, job);
+    let candidates = candidates_of(shared, &upstreams, job, &TriedDestinations::default());
+    let sample = CandidateSample { candidates: &candidates, keyed };
     let performance = shared.performance(&job.service, view);
-    let priced = price_upstreams(&candidates, &choice_query(shared, view, job), &performance);
-    priced.into_iter().map(|choice| (local[choice.index].clone(), choice)).collect()
+    let priced = sample.price(&choice_query(shared, view, job), &performance);
+    priced.into_iter().map(|choice| (upstreams[choice.index].clone(), choice)).collect()
 }
 
-fn local_upstreams<'a>(
+fn local_group<'a>(
     shared: &GatewayShared,
     view: &'a GatewayView,
     job: &GatewayJob,
-) -> Vec<&'a Arc<Upstream>> {
-    let own_region = shared.settings.region();
-    let all = view.upstreams_of(&job.service).iter();
-    let local = all.filter(|upstream| upstream.identity.region == *own_region);
-    local.filter(|upstream| !upstream.is_leaving()).collect()
+) -> Option<&'a UpstreamGroup> {
+    view.group(&job.service, shared.settings.region())
+}
+
+/// Returns the upstreams to look at for whether any of them can take a request.
+fn examined_upstreams(group: &UpstreamGroup) -> impl Iterator<Item = &Arc<Upstream>> {
+    group.iter_random().filter(|upstream| !upstream.is_leaving()).take(MAX_EXAMINED)
+}
+
+/// Draws the upstreams that a request may be sent to.
+fn draw_upstreams<'a>(
+    group: &'a UpstreamGroup,
+    shared: &GatewayShared,
+    job: &GatewayJob,
+) -> DrawnUpstreams<'a> {
+    let segments = job.shared_segments();
+    let holders: Vec<UpstreamTag> = match segments {
+        [] => Vec::new(),
+        _ => shared.prefix_caches.lock().holders(segments).take(MAX_DRAWN_HOLDERS).collect(),
+    };
+    let key = job.outline.as_ref().and_then(PromptOutline::affinity_key);
+    let is_open = |upstream: &Upstream| !upstream.is_leaving();
+    draw(group, key, &holders, is_open)
 }
 
 fn candidates_of<'a>(
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses the destination of each attempt of a request: an upstream of this region, or a VM of
 //! another region.
 
+mod drawing;
 mod local;
 mod overview;
 mod remote;
@@ -74,9 +75,19 @@
     }
 
     /// Counts a request of a service at the destination until the returned guard is dropped.
-    pub fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadGuard {
+    pub fn enter(
+        &self,
+        shared: &GatewayShared,
+        service: &ServiceName,
+        tokens: u32,
+        rank: QueueRank,
+    ) -> LoadGuard {
         match self {
-            Self::Upstream(upstream) => upstream.load.enter(tokens, rank),
+            Self::Upstream(upstream) => {
+                let guard = upstream.load.enter(tokens, rank);
+                shared.busy_upstreams.insert(upstream);
+                guard
+            }
             Self::Peer(peer) => peer.enter(service, tokens, rank),
         }
     }
--- a/crates/foldhaven-gateway/src/destinations/overview.rs
+++ b/crates/foldhaven-gateway/src/destinations/overview.rs
@@ -1,9 +1,7 @@
 //! Describes the possible destinations of a request to operators and in logs.
 
-use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use foldhaven_core::ids::RegionName;
 use foldhaven_wire::operator::DestinationPrice;
 
 use super::TriedDestinations;
@@ -43,13 +41,10 @@
 pub fn describe_candidates(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> String {
     let own_region = shared.settings.region();
     let mut text = String::new();
-    let listed = view.upstreams_of(&job.service).iter();
-    let mut by_region: BTreeMap<&RegionName, usize> = BTreeMap::new();
-    for upstream in listed {
-        *by_region.entry(&upstream.identity.region).or_default() += 1;
-    }
-    for (region, upstreams) in by_region {
-        let vms = view.peers.iter().filter(|peer| peer.region == *region).count();
+    let by_region = view.upstreams_of(&job.service).into_iter().flatten();
+    for (region, group) in by_region {
+        let upstreams = group.len();
+        let vms = view.members.regions.get(region).map_or(0, |peers| peers.links.len());
         let is_own = region == own_region;
         let permitted = job.permits(region);
         // Writing to a string cannot fail.
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -8,7 +8,6 @@
 use foldhaven_core::opaque::choice::{
     CostBreakdown, RequestCost, decode_slowdown_cost, pause_cost, streaming_cost,
 };
-use foldhaven_core::opaque::load_reports::UpstreamShare;
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::remote_queue::RemoteService;
@@ -18,7 +17,7 @@
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
-use crate::view::{GatewayView, PeerLink, RegionWait};
+use crate::view::{GatewayView, PeerLink, RegionPeers, RegionWait};
 
 /// The assumed round trip to a region before the first connection to it is established, which takes
 /// some tenths of a second after a start.
@@ -74,8 +73,9 @@
         *service == job.service && region != own_region && job.permits(region)
     });
     let priced = regions.filter_map(|((region, _), wait)| {
-        let peer = pick_peer(view, region, tried)?;
-        Some(RemotePricer { shared, view, job, region, wait: *wait }.price(peer))
+        let peers = view.members.regions.get(region)?;
+        let peer = pick_peer(peers, tried)?;
+        Some(RemotePricer { shared, view, job, region, peers, wait: *wait }.price(peer))
     });
     priced.collect()
 }
@@ -86,6 +86,7 @@
     view: &'a GatewayView,
     job: &'a GatewayJob,
     region: &'a RegionName,
+    peers: &'a RegionPeers,
     wait: RegionWait,
 }
 
@@ -127,7 +128,7 @@
 
     /// Returns the round trip to the region, doubled if a connection has to be opened first.
     fn network_time(&self, peer: &PeerLink) -> Duration {
-        let round_trip = self.view.round_trip(self.region).unwrap_or(DEFAULT_ROUND_TRIP);
+        let round_trip = self.peers.traffic.round_trip().unwrap_or(DEFAULT_ROUND_TRIP);
         match peer.pool.has_usable_connection() {
             true => round_trip,
             false => round_trip * 2,
@@ -137,13 +138,7 @@
     /// Estimates the requests that the VMs of this region have sent there since the last report,
     /// from those that this VM has sent.
     fn sent_since(&self, slot_time: Duration, network_time: Duration) -> QueueState {
-        let links = self.view.peers.iter().filter(|peer| peer.region == *self.region);
-        let sent = links.map(|peer| peer.share(&self.job.service));
-        let own = sent.fold(UpstreamShare::default(), |sum, share| UpstreamShare {
-            in_flight: sum.in_flight.saturating_add(share.in_flight),
-            prefill_backlog: sum.prefill_backlog.plus(share.prefill_backlog),
-            ..sum
-        });
+        let own = self.peers.traffic.share(&self.job.service);
         let RegionWait { upstreams, slots, .. } = self.wait;
         RemoteService { upstreams, slots, slot_time, round_trip: network_time }
             .queue(own, self.view.senders)
@@ -156,9 +151,9 @@
         }
         let segments = self.job.shared_segments();
         let prefix_caches = self.shared.prefix_caches.lock();
-        let upstreams = self.view.upstreams_of(&self.job.service).iter();
-        let there = upstreams.filter(|upstream| upstream.identity.region == *self.region);
-        let held = there.map(|upstream| {
+        let there = self.view.group(&self.job.service, self.region);
+        let find = |tag| there.and_then(|group| group.find(tag));
+        let held = prefix_caches.holders(segments).filter_map(find).map(|upstream| {
             prefix_caches.cached_tokens(upstream.tag, segments, upstream.identity.prompt_memory)
         });
         shared_tokens - held.max().unwrap_or_default().min(shared_tokens)
@@ -167,17 +162,11 @@
 
 /// Returns a random VM of a region that the request was not sent to yet. VMs in service there and
 /// VMs with an open connection are preferred.
-fn pick_peer(
-    view: &GatewayView,
-    region: &RegionName,
-    tried: &TriedDestinations,
-) -> Option<Arc<PeerLink>> {
+fn pick_peer(peers: &RegionPeers, tried: &TriedDestinations) -> Option<Arc<PeerLink>> {
     let is_untried = |peer: &&Arc<PeerLink>| !tried.peers.contains(&peer.vm);
-    let in_service = view.remote_in_service.get(region).into_iter().flatten();
-    let mut open: Vec<&Arc<PeerLink>> = in_service.filter(is_untried).collect();
+    let mut open: Vec<&Arc<PeerLink>> = peers.in_service.iter().filter(is_untried).collect();
     if open.is_empty() {
-        let there = view.peers.iter().filter(|peer| peer.region == *region);
-        open = there.filter(is_untried).collect();
+        open = peers.links.iter().filter(is_untried).collect();
     }
     let warm: Vec<&Arc<PeerLink>> =
         open.iter().copied().filter(|peer| peer.pool.has_usable_connection()).collect();
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -58,9 +58,9 @@
             responder: &settings.vm,
             region: settings.region(),
             demand: view.demand,
-            unresponsive: &view.unresponsive_vms,
+            unresponsive: &view.members.unresponsive_vms,
         };
-        Some(select_vms(&view.heartbeats, &query.region, &local, bound, has_bound))
+        Some(select_vms(&view.members.heartbeats, &query.region, &local, bound, has_bound))
     }
 }
 
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod account_limiter;
 pub mod answer;
 mod attempts;
+mod busy_upstreams;
 mod call;
 mod caller_front;
 pub mod clock;
@@ -47,6 +48,7 @@
 mod upstream;
 mod upstream_exits;
 mod upstream_listener;
+mod upstream_set;
 mod view;
 mod warm_links;
 
--- a/crates/foldhaven-gateway/src/operator_front/status.rs
+++ b/crates/foldhaven-gateway/src/operator_front/status.rs
@@ -12,6 +12,7 @@
 
 use super::OperatorHandler;
 use crate::upstream::Upstream;
+use crate::upstream_set::UpstreamGroup;
 use crate::view::GatewayView;
 
 impl OperatorHandler {
@@ -45,14 +46,18 @@
 
     /// Returns the incarnation of this process. `None` before the first description.
     fn own_incarnation(&self, view: &GatewayView) -> Option<IncarnationId> {
-        let own = view.heartbeats.iter().find(|heartbeat| heartbeat.vm == self.shared.settings.vm);
+        let own = view
+            .members
+            .heartbeats
+            .iter()
+            .find(|heartbeat| heartbeat.vm == self.shared.settings.vm);
         own.map(|heartbeat| heartbeat.incarnation)
     }
 
     /// Returns the other VMs of this data centre.
     fn members(&self, view: &GatewayView) -> Vec<MemberStatus> {
         let settings = &self.shared.settings;
-        let others = view.heartbeats.iter().filter(|heartbeat| heartbeat.vm != settings.vm);
+        let others = view.members.heartbeats.iter().filter(|heartbeat| heartbeat.vm != settings.vm);
         let local = others.filter(|heartbeat| heartbeat.data_centre == settings.data_centre);
         let member = |heartbeat: &PeerHeartbeat| MemberStatus {
             vm: heartbeat.vm.clone(),
@@ -66,7 +71,8 @@
     /// Returns the upstreams of this data centre that may get requests.
     fn upstreams(&self, view: &GatewayView) -> Vec<UpstreamStatus> {
         let own = &self.shared.settings.data_centre;
-        let all = view.upstreams.values().flatten();
+        let groups = view.upstreams.values().flat_map(|regions| regions.values());
+        let all = groups.flat_map(UpstreamGroup::iter);
         let local = all.filter(|upstream| upstream.identity.data_centre == *own);
         let status = |upstream: &Arc<Upstream>| UpstreamStatus {
             name: upstream.name().to_string(),
@@ -83,7 +89,9 @@
     fn centres(&self, view: &GatewayView) -> Vec<CentreStatus> {
         let own = &self.shared.settings.data_centre;
         let mut by_centre: BTreeMap<&DataCentreName, Vec<&PeerHeartbeat>> = BTreeMap::new();
-        for heartbeat in view.heartbeats.iter().filter(|heartbeat| heartbeat.data_centre != *own) {
+        for heartbeat in
+            view.members.heartbeats.iter().filter(|heartbeat| heartbeat.data_centre != *own)
+        {
             by_centre.entry(&heartbeat.data_centre).or_default().push(heartbeat);
         }
         let centres = by_centre.into_iter();
@@ -98,7 +106,7 @@
         heartbeats: &[&PeerHeartbeat],
     ) -> CentreStatus {
         let now = self.shared.now();
-        let last_seen = view.last_seen.get(data_centre);
+        let last_seen = view.members.last_seen.get(data_centre);
         let serving =
             heartbeats.iter().filter(|heartbeat| heartbeat.phase == PeerPhase::Serving).count();
         let versions = heartbeats.iter().map(|heartbeat| heartbeat.version);
--- a/crates/foldhaven-gateway/src/platform_state/change_log.rs
+++ b/crates/foldhaven-gateway/src/platform_state/change_log.rs
@@ -1,11 +1,13 @@
 //! Keeps the newest platform changes, so that a VM that missed some can get just those.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use foldhaven_core::ids::DataCentreName;
 use foldhaven_core::opaque::route_table::RouteTable;
-use foldhaven_core::opaque::upstream_table::UpstreamRecord;
+use foldhaven_core::opaque::upstream_table::UpstreamList;
+use foldhaven_core::time::MonoTime;
+use imbl::Vector;
 
 use crate::feed::{
     ChangeSet, FeedChange, FeedSnapshot, NumberedChange, PeerState, drop_superseded,
@@ -15,12 +17,12 @@
 /// that is further behind gets the whole state.
 const MAX_WEIGHT: usize = 2_048;
 
-/// The newest changes, in the order of their revisions.
+/// The newest changes, in the order of their revisions. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct ChangeLog {
     /// The log contains all changes after this revision.
     after: u64,
-    changes: VecDeque<Arc<NumberedChange>>,
+    changes: Vector<Arc<NumberedChange>>,
     /// The sum of the weights of all changes.
     weight: usize,
 }
@@ -46,7 +48,7 @@
     /// Returns the revision of the newest change, or the one after which the log is complete if the
     /// log is empty.
     pub fn last_revision(&self) -> u64 {
-        self.changes.back().map_or(self.after, |change| change.revision)
+        self.changes.last().map_or(self.after, |change| change.revision)
     }
 
     /// Returns the changes after a revision without superseded ones, or `None` if the log does not
@@ -89,7 +91,9 @@
     /// The digest of the description.
     pub digest: u64,
     /// The listed upstreams.
-    pub upstreams: Vec<UpstreamRecord>,
+    pub upstreams: UpstreamList,
+    /// When the state was current. Remaining cold times are given for this moment.
+    pub taken_at: MonoTime,
     /// The data centres whose upstreams get no requests.
     pub evacuated: BTreeSet<DataCentreName>,
     /// The newest changes.
@@ -120,7 +124,7 @@
         FeedSnapshot {
             revision: self.revision,
             description: Some(self.routes.description().clone()),
-            upstreams: self.upstreams.clone(),
+            upstreams: self.upstreams.records(self.taken_at),
             unusable: BTreeSet::new(),
             evacuated: self.evacuated.clone(),
         }
--- a/crates/foldhaven-gateway/src/platform_state/mod.rs
+++ b/crates/foldhaven-gateway/src/platform_state/mod.rs
@@ -108,13 +108,15 @@
         std::mem::take(&mut self.unusable_count)
     }
 
-    /// Returns the state that other VMs can fetch. `None` before the first description.
+    /// Returns the state that other VMs can fetch, which shares its parts with this one. `None`
+    /// before the first description.
     pub fn offer(&self, now: MonoTime) -> Option<StateOffer> {
         Some(StateOffer {
             revision: self.revision,
             routes: self.routes.clone()?,
             digest: self.digest,
-            upstreams: self.table.records(now),
+            upstreams: self.table.list(),
+            taken_at: now,
             evacuated: self.table.evacuated().clone(),
             log: self.log.clone(),
         })
--- a/crates/foldhaven-gateway/src/rate_limit_tracker.rs
+++ b/crates/foldhaven-gateway/src/rate_limit_tracker.rs
@@ -51,6 +51,11 @@
         upstream.set_limited(limits.limit(upstream.tag).is_some());
     }
 
+    /// Returns the upstreams that have a limit.
+    pub fn limited(&self) -> Vec<UpstreamTag> {
+        self.limits.lock().limited().collect()
+    }
+
     /// Waits until there may be updates to send.
     pub async fn wait_for_updates(&self) {
         self.updates.notified().await;
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::account_limiter::AccountLimiter;
+use crate::busy_upstreams::BusyUpstreams;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
 use crate::leaving_tracker::LeavingTracker;
@@ -78,6 +79,8 @@
     pub stage: watch::Sender<StopStage>,
     /// The prompt segments that each upstream has probably cached.
     pub prefix_caches: Mutex<PrefixCacheIndex>,
+    /// The upstreams at which this VM has requests.
+    pub busy_upstreams: BusyUpstreams,
     /// The destinations of long prompts since the last report to other VMs.
     pub placements: Mutex<Vec<PromptPlacement>>,
     /// The measured performance of each service's upstreams.
@@ -132,6 +135,7 @@
             quota: LogQuota::default(),
             stage: watch::Sender::new(StopStage::Serving),
             prefix_caches: Mutex::default(),
+            busy_upstreams: BusyUpstreams::default(),
             placements: Mutex::default(),
             performance_by_service: Mutex::default(),
             caller_timeouts: Mutex::default(),
@@ -361,7 +365,9 @@
     pub fn try_withdraw_retry(&self, service: &ServiceName, view: &GatewayView) -> bool {
         let now = self.now();
         let uptime = self.uptime();
-        self.with_retry_share(service, |share| share.try_withdraw(view.assumed_vms, uptime, now))
+        self.with_retry_share(service, |share| {
+            share.try_withdraw(view.members.assumed_vms, uptime, now)
+        })
     }
 
     fn with_retry_share<T>(
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -10,7 +10,7 @@
 use foldhaven_core::ids::{
     DataCentreName, RegionName, ServiceName, UpstreamName, UpstreamStartTime,
 };
-use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
 use foldhaven_core::opaque::load_reports::UpstreamShare;
 use foldhaven_core::opaque::performance::{QueueState, UpstreamPerformance};
 use foldhaven_core::opaque::queue_rank::{PrefillBacklog, QueueRank};
@@ -29,6 +29,8 @@
     pub identity: UpstreamIdentity,
     /// Its identifier in messages between VMs.
     pub tag: UpstreamTag,
+    /// Its position among the upstreams of its service.
+    pub ring_position: RingPosition,
     pub pool: ConnectionPool,
     /// Its recent failures, which decide whether it is ejected.
     pub health: Mutex<TargetHealth>,
@@ -94,8 +96,10 @@
 
 impl Upstream {
     pub fn new(identity: UpstreamIdentity) -> Arc<Self> {
+        let ring_position = RingPosition::of(&identity.name, identity.birth);
         Arc::new(Self {
-            tag: UpstreamTag::of(&identity.name, identity.birth),
+            tag: ring_position.tag(),
+            ring_position,
             identity,
             pool: ConnectionPool::new(IDLE_LIMIT),
             health: Mutex::default(),
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -1,5 +1,5 @@
 //! The immutable view that the control thread publishes for traffic. It is always replaced as a
-//! whole.
+//! whole, but shares all parts that did not change with the view before.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -15,9 +15,35 @@
 use foldhaven_core::units::CoreShare;
 use parking_lot::Mutex;
 
-use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT};
+use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT, RoundTripMeter};
 use crate::platform_state::StateOffer;
-use crate::upstream::{LoadCounter, LoadGuard, Upstream};
+use crate::upstream::{LoadCounter, LoadGuard};
+use crate::upstream_set::{RegionGroups, ServiceGroups, UpstreamGroup};
+
+/// The requests that this VM has forwarded to a region, and the round trip to it. Shared by the
+/// links to all VMs of the region, so that a decision needs not look at each of them.
+#[derive(Default)]
+pub struct RegionTraffic {
+    loads: Mutex<HashMap<ServiceName, Arc<LoadCounter>>>,
+    round_trip: Arc<RoundTripMeter>,
+}
+
+impl RegionTraffic {
+    /// Returns the load of a service that this VM has forwarded to the region.
+    pub fn share(&self, service: &ServiceName) -> UpstreamShare {
+        self.loads.lock().get(service).map_or(UpstreamShare::default(), |load| load.share())
+    }
+
+    /// Returns the shortest measured round trip to a VM of the region. `None` before the first
+    /// measurement.
+    pub fn round_trip(&self) -> Option<Duration> {
+        self.round_trip.shortest()
+    }
+
+    fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadGuard {
+        self.loads.lock().entry(service.clone()).or_default().enter(tokens, rank)
+    }
+}
 
 /// Another VM that takes forwarded requests.
 pub struct PeerLink {
@@ -25,30 +51,34 @@
     pub region: RegionName,
     pub address: SocketAddr,
     pub pool: ConnectionPool,
-    /// The requests that this VM has forwarded there, by service.
-    loads: Mutex<HashMap<ServiceName, Arc<LoadCounter>>>,
+    traffic: Arc<RegionTraffic>,
 }
 
 impl PeerLink {
-    pub fn new(heartbeat: &PeerHeartbeat) -> Self {
+    pub fn new(heartbeat: &PeerHeartbeat, traffic: Arc<RegionTraffic>) -> Self {
         Self {
             vm: heartbeat.vm.clone(),
             region: heartbeat.region.clone(),
             address: heartbeat.peer,
-            pool: ConnectionPool::new(PEER_IDLE_LIMIT),
-            loads: Mutex::default(),
+            pool: ConnectionPool::with_meter(PEER_IDLE_LIMIT, traffic.round_trip.clone()),
+            traffic,
         }
     }
 
     /// Counts a forwarded request of a service until the returned guard is dropped.
     pub fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadGuard {
-        self.loads.lock().entry(service.clone()).or_default().enter(tokens, rank)
+        self.traffic.enter(service, tokens, rank)
     }
+}
 
-    /// Returns the load of a service that this VM has forwarded there.
-    pub fn share(&self, service: &ServiceName) -> UpstreamShare {
-        self.loads.lock().get(service).map_or(UpstreamShare::default(), |load| load.share())
-    }
+/// The VMs of another region, or of this one, that take forwarded requests.
+pub struct RegionPeers {
+    /// All VMs of the region that serve.
+    pub links: Vec<Arc<PeerLink>>,
+    /// Those that take requests at any load. Empty for this VM's own region.
+    pub in_service: Vec<Arc<PeerLink>>,
+    /// What this VM has sent there.
+    pub traffic: Arc<RegionTraffic>,
 }
 
 /// The expected wait and load of a service in a region.
@@ -66,49 +96,52 @@
     pub long_pauses: f64,
 }
 
+/// The other VMs, as far as decisions on requests depend on them.
+#[derive(Default)]
+pub struct MemberView {
+    /// The heartbeats of all live VMs, including this one.
+    pub heartbeats: Vec<PeerHeartbeat>,
+    /// The other VMs that serve, by region.
+    pub regions: HashMap<RegionName, RegionPeers>,
+    /// The VMs of this region that have not been heard from for a while, but may still be live.
+    pub unresponsive_vms: BTreeSet<VmName>,
+    /// When any VM of each data centre was last heard from.
+    pub last_seen: HashMap<DataCentreName, MonoTime>,
+    /// The number of VMs by which limits are divided. `None` while it is not known.
+    pub assumed_vms: Option<usize>,
+}
+
 /// Everything that decisions on requests depend on.
 pub struct GatewayView {
     pub routes: Arc<RouteTable>,
-    /// The upstreams of each service that may get new requests, in all regions.
-    pub upstreams: HashMap<ServiceName, Vec<Arc<Upstream>>>,
-    /// The other VMs that serve.
-    pub peers: Vec<Arc<PeerLink>>,
+    /// The upstreams that may get new requests, in all regions.
+    pub upstreams: ServiceGroups,
+    /// The other VMs.
+    pub members: Arc<MemberView>,
     /// The expected waits by region and service, as reported by other regions.
     pub expected_waits: HashMap<(RegionName, ServiceName), RegionWait>,
-    /// The VMs of each other region that take requests there at any load.
-    pub remote_in_service: HashMap<RegionName, Vec<Arc<PeerLink>>>,
-    /// The heartbeats of all live VMs, including this one.
-    pub heartbeats: Vec<PeerHeartbeat>,
-    /// The VMs of this region that have not been heard from for a while, but may still be live.
-    pub unresponsive_vms: BTreeSet<VmName>,
     /// The peak processor time that the region's requests used in the last few seconds.
     pub demand: CoreShare,
     /// The number of VMs of this region that send requests to its upstreams, including this one.
     pub senders: usize,
-    /// When any VM of each data centre was last heard from.
-    pub last_seen: HashMap<DataCentreName, MonoTime>,
-    /// The number of VMs by which limits are divided. `None` while it is not known.
-    pub assumed_vms: Option<usize>,
     /// The platform state that VMs that do not read the platform can fetch.
     pub offer: Arc<StateOffer>,
 }
 
 impl GatewayView {
-    /// Returns the shortest measured round trip to a VM of a region. `None` before the first
-    /// measurement.
-    pub fn round_trip(&self, region: &RegionName) -> Option<Duration> {
-        let there = self.peers.iter().filter(|peer| peer.region == *region);
-        there.filter_map(|peer| peer.pool.round_trip()).min()
-    }
-
     /// Returns the maximum age of other VMs' load reports, which is the interval between two of
     /// them.
     pub fn report_age(&self) -> Duration {
         report_interval(self.senders.saturating_sub(1))
     }
 
-    /// Returns the upstreams of a service.
-    pub fn upstreams_of(&self, service: &ServiceName) -> &[Arc<Upstream>] {
-        self.upstreams.get(service).map_or(&[], Vec::as_slice)
+    /// Returns the upstreams of a service, by region. `None` if it has none.
+    pub fn upstreams_of(&self, service: &ServiceName) -> Option<&RegionGroups> {
+        self.upstreams.get(service)
+    }
+
+    /// Returns the upstreams of a service in a region. `None` if it has none there.
+    pub fn group(&self, service: &ServiceName, region: &RegionName) -> Option<&UpstreamGroup> {
+        self.upstreams_of(service)?.get(region)
     }
 }
--- a/crates/foldhaven-gateway/src/warm_links.rs
+++ b/crates/foldhaven-gateway/src/warm_links.rs
@@ -1,7 +1,6 @@
 //! Keeps connections to VMs of other regions open, so that a forwarded request need not wait for
 //! one, and measures the round-trip time.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 
 use crate::connection::REMOTE_CONNECT_TIMEOUT;
 use crate::shared::GatewayShared;
-use crate::view::{GatewayView, PeerLink};
+use crate::view::{GatewayView, PeerLink, RegionPeers};
 
 /// Number of VMs in each other region to which a connection is kept open.
 const LINKS_PER_REGION: usize = 2;
@@ -33,17 +32,13 @@
 
 /// Returns one link to open for each region that has too few open connections.
 fn links_to_open(view: &GatewayView, own_region: &RegionName) -> Vec<Arc<PeerLink>> {
-    let mut by_region: BTreeMap<&RegionName, (usize, Vec<&Arc<PeerLink>>)> = BTreeMap::new();
-    for link in view.remote_in_service.values().flatten().filter(|link| link.region != *own_region)
-    {
-        let (open_count, unopened) = by_region.entry(&link.region).or_default();
-        match link.pool.has_usable_connection() {
-            true => *open_count += 1,
-            false => unopened.push(link),
-        }
-    }
-    let lacking = by_region.into_values().filter(|(open_count, _)| *open_count < LINKS_PER_REGION);
-    lacking.filter_map(|(_, unopened)| pick(&unopened)).collect()
+    let regions = view.members.regions.iter().filter(|(region, _)| *region != own_region);
+    let link_to_open = |peers: &RegionPeers| {
+        let (open, unopened): (Vec<_>, Vec<_>) =
+            peers.in_service.iter().partition(|link| link.pool.has_usable_connection());
+        if open.len() < LINKS_PER_REGION { pick(&unopened) } else { None }
+    };
+    regions.filter_map(|(_, peers)| link_to_open(peers)).collect()
 }
 
 fn pick(links: &[&Arc<PeerLink>]) -> Option<Arc<PeerLink>> {
