Core: the ring of upstreams and the draw of candidates, with bounds at the fleet's size and twice it

The draw moves from the gateway into the core, where its tests need no network: how many upstreams it looks at, that all VMs draw the same ones for a key, that random ones are drawn evenly, that small regions draw all.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -34,6 +34,7 @@
 pub mod sender_agreement;
 pub mod service_order;
 pub mod suspects;
+pub mod upstream_ring;
 pub mod upstream_signals;
 pub mod upstream_table;
 pub mod view_staleness;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod opaque_support;
 mod opaque_suspect_orders;
 mod opaque_suspects;
+mod opaque_upstream_ring;
 mod opaque_upstreams;
 mod placement;
 mod refusals;
--- a/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::UpstreamStartTime;
-use foldhaven_core::opaque::upstream_table::{UpstreamRecord, UpstreamTable};
+use foldhaven_core::opaque::upstream_table::{ChangedUpstreams, UpstreamRecord, UpstreamTable};
 use rstest::rstest;
 
 use crate::opaque_support::at;
@@ -78,3 +78,58 @@
     assert_eq!(table.records(at(1_000))[0].cold_for, Duration::from_millis(2_000));
     assert_eq!(table.records(at(9_000))[0].cold_for, Duration::ZERO);
 }
+
+/// Guards against views that are built from all upstreams after each change of one of them.
+#[rstest]
+#[case::the_fleet(6_002)]
+#[case::twice_its_size(12_004)]
+fn a_change_names_only_the_upstreams_that_changed(#[case] count: usize) {
+    let records: Vec<UpstreamRecord> =
+        (0..count).map(|number| record(&format!("u-{number}"), false, 0)).collect();
+    let mut table = UpstreamTable::default();
+    table.replace(records, at(0));
+    assert!(matches!(table.take_changed(), ChangedUpstreams::Named(names) if names.len() == count));
+    table.put(record("u-7", true, 0), at(10));
+    table.remove(&"u-8".parse().unwrap(), at(10));
+    table.remove(&"unknown".parse().unwrap(), at(10));
+    let changed = ["u-7", "u-8"].map(|name| name.parse().unwrap());
+    assert_eq!(table.take_changed(), ChangedUpstreams::Named(changed.into()));
+    assert!(table.take_changed().is_empty());
+    assert!(table.usable_entry(&"u-7".parse().unwrap()).is_none());
+    assert!(table.usable_entry(&"u-9".parse().unwrap()).is_some());
+}
+
+/// Guards against an evacuation that traffic does not notice.
+#[test]
+fn an_evacuation_may_change_all_upstreams() {
+    let mut table = UpstreamTable::default();
+    table.set_evacuated(["hall".parse().unwrap()].into());
+    assert_eq!(table.take_changed(), ChangedUpstreams::All);
+    table.set_evacuated(["hall".parse().unwrap()].into());
+    assert!(table.take_changed().is_empty(), "it was evacuated before");
+}
+
+/// Guards against an upstream that lapsed and stays in use for good.
+#[test]
+fn the_end_of_a_grace_period_is_a_change() {
+    let mut table = UpstreamTable::default();
+    table.replace(vec![record("a", false, 0), record("b", false, 0)], at(0));
+    table.record_list_failure(at(0));
+    table.remove(&"a".parse().unwrap(), at(100));
+    table.take_changed();
+    assert!(!table.expire(at(2_300)));
+    assert!(table.expire(at(2_500)));
+    assert_eq!(table.take_changed(), ChangedUpstreams::Named(["a".parse().unwrap()].into()));
+    assert_eq!(usable(&table), ["b"]);
+}
+
+/// Guards against a list for other VMs that changes while it is sent.
+#[test]
+fn a_list_keeps_what_it_showed() {
+    let mut table = UpstreamTable::default();
+    table.replace(vec![record("a", false, 0), record("b", false, 0)], at(0));
+    let list = table.list();
+    table.remove(&"a".parse().unwrap(), at(10));
+    assert_eq!(list.records(at(10)).len(), 2);
+    assert_eq!(table.records(at(10)).len(), 1);
+}
--- a/crates/foldhaven-gateway/src/control/region_waits.rs
+++ b/crates/foldhaven-gateway/src/control/region_waits.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::opaque::affinity::RingPosition;
 use foldhaven_core::opaque::peer_table::{ServiceTag, ServiceWait};
 
 use super::ControlActor;
@@ -36,7 +37,8 @@
                 load: upstream.queue().in_flight,
                 long_pauses: upstream.performance.lock().long_pause_share(now),
             };
-            let open = group.iter_random().filter(is_open).take(MAX_SAMPLE);
+            let open =
+                group.iter_from(RingPosition(rand::random())).filter(is_open).take(MAX_SAMPLE);
             let expected: Vec<ExpectedQueue> = open.map(expected_queue).collect();
             if !expected.is_empty() {
                 by_service.insert(service, expected);
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::admission::DestinationEstimate;
-use foldhaven_core::opaque::affinity::{PromptOutline, UpstreamTag};
+use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
 use foldhaven_core::opaque::choice::{
     CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::ServicePerformance;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
 use foldhaven_core::time::MonoTime;
 
-use super::drawing::{DrawnUpstreams, draw};
 use super::{DestinationChoice, RequestDestination, TriedDestinations, choice_query};
 use crate::answer::Refusal;
 use crate::job::GatewayJob;
@@ -33,8 +33,6 @@
 /// The maximum number of upstreams to look at for whether any of them can take a request. If one in
 /// twenty can, one is found almost always.
 const MAX_EXAMINED: usize = 128;
-/// The maximum number of upstreams with cached segments of the prompt among the candidates.
-const MAX_DRAWN_HOLDERS: usize = 16;
 
 /// The best upstream of this region.
 pub(super) struct LocalChoice {
@@ -158,7 +156,8 @@
 
 /// Returns the upstreams to look at for whether any of them can take a request.
 fn examined_upstreams(group: &UpstreamGroup) -> impl Iterator<Item = &Arc<Upstream>> {
-    group.iter_random().filter(|upstream| !upstream.is_leaving()).take(MAX_EXAMINED)
+    let examined = group.iter_from(RingPosition(rand::random()));
+    examined.filter(|upstream| !upstream.is_leaving()).take(MAX_EXAMINED)
 }
 
 /// Draws the upstreams that a request may be sent to.
@@ -166,15 +165,15 @@
     group: &'a UpstreamGroup,
     shared: &GatewayShared,
     job: &GatewayJob,
-) -> DrawnUpstreams<'a> {
+) -> DrawnUpstreams<'a, Arc<Upstream>> {
     let segments = job.shared_segments();
     let holders: Vec<UpstreamTag> = match segments {
         [] => Vec::new(),
-        _ => shared.prefix_caches.lock().holders(segments).take(MAX_DRAWN_HOLDERS).collect(),
+        _ => shared.prefix_caches.lock().holders(segments).take(MAX_HOLDER_CANDIDATES).collect(),
     };
     let key = job.outline.as_ref().and_then(PromptOutline::affinity_key);
-    let is_open = |upstream: &Upstream| !upstream.is_leaving();
-    draw(group, key, &holders, is_open)
+    let query = DrawQuery { key, holders: &holders, random: RingPosition(rand::random()) };
+    group.draw(&query, |upstream| !upstream.is_leaving())
 }
 
 fn candidates_of<'a>(
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -1,7 +1,6 @@
 //! Chooses the destination of each attempt of a request: an upstream of this region, or a VM of
 //! another region.
 
-mod drawing;
 mod local;
 mod overview;
 mod remote;
--- a/crates/foldhaven-gateway/src/upstream_set.rs
+++ b/crates/foldhaven-gateway/src/upstream_set.rs
@@ -1,56 +1,19 @@
 //! The upstreams that may get requests, by name, by tag, and by service and region.
 //!
-//! A deployment has thousands of upstreams, and changes come one by one. The groups are therefore
-//! persistent maps: a copy of them shares everything, and a change copies only what it touches.
+//! A deployment has thousands of upstreams, and changes come one by one. A copy of the groups
+//! therefore shares everything, and a change copies only what it touches.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use foldhaven_core::ids::{RegionName, ServiceName, UpstreamName};
-use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
-use imbl::OrdMap;
+use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::upstream_ring::UpstreamRing;
 
 use crate::upstream::Upstream;
 
-/// The upstreams of one service in one region, in the order of their ring positions.
-#[derive(Clone, Default)]
-pub struct UpstreamGroup(OrdMap<RingPosition, Arc<Upstream>>);
-
-impl UpstreamGroup {
-    /// Returns the number of upstreams.
-    pub fn len(&self) -> usize {
-        self.0.len()
-    }
-
-    /// Whether there are no upstreams.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    /// Returns all upstreams.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.0.values()
-    }
-
-    /// Returns all upstreams in the order of the ring, beginning at a position.
-    pub fn iter_from(&self, position: RingPosition) -> impl Iterator<Item = &Arc<Upstream>> {
-        let after = self.0.range(position..);
-        let before = self.0.range(..position);
-        after.chain(before).map(|(_, upstream)| upstream)
-    }
-
-    /// Returns all upstreams in the order of the ring, beginning at a random one. The first of them
-    /// are a random sample.
-    pub fn iter_random(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.iter_from(RingPosition(rand::random()))
-    }
-
-    /// Returns the upstream with a tag.
-    pub fn find(&self, tag: UpstreamTag) -> Option<&Arc<Upstream>> {
-        let (position, upstream) = self.0.range(RingPosition::first_of(tag)..).next()?;
-        (position.tag() == tag).then_some(upstream)
-    }
-}
+/// The upstreams of one service in one region.
+pub type UpstreamGroup = UpstreamRing<Arc<Upstream>>;
 
 /// The groups of one service by region.
 pub type RegionGroups = BTreeMap<RegionName, UpstreamGroup>;
@@ -107,7 +70,7 @@
         let identity = &upstream.identity;
         let regions = self.groups.entry(identity.service.clone()).or_default();
         let group = regions.entry(identity.region.clone()).or_default();
-        group.0.insert(upstream.ring_position, upstream.clone());
+        group.insert(upstream.ring_position, upstream.clone());
         self.by_tag.insert(upstream.tag, upstream.clone());
         self.by_name.insert(upstream.name().clone(), upstream);
         replaced
@@ -128,7 +91,7 @@
         let identity = &upstream.identity;
         let Some(regions) = self.groups.get_mut(&identity.service) else { return };
         let Some(group) = regions.get_mut(&identity.region) else { return };
-        group.0.remove(&upstream.ring_position);
+        group.remove(upstream.ring_position);
         if group.is_empty() {
             regions.remove(&identity.region);
         }
