Changes of the platform cross between two data centres once

Cause: both readers of a region sent each change to all its VMs, so that in a region of 195 VMs in two data centres some 195 messages a change crossed between them.

Now the readers are in different data centres where possible. Each forwards what it reads to its own data centre, to those without a reader and to the other readers, and what another reader sends to its own data centre. The test plays one change at 195 and 390 VMs: one message crosses, each VM gets it; before, half of the VMs in the other data centre from each reader.

--- a/crates/foldhaven-core/src/opaque/peer_table/mod.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/mod.rs
@@ -27,6 +27,7 @@
     HeartbeatMessage, LivenessUpdate, PeerHeartbeat, PeerPhase, RequestedHeartbeats, ServiceTag,
     ServiceWait, VmIncarnation, VmTag,
 };
+pub use self::readers::ForwardTargets;
 pub use self::rounds::{MessageOutcome, PlannedHeartbeats, RoundInput};
 pub use self::senders::SenderView;
 use self::targets::FAN_OUT;
--- a/crates/foldhaven-core/src/opaque/peer_table/readers.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/readers.rs
@@ -1,9 +1,13 @@
 //! Readers: the few VMs of a large region that read the platform for all of its VMs.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{PeerHeartbeat, PeerPhase, PeerTable};
-use crate::opaque::service_order::ServiceCandidate;
+use super::{PeerPhase, PeerTable};
+use crate::ids::{DataCentreName, VmName};
+use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
+use crate::rank::rank_by;
 use crate::time::MonoTime;
 
 /// Number of VMs of a large region that read the platform. Each call has a price.
@@ -25,6 +29,18 @@
 /// outage; fewer may have a fault of their own.
 const MIN_OUTAGE_REPORTS: usize = 2;
 
+/// The VMs to which this VM forwards platform changes. Readers in different data centres each serve
+/// their own, so that a change crosses between two data centres once and not once for each VM.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ForwardTargets {
+    /// Receivers of the changes that this VM reads: the VMs of its data centre and of those without
+    /// a reader, and the other readers.
+    pub of_read: Vec<SocketAddr>,
+    /// Receivers of the changes that another reader sends to this VM. Empty unless this VM is the
+    /// only reader of its data centre.
+    pub of_received: Vec<SocketAddr>,
+}
+
 impl PeerTable {
     /// If a region has fewer other VMs than this, each VM reads the platform itself: few calls
     /// would be saved, and a VM that reads learns of a change within milliseconds.
@@ -35,24 +51,68 @@
     /// by `age`, the more readers there are. VMs that fail to read the platform (`is_turned_away`)
     /// keep trying but don't count as readers.
     pub fn is_reader(&self, is_turned_away: bool, age: Duration, now: MonoTime) -> bool {
-        let local: Vec<&PeerHeartbeat> = self.live_local(now).collect();
-        if local.len() < Self::ALL_READ_BELOW {
+        if self.live_local(now).count() < Self::ALL_READ_BELOW {
             return true;
         }
-        let mut candidates: Vec<ServiceCandidate<'_>> = local
-            .iter()
-            .filter(|heartbeat| !heartbeat.is_turned_away && heartbeat.phase == PeerPhase::Serving)
-            .map(|heartbeat| ServiceCandidate::of(heartbeat))
-            .collect();
-        if candidates.is_empty() {
+        // A VM that fails to read the platform keeps trying, or it wouldn't notice when the
+        // platform answers again.
+        if is_turned_away || !self.can_any_read(now) {
             return true;
         }
+        self.readers(is_turned_away, reader_count(age), now).iter().any(|(vm, _)| *vm == self.own)
+    }
+
+    /// Returns whether a live VM of this region other than this one can read the platform.
+    fn can_any_read(&self, now: MonoTime) -> bool {
+        let mut local = self.live_local(now);
+        local.any(|it| !it.is_turned_away && it.phase == PeerPhase::Serving)
+    }
+
+    /// Returns the first `count` readers of this region and their data centres. The first ones are
+    /// in different data centres. All VMs that know of the same VMs return the same ones.
+    fn readers(
+        &self,
+        is_turned_away: bool,
+        count: usize,
+        now: MonoTime,
+    ) -> Vec<(VmName, DataCentreName)> {
+        let local = self.live_local(now).filter(|heartbeat| !heartbeat.is_turned_away);
+        let serving = local.filter(|heartbeat| heartbeat.phase == PeerPhase::Serving);
+        let mut candidates: Vec<ServiceCandidate<'_>> = serving.map(ServiceCandidate::of).collect();
         if !is_turned_away {
             candidates.push(self.own_candidate());
         }
-        // A VM that fails to read the platform keeps trying, or it wouldn't notice when the
-        // platform answers again.
-        is_turned_away || self.is_among_first(reader_count(age), READER_KEY, candidates)
+        let order = ServiceOrder::of(candidates);
+        let ranked = rank_by(READER_KEY, order.baseline(), |candidate| candidate.vm.as_str());
+        let mut centres = BTreeSet::new();
+        let (first, further): (Vec<&ServiceCandidate<'_>>, Vec<&ServiceCandidate<'_>>) =
+            ranked.into_iter().partition(|candidate| centres.insert(candidate.data_centre));
+        let readers = first.into_iter().chain(further).take(count);
+        readers.map(|reader| (reader.vm.clone(), reader.data_centre.clone())).collect()
+    }
+
+    /// Returns the VMs to which this VM forwards platform changes.
+    pub fn forward_targets(&self, is_turned_away: bool, now: MonoTime) -> ForwardTargets {
+        let unresponsive = self.unresponsive_local_vms(now);
+        let readers = self.readers(is_turned_away, READERS, now);
+        let others: Vec<&(VmName, DataCentreName)> = readers
+            .iter()
+            .filter(|(vm, _)| *vm != self.own && !unresponsive.contains(vm))
+            .collect();
+        let is_read = |centre: &DataCentreName| others.iter().any(|(_, at)| at == centre);
+        let is_reader = |vm: &VmName| others.iter().any(|(reader, _)| reader == vm);
+        let is_served = |centre: &DataCentreName| *centre == self.data_centre || !is_read(centre);
+        let of_read =
+            self.live_local(now).filter(|it| is_served(&it.data_centre) || is_reader(&it.vm));
+        let of_read = of_read.map(|heartbeat| heartbeat.peer).collect();
+        let is_only_reader =
+            readers.iter().any(|(vm, _)| *vm == self.own) && !is_read(&self.data_centre);
+        let in_centre = self.live_local(now).filter(|it| it.data_centre == self.data_centre);
+        let of_received = match is_only_reader {
+            true => in_centre.map(|heartbeat| heartbeat.peer).collect(),
+            false => Vec::new(),
+        };
+        ForwardTargets { of_read, of_received }
     }
 
     /// Returns whether enough VMs of this region report that they fail to read the platform. A VM
--- a/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
@@ -1,12 +1,14 @@
 //! Which VMs of a region read the platform, and when an outage of it is assumed.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use foldhaven_core::opaque::peer_table::PeerTable;
+use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerTable};
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
 
-use crate::opaque_support::{at, heartbeat, table_of};
+use crate::opaque_support::{at, centre_table, heartbeat, table_of};
 
 /// Returns the tables of all VMs of a region, in which the VMs in `turned_away` report that they
 /// fail to read the platform, each with whether its own VM is one of those.
@@ -86,3 +88,116 @@
     let count = (0..12).filter(|own| !readers.contains(own)).filter(now_reading).count();
     assert_eq!(count, 2);
 }
+
+/// Returns the tables of all VMs of a region of several data centres, which are all live at the
+/// start.
+fn spread_region(vms: usize, centres: usize) -> Vec<PeerTable> {
+    let table_of = |own: usize| {
+        let name = format!("vm-{own}");
+        let mut table = centre_table(&name, 1, "north", &centre_of(own, centres));
+        let others = (0..vms).filter(|at| *at != own);
+        others.for_each(|at| {
+            assert!(table.apply_heartbeat(spread_heartbeat(at, centres, 1), at_start()));
+        });
+        table
+    };
+    (0..vms).map(table_of).collect()
+}
+
+/// Returns the heartbeat of a VM of such a region, with an address that no other VM has.
+fn spread_heartbeat(vm: usize, centres: usize, sequence: u32) -> PeerHeartbeat {
+    let mut heartbeat = heartbeat(&format!("vm-{vm}"), "north", sequence);
+    heartbeat.data_centre = centre_of(vm, centres).parse().unwrap();
+    heartbeat.peer = format!("127.9.{}.{}:7660", vm / 250, vm % 250 + 1).parse().unwrap();
+    heartbeat
+}
+
+fn centre_of(vm: usize, centres: usize) -> String {
+    format!("hall-{}", vm % centres)
+}
+
+/// What one change costs until all VMs of a region have it.
+struct Spread {
+    /// The VMs that got it.
+    reached: BTreeSet<usize>,
+    /// The messages between data centres.
+    crossing: usize,
+    /// The messages in all.
+    sent: usize,
+}
+
+/// Plays how a change spreads that the VM `reader` reads from the platform, and that the others
+/// learn only by messages. Messages from VMs in `dead` are not sent.
+fn spread(
+    tables: &[PeerTable],
+    reader: usize,
+    centres: usize,
+    dead: &[usize],
+    now: MonoTime,
+) -> Spread {
+    let numbers: BTreeMap<SocketAddr, usize> =
+        (0..tables.len()).map(|at| (spread_heartbeat(at, centres, 1).peer, at)).collect();
+    let mut spread = Spread { reached: BTreeSet::from([reader]), crossing: 0, sent: 0 };
+    let mut sending = vec![(reader, tables[reader].forward_targets(false, now).of_read)];
+    while let Some((sender, targets)) = sending.pop() {
+        for target in targets.iter().map(|target| numbers[target]) {
+            spread.sent += 1;
+            spread.crossing += usize::from(sender % centres != target % centres);
+            if spread.reached.insert(target) && !dead.contains(&target) {
+                let relayed = tables[target].forward_targets(false, now).of_received;
+                sending.push((target, relayed));
+            }
+        }
+    }
+    spread
+}
+
+fn readers_of(tables: &[PeerTable]) -> Vec<usize> {
+    let reads = |at: &usize| tables[*at].is_reader(false, Duration::ZERO, at_start());
+    (0..tables.len()).filter(reads).collect()
+}
+
+/// Guards against a change that crosses between two data centres once for each VM.
+#[rstest]
+#[case::a_region_of_the_fleet(195)]
+#[case::twice_its_size(390)]
+fn a_change_crosses_between_two_data_centres_once(#[case] vms: usize) {
+    let tables = spread_region(vms, 2);
+    let readers = readers_of(&tables);
+    assert_eq!(readers.len(), 2);
+    assert_ne!(readers[0] % 2, readers[1] % 2, "one in each data centre");
+    for reader in readers {
+        let spread = spread(&tables, reader, 2, &[], at(100));
+        assert_eq!(spread.reached.len(), vms);
+        assert_eq!(spread.crossing, 1);
+        assert!(spread.sent <= vms + 2, "{} messages", spread.sent);
+    }
+}
+
+/// Guards against data centres without a reader, of which there are more than readers, that get no
+/// changes.
+#[rstest]
+#[case::one_centre(1)]
+#[case::three_centres(3)]
+#[case::as_many_as_vms(20)]
+fn every_data_centre_gets_changes(#[case] centres: usize) {
+    let tables = spread_region(40, centres);
+    for reader in readers_of(&tables) {
+        assert_eq!(spread(&tables, reader, centres, &[], at(100)).reached.len(), 40);
+    }
+}
+
+/// Guards against a data centre that gets no changes because its reader has just died.
+#[test]
+fn the_other_reader_serves_the_data_centre_of_a_silent_one() {
+    const NOW_MS: u64 = 2_000;
+    let mut tables = spread_region(40, 2);
+    let readers = readers_of(&tables);
+    for (own, table) in tables.iter_mut().enumerate() {
+        for other in (0..40).filter(|other| *other != own && *other != readers[1]) {
+            table.apply_heartbeat(spread_heartbeat(other, 2, 2), at(NOW_MS));
+        }
+    }
+    let spread = spread(&tables, readers[0], 2, &[readers[1]], at(NOW_MS));
+    assert_eq!(spread.reached.len(), 40);
+}
--- a/crates/foldhaven-gateway/src/control/announcements.rs
+++ b/crates/foldhaven-gateway/src/control/announcements.rs
@@ -93,14 +93,21 @@
             return;
         }
         if self.local_peers().len() >= PeerTable::ALL_READ_BELOW {
-            self.forward_changes(changes);
+            self.forward_changes(self.forwarding.of_read.clone(), changes);
         }
         self.announce_remotely();
     }
 
-    /// Forwards changes to the VMs of this region.
-    pub(super) fn forward_changes(&self, changes: ChangeSet) {
-        let targets = self.local_peers();
+    /// Forwards changes that another reader of the region sent to this VM.
+    pub(super) fn relay_changes(&self, changes: ChangeSet) {
+        let targets = &self.forwarding.of_received;
+        if !changes.changes.is_empty() && !targets.is_empty() {
+            self.forward_changes(targets.clone(), changes);
+        }
+    }
+
+    /// Forwards changes to VMs of this region.
+    pub(super) fn forward_changes(&self, targets: Vec<SocketAddr>, changes: ChangeSet) {
         let offer = RevisionAnnouncement { is_offer: true, ..self.own_revision_notice() };
         self.send_update(OutgoingUpdate::Changes(OutgoingChanges { targets, changes, offer }));
     }
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -27,7 +27,8 @@
 use foldhaven_core::opaque::demand_exchange::DemandExchange;
 use foldhaven_core::opaque::load_reports::LoadTable;
 use foldhaven_core::opaque::peer_table::{
-    LEARNING_TIME, OfferedRevision, OwnVm, PeerPhase, PeerTable, RegionTag, SenderView, VmTag,
+    ForwardTargets, LEARNING_TIME, OfferedRevision, OwnVm, PeerPhase, PeerTable, RegionTag,
+    SenderView, VmTag,
 };
 use foldhaven_core::opaque::region_reports::{RegionReport, RegionReportTable};
 use foldhaven_core::opaque::report_planner::ReportPlanner;
@@ -173,6 +174,8 @@
     is_outage_reported: bool,
     /// Whether this VM is one of those that read the platform for their region.
     is_reader: bool,
+    /// The VMs to which it forwards platform changes.
+    forwarding: ForwardTargets,
     /// Tells the feed whether to read the platform, and from which revision.
     assignment: watch::Sender<ReadAssignment>,
     /// Queues updates for sending to other VMs.
@@ -242,6 +245,7 @@
             is_platform_unreachable: false,
             is_outage_reported: false,
             is_reader: false,
+            forwarding: ForwardTargets::default(),
             assignment: watch::Sender::new(ReadAssignment {
                 is_reader: true,
                 known_revision: None,
@@ -271,6 +275,7 @@
             }
             false => self.is_seed(),
         };
+        self.forwarding = self.peers.forward_targets(self.is_platform_unreachable, self.now());
         self.update_read_assignment();
     }
 
--- a/crates/foldhaven-gateway/src/control/peer_changes.rs
+++ b/crates/foldhaven-gateway/src/control/peer_changes.rs
@@ -18,7 +18,8 @@
     async fn handle(&mut self, message: ReceiveChanges, _: &mut Context<Self>) {
         let ReceiveChanges { changes } = message;
         if self.platform.can_apply(&changes) {
-            self.apply_changes(changes);
+            let applied = self.apply_changes(changes);
+            applied.into_iter().for_each(|applied| self.relay_changes(applied));
         } else {
             // The missing changes are requested, as after a lost datagram.
             self.apply_early_changes(changes.changes);
@@ -58,7 +59,7 @@
             let is_remote = self.is_behind_remote_only();
             let applied = self.apply_snapshot(snapshot);
             if let Some(applied) = applied.filter(|_| is_remote) {
-                self.forward_changes(applied);
+                self.forward_changes(self.local_peers(), applied);
             }
         }
     }
@@ -90,7 +91,7 @@
         "platform state received from a peer"
         );
         if is_remote {
-            self.forward_changes(applied);
+            self.forward_changes(self.local_peers(), applied);
         }
     }
 }
