--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -9,7 +9,6 @@
 
 use foldhaven_core::ids::IncarnationId;
 use foldhaven_wire::listen::listen_at;
-use tokio::net::UdpSocket;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
@@ -26,6 +25,7 @@
 use crate::names::HeaderNames;
 use crate::operator_front::OperatorHandler;
 use crate::peer_front::PeerHandler;
+use crate::peer_socket::{PeerSocket, log_sent_bytes};
 use crate::peer_state::sync_with_peers;
 use crate::reload::watch_settings;
 use crate::settings::GatewaySettings;
@@ -135,7 +135,7 @@
     settings_path: PathBuf,
 ) -> Result<(), DaemonError> {
     let peer = shared.settings.addresses.peer;
-    let socket = runtime.block_on(UdpSocket::bind(peer));
+    let socket = runtime.block_on(PeerSocket::bind(peer, shared.clone()));
     let socket = socket.map_err(|source| DaemonError::Listen { peer, source })?;
     let spawned = thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(run_control(shared, Arc::new(socket), feed, settings_path))
@@ -145,7 +145,7 @@
 
 async fn run_control(
     shared: Arc<GatewayShared>,
-    socket: Arc<UdpSocket>,
+    socket: Arc<PeerSocket>,
     feed: Arc<dyn PlatformFeed>,
     settings_path: PathBuf,
 ) {
@@ -168,8 +168,9 @@
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_heartbeats(socket, address.clone(), shared.clone()));
     tokio::spawn(watch_settings(settings_path, shared.settings.clone(), address.clone()));
-    tokio::spawn(sync_with_peers(shared, address.clone()));
+    tokio::spawn(sync_with_peers(shared.clone(), address.clone()));
     tokio::spawn(tick(address.clone()));
+    tokio::spawn(log_sent_bytes(shared.clone()));
     feed.run(FeedSink::new(address, read_assignments)).await;
 }
 
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -16,7 +16,6 @@
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportUpdates};
 use foldhaven_core::opaque::sender_agreement::AGREEMENT_INTERVAL;
 use foldhaven_core::opaque::suspects::RecordSource;
-use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -30,6 +29,7 @@
 };
 use crate::feed::NumberedChange;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectMessage};
+use crate::peer_socket::PeerSocket;
 use crate::platform_state::EarlyChanges;
 use crate::shared::GatewayShared;
 
@@ -43,7 +43,7 @@
 /// announcements of revisions. Changes that do not fit into a datagram have to be requested by the
 /// receivers; urgent ones among them are sent ahead.
 pub async fn send_updates(
-    socket: Arc<UdpSocket>,
+    socket: Arc<PeerSocket>,
     mut updates: mpsc::UnboundedReceiver<OutgoingUpdate>,
     shared: Arc<GatewayShared>,
 ) {
@@ -51,13 +51,13 @@
         match update {
             OutgoingUpdate::Changes(update) => send_changes(&socket, update, &shared).await,
             OutgoingUpdate::Notice { targets, notice } => {
-                send_to(&socket, &targets, &PeerMessage::News(notice)).await;
+                socket.send_to(&targets, &PeerMessage::News(notice)).await;
             }
         }
     }
 }
 
-async fn send_changes(socket: &UdpSocket, update: OutgoingChanges, shared: &GatewayShared) {
+async fn send_changes(socket: &PeerSocket, update: OutgoingChanges, shared: &GatewayShared) {
     let OutgoingChanges { targets, changes, offer } = update;
     let (revision, count) = (changes.revision, changes.changes.len());
     let urgent = changes.changes.iter().filter(|it| EarlyChanges::may_apply_early(&it.change));
@@ -81,19 +81,17 @@
             let sum = (bytes.len() * targets.len()) as u64;
             shared.metrics.count_event("changes_told");
             shared.metrics.add_events("changes_told_bytes", sum);
-            for target in &targets {
-                send_bytes(socket, *target, &bytes).await;
-            }
+            socket.send_bytes(&targets, &bytes, PeerMessage::CHANGES_METRIC).await;
         }
         Err(error) => tracing::warn!(revision, error = %error, "sending changes failed"),
     }
     if is_offered {
-        send_to(socket, &targets, &PeerMessage::News(offer)).await;
+        socket.send_to(&targets, &PeerMessage::News(offer)).await;
     }
 }
 
 /// Reports this VM's load at the upstreams to the other VMs of the region.
-pub async fn send_reports(socket: Arc<UdpSocket>, control: ControlAddress) {
+pub async fn send_reports(socket: Arc<PeerSocket>, control: ControlAddress) {
     let mut idle_rounds = 0;
     let mut timer_delay = Duration::ZERO;
     loop {
@@ -117,10 +115,10 @@
             }
         }
         for placements in datagram_chunks(remote_placements) {
-            send_to(&socket, &remote_targets, &PeerMessage::Placements(placements)).await;
+            socket.send_to(&remote_targets, &PeerMessage::Placements(placements)).await;
         }
         if let Some(region) = region {
-            send_to(&socket, &remote_targets, &PeerMessage::Region(region)).await;
+            socket.send_to(&remote_targets, &PeerMessage::Region(region)).await;
         }
         idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         let slept = BootInstant::now();
@@ -131,7 +129,7 @@
 
 /// Sends a load report. Since it also shows that this VM is live, it has to fit into a datagram:
 /// excess prompt placements are left out, as they only make requests faster.
-async fn send_report(socket: &UdpSocket, targets: &[SocketAddr], mut report: LoadReport) {
+async fn send_report(socket: &PeerSocket, targets: &[SocketAddr], mut report: LoadReport) {
     let mut chunks = datagram_chunks(std::mem::take(&mut report.placements)).into_iter();
     report.placements = chunks.next().unwrap_or_default();
     let left_out: usize = chunks.map(|chunk| chunk.len()).sum();
@@ -142,7 +140,7 @@
             "prompt placements were left out of a load report"
         );
     }
-    send_to(socket, targets, &PeerMessage::Load(report)).await;
+    socket.send_to(targets, &PeerMessage::Load(report)).await;
 }
 
 /// Splits prompt placements into chunks that fit into a datagram with other content.
@@ -167,7 +165,7 @@
 
 /// Receives datagrams and dispatches them to the control actor.
 pub async fn receive_datagrams(
-    socket: Arc<UdpSocket>,
+    socket: Arc<PeerSocket>,
     control: ControlAddress,
     shared: Arc<GatewayShared>,
 ) {
@@ -272,13 +270,13 @@
 /// Sends the suspected requests to a VM that has just started. An empty message is sent as well,
 /// because that VM waits for it.
 async fn send_suspects_to_starting_peer(
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     shared: &GatewayShared,
     target: SocketAddr,
 ) {
     let records = shared.suspects.startup_records();
     let suspects = SuspectMessage { region: shared.settings.region().clone(), records };
-    send_to(socket, &[target], &PeerMessage::Suspects(suspects)).await;
+    socket.send_to(&[target], &PeerMessage::Suspects(suspects)).await;
 }
 
 /// Applies the suspected requests that another VM sent.
@@ -293,7 +291,7 @@
 /// Sends heartbeats in rounds, and immediately when this daemon starts to leave or finds that it
 /// was suspended.
 pub async fn send_heartbeats(
-    socket: Arc<UdpSocket>,
+    socket: Arc<PeerSocket>,
     control: ControlAddress,
     shared: Arc<GatewayShared>,
 ) {
@@ -309,9 +307,9 @@
         pause = round.next_in;
         let targets: Vec<SocketAddr> = round.heartbeats.iter().map(|(target, _)| *target).collect();
         send_all(&socket, heartbeat_messages(round.heartbeats)).await;
-        send_to(&socket, &round.view_targets, &PeerMessage::View(round.view)).await;
+        socket.send_to(&round.view_targets, &PeerMessage::View(round.view)).await;
         if let Some(notice) = round.notice {
-            send_to(&socket, &targets, &PeerMessage::News(notice)).await;
+            socket.send_to(&targets, &PeerMessage::News(notice)).await;
         }
     }
 }
@@ -319,7 +317,7 @@
 /// Sends this VM's list of senders to the VMs that share the region's rate limits, while a rate
 /// limit of an upstream is in use.
 pub async fn send_agreements(
-    socket: Arc<UdpSocket>,
+    socket: Arc<PeerSocket>,
     control: ControlAddress,
     mut is_used: watch::Receiver<bool>,
 ) {
@@ -329,21 +327,21 @@
         }
         let Ok(planned) = control.send(PlanAgreementRound).await else { return };
         for (target, notice) in planned {
-            send_to(&socket, &[target], &PeerMessage::Pact(notice)).await;
+            socket.send_to(&[target], &PeerMessage::Pact(notice)).await;
         }
         sleep(AGREEMENT_INTERVAL).await;
     }
 }
 
 /// Sends the demand of callers with account limits to other VMs.
-pub async fn send_demands(socket: Arc<UdpSocket>, control: ControlAddress) {
+pub async fn send_demands(socket: Arc<PeerSocket>, control: ControlAddress) {
     loop {
         let Ok(planned) = control.send(PlanDemandReports).await else { return };
         if let Some(local) = planned.local {
             send_local_demand(&socket, &planned.local_targets, local).await;
         }
         if let Some(remote) = planned.remote {
-            send_to(&socket, &planned.remote_targets, &PeerMessage::RegionDemand(remote)).await;
+            socket.send_to(&planned.remote_targets, &PeerMessage::RegionDemand(remote)).await;
         }
         sleep(DEMAND_INTERVAL).await;
     }
@@ -351,45 +349,23 @@
 
 /// Sends the demand to the VMs of this region. If it may not fit into a datagram, it is split into
 /// one message for this VM's own demand and one for each other region.
-async fn send_local_demand(socket: &UdpSocket, targets: &[SocketAddr], demand: LocalDemand) {
+async fn send_local_demand(socket: &PeerSocket, targets: &[SocketAddr], demand: LocalDemand) {
     let own = demand.own.as_ref().map_or(0, |own| own.demands.len());
     let entries: usize = own + demand.regions.iter().map(|it| it.demands.len()).sum::<usize>();
     if entries <= MAX_ACCOUNTS_PER_MESSAGE {
-        send_to(socket, targets, &PeerMessage::Demand(demand)).await;
+        socket.send_to(targets, &PeerMessage::Demand(demand)).await;
         return;
     }
     let LocalDemand { own, regions } = demand;
     let own = own.map(|own| LocalDemand { own: Some(own), regions: Vec::new() });
     let regions = regions.into_iter().map(|it| LocalDemand { own: None, regions: vec![it] });
     for part in own.into_iter().chain(regions) {
-        send_to(socket, targets, &PeerMessage::Demand(part)).await;
+        socket.send_to(targets, &PeerMessage::Demand(part)).await;
     }
 }
 
-/// Sends a message to some VMs. Returns its size in bytes, or 0 if it was not sent.
-pub async fn send_to(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) -> usize {
-    let bytes = match message.bytes() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            tracing::warn!(error = %error, "a message was not sent");
-            return 0;
-        }
-    };
-    for target in targets {
-        send_bytes(socket, *target, &bytes).await;
-    }
-    bytes.len()
-}
-
-async fn send_all(socket: &UdpSocket, planned: OutgoingMessages) {
+async fn send_all(socket: &PeerSocket, planned: OutgoingMessages) {
     for (target, message) in planned {
-        send_to(socket, &[target], &message).await;
-    }
-}
-
-/// Sends a datagram. Errors are only logged: a failed datagram is treated like a lost one.
-async fn send_bytes(socket: &UdpSocket, target: SocketAddr, bytes: &[u8]) {
-    if let Err(error) = socket.send_to(bytes, target).await {
-        tracing::debug!(peer = %target, error = %error, "sending to a peer failed");
+        socket.send_to(&[target], &message).await;
     }
 }
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod operator_front;
 mod peer_front;
 pub mod peer_message;
+mod peer_socket;
 mod peer_state;
 pub mod platform_state;
 mod rate_limit_tracker;
--- a/crates/foldhaven-gateway/src/metrics.rs
+++ b/crates/foldhaven-gateway/src/metrics.rs
@@ -125,6 +125,13 @@
         *self.inner.lock().events.entry(event).or_default() += count;
     }
 
+    /// Returns the counts of the events whose names have a prefix.
+    pub fn event_counts(&self, prefix: &str) -> BTreeMap<&'static str, u64> {
+        let inner = self.inner.lock();
+        let counted = inner.events.iter().filter(|(event, _)| event.starts_with(prefix));
+        counted.map(|(event, count)| (*event, *count)).collect()
+    }
+
     /// Returns the page that metrics collectors read.
     pub fn page(&self) -> String {
         let inner = self.inner.lock();
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -71,6 +71,30 @@
 }
 
 impl PeerMessage {
+    /// What the names of all metrics of [`PeerMessage::sent_bytes_metric`] begin with.
+    pub const SENT_BYTES_PREFIX: &str = "sent_bytes_";
+    /// The metric that counts the bytes of changes of the platform state.
+    pub const CHANGES_METRIC: &str = "sent_bytes_changes";
+
+    /// Returns the name of the metric that counts the bytes of such messages.
+    pub fn sent_bytes_metric(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "sent_bytes_heartbeat",
+            Self::Load(_) => "sent_bytes_load",
+            Self::Placements(_) => "sent_bytes_placements",
+            Self::Changes(_) | Self::Early(_) => Self::CHANGES_METRIC,
+            Self::Region(_) => "sent_bytes_region",
+            Self::Suspects(_) => "sent_bytes_suspects",
+            Self::View(_) => "sent_bytes_view",
+            Self::ViewList(_) => "sent_bytes_view_list",
+            Self::Pact(_) => "sent_bytes_senders",
+            Self::News(_) => "sent_bytes_revision",
+            Self::Demand(_) | Self::RegionDemand(_) => "sent_bytes_demand",
+            Self::Limits(_) => "sent_bytes_limits",
+            Self::Leavers(_) => "sent_bytes_leaving",
+        }
+    }
+
     /// Serializes the message.
     ///
     /// # Errors
--- a/crates/foldhaven-gateway/src/signal_sender.rs
+++ b/crates/foldhaven-gateway/src/signal_sender.rs
@@ -5,11 +5,10 @@
 
 use async_trait::async_trait;
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
-use tokio::net::UdpSocket;
 
 use crate::control::{ControlAddress, PlanSignalTargets, SendReason};
-use crate::datagrams::send_to;
 use crate::peer_message::PeerMessage;
+use crate::peer_socket::PeerSocket;
 use crate::shared::GatewayShared;
 use crate::update_sender::{UpdateSender, wait_for_other_senders};
 
@@ -41,7 +40,7 @@
 /// Sends rate limits and leaving notices of upstreams. Several VMs may receive the same one from an
 /// upstream at the same time.
 pub struct SignalSender {
-    pub socket: Arc<UdpSocket>,
+    pub socket: Arc<PeerSocket>,
     pub control: ControlAddress,
     pub shared: Arc<GatewayShared>,
 }
@@ -49,7 +48,7 @@
 impl SignalSender {
     async fn send(&self, targets: &[SocketAddr], batch: &SignalBatch) {
         for message in batch.messages() {
-            let bytes = send_to(&self.socket, targets, &message).await;
+            let bytes = self.socket.send_to(targets, &message).await;
             let sum = (bytes * targets.len()) as u64;
             self.shared.metrics.add_events("upstream_signals_told_bytes", sum);
         }
--- a/crates/foldhaven-gateway/src/suspect_sender.rs
+++ b/crates/foldhaven-gateway/src/suspect_sender.rs
@@ -7,17 +7,16 @@
 use foldhaven_core::opaque::suspects::{
     MAX_RECORDS_PER_MESSAGE, SuspectRecord, SuspectUpdate, UpdateScope,
 };
-use tokio::net::UdpSocket;
 
 use crate::control::{ControlAddress, PlanSuspectTargets, SendReason, SuspectTargets};
-use crate::datagrams::send_to;
 use crate::peer_message::{PeerMessage, SuspectMessage};
+use crate::peer_socket::PeerSocket;
 use crate::shared::GatewayShared;
 use crate::update_sender::{UpdateSender, wait_for_other_senders};
 
 /// Sends the records of suspected requests.
 pub struct SuspectSender {
-    pub socket: Arc<UdpSocket>,
+    pub socket: Arc<PeerSocket>,
     pub control: ControlAddress,
     pub shared: Arc<GatewayShared>,
 }
@@ -45,7 +44,7 @@
         let region = self.shared.settings.region();
         for chunk in records.chunks(MAX_RECORDS_PER_MESSAGE) {
             let message = SuspectMessage { region: region.clone(), records: chunk.to_vec() };
-            let bytes = send_to(&self.socket, targets, &PeerMessage::Suspects(message)).await;
+            let bytes = self.socket.send_to(targets, &PeerMessage::Suspects(message)).await;
             let sum = (bytes * targets.len()) as u64;
             self.shared.metrics.add_events("suspects_told_bytes", sum);
         }
