Few VMs read the platform while a region starts

Cause: only VMs that serve were candidates for readers, and each VM its own. Now, while more VMs of the region start than serve, all of them are candidates: two of 195 and of 390 read. A VM that starts alone is still no candidate.

A change of the role is logged.

--- a/crates/foldhaven-core/src/opaque/peer_table/readers.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/readers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{PeerPhase, PeerTable};
+use super::{PeerHeartbeat, PeerPhase, PeerTable};
 use crate::ids::{DataCentreName, VmName};
 use crate::opaque::service_order::{ServiceCandidate, ServiceOrder};
 use crate::rank::rank_by;
@@ -64,8 +64,25 @@
 
     /// Returns whether a live VM of this region other than this one can read the platform.
     fn can_any_read(&self, now: MonoTime) -> bool {
-        let mut local = self.live_local(now);
-        local.any(|it| !it.is_turned_away && it.phase == PeerPhase::Serving)
+        self.reader_candidates(now).next().is_some()
+    }
+
+    /// Returns the other live VMs of this region that can read the platform: those that serve or,
+    /// while most of them are still starting, also those that start. If a whole region starts, each
+    /// VM knows of other ones that serve already, and a choice among these would make most VMs
+    /// readers.
+    fn reader_candidates(&self, now: MonoTime) -> impl Iterator<Item = &PeerHeartbeat> {
+        let count_in =
+            |phase: PeerPhase| self.live_local(now).filter(|it| it.phase == phase).count();
+        let is_region_starting = count_in(PeerPhase::Starting) > count_in(PeerPhase::Serving);
+        self.live_local(now).filter(move |heartbeat| {
+            let is_ready = match heartbeat.phase {
+                PeerPhase::Serving => true,
+                PeerPhase::Starting => is_region_starting,
+                PeerPhase::Leaving => false,
+            };
+            is_ready && !heartbeat.is_turned_away
+        })
     }
 
     /// Returns the first `count` readers of this region and their data centres. The first ones are
@@ -76,9 +93,8 @@
         count: usize,
         now: MonoTime,
     ) -> Vec<(VmName, DataCentreName)> {
-        let local = self.live_local(now).filter(|heartbeat| !heartbeat.is_turned_away);
-        let serving = local.filter(|heartbeat| heartbeat.phase == PeerPhase::Serving);
-        let mut candidates: Vec<ServiceCandidate<'_>> = serving.map(ServiceCandidate::of).collect();
+        let others = self.reader_candidates(now);
+        let mut candidates: Vec<ServiceCandidate<'_>> = others.map(ServiceCandidate::of).collect();
         if !is_turned_away {
             candidates.push(self.own_candidate());
         }
--- a/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerTable};
+use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, PeerTable};
 use foldhaven_core::time::MonoTime;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 use crate::opaque_support::{at, centre_table, heartbeat, table_of};
@@ -201,3 +203,40 @@
     let spread = spread(&tables, readers[0], 2, &[readers[1]], at(NOW_MS));
     assert_eq!(spread.reached.len(), 40);
 }
+
+/// Guards against a region that starts as a whole and in which most VMs read the platform, because
+/// each of them knows of other VMs that serve already.
+#[rstest]
+#[case::a_region_of_the_fleet(195)]
+#[case::twice_its_size(390)]
+fn few_vms_read_while_a_region_starts(#[case] vms: usize) {
+    const SERVING: usize = 19;
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut readers = 0;
+    for (own, mut table) in spread_region(vms, 2).into_iter().enumerate() {
+        let serving: BTreeSet<usize> = (0..SERVING).map(|_| rng.random_range(0..vms)).collect();
+        for other in (0..vms).filter(|other| *other != own) {
+            let mut heard = spread_heartbeat(other, 2, 2);
+            let is_serving = serving.contains(&other);
+            heard.phase = if is_serving { PeerPhase::Serving } else { PeerPhase::Starting };
+            table.apply_heartbeat(heard, at(100));
+        }
+        readers += usize::from(table.is_reader(false, Duration::ZERO, at(100)));
+    }
+    assert_eq!(readers, 2);
+}
+
+/// Guards against a VM that starts alone and is taken for a reader before it knows the platform.
+#[test]
+fn a_vm_that_starts_alone_is_no_reader() {
+    let mut tables = spread_region(40, 2);
+    let first = readers_of(&tables)[0];
+    for (_, table) in tables.iter_mut().enumerate().filter(|(own, _)| *own != first) {
+        let mut starting = spread_heartbeat(first, 2, 2);
+        starting.phase = PeerPhase::Starting;
+        table.apply_heartbeat(starting, at(100));
+    }
+    let reads = |at_: &usize| tables[*at_].is_reader(false, Duration::ZERO, at(100));
+    let others = (0..40).filter(|own| *own != first);
+    assert_eq!(others.filter(reads).count(), 2);
+}
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -269,12 +269,16 @@
 
     /// Decides whether this VM reads the platform. Ranks the VMs of the region.
     fn update_reader_role(&mut self) {
-        self.is_reader = match self.has_learnt_peers() {
+        let is_reader = match self.has_learnt_peers() {
             true => {
                 self.peers.is_reader(self.is_platform_unreachable, self.staleness(), self.now())
             }
             false => self.is_seed(),
         };
+        if std::mem::replace(&mut self.is_reader, is_reader) != is_reader {
+            let (known, age_ms) = (self.peers.region_vm_count(), self.staleness().as_millis());
+            tracing::info!(is_reader, known, age_ms, "role of reading the platform changed");
+        }
         self.forwarding = self.peers.forward_targets(self.is_platform_unreachable, self.now());
         self.update_read_assignment();
     }
