--- a/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
@@ -216,10 +216,10 @@
     for (own, mut table) in spread_region(vms, 2).into_iter().enumerate() {
         let serving: BTreeSet<usize> = (0..SERVING).map(|_| rng.random_range(0..vms)).collect();
         for other in (0..vms).filter(|other| *other != own) {
-            let mut heard = spread_heartbeat(other, 2, 2);
+            let mut received = spread_heartbeat(other, 2, 2);
             let is_serving = serving.contains(&other);
-            heard.phase = if is_serving { PeerPhase::Serving } else { PeerPhase::Starting };
-            table.apply_heartbeat(heard, at(100));
+            received.phase = if is_serving { PeerPhase::Serving } else { PeerPhase::Starting };
+            table.apply_heartbeat(received, at(100));
         }
         readers += usize::from(table.is_reader(false, Duration::ZERO, at(100)));
     }
