Read as a newcomer: names that needed their definition, a predicate that changed state, a function that did two things

sent_at is no time (written_before); has_described_other_services recorded them (update_described_services); of_read and of_received of ForwardTargets are for_read and for_received; forward_targets is split; four comments say what they mean. Behaviour is unchanged: the tests of the core pass, among them those that play how a change spreads.

--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -11,8 +11,8 @@
 
 /// Maximum number of shared segments to keep track of.
 const MAX_SEGMENTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
-/// Maximum number of upstreams to keep track of for one segment. A segment that is used often
-/// enough to be cached by more of them is found at any of these.
+/// Maximum number of upstreams to keep track of for one segment, the most recent ones. They bound
+/// the memory of a segment that thousands of upstreams have cached.
 const MAX_HOLDERS: usize = 64;
 /// The fraction of an upstream's prompt cache after which older segments are assumed to be evicted.
 /// It is below 1 because running requests use some of the cache and placements by unreachable VMs
@@ -131,8 +131,8 @@
 #[derive(Debug, Clone, Copy)]
 struct SegmentHolder {
     upstream: UpstreamTag,
-    /// The number of tokens that it had cached when the segment was last sent there.
-    sent_at: u64,
+    /// The number of tokens that it had had to cache when the segment was last sent there.
+    written_before: u64,
 }
 
 impl Default for PrefixCacheIndex {
@@ -154,7 +154,7 @@
                 None if holders.len() >= MAX_HOLDERS => drop(holders.remove(0)),
                 None => {}
             }
-            holders.push(SegmentHolder { upstream, sent_at: written });
+            holders.push(SegmentHolder { upstream, written_before: written });
             written += if held.is_none() { u64::from(segment.tokens) } else { 0 };
         }
         written += u64::from(placement.unshared_tokens);
@@ -178,7 +178,7 @@
         let is_cached = |segment: &&PromptSegment| {
             let holders = self.segments.peek(&segment.key);
             let holder = holders.and_then(|it| it.iter().find(|holder| holder.upstream == tag));
-            let since = holder.and_then(|holder| written.checked_sub(holder.sent_at));
+            let since = holder.and_then(|holder| written.checked_sub(holder.written_before));
             since.is_some_and(|since| since < limit)
         };
         shared.iter().take_while(is_cached).map(|segment| segment.tokens).sum()
--- a/crates/foldhaven-core/src/opaque/peer_table/readers.rs
+++ b/crates/foldhaven-core/src/opaque/peer_table/readers.rs
@@ -35,10 +35,10 @@
 pub struct ForwardTargets {
     /// Receivers of the changes that this VM reads: the VMs of its data centre and of those without
     /// a reader, and the other readers.
-    pub of_read: Vec<SocketAddr>,
+    pub for_read: Vec<SocketAddr>,
     /// Receivers of the changes that another reader sends to this VM. Empty unless this VM is the
     /// only reader of its data centre.
-    pub of_received: Vec<SocketAddr>,
+    pub for_received: Vec<SocketAddr>,
 }
 
 impl PeerTable {
@@ -109,26 +109,40 @@
 
     /// Returns the VMs to which this VM forwards platform changes.
     pub fn forward_targets(&self, is_turned_away: bool, now: MonoTime) -> ForwardTargets {
-        let unresponsive = self.unresponsive_local_vms(now);
         let readers = self.readers(is_turned_away, READERS, now);
-        let others: Vec<&(VmName, DataCentreName)> = readers
-            .iter()
-            .filter(|(vm, _)| *vm != self.own && !unresponsive.contains(vm))
-            .collect();
-        let is_read = |centre: &DataCentreName| others.iter().any(|(_, at)| at == centre);
-        let is_reader = |vm: &VmName| others.iter().any(|(reader, _)| reader == vm);
-        let is_served = |centre: &DataCentreName| *centre == self.data_centre || !is_read(centre);
-        let of_read =
-            self.live_local(now).filter(|it| is_served(&it.data_centre) || is_reader(&it.vm));
-        let of_read = of_read.map(|heartbeat| heartbeat.peer).collect();
+        let is_reader = readers.iter().any(|(vm, _)| *vm == self.own);
+        let unresponsive = self.unresponsive_local_vms(now);
+        let is_other = |vm: &VmName| *vm != self.own && !unresponsive.contains(vm);
+        let others: Vec<_> = readers.into_iter().filter(|(vm, _)| is_other(vm)).collect();
+        let for_read = self.targets_besides(&others, now);
         let is_only_reader =
-            readers.iter().any(|(vm, _)| *vm == self.own) && !is_read(&self.data_centre);
-        let in_centre = self.live_local(now).filter(|it| it.data_centre == self.data_centre);
-        let of_received = match is_only_reader {
-            true => in_centre.map(|heartbeat| heartbeat.peer).collect(),
+            is_reader && others.iter().all(|(_, centre)| *centre != self.data_centre);
+        let for_received = match is_only_reader {
+            true => self.addresses_in_centre(now),
             false => Vec::new(),
         };
-        ForwardTargets { of_read, of_received }
+        ForwardTargets { for_read, for_received }
+    }
+
+    /// Returns the VMs that a reader serves if these are the other readers: the VMs of its data
+    /// centre and of those without a reader, and the other readers.
+    fn targets_besides(
+        &self,
+        others: &[(VmName, DataCentreName)],
+        now: MonoTime,
+    ) -> Vec<SocketAddr> {
+        let is_target = |heartbeat: &&PeerHeartbeat| {
+            let PeerHeartbeat { vm, data_centre, .. } = heartbeat;
+            let has_reader = others.iter().any(|(_, centre)| centre == data_centre);
+            let is_reader = others.iter().any(|(reader, _)| reader == vm);
+            *data_centre == self.data_centre || !has_reader || is_reader
+        };
+        self.live_local(now).filter(is_target).map(|heartbeat| heartbeat.peer).collect()
+    }
+
+    fn addresses_in_centre(&self, now: MonoTime) -> Vec<SocketAddr> {
+        let here = self.live_local(now).filter(|it| it.data_centre == self.data_centre);
+        here.map(|heartbeat| heartbeat.peer).collect()
     }
 
     /// Returns whether enough VMs of this region report that they fail to read the platform. A VM
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -72,7 +72,7 @@
     pub unlisted: Vec<UpstreamName>,
 }
 
-/// The upstreams that changed in a table since a moment.
+/// The upstreams of a table that changed between two calls of [`UpstreamTable::take_changed`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangedUpstreams {
     /// All of them may have changed.
--- a/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_readers.rs
@@ -140,13 +140,13 @@
     let numbers: BTreeMap<SocketAddr, usize> =
         (0..tables.len()).map(|at| (spread_heartbeat(at, centres, 1).peer, at)).collect();
     let mut spread = Spread { reached: BTreeSet::from([reader]), crossing: 0, sent: 0 };
-    let mut sending = vec![(reader, tables[reader].forward_targets(false, now).of_read)];
+    let mut sending = vec![(reader, tables[reader].forward_targets(false, now).for_read)];
     while let Some((sender, targets)) = sending.pop() {
         for target in targets.iter().map(|target| numbers[target]) {
             spread.sent += 1;
             spread.crossing += usize::from(sender % centres != target % centres);
             if spread.reached.insert(target) && !dead.contains(&target) {
-                let relayed = tables[target].forward_targets(false, now).of_received;
+                let relayed = tables[target].forward_targets(false, now).for_received;
                 sending.push((target, relayed));
             }
         }
--- a/crates/foldhaven-gateway/src/busy_upstreams.rs
+++ b/crates/foldhaven-gateway/src/busy_upstreams.rs
@@ -9,7 +9,8 @@
 
 use crate::upstream::Upstream;
 
-/// The upstreams that this VM has sent requests to since the requests before were answered.
+/// The upstreams with requests of this VM, and those whose last one has ended since the last load
+/// report.
 #[derive(Default)]
 pub struct BusyUpstreams(Mutex<HashMap<UpstreamTag, Arc<Upstream>>>);
 
--- a/crates/foldhaven-gateway/src/control/announcements.rs
+++ b/crates/foldhaven-gateway/src/control/announcements.rs
@@ -93,14 +93,14 @@
             return;
         }
         if self.local_peers().len() >= PeerTable::ALL_READ_BELOW {
-            self.forward_changes(self.forwarding.of_read.clone(), changes);
+            self.forward_changes(self.forwarding.for_read.clone(), changes);
         }
         self.announce_remotely();
     }
 
     /// Forwards changes that another reader of the region sent to this VM.
     pub(super) fn relay_changes(&self, changes: ChangeSet) {
-        let targets = &self.forwarding.of_received;
+        let targets = &self.forwarding.for_received;
         if !changes.changes.is_empty() && !targets.is_empty() {
             self.forward_changes(targets.clone(), changes);
         }
--- a/crates/foldhaven-gateway/src/control/upstreams.rs
+++ b/crates/foldhaven-gateway/src/control/upstreams.rs
@@ -12,7 +12,7 @@
 use super::ControlActor;
 use crate::upstream::{Upstream, UpstreamIdentity};
 
-/// The services of a description, on which it depends which upstreams may get requests.
+/// The services of a description. Only their upstreams may get requests.
 #[derive(Debug, Default, PartialEq)]
 pub(super) struct DescribedServices {
     services: Vec<OpaqueService>,
@@ -36,7 +36,7 @@
     /// listed keep their measurements.
     pub(super) fn update_upstreams(&mut self, routes: &Arc<RouteTable>, now: MonoTime) {
         let mut changed = self.platform.table.take_changed();
-        if self.has_described_other_services(routes) {
+        if self.update_described_services(routes) {
             changed = ChangedUpstreams::All;
         }
         let names = match changed {
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Returns whether the services of the description differ from those of the last call.
-    fn has_described_other_services(&mut self, routes: &Arc<RouteTable>) -> bool {
+    /// Records the services of the description. Returns whether they differ from those before.
+    fn update_described_services(&mut self, routes: &Arc<RouteTable>) -> bool {
         let is_same = self.used_routes.as_ref().is_some_and(|used| Arc::ptr_eq(used, routes));
         if is_same {
             return false;
