Logs which report opens or closes the services of a region, and how many upstreams are ejected

Requests of VMs without paths to upstreams were refused at once, and no log told whether a report of another region had closed it or reports were missing. A line per change names the region, the delegate and the closed services; a refusal for want of a destination tells how many upstreams are ejected and which regions are open, also if it came after the last attempt.

--- a/crates/foldhaven-core/src/opaque/region_reports.rs
+++ b/crates/foldhaven-core/src/opaque/region_reports.rs
@@ -6,7 +6,7 @@
 //! not grow with the square of the number of VMs, and every VM has a report as fresh as that of the
 //! VM that received it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -85,6 +85,17 @@
         self.newest(region, now)?.waits.iter().find(|wait| wait.service == tag).copied()
     }
 
+    /// Returns the services of which a region has accepting upstreams, according to its newest
+    /// report; `None` if the report is stale.
+    pub fn open_services(
+        &self,
+        region: &RegionName,
+        now: MonoTime,
+    ) -> Option<BTreeSet<ServiceTag>> {
+        let report = self.newest(region, now)?;
+        Some(report.waits.iter().map(|wait| wait.service).collect())
+    }
+
     /// Whether the newest report of a region is fresh but lacks a wait for a service, which means
     /// that none of the service's upstreams there accepts requests.
     pub fn is_closed(&self, region: &RegionName, service: &ServiceName, now: MonoTime) -> bool {
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -22,7 +22,6 @@
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
     DestinationChoice, RequestDestination, TriedDestinations, choose_destination,
-    describe_candidates,
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -276,7 +275,7 @@
                 return Ok(None);
             }
             Err(refusal) => {
-                self.candidates_summary = Some(describe_candidates(&self.shared, &view, &self.job));
+                self.summarize_candidates();
                 return Err(self.refusal_after_attempts(refusal));
             }
         };
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -6,7 +6,7 @@
 use crate::answer::Refusal;
 use crate::call::CallFault;
 use crate::clock::BootInstant;
-use crate::destinations::throttled_wait;
+use crate::destinations::{describe_candidates, throttled_wait};
 
 /// Maximum number of destinations per request, including those that could not be reached.
 const MAX_DESTINATIONS: usize = 4;
@@ -27,10 +27,21 @@
             }
             CallFault::Withdrawn => false,
         };
-        match may_repeat {
-            true => None,
-            false => Some(self.refusal_for(fault)),
+        if may_repeat {
+            return None;
         }
+        let refusal = self.refusal_for(fault);
+        if refusal == Refusal::NoUpstream {
+            self.summarize_candidates();
+        }
+        Some(refusal)
+    }
+
+    /// Describes the candidates for the log, after no destination could be found.
+    pub(super) fn summarize_candidates(&mut self) {
+        let view = self.shared.view();
+        self.candidates_summary =
+            view.map(|view| describe_candidates(&self.shared, &view, &self.job));
     }
 
     /// Whether the request may run a second time and be sent to one more destination.
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -1,13 +1,14 @@
 //! Handles load reports, prompt placements and region reports of other VMs, and plans those of this
 //! one.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_reports::{LoadReport, report_interval};
-use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, VmTag};
+use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, ServiceTag, VmTag};
 use foldhaven_core::opaque::region_reports::{REGION_INTERVAL, RegionReport, VM_LIST_EVERY};
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportTarget, ReportUpdates};
 use xtra::{Context, Handler};
@@ -192,15 +193,39 @@
     /// Applies the report of another region. Returns whether it is new.
     fn apply_region_report(&mut self, report: &RegionReport) -> bool {
         let now = self.now();
-        if report.region == *self.shared.settings.region() || !self.regions.apply(report, now) {
+        if report.region == *self.shared.settings.region() {
             return false;
         }
+        let open_before = self.regions.open_services(&report.region, now);
+        if !self.regions.apply(report, now) {
+            return false;
+        }
+        let open_now = self.regions.open_services(&report.region, now);
+        if open_before != open_now {
+            self.log_open_services(report, open_now.unwrap_or_default());
+        }
         if self.peers.apply_reported_incarnations(&report.live_vms, now) {
             self.publish_members_later();
         }
         true
     }
 
+    /// Logs of which services a region has accepting upstreams, and which delegate reported it.
+    fn log_open_services(&self, report: &RegionReport, open: BTreeSet<ServiceTag>) {
+        self.shared.metrics.count_event("region_services_changed");
+        if !self.shared.quota.take(true) {
+            return;
+        }
+        let listed = self.upstreams.groups_in(&report.region).map(|(service, _)| service);
+        let closed: Vec<&str> = listed
+            .filter(|service| !open.contains(&ServiceTag::of(service)))
+            .map(ServiceName::as_str)
+            .collect();
+        let (region, delegate) = (&report.region, report.delegate.0);
+        let open = open.len();
+        tracing::info!(%region, delegate, open, ?closed, "open services of a region changed");
+    }
+
     fn record_placements(&self, placements: &[PromptPlacement]) {
         let mut prefix_caches = self.shared.prefix_caches.lock();
         for placement in placements {
--- a/crates/foldhaven-gateway/src/destinations/overview.rs
+++ b/crates/foldhaven-gateway/src/destinations/overview.rs
@@ -11,6 +11,9 @@
 use crate::shared::GatewayShared;
 use crate::view::GatewayView;
 
+/// Maximum number of upstreams of a region that are checked for ejection.
+const MAX_COUNTED: usize = 64;
+
 /// Prices all possible destinations of a request.
 pub fn price_destinations(
     shared: &GatewayShared,
@@ -40,6 +43,7 @@
 /// Describes the regions and upstreams of a request that found no destination, for the log.
 pub fn describe_candidates(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> String {
     let own_region = shared.settings.region();
+    let now = shared.now();
     let mut text = String::new();
     let by_region = view.upstreams_of(&job.service).into_iter().flatten();
     for (region, group) in by_region {
@@ -47,10 +51,14 @@
         let vms = view.members.regions.get(region).map_or(0, |peers| peers.links.len());
         let is_own = region == own_region;
         let permitted = job.permits(region);
+        let counted = group.iter().take(MAX_COUNTED);
+        let ejected = counted.filter(|it| it.health.lock().is_ejected(now)).count();
+        let is_open = view.expected_waits.contains_key(&(region.clone(), job.service.clone()));
         // Writing to a string cannot fail.
         let _ = write!(
             text,
-            "{region}: {upstreams} upstreams, {vms} other VMs, own {is_own}, permitted {permitted}; "
+            "{region}: {upstreams} upstreams, {ejected} ejected, open {is_open}, {vms} other VMs, \
+             own {is_own}, permitted {permitted}; "
         );
     }
     text
