Path cuts: a VM without paths to upstreams serves its callers through other VMs

Cause: reachability was taken for a property of the upstream, but it is one of the pair of VM and upstream. So a VM ejected upstreams one by one and tried four for each request; it never sent to a VM of its own region; as a delegate it reported its region as closed, by which other regions stopped to send there; and VMs of other regions forwarded to it. Evidence: requests refused within 2 ms after four refused connections; requests refused without an attempt while other regions had upstreams and VMs; forwarded ones declined by cut VMs.

Change: a VM that cannot connect to four upstreams of a service in a row (or all, if fewer) has lost its paths. It tells all VMs, sends the requests through a VM of its region that has paths, or to another region if that is cheaper, and probes every 0.5 s until a connection opens. A request goes through one other VM at most, which refuses at once what it cannot send either; such a refusal costs no retry. Region reports, forwarding and the directory follow. Connections that live on are used while new ones are refused.

Ruled out: requests in flight at the cut (failures grow after 4 s); lost reports.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -24,6 +24,8 @@
 /// In an answer: the attempt that the receiver refused, and recorded as refused, before any part of
 /// it ran.
 pub const REFUSED_ATTEMPT: &str = "foldhaven-refused-attempt";
+/// Set on the refusal of a forwarded request that the receiver could not send to any upstream.
+pub const UNREACHED: &str = "foldhaven-unreached";
 /// The data centres that a forwarded request passed through, the origin's first.
 pub const VISITED: &str = "foldhaven-visited";
 /// The stamp of the description by which the sender routed the request.
--- a/crates/foldhaven-core/src/health.rs
+++ b/crates/foldhaven-core/src/health.rs
@@ -44,6 +44,11 @@
     pub fn is_ejected(&self, now: MonoTime) -> bool {
         now < self.ejected_until
     }
+
+    /// Returns whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
 }
 
 /// The health of all targets, by name. A target without an entry is healthy.
--- a/crates/foldhaven-core/src/opaque/directory.rs
+++ b/crates/foldhaven-core/src/opaque/directory.rs
@@ -24,7 +24,7 @@
     pub region: &'a RegionName,
     /// The CPU time that the requests of the region use.
     pub demand: CoreShare,
-    /// VMs of the region from which nothing has been received for a while.
+    /// VMs from which nothing has been received for a while, or that cannot reach upstreams.
     pub unresponsive: &'a BTreeSet<VmName>,
 }
 
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -15,6 +15,8 @@
 pub mod idle_connections;
 pub mod limit_share;
 pub mod load_reports;
+pub mod lost_paths;
+pub mod path_monitor;
 pub mod pause_statistics;
 pub mod peer_table;
 pub mod performance;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod opaque_heartbeats;
 mod opaque_limits;
 mod opaque_news;
+mod opaque_paths;
 mod opaque_peers;
 mod opaque_readers;
 mod opaque_remote;
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -186,13 +186,19 @@
         let RequestDestination::Upstream(upstream) = destination else { return };
         let now = self.shared.now();
         match fault {
-            CallFault::NotSent(_) => upstream.record_unreachable(now),
+            CallFault::NotSent(_) => {
+                self.tried.unreached += 1;
+                upstream.record_not_opened(now);
+                self.shared.paths.record_failure(&self.shared, upstream);
+            }
             // Another process has the address now.
             CallFault::Declined { .. } if fault.is_misdirected() => {
                 upstream.record_unreachable(now)
             }
             CallFault::Broken(cause) => self.record_broken(upstream, cause),
             CallFault::Unresponsive | CallFault::TimedOut => self.record_failure(upstream),
+            // Only VMs refuse a request in this way.
+            CallFault::Unreached => {}
             // The upstream is not at fault.
             CallFault::Withdrawn => self.shared.metrics.count_event("suspect_called_back"),
             // A refusal by a full upstream is no evidence about the failures of the route.
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 
 use super::{DestinationAnswer, FirstResponseEstimate, RequestDriver};
-use crate::call::{CallFault, HeadListener, OpenAnswer, open_call};
+use crate::call::{CallFault, CallListener, OpenAnswer, open_call};
 use crate::clock::{BootInstant, timeout};
 use crate::credential::fingerprint_value;
 use crate::destinations::{DestinationChoice, RequestDestination};
@@ -81,7 +81,7 @@
 
     /// Returns the listener for the signals in the head of the answer. The signals of an upstream
     /// behind another VM are handled by that VM.
-    fn listener(&self, destination: &RequestDestination) -> Box<dyn HeadListener> {
+    fn listener(&self, destination: &RequestDestination) -> Box<dyn CallListener> {
         match destination {
             RequestDestination::Upstream(upstream) => {
                 Box::new(UpstreamListener::new(self.shared.clone(), upstream.clone()))
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -16,7 +16,7 @@
     /// follow.
     pub(super) fn final_refusal(&mut self, fault: &CallFault) -> Option<Refusal> {
         let may_repeat = match fault {
-            CallFault::NotSent(_) => self.may_try_another_destination(),
+            CallFault::NotSent(_) | CallFault::Unreached => self.may_try_another_destination(),
             CallFault::Declined { .. } if fault.is_misdirected() => {
                 // Another process has the address: no upstream of the service received the request.
                 self.may_try_another_destination() && self.try_withdraw_retry()
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -34,6 +34,8 @@
         /// The status of the answer.
         status: StatusCode,
     },
+    /// another VM reached no upstream
+    Unreached,
     /// broken after it may have started: {0}
     Broken(String),
     /// nothing was received from the upstream
@@ -45,10 +47,10 @@
 }
 
 impl CallFault {
-    /// Whether no upstream of the service received the request: it was not sent, or it reached
-    /// another process at the address of the intended one.
+    /// Whether no upstream of the service received the request: it was not sent, it reached another
+    /// process at the address of the intended one, or another VM could not send it either.
     pub fn is_undelivered(&self) -> bool {
-        matches!(self, Self::NotSent(_)) || self.is_misdirected()
+        matches!(self, Self::NotSent(_) | Self::Unreached) || self.is_misdirected()
     }
 
     /// Whether the request reached another process at the address of the intended one, which
@@ -68,9 +70,12 @@
     }
 }
 
-/// Receives the head of each answer, also if the answer is then rejected.
-pub trait HeadListener: Send + Sync {
-    /// Processes the head of an answer.
+/// Receives the events of a call.
+pub trait CallListener: Send + Sync {
+    /// Records that a new connection was opened for the call.
+    fn on_connected(&self);
+
+    /// Processes the head of the answer, also if the answer is then rejected.
     fn on_head(&self, head: &Parts);
 }
 
@@ -79,8 +84,7 @@
     pub address: SocketAddr,
     pub pool: &'a ConnectionPool,
     pub connect_limit: Duration,
-    /// Receives the heads of the answers.
-    pub listener: &'a dyn HeadListener,
+    pub listener: &'a dyn CallListener,
 }
 
 /// An answer whose head was received and checked, with its unread body.
@@ -147,6 +151,7 @@
     }
     let opening = target.pool.open(target.address, target.connect_limit).await;
     let mut connection = opening.map_err(|error| CallFault::NotSent(error.to_string()))?;
+    target.listener.on_connected();
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((response, connection)),
         Err(mut error) => match error.take_message() {
@@ -170,6 +175,9 @@
     let is_declined = head.headers.contains_key(&names.not_run)
         || head.status == StatusCode::MISDIRECTED_REQUEST
         || (refused.is_some() && refused == attempt);
+    if is_declined && head.headers.contains_key(headers::UNREACHED) {
+        return Err(CallFault::Unreached);
+    }
     if is_declined {
         return Err(CallFault::Declined { status: head.status });
     }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use foldhaven_core::headers::UNREACHED;
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -243,7 +244,12 @@
             refund(&driver);
         }
         driver.record_end(RequestEnd::Refused(refusal.label()));
-        refusal.answer()
+        let is_unreached = refusal == Refusal::NoUpstream && driver.delivered_attempts == 0;
+        let mut answer = refusal.answer();
+        if driver.job.is_forwarded && is_unreached {
+            answer.headers_mut().insert(UNREACHED, HeaderValue::from_static("1"));
+        }
+        answer
     }
 }
 
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::health::TargetHealth;
 use foldhaven_core::opaque::round_trip::RoundTrip;
 use foldhaven_core::time::MonoTime;
 use http_body_util::Full;
@@ -116,6 +117,9 @@
     max_idle: AtomicUsize,
     /// Maximum idle time of a reused connection, if its peer names no shorter one.
     idle_limit: Duration,
+    /// The recent failures to open a connection.
+    opening: Mutex<TargetHealth>,
+    created: BootInstant,
     /// `None` if nobody asks for the round-trip time.
     meter: Option<Arc<RoundTripMeter>>,
 }
@@ -124,7 +128,14 @@
     /// Creates a pool that reuses connections up to the given idle time.
     pub fn new(idle_limit: Duration) -> Self {
         let max_idle = AtomicUsize::new(INITIAL_MAX_IDLE);
-        Self { idle: Mutex::default(), max_idle, idle_limit, meter: None }
+        Self {
+            idle: Mutex::default(),
+            max_idle,
+            idle_limit,
+            opening: Mutex::default(),
+            created: BootInstant::now(),
+            meter: None,
+        }
     }
 
     /// Creates a pool that also records the round-trip times of its connections.
@@ -139,13 +150,38 @@
     /// If it is not established within the limit.
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
         let started = BootInstant::now();
-        let connection = Connection::open(address, limit).await?;
+        let opened = Connection::open(address, limit).await;
+        match opened {
+            Ok(_) => self.opening.lock().record_success(),
+            Err(_) => self.opening.lock().record_failure(true, self.now()),
+        }
+        let connection = opened?;
         if let Some(meter) = &self.meter {
             meter.record(started.elapsed());
         }
         Ok(connection)
     }
 
+    fn now(&self) -> MonoTime {
+        MonoTime::default() + self.created.elapsed()
+    }
+
+    /// Whether a request can probably be sent: on a usable connection or on a new one. Connections
+    /// that are open may continue to work while new ones are refused.
+    pub fn can_send(&self) -> bool {
+        !self.opening.lock().is_ejected(self.now()) || self.has_usable_connection()
+    }
+
+    /// Whether the last attempt to open a connection failed.
+    pub fn is_failing_to_open(&self) -> bool {
+        self.opening.lock().is_failing()
+    }
+
+    /// Forgets the failures to open a connection, since their cause has ended.
+    pub fn forget_failures(&self) {
+        self.opening.lock().record_success();
+    }
+
     /// Whether the pool has a usable connection.
     pub fn has_usable_connection(&self) -> bool {
         self.idle.lock().iter().any(Connection::is_usable)
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -7,12 +7,13 @@
 mod heartbeats;
 mod load_reports;
 mod members;
+mod path_notices;
 mod peer_changes;
 mod rate_shares;
 mod region_waits;
-mod suspect_targets;
 mod suspension;
 mod traffic_view;
+mod update_targets;
 mod upstream_signals;
 mod upstreams;
 
@@ -49,9 +50,10 @@
     PlanLoadReport, PlannedLoadReport, ReceiveLoadReport, ReceivePlacements, ReceiveRegionReport,
 };
 use self::members::LoggedMembers;
+pub use self::path_notices::ReceivePathNotices;
 pub use self::peer_changes::{ApplyChanges, ApplySnapshot, ReceiveChanges, ReceiveEarlyChanges};
 pub use self::rate_shares::{PlanAgreementRound, ReceiveAgreement};
-pub use self::suspect_targets::{PlanSuspectTargets, SendReason, SuspectTargets};
+pub use self::update_targets::{PlanUpdateTargets, SendReason, UpdateTargets};
 pub use self::upstream_signals::{
     PlanSignalTargets, ReceiveLeavingNotices, ReceiveUpstreamRateLimits,
 };
@@ -364,6 +366,7 @@
         self.agreement.retain(|vm| peers.address_of(vm).is_some());
         self.shared.suspects.remove_expired(&self.shared.change_context());
         self.forget_signals();
+        self.shared.paths.remove_expired(&self.shared);
         self.record_growth();
         self.check_reported_outage();
         self.check_caught_up();
--- a/crates/foldhaven-gateway/src/control/region_waits.rs
+++ b/crates/foldhaven-gateway/src/control/region_waits.rs
@@ -27,7 +27,7 @@
         let own_region = self.shared.settings.region();
         let is_open = |it: &&Arc<Upstream>| {
             let is_accepting = it.remaining_backoff(now).is_zero() && !it.is_leaving();
-            is_accepting && it.allowed_rate(now).is_none() && !it.health.lock().is_ejected(now)
+            is_accepting && it.allowed_rate(now).is_none()
         };
         let mut by_service: BTreeMap<&ServiceName, Vec<ExpectedQueue>> = BTreeMap::new();
         for (service, group) in self.upstreams.groups_in(own_region) {
@@ -37,8 +37,14 @@
                 load: upstream.queue().in_flight,
                 long_pauses: upstream.performance.lock().long_pause_share(now),
             };
+            // What this VM cannot reach itself may be open to others.
+            let is_lost = self.shared.paths.is_lost(service);
+            if is_lost && !self.has_local_peer_with_paths(service) {
+                continue;
+            }
+            let is_usable = |it: &&Arc<Upstream>| is_open(it) && (is_lost || !it.is_ejected(now));
             let open =
-                group.iter_from(RingPosition(rand::random())).filter(is_open).take(MAX_SAMPLE);
+                group.iter_from(RingPosition(rand::random())).filter(is_usable).take(MAX_SAMPLE);
             let expected: Vec<ExpectedQueue> = open.map(expected_queue).collect();
             if !expected.is_empty() {
                 by_service.insert(service, expected);
@@ -56,6 +62,13 @@
         by_service.into_iter().map(service_wait).collect()
     }
 
+    /// Whether another VM of this region can probably reach the upstreams of a service.
+    fn has_local_peer_with_paths(&self, service: &ServiceName) -> bool {
+        let own_region = self.shared.settings.region();
+        let mut local = self.links.values().filter(|link| link.region == *own_region);
+        local.any(|link| !self.shared.paths.is_lost_at(link.tag, service))
+    }
+
     /// Returns the expected waits by region and service, as reported by the delegates of other
     /// regions. A service that has no available upstream in a region has no entry.
     pub(super) fn waits_by_region(&self) -> HashMap<(RegionName, ServiceName), RegionWait> {
--- a/crates/foldhaven-gateway/src/control/suspect_targets.rs
+++ b/crates/foldhaven-gateway/src/control/update_targets.rs
@@ -1,4 +1,4 @@
-//! Chooses the VMs that get messages about suspected requests.
+//! Chooses the VMs that get updates which are meant for all VMs of all regions.
 
 use std::net::SocketAddr;
 
@@ -7,41 +7,40 @@
 
 use super::ControlActor;
 
-/// How many VMs of each other region a changed record of a suspected request is sent to. Each of
-/// them relays it within its region.
+/// How many VMs of each other region an update is sent to. Each of them relays it within its region.
 const TARGETS_PER_REGION: usize = 2;
 
-/// Why a message about suspected requests or upstream signals is sent.
+/// Why an update is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendReason {
-    /// A record or signal has changed.
+    /// Something has changed.
     Change,
     /// Periodic resending, as an earlier message may have been lost.
     Repeat,
 }
 
-/// Requests the VMs that a message about suspected requests is sent to.
-pub struct PlanSuspectTargets {
+/// Requests the VMs that an update is sent to.
+pub struct PlanUpdateTargets {
     pub reason: SendReason,
 }
 
-/// The VMs that a message about suspected requests is sent to.
+/// The VMs that an update is sent to.
 #[derive(Debug, Default)]
-pub struct SuspectTargets {
+pub struct UpdateTargets {
     /// VMs of this region.
     pub local: Vec<SocketAddr>,
     /// VMs of other regions.
     pub remote: Vec<SocketAddr>,
 }
 
-impl Handler<PlanSuspectTargets> for ControlActor {
-    type Return = SuspectTargets;
+impl Handler<PlanUpdateTargets> for ControlActor {
+    type Return = UpdateTargets;
 
-    async fn handle(&mut self, plan: PlanSuspectTargets, _: &mut Context<Self>) -> SuspectTargets {
+    async fn handle(&mut self, plan: PlanUpdateTargets, _: &mut Context<Self>) -> UpdateTargets {
         let now = self.now();
         if plan.reason == SendReason::Repeat {
             let HeartbeatTargets { local, remote } = self.peers.next_resend_targets(now);
-            return SuspectTargets { local, remote };
+            return UpdateTargets { local, remote };
         }
         let mut remote = Vec::new();
         for _ in 0..TARGETS_PER_REGION {
@@ -49,6 +48,6 @@
         }
         remote.sort_unstable();
         remote.dedup();
-        SuspectTargets { local: self.local_peers(), remote }
+        UpdateTargets { local: self.local_peers(), remote }
     }
 }
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -24,6 +24,8 @@
 use crate::front::{FrontHandler, serve_front};
 use crate::names::HeaderNames;
 use crate::operator_front::OperatorHandler;
+use crate::path_prober::probe_lost_paths;
+use crate::path_sender::PathSender;
 use crate::peer_front::PeerHandler;
 use crate::peer_socket::{PeerSocket, log_sent_bytes};
 use crate::peer_state::sync_with_peers;
@@ -107,6 +109,7 @@
     }
     start_front(&shared, addresses.peer, Arc::new(PeerHandler::new(shared.clone())))?;
     tokio::spawn(keep_links_warm(shared.clone()));
+    tokio::spawn(probe_lost_paths(shared.clone()));
     tracing::info!(
     vm = %shared.settings.vm,
     data_centre = %shared.settings.data_centre,
@@ -165,6 +168,9 @@
     let control = address.clone();
     let signals = SignalSender { socket: socket.clone(), control, shared: shared.clone() };
     tokio::spawn(run_update_sender(signals));
+    let control = address.clone();
+    let paths = PathSender { socket: socket.clone(), control, shared: shared.clone() };
+    tokio::spawn(run_update_sender(paths));
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_heartbeats(socket, address.clone(), shared.clone()));
     tokio::spawn(watch_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -24,8 +24,9 @@
     ControlAddress, OutgoingChanges, OutgoingUpdate, PlanAgreementRound, PlanDemandReports,
     PlanHeartbeats, PlanLoadReport, PlannedLoadReport, ReceiveAgreement, ReceiveChanges,
     ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices, ReceiveLoadReport,
-    ReceiveLocalDemand, ReceivePlacements, ReceiveRegionDemand, ReceiveRegionReport,
-    ReceiveRevisionNotice, ReceiveUpstreamRateLimits, ReceiveView, ReceiveViewList,
+    ReceiveLocalDemand, ReceivePathNotices, ReceivePlacements, ReceiveRegionDemand,
+    ReceiveRegionReport, ReceiveRevisionNotice, ReceiveUpstreamRateLimits, ReceiveView,
+    ReceiveViewList,
 };
 use crate::feed::NumberedChange;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectMessage};
@@ -251,6 +252,7 @@
         PeerMessage::RegionDemand(demand) => control.send(ReceiveRegionDemand { demand }).await?,
         PeerMessage::Limits(limits) => control.send(ReceiveUpstreamRateLimits { limits }).await?,
         PeerMessage::Leavers(leavers) => control.send(ReceiveLeavingNotices { leavers }).await?,
+        PeerMessage::Paths(message) => control.send(ReceivePathNotices { message }).await?,
         PeerMessage::Suspects(_) => {}
     }
     Ok(OutgoingMessages::new())
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -184,10 +184,18 @@
 ) -> Vec<UpstreamCandidate<'a>> {
     let now = shared.now();
     let slot_time = shared.measured_performance(&job.service).slot_time;
-    local
-        .iter()
-        .map(|upstream| candidate_of(shared, upstream, job, tried, slot_time, now))
-        .collect()
+    let is_lost = shared.paths.is_lost(&job.service);
+    let candidate = |upstream: &&'a Arc<Upstream>| {
+        let candidate = candidate_of(shared, upstream, job, tried, slot_time, now);
+        let is_unreachable = is_lost && is_unreachable(upstream);
+        UpstreamCandidate { is_ejected: candidate.is_ejected || is_unreachable, ..candidate }
+    };
+    local.iter().map(candidate).collect()
+}
+
+/// Whether no connection to an upstream is left, and none could be opened at the last attempt.
+fn is_unreachable(upstream: &Upstream) -> bool {
+    upstream.pool.is_failing_to_open() && !upstream.pool.has_usable_connection()
 }
 
 /// Returns the properties of an upstream that the choice depends on.
@@ -220,7 +228,7 @@
         long_pause_share: performance.long_pause_share(now),
         transfer_cost,
         cached_tokens,
-        is_ejected: upstream.health.lock().is_ejected(now),
+        is_ejected: upstream.is_ejected(now),
         is_throttled: throttled_for(upstream, now).is_some(),
         is_tried: tried.upstreams.contains(upstream.name()),
     }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -3,6 +3,7 @@
 
 mod local;
 mod overview;
+mod relay;
 mod remote;
 
 use std::net::SocketAddr;
@@ -18,9 +19,10 @@
 pub use self::local::expected_wait;
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
 pub use self::overview::{describe_candidates, price_destinations};
+use self::relay::{RelayChoice, pick_relay};
 use self::remote::{RemoteChoice, choose_remote};
 use crate::answer::Refusal;
-use crate::call::{CallTarget, HeadListener};
+use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
 use crate::job::GatewayJob;
@@ -65,7 +67,7 @@
     }
 
     /// Returns the target of calls. Connecting to another region may take longer.
-    pub fn call_target<'a>(&'a self, listener: &'a dyn HeadListener) -> CallTarget<'a> {
+    pub fn call_target<'a>(&'a self, listener: &'a dyn CallListener) -> CallTarget<'a> {
         let (address, connect_limit) = match self {
             Self::Upstream(upstream) => (upstream.identity.address, LOCAL_CONNECT_TIMEOUT),
             Self::Peer(peer) => (peer.address, REMOTE_CONNECT_TIMEOUT),
@@ -116,6 +118,8 @@
 pub struct TriedDestinations {
     pub upstreams: Vec<UpstreamName>,
     pub peers: Vec<VmName>,
+    /// The number of upstreams to which no connection could be opened.
+    pub unreached: usize,
 }
 
 impl TriedDestinations {
@@ -133,7 +137,8 @@
 }
 
 /// Chooses a destination. Prefers the best upstream of this region, unless another region is
-/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none.
+/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. If this VM
+/// cannot reach the upstreams of its region, another VM of the region takes their place.
 pub fn choose_destination(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -142,7 +147,9 @@
 ) -> Result<DestinationChoice, Refusal> {
     let is_here = job.permits(shared.settings.region());
     let local = if is_here { choose_local(shared, view, job, tried) } else { None };
+    let is_lost = shared.paths.is_lost(&job.service);
     if job.is_forwarded {
+        let local = local.filter(|local| local.choice.is_trusted || !is_lost);
         let local = local.ok_or_else(|| match is_here {
             true => no_destination_refusal(shared, view, job),
             false => Refusal::NotPermitted,
@@ -151,6 +158,16 @@
         return local.reserve(shared);
     }
     let remote = choose_remote(shared, view, job, tried);
+    let needs_relay = |local: &LocalChoice| {
+        is_lost && !local.choice.is_trusted || tried.unreached >= MAX_LOCAL_FAULTS
+    };
+    let local = match local {
+        Some(local) if needs_relay(&local) => match pick_relay(shared, view, job, tried) {
+            Some(peer) => return prefer_relay(job, RelayChoice { peer, local }, remote),
+            None => Some(local).filter(|_| !is_lost),
+        },
+        local => local,
+    };
     match (local, remote) {
         (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
             admit_choice(job, &remote.estimate())?;
@@ -167,6 +184,27 @@
     }
 }
 
+/// Chooses between another VM of this region and a VM of another region.
+fn prefer_relay(
+    job: &GatewayJob,
+    relay: RelayChoice,
+    remote: Option<RemoteChoice>,
+) -> Result<DestinationChoice, Refusal> {
+    let local = &relay.local;
+    let remote = match remote {
+        Some(remote) if remote.cost + REGION_MARGIN < local.choice.cost => {
+            admit_choice(job, &remote.estimate())?;
+            return Ok(remote.choice);
+        }
+        remote => remote,
+    };
+    match (admit_choice(job, &local.estimate()), remote) {
+        (Ok(()), _) => Ok(relay.into_choice()),
+        (Err(_), Some(remote)) if has_free_capacity(job, &remote) => Ok(remote.choice),
+        (Err(refusal), _) => Err(refusal),
+    }
+}
+
 /// Returns how long a request has to wait while all local upstreams that may run it are throttled.
 /// `None` if one of them is available, if another region offers the service, or if no upstream
 /// asked to back off or announced a limit.
--- a/crates/foldhaven-gateway/src/destinations/overview.rs
+++ b/crates/foldhaven-gateway/src/destinations/overview.rs
@@ -52,13 +52,13 @@
         let is_own = region == own_region;
         let permitted = job.permits(region);
         let counted = group.iter().take(MAX_COUNTED);
-        let ejected = counted.filter(|it| it.health.lock().is_ejected(now)).count();
+        let ejected = counted.filter(|it| it.is_ejected(now)).count();
         let is_open = view.expected_waits.contains_key(&(region.clone(), job.service.clone()));
         // Writing to a string cannot fail.
         let _ = write!(
             text,
-            "{region}: {upstreams} upstreams, {ejected} ejected, open {is_open}, {vms} other VMs, \
-             own {is_own}, permitted {permitted}; "
+            "{region}: {upstreams} upstreams, {vms} other VMs, own {is_own}, permitted {permitted}, \
+             {ejected} ejected, open {is_open}; "
         );
     }
     text
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -74,7 +74,8 @@
     });
     let priced = regions.filter_map(|((region, _), wait)| {
         let peers = view.members.regions.get(region)?;
-        let peer = pick_peer(peers, tried)?;
+        let is_usable = |peer: &PeerLink| !shared.paths.is_lost_at(peer.tag, &job.service);
+        let peer = pick_peer(peers, tried, is_usable)?;
         Some(RemotePricer { shared, view, job, region, peers, wait: *wait }.price(peer))
     });
     priced.collect()
@@ -160,13 +161,17 @@
     }
 }
 
-/// Returns a random VM of a region that the request was not sent to yet. VMs in service there and
-/// VMs with an open connection are preferred.
-fn pick_peer(peers: &RegionPeers, tried: &TriedDestinations) -> Option<Arc<PeerLink>> {
-    let is_untried = |peer: &&Arc<PeerLink>| !tried.peers.contains(&peer.vm);
-    let mut open: Vec<&Arc<PeerLink>> = peers.in_service.iter().filter(is_untried).collect();
+/// Returns a random usable VM of a region that the request was not sent to yet. VMs in service
+/// there and VMs with an open connection are preferred.
+fn pick_peer(
+    peers: &RegionPeers,
+    tried: &TriedDestinations,
+    is_usable: impl Fn(&PeerLink) -> bool,
+) -> Option<Arc<PeerLink>> {
+    let is_open = |peer: &&Arc<PeerLink>| !tried.peers.contains(&peer.vm) && is_usable(peer);
+    let mut open: Vec<&Arc<PeerLink>> = peers.in_service.iter().filter(is_open).collect();
     if open.is_empty() {
-        open = peers.links.iter().filter(is_untried).collect();
+        open = peers.links.iter().filter(is_open).collect();
     }
     let warm: Vec<&Arc<PeerLink>> =
         open.iter().copied().filter(|peer| peer.pool.has_usable_connection()).collect();
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -6,14 +6,16 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use foldhaven_core::ids::RegionName;
+use foldhaven_core::ids::{RegionName, VmName};
 use foldhaven_core::opaque::directory::{LocalService, select_vms};
+use foldhaven_core::opaque::peer_table::VmTag;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, Refusal, body_answer};
 use crate::front::FrontHandler;
 use crate::shared::GatewayShared;
+use crate::view::GatewayView;
 
 /// How long callers may use an answer. A shorter time moves callers sooner but costs more requests.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
@@ -54,16 +56,31 @@
         let bound = |region: &RegionName| view.routes.bound_routes_in(&query.host, region);
         let has_bound = view.routes.has_bound_routes(&query.host);
         let settings = &self.shared.settings;
+        let mut avoided = view.members.unresponsive_vms.clone();
+        avoided.extend(self.vms_without_paths(&view));
         let local = LocalService {
             responder: &settings.vm,
             region: settings.region(),
             demand: view.demand,
-            unresponsive: &view.members.unresponsive_vms,
+            unresponsive: &avoided,
         };
         Some(select_vms(&view.members.heartbeats, &query.region, &local, bound, has_bound))
     }
 }
 
+impl DirectoryHandler {
+    /// Returns the VMs that cannot reach the upstreams of some service. Callers are better served by
+    /// others.
+    fn vms_without_paths(&self, view: &GatewayView) -> Vec<VmName> {
+        let paths = &self.shared.paths;
+        if !paths.has_notices() {
+            return Vec::new();
+        }
+        let vms = view.members.heartbeats.iter().map(|heartbeat| &heartbeat.vm);
+        vms.filter(|vm| paths.is_any_lost_at(VmTag::of(vm))).cloned().collect()
+    }
+}
+
 #[async_trait]
 impl FrontHandler for DirectoryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -11,6 +11,7 @@
 use foldhaven_core::opaque::account_demand::{LocalDemand, RegionDemand};
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::load_reports::LoadReport;
+use foldhaven_core::opaque::lost_paths::LostPathNotice;
 use foldhaven_core::opaque::peer_table::{
     HeartbeatMessage, RevisionAnnouncement, ViewDigest, ViewList,
 };
@@ -35,6 +36,15 @@
     pub records: Vec<SuspectRecord>,
 }
 
+/// The notices of lost paths that one VM sends to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PathMessage {
+    /// The region of the sender.
+    pub region: RegionName,
+    /// The notices, of VMs of any region.
+    pub notices: Vec<LostPathNotice>,
+}
+
 /// The content of a datagram between VMs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -68,6 +78,8 @@
     Limits(Vec<LimitNotice>),
     /// Upstreams of the region that have announced that they are leaving.
     Leavers(Vec<LeavingNotice>),
+    /// VMs that have lost their paths to upstreams.
+    Paths(PathMessage),
 }
 
 impl PeerMessage {
@@ -92,6 +104,7 @@
             Self::Demand(_) | Self::RegionDemand(_) => "sent_bytes_demand",
             Self::Limits(_) => "sent_bytes_limits",
             Self::Leavers(_) => "sent_bytes_leaving",
+            Self::Paths(_) => "sent_bytes_paths",
         }
     }
 
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
+use crate::path_tracker::PathTracker;
 use crate::rate_limit_tracker::RateLimitTracker;
 use crate::settings::GatewaySettings;
 use crate::suspects::{ChangeContext, SuspectTracker};
@@ -115,6 +116,8 @@
     pub upstream_limits: RateLimitTracker,
     /// The upstreams that have announced that they are leaving.
     pub leaving_upstreams: LeavingTracker,
+    /// Which VMs have lost their paths to the upstreams of which services.
+    pub paths: PathTracker,
     /// Limits the usage of accounts.
     pub accounts: AccountLimiter,
     /// Detects that the process was suspended, so that its state may be outdated.
@@ -127,6 +130,7 @@
             wake: SuspensionDetector::default(),
             upstream_limits: RateLimitTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
+            paths: PathTracker::new(VmTag::of(&settings.vm)),
             suspects: SuspectTracker::new(VmTag::of(&settings.vm)),
             accounts: AccountLimiter::new(settings.region_count(), settings.limits.accounts()),
             settings,
--- a/crates/foldhaven-gateway/src/suspect_sender.rs
+++ b/crates/foldhaven-gateway/src/suspect_sender.rs
@@ -8,7 +8,7 @@
     MAX_RECORDS_PER_MESSAGE, SuspectRecord, SuspectUpdate, UpdateScope,
 };
 
-use crate::control::{ControlAddress, PlanSuspectTargets, SendReason, SuspectTargets};
+use crate::control::{ControlAddress, PlanUpdateTargets, SendReason, UpdateTargets};
 use crate::peer_message::{PeerMessage, SuspectMessage};
 use crate::peer_socket::PeerSocket;
 use crate::shared::GatewayShared;
@@ -27,8 +27,8 @@
             return Ok(());
         }
         let reason = SendReason::Change;
-        let SuspectTargets { local, remote } =
-            self.control.send(PlanSuspectTargets { reason }).await?;
+        let UpdateTargets { local, remote } =
+            self.control.send(PlanUpdateTargets { reason }).await?;
         let global = updates.iter().filter(|update| update.scope == UpdateScope::Global);
         let global: Vec<SuspectRecord> = global.map(|update| update.record.clone()).collect();
         let all: Vec<SuspectRecord> = updates.into_iter().map(|update| update.record).collect();
@@ -72,8 +72,8 @@
             return Ok(());
         }
         let reason = SendReason::Repeat;
-        let SuspectTargets { local, remote } =
-            self.control.send(PlanSuspectTargets { reason }).await?;
+        let UpdateTargets { local, remote } =
+            self.control.send(PlanUpdateTargets { reason }).await?;
         self.send(&remote, &records).await;
         self.send(&local, &records).await;
         Ok(())
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -24,6 +24,10 @@
 use crate::clock::MonoClock;
 use crate::connection::{ConnectionPool, IDLE_LIMIT};
 
+/// If an upstream has sent nothing for this long when a connection to it cannot be opened, the idle
+/// connections to it are closed as well.
+const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+
 /// One process of an upstream. Shared by all views for as long as the process is listed.
 pub struct Upstream {
     pub identity: UpstreamIdentity,
@@ -246,13 +250,26 @@
         UpstreamRequestGuard { upstream: self.clone(), id, clock, is_harmless: false }
     }
 
-    /// Records that the upstream is unreachable or unresponsive: it is ejected at once, and the
-    /// idle connections to it are closed.
+    /// Records that the upstream is unresponsive, or that another process has its address: it is
+    /// ejected at once, and the idle connections to it are closed.
     pub fn record_unreachable(&self, now: MonoTime) {
         self.health.lock().record_failure(true, now);
         self.pool.clear();
     }
 
+    /// Whether the upstream gets no requests for now, because of recent failures or because no
+    /// connection to it can be opened.
+    pub fn is_ejected(&self, now: MonoTime) -> bool {
+        self.health.lock().is_ejected(now) || !self.pool.can_send()
+    }
+
+    /// Records that no connection could be opened. The open ones are kept if they still work.
+    pub fn record_not_opened(&self, now: MonoTime) {
+        if self.is_unresponsive_since(now - SILENCE_LIMIT) {
+            self.pool.clear();
+        }
+    }
+
     /// Records that a request failed after it may have run. `usual` is the usual failure share of
     /// its route.
     pub fn record_failure(&self, usual: f64, now: MonoTime) {
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -10,7 +10,7 @@
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
 
-use crate::call::HeadListener;
+use crate::call::CallListener;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
@@ -21,7 +21,7 @@
 /// The header value of an upstream that is leaving.
 const LEAVING_VALUE: &str = "1";
 
-/// Processes the heads of the answers of an upstream.
+/// Processes the events of calls to an upstream.
 pub struct UpstreamListener {
     shared: Arc<GatewayShared>,
     upstream: Arc<Upstream>,
@@ -96,7 +96,11 @@
     }
 }
 
-impl HeadListener for UpstreamListener {
+impl CallListener for UpstreamListener {
+    fn on_connected(&self) {
+        self.shared.paths.record_opened(&self.shared, &self.upstream.identity.service);
+    }
+
     fn on_head(&self, head: &Parts) {
         // Another process has the address now.
         if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -128,9 +132,11 @@
     is_span.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
-/// Ignores the heads of answers.
+/// Ignores all events.
 pub struct NoopListener;
 
-impl HeadListener for NoopListener {
+impl CallListener for NoopListener {
+    fn on_connected(&self) {}
+
     fn on_head(&self, _: &Parts) {}
 }
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -8,7 +8,7 @@
 
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::load_reports::{UpstreamShare, report_interval};
-use foldhaven_core::opaque::peer_table::PeerHeartbeat;
+use foldhaven_core::opaque::peer_table::{PeerHeartbeat, VmTag};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::time::MonoTime;
@@ -48,6 +48,9 @@
 /// Another VM that takes forwarded requests.
 pub struct PeerLink {
     pub vm: VmName,
+    /// Its identifier in messages between VMs.
+    pub tag: VmTag,
+    pub data_centre: DataCentreName,
     pub region: RegionName,
     pub address: SocketAddr,
     pub pool: ConnectionPool,
@@ -58,6 +61,8 @@
     pub fn new(heartbeat: &PeerHeartbeat, traffic: Arc<RegionTraffic>) -> Self {
         Self {
             vm: heartbeat.vm.clone(),
+            tag: VmTag::of(&heartbeat.vm),
+            data_centre: heartbeat.data_centre.clone(),
             region: heartbeat.region.clone(),
             address: heartbeat.peer,
             pool: ConnectionPool::with_meter(PEER_IDLE_LIMIT, traffic.round_trip.clone()),
