Exits: a VM that has lost its own paths concludes nothing about upstreams

The same cause as of refusals at such VMs: what fails for one VM was taken for the state of the upstream. An exit is now concluded only if another upstream has answered since, a connection to one of three others opens, or there is no other.

--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::opaque::affinity::RingPosition;
 use foldhaven_core::time::MonoTime;
 use tokio::time::sleep;
 
@@ -18,6 +19,8 @@
 /// Maximum number of checks of an upstream that refuses new connections but still sends data on old
 /// ones.
 const MAX_CHECKS: u32 = 5;
+/// Maximum number of other upstreams to which a connection is opened for comparison.
+const MAX_CONTROLS: usize = 3;
 /// Maximum number of fingerprints in a log line.
 const MAX_LOGGED_FINGERPRINTS: usize = 8;
 
@@ -51,7 +54,7 @@
             return false;
         }
         if upstream.is_unresponsive_since(last_check) {
-            return true;
+            return reaches_others(shared, upstream, broken_at).await;
         }
         last_check = shared.now();
         sleep(RECHECK_DELAY).await;
@@ -59,6 +62,27 @@
     false
 }
 
+/// Whether this VM still reaches other upstreams, or there are none. If it reaches none, it has
+/// probably lost its own paths, and nothing is known of this upstream.
+async fn reaches_others(shared: &GatewayShared, upstream: &Upstream, broken_at: MonoTime) -> bool {
+    let Some(view) = shared.view() else { return true };
+    let groups =
+        view.upstreams.values().filter_map(|regions| regions.get(&upstream.identity.region));
+    let all =
+        groups.flat_map(|group| group.iter_from(RingPosition(rand::random())).take(MAX_CONTROLS));
+    let others: Vec<&Arc<Upstream>> = all.filter(|other| other.tag != upstream.tag).collect();
+    if others.is_empty() || others.iter().any(|other| !other.is_unresponsive_since(broken_at)) {
+        return true;
+    }
+    for other in others.into_iter().take(MAX_CONTROLS) {
+        if connect(other).await.is_ok_and(|connection| !connection.is_closed()) {
+            return true;
+        }
+    }
+    shared.metrics.count_event("exit_unclear");
+    false
+}
+
 /// Whether no process listens at the address of the upstream.
 async fn refuses_connections(upstream: &Upstream) -> bool {
     let connection = match connect(upstream).await {
