Brittle upstreams: VMs use their own parts of the slots, and pause after a declined request

Equal parts of the slots among the VMs that may send; reports of load alone are too old: with borrowing by reports and a count of the VMs active at the moment, 4 to 8 were turned away in a second where 1 or 3 are allowed, as VMs that paused found their part used.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -35,6 +35,7 @@
 pub mod route_table;
 pub mod sender_agreement;
 pub mod service_order;
+pub mod slot_share;
 pub mod suspects;
 pub mod upstream_ring;
 pub mod upstream_signals;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod opaque_sender_agreement;
 mod opaque_service;
 mod opaque_signals;
+mod opaque_slot_share;
 mod opaque_stale_reports;
 mod opaque_support;
 mod opaque_suspect_orders;
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -35,6 +35,7 @@
 use foldhaven_core::opaque::report_planner::ReportPlanner;
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::SenderAgreement;
+use foldhaven_core::opaque::slot_share::RecentSenders;
 use foldhaven_core::opaque::view_staleness::ViewStaleness;
 use foldhaven_core::time::MonoTime;
 use tokio::sync::{mpsc, watch};
@@ -122,6 +123,8 @@
     region_traffic: HashMap<RegionName, Arc<RegionTraffic>>,
     /// The load reports of other VMs.
     loads: LoadTable,
+    /// The VMs of the region that send requests to its upstreams.
+    recent_senders: RecentSenders,
     /// Chooses the targets of this VM's load reports.
     report_plan: ReportPlanner,
     /// Estimates the processor time used by this VM's requests.
@@ -220,6 +223,7 @@
             links: HashMap::new(),
             region_traffic: HashMap::new(),
             loads: LoadTable::default(),
+            recent_senders: RecentSenders::default(),
             report_plan: ReportPlanner::default(),
             meter: DemandMeter::default(),
             demand: PeakCpuDemand::default(),
--- a/crates/foldhaven-gateway/src/control/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/control/traffic_view.rs
@@ -30,13 +30,17 @@
         self.update_rate_shares(now);
         let Some(offer) = self.current_offer(&routes, now) else { return };
         let demand = self.current_demand(now);
+        let senders = self.loads.active_vms().count() + 1;
+        // The VMs in service get callers, also those that have no requests at this moment.
+        let recent_senders = self.recent_senders.record(senders.max(self.in_service.vms), now);
         self.shared.publish(GatewayView {
             routes,
             upstreams: self.upstreams.groups().clone(),
             members,
             expected_waits: self.waits_by_region(),
             demand,
-            senders: self.loads.active_vms().count() + 1,
+            senders,
+            recent_senders,
             offer,
         });
     }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -30,6 +30,9 @@
 /// one.
 const NO_SHARE_WAIT: Duration = Duration::from_millis(500);
 
+/// The retry delay for callers if this VM has used up its share of the slots of brittle upstreams.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
+
 /// The maximum number of upstreams to look at for whether any of them can take a request. If one in
 /// twenty can, one is found almost always.
 const MAX_EXAMINED: usize = 128;
@@ -89,7 +92,7 @@
 ) -> Option<LocalChoice> {
     let group = local_group(shared, view, job)?;
     let drawn = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, &drawn.upstreams, job, tried);
+    let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
     let choice = sample.choose(&choice_query(shared, view, job), &performance)?;
@@ -98,14 +101,24 @@
 }
 
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
-/// to back off or its share of the upstream's rate is used up. `None` if it may send now.
-fn throttled_for(upstream: &Upstream, now: MonoTime) -> Option<Duration> {
+/// to back off, or this VM has used up its share of the upstream's rate or slots. `None` if it may
+/// send now.
+fn throttled_for(
+    shared: &GatewayShared,
+    senders: usize,
+    upstream: &Upstream,
+    now: MonoTime,
+) -> Option<Duration> {
     let backoff = upstream.remaining_backoff(now);
     let share_wait = upstream.allowed_rate(now).map_or(Duration::ZERO, |rate| {
         let pacer = *upstream.pacer.lock();
         pacer.wait(rate, now).unwrap_or(NO_SHARE_WAIT)
     });
-    Some(backoff.max(share_wait)).filter(|wait| !wait.is_zero())
+    let room_wait = match upstream.has_room(&shared.settings.vm, senders) {
+        true => Duration::ZERO,
+        false => ROOM_WAIT,
+    };
+    Some(backoff.max(share_wait).max(room_wait)).filter(|wait| !wait.is_zero())
 }
 
 /// Returns whether an upstream of this region can get a request now.
@@ -113,11 +126,11 @@
     let now = shared.now();
     let group = local_group(shared, view, job);
     let mut examined = group.into_iter().flat_map(examined_upstreams);
-    examined.any(|upstream| throttled_for(upstream, now).is_none())
+    examined.any(|upstream| throttled_for(shared, view.recent_senders, upstream, now).is_none())
 }
 
 /// Returns the shortest time until this VM may send to an upstream of this region that asked it to
-/// back off or has announced a limit. `None` if there is no such upstream.
+/// back off, has announced a limit or is brittle. `None` if there is no such upstream.
 pub(super) fn signalled_wait(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -126,8 +139,13 @@
     let now = shared.now();
     let group = local_group(shared, view, job);
     let examined = group.into_iter().flat_map(examined_upstreams);
-    let has_said = |it: &&Arc<Upstream>| it.is_limited() || !it.remaining_backoff(now).is_zero();
-    let wait = |it: &Arc<Upstream>| throttled_for(it, now).unwrap_or_default();
+    let has_said = |it: &&Arc<Upstream>| {
+        let is_brittle = it.max_declined_per_s().is_some();
+        is_brittle || it.is_limited() || !it.remaining_backoff(now).is_zero()
+    };
+    let wait = |it: &Arc<Upstream>| {
+        throttled_for(shared, view.recent_senders, it, now).unwrap_or_default()
+    };
     examined.filter(has_said).map(wait).min()
 }
 
@@ -139,7 +157,7 @@
 ) -> Vec<(Arc<Upstream>, UpstreamChoice)> {
     let Some(group) = local_group(shared, view, job) else { return Vec::new() };
     let DrawnUpstreams { upstreams, keyed } = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, &upstreams, job, &TriedDestinations::default());
+    let candidates = candidates_of(shared, view, &upstreams, job, &TriedDestinations::default());
     let sample = CandidateSample { candidates: &candidates, keyed };
     let performance = shared.performance(&job.service, view);
     let priced = sample.price(&choice_query(shared, view, job), &performance);
@@ -178,6 +196,7 @@
 
 fn candidates_of<'a>(
     shared: &GatewayShared,
+    view: &GatewayView,
     local: &[&'a Arc<Upstream>],
     job: &GatewayJob,
     tried: &TriedDestinations,
@@ -188,7 +207,11 @@
     let candidate = |upstream: &&'a Arc<Upstream>| {
         let candidate = candidate_of(shared, upstream, job, tried, slot_time, now);
         let is_unreachable = is_lost && is_unreachable(upstream);
-        UpstreamCandidate { is_ejected: candidate.is_ejected || is_unreachable, ..candidate }
+        UpstreamCandidate {
+            is_throttled: throttled_for(shared, view.recent_senders, upstream, now).is_some(),
+            is_ejected: candidate.is_ejected || is_unreachable,
+            ..candidate
+        }
     };
     local.iter().map(candidate).collect()
 }
@@ -229,7 +252,7 @@
         transfer_cost,
         cached_tokens,
         is_ejected: upstream.is_ejected(now),
-        is_throttled: throttled_for(upstream, now).is_some(),
+        is_throttled: false,
         is_tried: tried.upstreams.contains(upstream.name()),
     }
 }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -19,6 +19,9 @@
     pub rate_limit: HeaderName,
     /// Set to 1 by an upstream that is leaving and accepts no new requests.
     pub leaving: HeaderName,
+    /// The number of requests that a brittle upstream can decline in a second for want of room. If
+    /// it declines more, it crashes.
+    pub brittle: HeaderName,
     /// Lists the segments of the prompt, each with its id and its number of tokens.
     pub prompt_outline: HeaderName,
     /// The number of prompt tokens and the maximum number of answer tokens.
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -2,13 +2,14 @@
 //! have shown.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use foldhaven_core::health::TargetHealth;
 use foldhaven_core::ids::{
-    DataCentreName, RegionName, ServiceName, UpstreamName, UpstreamStartTime,
+    DataCentreName, RegionName, ServiceName, UpstreamName, UpstreamStartTime, VmName,
 };
 use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
 use foldhaven_core::opaque::load_reports::UpstreamShare;
@@ -16,7 +17,9 @@
 use foldhaven_core::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use foldhaven_core::opaque::rate_share::{RatePacer, RateShare};
 use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
+use foldhaven_core::opaque::slot_share::SlotShare;
 use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests};
+use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -67,6 +70,11 @@
     is_leaving: AtomicBool,
     /// Whether the upstream announces a rate limit.
     is_limited: AtomicBool,
+    /// How many requests the upstream can decline in a second. 0 if it is not brittle.
+    max_declined_per_s: AtomicU32,
+    /// When it first and last announced that it is brittle.
+    brittle_since: AtomicU64,
+    brittle_at: AtomicU64,
     /// This VM's share of the rate while the upstream is cold or limited, as the bits of an `f64`.
     rate_share: AtomicU64,
     /// The time until which that share is valid.
@@ -121,6 +129,9 @@
             backoff_until: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
+            max_declined_per_s: AtomicU32::new(0),
+            brittle_since: AtomicU64::new(0),
+            brittle_at: AtomicU64::new(0),
             rate_share: AtomicU64::new(0),
             rate_share_until: AtomicU64::new(0),
             rate_limited_sent: AtomicU32::new(0),
@@ -173,6 +184,45 @@
         self.is_limited.load(Ordering::Relaxed)
     }
 
+    /// Records whether an answer announces that the upstream is brittle, and how many requests it
+    /// can decline in a second. Only an answer to a request that was sent after the last
+    /// announcement ends it. Returns whether this is a change.
+    pub fn record_brittleness(&self, per_s: Option<NonZeroU32>, timing: AnswerTiming) -> bool {
+        let announced_at = MonoTime(self.brittle_at.load(Ordering::Relaxed));
+        if per_s.is_none() && timing.sent < announced_at {
+            return false;
+        }
+        if per_s.is_some() {
+            self.brittle_at.store(timing.received.0, Ordering::Relaxed);
+        }
+        let per_s = per_s.map_or(0, NonZeroU32::get);
+        let before = self.max_declined_per_s.swap(per_s, Ordering::Relaxed);
+        if before == 0 && per_s != 0 {
+            self.brittle_since.store(timing.received.0, Ordering::Relaxed);
+        }
+        before != per_s
+    }
+
+    /// Whether the upstream was known to be brittle at a time.
+    pub fn was_known_brittle(&self, moment: MonoTime) -> bool {
+        self.brittle_since.load(Ordering::Relaxed) <= moment.0
+    }
+
+    /// Returns how many requests the upstream can decline in a second. `None` if it is not brittle.
+    pub fn max_declined_per_s(&self) -> Option<NonZeroU32> {
+        NonZeroU32::new(self.max_declined_per_s.load(Ordering::Relaxed))
+    }
+
+    /// Whether this VM, one of `senders` VMs, may send one more request to the upstream. At a
+    /// brittle one, it uses its share of the slots only.
+    pub fn has_room(&self, vm: &VmName, senders: usize) -> bool {
+        if self.max_declined_per_s().is_none() {
+            return true;
+        }
+        let share = SlotShare::of(vm, self.name(), self.identity.slots, senders);
+        share.has_room(self.load.share().in_flight.into(), self.queue().in_flight)
+    }
+
     /// Sets this VM's share of the upstream's rate while it is cold or limited, and the time until
     /// which the share is valid. `None`: it is not valid.
     pub fn set_rate_share(&self, share: RateShare, until: Option<MonoTime>, now: MonoTime) {
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -1,8 +1,11 @@
-//! Reads the signals in the answers of an upstream: its rate limit, its leaving and its back-off.
+//! Reads the signals in the answers of an upstream: its rate limit, its leaving, its back-off and
+//! its brittleness.
 
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::opaque::slot_share::pause_after_decline;
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
@@ -11,6 +14,7 @@
 use http::{HeaderValue, StatusCode};
 
 use crate::call::CallListener;
+use crate::names::HeaderNames;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
@@ -85,6 +89,41 @@
         }
     }
 
+    /// Returns how many requests the upstream can decline in a second, if it is brittle.
+    fn max_declined_per_s(&self, head: &Parts) -> Option<NonZeroU32> {
+        let name = &self.shared.names.brittle;
+        let value = head.headers.get(name)?;
+        let count = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+        if count.is_none() {
+            self.record_unreadable(name.as_str(), value);
+        }
+        count
+    }
+
+    /// Records whether the upstream is brittle. After it declined a request, this VM sends it
+    /// nothing for as long as keeps the sum of all VMs below what the upstream can bear.
+    fn record_brittleness(&self, head: &Parts, timing: AnswerTiming) {
+        let per_s = self.max_declined_per_s(head);
+        if self.upstream.record_brittleness(per_s, timing) {
+            self.shared.metrics.count_event("upstream_brittle_changed");
+            if self.shared.quota.take(false) {
+                let (upstream, per_s) = (self.upstream.name(), per_s.map(NonZeroU32::get));
+                tracing::info!(%upstream, per_s, "brittleness of an upstream changed");
+            }
+        }
+        let Some(per_s) = self.upstream.max_declined_per_s() else { return };
+        // Earlier requests were sent without regard to the room.
+        let was_known = self.upstream.was_known_brittle(timing.sent);
+        if was_known && is_declined_as_full(head, &self.shared.names) {
+            let senders = self.shared.view().map_or(1, |view| view.recent_senders);
+            let pause = pause_after_decline(self.upstream.identity.slots, senders, per_s);
+            let pause = pause.mul_f64(1.0 + BACKOFF_JITTER * rand::random::<f64>());
+            let now = self.shared.now();
+            self.upstream.back_off_until(now + pause, now);
+            self.shared.metrics.count_event("brittle_upstream_declined");
+        }
+    }
+
     fn rate_limit(&self, head: &Parts) -> Option<RequestRate> {
         let name = &self.shared.names.rate_limit;
         let value = head.headers.get(name)?;
@@ -109,6 +148,7 @@
         let moment = AnswerTiming { sent: self.sent, received: self.shared.now() };
         let limit = self.rate_limit(head);
         self.shared.upstream_limits.record_answer(&self.shared, &self.upstream, limit, moment);
+        self.record_brittleness(head, moment);
         if let Some(backoff) = self.backoff(head) {
             self.start_backoff(backoff);
         }
@@ -118,6 +158,11 @@
     }
 }
 
+/// Whether an upstream declined a request for want of room.
+fn is_declined_as_full(head: &Parts, names: &HeaderNames) -> bool {
+    head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(&names.not_run)
+}
+
 /// Parses the rate in an upstream's header: a decimal number of requests per second.
 fn parse_rate(value: &HeaderValue) -> Option<RequestRate> {
     let per_s: f64 = value.to_str().ok()?.trim().parse().ok()?;
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -129,6 +129,8 @@
     pub demand: CoreShare,
     /// The number of VMs of this region that send requests to its upstreams, including this one.
     pub senders: usize,
+    /// The largest number of such VMs in the last few seconds.
+    pub recent_senders: usize,
     /// The platform state that VMs that do not read the platform can fetch.
     pub offer: Arc<StateOffer>,
 }
