Silent connections: the store's connection is given up after two seconds, as all others are

A description was in force only after 4.1 s (bound 3) at a VM alone whose connection to the store had gone silent: the HTTP client sets TCP_USER_TIMEOUT to 30 s by itself, which takes precedence over the count of keep-alive probes, so that only the end of the watch showed it.

One module names the interval of probes and the timeout that ends a silent connection, for callers, upstreams, other VMs and the store.

--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -14,23 +14,16 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 use crate::clock::{BootInstant, timeout};
+use crate::silent_peers::detect_silence;
 
 /// Connect timeout within a region, whose data centres are a few milliseconds apart. Connections to
 /// other regions have [`REMOTE_CONNECT_TIMEOUT`].
 pub const LOCAL_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Connect timeout between regions, which are about 55 ms apart one way.
 pub const REMOTE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-/// A connection is closed if sent bytes are not acknowledged for this long. A VM that lost its
-/// power or its network does not close its connections.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Interval before and between keep-alive probes on an idle connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keep-alive probes after which the connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum idle time of a connection to an upstream that is reused. A shorter keep-alive timeout of
 /// the peer takes precedence.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
@@ -74,16 +67,10 @@
     }
 }
 
-/// Sets the socket options that detect a dead peer, and disables Nagle's algorithm.
+/// Sets the socket options that detect a silent peer, and disables Nagle's algorithm.
 pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)
+    detect_silence(stream)
 }
 
 /// Measures the round-trip time when connections are established. The pools of several addresses
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod settings;
 mod shared;
 mod signal_sender;
+pub mod silent_peers;
 mod stop;
 mod suspect_sender;
 mod suspects;
