Platform state: a position in the platform's history is an era and a revision

A store that came back from a copy gave its revisions out again. VMs took them for unique and rising: they ignored all answers until the numbers had caught up, calling without pause meanwhile (350 to 520 calls a second), and then watched from a number that stood for other changes.

Class: an order that holds only within one life of its source, compared across lives.

Change: positions are ordered by era (Store-Era), then by revision; VMs exchange them as one number, which in era 0 is the revision itself. A copy does not undo what is known: descriptions (ordered by their versions), upstreams that leave or left, those that it lacks, evacuations.

Ruled out: a slow return of the store, since it answered.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod event_interval;
 pub mod event_sequence;
+pub mod feed_position;
 pub mod idle_connections;
 pub mod limit_share;
 pub mod load_reports;
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -3,7 +3,7 @@
 //! Deployments have thousands of upstreams, of which few change at a time. The table therefore
 //! remembers which ones changed, and shares its entries with its clones.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +21,14 @@
 /// again within about two seconds after the list service is back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// How long the processes that left are remembered. The platform may come back from a copy of its
+/// data that is some seconds old and lists them.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+/// How long what a copy says about such processes and about evacuations is doubted. What is still
+/// true is written again within about two seconds, and the entries of ended processes lapse after
+/// less than four.
+const DOUBT_TIME: Duration = Duration::from_secs(6);
+
 /// One process of an upstream, as listed. After a restart, it has another name or start time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
@@ -124,6 +132,13 @@
     /// The upstreams that are used for some time longer although they are no longer listed.
     lapsed: BTreeSet<UpstreamName>,
     evacuated: BTreeSet<DataCentreName>,
+    /// The processes that have left, and when.
+    departed: BTreeMap<UpstreamName, (UpstreamStartTime, MonoTime)>,
+    /// The records of such processes that a copy lists, and when they are used if the list still
+    /// has them.
+    doubted: BTreeMap<UpstreamName, (UpstreamRecord, MonoTime)>,
+    /// The evacuations that a copy lacks, and when they end if they are not written again.
+    doubted_evacuations: BTreeMap<DataCentreName, MonoTime>,
     /// When the list was last found unavailable; `None` if it never was.
     list_failed_at: Option<MonoTime>,
     /// What changed since [`UpstreamTable::take_changed`] was last called.
@@ -137,6 +152,7 @@
         let name = record.name.clone();
         self.changed.insert(&name);
         self.lapsed.remove(&name);
+        self.doubted.remove(&name);
         let entry = UpstreamEntry { record, cold_until, expires: None };
         self.entries.insert(name, Arc::new(entry));
     }
@@ -145,6 +161,7 @@
     /// entry may have lapsed only because it was not renewed, so the upstream is used for some time
     /// longer unless it is leaving.
     pub fn remove(&mut self, name: &UpstreamName, now: MonoTime) {
+        self.doubted.remove(name);
         let may_have_lapsed =
             self.list_failed_at.is_some_and(|at| now.since(at) < LIST_FAILURE_WINDOW);
         match self.entries.get_mut(name) {
@@ -152,7 +169,11 @@
                 Arc::make_mut(entry).expires.get_or_insert(now + LAPSE_GRACE);
                 self.lapsed.insert(name.clone());
             }
-            Some(_) => self.withdraw(name),
+            Some(entry) => {
+                let birth = entry.record.birth;
+                self.departed.insert(name.clone(), (birth, now));
+                self.withdraw(name);
+            }
             None => {}
         }
     }
@@ -166,6 +187,40 @@
         }
     }
 
+    /// Replaces the entries by a complete list that is an older copy of the platform's list: what
+    /// the copy lacks may have been added since, and what it lists may have left.
+    pub fn replace_by_copy(
+        &mut self,
+        mut records: Vec<UpstreamRecord>,
+        now: MonoTime,
+    ) -> ListDifference {
+        self.record_list_failure(now);
+        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
+        for record in &mut records {
+            let held = self.entries.get(&record.name).map(|entry| &entry.record);
+            let held = held.filter(|held| held.birth == record.birth);
+            record.leaving |= held.is_some_and(|held| held.leaving);
+        }
+        let has_left = |record: &UpstreamRecord| {
+            let departed = self.departed.get(&record.name);
+            departed.is_some_and(|(birth, _)| *birth == record.birth)
+        };
+        let (doubted, listed): (Vec<_>, Vec<_>) = records.into_iter().partition(has_left);
+        let difference = self.replace(listed, now);
+        let until = now + DOUBT_TIME;
+        self.doubted.extend(doubted.into_iter().map(|it| (it.name.clone(), (it, until))));
+        difference
+    }
+
+    /// Sets the evacuated data centres as an older copy lists them: those that it lacks stay
+    /// evacuated for some time, since they may be written again.
+    pub fn set_evacuated_by_copy(&mut self, copied: BTreeSet<DataCentreName>, now: MonoTime) {
+        let lacking: Vec<DataCentreName> = self.evacuated.difference(&copied).cloned().collect();
+        let until = now + DOUBT_TIME;
+        self.set_evacuated(copied.union(&self.evacuated).cloned().collect());
+        self.doubted_evacuations = lacking.into_iter().map(|centre| (centre, until)).collect();
+    }
+
     /// Replaces the entries by a complete list. Returns what changed.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: MonoTime) -> ListDifference {
         let listed: BTreeSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
@@ -194,6 +249,7 @@
 
     /// Sets the evacuated data centres, whose upstreams get no requests.
     pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentreName>) {
+        self.doubted_evacuations.clear();
         if self.evacuated != evacuated {
             self.evacuated = evacuated;
             self.changed = ChangedUpstreams::All;
@@ -205,8 +261,55 @@
         &self.evacuated
     }
 
-    /// Removes entries that have expired. Returns whether there were any.
+    /// Starts or ends the evacuation of a data centre.
+    pub fn update_evacuation(&mut self, centre: DataCentreName, is_evacuated: bool) {
+        self.doubted_evacuations.remove(&centre);
+        let has_changed = match is_evacuated {
+            true => self.evacuated.insert(centre),
+            false => self.evacuated.remove(&centre),
+        };
+        if has_changed {
+            self.changed = ChangedUpstreams::All;
+        }
+    }
+
+    /// Ends the doubts about a copy that have lasted for long enough. Returns whether that changed
+    /// anything.
+    fn end_doubts(&mut self, now: MonoTime) -> bool {
+        let is_over = |until: &MonoTime| *until <= now;
+        let ended: Vec<DataCentreName> = self
+            .doubted_evacuations
+            .iter()
+            .filter(|(_, until)| is_over(until))
+            .map(|(centre, _)| centre.clone())
+            .collect();
+        let listed: Vec<UpstreamRecord> = self
+            .doubted
+            .values()
+            .filter(|(_, until)| is_over(until))
+            .map(|(record, _)| record.clone())
+            .collect();
+        let has_changed = !ended.is_empty() || !listed.is_empty();
+        ended.into_iter().for_each(|centre| self.update_evacuation(centre, false));
+        for record in listed {
+            self.departed.remove(&record.name);
+            self.put(record, now);
+        }
+        has_changed
+    }
+
+    /// Returns the evacuated data centres without those that only an older state names. Each VM
+    /// decides by itself how long it believes the older state.
+    pub fn confirmed_evacuations(&self) -> BTreeSet<DataCentreName> {
+        let is_confirmed =
+            |centre: &&DataCentreName| !self.doubted_evacuations.contains_key(*centre);
+        self.evacuated.iter().filter(is_confirmed).cloned().collect()
+    }
+
+    /// Removes entries that have expired, and ends doubts about a copy. Returns whether there were
+    /// any.
     pub fn expire(&mut self, now: MonoTime) -> bool {
+        let had_doubts = self.end_doubts(now);
         let has_expired = |name: &&UpstreamName| {
             let expires = self.entries.get(*name).and_then(|entry| entry.expires);
             expires.is_some_and(|expires| expires <= now)
@@ -215,7 +318,7 @@
         for name in &expired {
             self.withdraw(name);
         }
-        !expired.is_empty()
+        had_doubts || !expired.is_empty()
     }
 
     /// Returns the upstreams that may get new requests.
--- a/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
@@ -133,3 +133,56 @@
     assert_eq!(list.records(at(10)).len(), 2);
     assert_eq!(table.records(at(10)).len(), 1);
 }
+
+/// Guards against a copy of the list that undoes what is known: an upstream that said that it
+/// leaves, one that left, and one that was added since.
+#[test]
+fn a_copy_of_the_list_does_not_undo_what_is_known() {
+    let mut table = UpstreamTable::default();
+    let listed = ["leaving", "left", "stays"].map(|name| record(name, false, 0)).to_vec();
+    table.replace(listed.clone(), at(0));
+    table.put(record("leaving", true, 0), at(1_000));
+    table.remove(&"left".parse().unwrap(), at(1_000));
+    table.put(record("added", false, 0), at(1_000));
+    table.replace_by_copy(listed, at(2_000));
+    assert_eq!(usable(&table), ["added", "stays"]);
+    table.put(record("added", false, 0), at(3_000));
+    table.expire(at(7_900));
+    assert_eq!(usable(&table), ["added", "stays"]);
+    table.expire(at(8_000));
+    assert_eq!(usable(&table), ["added", "left", "stays"], "the list still has it");
+    table.remove(&"left".parse().unwrap(), at(8_100));
+    assert_eq!(usable(&table), ["added", "stays"]);
+}
+
+/// Guards against a process that is doubted because another one of the same name left.
+#[test]
+fn a_later_process_of_the_same_name_is_not_doubted() {
+    let mut table = UpstreamTable::default();
+    table.replace(vec![record("a", false, 0)], at(0));
+    table.remove(&"a".parse().unwrap(), at(1_000));
+    let later = UpstreamRecord { birth: UpstreamStartTime(2), ..record("a", false, 0) };
+    table.replace_by_copy(vec![later], at(2_000));
+    assert_eq!(usable(&table), ["a"]);
+}
+
+/// Guards against evacuations that end because a copy lacks them, and against those that never end.
+#[rstest]
+#[case::written_again(true, true)]
+#[case::not_written_again(false, false)]
+fn evacuations_that_a_copy_lacks_hold_for_some_time(
+    #[case] is_written_again: bool,
+    #[case] holds: bool,
+) {
+    let mut table = UpstreamTable::default();
+    table.update_evacuation("hall".parse().unwrap(), true);
+    table.set_evacuated_by_copy([].into(), at(1_000));
+    assert!(table.confirmed_evacuations().is_empty(), "others decide by themselves");
+    table.expire(at(6_900));
+    assert_eq!(table.evacuated().len(), 1);
+    if is_written_again {
+        table.update_evacuation("hall".parse().unwrap(), true);
+    }
+    table.expire(at(7_000));
+    assert_eq!(!table.evacuated().is_empty(), holds);
+}
--- a/crates/foldhaven-gateway/src/platform_state/mod.rs
+++ b/crates/foldhaven-gateway/src/platform_state/mod.rs
@@ -117,7 +117,7 @@
             digest: self.digest,
             upstreams: self.table.list(),
             taken_at: now,
-            evacuated: self.table.evacuated().clone(),
+            evacuated: self.table.confirmed_evacuations(),
             log: self.log.clone(),
         })
     }
--- a/crates/foldhaven-gateway/src/platform_state/updates.rs
+++ b/crates/foldhaven-gateway/src/platform_state/updates.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::opaque::feed_position::FeedPosition;
 use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
@@ -26,6 +27,13 @@
             tracing::warn!(held = self.revision, offered = revision, "older snapshot ignored");
             return None;
         }
+        // A platform that came back from a copy lacks changes that are known here.
+        let is_copy = self.has_state && !FeedPosition::is_same_era(revision, self.revision);
+        if is_copy {
+            let (held, offered) =
+                (FeedPosition::from_packed(self.revision), FeedPosition::from_packed(revision));
+            tracing::warn!(%held, %offered, "the platform came back from a copy");
+        }
         self.revision = revision;
         // The difference between the states does not show changes that were undone in between, so
         // VMs with an earlier revision get the whole state.
@@ -34,11 +42,16 @@
         for name in &unusable {
             self.withdraw(name);
         }
-        let difference = self.table.replace(upstreams, context.now);
-        let mut changes = self.replace_evacuated(evacuated);
+        let difference = match is_copy {
+            true => self.table.replace_by_copy(upstreams, context.now),
+            false => self.table.replace(upstreams, context.now),
+        };
+        let mut changes = self.replace_evacuated(evacuated, is_copy, context.now);
         let upstreams = difference.listed.len();
         changes.extend(difference.listed.into_iter().map(FeedChange::UpstreamWritten));
-        changes.extend(difference.unlisted.into_iter().map(FeedChange::UpstreamRemoved));
+        // Upstreams that a copy lacks are probably written again.
+        let unlisted = difference.unlisted.into_iter().filter(|_| !is_copy);
+        changes.extend(unlisted.map(FeedChange::UpstreamRemoved));
         match std::mem::replace(&mut self.has_state, true) {
             true => changes.iter().for_each(|change| self.log_change(change)),
             false => tracing::info!(upstreams, revision, "first list of upstreams"),
@@ -59,9 +72,12 @@
         Some(ChangeSet { after: revision, revision, changes: numbered.collect() })
     }
 
-    /// Returns whether no changes are missing between the known state and a change set.
+    /// Returns whether no changes are missing between the known state and a change set. No changes
+    /// lead from one era of the platform to another.
     pub fn can_apply(&self, set: &ChangeSet) -> bool {
-        self.has_state && set.after <= self.revision
+        let is_one_era = FeedPosition::is_same_era(set.after, self.revision)
+            && FeedPosition::is_same_era(set.after, set.revision);
+        self.has_state && is_one_era && set.after <= self.revision
     }
 
     /// Applies changes. Returns the new ones, to be forwarded to other VMs, or `None` if changes
@@ -235,12 +251,8 @@
             FeedChange::UpstreamWritten(record) => self.table.put(record, now),
             FeedChange::UpstreamRemoved(name) => self.table.remove(&name, now),
             FeedChange::UpstreamUnusable(name) => self.withdraw(&name),
-            FeedChange::EvacuationStarted(centre) => {
-                self.update_evacuated(|evacuated| evacuated.insert(centre));
-            }
-            FeedChange::EvacuationEnded(centre) => {
-                self.update_evacuated(|evacuated| evacuated.remove(&centre));
-            }
+            FeedChange::EvacuationStarted(centre) => self.table.update_evacuation(centre, true),
+            FeedChange::EvacuationEnded(centre) => self.table.update_evacuation(centre, false),
         }
     }
 
@@ -251,21 +263,25 @@
     }
 
     /// Replaces the evacuated data centres. Returns the changes.
-    fn replace_evacuated(&mut self, evacuated: BTreeSet<DataCentreName>) -> Vec<FeedChange> {
+    fn replace_evacuated(
+        &mut self,
+        evacuated: BTreeSet<DataCentreName>,
+        is_copy: bool,
+        now: MonoTime,
+    ) -> Vec<FeedChange> {
         let held = self.table.evacuated();
         let started = evacuated.difference(held).cloned().map(FeedChange::EvacuationStarted);
+        if is_copy {
+            let changes = started.collect();
+            self.table.set_evacuated_by_copy(evacuated, now);
+            return changes;
+        }
         let ended = held.difference(&evacuated).cloned().map(FeedChange::EvacuationEnded);
         let changes = started.chain(ended).collect();
         self.table.set_evacuated(evacuated);
         changes
     }
 
-    fn update_evacuated(&mut self, change: impl FnOnce(&mut BTreeSet<DataCentreName>) -> bool) {
-        let mut evacuated = self.table.evacuated().clone();
-        change(&mut evacuated);
-        self.table.set_evacuated(evacuated);
-    }
-
     fn log_listed(&self, record: &UpstreamRecord) {
         tracing::info!(
         upstream = %record.name,
--- a/crates/foldhaven-gateway/tests/testsuite/main.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod answer_cache;
 mod peer_messages;
+mod platform_eras;
 mod platform_state;
