--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -195,7 +195,6 @@
         now: MonoTime,
     ) -> ListDifference {
         self.record_list_failure(now);
-        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
         for record in &mut records {
             let held = self.entries.get(&record.name).map(|entry| &entry.record);
             let held = held.filter(|held| held.birth == record.birth);
@@ -309,6 +308,7 @@
     /// Removes entries that have expired, and ends doubts about a copy. Returns whether there were
     /// any.
     pub fn expire(&mut self, now: MonoTime) -> bool {
+        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
         let had_doubts = self.end_doubts(now);
         let has_expired = |name: &&UpstreamName| {
             let expires = self.entries.get(*name).and_then(|entry| entry.expires);
