--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -194,6 +194,7 @@
     group.draw(&query, |upstream| !upstream.is_leaving())
 }
 
+/// Returns the properties of some upstreams that the choice depends on.
 fn candidates_of<'a>(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -201,19 +202,66 @@
     job: &GatewayJob,
     tried: &TriedDestinations,
 ) -> Vec<UpstreamCandidate<'a>> {
-    let now = shared.now();
-    let slot_time = shared.measured_performance(&job.service).slot_time;
-    let is_lost = shared.paths.is_lost(&job.service);
-    let candidate = |upstream: &&'a Arc<Upstream>| {
-        let candidate = candidate_of(shared, upstream, job, tried, slot_time, now);
-        let is_unreachable = is_lost && is_unreachable(upstream);
+    let context = CandidateContext {
+        shared,
+        senders: view.recent_senders,
+        job,
+        tried,
+        slot_time: shared.measured_performance(&job.service).slot_time,
+        is_lost: shared.paths.is_lost(&job.service),
+        now: shared.now(),
+    };
+    local.iter().map(|upstream| context.candidate(upstream)).collect()
+}
+
+/// What the properties of all candidates of one choice depend on.
+struct CandidateContext<'a> {
+    shared: &'a GatewayShared,
+    /// The number of VMs that share the slots of brittle upstreams.
+    senders: usize,
+    job: &'a GatewayJob,
+    tried: &'a TriedDestinations,
+    slot_time: Duration,
+    /// Whether this VM has lost its paths to the upstreams of the service.
+    is_lost: bool,
+    now: MonoTime,
+}
+
+impl CandidateContext<'_> {
+    /// Returns the properties of an upstream that the choice depends on.
+    fn candidate<'a>(&self, upstream: &'a Upstream) -> UpstreamCandidate<'a> {
+        let Self { shared, now, .. } = *self;
+        let performance = *upstream.performance.lock();
+        let queue = performance.queue_after_refusal(upstream.queue(), self.slot_time, now);
         UpstreamCandidate {
-            is_throttled: throttled_for(shared, view.recent_senders, upstream, now).is_some(),
-            is_ejected: candidate.is_ejected || is_unreachable,
-            ..candidate
+            name: upstream.name(),
+            queue,
+            latency_factor: performance.latency_factor(now),
+            failure_share: performance.failure_share(now),
+            long_pause_share: performance.long_pause_share(now),
+            transfer_cost: self.transfer_cost(upstream),
+            cached_tokens: self.cached_tokens(upstream),
+            is_ejected: upstream.is_ejected(now) || self.is_lost && is_unreachable(upstream),
+            is_throttled: throttled_for(shared, self.senders, upstream, now).is_some(),
+            is_tried: self.tried.upstreams.contains(upstream.name()),
         }
-    };
-    local.iter().map(candidate).collect()
+    }
+
+    fn transfer_cost(&self, upstream: &Upstream) -> f64 {
+        if upstream.identity.data_centre == self.shared.settings.data_centre {
+            return 0.0;
+        }
+        RequestCost::of_bytes(self.job.body.len(), CENTRE_BYTE_PRICE, self.job.size()).0
+    }
+
+    fn cached_tokens(&self, upstream: &Upstream) -> u32 {
+        let segments = self.job.shared_segments();
+        if segments.is_empty() {
+            return 0;
+        }
+        let prefix_caches = self.shared.prefix_caches.lock();
+        prefix_caches.cached_tokens(upstream.tag, segments, upstream.identity.prompt_memory)
+    }
 }
 
 /// Whether no connection to an upstream is left, and none could be opened at the last attempt.
@@ -221,42 +269,6 @@
     upstream.pool.is_failing_to_open() && !upstream.pool.has_usable_connection()
 }
 
-/// Returns the properties of an upstream that the choice depends on.
-fn candidate_of<'a>(
-    shared: &GatewayShared,
-    upstream: &'a Upstream,
-    job: &GatewayJob,
-    tried: &TriedDestinations,
-    slot_time: Duration,
-    now: MonoTime,
-) -> UpstreamCandidate<'a> {
-    let performance = *upstream.performance.lock();
-    let transfer_cost = match upstream.identity.data_centre == shared.settings.data_centre {
-        true => 0.0,
-        false => RequestCost::of_bytes(job.body.len(), CENTRE_BYTE_PRICE, job.size()).0,
-    };
-    let cached_tokens = match job.shared_segments() {
-        [] => 0,
-        segments => shared.prefix_caches.lock().cached_tokens(
-            upstream.tag,
-            segments,
-            upstream.identity.prompt_memory,
-        ),
-    };
-    UpstreamCandidate {
-        name: upstream.name(),
-        queue: performance.queue_after_refusal(upstream.queue(), slot_time, now),
-        latency_factor: performance.latency_factor(now),
-        failure_share: performance.failure_share(now),
-        long_pause_share: performance.long_pause_share(now),
-        transfer_cost,
-        cached_tokens,
-        is_ejected: upstream.is_ejected(now),
-        is_throttled: false,
-        is_tried: tried.upstreams.contains(upstream.name()),
-    }
-}
-
 /// Returns the queueing time that this VM expects for a request of timely rank at an upstream.
 pub fn expected_wait(
     upstream: &Upstream,
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -158,14 +158,13 @@
         return local.reserve(shared);
     }
     let remote = choose_remote(shared, view, job, tried);
-    let needs_relay = |local: &LocalChoice| {
-        is_lost && !local.choice.is_trusted || tried.unreached >= MAX_LOCAL_FAULTS
-    };
     let local = match local {
-        Some(local) if needs_relay(&local) => match pick_relay(shared, view, job, tried) {
-            Some(peer) => return prefer_relay(job, RelayChoice { peer, local }, remote),
-            None => Some(local).filter(|_| !is_lost),
-        },
+        Some(local) if needs_relay(&local, tried, is_lost) => {
+            match pick_relay(shared, view, job, tried) {
+                Some(peer) => return prefer_relay(job, RelayChoice { peer, local }, remote),
+                None => Some(local).filter(|_| !is_lost),
+            }
+        }
         local => local,
     };
     match (local, remote) {
@@ -184,6 +183,12 @@
     }
 }
 
+/// Returns whether another VM of this region should send the request, because this VM has probably
+/// lost its paths to the upstreams (`is_lost`), or could not connect to some of them.
+fn needs_relay(local: &LocalChoice, tried: &TriedDestinations, is_lost: bool) -> bool {
+    is_lost && !local.choice.is_trusted || tried.unreached >= MAX_LOCAL_FAULTS
+}
+
 /// Chooses between another VM of this region and a VM of another region.
 fn prefer_relay(
     job: &GatewayJob,
