Paths: lost for a whole region, and a hanging attempt to connect closes idle connections

A service with one upstream in a region counted as without paths whenever that upstream refused a connection, although no other VM would reach it: paths now count as lost by failures at upstreams of whatever services. And an upstream that went dark kept its idle connections for 0.6 s after the first attempt to connect that hung, so that requests were sent on them: an attempt that nobody answers closes them, one that is refused does not.

--- a/crates/foldhaven-core/src/opaque/path_monitor.rs
+++ b/crates/foldhaven-core/src/opaque/path_monitor.rs
@@ -1,8 +1,9 @@
-//! Tells whether this VM can open connections to the upstreams of a service.
+//! Tells whether this VM can open connections to the upstreams of its region.
 //!
 //! Whether an upstream can be reached is a property of the pair of VM and upstream. A VM that fails
-//! to connect to several upstreams in a row has probably lost its own paths, while other VMs still
-//! reach these upstreams.
+//! to connect to several upstreams in a row, of whatever services, has probably lost its own paths,
+//! while other VMs still reach these upstreams. If it connects to others, the upstreams are at
+//! fault, and no other VM would reach them either.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -11,21 +12,21 @@
 use crate::time::MonoTime;
 
 /// Number of upstreams in a row to which no connection can be opened before the paths count as
-/// lost. Of a service with fewer upstreams, all of them.
+/// lost. In a region with fewer upstreams, all of them.
 const MAX_UNREACHED: usize = 4;
 /// Failures count as being in a row if no more time than this passes between them.
 const FAILURE_RETENTION: Duration = Duration::from_secs(5);
 
-/// A change of the paths to a service.
+/// A change of the paths to the upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
-    /// This VM can no longer open connections to upstreams of the service.
+    /// This VM can no longer open connections to upstreams.
     Lost,
     /// It can open connections again.
     Regained,
 }
 
-/// The state of the paths to the upstreams of one service in the region of this VM.
+/// The state of the paths to the upstreams in the region of this VM.
 #[derive(Debug, Default)]
 pub struct PathMonitor {
     /// The upstreams to which connections failed since the last one was opened.
@@ -35,8 +36,8 @@
 }
 
 impl PathMonitor {
-    /// Records that no connection to an upstream could be opened. `listed` is the number of the
-    /// service's upstreams in the region.
+    /// Records that no connection to an upstream could be opened. `listed` is the number of
+    /// upstreams in the region.
     pub fn record_failure(
         &mut self,
         upstream: UpstreamTag,
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -188,7 +188,6 @@
         match fault {
             CallFault::NotSent(_) => {
                 self.tried.unreached += 1;
-                upstream.record_not_opened(now);
                 self.shared.paths.record_failure(&self.shared, upstream);
             }
             // Another process has the address now.
--- a/crates/foldhaven-gateway/src/connection.rs
+++ b/crates/foldhaven-gateway/src/connection.rs
@@ -134,7 +134,8 @@
     ///
     /// # Errors
     ///
-    /// If it is not established within the limit.
+    /// If it is not established within the limit. If nobody answered, the idle connections are
+    /// closed, since they are probably dead as well. If it was refused, they may still work.
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
         let started = BootInstant::now();
         let opened = Connection::open(address, limit).await;
@@ -142,6 +143,9 @@
             Ok(_) => self.opening.lock().record_success(),
             Err(_) => self.opening.lock().record_failure(true, self.now()),
         }
+        if opened.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+            self.clear();
+        }
         let connection = opened?;
         if let Some(meter) = &self.meter {
             meter.record(started.elapsed());
--- a/crates/foldhaven-gateway/src/control/region_waits.rs
+++ b/crates/foldhaven-gateway/src/control/region_waits.rs
@@ -38,7 +38,7 @@
                 long_pauses: upstream.performance.lock().long_pause_share(now),
             };
             // What this VM cannot reach itself may be open to others.
-            let is_lost = self.shared.paths.is_lost(service);
+            let is_lost = self.shared.paths.is_lost();
             if is_lost && !self.has_local_peer_with_paths(service) {
                 continue;
             }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -208,7 +208,7 @@
         job,
         tried,
         slot_time: shared.measured_performance(&job.service).slot_time,
-        is_lost: shared.paths.is_lost(&job.service),
+        is_lost: shared.paths.is_lost(),
         now: shared.now(),
     };
     local.iter().map(|upstream| context.candidate(upstream)).collect()
@@ -222,7 +222,7 @@
     job: &'a GatewayJob,
     tried: &'a TriedDestinations,
     slot_time: Duration,
-    /// Whether this VM has lost its paths to the upstreams of the service.
+    /// Whether this VM has lost its paths to the upstreams.
     is_lost: bool,
     now: MonoTime,
 }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -147,7 +147,7 @@
 ) -> Result<DestinationChoice, Refusal> {
     let is_here = job.permits(shared.settings.region());
     let local = if is_here { choose_local(shared, view, job, tried) } else { None };
-    let is_lost = shared.paths.is_lost(&job.service);
+    let is_lost = shared.paths.is_lost();
     if job.is_forwarded {
         let local = local.filter(|local| local.choice.is_trusted || !is_lost);
         let local = local.ok_or_else(|| match is_here {
--- a/crates/foldhaven-gateway/src/path_prober.rs
+++ b/crates/foldhaven-gateway/src/path_prober.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::affinity::RingPosition;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -11,29 +10,30 @@
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
 
-/// Interval between two probes of a service whose upstreams cannot be reached.
+/// Interval between two probes while no upstream can be reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a new connection has to stay open.
 const SETTLING_TIME: Duration = Duration::from_millis(100);
 
-/// Probes the upstreams of all services whose paths are lost, for as long as the process runs.
+/// Probes the upstreams of the region while the paths to them are lost, for as long as the process
+/// runs.
 pub async fn probe_lost_paths(shared: Arc<GatewayShared>) {
     let mut ticks = interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        for service in shared.paths.lost_services() {
-            tokio::spawn(probe_service(shared.clone(), service));
+        if shared.paths.is_lost() {
+            tokio::spawn(probe(shared.clone()));
         }
     }
 }
 
-/// Opens a connection to a random upstream of a service, and records success.
-async fn probe_service(shared: Arc<GatewayShared>, service: ServiceName) {
+/// Opens a connection to a random upstream, and records success.
+async fn probe(shared: Arc<GatewayShared>) {
     // VMs whose paths return at the same time do not all connect at the same time.
     sleep(PROBE_INTERVAL.mul_f64(rand::random::<f64>() / 2.0)).await;
-    let Some(upstream) = random_upstream(&shared, &service) else {
-        shared.paths.record_opened(&shared, &service);
+    let Some(upstream) = random_upstream(&shared) else {
+        shared.paths.record_opened(&shared);
         return;
     };
     let address = upstream.identity.address;
@@ -41,13 +41,16 @@
     sleep(SETTLING_TIME).await;
     if !connection.is_closed() {
         upstream.pool.put(connection, None);
-        shared.paths.record_opened(&shared, &service);
+        shared.paths.record_opened(&shared);
     }
 }
 
-/// Returns a random upstream of a service in this region. `None` if there is none.
-fn random_upstream(shared: &GatewayShared, service: &ServiceName) -> Option<Arc<Upstream>> {
+/// Returns a random upstream of a random service in this region. `None` if there is none.
+fn random_upstream(shared: &GatewayShared) -> Option<Arc<Upstream>> {
     let view = shared.view()?;
-    let group = view.group(service, shared.settings.region())?;
-    group.iter_from(RingPosition(rand::random())).next().cloned()
+    let own_region = shared.settings.region();
+    let groups = view.upstreams.values().filter_map(|regions| regions.get(own_region));
+    let groups: Vec<_> = groups.collect();
+    let at = (rand::random::<f64>() * groups.len() as f64) as usize;
+    groups.get(at)?.iter_from(RingPosition(rand::random())).next().cloned()
 }
--- a/crates/foldhaven-gateway/src/path_tracker.rs
+++ b/crates/foldhaven-gateway/src/path_tracker.rs
@@ -1,7 +1,5 @@
-//! Tracks which VMs have lost their paths to the upstreams of which services, shared by both
-//! threads. Each change is counted, and logged as far as the log quota permits.
+//! Tracks which VMs have lost their paths to the upstreams of their regions, shared by both threads. Each change is counted, and logged as far as the log quota permits.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use foldhaven_core::ids::ServiceName;
@@ -14,12 +12,15 @@
 
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
+use crate::upstream_set::UpstreamGroup;
 
 /// The lost paths of this VM and of others.
 pub struct PathTracker {
     own: VmTag,
-    /// The paths of this VM, by service.
-    monitors: Mutex<HashMap<ServiceName, PathMonitor>>,
+    /// The paths of this VM.
+    monitor: Mutex<PathMonitor>,
+    /// Whether they are lost, so that usually no request waits for a lock.
+    is_lost: AtomicBool,
     /// The notices of all VMs.
     lost: Mutex<LostPathTable>,
     /// Whether there are notices, so that usually no request waits for a lock.
@@ -32,7 +33,8 @@
     pub fn new(own: VmTag) -> Self {
         Self {
             own,
-            monitors: Mutex::default(),
+            monitor: Mutex::default(),
+            is_lost: AtomicBool::new(false),
             lost: Mutex::default(),
             has_notices: AtomicBool::new(false),
             updates: Notify::new(),
@@ -41,57 +43,47 @@
 
     /// Records that no connection to an upstream could be opened.
     pub fn record_failure(&self, shared: &GatewayShared, upstream: &Upstream) {
-        let service = &upstream.identity.service;
-        let Some(view) = shared.view() else { return };
-        let listed = view.group(service, shared.settings.region()).map_or(0, |group| group.len());
-        let change = {
-            let mut monitors = self.monitors.lock();
-            let monitor = monitors.entry(service.clone()).or_default();
-            monitor.record_failure(upstream.tag, listed, shared.now())
-        };
-        if change.is_some() {
-            self.update_own(shared, service, PathChange::Lost);
+        let listed = own_groups(shared, |groups| groups.map(|(_, group)| group.len()).sum());
+        let now = shared.now();
+        let change = self.monitor.lock().record_failure(upstream.tag, listed, now);
+        if let Some(change) = change {
+            self.update_own(shared, change);
         }
     }
 
-    /// Records that a connection to an upstream of a service was opened, or that no upstream of the
-    /// service is listed any more.
-    pub fn record_opened(&self, shared: &GatewayShared, service: &ServiceName) {
-        let change = self.monitors.lock().get_mut(service).and_then(PathMonitor::record_opened);
-        if change.is_some() {
-            forget_failures(shared, service);
-            self.update_own(shared, service, PathChange::Regained);
+    /// Records that a connection to an upstream was opened, or that no upstream is listed any more.
+    pub fn record_opened(&self, shared: &GatewayShared) {
+        let change = self.monitor.lock().record_opened();
+        if let Some(change) = change {
+            forget_failures(shared);
+            self.update_own(shared, change);
         }
     }
 
     /// Queues the notice of this VM for sending after a change.
-    fn update_own(&self, shared: &GatewayShared, service: &ServiceName, change: PathChange) {
-        let lost_services = self.lost_services();
-        let tags = lost_services.iter().map(ServiceTag::of).collect();
-        self.lost.lock().set_own(self.own, tags, shared.now());
+    fn update_own(&self, shared: &GatewayShared, change: PathChange) {
+        let is_lost = change == PathChange::Lost;
+        self.is_lost.store(is_lost, Ordering::Relaxed);
+        let services = match is_lost {
+            true => own_groups(shared, |groups| {
+                groups.map(|(service, _)| ServiceTag::of(service)).collect()
+            }),
+            false => Vec::new(),
+        };
+        self.lost.lock().set_own(self.own, services, shared.now());
         self.has_notices.store(true, Ordering::Relaxed);
         self.updates.notify_one();
-        let event = match change {
-            PathChange::Lost => "paths_lost",
-            PathChange::Regained => "paths_regained",
-        };
+        let event = if is_lost { "paths_lost" } else { "paths_regained" };
         shared.metrics.count_event(event);
-        shared.metrics.set_level("services_without_paths", lost_services.len() as u64);
+        shared.metrics.set_level("without_paths", u64::from(is_lost));
         if shared.quota.take(false) {
-            tracing::warn!(%service, event, "paths to the upstreams of a service changed");
+            tracing::warn!(event, "paths to the upstreams of the region changed");
         }
     }
 
-    /// Returns the services whose upstreams this VM cannot reach.
-    pub fn lost_services(&self) -> Vec<ServiceName> {
-        let monitors = self.monitors.lock();
-        let lost = monitors.iter().filter(|(_, monitor)| monitor.is_lost());
-        lost.map(|(service, _)| service.clone()).collect()
-    }
-
-    /// Whether this VM cannot reach the upstreams of a service.
-    pub fn is_lost(&self, service: &ServiceName) -> bool {
-        self.monitors.lock().get(service).is_some_and(PathMonitor::is_lost)
+    /// Whether this VM cannot reach the upstreams of its region.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost.load(Ordering::Relaxed)
     }
 
     /// Whether another VM cannot reach the upstreams of a service, by its last notice.
@@ -158,10 +150,23 @@
     }
 }
 
-/// Lets requests be sent again to all upstreams of a service to which the paths are back.
-fn forget_failures(shared: &GatewayShared, service: &ServiceName) {
-    let Some(view) = shared.view() else { return };
-    let group = view.group(service, shared.settings.region());
-    let upstreams = group.into_iter().flat_map(|group| group.iter());
-    upstreams.for_each(|upstream| upstream.pool.forget_failures());
+/// Evaluates the groups of upstreams in the region of this VM, with their services.
+fn own_groups<T: Default>(
+    shared: &GatewayShared,
+    evaluate: impl FnOnce(&mut dyn Iterator<Item = (&ServiceName, &UpstreamGroup)>) -> T,
+) -> T {
+    let Some(view) = shared.view() else { return T::default() };
+    let own_region = shared.settings.region();
+    let groups = view.upstreams.iter();
+    let mut own = groups.filter_map(|(service, regions)| Some((service, regions.get(own_region)?)));
+    evaluate(&mut own)
+}
+
+/// Lets requests be sent again to all upstreams, since the paths to them are back.
+fn forget_failures(shared: &GatewayShared) {
+    own_groups(shared, |groups| {
+        groups
+            .flat_map(|(_, group)| group.iter())
+            .for_each(|upstream| upstream.pool.forget_failures());
+    });
 }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -27,10 +27,6 @@
 use crate::clock::MonoClock;
 use crate::connection::{ConnectionPool, IDLE_LIMIT};
 
-/// If an upstream has sent nothing for this long when a connection to it cannot be opened, the idle
-/// connections to it are closed as well.
-const SILENCE_LIMIT: Duration = Duration::from_millis(600);
-
 /// One process of an upstream. Shared by all views for as long as the process is listed.
 pub struct Upstream {
     pub identity: UpstreamIdentity,
@@ -313,13 +309,6 @@
         self.health.lock().is_ejected(now) || !self.pool.can_send()
     }
 
-    /// Records that no connection could be opened. The open ones are kept if they still work.
-    pub fn record_not_opened(&self, now: MonoTime) {
-        if self.is_unresponsive_since(now - SILENCE_LIMIT) {
-            self.pool.clear();
-        }
-    }
-
     /// Records that a request failed after it may have run. `usual` is the usual failure share of
     /// its route.
     pub fn record_failure(&self, usual: f64, now: MonoTime) {
