--- a/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
@@ -85,10 +85,10 @@
 
 /// Guards against upstreams that are dropped at all VMs because the copy lacks them.
 #[test]
-fn what_a_copy_lacks_is_not_told_as_removed() {
+fn what_a_copy_lacks_is_not_announced_as_removed() {
     let mut state = PlatformState::default();
     state.apply_snapshot(snapshot(packed(1, 29), &["a", "b"]), context());
-    let told = state.apply_snapshot(snapshot(packed(2, 27), &["a"]), context()).unwrap();
-    assert!(told.changes.is_empty(), "{told:?}");
+    let announced = state.apply_snapshot(snapshot(packed(2, 27), &["a"]), context()).unwrap();
+    assert!(announced.changes.is_empty(), "{announced:?}");
     assert_eq!(usable(&state), ["a", "b"]);
 }
