Sight: software versions of upstreams are read, passed on and logged, and so are resumed streams

The version is decoded from an upstream's record, sent to other VMs beside the record (VMs of earlier daemons get the earlier form), and logged when an upstream is listed, when a stream is resumed (from where, where, after which event) and at the end of a request, with the attempt that a caller resumes. An upstream of another version under the same name and start is another process. No decision depends on the version yet.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -42,6 +42,8 @@
 pub const REVISION: &str = "foldhaven-revision";
 /// Set by a VM that requests changes and supports deltas that span several versions.
 pub const SPANS: &str = "foldhaven-spans";
+/// Set by a VM that requests the platform state and reads the software versions of upstreams.
+pub const READS_SOFTWARE: &str = "foldhaven-reads-software";
 /// Set on a forwarded request whose caller already got the beginning of the answer, which the
 /// receiver must continue.
 pub const BEGUN: &str = "foldhaven-begun";
--- a/crates/foldhaven-core/src/ids.rs
+++ b/crates/foldhaven-core/src/ids.rs
@@ -110,6 +110,10 @@
     /// An upstream: a model engine or an instance of a plain service.
     UpstreamName, "upstream name", MAX_NAME_BYTES
 );
+name_id!(
+    /// The version of the software that an upstream runs. Versions have no order.
+    SoftwareVersion, "software version", MAX_NAME_BYTES
+);
 name_id!(
     /// A model in the description.
     ModelName, "model name", MAX_NAME_BYTES
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -11,7 +11,7 @@
 use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentreName, ServiceName, UpstreamName, UpstreamStartTime};
+use crate::ids::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime};
 use crate::time::MonoTime;
 
 /// An upstream that disappears from the list within this time after the list was unavailable may
@@ -48,6 +48,10 @@
     pub leaving: bool,
     /// The remaining time for which it is cold, at the time the record was read.
     pub cold_for: Duration,
+    /// The version of its software. `None` if it names none. Serialized separately, since earlier
+    /// daemons do not know it.
+    #[serde(skip)]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The table entry of one upstream.
--- a/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_upstreams.rs
@@ -18,6 +18,7 @@
         slots: 4,
         leaving,
         cold_for: Duration::from_millis(cold_ms),
+        software: None,
     }
 }
 
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -144,6 +144,8 @@
     pub last_fault: Option<String>,
     /// The destination of the last attempt, for the log.
     pub last_destination: Option<String>,
+    /// The software version of that destination, for the log.
+    pub last_software: Option<String>,
     /// The properties of that destination when it was chosen, for the log.
     pub last_choice: Option<LoggedChoice>,
     /// The candidates when no destination could be chosen, for the log.
@@ -163,6 +165,7 @@
             may_have_run: false,
             last_fault: None,
             last_destination: None,
+            last_software: None,
             last_choice: None,
             candidates_summary: None,
         }
@@ -283,6 +286,7 @@
             .map_err(|refusal| self.refusal_after_attempts(refusal))?;
         self.tried.record(&chosen.destination);
         self.last_destination = Some(chosen.destination.name().to_owned());
+        self.last_software = Some(chosen.destination.software_label().to_owned());
         self.last_choice = Some(LoggedChoice::of(&chosen));
         Ok(Some(chosen))
     }
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -250,6 +250,8 @@
             rank = expected.map_or("-", |it| it.rank.label()),
             weighed = self.candidates_summary.as_deref().unwrap_or("-"),
             fault = self.last_fault.as_deref().unwrap_or("-"),
+            software = self.last_software.as_deref().unwrap_or("-"),
+            resumes = job.resumed_attempt(&shared.names).unwrap_or("-"),
             forwarded = job.is_forwarded,
             version = view.as_ref().map_or(0, |view| view.routes.version().0),
             news_ms = view.as_ref().map_or(0, |view| view.report_age().as_millis() as u64),
--- a/crates/foldhaven-gateway/src/control/upstreams.rs
+++ b/crates/foldhaven-gateway/src/control/upstreams.rs
@@ -110,6 +110,7 @@
             region: region.clone(),
             slots: record.slots,
             prompt_memory: service.and_then(|service| service.prompt_memory).unwrap_or_default(),
+            software: record.software.clone(),
         });
         self.shared.upstream_limits.apply(&upstream);
         self.shared.leaving_upstreams.apply(&upstream);
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Returns the software version for log lines, `-` if it is not known.
+    pub fn software_label(&self) -> &str {
+        match self {
+            Self::Upstream(upstream) => upstream.software_label(),
+            Self::Peer(_) => "-",
+        }
+    }
+
     /// Returns the connection pool of the destination.
     pub fn pool(&self) -> &ConnectionPool {
         match self {
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -117,6 +117,9 @@
     deadline: BootInstant,
     /// Whether the caller was sent an event.
     has_sent_event: bool,
+    /// The destination at which the stream broke, and its software version, for the log.
+    broken_at: Option<String>,
+    broken_software: Option<String>,
     _in_flight: InFlightGuard,
 }
 
@@ -148,6 +151,8 @@
             stall_timeout,
             deadline,
             has_sent_event: false,
+            broken_at: None,
+            broken_software: None,
             _in_flight: in_flight,
         }
     }
@@ -258,10 +263,31 @@
             return Err("it could not be resumed");
         }
         self.last_received = BootInstant::now();
+        self.log_resumed(&opened.destination);
         self.state = RelayState::Reading(ReadingState::of(opened));
         Ok(())
     }
 
+    /// Logs that the stream goes on at another destination, or at the same one again.
+    fn log_resumed(&self, destination: &RequestDestination) {
+        let Some(driver) = &self.driver else { return };
+        driver.shared.metrics.count_event("stream_resumed");
+        if driver.shared.quota.take(false) {
+            tracing::info!(
+                request = driver.job.id(),
+                service = %driver.job.service,
+                from = self.broken_at.as_deref().unwrap_or("-"),
+                from_software = self.broken_software.as_deref().unwrap_or("-"),
+                place = destination.name(),
+                software = destination.software_label(),
+                after = self.blocks.last_id().unwrap_or("-"),
+                cause = driver.last_fault.as_deref().unwrap_or("-"),
+                ms = driver.job.started.elapsed().as_millis() as u64,
+                "stream resumed"
+            );
+        }
+    }
+
     /// Records that data was received from the upstream.
     fn record_received(&self) {
         if let Some((driver, upstream)) = self.reading_from() {
@@ -392,6 +418,8 @@
     /// earlier upstream is closed first, so that it stops working on the request.
     fn resume(&mut self, cause: &'static str) -> bool {
         let Some(mut driver) = self.driver.take() else { return false };
+        self.broken_at = driver.last_destination.clone();
+        self.broken_software = driver.last_software.clone();
         driver.may_have_run = true;
         driver.last_fault = Some(cause.to_owned());
         if !driver.may_repeat() {
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::ids::{DataCentreName, SoftwareVersion, UpstreamName};
 use foldhaven_core::opaque::account_table::AccountDescription;
 use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteVersion};
@@ -193,6 +193,47 @@
     SpanningChanges(ChangeSet, Vec<RouteVersion>),
     /// The whole state, and the accounts of its description, which are serialized separately.
     KeyedSnapshot(FeedSnapshot, Arc<AccountDescription>),
+    /// The whole state with the software versions of upstreams. Sent only to VMs that announce that
+    /// they read them.
+    VersionedSnapshot(VersionedSnapshot),
+}
+
+/// A snapshot with the parts that earlier daemons do not know.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct VersionedSnapshot {
+    snapshot: FeedSnapshot,
+    accounts: Option<Arc<AccountDescription>>,
+    /// Each software version with the indices of its upstreams in the snapshot.
+    software: Vec<(SoftwareVersion, Vec<u32>)>,
+}
+
+impl VersionedSnapshot {
+    fn of(snapshot: FeedSnapshot) -> Self {
+        let mut software: BTreeMap<SoftwareVersion, Vec<u32>> = BTreeMap::new();
+        for (index, record) in (0..).zip(&snapshot.upstreams) {
+            if let Some(version) = &record.software {
+                software.entry(version.clone()).or_default().push(index);
+            }
+        }
+        let accounts = snapshot.description.as_ref().and_then(|it| it.accounts.clone());
+        Self { snapshot, accounts, software: software.into_iter().collect() }
+    }
+
+    /// Returns the snapshot with all its parts.
+    pub fn into_snapshot(self) -> FeedSnapshot {
+        let Self { mut snapshot, accounts, software } = self;
+        for (version, indices) in software {
+            for index in indices {
+                if let Some(record) = snapshot.upstreams.get_mut(index as usize) {
+                    record.software = Some(version.clone());
+                }
+            }
+        }
+        match accounts {
+            Some(accounts) => snapshot.with_accounts(accounts),
+            None => snapshot,
+        }
+    }
 }
 
 impl PeerState {
@@ -205,6 +246,12 @@
             None => Self::Snapshot(snapshot),
         }
     }
+
+    /// Returns the whole state with the software versions of upstreams, in the form for VMs that
+    /// read them.
+    pub fn of_versioned_snapshot(snapshot: FeedSnapshot) -> Self {
+        Self::VersionedSnapshot(VersionedSnapshot::of(snapshot))
+    }
 }
 
 /// Whether this daemon reads the platform now, and the revision that it already knows.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -120,6 +120,12 @@
         self.account.as_ref().map_or("-", |it| it.account.name.as_str())
     }
 
+    /// Returns the attempt that brought the first event of the stream, if the caller takes it up
+    /// again.
+    pub fn resumed_attempt(&self, names: &HeaderNames) -> Option<&str> {
+        self.headers.get(&names.resumes)?.to_str().ok()
+    }
+
     /// Returns the attempt id for logs.
     pub fn id(&self) -> &str {
         self.attempt.to_str().unwrap_or("unreadable")
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -30,6 +30,8 @@
     pub fetch_from: HeaderName,
     /// The id of the event after which a stream is resumed.
     pub last_event: HeaderName,
+    /// The attempt that brought the first event of a stream which the caller takes up again.
+    pub resumes: HeaderName,
     /// The rank of a request at an upstream. 0 goes first; see [`HeaderNames::rank_value`].
     pub rank: HeaderName,
     /// Names the account of a request to upstreams. Only this system sets it.
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -18,7 +18,7 @@
     CallerTerms, GatewayJob, ReadRequest, RouteMatch, host_of, read_body, read_terms,
 };
 use crate::peer_state::{PEER_STATE_PATH, PEER_STATE_REVISION_PREFIX};
-use crate::platform_state::{AnswerCache, StateRequest};
+use crate::platform_state::{AnswerCache, StateFormat, StateRequest};
 use crate::shared::GatewayShared;
 
 /// Handles requests of other VMs.
@@ -31,8 +31,11 @@
 impl FrontHandler for PeerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         if request.uri().path() == PEER_STATE_PATH {
-            let accepts_spanning = request.headers().contains_key(headers::SPANS);
-            return self.state(request.uri().query(), accepts_spanning);
+            let format = StateFormat {
+                accepts_spanning: request.headers().contains_key(headers::SPANS),
+                accepts_software: request.headers().contains_key(headers::READS_SOFTWARE),
+            };
+            return self.state(request.uri().query(), format);
         }
         let attempt = request.headers().get(&self.shared.names.attempt).cloned();
         let answer = match read_forwarded(&self.shared, request).await {
@@ -52,14 +55,11 @@
     }
 
     /// Returns the platform state, or its changes after the revision that the query names.
-    fn state(&self, query: Option<&str>, accepts_spanning: bool) -> Answer {
+    fn state(&self, query: Option<&str>, format: StateFormat) -> Answer {
         let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
         let known_revision = query.and_then(|query| query.strip_prefix(PEER_STATE_REVISION_PREFIX));
         let known_revision = known_revision.and_then(|known_revision| known_revision.parse().ok());
-        match self
-            .answer_cache
-            .answer(&view.offer, StateRequest { known_revision, accepts_spanning })
-        {
+        match self.answer_cache.answer(&view.offer, StateRequest { known_revision, format }) {
             Ok(body) => {
                 let (revision, bytes) = (view.offer.revision, body.len());
                 self.shared.metrics.count_event("state_told");
--- a/crates/foldhaven-gateway/src/peer_state.rs
+++ b/crates/foldhaven-gateway/src/peer_state.rs
@@ -8,7 +8,7 @@
 
 use bincode::Options;
 use bytes::Bytes;
-use foldhaven_core::headers::SPANS;
+use foldhaven_core::headers::{READS_SOFTWARE, SPANS};
 use http::header::HOST;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -91,6 +91,9 @@
                         let snapshot = snapshot.with_accounts(accounts);
                         control.send(ApplySnapshot { snapshot, peer }).await
                     }
+                    PeerState::VersionedSnapshot(told) => {
+                        control.send(ApplySnapshot { snapshot: told.into_snapshot(), peer }).await
+                    }
                     PeerState::Changes(changes) => {
                         control.send(ApplyChanges { changes, peer }).await
                     }
@@ -124,7 +127,9 @@
         PeerState::Changes(set) | PeerState::SpanningChanges(set, _) => {
             Some(set.revision) > known_revision
         }
-        PeerState::Snapshot(_) | PeerState::KeyedSnapshot(..) => false,
+        PeerState::Snapshot(_) | PeerState::KeyedSnapshot(..) | PeerState::VersionedSnapshot(_) => {
+            false
+        }
     }
 }
 
@@ -192,6 +197,7 @@
     let request = Request::get(path)
         .header(HOST, peer.to_string())
         .header(SPANS, "1")
+        .header(READS_SOFTWARE, "1")
         .body(Full::<Bytes>::default())
         .expect("a constant path makes a request");
     let response = timeout(IDLE_TIMEOUT, connection.sender.send_request(request)).await;
--- a/crates/foldhaven-gateway/src/platform_state/answer_cache.rs
+++ b/crates/foldhaven-gateway/src/platform_state/answer_cache.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 
-use super::StateOffer;
+use super::{StateFormat, StateOffer};
 use crate::codec::peer_codec;
 
 /// Maximum number of cached answers. Most VMs that ask have the same revision, and a VM that has
@@ -19,8 +19,8 @@
 pub struct StateRequest {
     /// The revision that the peer knows. `None` if it asks for the whole state.
     pub known_revision: Option<u64>,
-    /// Whether the peer understands deltas that span several versions of the description.
-    pub accepts_spanning: bool,
+    /// What the peer understands.
+    pub format: StateFormat,
 }
 
 #[derive(Debug, Default)]
@@ -54,7 +54,7 @@
         if let Some((_, body)) = held.answers.iter().find(|(it, _)| *it == request) {
             return Ok(body.clone());
         }
-        let state = offer.state_after(request.known_revision, request.accepts_spanning);
+        let state = offer.state_after(request.known_revision, request.format);
         let body = Bytes::from(peer_codec().serialize(&state)?);
         if held.answers.len() == MAX_ANSWERS {
             held.answers.remove(0);
--- a/crates/foldhaven-gateway/src/platform_state/change_log.rs
+++ b/crates/foldhaven-gateway/src/platform_state/change_log.rs
@@ -5,7 +5,7 @@
 
 use foldhaven_core::ids::DataCentreName;
 use foldhaven_core::opaque::route_table::RouteTable;
-use foldhaven_core::opaque::upstream_table::UpstreamList;
+use foldhaven_core::opaque::upstream_table::{UpstreamList, UpstreamRecord};
 use foldhaven_core::time::MonoTime;
 use imbl::Vector;
 
@@ -81,6 +81,16 @@
     }
 }
 
+/// What a VM that fetches the platform state understands. Earlier daemons do not understand all of
+/// it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StateFormat {
+    /// Whether it understands deltas that span several versions of the description.
+    pub accepts_spanning: bool,
+    /// Whether it reads the software versions of upstreams.
+    pub accepts_software: bool,
+}
+
 /// The platform state that other VMs can fetch from this one.
 #[derive(Debug)]
 pub struct StateOffer {
@@ -102,20 +112,23 @@
 
 impl StateOffer {
     /// Returns the answer for a VM that knows all changes up to `known`, or no state at all if
-    /// `known` is `None`. Deltas that span several versions of the description are marked as such
-    /// only if `accepts_spanning` is set.
-    pub fn state_after(&self, known: Option<u64>, accepts_spanning: bool) -> PeerState {
+    /// `known` is `None`.
+    pub fn state_after(&self, known: Option<u64>, format: StateFormat) -> PeerState {
         let changes = known.and_then(|after| Some((after, self.log.since(after)?)));
         match changes {
-            Some((after, changes)) => {
+            Some((after, mut changes)) => {
+                if !format.accepts_software {
+                    changes.iter_mut().for_each(|numbered| drop_software(&mut numbered.change));
+                }
                 let revision = self.revision.max(after);
                 let set = ChangeSet { after, revision, changes };
                 let through = set.spanned_versions();
-                match accepts_spanning && !through.is_empty() {
+                match format.accepts_spanning && !through.is_empty() {
                     true => PeerState::SpanningChanges(set, through),
                     false => PeerState::Changes(set),
                 }
             }
+            None if format.accepts_software => PeerState::of_versioned_snapshot(self.snapshot()),
             None => PeerState::of_snapshot(self.snapshot()),
         }
     }
@@ -130,3 +143,10 @@
         }
     }
 }
+
+/// Removes the software version from the record of an upstream.
+fn drop_software(change: &mut FeedChange) {
+    if let FeedChange::UpstreamWritten(UpstreamRecord { software, .. }) = change {
+        *software = None;
+    }
+}
--- a/crates/foldhaven-gateway/src/platform_state/mod.rs
+++ b/crates/foldhaven-gateway/src/platform_state/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::answer_cache::{AnswerCache, StateRequest};
 use self::change_log::ChangeLog;
-pub use self::change_log::StateOffer;
+pub use self::change_log::{StateFormat, StateOffer};
 pub use self::early_changes::EarlyChanges;
 use crate::feed::ChangeSet;
 
--- a/crates/foldhaven-gateway/src/platform_state/updates.rs
+++ b/crates/foldhaven-gateway/src/platform_state/updates.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::ids::{DataCentreName, SoftwareVersion, UpstreamName};
 use foldhaven_core::opaque::feed_position::FeedPosition;
 use foldhaven_core::opaque::route_delta::{DeltaError, RouteDelta};
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteTable, RouteVersion};
@@ -286,6 +286,7 @@
         tracing::info!(
         upstream = %record.name,
         birth = record.birth.0,
+        software = record.software.as_ref().map(SoftwareVersion::as_str),
         leaving = record.leaving,
         cold_ms = record.cold_for.as_millis() as u64,
         revision = self.revision,
--- a/crates/foldhaven-gateway/src/told_change.rs
+++ b/crates/foldhaven-gateway/src/told_change.rs
@@ -2,11 +2,11 @@
 //!
 //! Descriptions with accounts are separate variants at the end: daemons that do not know them read
 //! all other variants as before, and reject these as a whole, instead of adopting routes without
-//! the keys that protect them.
+//! the keys that protect them. So are records of upstreams that name their software version.
 
 use std::sync::Arc;
 
-use foldhaven_core::ids::{DataCentreName, UpstreamName};
+use foldhaven_core::ids::{DataCentreName, SoftwareVersion, UpstreamName};
 use foldhaven_core::opaque::account_table::{AccountDelta, AccountDescription};
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::RouteDescription;
@@ -28,6 +28,7 @@
     EvacuationEnded(DataCentreName),
     KeyedDescription(Box<RouteDescription>, Arc<AccountDescription>),
     KeyedDelta(Box<RouteDelta>, AccountDelta),
+    VersionedUpstream(UpstreamRecord, SoftwareVersion),
 }
 
 impl From<FeedChange> for ToldChange {
@@ -41,7 +42,10 @@
                 AccountDelta::Same => Self::DescriptionDelta(it),
                 accounts => Self::KeyedDelta(it, accounts),
             },
-            FeedChange::UpstreamWritten(record) => Self::UpstreamWritten(record),
+            FeedChange::UpstreamWritten(record) => match record.software.clone() {
+                Some(software) => Self::VersionedUpstream(record, software),
+                None => Self::UpstreamWritten(record),
+            },
             FeedChange::UpstreamRemoved(name) => Self::UpstreamRemoved(name),
             FeedChange::UpstreamUnusable(name) => Self::UpstreamUnusable(name),
             FeedChange::EvacuationStarted(centre) => Self::EvacuationStarted(centre),
@@ -64,6 +68,9 @@
                 it.accounts = Some(accounts);
                 Self::Description(it)
             }
+            ToldChange::VersionedUpstream(record, software) => {
+                Self::UpstreamWritten(UpstreamRecord { software: Some(software), ..record })
+            }
             ToldChange::KeyedDelta(it, accounts) => {
                 Self::DescriptionDelta(Box::new(it.with_accounts(accounts)))
             }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -9,7 +9,8 @@
 
 use foldhaven_core::health::TargetHealth;
 use foldhaven_core::ids::{
-    DataCentreName, RegionName, ServiceName, UpstreamName, UpstreamStartTime, VmName,
+    DataCentreName, RegionName, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime,
+    VmName,
 };
 use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
 use foldhaven_core::opaque::load_reports::UpstreamShare;
@@ -91,6 +92,8 @@
     pub slots: u32,
     /// The capacity of its prompt cache in tokens. 0 if it has none.
     pub prompt_memory: u64,
+    /// The version of its software. `None` if it names none.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl UpstreamIdentity {
@@ -99,6 +102,7 @@
         (self.birth, self.address, self.slots) == (record.birth, record.address, record.slots)
             && self.service == record.service
             && self.data_centre == record.data_centre
+            && self.software == record.software
     }
 }
 
@@ -138,6 +142,11 @@
         &self.identity.name
     }
 
+    /// Returns the software version for log lines, `-` if it names none.
+    pub fn software_label(&self) -> &str {
+        self.identity.software.as_ref().map_or("-", SoftwareVersion::as_str)
+    }
+
     /// Sets the time until which the upstream is cold.
     pub fn set_cold(&self, until: MonoTime) {
         self.cold_until.store(until.0, Ordering::Relaxed);
--- a/crates/foldhaven-gateway/tests/testsuite/answer_cache.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/answer_cache.rs
@@ -8,7 +8,7 @@
 use foldhaven_core::time::MonoTime;
 use foldhaven_gateway::feed::FeedSnapshot;
 use foldhaven_gateway::platform_state::{
-    AnswerCache, ApplyContext, PlatformState, StateOffer, StateRequest,
+    AnswerCache, ApplyContext, PlatformState, StateFormat, StateOffer, StateRequest,
 };
 
 fn offer(revision: u64) -> Arc<StateOffer> {
@@ -39,7 +39,8 @@
     Arc::new(known.offer(now).unwrap())
 }
 
-const ALL: StateRequest = StateRequest { known_revision: None, accepts_spanning: true };
+const FORMAT: StateFormat = StateFormat { accepts_spanning: true, accepts_software: true };
+const ALL: StateRequest = StateRequest { known_revision: None, format: FORMAT };
 
 /// Guards against serializing the same changes again for each VM of the region that asks.
 #[test]
@@ -55,7 +56,7 @@
     let cache = AnswerCache::default();
     let (older, newer) = (offer(7), offer(8));
     let requests = [Some(7), Some(6), None]
-        .map(|known| StateRequest { known_revision: known, accepts_spanning: true });
+        .map(|known| StateRequest { known_revision: known, format: FORMAT });
     for request in requests.iter().chain(&requests) {
         for offer in [&older, &newer] {
             let fresh = AnswerCache::default().answer(offer, *request).unwrap();
--- a/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
@@ -30,6 +30,7 @@
         slots: 4,
         leaving: false,
         cold_for: Duration::ZERO,
+        software: None,
     }
 }
 
--- a/crates/foldhaven-gateway/tests/testsuite/platform_state.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/platform_state.rs
@@ -24,7 +24,9 @@
 use foldhaven_gateway::feed::{
     ChangeSet, ChangeSubject, FeedChange, FeedSnapshot, NumberedChange, PeerState,
 };
-use foldhaven_gateway::platform_state::{ApplyContext, EarlyChanges, PlatformState, StateOffer};
+use foldhaven_gateway::platform_state::{
+    ApplyContext, EarlyChanges, PlatformState, StateFormat, StateOffer,
+};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -130,6 +132,7 @@
             slots: random.random_range(1..9),
             leaving: random.random_bool(0.4),
             cold_for: Duration::ZERO,
+            software: Some("v1".parse().unwrap()),
         };
         let centre = name.parse().unwrap();
         match random.random_range(0..8) {
@@ -305,7 +308,8 @@
     fn request_state(&mut self, vm: usize, random: &mut StdRng) {
         let other = random.random_range(0..VMS);
         let Some(offer) = self.offers[other].clone().filter(|_| other != vm) else { return };
-        let answer = offer.state_after(self.vms[vm].base_revision(), random.random_bool(0.7));
+        let answer =
+            offer.state_after(self.vms[vm].base_revision(), format(random.random_bool(0.7)));
         self.messages.push((vm, Message::Answer(answer)));
     }
 
@@ -345,6 +349,10 @@
                 let answer = PeerState::Snapshot(snapshot.with_accounts(accounts));
                 self.apply(vm, Message::Answer(answer));
             }
+            Message::Answer(PeerState::VersionedSnapshot(told)) => {
+                let answer = PeerState::Snapshot(told.into_snapshot());
+                self.apply(vm, Message::Answer(answer));
+            }
             Message::Answer(PeerState::Snapshot(snapshot)) => {
                 let is_newer = snapshot.revision > before;
                 if is_newer || known.needs_snapshot() && snapshot.revision == before {
@@ -422,6 +430,11 @@
     }
 }
 
+/// Returns the format for a VM that reads all parts of the state.
+fn format(accepts_spanning: bool) -> StateFormat {
+    StateFormat { accepts_spanning, accepts_software: true }
+}
+
 impl World {
     /// Brings all VMs up to date while no more changes are published: the first one reads the
     /// platform, and the others ask it.
@@ -434,7 +447,7 @@
         for _ in 0..2 {
             for vm in 1..VMS {
                 let Some(offer) = &self.offers[0] else { continue };
-                let answer = offer.state_after(self.vms[vm].base_revision(), true);
+                let answer = offer.state_after(self.vms[vm].base_revision(), format(true));
                 self.messages = vec![(vm, Message::Answer(answer))];
                 self.deliver_at(0);
             }
@@ -467,3 +480,45 @@
         assert!(world.is_settled(), "seed {seed}: not all is known in the end");
     }
 }
+
+/// Guards against software versions that are lost on the way to a VM that reads them, and against a
+/// state that an earlier daemon cannot read.
+#[test]
+fn software_versions_are_sent_only_to_vms_that_read_them() {
+    let versions = ["v1", "v2", "v1"];
+    let record = |at: usize, software: Option<&str>| UpstreamRecord {
+        name: NAMES[at].parse().unwrap(),
+        birth: UpstreamStartTime::default(),
+        service: "one".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        data_centre: "hall".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        software: software.map(|it| it.parse().unwrap()),
+    };
+    let all: Vec<UpstreamRecord> =
+        (0..3).map(|at| record(at, Some(versions[at]))).chain([record(3, None)]).collect();
+    let snapshot = FeedSnapshot {
+        revision: 7,
+        description: None,
+        upstreams: all.clone(),
+        unusable: Default::default(),
+        evacuated: Default::default(),
+    };
+    let told = Message::Answer(PeerState::of_versioned_snapshot(snapshot.clone())).serialized();
+    let Message::Answer(PeerState::VersionedSnapshot(told)) = told else { panic!("another form") };
+    assert_eq!(told.into_snapshot().upstreams, all);
+    let told = Message::Answer(PeerState::of_snapshot(snapshot)).serialized();
+    let Message::Answer(PeerState::Snapshot(told)) = told else { panic!("another form") };
+    assert!(told.upstreams.iter().all(|it| it.software.is_none()));
+    let change = FeedChange::UpstreamWritten(all[1].clone());
+    let set =
+        ChangeSet { after: 7, revision: 8, changes: vec![NumberedChange { revision: 8, change }] };
+    let told = Message::Answer(PeerState::Changes(set)).serialized();
+    let Message::Answer(PeerState::Changes(told)) = told else { panic!("another form") };
+    assert!(matches!(
+        &told.changes[0].change,
+        FeedChange::UpstreamWritten(record) if *record == all[1]
+    ));
+}
