Software versions: a stream goes on only at the version that began it

Callers saw streams whose events came from upstreams of two software versions, within one answer that a VM resumed, or over two attempts, after the VM that served the first one was killed or the stream broke off.

A VM at which a caller took a stream up knew nothing of its beginning.

The software of the upstream that brings the first event is now fixed for the stream. A VM that resumes it, or passes it on to another VM, chooses among upstreams with the same software; the answer of another VM names it. Not known, or no such upstream left: refused at once, as not run. An upstream that names no version has software of its own.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -47,6 +47,9 @@
 /// Set on a forwarded request whose caller already got the beginning of the answer, which the
 /// receiver must continue.
 pub const BEGUN: &str = "foldhaven-begun";
+/// The tag of the software at which a stream began: on a forwarded request, that at which it has to
+/// go on, and on the answer, that of the upstream which sends it.
+pub const SOFTWARE: &str = "foldhaven-software";
 /// The fingerprint of the account key with which a forwarded opaque request arrived, sent in place
 /// of the key.
 pub const KEY_FINGERPRINT: &str = "foldhaven-key-print";
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -37,6 +37,8 @@
 pub mod sender_agreement;
 pub mod service_order;
 pub mod slot_share;
+pub mod software;
+pub mod stream_origins;
 pub mod suspects;
 pub mod upstream_ring;
 pub mod upstream_signals;
--- a/crates/foldhaven-core/src/opaque/upstream_table.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_table.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime};
+use crate::opaque::software::SoftwareCensus;
 use crate::time::MonoTime;
 
 /// An upstream that disappears from the list within this time after the list was unavailable may
@@ -133,6 +134,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     entries: OrdMap<UpstreamName, Arc<UpstreamEntry>>,
+    /// The software of the entries, and of those that left a short time ago.
+    census: SoftwareCensus,
     /// The upstreams that are used for some time longer although they are no longer listed.
     lapsed: BTreeSet<UpstreamName>,
     evacuated: BTreeSet<DataCentreName>,
@@ -157,8 +160,12 @@
         self.changed.insert(&name);
         self.lapsed.remove(&name);
         self.doubted.remove(&name);
+        self.census.add(&record.service, &record.software);
         let entry = UpstreamEntry { record, cold_until, expires: None };
-        self.entries.insert(name, Arc::new(entry));
+        if let Some(replaced) = self.entries.insert(name, Arc::new(entry)) {
+            let UpstreamRecord { service, software, .. } = &replaced.record;
+            self.census.remove(service, software, now);
+        }
     }
 
     /// Removes an upstream that is no longer listed. If the list was unavailable recently, the
@@ -176,7 +183,7 @@
             Some(entry) => {
                 let birth = entry.record.birth;
                 self.departed.insert(name.clone(), (birth, now));
-                self.withdraw(name);
+                self.withdraw(name, now);
             }
             None => {}
         }
@@ -184,8 +191,10 @@
 
     /// Removes an upstream whose record has become invalid. Unlike after
     /// [`UpstreamTable::remove`], it is never used for some time longer.
-    pub fn withdraw(&mut self, name: &UpstreamName) {
-        if self.entries.remove(name).is_some() {
+    pub fn withdraw(&mut self, name: &UpstreamName, now: MonoTime) {
+        if let Some(removed) = self.entries.remove(name) {
+            let UpstreamRecord { service, software, .. } = &removed.record;
+            self.census.remove(service, software, now);
             self.lapsed.remove(name);
             self.changed.insert(name);
         }
@@ -320,7 +329,7 @@
         };
         let expired: Vec<UpstreamName> = self.lapsed.iter().filter(has_expired).cloned().collect();
         for name in &expired {
-            self.withdraw(name);
+            self.withdraw(name, now);
         }
         had_doubts || !expired.is_empty()
     }
@@ -339,6 +348,11 @@
         !entry.record.leaving && !self.evacuated.contains(&entry.record.data_centre)
     }
 
+    /// Returns the software of all upstreams, also of those that get no new requests.
+    pub fn census(&self) -> &SoftwareCensus {
+        &self.census
+    }
+
     /// Marks all upstreams as changed, because something else that decides about them has changed.
     pub fn mark_all_changed(&mut self) {
         self.changed = ChangedUpstreams::All;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod opaque_signals;
 mod opaque_slot_share;
 mod opaque_stale_reports;
+mod opaque_stream_origins;
 mod opaque_support;
 mod opaque_suspect_orders;
 mod opaque_suspects;
--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -115,6 +115,8 @@
         /// The time until the request may be sent here.
         wait: Duration,
     },
+    /// nobody knows at which software version the stream began
+    UnknownOrigin,
     /// this VM is leaving
     Leaving,
     /// not permitted here
@@ -145,6 +147,7 @@
             | Self::Full
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
+            | Self::UnknownOrigin
             | Self::Leaving
             | Self::NotPermitted
             | Self::NoPermittedRegion
@@ -179,6 +182,7 @@
             Self::Overloaded { cause: AdmissionError::Full, .. } => "known_full",
             Self::Overloaded { cause: AdmissionError::TooManyDeferred, .. } => "crowded",
             Self::Quarantined { .. } => "suspect",
+            Self::UnknownOrigin => "unknown_origin",
             Self::Leaving => "leaving",
             Self::NotPermitted => "not_permitted",
             Self::Broken => "broken",
@@ -191,7 +195,9 @@
     /// 0..1. `None` if a retry is of no use.
     fn retry_after(self, draw: f64) -> Option<Duration> {
         let shortest = match self {
-            Self::NoDescription | Self::Outdated | Self::NoUpstream => Duration::from_millis(400),
+            Self::NoDescription | Self::Outdated | Self::NoUpstream | Self::UnknownOrigin => {
+                Duration::from_millis(400)
+            }
             Self::Full => Duration::from_millis(250),
             // The end of the back-off is known, so callers are spread by a fixed range only.
             Self::Throttled { wait } => {
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::software::SoftwareTag;
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
@@ -75,6 +76,8 @@
 pub struct DestinationAnswer {
     pub answer: OpenAnswer,
     pub destination: RequestDestination,
+    /// The software of the upstream. `None` if another VM passes the answer on and does not say it.
+    pub software: Option<SoftwareTag>,
     /// Counts the request at its destination until the answer ends.
     pub load_guard: LoadGuard,
     /// Registers the request at its upstream. `None` if the destination is another VM.
@@ -110,7 +113,7 @@
 /// How a request was answered.
 pub enum AnswerStart {
     /// An event stream, of which no event was read yet.
-    Events(DestinationAnswer),
+    Events(Box<DestinationAnswer>),
     /// A complete answer. On a streaming route it reports a failure or a bad request.
     Complete(CompleteAnswer),
 }
@@ -177,7 +180,9 @@
         let mut failed: Option<CompleteAnswer> = None;
         loop {
             let opened = match self.open(None).await {
-                Ok(opened) if self.is_relayed(&opened) => return Ok(AnswerStart::Events(opened)),
+                Ok(opened) if self.is_relayed(&opened) => {
+                    return Ok(AnswerStart::Events(Box::new(opened)));
+                }
                 Ok(opened) => opened,
                 // An answer that reports a failure tells the caller more than a refusal.
                 Err(refusal) => return failed.map(AnswerStart::Complete).ok_or(refusal),
@@ -202,6 +207,7 @@
         let DestinationAnswer {
             answer,
             destination,
+            software: _,
             load_guard,
             mut request_guard,
             expected,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -6,6 +6,7 @@
 use foldhaven_core::headers;
 use foldhaven_core::ids::DataCentreName;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::software::SoftwareTag;
 use http::request::Builder;
 use http::{HeaderValue, Request};
 use http_body_util::Full;
@@ -15,7 +16,8 @@
 use crate::clock::{BootInstant, timeout};
 use crate::credential::fingerprint_value;
 use crate::destinations::{DestinationChoice, RequestDestination};
-use crate::names::HeaderNames;
+use crate::names::{HeaderNames, text_value};
+use crate::peer_front::read_software;
 use crate::upstream::{Upstream, UpstreamRequestGuard};
 use crate::upstream_listener::{NoopListener, UpstreamListener};
 
@@ -75,8 +77,21 @@
             request_guard.iter_mut().for_each(UpstreamRequestGuard::mark_harmless);
         }
         let answer = opened?;
+        let software = software_of(&answer, &destination);
         let expected = FirstResponseEstimate { time: time_to_first, rank, prefill_before_answer };
-        Ok(DestinationAnswer { answer, destination, load_guard, request_guard, expected, sent })
+        let opened = DestinationAnswer {
+            answer,
+            destination,
+            software,
+            load_guard,
+            request_guard,
+            expected,
+            sent,
+        };
+        if opened.is_event_stream() && self.job.software.is_some_and(|it| software != Some(it)) {
+            return Err(CallFault::Broken("events of another software version".to_owned()));
+        }
+        Ok(opened)
     }
 
     /// Returns the listener for the signals in the head of the answer. The signals of an upstream
@@ -123,6 +138,10 @@
                 if job.has_partial_answer {
                     map.insert(headers::BEGUN, HeaderValue::from_static("1"));
                 }
+                map.remove(headers::SOFTWARE);
+                if let Some(software) = job.software {
+                    map.insert(headers::SOFTWARE, text_value(&software.to_string()));
+                }
                 let waited = job.waited().as_millis();
                 map.insert(headers::WAITED_MS, HeaderValue::from(waited as u64));
             }
@@ -167,6 +186,11 @@
     }
 }
 
-fn text_value(text: &str) -> HeaderValue {
-    HeaderValue::from_str(text).expect("names are plain text")
+/// Returns the software of the upstream that sends an answer. `None` if another VM passes the answer
+/// on and does not say it.
+fn software_of(answer: &OpenAnswer, destination: &RequestDestination) -> Option<SoftwareTag> {
+    match destination {
+        RequestDestination::Upstream(upstream) => Some(upstream.software),
+        RequestDestination::Peer(_) => read_software(answer.head.headers.get(headers::SOFTWARE)?),
+    }
 }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use foldhaven_core::headers::UNREACHED;
+use foldhaven_core::headers::{SOFTWARE, UNREACHED};
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -21,7 +21,9 @@
     read_total_tokens, remove_connection_headers,
 };
 use crate::metrics::RequestEnd;
+use crate::names::text_value;
 use crate::shared::GatewayShared;
+use crate::stream_resumption::find_taken_up_stream;
 use crate::view::GatewayView;
 
 /// Idle limit of connections before the first description. Callers that connect that early
@@ -109,14 +111,21 @@
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.record_caller_timeout(&route.name, terms.remaining);
     let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
-    let service = route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone();
+    let taken_up = find_taken_up_stream(shared, &view, &route, &head.headers).await?;
+    let service = match taken_up.as_ref().and_then(|stream| stream.service.clone()) {
+        Some(service) => service,
+        None => route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone(),
+    };
     let account = match account {
         Some(account) => Some(charge(shared, account, &head)?),
         None => None,
     };
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    Ok(request.into_job(route_match, terms, &shared.names))
+    let job = request.into_job(route_match, terms, &shared.names);
+    let software = taken_up.map(|stream| stream.software);
+    // The caller has the beginning of a stream that it takes up.
+    Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
 }
 
 /// Finds the account of a request, and removes the key from its headers. A VM that knows that other
@@ -187,14 +196,20 @@
     };
     let head = &opened.answer.head;
     let mut answer = answer_with(head.status, head.headers.clone());
+    if recorder.get().job.is_forwarded
+        && let Some(software) = opened.software
+    {
+        answer.headers_mut().insert(SOFTWARE, text_value(&software.to_string()));
+    }
     *answer.body_mut() =
-        AnswerBody::Events(Box::new(EventRelay::new(recorder.release(), opened, in_flight)));
+        AnswerBody::Events(Box::new(EventRelay::new(recorder.release(), *opened, in_flight)));
     answer
 }
 
 fn answer_with(status: StatusCode, mut headers: HeaderMap) -> Answer {
     remove_connection_headers(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
+    headers.remove(SOFTWARE);
     let mut answer = Response::new(AnswerBody::Complete(None));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/crates/foldhaven-gateway/src/control/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/control/traffic_view.rs
@@ -36,6 +36,7 @@
         self.shared.publish(GatewayView {
             routes,
             upstreams: self.upstreams.groups().clone(),
+            software: self.platform.table.census().clone(),
             members,
             expected_waits: self.waits_by_region(),
             demand,
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::front::{FrontHandler, serve_front};
 use crate::names::HeaderNames;
 use crate::operator_front::OperatorHandler;
+use crate::origin_sender::OriginSender;
 use crate::path_prober::probe_lost_paths;
 use crate::path_sender::PathSender;
 use crate::peer_front::PeerHandler;
@@ -171,6 +172,8 @@
     let control = address.clone();
     let paths = PathSender { socket: socket.clone(), control, shared: shared.clone() };
     tokio::spawn(run_update_sender(paths));
+    let origins = OriginSender { socket: socket.clone(), shared: shared.clone() };
+    tokio::spawn(origins.run());
     tokio::spawn(send_demands(socket.clone(), address.clone()));
     tokio::spawn(send_heartbeats(socket, address.clone(), shared.clone()));
     tokio::spawn(watch_settings(settings_path, shared.settings.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -198,6 +198,19 @@
                 apply_suspects(&shared, &suspects);
                 continue;
             }
+            PeerMessage::Origins(notices) => {
+                shared.origins.merge(&notices, shared.now());
+                continue;
+            }
+            PeerMessage::OriginQuestions(attempts) => {
+                let answers = shared.origins.answer(&attempts, shared.now());
+                socket.send_to(&[sender], &PeerMessage::OriginAnswers(answers)).await;
+                continue;
+            }
+            PeerMessage::OriginAnswers(answers) => {
+                shared.origins.apply_answers(&answers, sender, shared.now());
+                continue;
+            }
             message => message,
         };
         match dispatch(&control, message).await {
@@ -253,7 +266,10 @@
         PeerMessage::Limits(limits) => control.send(ReceiveUpstreamRateLimits { limits }).await?,
         PeerMessage::Leavers(leavers) => control.send(ReceiveLeavingNotices { leavers }).await?,
         PeerMessage::Paths(message) => control.send(ReceivePathNotices { message }).await?,
-        PeerMessage::Suspects(_) => {}
+        PeerMessage::Suspects(_)
+        | PeerMessage::Origins(_)
+        | PeerMessage::OriginQuestions(_)
+        | PeerMessage::OriginAnswers(_) => {}
     }
     Ok(OutgoingMessages::new())
 }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -125,7 +125,7 @@
 pub(super) fn has_available(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
     let now = shared.now();
     let group = local_group(shared, view, job);
-    let mut examined = group.into_iter().flat_map(examined_upstreams);
+    let mut examined = group.into_iter().flat_map(|group| examined_upstreams(group, job));
     examined.any(|upstream| throttled_for(shared, view.recent_senders, upstream, now).is_none())
 }
 
@@ -138,7 +138,7 @@
 ) -> Option<Duration> {
     let now = shared.now();
     let group = local_group(shared, view, job);
-    let examined = group.into_iter().flat_map(examined_upstreams);
+    let examined = group.into_iter().flat_map(|group| examined_upstreams(group, job));
     let has_said = |it: &&Arc<Upstream>| {
         let is_brittle = it.max_declined_per_s().is_some();
         is_brittle || it.is_limited() || !it.remaining_backoff(now).is_zero()
@@ -173,9 +173,12 @@
 }
 
 /// Returns the upstreams to look at for whether any of them can take a request.
-fn examined_upstreams(group: &UpstreamGroup) -> impl Iterator<Item = &Arc<Upstream>> {
+fn examined_upstreams<'a>(
+    group: &'a UpstreamGroup,
+    job: &'a GatewayJob,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
     let examined = group.iter_from(RingPosition(rand::random()));
-    examined.filter(|upstream| !upstream.is_leaving()).take(MAX_EXAMINED)
+    examined.filter(|upstream| !upstream.is_leaving() && job.fits(upstream)).take(MAX_EXAMINED)
 }
 
 /// Draws the upstreams that a request may be sent to.
@@ -191,7 +194,7 @@
     };
     let key = job.outline.as_ref().and_then(PromptOutline::affinity_key);
     let query = DrawQuery { key, holders: &holders, random: RingPosition(rand::random()) };
-    group.draw(&query, |upstream| !upstream.is_leaving())
+    group.draw(&query, |upstream| !upstream.is_leaving() && job.fits(upstream))
 }
 
 /// Returns the properties of some upstreams that the choice depends on.
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -73,6 +73,9 @@
         *service == job.service && region != own_region && job.permits(region)
     });
     let priced = regions.filter_map(|((region, _), wait)| {
+        if !has_fitting_upstream(view, job, region) {
+            return None;
+        }
         let peers = view.members.regions.get(region)?;
         let is_usable = |peer: &PeerLink| !shared.paths.is_lost_at(peer.tag, &job.service);
         let peer = pick_peer(peers, tried, is_usable)?;
@@ -81,6 +84,12 @@
     priced.collect()
 }
 
+/// Whether a region has an upstream at which the stream of a request may go on.
+fn has_fitting_upstream(view: &GatewayView, job: &GatewayJob, region: &RegionName) -> bool {
+    let group = view.group(&job.service, region);
+    job.software.is_none() || group.is_some_and(|group| group.iter().any(|it| job.fits(it)))
+}
+
 /// Prices one remote region for a request.
 struct RemotePricer<'a> {
     shared: &'a GatewayShared,
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -9,7 +9,11 @@
 
 use bytes::Bytes;
 use foldhaven_core::opaque::event_sequence::EventSequenceChecker;
+use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::route_table::RepeatKind;
+use foldhaven_core::opaque::software::SoftwareTag;
+use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginNotice, StreamOrigin};
 use foldhaven_wire::sse::{SseEventBuffer, event_ids};
 use http::StatusCode;
 use http_body::{Body, Frame};
@@ -54,6 +58,8 @@
     body: Incoming,
     lease: ConnectionLease,
     destination: RequestDestination,
+    /// The software of the upstream.
+    software: SoftwareTag,
     load_guard: LoadGuard,
     request_guard: Option<UpstreamRequestGuard>,
     expected: FirstResponseEstimate,
@@ -69,13 +75,21 @@
 
 impl ReadingState {
     fn of(opened: DestinationAnswer) -> Box<Self> {
-        let DestinationAnswer { answer, destination, load_guard, request_guard, expected, sent } =
-            opened;
+        let DestinationAnswer {
+            answer,
+            destination,
+            software,
+            load_guard,
+            request_guard,
+            expected,
+            sent,
+        } = opened;
         let (_, body, lease) = answer.into_parts();
         Box::new(Self {
             body,
             lease,
             destination,
+            software: software.unwrap_or(SoftwareTag::UNKNOWN),
             load_guard,
             request_guard,
             expected,
@@ -120,6 +134,8 @@
     /// The destination at which the stream broke, and its software version, for the log.
     broken_at: Option<String>,
     broken_software: Option<String>,
+    /// The number of upstreams that have answered before the first event.
+    upstream_number: u8,
     _in_flight: InFlightGuard,
 }
 
@@ -141,8 +157,8 @@
         let now = BootInstant::now();
         let wake =
             stall_timeout.map_or(deadline, |stall_timeout| deadline.min(now + stall_timeout));
-        Self {
-            state: RelayState::Reading(ReadingState::of(opened)),
+        let mut relay = Self {
+            state: RelayState::Ended,
             driver: Some(driver),
             blocks: SseEventBuffer::default(),
             checker,
@@ -153,8 +169,34 @@
             has_sent_event: false,
             broken_at: None,
             broken_software: None,
+            upstream_number: 0,
             _in_flight: in_flight,
+        };
+        relay.start_reading(opened);
+        relay
+    }
+
+    /// Starts to read the answer of an upstream.
+    fn start_reading(&mut self, opened: DestinationAnswer) {
+        let reading = ReadingState::of(opened);
+        self.record_origin(reading.software);
+        self.state = RelayState::Reading(reading);
+    }
+
+    /// Records at which software the stream begins, unless it has begun. Other VMs have to know it
+    /// before the caller gets the first event, since this VM may be lost with the stream.
+    fn record_origin(&mut self, software: SoftwareTag) {
+        let Some(driver) = &self.driver else { return };
+        let job = &driver.job;
+        let is_resumable = job.route.repeat == RepeatKind::ResumableStream;
+        if !is_resumable || job.is_forwarded || job.software.is_some() {
+            return;
         }
+        self.upstream_number = self.upstream_number.saturating_add(1);
+        let service = ServiceTag::of(&job.service);
+        let origin = StreamOrigin { service, software, upstream_number: self.upstream_number };
+        let attempt = AttemptTag::of(job.attempt.as_bytes());
+        driver.shared.origins.record(OriginNotice { attempt, origin }, driver.shared.now());
     }
 
     /// Polls for the next events.
@@ -264,7 +306,7 @@
         }
         self.last_received = BootInstant::now();
         self.log_resumed(&opened.destination);
-        self.state = RelayState::Reading(ReadingState::of(opened));
+        self.start_reading(opened);
         Ok(())
     }
 
@@ -306,6 +348,8 @@
             driver.record_time_to_first(&reading.destination, reading.expected, reading.sent);
         }
         if !std::mem::replace(&mut self.has_sent_event, true) {
+            // The events of another version would not fit to this one.
+            driver.job.software.get_or_insert(reading.software);
             let took = driver.job.record_time_to_first();
             driver.shared.metrics.record_time_to_first(&driver.job.route.name, took);
         }
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -77,6 +77,7 @@
         has_partial_answer: false,
         deadline: BootInstant::now() + route.timeout,
         is_forwarded: false,
+        software: None,
         account: None,
         route,
     };
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -9,6 +9,7 @@
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
+use foldhaven_core::opaque::software::SoftwareTag;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -22,6 +23,7 @@
 use crate::clock::BootInstant;
 use crate::credential::JobAccount;
 use crate::names::HeaderNames;
+use crate::upstream::Upstream;
 
 /// The time a request is given if its caller names none.
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
@@ -65,6 +67,8 @@
     pub output_tokens: u32,
     /// Whether another VM forwarded the request. It then runs in this region or not at all.
     pub is_forwarded: bool,
+    /// The software at which the stream goes on. `None` if it has not begun.
+    pub software: Option<SoftwareTag>,
 }
 
 impl GatewayJob {
@@ -109,6 +113,11 @@
         by_account && self.route.permits(region)
     }
 
+    /// Whether the stream may go on at an upstream. A stream that has not begun may start at any.
+    pub fn fits(&self, upstream: &Upstream) -> bool {
+        self.software.is_none_or(|software| software == upstream.software)
+    }
+
     /// Returns the priority among the requests of its service. 0 goes first.
     pub fn priority(&self) -> u8 {
         let by_account = self.account.as_ref().and_then(|it| it.account.priority);
@@ -174,6 +183,7 @@
             has_partial_answer: false,
             deadline: started + terms.remaining,
             is_forwarded: false,
+            software: None,
         }
     }
 }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -1,7 +1,7 @@
 //! The names of the headers used between callers, this system and upstreams.
 
 use foldhaven_core::opaque::queue_rank::QueueRank;
-use http::HeaderName;
+use http::{HeaderName, HeaderValue};
 
 /// The header names prescribed by a platform.
 #[derive(Debug, Clone)]
@@ -52,3 +52,8 @@
         }
     }
 }
+
+/// Returns the header value of a name or number.
+pub(crate) fn text_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("names are plain text")
+}
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use foldhaven_core::headers;
 use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::software::SoftwareTag;
 use http::{HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 
@@ -87,6 +88,11 @@
     answer
 }
 
+/// Reads the tag of the software at which a stream goes on, or began.
+pub fn read_software(value: &HeaderValue) -> Option<SoftwareTag> {
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Reads a forwarded request. It must name the data centre that it comes from and the service that
 /// the origin VM chose.
 async fn read_forwarded(
@@ -111,6 +117,10 @@
         return Err(Refusal::NotPermitted);
     }
     let has_partial_answer = head.headers.remove(headers::BEGUN).is_some();
+    let software = match head.headers.remove(headers::SOFTWARE) {
+        None => None,
+        Some(value) => Some(read_software(&value).ok_or(Refusal::NotPermitted)?),
+    };
     let waited = head.headers.remove(headers::WAITED_MS);
     let waited = waited.and_then(|value| value.to_str().ok()?.parse().ok());
     let waited = Duration::from_millis(waited.ok_or(Refusal::NotPermitted)?);
@@ -125,5 +135,5 @@
     if !job.permits(shared.settings.region()) {
         return Err(Refusal::NotPermitted);
     }
-    Ok(GatewayJob { is_forwarded: true, has_partial_answer, ..job })
+    Ok(GatewayJob { is_forwarded: true, has_partial_answer, software, ..job })
 }
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -17,6 +17,7 @@
 };
 use foldhaven_core::opaque::region_reports::RegionReport;
 use foldhaven_core::opaque::sender_agreement::AgreementNotice;
+use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginAnswer, OriginNotice};
 use foldhaven_core::opaque::suspects::SuspectRecord;
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use serde::{Deserialize, Serialize};
@@ -80,6 +81,12 @@
     Leavers(Vec<LeavingNotice>),
     /// VMs that have lost their paths to upstreams.
     Paths(PathMessage),
+    /// Where streams of the sender began, for a VM that holds this.
+    Origins(Vec<OriginNotice>),
+    /// Asks where the streams of these attempts began.
+    OriginQuestions(Vec<AttemptTag>),
+    /// The answers to such questions.
+    OriginAnswers(Vec<OriginAnswer>),
 }
 
 impl PeerMessage {
@@ -105,6 +112,9 @@
             Self::Limits(_) => "sent_bytes_limits",
             Self::Leavers(_) => "sent_bytes_leaving",
             Self::Paths(_) => "sent_bytes_paths",
+            Self::Origins(_) | Self::OriginQuestions(_) | Self::OriginAnswers(_) => {
+                "sent_bytes_origins"
+            }
         }
     }
 
--- a/crates/foldhaven-gateway/src/platform_state/updates.rs
+++ b/crates/foldhaven-gateway/src/platform_state/updates.rs
@@ -40,7 +40,7 @@
         self.log.reset(revision);
         let is_replacement = std::mem::replace(&mut self.needs_snapshot, false);
         for name in &unusable {
-            self.withdraw(name);
+            self.withdraw(name, context.now);
         }
         let difference = match is_copy {
             true => self.table.replace_by_copy(upstreams, context.now),
@@ -250,16 +250,16 @@
             FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
             FeedChange::UpstreamWritten(record) => self.table.put(record, now),
             FeedChange::UpstreamRemoved(name) => self.table.remove(&name, now),
-            FeedChange::UpstreamUnusable(name) => self.withdraw(&name),
+            FeedChange::UpstreamUnusable(name) => self.withdraw(&name, now),
             FeedChange::EvacuationStarted(centre) => self.table.update_evacuation(centre, true),
             FeedChange::EvacuationEnded(centre) => self.table.update_evacuation(centre, false),
         }
     }
 
     /// Removes an upstream whose record has become invalid.
-    fn withdraw(&mut self, name: &UpstreamName) {
+    fn withdraw(&mut self, name: &UpstreamName, now: MonoTime) {
         self.unusable_count += 1;
-        self.table.withdraw(name);
+        self.table.withdraw(name, now);
     }
 
     /// Replaces the evacuated data centres. Returns the changes.
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
+use crate::origin_tracker::OriginTracker;
 use crate::path_tracker::PathTracker;
 use crate::rate_limit_tracker::RateLimitTracker;
 use crate::settings::GatewaySettings;
@@ -118,6 +119,8 @@
     pub leaving_upstreams: LeavingTracker,
     /// Which VMs have lost their paths to the upstreams of which services.
     pub paths: PathTracker,
+    /// At which software streams began.
+    pub origins: OriginTracker,
     /// Limits the usage of accounts.
     pub accounts: AccountLimiter,
     /// Detects that the process was suspended, so that its state may be outdated.
@@ -131,6 +134,7 @@
             upstream_limits: RateLimitTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
             paths: PathTracker::new(VmTag::of(&settings.vm)),
+            origins: OriginTracker::default(),
             suspects: SuspectTracker::new(VmTag::of(&settings.vm)),
             accounts: AccountLimiter::new(settings.region_count(), settings.limits.accounts()),
             settings,
--- /dev/null
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -0,0 +1,123 @@
+//! Finds the software at which a stream goes on that a caller takes up again.
+
+use std::time::Duration;
+
+use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::peer_table::ServiceTag;
+use foldhaven_core::opaque::route_table::{OpaqueRoute, RepeatKind};
+use foldhaven_core::opaque::software::SoftwareTag;
+use foldhaven_core::opaque::stream_origins::AttemptTag;
+use http::{HeaderMap, HeaderValue};
+
+use crate::answer::Refusal;
+use crate::clock::BootInstant;
+use crate::shared::GatewayShared;
+use crate::view::GatewayView;
+
+/// Maximum time to wait for VMs that may know where a stream began: a round trip between regions,
+/// with some margin.
+const LOOKUP_LIMIT: Duration = Duration::from_millis(250);
+/// Maximum time to wait if only one software version seems to serve: a round trip within a region,
+/// with some margin. Another VM may know of a second version before this one.
+const CONFIRMATION_LIMIT: Duration = Duration::from_millis(40);
+
+/// A stream that a caller takes up again.
+pub struct TakenUpStream {
+    /// The service that began it. `None` if the route no longer uses it, or it is not known.
+    pub service: Option<ServiceName>,
+    /// The software at which it goes on.
+    pub software: SoftwareTag,
+}
+
+/// Returns the origin of the stream that a request takes up again. `None` if it starts a new one.
+///
+/// # Errors
+///
+/// [`Refusal::UnknownOrigin`] if it is not known where the stream began, while several software
+/// versions serve.
+pub async fn find_taken_up_stream(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    route: &OpaqueRoute,
+    headers: &HeaderMap,
+) -> Result<Option<TakenUpStream>, Refusal> {
+    let names = &shared.names;
+    let resumes = headers.get(&names.resumes);
+    let is_taken_up = resumes.is_some() || headers.contains_key(&names.last_event);
+    if route.repeat != RepeatKind::ResumableStream || !is_taken_up {
+        return Ok(None);
+    }
+    let started = BootInstant::now();
+    let sole = sole_software(shared, view, route);
+    let (stream, known_by) = match resumes {
+        Some(attempt) => find_origin(shared, route, attempt, sole).await,
+        None => (sole.map(of_any_service), "sole"),
+    };
+    log_taken_up(shared, headers, stream.as_ref(), known_by, started);
+    stream.map(Some).ok_or(Refusal::UnknownOrigin)
+}
+
+/// Returns the only software that streams of a route may have begun at.
+fn sole_software(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    route: &OpaqueRoute,
+) -> Option<SoftwareTag> {
+    let services = route.services.iter();
+    let mut software = services.map(|it| view.software.sole_software(&it.service, shared.now()));
+    let first = software.next()??;
+    software.all(|other| other == Some(first)).then_some(first)
+}
+
+fn of_any_service(software: SoftwareTag) -> TakenUpStream {
+    TakenUpStream { service: None, software }
+}
+
+/// Returns where the stream of an attempt began, and by what it is known.
+async fn find_origin(
+    shared: &GatewayShared,
+    route: &OpaqueRoute,
+    attempt: &HeaderValue,
+    sole: Option<SoftwareTag>,
+) -> (Option<TakenUpStream>, &'static str) {
+    let attempt = AttemptTag::of(attempt.as_bytes());
+    let (origin, known_by) = match shared.origins.find(attempt, shared.now()) {
+        Some(origin) => (Some(origin), "own"),
+        None => {
+            let limit = if sole.is_some() { CONFIRMATION_LIMIT } else { LOOKUP_LIMIT };
+            (shared.origins.look_up(attempt, &shared.clock, limit).await, "told")
+        }
+    };
+    let Some(origin) = origin else { return (sole.map(of_any_service), "sole") };
+    let services = route.services.iter().map(|weighted| &weighted.service);
+    let service = services.into_iter().find(|it| ServiceTag::of(it) == origin.service);
+    let stream = TakenUpStream { service: service.cloned(), software: origin.software };
+    (Some(stream), known_by)
+}
+
+fn log_taken_up(
+    shared: &GatewayShared,
+    headers: &HeaderMap,
+    stream: Option<&TakenUpStream>,
+    known_by: &'static str,
+    started: BootInstant,
+) {
+    let known_by = if stream.is_some() { known_by } else { "nobody" };
+    shared.metrics.count_event("stream_taken_up");
+    if stream.is_none() {
+        shared.metrics.count_event("stream_origin_unknown");
+    }
+    if !shared.quota.take(false) {
+        return;
+    }
+    let text = |name| headers.get(name).and_then(|it: &HeaderValue| it.to_str().ok());
+    tracing::info!(
+        request = text(&shared.names.attempt).unwrap_or("unreadable"),
+        resumes = text(&shared.names.resumes).unwrap_or("-"),
+        after = text(&shared.names.last_event).unwrap_or("-"),
+        software = stream.map(|it| it.software.to_string()).as_deref().unwrap_or("-"),
+        known_by,
+        waited_ms = started.elapsed().as_millis() as u64,
+        "a caller takes up a stream"
+    );
+}
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -19,6 +19,7 @@
 use foldhaven_core::opaque::rate_share::{RatePacer, RateShare};
 use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
 use foldhaven_core::opaque::slot_share::SlotShare;
+use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests};
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
@@ -33,6 +34,8 @@
     pub identity: UpstreamIdentity,
     /// Its identifier in messages between VMs.
     pub tag: UpstreamTag,
+    /// Its software. A stream that began at it goes on only at upstreams with the same one.
+    pub software: SoftwareTag,
     /// Its position among the upstreams of its service.
     pub ring_position: RingPosition,
     pub pool: ConnectionPool,
@@ -111,6 +114,7 @@
         let ring_position = RingPosition::of(&identity.name, identity.birth);
         Arc::new(Self {
             tag: ring_position.tag(),
+            software: SoftwareTag::of(identity.software.as_ref(), &identity.name),
             ring_position,
             identity,
             pool: ConnectionPool::new(IDLE_LIMIT),
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -11,6 +11,7 @@
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, VmTag};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::route_table::RouteTable;
+use foldhaven_core::opaque::software::SoftwareCensus;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
 use parking_lot::Mutex;
@@ -121,6 +122,8 @@
     pub routes: Arc<RouteTable>,
     /// The upstreams that may get new requests, in all regions.
     pub upstreams: ServiceGroups,
+    /// The software of all upstreams, also of those that get no new requests.
+    pub software: SoftwareCensus,
     /// The other VMs.
     pub members: Arc<MemberView>,
     /// The expected waits by region and service, as reported by other regions.
