Sight: an exit of an upstream is logged with the segments of prompts that its requests share

Requests are registered at upstreams with the fingerprints of those segments of their prompts that others may share, beside their own. No decision depends on them yet.

--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -53,6 +53,14 @@
         Some(outline)
     }
 
+    /// Returns the ids of the segments that other prompts may share, given the text that
+    /// [`PromptOutline::parse`] reads.
+    pub fn shared_ids(text: &str) -> impl Iterator<Item = &str> {
+        let mut segments = text.split(',');
+        segments.next_back();
+        segments.filter_map(|segment| Some(segment.trim().rsplit_once(':')?.0))
+    }
+
     /// Returns the number of tokens in the shared segments.
     pub fn shared_tokens(&self) -> u32 {
         self.shared.iter().map(|segment| segment.tokens).sum()
--- a/crates/foldhaven-core/src/opaque/request_fingerprint.rs
+++ b/crates/foldhaven-core/src/opaque/request_fingerprint.rs
@@ -1,5 +1,5 @@
-//! Fingerprints of requests: they identify a request that is sent again, whatever its id and
-//! whichever VM receives it.
+//! Fingerprints of requests and of segments of their prompts: they identify a request that is sent
+//! again, or a segment that other requests share, whatever the id and whichever VM receives it.
 
 use std::fmt;
 use std::str::FromStr;
@@ -8,10 +8,16 @@
 use blake3::Hasher;
 use serde::{Deserialize, Serialize};
 
+use crate::ids::ServiceName;
+
 /// Context that the key of all fingerprints is derived from. The key is the same at all VMs and
 /// keeps fingerprints apart from other hashes of the same bytes.
 const KEY_CONTEXT: &str = "foldhaven opaque request print v1";
 static KEY: LazyLock<[u8; 32]> = LazyLock::new(|| blake3::derive_key(KEY_CONTEXT, &[]));
+/// Context that the key of the fingerprints of segments is derived from.
+const SEGMENT_KEY_CONTEXT: &str = "foldhaven prompt segment v1";
+static SEGMENT_KEY: LazyLock<[u8; 32]> =
+    LazyLock::new(|| blake3::derive_key(SEGMENT_KEY_CONTEXT, &[]));
 
 /// Length of a fingerprint in bytes. It is long enough that nobody can find a second request with
 /// the fingerprint of a given one, and so have another caller's request suspected.
@@ -31,7 +37,7 @@
     pub body: &'a [u8],
 }
 
-/// Fingerprint of a request. The request can't be recovered from it.
+/// Fingerprint of a request or of a segment. Neither can be recovered from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
@@ -45,6 +51,21 @@
             hasher.update(text.as_bytes());
         }
         hasher.update(parts.body);
+        Self::finish(&hasher)
+    }
+
+    /// Computes the fingerprint of a segment of a prompt by its id, which covers neither the
+    /// segments before it nor the rest of the request.
+    pub fn of_segment(service: &ServiceName, id: &str) -> Self {
+        let mut hasher = Hasher::new_keyed(&SEGMENT_KEY);
+        for text in [service.as_str(), id] {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        Self::finish(&hasher)
+    }
+
+    fn finish(hasher: &Hasher) -> Self {
         let mut bytes = [0; FINGERPRINT_BYTES];
         hasher.finalize_xof().fill(&mut bytes);
         Self(bytes)
--- a/crates/foldhaven-core/src/opaque/suspects/in_flight.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/in_flight.rs
@@ -4,7 +4,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::opaque::request_fingerprint::RequestFingerprint;
 use crate::time::MonoTime;
 
 /// A request that left an upstream up to this long before its exit may have caused it: upstreams
@@ -21,20 +20,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InFlightId(u64);
 
-/// The requests of this VM at one upstream.
-#[derive(Debug, Default)]
-pub struct InFlightRequests {
-    in_flight: Vec<(InFlightId, RequestFingerprint)>,
-    departed: VecDeque<(MonoTime, RequestFingerprint)>,
+/// The requests of this VM at one upstream, by the keys of type `K` that they are suspected by.
+#[derive(Debug)]
+pub struct InFlightRequests<K> {
+    in_flight: Vec<(InFlightId, K)>,
+    departed: VecDeque<(MonoTime, K)>,
     next: u64,
 }
 
-impl InFlightRequests {
+impl<K> Default for InFlightRequests<K> {
+    fn default() -> Self {
+        Self { in_flight: Vec::new(), departed: VecDeque::new(), next: 0 }
+    }
+}
+
+impl<K: Ord> InFlightRequests<K> {
     /// Records that a request is sent to the upstream.
-    pub fn insert(&mut self, fingerprint: RequestFingerprint) -> InFlightId {
+    pub fn insert(&mut self, key: K) -> InFlightId {
         let id = InFlightId(self.next);
         self.next += 1;
-        self.in_flight.push((id, fingerprint));
+        self.in_flight.push((id, key));
         id
     }
 
@@ -46,11 +51,10 @@
 
     /// Removes a request whose effect on the upstream is unknown, and remembers it as departed.
     pub fn remove(&mut self, id: InFlightId, now: MonoTime) {
-        let Some(fingerprint) = self.take(id) else { return };
-        self.departed.push_back((now, fingerprint));
-        let is_old = |departed: &(MonoTime, RequestFingerprint)| {
-            now.since(departed.0) > DEPARTED_WINDOW + DETECTION_TIME
-        };
+        let Some(key) = self.take(id) else { return };
+        self.departed.push_back((now, key));
+        let is_old =
+            |departed: &(MonoTime, K)| now.since(departed.0) > DEPARTED_WINDOW + DETECTION_TIME;
         while self.departed.len() > MAX_DEPARTED || self.departed.front().is_some_and(is_old) {
             self.departed.pop_front();
         }
@@ -58,20 +62,19 @@
 
     /// Removes and returns the requests, without duplicates, that may have caused the exit of the
     /// upstream. `detected_at` is the time of the first sign of the exit.
-    pub fn take_affected(&mut self, detected_at: MonoTime) -> Vec<RequestFingerprint> {
+    pub fn take_affected(&mut self, detected_at: MonoTime) -> Vec<K> {
         let departed = std::mem::take(&mut self.departed).into_iter();
         let recent = departed
             .filter(|(at, _)| detected_at.since(*at) <= DEPARTED_WINDOW)
-            .map(|(_, fingerprint)| fingerprint);
-        let in_flight =
-            std::mem::take(&mut self.in_flight).into_iter().map(|(_, fingerprint)| fingerprint);
-        let mut affected: Vec<RequestFingerprint> = recent.chain(in_flight).collect();
+            .map(|(_, key)| key);
+        let in_flight = std::mem::take(&mut self.in_flight).into_iter().map(|(_, key)| key);
+        let mut affected: Vec<K> = recent.chain(in_flight).collect();
         affected.sort_unstable();
         affected.dedup();
         affected
     }
 
-    fn take(&mut self, id: InFlightId) -> Option<RequestFingerprint> {
+    fn take(&mut self, id: InFlightId) -> Option<K> {
         let at = self.in_flight.iter().position(|(in_flight, _)| *in_flight == id)?;
         Some(self.in_flight.swap_remove(at).1)
     }
--- a/crates/foldhaven-core/src/opaque/suspects/mod.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/mod.rs
@@ -8,10 +8,12 @@
 //! same result without a coordinator.
 
 mod in_flight;
+mod keys;
 mod record;
 mod table;
 
 pub use self::in_flight::{InFlightId, InFlightRequests};
+pub use self::keys::SuspectKeys;
 pub use self::record::{MAX_EXITS, MAX_PROBES, RecordError, SuspectRecord};
 pub use self::table::{
     MAX_RECORDS_PER_MESSAGE, PROBE_EXITS, REFUSE_EXITS, RecordSource, SuspectChange, SuspectTable,
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -79,7 +79,7 @@
         destination: &RequestDestination,
     ) -> Option<UpstreamRequestGuard> {
         let RequestDestination::Upstream(upstream) = destination else { return None };
-        Some(Arc::clone(upstream).register_request(self.job.fingerprint, self.shared.clock))
+        Some(Arc::clone(upstream).register_request(self.job.suspect_keys(), self.shared.clock))
     }
 
     /// Records that the request was answered completely, so it did not crash its upstream.
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -1,6 +1,7 @@
 //! Explains to operators where an opaque request would be sent, with the same costs as for a real
 //! request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -64,6 +65,7 @@
             target: query.path,
             body: &[],
         }),
+        segments: Arc::new([]),
         outline: query.prompt.filter(|_| route.affinity).and_then(PromptOutline::parse),
         output_tokens: query.output_tokens,
         service,
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
 use foldhaven_core::opaque::software::SoftwareTag;
+use foldhaven_core::opaque::suspects::SuspectKeys;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -29,6 +30,8 @@
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
 /// Maximum time that a caller may ask for.
 const MAX_REMAINING: Duration = Duration::from_secs(600);
+/// Maximum number of segments of a prompt that a request is suspected by.
+const MAX_SEGMENTS: usize = 64;
 /// Minimum remaining time sent to an upstream, in milliseconds. 0 would mean that the deadline has
 /// passed.
 const MIN_REMAINING_MS: u128 = 1;
@@ -40,6 +43,8 @@
     pub attempt: HeaderValue,
     /// The fingerprint of the request, equal for all copies of the same request.
     pub fingerprint: RequestFingerprint,
+    /// The fingerprints of those segments of its prompt that other requests may share.
+    pub segments: Arc<[RequestFingerprint]>,
     pub route: Arc<OpaqueRoute>,
     /// The account that sent the request. `None` if the route needs none and no known key was sent.
     pub account: Option<JobAccount>,
@@ -100,6 +105,11 @@
         self.outline.as_ref().map_or(&[], |outline| &outline.shared)
     }
 
+    /// Returns the fingerprints by which the request is suspected of crashing upstreams.
+    pub fn suspect_keys(&self) -> SuspectKeys {
+        SuspectKeys { request: self.fingerprint, segments: self.segments.clone() }
+    }
+
     /// Returns the work of the request in tokens. Its worth is proportional to this.
     pub fn size(&self) -> u32 {
         let Some(outline) = &self.outline else { return DEFAULT_SIZE };
@@ -168,6 +178,7 @@
         GatewayJob {
             attempt: terms.attempt,
             fingerprint: fingerprint_of(&head, &body),
+            segments: read_segments(&head, &service, names),
             outline: read_outline(&head, &route, names),
             output_tokens: read_output_tokens(&head, names),
             route,
@@ -264,6 +275,22 @@
     PromptOutline::parse(head.headers.get(&names.prompt_outline)?.to_str().ok()?)
 }
 
+/// Returns the fingerprints of the segments of the prompt that other requests may share, on any
+/// route.
+fn read_segments(
+    head: &Parts,
+    service: &ServiceName,
+    names: &HeaderNames,
+) -> Arc<[RequestFingerprint]> {
+    let outline = head.headers.get(&names.prompt_outline).and_then(|value| value.to_str().ok());
+    let ids = outline.into_iter().flat_map(PromptOutline::shared_ids).take(MAX_SEGMENTS);
+    let mut segments: Vec<RequestFingerprint> =
+        ids.map(|id| RequestFingerprint::of_segment(service, id)).collect();
+    segments.sort_unstable();
+    segments.dedup();
+    segments.into()
+}
+
 /// Reads the sum of the prompt tokens and the maximum answer tokens that a caller names. `None` if
 /// it names none.
 pub fn read_total_tokens(head: &Parts, names: &HeaderNames) -> Option<u64> {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -17,10 +17,9 @@
 use foldhaven_core::opaque::performance::{QueueState, UpstreamPerformance};
 use foldhaven_core::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use foldhaven_core::opaque::rate_share::{RatePacer, RateShare};
-use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
 use foldhaven_core::opaque::slot_share::SlotShare;
 use foldhaven_core::opaque::software::SoftwareTag;
-use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests};
+use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests, SuspectKeys};
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use foldhaven_core::time::MonoTime;
@@ -57,7 +56,7 @@
     others_prefill_backlog: Mutex<PrefillBacklog>,
     /// The in-flight requests of this VM, from which the suspects are taken if the upstream
     /// crashes.
-    in_flight_requests: Mutex<InFlightRequests>,
+    in_flight_requests: Mutex<InFlightRequests<SuspectKeys>>,
     /// Whether a check for the exit of the upstream is running.
     is_exit_check_running: AtomicBool,
     /// When data was last received from the upstream.
@@ -295,17 +294,17 @@
 
     /// Takes the requests of this VM that may have crashed the upstream, given the time at which a
     /// connection to it broke.
-    pub fn take_affected(&self, broken_at: MonoTime) -> Vec<RequestFingerprint> {
+    pub fn take_affected(&self, broken_at: MonoTime) -> Vec<SuspectKeys> {
         self.in_flight_requests.lock().take_affected(broken_at)
     }
 
     /// Registers a request of this VM until the guard is dropped.
     pub fn register_request(
         self: &Arc<Self>,
-        fingerprint: RequestFingerprint,
+        keys: SuspectKeys,
         clock: MonoClock,
     ) -> UpstreamRequestGuard {
-        let id = self.in_flight_requests.lock().insert(fingerprint);
+        let id = self.in_flight_requests.lock().insert(keys);
         UpstreamRequestGuard { upstream: self.clone(), id, clock, is_harmless: false }
     }
 
--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -1,11 +1,14 @@
 //! Distinguishes the exit of an upstream from the end of a single connection to it, and reports the
 //! requests that were in flight as suspects.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use foldhaven_core::opaque::affinity::RingPosition;
+use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
+use foldhaven_core::opaque::suspects::SuspectKeys;
 use foldhaven_core::time::MonoTime;
 use tokio::time::sleep;
 
@@ -111,17 +114,33 @@
     let affected = upstream.take_affected(broken_at);
     shared.metrics.count_event("upstream_ended");
     if !affected.is_empty() && shared.quota.take(false) {
-        let fingerprints: Vec<String> =
-            affected.iter().take(MAX_LOGGED_FINGERPRINTS).map(ToString::to_string).collect();
+        let fingerprints = affected.iter().take(MAX_LOGGED_FINGERPRINTS);
+        let fingerprints: Vec<String> = fingerprints.map(|keys| keys.request.to_string()).collect();
         tracing::info!(
         upstream = %upstream.name(),
         birth = upstream.identity.birth.0,
         requests = affected.len(),
         prints = fingerprints.join(" "),
+        parts = describe_segments(&affected),
         "an upstream exited during requests"
         );
     }
-    for fingerprint in affected {
-        shared.suspects.record_exit(fingerprint, upstream.tag, &shared.change_context());
+    for keys in affected {
+        shared.suspects.record_exit(keys.request, upstream.tag, &shared.change_context());
     }
 }
+
+/// Returns the segments that occur in the most requests, each with the number of these, for the
+/// log.
+fn describe_segments(affected: &[SuspectKeys]) -> String {
+    let mut counts: BTreeMap<RequestFingerprint, usize> = BTreeMap::new();
+    for segment in affected.iter().flat_map(|keys| keys.segments.iter()) {
+        *counts.entry(*segment).or_default() += 1;
+    }
+    let mut counts: Vec<(RequestFingerprint, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let counts = counts.iter().take(MAX_LOGGED_FINGERPRINTS);
+    let described: Vec<String> =
+        counts.map(|(segment, count)| format!("{segment}:{count}")).collect();
+    described.join(" ")
+}
--- a/crates/foldhaven-testkit/src/harm/vm.rs
+++ b/crates/foldhaven-testkit/src/harm/vm.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
 use foldhaven_core::opaque::suspects::{InFlightRequests, SuspectTable};
 use foldhaven_core::time::MonoTime;
 
@@ -16,7 +17,7 @@
     pub is_down: bool,
     pub table: SuspectTable,
     /// Requests in flight by engine and its incarnation.
-    pub in_flight: HashMap<(usize, u32), InFlightRequests>,
+    pub in_flight: HashMap<(usize, u32), InFlightRequests<RequestFingerprint>>,
     ejected_until: HashMap<usize, MonoTime>,
 }
 
