Poison prompts: segments of prompts are suspected of exits, and an exit is blamed on one

Callers of a route were refused or cut off for minutes: requests with one deadly part in their prompts crashed all upstreams of the route, again after each restart.

Cause: only whole requests were suspected. No two of these were alike, so each was blamed once, and the next one was sent on. An answer without a length or chunks whose upstream crashed between two events even counted in favour of its request.

Segments that requests share are now suspected by fingerprints of their own, in a second table with the same records and exchange. A refused segment explains its exits, which then count against no other segment and no request, so that neither the system prompt nor the victims are held back. Only an answer that was written to its end speaks for a segment; if it ends with its connection, only once something else is heard from the upstream. No retry under a segment that was at two exits. An answer of another process at an upstream's address is no sign of life of that upstream any more.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -50,6 +50,9 @@
 /// The tag of the software at which a stream began: on a forwarded request, that at which it has to
 /// go on, and on the answer, that of the upstream which sends it.
 pub const SOFTWARE: &str = "foldhaven-software";
+/// Set on the answer to a forwarded request if the upstream's answer ends with its connection, so
+/// that its end does not show that it is complete.
+pub const UNFRAMED: &str = "foldhaven-unframed";
 /// The fingerprint of the account key with which a forwarded opaque request arrived, sent in place
 /// of the key.
 pub const KEY_FINGERPRINT: &str = "foldhaven-key-print";
--- a/crates/foldhaven-core/src/opaque/suspects/in_flight.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/in_flight.rs
@@ -43,6 +43,11 @@
         id
     }
 
+    /// Returns whether a request is in flight, and the upstream was not found to have exited since.
+    pub fn contains(&self, id: InFlightId) -> bool {
+        self.in_flight.iter().any(|(in_flight, _)| *in_flight == id)
+    }
+
     /// Removes a request that can't make the upstream exit: it was answered completely, declined
     /// or never sent.
     pub fn remove_harmless(&mut self, id: InFlightId) {
--- a/crates/foldhaven-core/src/opaque/suspects/mod.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/mod.rs
@@ -6,16 +6,23 @@
 //! their records. A request is refused once its fingerprint was at several upstreams that exited
 //! and was never answered completely. Merging is commutative and idempotent, so all VMs reach the
 //! same result without a coordinator.
+//!
+//! The cause may also be a segment of prompts that many requests share, of which no two are alike.
+//! Segments are suspected in a table of their own. The segment that crashes upstreams is at each
+//! exit, but so are those that all requests share: a refused segment explains its exits, which then
+//! count against no other suspect.
 
 mod in_flight;
 mod keys;
+mod policy;
 mod record;
 mod table;
 
 pub use self::in_flight::{InFlightId, InFlightRequests};
 pub use self::keys::SuspectKeys;
-pub use self::record::{MAX_EXITS, MAX_PROBES, RecordError, SuspectRecord};
+pub use self::policy::{PROBE_EXITS, REFUSE_EXITS, SuspectPolicy};
+pub use self::record::{MAX_PROBES, RecordError, SuspectRecord};
 pub use self::table::{
-    MAX_RECORDS_PER_MESSAGE, PROBE_EXITS, REFUSE_EXITS, RecordSource, SuspectChange, SuspectTable,
-    SuspectUpdate, SuspectVerdict, UpdateScope,
+    MAX_RECORDS_PER_MESSAGE, RecordSource, SuspectChange, SuspectTable, SuspectUpdate,
+    SuspectVerdict, UpdateScope,
 };
--- a/crates/foldhaven-core/src/opaque/suspects/record.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/record.rs
@@ -2,11 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::policy::SuspectPolicy;
 use crate::opaque::affinity::UpstreamTag;
 use crate::opaque::request_fingerprint::RequestFingerprint;
 
-/// Maximum number of exits kept per request: one more than suffice to refuse it.
-pub const MAX_EXITS: usize = 4;
 /// Maximum number of probes counted. With the longest delay between them that is hours.
 pub const MAX_PROBES: u8 = 32;
 /// Maximum number of exonerations that a record of another VM may claim. Each one takes an exit of
@@ -26,9 +25,9 @@
     TooManyExonerations(u32),
 }
 
-/// What the VMs know together about one suspected request.
+/// What the VMs know together about one suspect: a request, or a segment of prompts.
 ///
-/// Records of the same request are merged. The result depends neither on their order nor on how
+/// Records of the same suspect are merged. The result depends neither on their order nor on how
 /// often each one is received.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
@@ -40,7 +39,7 @@
     #[serde(rename = "pardons")]
     pub exonerations: u32,
     /// Upstreams that exited since the last exoneration with the request in flight, sorted, at most
-    /// [`MAX_EXITS`]. VMs that saw the same exit name the same upstream.
+    /// as many as the policy keeps. VMs that saw the same exit name the same upstream.
     #[serde(rename = "ends")]
     pub exits: Vec<UpstreamTag>,
     /// Number of probes started since the last exoneration.
@@ -63,8 +62,8 @@
     /// # Errors
     ///
     /// Returns an error if no correct VM can have made the record.
-    pub fn check(&self) -> Result<(), RecordError> {
-        if self.exits.len() > MAX_EXITS {
+    pub fn check(&self, policy: &SuspectPolicy) -> Result<(), RecordError> {
+        if self.exits.len() > policy.max_exits {
             return Err(RecordError::TooManyExits(self.exits.len()));
         }
         if !self.exits.windows(2).all(|pair| pair[0] < pair[1]) {
@@ -80,11 +79,11 @@
     }
 
     /// Adds an upstream that exited with the request in flight.
-    pub fn add_exit(&mut self, upstream: UpstreamTag) {
+    pub fn add_exit(&mut self, upstream: UpstreamTag, policy: &SuspectPolicy) {
         if let Err(at) = self.exits.binary_search(&upstream) {
             self.exits.insert(at, upstream);
             // Keeps the lowest tags, so that all VMs keep the same ones.
-            self.exits.truncate(MAX_EXITS);
+            self.exits.truncate(policy.max_exits);
         }
     }
 
@@ -105,13 +104,13 @@
     }
 
     /// Merges another VM's record of the same request. Returns whether that changed this record.
-    pub fn merge(&mut self, other: &Self) -> bool {
+    pub fn merge(&mut self, other: &Self, policy: &SuspectPolicy) -> bool {
         let before = self.clone();
         if other.exonerations > self.exonerations {
             self.clone_from(other);
         }
         if other.exonerations == self.exonerations {
-            other.exits.iter().for_each(|exit| self.add_exit(*exit));
+            other.exits.iter().for_each(|exit| self.add_exit(*exit, policy));
             self.probes = self.probes.max(other.probes);
         }
         self.cleared_exits = before.cleared_exits.max(other.cleared_exits);
--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -1,9 +1,10 @@
 //! The suspected requests that one VM knows, and its decisions on them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::num::NonZeroUsize;
 use std::time::Duration;
 
+use super::policy::{PROBE_EXITS, SuspectPolicy};
 use super::record::{RecordError, SuspectRecord};
 use crate::opaque::affinity::UpstreamTag;
 use crate::opaque::peer_table::VmTag;
@@ -12,20 +13,9 @@
 use crate::time::MonoTime;
 use lru::LruCache;
 
-/// From this number of exits on, a request is probed by one VM at a time. A harmless request is
-/// rarely at two upstreams that exit before it was answered once.
-pub const PROBE_EXITS: usize = 2;
-/// From this number of exits on, a request is refused and probed only after long delays.
-pub const REFUSE_EXITS: usize = 3;
-/// Delay before the second probe of a request below [`REFUSE_EXITS`], if the first one had no
-/// result; grows by [`BACKOFF_FACTOR`] with each further probe. Also the minimum wait reported for
-/// a refused request.
+/// Delay before the second probe of a request that is not yet refused, if the first one had no
+/// result; grows with each further probe. Also the minimum wait reported for a refused request.
 const PROBE_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// How long a request is refused before its first probe; the delay grows by [`BACKOFF_FACTOR`] with
-/// each further probe. A request that is sent for ever costs at most three upstreams an hour, and
-/// one that was blamed wrongly is forwarded again within 20 s.
-const FIRST_REFUSAL_DELAY: Duration = Duration::from_secs(10);
-const BACKOFF_FACTOR: u32 = 3;
 const MAX_BACKOFF: Duration = Duration::from_secs(600);
 /// Number of slots that a delay is divided into. Each VM may probe in one of them.
 const PROBE_SLOTS: u32 = 10;
@@ -53,7 +43,8 @@
 /// Older records are resent in every n-th round only. Resending all of them each time took 9.4 to
 /// 11.7 KB/s per VM with five requests that crash upstreams beside 4,000 others a second.
 const FULL_ROUND_INTERVAL: u32 = 8;
-/// Maximum number of records in one message; 64 records of up to 44 bytes fit one packet or two.
+/// Maximum number of records in one message; 64 records of mostly less than 44 bytes fit one packet
+/// or two.
 pub const MAX_RECORDS_PER_MESSAGE: usize = 64;
 
 /// Decision on a request.
@@ -117,10 +108,15 @@
     Remote,
 }
 
-/// Table of the suspected requests that one VM knows.
+/// Table of the suspects of one kind, requests or segments, that one VM knows.
 #[derive(Debug)]
 pub struct SuspectTable {
     own: VmTag,
+    policy: SuspectPolicy,
+    /// The exits that refused segments explain. They count against no other suspect.
+    explained: BTreeSet<UpstreamTag>,
+    /// The refused suspects that explain them.
+    explaining: BTreeSet<RequestFingerprint>,
     entries: HashMap<RequestFingerprint, SuspectEntry>,
     /// Times of recent complete answers. Each answer counts in favour of its request once.
     recent_successes: LruCache<RequestFingerprint, MonoTime>,
@@ -160,8 +156,7 @@
     /// random fraction of the delay until its slot begins, so that later VMs learn of the first
     /// probe before their own. A slot lasts a tenth of the delay and recurs once per delay: if all
     /// VMs receive the request at one moment after a long pause, only a few of them probe it.
-    fn wait(&self, vm: VmTag, now: MonoTime) -> Duration {
-        let backoff = self.backoff();
+    fn wait(&self, vm: VmTag, backoff: Duration, now: MonoTime) -> Duration {
         if self.is_probe_unsent || backoff.is_zero() {
             return Duration::ZERO;
         }
@@ -179,30 +174,30 @@
 
     /// Returns whether complete answers alone no longer exonerate the request, because it was
     /// cleared of so many exits that it seems to crash some upstreams and not others.
-    fn is_inconclusive(&self) -> bool {
-        self.record.cleared_exits >= INCONCLUSIVE_CLEARED_EXITS
+    fn is_inconclusive(&self, policy: &SuspectPolicy) -> bool {
+        policy.can_be_inconclusive && self.record.cleared_exits >= INCONCLUSIVE_CLEARED_EXITS
     }
 
-    /// Returns whether the request is probed by one VM at a time or refused.
-    fn is_quarantined(&self) -> bool {
-        self.record.exits.len() >= PROBE_EXITS
-    }
-
-    fn backoff(&self) -> Duration {
-        let SuspectRecord { exits, probes, cleared_exits, .. } = &self.record;
-        if self.is_inconclusive() && self.is_quarantined() {
+    /// Returns the delay before the next probe, given the number of exits that count.
+    fn backoff(&self, exits: usize, policy: &SuspectPolicy) -> Duration {
+        let SuspectRecord { probes, cleared_exits, .. } = &self.record;
+        let grow = |backoff, times| grow_backoff(backoff, policy.backoff_factor, times);
+        let probes = u32::from(*probes);
+        if exits < policy.quarantine_exits(&self.record) {
+            return Duration::ZERO;
+        }
+        if self.is_inconclusive(policy) {
             // Each further exoneration lengthens the next delay, as a probe does.
             let recurrences =
                 u32::from(cleared_exits - INCONCLUSIVE_CLEARED_EXITS) / PROBE_EXITS as u32;
-            return grow_backoff(FIRST_REFUSAL_DELAY, u32::from(*probes) + recurrences);
+            return grow(policy.first_refusal_delay, probes + recurrences);
         }
-        match exits.len() {
-            exits if exits < PROBE_EXITS => Duration::ZERO,
-            exits if exits < REFUSE_EXITS => match probes {
-                0 => Duration::ZERO,
-                probes => grow_backoff(PROBE_RETRY_DELAY, u32::from(*probes) - 1),
-            },
-            _ => grow_backoff(FIRST_REFUSAL_DELAY, (*probes).into()),
+        if exits >= policy.refuse_exits(&self.record) {
+            return grow(policy.first_refusal_delay, probes);
+        }
+        match probes {
+            0 => Duration::ZERO,
+            probes => grow(PROBE_RETRY_DELAY, probes - 1),
         }
     }
 
@@ -213,23 +208,31 @@
         (hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 
-    fn is_expired(&self, now: MonoTime) -> bool {
-        let is_cleared = self.record.exits.is_empty() && !self.is_inconclusive();
+    fn is_expired(&self, policy: &SuspectPolicy, now: MonoTime) -> bool {
+        let is_cleared = self.record.exits.is_empty() && !self.is_inconclusive(policy);
         let retention = if is_cleared { EXONERATED_RETENTION } else { SUSPECT_RETENTION };
         now.since(self.changed_at) > retention
     }
 }
 
-fn grow_backoff(backoff: Duration, times: u32) -> Duration {
-    let factor = BACKOFF_FACTOR.saturating_pow(times);
+fn grow_backoff(backoff: Duration, factor: u32, times: u32) -> Duration {
+    let factor = factor.saturating_pow(times);
     backoff.saturating_mul(factor).min(MAX_BACKOFF)
 }
 
 impl SuspectTable {
-    /// Creates the empty table of a VM.
+    /// Creates the empty table of a VM for whole requests.
     pub fn new(own: VmTag) -> Self {
+        Self::with_policy(own, SuspectPolicy::REQUESTS)
+    }
+
+    /// Creates the empty table of a VM for suspects of one kind.
+    pub fn with_policy(own: VmTag, policy: SuspectPolicy) -> Self {
         Self {
             own,
+            policy,
+            explained: BTreeSet::new(),
+            explaining: BTreeSet::new(),
             entries: HashMap::new(),
             recent_successes: LruCache::new(MAX_RECENT_SUCCESSES),
             pending: BTreeMap::new(),
@@ -239,18 +242,84 @@
     }
 
     /// Returns the number of upstreams known to have exited with a request in flight since its last
-    /// exoneration.
+    /// exoneration, except those whose exits a refused segment explains.
     pub fn exit_count(&self, fingerprint: &RequestFingerprint) -> usize {
-        self.entries.get(fingerprint).map_or(0, |entry| entry.record.exits.len())
+        self.entries.get(fingerprint).map_or(0, |entry| self.counted_exits(&entry.record))
+    }
+
+    fn counted_exits(&self, record: &SuspectRecord) -> usize {
+        if self.explained.is_empty() || self.explaining.contains(&record.fingerprint) {
+            return record.exits.len();
+        }
+        record.exits.iter().filter(|exit| !self.explained.contains(exit)).count()
+    }
+
+    /// Returns whether a suspect is refused, or probed by one VM at a time.
+    fn is_quarantined(&self, record: &SuspectRecord) -> bool {
+        self.counted_exits(record) >= self.policy.quarantine_exits(record)
+    }
+
+    /// Returns whether a suspect is refused.
+    pub fn is_refused(&self, fingerprint: &RequestFingerprint) -> bool {
+        self.entries.get(fingerprint).is_some_and(|entry| {
+            self.counted_exits(&entry.record) >= self.policy.refuse_exits(&entry.record)
+        })
+    }
+
+    /// Returns whether a request with this fingerprint would probably crash another upstream: it
+    /// was at several that exited and, if it is a segment, was never answered since then.
+    pub fn is_likely_cause(&self, fingerprint: &RequestFingerprint) -> bool {
+        self.entries.get(fingerprint).is_some_and(|entry| {
+            let may_be = entry.record.exonerations == 0 || !self.policy.explains_exits;
+            may_be && self.counted_exits(&entry.record) >= PROBE_EXITS
+        })
+    }
+
+    /// Returns the exits that the refused suspects of this table explain.
+    pub fn explained_exits(&self) -> &BTreeSet<UpstreamTag> {
+        &self.explained
+    }
+
+    /// Sets the exits that suspects of another table explain.
+    pub fn set_explained_exits(&mut self, explained: BTreeSet<UpstreamTag>) {
+        self.explained = explained;
+    }
+
+    /// Determines which suspects are refused, and which exits they explain. Of suspects with common
+    /// exits, the one that is most likely the cause explains them: one that was not answered since,
+    /// and that is at most of them. All VMs reach the same result from the same records.
+    fn update_explained(&mut self) {
+        if !self.policy.explains_exits {
+            return;
+        }
+        let records = self.entries.values().map(|entry| &entry.record);
+        let mut suspects: Vec<&SuspectRecord> = records
+            .filter(|record| record.exits.len() >= self.policy.refuse_exits(record))
+            .collect();
+        suspects.sort_by_key(|record| {
+            let exits = std::cmp::Reverse(record.exits.len());
+            (record.exonerations > 0, exits, record.fingerprint)
+        });
+        let (mut explained, mut explaining) = (BTreeSet::new(), BTreeSet::new());
+        for record in suspects {
+            let unexplained = record.exits.iter().filter(|exit| !explained.contains(*exit));
+            if unexplained.count() >= self.policy.refuse_exits(record) {
+                explained.extend(record.exits.iter().copied());
+                explaining.insert(record.fingerprint);
+            }
+        }
+        self.explained = explained;
+        self.explaining = explaining;
     }
 
     /// Returns the decision on a request without starting a probe.
     pub fn peek_verdict(&self, fingerprint: &RequestFingerprint, now: MonoTime) -> SuspectVerdict {
         let Some(entry) = self.entries.get(fingerprint) else { return SuspectVerdict::Allowed };
-        if !entry.is_quarantined() {
+        if !self.is_quarantined(&entry.record) {
             return SuspectVerdict::Allowed;
         }
-        let wait = entry.wait(self.own, now);
+        let backoff = entry.backoff(self.counted_exits(&entry.record), &self.policy);
+        let wait = entry.wait(self.own, backoff, now);
         match entry.is_probing || !wait.is_zero() {
             true => SuspectVerdict::Refused { wait: wait.max(PROBE_RETRY_DELAY) },
             false => SuspectVerdict::Probe,
@@ -299,8 +368,11 @@
         upstream: UpstreamTag,
         now: MonoTime,
     ) -> Option<SuspectChange> {
+        if !self.policy.explains_exits && self.explained.contains(&upstream) {
+            return None;
+        }
         let mut record = self.record(fingerprint);
-        record.add_exit(upstream);
+        record.add_exit(upstream, &self.policy);
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.is_probing = false;
             entry.is_probe_unsent = false;
@@ -323,12 +395,13 @@
         fingerprint: RequestFingerprint,
         now: MonoTime,
     ) -> Option<SuspectChange> {
-        let exits_before = self.exit_count(&fingerprint);
+        let exits_before = self.record(fingerprint).exits.len();
         if exits_before == 0 {
             self.recent_successes.put(fingerprint, now);
             return None;
         }
-        let is_enough = |entry: &SuspectEntry| entry.is_probing || !entry.is_inconclusive();
+        let is_enough =
+            |entry: &SuspectEntry| entry.is_probing || !entry.is_inconclusive(&self.policy);
         if !self.entries.get(&fingerprint).is_some_and(is_enough) {
             return None;
         }
@@ -348,7 +421,7 @@
         fingerprint: RequestFingerprint,
         now: MonoTime,
     ) -> Option<SuspectChange> {
-        let exits_before = self.exit_count(&fingerprint);
+        let exits_before = self.record(fingerprint).exits.len();
         if exits_before == 0 {
             return None;
         }
@@ -368,10 +441,10 @@
         source: RecordSource,
         now: MonoTime,
     ) -> Result<Option<SuspectChange>, RecordError> {
-        record.check()?;
+        record.check(&self.policy)?;
         let fingerprint = record.fingerprint;
         let mut merged = self.record(fingerprint);
-        if !merged.merge(record) {
+        if !merged.merge(record, &self.policy) {
             let is_redundant = merged == *record;
             if is_redundant
                 && self.pending.get(&fingerprint).is_some_and(|pending| pending.is_shared)
@@ -460,12 +533,16 @@
 
     /// Returns the number of requests that are refused or probed by one VM at a time.
     pub fn quarantined_count(&self) -> usize {
-        self.entries.values().filter(|entry| entry.record.exits.len() >= PROBE_EXITS).count()
+        self.entries.values().filter(|entry| self.is_quarantined(&entry.record)).count()
     }
 
     /// Removes expired records.
     pub fn remove_expired(&mut self, now: MonoTime) {
-        self.entries.retain(|_, entry| !entry.is_expired(now));
+        let count = self.entries.len();
+        self.entries.retain(|_, entry| !entry.is_expired(&self.policy, now));
+        if self.entries.len() != count {
+            self.update_explained();
+        }
     }
 
     /// Returns the record of a request, an empty one if it is unknown.
@@ -493,13 +570,17 @@
         entry.changed_at = now;
         entry.is_probe_unsent = false;
         entry.is_global |= entry.record.exits.len() >= PROBE_EXITS;
-        let may_exonerate = entry.is_quarantined() && !entry.is_inconclusive();
+        let is_suspect = entry.record.exits.len() >= PROBE_EXITS;
+        let may_exonerate = is_suspect && !entry.is_inconclusive(&self.policy);
         if may_exonerate && self.has_recent_success(&fingerprint, now) {
             self.exonerate(fingerprint, now);
             self.pending
                 .insert(fingerprint, PendingUpdate { scope: UpdateScope::Global, is_shared: true });
         }
         let record = self.record(fingerprint);
+        if previous.exits.len().max(record.exits.len()) > PROBE_EXITS {
+            self.update_explained();
+        }
         Some(SuspectChange { record, exits_before: previous.exits.len() })
     }
 
@@ -515,6 +596,7 @@
             entry.changed_at = now;
             entry.is_probing = false;
             entry.is_probe_unsent = false;
+            self.update_explained();
         }
     }
 
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod opaque_stream_origins;
 mod opaque_support;
 mod opaque_suspect_orders;
+mod opaque_suspect_segments;
 mod opaque_suspects;
 mod opaque_upstream_ring;
 mod opaque_upstreams;
--- a/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_suspects.rs
@@ -7,7 +7,7 @@
 use foldhaven_core::opaque::peer_table::VmTag;
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_core::opaque::suspects::{
-    InFlightRequests, MAX_EXITS, RecordError, RecordSource, SuspectRecord, SuspectTable,
+    InFlightRequests, RecordError, RecordSource, SuspectPolicy, SuspectRecord, SuspectTable,
     SuspectVerdict, UpdateScope,
 };
 use foldhaven_core::time::MonoTime;
@@ -313,7 +313,7 @@
 }
 
 fn records() -> impl Strategy<Value = SuspectRecord> {
-    let exits = proptest::collection::btree_set(0_u32..8, 0..=MAX_EXITS);
+    let exits = proptest::collection::btree_set(0_u32..8, 0..=SuspectPolicy::REQUESTS.max_exits);
     (0_u32..3, exits, 0_u8..3, 0_u8..9).prop_map(|(exonerations, exits, probes, cleared_exits)| {
         SuspectRecord {
             exonerations,
@@ -333,12 +333,12 @@
         let merge_all = |records: &[SuspectRecord]| {
             let mut all = SuspectRecord::new(fingerprint_of("a"));
             for record in records {
-                all.merge(record);
+                all.merge(record, &SuspectPolicy::REQUESTS);
             }
             all
         };
         let first = merge_all(&received);
-        prop_assert!(first.check().is_ok());
+        prop_assert!(first.check(&SuspectPolicy::REQUESTS).is_ok());
         received.push(received[repeated % received.len()].clone());
         received.reverse();
         prop_assert_eq!(merge_all(&received), first);
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -12,13 +12,14 @@
 use bytes::Bytes;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::software::SoftwareTag;
+use foldhaven_core::opaque::suspects::SuspectKeys;
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
 use tokio::time::sleep;
 
 use crate::answer::Refusal;
-use crate::call::{OpenAnswer, read_complete};
+use crate::call::{AnswerEnd, OpenAnswer, read_complete};
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
@@ -101,6 +102,8 @@
 pub struct CompleteAnswer {
     pub head: Parts,
     pub body: Bytes,
+    /// What the end of the answer shows.
+    pub end: AnswerEnd,
 }
 
 impl CompleteAnswer {
@@ -132,6 +135,8 @@
 pub struct RequestDriver {
     pub shared: Arc<GatewayShared>,
     pub job: GatewayJob,
+    /// The fingerprints by which the request is suspected of crashing upstreams.
+    keys: SuspectKeys,
     tried: TriedDestinations,
     /// The number of attempts that may have reached an upstream or another VM.
     pub delivered_attempts: u32,
@@ -157,9 +162,11 @@
 
 impl RequestDriver {
     pub fn new(shared: Arc<GatewayShared>, job: GatewayJob) -> Self {
+        let keys = job.suspect_keys();
         Self {
             shared,
             job,
+            keys,
             tried: TriedDestinations::default(),
             delivered_attempts: 0,
             broken_connections: 0,
@@ -209,26 +216,27 @@
             destination,
             software: _,
             load_guard,
-            mut request_guard,
+            request_guard,
             expected,
             sent,
         } = opened;
+        let end = answer.end();
         let read = read_complete(answer, destination.pool(), self.job.deadline).await;
         drop(load_guard);
-        if read.is_ok() {
-            self.record_answered(request_guard.as_mut());
+        match &read {
+            Ok((head, _)) => self.record_answered(request_guard, end, head.status.is_success()),
+            Err(_) => drop(request_guard),
         }
-        drop(request_guard);
         let (head, body) = match read {
             Ok(complete) => complete,
             Err(fault) => {
                 self.record_fault(&destination, &fault);
-                let end = self.final_refusal(&fault);
-                return end.map_or(AttemptOutcome::Retry(None), AttemptOutcome::Refused);
+                let refusal = self.final_refusal(&fault);
+                return refusal.map_or(AttemptOutcome::Retry(None), AttemptOutcome::Refused);
             }
         };
         self.may_have_run = true;
-        let complete = CompleteAnswer { head, body };
+        let complete = CompleteAnswer { head, body, end };
         if complete.is_failure() {
             self.record_failed_answer(&destination, complete.head.status);
             return match self.may_repeat() {
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -178,9 +178,11 @@
         opened
     }
 
-    /// Records that an upstream has answered. A connection that ended is no answer.
+    /// Records that an upstream has answered. A connection that ended is no answer, nor is one of
+    /// another process at its address.
     fn record_received(&self, upstream: &Upstream, opened: &Result<OpenAnswer, CallFault>) {
-        if matches!(opened, Ok(_) | Err(CallFault::Declined { .. })) {
+        let is_misdirected = opened.as_ref().is_err_and(CallFault::is_misdirected);
+        if matches!(opened, Ok(_) | Err(CallFault::Declined { .. })) && !is_misdirected {
             upstream.record_received(self.shared.now());
         }
     }
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -7,9 +7,10 @@
 
 use super::RequestDriver;
 use crate::answer::Refusal;
-use crate::call::{CallFault, OpenAnswer};
+use crate::call::{AnswerEnd, CallFault, OpenAnswer};
 use crate::destinations::RequestDestination;
 use crate::upstream::UpstreamRequestGuard;
+use crate::upstream_exits::{EndedAnswer, confirm_answer};
 
 impl RequestDriver {
     /// Refuses a request that is quarantined.
@@ -17,7 +18,7 @@
         if self.is_probe {
             return Ok(());
         }
-        match self.shared.suspects.peek_verdict(&self.job.fingerprint, self.shared.now()) {
+        match self.shared.suspects.peek_request(&self.keys, self.shared.now()) {
             SuspectVerdict::Refused { wait } => Err(self.quarantine_refusal(wait)),
             SuspectVerdict::Allowed | SuspectVerdict::Probe => Ok(()),
         }
@@ -29,8 +30,7 @@
         if self.is_probe || matches!(destination, RequestDestination::Peer(_)) {
             return Ok(());
         }
-        let verdict =
-            self.shared.suspects.decide(&self.job.fingerprint, &self.shared.change_context());
+        let verdict = self.shared.suspects.decide(&self.keys, &self.shared.change_context());
         match verdict {
             SuspectVerdict::Allowed => {}
             SuspectVerdict::Probe => self.is_probe = true,
@@ -40,7 +40,9 @@
     }
 
     fn quarantine_refusal(&self, wait: Duration) -> Refusal {
-        self.shared.suspects.remember_route(self.job.fingerprint, &self.job.route.name);
+        for suspect in self.shared.suspects.refused_suspects(&self.keys) {
+            self.shared.suspects.remember_route(suspect, &self.job.route.name);
+        }
         Refusal::Quarantined { wait }
     }
 
@@ -57,15 +59,15 @@
         tokio::select! {
         biased;
         answered = answered => answered,
-        () = self.shared.suspects.wait_until_refused(&self.job.fingerprint) => Err(CallFault::Withdrawn),
+        () = self.shared.suspects.wait_until_refused(&self.keys) => Err(CallFault::Withdrawn),
         }
     }
 
     /// Whether another attempt would probably crash another upstream: connections broke during the
-    /// request twice, at this VM or as reported by other VMs, or the request is a probe.
+    /// request twice, it or a segment of its prompt was at upstreams that exited, or it is a probe.
     pub(super) fn is_likely_poison(&self) -> bool {
-        let reported_exits = self.shared.suspects.exit_count(&self.job.fingerprint);
-        self.is_probe || reported_exits.max(self.broken_connections as usize) >= PROBE_EXITS
+        let has_broken_twice = self.broken_connections as usize >= PROBE_EXITS;
+        self.is_probe || has_broken_twice || self.shared.suspects.is_likely_poison(&self.keys)
     }
 
     /// Counts an attempt whose connection broke after the answer had started.
@@ -79,16 +81,35 @@
         destination: &RequestDestination,
     ) -> Option<UpstreamRequestGuard> {
         let RequestDestination::Upstream(upstream) = destination else { return None };
-        Some(Arc::clone(upstream).register_request(self.job.suspect_keys(), self.shared.clock))
+        Some(Arc::clone(upstream).register_request(self.keys.clone(), self.shared.clock))
     }
 
-    /// Records that the request was answered completely, so it did not crash its upstream.
-    pub fn record_answered(&mut self, request_guard: Option<&mut UpstreamRequestGuard>) {
-        if let Some(request_guard) = request_guard {
-            request_guard.mark_harmless();
+    /// Records that an answer of a destination has ended. If that shows that it is complete, the
+    /// request did not crash its upstream. Otherwise, this is shown by the upstream, if it still
+    /// runs. `is_written` tells whether the answer was written on its prompt, and is not the report
+    /// of a failure.
+    pub fn record_answered(
+        &mut self,
+        request_guard: Option<UpstreamRequestGuard>,
+        end: AnswerEnd,
+        is_written: bool,
+    ) {
+        match (end, request_guard) {
+            (AnswerEnd::Framed, request_guard) => {
+                if let Some(mut request_guard) = request_guard {
+                    request_guard.mark_harmless();
+                }
+                self.is_probe = false;
+                let context = self.shared.change_context();
+                self.shared.suspects.record_success(&self.keys, is_written, &context);
+            }
+            (AnswerEnd::Connection, Some(request_guard)) => {
+                let answered = EndedAnswer { keys: self.keys.clone(), request_guard, is_written };
+                confirm_answer(&self.shared, answered);
+            }
+            // The VM that sent the request to the upstream finds out.
+            (AnswerEnd::Connection, None) => {}
         }
-        self.is_probe = false;
-        self.shared.suspects.record_success(self.job.fingerprint, &self.shared.change_context());
     }
 }
 
@@ -96,7 +117,7 @@
     fn drop(&mut self) {
         if self.is_probe {
             let was_sent = self.is_probe_sent;
-            self.shared.suspects.finish_probe(&self.job.fingerprint, was_sent, self.shared.now());
+            self.shared.suspects.finish_probe(&self.keys, was_sent, self.shared.now());
         }
     }
 }
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use foldhaven_core::headers;
 use foldhaven_wire::error_text::error_text;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -87,6 +88,28 @@
     pub listener: &'a dyn CallListener,
 }
 
+/// What the end of an answer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// It has the length that its head announces, or a last chunk: it is complete.
+    Framed,
+    /// It ends with its connection, which an upstream that crashes closes as well.
+    Connection,
+}
+
+impl AnswerEnd {
+    /// Returns what the end of an answer with this head shows. Another VM passes on an answer of
+    /// the second kind with a framing of its own, and says so.
+    fn of(head: &Parts) -> Self {
+        let is_framed =
+            [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
+        match is_framed && !head.headers.contains_key(headers::UNFRAMED) {
+            true => Self::Framed,
+            false => Self::Connection,
+        }
+    }
+}
+
 /// An answer whose head was received and checked, with its unread body.
 pub struct OpenAnswer {
     pub head: Parts,
@@ -96,6 +119,11 @@
 }
 
 impl OpenAnswer {
+    /// Returns what the end of the answer shows.
+    pub fn end(&self) -> AnswerEnd {
+        AnswerEnd::of(&self.head)
+    }
+
     /// Splits the answer into head, body, and the lease that returns its connection to the pool.
     pub fn into_parts(self) -> (Parts, Incoming, ConnectionLease) {
         let lease = ConnectionLease { connection: self.connection, keep_for: self.keep_for };
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use foldhaven_core::headers::{SOFTWARE, UNREACHED};
+use foldhaven_core::headers::{SOFTWARE, UNFRAMED, UNREACHED};
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -12,6 +12,7 @@
 
 use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
 use crate::attempts::{AnswerStart, CompleteAnswer, RequestDriver};
+use crate::call::AnswerEnd;
 use crate::clock::BootInstant;
 use crate::credential::{JobAccount, KeyFault, find_account, take_credential};
 use crate::events::EventRelay;
@@ -201,15 +202,24 @@
     {
         answer.headers_mut().insert(SOFTWARE, text_value(&software.to_string()));
     }
+    mark_unframed(&mut answer, &recorder.get().job, opened.answer.end());
     *answer.body_mut() =
         AnswerBody::Events(Box::new(EventRelay::new(recorder.release(), *opened, in_flight)));
     answer
 }
 
+/// Marks the answer to a forwarded request if its end does not show that it is complete.
+fn mark_unframed(answer: &mut Answer, job: &GatewayJob, end: AnswerEnd) {
+    if job.is_forwarded && end == AnswerEnd::Connection {
+        answer.headers_mut().insert(UNFRAMED, HeaderValue::from_static("1"));
+    }
+}
+
 fn answer_with(status: StatusCode, mut headers: HeaderMap) -> Answer {
     remove_connection_headers(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
     headers.remove(SOFTWARE);
+    headers.remove(UNFRAMED);
     let mut answer = Response::new(AnswerBody::Complete(None));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
@@ -233,7 +243,7 @@
     fn end_answered(&mut self, complete: CompleteAnswer) -> Answer {
         let mut driver = self.release();
         let is_failure = complete.is_failure();
-        let CompleteAnswer { head, body } = complete;
+        let CompleteAnswer { head, body, end: answer_end } = complete;
         // These statuses guarantee that the request did not run, which only the gateway or a
         // declining upstream can know.
         let claims_not_run = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
@@ -250,6 +260,7 @@
         driver.record_end(end);
         let mut answer = answer_with(head.status, head.headers);
         *answer.body_mut() = AnswerBody::from_bytes(body);
+        mark_unframed(&mut answer, &driver.job, answer_end);
         answer
     }
 
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -33,6 +33,8 @@
 use crate::peer_socket::PeerSocket;
 use crate::platform_state::EarlyChanges;
 use crate::shared::GatewayShared;
+use crate::suspect_sender::suspect_message;
+use crate::suspects::SuspectKind;
 
 /// Maximum number of prompt segments in one datagram. A segment is a hash and a token count of at
 /// most 14 bytes together, so that half of the datagram is left for other content.
@@ -195,7 +197,11 @@
         }
         let message = match message {
             PeerMessage::Suspects(suspects) => {
-                apply_suspects(&shared, &suspects);
+                apply_suspects(&shared, SuspectKind::Requests, &suspects);
+                continue;
+            }
+            PeerMessage::SuspectSegments(suspects) => {
+                apply_suspects(&shared, SuspectKind::Segments, &suspects);
                 continue;
             }
             PeerMessage::Origins(notices) => {
@@ -267,6 +273,7 @@
         PeerMessage::Leavers(leavers) => control.send(ReceiveLeavingNotices { leavers }).await?,
         PeerMessage::Paths(message) => control.send(ReceivePathNotices { message }).await?,
         PeerMessage::Suspects(_)
+        | PeerMessage::SuspectSegments(_)
         | PeerMessage::Origins(_)
         | PeerMessage::OriginQuestions(_)
         | PeerMessage::OriginAnswers(_) => {}
@@ -292,18 +299,22 @@
     shared: &GatewayShared,
     target: SocketAddr,
 ) {
-    let records = shared.suspects.startup_records();
-    let suspects = SuspectMessage { region: shared.settings.region().clone(), records };
-    socket.send_to(&[target], &PeerMessage::Suspects(suspects)).await;
+    // The segments come first, since that VM waits for the requests only.
+    for kind in [SuspectKind::Segments, SuspectKind::Requests] {
+        let records = shared.suspects.startup_records(kind);
+        let region = shared.settings.region().clone();
+        let message = suspect_message(kind, SuspectMessage { region, records });
+        socket.send_to(&[target], &message).await;
+    }
 }
 
 /// Applies the suspected requests that another VM sent.
-fn apply_suspects(shared: &GatewayShared, suspects: &SuspectMessage) {
+fn apply_suspects(shared: &GatewayShared, kind: SuspectKind, suspects: &SuspectMessage) {
     let source = match suspects.region == *shared.settings.region() {
         true => RecordSource::Local,
         false => RecordSource::Remote,
     };
-    shared.suspects.merge_records(&suspects.records, source, &shared.change_context());
+    shared.suspects.merge_records(kind, &suspects.records, source, &shared.change_context());
 }
 
 /// Sends heartbeats in rounds, and immediately when this daemon starts to leave or finds that it
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::Refusal;
 use crate::attempts::{DestinationAnswer, FirstResponseEstimate, RequestDriver};
-use crate::call::ConnectionLease;
+use crate::call::{AnswerEnd, ConnectionLease};
 use crate::clock::{BootInstant, BootSleep};
 use crate::destinations::RequestDestination;
 use crate::metrics::RequestEnd;
@@ -60,6 +60,8 @@
     destination: RequestDestination,
     /// The software of the upstream.
     software: SoftwareTag,
+    /// What the end of the answer shows.
+    end: AnswerEnd,
     load_guard: LoadGuard,
     request_guard: Option<UpstreamRequestGuard>,
     expected: FirstResponseEstimate,
@@ -84,8 +86,10 @@
             expected,
             sent,
         } = opened;
+        let end = answer.end();
         let (_, body, lease) = answer.into_parts();
         Box::new(Self {
+            end,
             body,
             lease,
             destination,
@@ -102,6 +106,13 @@
     }
 }
 
+impl ReadingState {
+    /// Whether the answer has no event and nothing shows that it is complete.
+    fn is_empty_without_framing(&self) -> bool {
+        self.end == AnswerEnd::Connection && !self.has_received_event
+    }
+}
+
 /// The result of polling the upstream.
 enum RelayStep {
     /// Complete events.
@@ -248,8 +259,11 @@
         };
         let frame = ready!(Pin::new(&mut reading.body).poll_frame(context));
         Poll::Ready(match frame {
-            None if self.blocks.is_at_boundary() => RelayStep::End,
-            None => RelayStep::Broken("it ended within an event"),
+            None if !self.blocks.is_at_boundary() => RelayStep::Broken("it ended within an event"),
+            None if reading.is_empty_without_framing() => {
+                RelayStep::Broken("it ended before its first event")
+            }
+            None => RelayStep::End,
             Some(Err(_)) => RelayStep::Broken("its connection broke"),
             Some(Ok(frame)) => match frame.into_data() {
                 Err(_) => RelayStep::NoEvent,
@@ -486,7 +500,7 @@
             std::mem::replace(&mut self.state, RelayState::Ended)
         {
             if let Some(driver) = &mut self.driver {
-                driver.record_answered(reading.request_guard.as_mut());
+                driver.record_answered(reading.request_guard.take(), reading.end, true);
                 driver.record_event_numbering(&self.checker);
                 driver.record_success(&reading.destination, reading.sent);
                 if let (Some((first_event, before)), (load, samples)) =
--- a/crates/foldhaven-gateway/src/operator_front/suspects.rs
+++ b/crates/foldhaven-gateway/src/operator_front/suspects.rs
@@ -6,17 +6,25 @@
 
 use super::OperatorHandler;
 use crate::answer::Refusal;
+use crate::suspects::SuspectKind;
 
 /// The text before the fingerprint in the query.
 const FINGERPRINT_PREFIX: &str = "print=";
 
 impl OperatorHandler {
-    /// Returns the suspected requests, those with the most exits first.
+    /// Returns the suspected requests and segments of prompts, those with the most exits first.
     pub(super) fn suspects(&self) -> SuspectsAnswer {
+        let mut rows: Vec<SuspectRow> =
+            SuspectKind::ALL.into_iter().flat_map(|kind| self.suspect_rows(kind)).collect();
+        rows.sort_by_key(|row| std::cmp::Reverse(row.upstreams.len()));
+        SuspectsAnswer { vm: self.shared.settings.vm.clone(), rows }
+    }
+
+    fn suspect_rows(&self, kind: SuspectKind) -> Vec<SuspectRow> {
         let now = self.shared.now();
         let suspects = &self.shared.suspects;
-        let rows = suspects.records_with_age(now).into_iter().map(|(record, age)| {
-            let (state, probe_wait) = match suspects.peek_verdict(&record.fingerprint, now) {
+        let rows = suspects.records_with_age(kind, now).into_iter().map(|(record, age)| {
+            let (state, probe_wait) = match suspects.peek_verdict(kind, &record.fingerprint, now) {
                 SuspectVerdict::Allowed => ("noted", None),
                 SuspectVerdict::Probe => ("on trial", None),
                 SuspectVerdict::Refused { wait } => ("refused", Some(wait)),
@@ -32,10 +40,10 @@
                 probe_after_ms: probe_wait.map(|wait| wait.as_millis() as u64),
             }
         });
-        SuspectsAnswer { vm: self.shared.settings.vm.clone(), rows: rows.collect() }
+        rows.collect()
     }
 
-    /// Clears a request, as a complete answer to it would. This VM also sends the change to the
+    /// Clears a request or segment, as a complete answer to it would. This VM also sends the change to the
     /// other VMs.
     pub(super) fn clear_suspect(&self, query: Option<&str>) -> Result<ClearAnswer, Refusal> {
         let fingerprint = query.and_then(|query| query.strip_prefix(FINGERPRINT_PREFIX));
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -28,7 +28,7 @@
 /// Maximum size of a datagram in bytes.
 pub const MAX_DATAGRAM: usize = 16 << 10;
 
-/// The suspected requests that one VM sends to another.
+/// The suspects of one kind that one VM sends to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SuspectMessage {
     /// The region of the sender.
@@ -87,6 +87,8 @@
     OriginQuestions(Vec<AttemptTag>),
     /// The answers to such questions.
     OriginAnswers(Vec<OriginAnswer>),
+    /// Suspected segments of prompts.
+    SuspectSegments(SuspectMessage),
 }
 
 impl PeerMessage {
@@ -103,7 +105,7 @@
             Self::Placements(_) => "sent_bytes_placements",
             Self::Changes(_) | Self::Early(_) => Self::CHANGES_METRIC,
             Self::Region(_) => "sent_bytes_region",
-            Self::Suspects(_) => "sent_bytes_suspects",
+            Self::Suspects(_) | Self::SuspectSegments(_) => "sent_bytes_suspects",
             Self::View(_) => "sent_bytes_view",
             Self::ViewList(_) => "sent_bytes_view_list",
             Self::Pact(_) => "sent_bytes_senders",
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -287,6 +287,11 @@
         !self.is_exit_check_running.swap(true, Ordering::Relaxed)
     }
 
+    /// Whether a check for the exit of the upstream is running.
+    pub fn is_exit_check_running(&self) -> bool {
+        self.is_exit_check_running.load(Ordering::Relaxed)
+    }
+
     /// Marks the check for the exit of the upstream as finished.
     pub fn end_exit_check(&self) {
         self.is_exit_check_running.store(false, Ordering::Relaxed);
@@ -359,6 +364,16 @@
 }
 
 impl UpstreamRequestGuard {
+    /// Returns the upstream.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+
+    /// Whether the request is still registered: the upstream was not found to have exited.
+    pub fn is_registered(&self) -> bool {
+        self.upstream.in_flight_requests.lock().contains(self.id)
+    }
+
     /// Records that the request did not crash the upstream: it was answered completely, declined or
     /// never sent.
     pub fn mark_harmless(&mut self) {
--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -14,11 +14,13 @@
 
 use crate::connection::{Connection, LOCAL_CONNECT_TIMEOUT};
 use crate::shared::GatewayShared;
-use crate::upstream::Upstream;
+use crate::upstream::{Upstream, UpstreamRequestGuard};
 
 /// Delay between checks. An upstream that exits may close its connections shortly before its
 /// listening port, so a new connection is checked again after this time.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time for which data that an upstream sent before its exit may still be read.
+const LATE_DATA_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of checks of an upstream that refuses new connections but still sends data on old
 /// ones.
 const MAX_CHECKS: u32 = 5;
@@ -43,6 +45,38 @@
     });
 }
 
+/// A request whose answer has ended with its connection.
+pub struct EndedAnswer {
+    pub keys: SuspectKeys,
+    pub request_guard: UpstreamRequestGuard,
+    /// Whether the answer was written on the prompt of the request.
+    pub is_written: bool,
+}
+
+/// Records the success of a request whose answer ended with its connection, unless its upstream has
+/// exited. In that case, the request is one of those that may have caused the exit.
+pub fn confirm_answer(shared: &Arc<GatewayShared>, answer: EndedAnswer) {
+    let shared = shared.clone();
+    let ended_at = shared.now();
+    tokio::spawn(async move {
+        let EndedAnswer { keys, mut request_guard, is_written } = answer;
+        let upstream = request_guard.upstream().clone();
+        sleep(RECHECK_DELAY).await;
+        let is_silent = || upstream.is_unresponsive_since(ended_at + LATE_DATA_TIME);
+        if is_silent() {
+            start_exit_check(&shared, &upstream);
+        }
+        while upstream.is_exit_check_running() {
+            sleep(RECHECK_DELAY).await;
+        }
+        // A new connection may lead to a process that was started after an exit.
+        if !is_silent() && request_guard.is_registered() {
+            request_guard.mark_harmless();
+            shared.suspects.record_success(&keys, is_written, &shared.change_context());
+        }
+    });
+}
+
 /// Whether the process has exited: it refuses new connections and no more data arrives on old ones.
 /// An unreachable upstream may be alive behind a network partition, and a live one may reset
 /// connections beyond its limit.
@@ -125,9 +159,7 @@
         "an upstream exited during requests"
         );
     }
-    for keys in affected {
-        shared.suspects.record_exit(keys.request, upstream.tag, &shared.change_context());
-    }
+    shared.suspects.record_exit(&affected, upstream.tag, &shared.change_context());
 }
 
 /// Returns the segments that occur in the most requests, each with the number of these, for the
