--- a/crates/foldhaven-core/src/opaque/path_monitor.rs
+++ b/crates/foldhaven-core/src/opaque/path_monitor.rs
@@ -3,7 +3,8 @@
 //! Whether an upstream can be reached is a property of the pair of VM and upstream. A VM that fails
 //! to connect to several upstreams in a row, of whatever services, has probably lost its own paths,
 //! while other VMs still reach these upstreams. If it connects to others, the upstreams are at
-//! fault, and no other VM would reach them either.
+//! fault, and no other VM would reach them either. So they are if it still receives data from some
+//! on connections that it has: in a peak, upstreams refuse connections beyond their limit.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,6 +18,11 @@
 /// Failures count as being in a row if no more time than this passes between them.
 const FAILURE_RETENTION: Duration = Duration::from_secs(5);
 
+/// Time after the last data from any upstream from which on the paths may be lost.
+const HEARD_TIME: Duration = Duration::from_millis(500);
+/// Time for which paths that came back are not lost again. Notices of every change go to all VMs.
+const MIN_REGAINED_TIME: Duration = Duration::from_secs(1);
+
 /// A change of the paths to the upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
@@ -32,6 +38,10 @@
     /// The upstreams to which connections failed since the last one was opened.
     unreached: BTreeSet<UpstreamTag>,
     last_failure: MonoTime,
+    /// When data was last received from any of them. `None` if it never was.
+    last_received: Option<MonoTime>,
+    /// When the paths came back. `None` if they were never lost.
+    regained_at: Option<MonoTime>,
     is_lost: bool,
 }
 
@@ -51,17 +61,35 @@
         if self.unreached.len() < MAX_UNREACHED {
             self.unreached.insert(upstream);
         }
-        if self.is_lost || self.unreached.len() < listed.clamp(1, MAX_UNREACHED) {
+        let is_settling = self.regained_at.is_some_and(|at| now.since(at) < MIN_REGAINED_TIME);
+        let is_suspected = self.unreached.len() >= listed.clamp(1, MAX_UNREACHED);
+        let is_heard = self.last_received.is_some_and(|at| now.since(at) < HEARD_TIME);
+        if self.is_lost || is_settling || is_heard || !is_suspected {
             return None;
         }
         self.is_lost = true;
         Some(PathChange::Lost)
     }
 
-    /// Records that a connection to an upstream was opened, or that no upstream is listed any more.
-    pub fn record_opened(&mut self) -> Option<PathChange> {
+    /// Records that data was received from an upstream.
+    pub fn record_received(&mut self, now: MonoTime) {
+        self.last_received = Some(now);
+    }
+
+    /// Records that a connection to an upstream was opened. It may be closed at once, so it does not
+    /// show that lost paths are back.
+    pub fn record_connected(&mut self) {
+        self.unreached.clear();
+    }
+
+    /// Records that a connection to an upstream was opened and lasts, or that no upstream is listed
+    /// any more.
+    pub fn record_opened(&mut self, now: MonoTime) -> Option<PathChange> {
         self.unreached.clear();
         let was_lost = std::mem::replace(&mut self.is_lost, false);
+        if was_lost {
+            self.regained_at = Some(now);
+        }
         was_lost.then_some(PathChange::Regained)
     }
 
--- a/crates/foldhaven-core/src/opaque/suspects/mod.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/mod.rs
@@ -12,6 +12,7 @@
 //! exit, but so are those that all requests share: a refused segment explains its exits, which then
 //! count against no other suspect.
 
+mod entry;
 mod in_flight;
 mod keys;
 mod policy;
--- a/crates/foldhaven-core/tests/testsuite/opaque_paths.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_paths.rs
@@ -48,8 +48,8 @@
     assert_eq!(change, Some(PathChange::Lost));
     assert_eq!(monitor.record_failure(UpstreamTag(99), listed, at(1)), None, "said once");
     assert!(monitor.is_lost());
-    assert_eq!(monitor.record_opened(), Some(PathChange::Regained));
-    assert_eq!(monitor.record_opened(), None);
+    assert_eq!(monitor.record_opened(at(2)), Some(PathChange::Regained));
+    assert_eq!(monitor.record_opened(at(2)), None);
 }
 
 /// Guards against failures that add up although connections were opened between them, or although
@@ -59,7 +59,7 @@
     let mut monitor = PathMonitor::default();
     for tag in 1..50 {
         assert_eq!(monitor.record_failure(UpstreamTag(tag), 2, at(0)), None);
-        assert_eq!(monitor.record_opened(), None);
+        assert_eq!(monitor.record_opened(at(2)), None);
     }
     for tag in 1..50 {
         let moment = at(u64::from(tag) * 6_000);
@@ -133,3 +133,48 @@
         .sum();
     assert_eq!(unknown, 0, "of {} times {}", tables.len(), lost.len());
 }
+
+/// Guards against paths that count as lost in a peak, when upstreams refuse connections beyond
+/// their limit, or all those of a data centre restart, while requests are answered on open ones.
+#[test]
+fn paths_on_which_data_arrives_are_not_lost() {
+    let mut monitor = PathMonitor::default();
+    for step in 0..400_u64 {
+        let moment = at(step * 5);
+        if step % 4 == 0 {
+            monitor.record_received(moment);
+        }
+        let upstream = UpstreamTag(step as u32 % 8);
+        assert_eq!(monitor.record_failure(upstream, 8, moment + Duration::from_millis(1)), None);
+    }
+    assert!(!monitor.is_lost());
+}
+
+/// Guards against data that was received before the paths were lost and hides the loss.
+#[test]
+fn paths_are_lost_once_data_no_longer_arrives() {
+    let mut monitor = PathMonitor::default();
+    monitor.record_received(at(100));
+    let fails_at = |ms: u64, tag: u32, monitor: &mut PathMonitor| {
+        monitor.record_failure(UpstreamTag(tag), 8, at(ms))
+    };
+    assert!((0..4).all(|tag| fails_at(101, tag, &mut monitor).is_none()));
+    assert_eq!(fails_at(700, 4, &mut monitor), Some(PathChange::Lost));
+}
+
+/// Guards against notices that change many times in a second, while some connections are opened
+/// and others fail.
+#[test]
+fn a_change_of_the_paths_is_not_soon_reversed() {
+    let mut monitor = PathMonitor::default();
+    let mut changes = 0;
+    for step in 0..2_000_u64 {
+        let moment = at(step * 5);
+        let change = match step % 6 {
+            5 => monitor.record_opened(moment),
+            tag => monitor.record_failure(UpstreamTag(tag as u32), 8, moment),
+        };
+        changes += usize::from(change.is_some());
+    }
+    assert!(changes <= 2 * 10, "{changes} changes in 10 s");
+}
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -183,7 +183,9 @@
     fn record_received(&self, upstream: &Upstream, opened: &Result<OpenAnswer, CallFault>) {
         let is_misdirected = opened.as_ref().is_err_and(CallFault::is_misdirected);
         if matches!(opened, Ok(_) | Err(CallFault::Declined { .. })) && !is_misdirected {
-            upstream.record_received(self.shared.now());
+            let now = self.shared.now();
+            upstream.record_received(now);
+            self.shared.paths.record_received(now);
         }
     }
 }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -347,7 +347,9 @@
     /// Records that data was received from the upstream.
     fn record_received(&self) {
         if let Some((driver, upstream)) = self.reading_from() {
-            upstream.record_received(driver.shared.now());
+            let now = driver.shared.now();
+            upstream.record_received(now);
+            driver.shared.paths.record_received(now);
         }
     }
 
--- a/crates/foldhaven-gateway/src/path_tracker.rs
+++ b/crates/foldhaven-gateway/src/path_tracker.rs
@@ -1,6 +1,6 @@
 //! Tracks which VMs have lost their paths to the upstreams of their regions, shared by both threads. Each change is counted, and logged as far as the log quota permits.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::lost_paths::{LostPathNotice, LostPathTable};
@@ -19,6 +19,8 @@
     own: VmTag,
     /// The paths of this VM.
     monitor: Mutex<PathMonitor>,
+    /// When data was last received from any upstream.
+    last_received: AtomicU64,
     /// Whether they are lost, so that usually no request waits for a lock.
     is_lost: AtomicBool,
     /// The notices of all VMs.
@@ -34,6 +36,7 @@
         Self {
             own,
             monitor: Mutex::default(),
+            last_received: AtomicU64::new(0),
             is_lost: AtomicBool::new(false),
             lost: Mutex::default(),
             has_notices: AtomicBool::new(false),
@@ -45,15 +48,32 @@
     pub fn record_failure(&self, shared: &GatewayShared, upstream: &Upstream) {
         let listed = own_groups(shared, |groups| groups.map(|(_, group)| group.len()).sum());
         let now = shared.now();
-        let change = self.monitor.lock().record_failure(upstream.tag, listed, now);
+        let received = MonoTime(self.last_received.load(Ordering::Relaxed));
+        let mut monitor = self.monitor.lock();
+        if received > MonoTime::default() {
+            monitor.record_received(received);
+        }
+        let change = monitor.record_failure(upstream.tag, listed, now);
+        drop(monitor);
         if let Some(change) = change {
             self.update_own(shared, change);
         }
     }
 
-    /// Records that a connection to an upstream was opened, or that no upstream is listed any more.
+    /// Records that data was received from an upstream.
+    pub fn record_received(&self, now: MonoTime) {
+        self.last_received.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Records that a connection to an upstream was opened.
+    pub fn record_connected(&self) {
+        self.monitor.lock().record_connected();
+    }
+
+    /// Records that a connection to an upstream was opened and lasts, or that no upstream is listed
+    /// any more.
     pub fn record_opened(&self, shared: &GatewayShared) {
-        let change = self.monitor.lock().record_opened();
+        let change = self.monitor.lock().record_opened(shared.now());
         if let Some(change) = change {
             forget_failures(shared);
             self.update_own(shared, change);
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -137,7 +137,7 @@
 
 impl CallListener for UpstreamListener {
     fn on_connected(&self) {
-        self.shared.paths.record_opened(&self.shared);
+        self.shared.paths.record_connected();
     }
 
     fn on_head(&self, head: &Parts) {
