--- a/crates/foldhaven-core/src/opaque/suspects/policy.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/policy.rs
@@ -35,6 +35,8 @@
     /// Whether answers alone no longer exonerate it after many exits, since it seems to crash some
     /// upstreams and not others.
     pub can_be_inconclusive: bool,
+    /// Whether an answer shows that it is not the cause of later exits either, until it is refused.
+    pub trusts_answers: bool,
     /// Whether the exits that one refused suspect explains do not count against others.
     pub explains_exits: bool,
 }
@@ -50,6 +52,7 @@
         first_refusal_delay: Duration::from_secs(10),
         backoff_factor: 3,
         can_be_inconclusive: true,
+        trusts_answers: false,
         explains_exits: false,
     };
 
@@ -63,6 +66,7 @@
         first_refusal_delay: Duration::from_secs(15),
         backoff_factor: 10,
         can_be_inconclusive: false,
+        trusts_answers: true,
         explains_exits: true,
     };
 
--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -158,12 +158,12 @@
         })
     }
 
-    /// Returns whether a request with this fingerprint would probably crash another upstream: it
-    /// was at several that exited and, if it is a segment, was never answered since then.
+    /// Returns whether a request with this suspect would probably crash another upstream: the
+    /// suspect was at several that exited, and no answer speaks for it.
     pub fn is_likely_cause(&self, fingerprint: &RequestFingerprint) -> bool {
         self.entries.get(fingerprint).is_some_and(|entry| {
-            let may_be = entry.record.exonerations == 0 || !self.policy.explains_exits;
-            may_be && self.counted_exits(&entry.record) >= PROBE_EXITS
+            let is_trusted = self.policy.trusts_answers && entry.record.exonerations > 0;
+            !is_trusted && self.counted_exits(&entry.record) >= PROBE_EXITS
         })
     }
 
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -1,6 +1,8 @@
 //! Relays the events of a stream as they arrive, complete events only, and resumes the stream at
 //! another upstream if the route permits that.
 
+mod reading;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -17,16 +19,15 @@
 use foldhaven_wire::sse::{SseEventBuffer, event_ids};
 use http::StatusCode;
 use http_body::{Body, Frame};
-use hyper::body::Incoming;
 
+use self::reading::ReadingState;
 use crate::answer::Refusal;
-use crate::attempts::{DestinationAnswer, FirstResponseEstimate, RequestDriver};
-use crate::call::{AnswerEnd, ConnectionLease};
+use crate::attempts::{DestinationAnswer, RequestDriver};
 use crate::clock::{BootInstant, BootSleep};
 use crate::destinations::RequestDestination;
 use crate::metrics::RequestEnd;
 use crate::shared::InFlightGuard;
-use crate::upstream::{LoadGuard, Upstream, UpstreamRequestGuard};
+use crate::upstream::Upstream;
 
 /// A resumable stream is resumed at another upstream when no data has arrived for this many times
 /// the target event gap of its route.
@@ -54,63 +55,11 @@
     Ended,
 }
 
-struct ReadingState {
-    body: Incoming,
-    lease: ConnectionLease,
-    destination: RequestDestination,
-    /// The software of the upstream.
-    software: SoftwareTag,
-    /// What the end of the answer shows.
-    end: AnswerEnd,
-    load_guard: LoadGuard,
-    request_guard: Option<UpstreamRequestGuard>,
-    expected: FirstResponseEstimate,
-    sent: BootInstant,
-    has_received_event: bool,
-    /// When the first event of this upstream arrived, and how many events the stream had by then.
-    first_event: Option<(BootInstant, u32)>,
-    /// The sum of the requests at the upstream over all samples, and the number of samples.
-    load_samples: (u64, u32),
-    /// The prefill backlog of the upstream at its last event, in prompt tokens.
-    backlog_before: u32,
-}
-
-impl ReadingState {
-    fn of(opened: DestinationAnswer) -> Box<Self> {
-        let DestinationAnswer {
-            answer,
-            destination,
-            software,
-            load_guard,
-            request_guard,
-            expected,
-            sent,
-        } = opened;
-        let end = answer.end();
-        let (_, body, lease) = answer.into_parts();
-        Box::new(Self {
-            end,
-            body,
-            lease,
-            destination,
-            software: software.unwrap_or(SoftwareTag::UNKNOWN),
-            load_guard,
-            request_guard,
-            expected,
-            sent,
-            has_received_event: false,
-            first_event: None,
-            load_samples: (0, 0),
-            backlog_before: 0,
-        })
-    }
-}
-
-impl ReadingState {
-    /// Whether the answer has no event and nothing shows that it is complete.
-    fn is_empty_without_framing(&self) -> bool {
-        self.end == AnswerEnd::Connection && !self.has_received_event
-    }
+/// The destination at which a stream broke, for the log.
+struct BrokenPlace {
+    place: String,
+    /// The software version of the upstream.
+    software: String,
 }
 
 /// The result of polling the upstream.
@@ -142,9 +91,8 @@
     deadline: BootInstant,
     /// Whether the caller was sent an event.
     has_sent_event: bool,
-    /// The destination at which the stream broke, and its software version, for the log.
-    broken_at: Option<String>,
-    broken_software: Option<String>,
+    /// Where the stream broke last, for the log.
+    broken_place: Option<BrokenPlace>,
     /// The number of upstreams that have answered before the first event.
     upstream_number: u8,
     _in_flight: InFlightGuard,
@@ -178,8 +126,7 @@
             stall_timeout,
             deadline,
             has_sent_event: false,
-            broken_at: None,
-            broken_software: None,
+            broken_place: None,
             upstream_number: 0,
             _in_flight: in_flight,
         };
@@ -327,13 +274,14 @@
     /// Logs that the stream goes on at another destination, or at the same one again.
     fn log_resumed(&self, destination: &RequestDestination) {
         let Some(driver) = &self.driver else { return };
+        let broken = self.broken_place.as_ref();
         driver.shared.metrics.count_event("stream_resumed");
         if driver.shared.quota.take(false) {
             tracing::info!(
                 request = driver.job.id(),
                 service = %driver.job.service,
-                from = self.broken_at.as_deref().unwrap_or("-"),
-                from_software = self.broken_software.as_deref().unwrap_or("-"),
+                from = broken.map_or("-", |it| it.place.as_str()),
+                from_software = broken.map_or("-", |it| it.software.as_str()),
                 place = destination.name(),
                 software = destination.software_label(),
                 after = self.blocks.last_id().unwrap_or("-"),
@@ -478,8 +426,9 @@
     /// earlier upstream is closed first, so that it stops working on the request.
     fn resume(&mut self, cause: &'static str) -> bool {
         let Some(mut driver) = self.driver.take() else { return false };
-        self.broken_at = driver.last_destination.clone();
-        self.broken_software = driver.last_software.clone();
+        let (place, software) = (driver.last_destination.clone(), driver.last_software.clone());
+        self.broken_place =
+            place.zip(software).map(|(place, software)| BrokenPlace { place, software });
         driver.may_have_run = true;
         driver.last_fault = Some(cause.to_owned());
         if !driver.may_repeat() {
--- /dev/null
+++ b/crates/foldhaven-gateway/src/events/reading.rs
@@ -0,0 +1,68 @@
+//! The answer of one upstream, or of another VM, while its events are read.
+
+use foldhaven_core::opaque::software::SoftwareTag;
+use hyper::body::Incoming;
+
+use crate::attempts::{DestinationAnswer, FirstResponseEstimate};
+use crate::call::{AnswerEnd, ConnectionLease};
+use crate::clock::BootInstant;
+use crate::destinations::RequestDestination;
+use crate::upstream::{LoadGuard, UpstreamRequestGuard};
+
+/// An answer whose events are being read.
+pub(super) struct ReadingState {
+    pub(super) body: Incoming,
+    pub(super) lease: ConnectionLease,
+    pub(super) destination: RequestDestination,
+    /// The software of the upstream.
+    pub(super) software: SoftwareTag,
+    /// What the end of the answer shows.
+    pub(super) end: AnswerEnd,
+    pub(super) load_guard: LoadGuard,
+    pub(super) request_guard: Option<UpstreamRequestGuard>,
+    pub(super) expected: FirstResponseEstimate,
+    pub(super) sent: BootInstant,
+    pub(super) has_received_event: bool,
+    /// When the first event of this upstream arrived, and how many events the stream had by then.
+    pub(super) first_event: Option<(BootInstant, u32)>,
+    /// The sum of the requests at the upstream over all samples, and the number of samples.
+    pub(super) load_samples: (u64, u32),
+    /// The prefill backlog of the upstream at its last event, in prompt tokens.
+    pub(super) backlog_before: u32,
+}
+
+impl ReadingState {
+    pub(super) fn of(opened: DestinationAnswer) -> Box<Self> {
+        let DestinationAnswer {
+            answer,
+            destination,
+            software,
+            load_guard,
+            request_guard,
+            expected,
+            sent,
+        } = opened;
+        let end = answer.end();
+        let (_, body, lease) = answer.into_parts();
+        Box::new(Self {
+            end,
+            body,
+            lease,
+            destination,
+            software: software.unwrap_or(SoftwareTag::UNKNOWN),
+            load_guard,
+            request_guard,
+            expected,
+            sent,
+            has_received_event: false,
+            first_event: None,
+            load_samples: (0, 0),
+            backlog_before: 0,
+        })
+    }
+
+    /// Whether the answer has no event and nothing shows that it is complete.
+    pub(super) fn is_empty_without_framing(&self) -> bool {
+        self.end == AnswerEnd::Connection && !self.has_received_event
+    }
+}
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Evaluates each suspect that a request is suspected by.
+    /// Returns whether a condition holds for any suspect of a request.
     fn any(
         &self,
         keys: &SuspectKeys,
