--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -15,8 +15,8 @@
 use crate::rank::rank_hash;
 use crate::time::MonoTime;
 
-/// How long a version whose last upstream has left still counts: longer than callers take up its
-/// streams again.
+/// How long a version whose last upstream has left still counts: longer than callers may resume its
+/// streams.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
 /// Identifies the software of an upstream in messages between VMs, by a hash of its version.
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Returns the software of all streams of a service that callers may still take up again.
+    /// Returns the software of all streams of a service that callers may still resume.
     /// `None` if it is not known: several versions serve or served a short time ago, or some
     /// upstreams name none.
     pub fn sole_software(&self, service: &ServiceName, now: MonoTime) -> Option<SoftwareTag> {
--- a/crates/foldhaven-core/src/opaque/stream_origins.rs
+++ b/crates/foldhaven-core/src/opaque/stream_origins.rs
@@ -1,8 +1,8 @@
 //! Where streams began: the software of the upstream that brought the first event of each caller's
 //! attempt.
 //!
-//! A caller that takes a stream up again names only its earlier attempt, and comes to any VM, while
-//! the VM that served it may be dead. Each VM therefore sends the origins of its streams to a few
+//! A caller that resumes a stream names only its earlier attempt, and comes to any VM, while the VM
+//! that served it may be dead. Each VM therefore sends the origins of its streams to a few
 //! holders, which every other VM finds by rendezvous hashing of the attempt.
 
 use std::cmp::Ordering;
@@ -18,7 +18,7 @@
 use crate::opaque::software::SoftwareTag;
 use crate::time::MonoTime;
 
-/// How long an origin is kept. Callers take a stream up again within their deadline of some seconds.
+/// How long an origin is kept. Callers resume a stream within their deadline of some seconds.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of origins. The least recently used ones are dropped first.
 const MAX_ORIGINS: NonZeroUsize = NonZeroUsize::new(32_768).expect("not zero");
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -24,7 +24,7 @@
 use crate::metrics::RequestEnd;
 use crate::names::text_value;
 use crate::shared::GatewayShared;
-use crate::stream_resumption::find_taken_up_stream;
+use crate::stream_resumption::find_resumed_stream;
 use crate::view::GatewayView;
 
 /// Idle limit of connections before the first description. Callers that connect that early
@@ -112,8 +112,8 @@
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.record_caller_timeout(&route.name, terms.remaining);
     let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
-    let taken_up = find_taken_up_stream(shared, &view, &route, &head.headers).await?;
-    let service = match taken_up.as_ref().and_then(|stream| stream.service.clone()) {
+    let resumed = find_resumed_stream(shared, &view, &route, &head.headers).await?;
+    let service = match resumed.as_ref().and_then(|stream| stream.service.clone()) {
         Some(service) => service,
         None => route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone(),
     };
@@ -124,8 +124,8 @@
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
     let job = request.into_job(route_match, terms, &shared.names);
-    let software = taken_up.map(|stream| stream.software);
-    // The caller has the beginning of a stream that it takes up.
+    let software = resumed.map(|stream| stream.software);
+    // The caller has the beginning of a stream that it resumes.
     Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
 }
 
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -139,8 +139,7 @@
         self.account.as_ref().map_or("-", |it| it.account.name.as_str())
     }
 
-    /// Returns the attempt that brought the first event of the stream, if the caller takes it up
-    /// again.
+    /// Returns the attempt that brought the first event of the stream, if the caller resumes it.
     pub fn resumed_attempt(&self, names: &HeaderNames) -> Option<&str> {
         self.headers.get(&names.resumes)?.to_str().ok()
     }
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -30,7 +30,7 @@
     pub fetch_from: HeaderName,
     /// The id of the event after which a stream is resumed.
     pub last_event: HeaderName,
-    /// The attempt that brought the first event of a stream which the caller takes up again.
+    /// The attempt that brought the first event of a stream which the caller resumes.
     pub resumes: HeaderName,
     /// The rank of a request at an upstream. 0 goes first; see [`HeaderNames::rank_value`].
     pub rank: HeaderName,
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -1,4 +1,4 @@
-//! Finds the software at which a stream goes on that a caller takes up again.
+//! Finds the software at which a stream that its caller resumes goes on.
 
 use std::time::Duration;
 
@@ -21,30 +21,30 @@
 /// with some margin. Another VM may know of a second version before this one.
 const CONFIRMATION_LIMIT: Duration = Duration::from_millis(40);
 
-/// A stream that a caller takes up again.
-pub struct TakenUpStream {
+/// A stream that its caller resumes.
+pub struct ResumedStream {
     /// The service that began it. `None` if the route no longer uses it, or it is not known.
     pub service: Option<ServiceName>,
     /// The software at which it goes on.
     pub software: SoftwareTag,
 }
 
-/// Returns the origin of the stream that a request takes up again. `None` if it starts a new one.
+/// Returns the origin of the stream that a request resumes. `None` if it starts a new one.
 ///
 /// # Errors
 ///
 /// [`Refusal::UnknownOrigin`] if it is not known where the stream began, while several software
 /// versions serve.
-pub async fn find_taken_up_stream(
+pub async fn find_resumed_stream(
     shared: &GatewayShared,
     view: &GatewayView,
     route: &OpaqueRoute,
     headers: &HeaderMap,
-) -> Result<Option<TakenUpStream>, Refusal> {
+) -> Result<Option<ResumedStream>, Refusal> {
     let names = &shared.names;
     let resumes = headers.get(&names.resumes);
-    let is_taken_up = resumes.is_some() || headers.contains_key(&names.last_event);
-    if route.repeat != RepeatKind::ResumableStream || !is_taken_up {
+    let is_resumed = resumes.is_some() || headers.contains_key(&names.last_event);
+    if route.repeat != RepeatKind::ResumableStream || !is_resumed {
         return Ok(None);
     }
     let started = BootInstant::now();
@@ -53,7 +53,7 @@
         Some(attempt) => find_origin(shared, route, attempt, sole).await,
         None => (sole.map(of_any_service), "sole"),
     };
-    log_taken_up(shared, headers, stream.as_ref(), known_by, started);
+    log_resumption(shared, headers, stream.as_ref(), known_by, started);
     stream.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
@@ -69,8 +69,8 @@
     software.all(|other| other == Some(first)).then_some(first)
 }
 
-fn of_any_service(software: SoftwareTag) -> TakenUpStream {
-    TakenUpStream { service: None, software }
+fn of_any_service(software: SoftwareTag) -> ResumedStream {
+    ResumedStream { service: None, software }
 }
 
 /// Returns where the stream of an attempt began, and by what it is known.
@@ -79,7 +79,7 @@
     route: &OpaqueRoute,
     attempt: &HeaderValue,
     sole: Option<SoftwareTag>,
-) -> (Option<TakenUpStream>, &'static str) {
+) -> (Option<ResumedStream>, &'static str) {
     let attempt = AttemptTag::of(attempt.as_bytes());
     let (origin, known_by) = match shared.origins.find(attempt, shared.now()) {
         Some(origin) => (Some(origin), "own"),
@@ -91,19 +91,19 @@
     let Some(origin) = origin else { return (sole.map(of_any_service), "sole") };
     let services = route.services.iter().map(|weighted| &weighted.service);
     let service = services.into_iter().find(|it| ServiceTag::of(it) == origin.service);
-    let stream = TakenUpStream { service: service.cloned(), software: origin.software };
+    let stream = ResumedStream { service: service.cloned(), software: origin.software };
     (Some(stream), known_by)
 }
 
-fn log_taken_up(
+fn log_resumption(
     shared: &GatewayShared,
     headers: &HeaderMap,
-    stream: Option<&TakenUpStream>,
+    stream: Option<&ResumedStream>,
     known_by: &'static str,
     started: BootInstant,
 ) {
     let known_by = if stream.is_some() { known_by } else { "nobody" };
-    shared.metrics.count_event("stream_taken_up");
+    shared.metrics.count_event("stream_resumed_by_caller");
     if stream.is_none() {
         shared.metrics.count_event("stream_origin_unknown");
     }
@@ -118,6 +118,6 @@
         software = stream.map(|it| it.software.to_string()).as_deref().unwrap_or("-"),
         known_by,
         waited_ms = started.elapsed().as_millis() as u64,
-        "a caller takes up a stream"
+        "a caller resumes a stream"
     );
 }
--- a/crates/foldhaven-gateway/src/suspects.rs
+++ b/crates/foldhaven-gateway/src/suspects.rs
@@ -48,7 +48,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Requests => "request",
-            Self::Segments => "part",
+            Self::Segments => "segment",
         }
     }
 }
--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -155,7 +155,7 @@
         birth = upstream.identity.birth.0,
         requests = affected.len(),
         prints = fingerprints.join(" "),
-        parts = describe_segments(&affected),
+        segments = describe_segments(&affected),
         "an upstream exited during requests"
         );
     }
