--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -17,6 +17,7 @@
 use self::sample::{ReportStaleness, sample_candidates};
 use crate::ids::UpstreamName;
 use crate::opaque::performance::{QueueState, ServicePerformance};
+use crate::opaque::priority_level::PriorityLevel;
 use crate::opaque::queue_rank::QueueRank;
 use crate::rank::rank_hash;
 
@@ -53,6 +54,8 @@
     pub is_throttled: bool,
     /// Whether it was already tried for this request.
     pub is_tried: bool,
+    /// Whether it has room for the request: it can start without displacing another one.
+    pub has_room: bool,
 }
 
 /// The properties of a request that the choice depends on.
@@ -62,6 +65,8 @@
     pub target: Duration,
     /// The time that the caller had already waited when the request arrived.
     pub waited: Duration,
+    /// The level of the request; `None` if those of its service do not differ in priority.
+    pub level: Option<PriorityLevel>,
     /// The longest acceptable pause between two events; `None` if the answer is not a stream.
     pub event_gap: Option<Duration>,
     /// The expected number of events of the answer; 0 if it is not a stream.
@@ -107,6 +112,8 @@
     pub prefill_tokens: u32,
     /// Whether it probably refuses further requests because its queue is full.
     pub is_full: bool,
+    /// Whether it has room for the request.
+    pub has_room: bool,
     /// The rank of the request in the upstream's queue.
     pub rank: QueueRank,
     /// The number of prompt tokens to prefill until the answer, including the backlog before the
@@ -151,8 +158,9 @@
     /// Estimates the costs of the candidates to choose from; of equal ones the first is chosen.
     ///
     /// Throttled upstreams are left out. Upstreams that were tried are included only if all were,
-    /// ejected ones only if no other is left, and full ones only if all are full. If many requests
-    /// arrive between two load reports, only some of the candidates are used.
+    /// ejected ones only if no other is left, full ones only if all are full, and those without room
+    /// for the request only if none has room. If many requests arrive between two load reports, only
+    /// some of the candidates are used.
     pub fn price(
         &self,
         query: &ChoiceQuery,
@@ -163,8 +171,9 @@
             (0..candidates.len()).filter(|index| !candidates[*index].is_throttled).collect();
         let untried = narrow(&open, |index| !candidates[index].is_tried);
         let healthy = narrow(&untried, |index| !candidates[index].is_ejected);
-        let usable =
+        let accepting =
             narrow(&healthy, |index| !performance.queue_capacity.is_full(candidates[index].queue));
+        let usable = narrow(&accepting, |index| candidates[index].has_room);
         let preferred = query.affinity_key.and_then(|key| self.preferred_candidate(&usable, key));
         let holder = usable.iter().copied().max_by_key(|index| candidates[*index].cached_tokens);
         let staleness = ReportStaleness { age: query.report_age, slot_time: performance.slot_time };
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -83,7 +83,11 @@
         let fetch_time = fetch.map_or(Duration::ZERO, |fetch| fetch.time);
         let repeated_tokens = missing.saturating_sub(fetched_tokens);
         let prefill_tokens = repeated_tokens + query.unshared_tokens;
-        let time_for = |rank| performance.time_to_first(candidate.queue, rank, prefill_tokens);
+        let ahead = match query.level {
+            Some(level) => candidate.queue.through(level),
+            None => candidate.queue,
+        };
+        let time_for = |rank| performance.time_to_first(ahead, rank, prefill_tokens);
         let timely = time_for(QueueRank::Timely).mul_f64(candidate.latency_factor) + fetch_time;
         let rank = query.rank(timely);
         let time_to_first = match rank {
@@ -121,9 +125,10 @@
             breakdown,
             prefill_tokens,
             is_full: performance.queue_capacity.is_full(candidate.queue),
+            has_room: candidate.has_room,
             rank,
             prefill_before_answer: is_prefill_bound
-                .then(|| candidate.queue.prefill_backlog.ahead_of(rank) + prefill_tokens),
+                .then(|| ahead.prefill_backlog.ahead_of(rank) + prefill_tokens),
             is_trusted: !candidate.is_ejected && !candidate.is_tried,
             fetch_from: fetch.map(|fetch| fetch.holder),
         }
--- a/crates/foldhaven-core/src/opaque/load_reports.rs
+++ b/crates/foldhaven-core/src/opaque/load_reports.rs
@@ -8,7 +8,9 @@
 
 use crate::ids::IncarnationId;
 use crate::opaque::affinity::{PromptPlacement, UpstreamTag};
-use crate::opaque::peer_table::VmTag;
+use crate::opaque::level_loads::{LevelLoads, LevelShare};
+use crate::opaque::peer_table::{ServiceTag, VmTag};
+use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use crate::opaque::queue_rank::PrefillBacklog;
 use crate::opaque::region_reports::RegionReport;
 use crate::time::MonoTime;
@@ -65,11 +67,30 @@
     }
 }
 
+/// How the requests of a load report are divided between priority levels, and how many requests
+/// wait at the VM. Sent beside the load report, which earlier daemons read too.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LevelReport {
+    /// The VM.
+    pub vm: VmTag,
+    /// Its process incarnation.
+    pub incarnation: IncarnationId,
+    /// The sequence number of the load report.
+    pub sequence: u32,
+    /// The levels at each upstream of the load report, in the same order.
+    pub levels: Vec<Vec<LevelShare>>,
+    /// The requests that wait at the VM, by service and level.
+    pub waiting: Vec<(ServiceTag, Vec<(PriorityLevel, u16)>)>,
+}
+
 #[derive(Debug)]
 struct ReceivedReport {
     order: (IncarnationId, u32),
     received: MonoTime,
     shares: Vec<(UpstreamTag, UpstreamShare)>,
+    /// The levels of the requests, of this report or of the one before.
+    levels: Vec<(UpstreamTag, LevelLoads)>,
+    waiting: Vec<(ServiceTag, Vec<(PriorityLevel, u16)>)>,
     busy: CoreShare,
 }
 
@@ -129,6 +150,47 @@
 pub struct LoadTable {
     reports: BTreeMap<VmTag, ReceivedReport>,
     sums: HashMap<UpstreamTag, ShareSum>,
+    level_sums: HashMap<UpstreamTag, LevelSum>,
+}
+
+/// The requests of several VMs at one upstream by level.
+#[derive(Debug, Clone, Copy, Default)]
+struct LevelSum {
+    vms: u32,
+    in_flight: [u64; LEVEL_COUNT],
+    prefill_backlog: [u64; LEVEL_COUNT],
+}
+
+impl LevelSum {
+    fn add(&mut self, loads: &LevelLoads) {
+        self.vms += 1;
+        for share in loads.shares() {
+            self.in_flight[share.level.index()] += u64::from(share.in_flight);
+            self.prefill_backlog[share.level.index()] += u64::from(share.prefill_backlog);
+        }
+    }
+
+    fn subtract(&mut self, loads: &LevelLoads) {
+        self.vms -= 1;
+        for share in loads.shares() {
+            self.in_flight[share.level.index()] -= u64::from(share.in_flight);
+            self.prefill_backlog[share.level.index()] -= u64::from(share.prefill_backlog);
+        }
+    }
+
+    fn loads(&self) -> LevelLoads {
+        let mut loads = LevelLoads::default();
+        for level in PriorityLevel::all() {
+            let in_flight = self.in_flight[level.index()];
+            let backlog = self.prefill_backlog[level.index()];
+            loads.add(&LevelShare {
+                level,
+                in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
+                prefill_backlog: u32::try_from(backlog).unwrap_or(u32::MAX),
+            });
+        }
+        loads
+    }
 }
 
 impl LoadTable {
@@ -143,17 +205,69 @@
         for (tag, share) in &report.shares {
             self.sums.entry(*tag).or_default().add(share);
         }
-        let received =
-            ReceivedReport { order, received: now, shares: report.shares, busy: report.busy };
-        if let Some(previous) = self.reports.insert(report.vm, received) {
+        let mut received = ReceivedReport {
+            order,
+            received: now,
+            shares: report.shares,
+            levels: Vec::new(),
+            waiting: Vec::new(),
+            busy: report.busy,
+        };
+        if let Some(mut previous) = self.reports.remove(&report.vm) {
             affected.extend(previous.shares.iter().map(|(tag, _)| *tag));
             subtract(&mut self.sums, &previous);
+            // The levels of this report arrive in a message of their own.
+            received.levels = std::mem::take(&mut previous.levels);
+            received.waiting = std::mem::take(&mut previous.waiting);
+        }
+        self.reports.insert(report.vm, received);
+        affected.sort_unstable();
+        affected.dedup();
+        Some(affected)
+    }
+
+    /// Applies the levels of the newest load report of a VM. Returns the upstreams whose sums have
+    /// changed; `None` if the load report is not the newest one.
+    pub fn apply_levels(&mut self, report: LevelReport) -> Option<Vec<UpstreamTag>> {
+        let order = (report.incarnation, report.sequence);
+        let held = self.reports.get_mut(&report.vm).filter(|held| held.order == order)?;
+        if report.levels.len() != held.shares.len() {
+            return None;
         }
+        let tags = held.shares.iter().map(|(tag, _)| *tag);
+        let levels = tags.zip(&report.levels).map(|(tag, shares)| {
+            let mut loads = LevelLoads::default();
+            shares.iter().for_each(|share| loads.add(share));
+            (tag, loads)
+        });
+        let previous = std::mem::replace(&mut held.levels, levels.collect());
+        held.waiting = report.waiting;
+        for (tag, loads) in &held.levels {
+            self.level_sums.entry(*tag).or_default().add(loads);
+        }
+        let mut affected: Vec<UpstreamTag> = held.levels.iter().map(|(tag, _)| *tag).collect();
+        affected.extend(previous.iter().map(|(tag, _)| *tag));
+        subtract_levels(&mut self.level_sums, &previous);
         affected.sort_unstable();
         affected.dedup();
         Some(affected)
     }
 
+    /// Returns the requests of all other VMs together at an upstream by level.
+    pub fn total_levels(&self, upstream: UpstreamTag) -> LevelLoads {
+        self.level_sums.get(&upstream).map_or(LevelLoads::default(), LevelSum::loads)
+    }
+
+    /// Returns the requests that wait at the other VMs, by service and level.
+    pub fn waiting(&self) -> HashMap<ServiceTag, [u32; LEVEL_COUNT]> {
+        let mut sums: HashMap<ServiceTag, [u32; LEVEL_COUNT]> = HashMap::new();
+        for (service, levels) in self.reports.values().flat_map(|report| &report.waiting) {
+            let counts = sums.entry(*service).or_default();
+            levels.iter().for_each(|(level, count)| counts[level.index()] += u32::from(*count));
+        }
+        sums
+    }
+
     /// Drops the VMs that have not reported for several intervals, where `interval` is the time
     /// between two reports. Returns the upstreams at which they had requests.
     pub fn remove_stale(&mut self, interval: Duration, now: MonoTime) -> Vec<UpstreamTag> {
@@ -162,6 +276,8 @@
         let mut affected = Vec::new();
         for (_, stale) in self.reports.extract_if(.., |_, report| is_stale(report)) {
             subtract(&mut self.sums, &stale);
+            subtract_levels(&mut self.level_sums, &stale.levels);
+            affected.extend(stale.levels.iter().map(|(tag, _)| *tag));
             affected.extend(stale.shares.iter().map(|(tag, _)| *tag));
         }
         affected
@@ -197,6 +313,21 @@
     }
 }
 
+/// Subtracts the levels of a report from the sums.
+fn subtract_levels(
+    sums: &mut HashMap<UpstreamTag, LevelSum>,
+    levels: &[(UpstreamTag, LevelLoads)],
+) {
+    for (tag, loads) in levels {
+        if let Some(sum) = sums.get_mut(tag) {
+            sum.subtract(loads);
+            if sum.vms == 0 {
+                sums.remove(tag);
+            }
+        }
+    }
+}
+
 /// Returns the interval between two reports if `others` other VMs report.
 pub fn report_interval(others: usize) -> Duration {
     REPORT_INTERVAL.max(REPORT_INTERVAL_PER_VM * others as u32)
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use crate::opaque::event_interval::EventIntervalModel;
+use crate::opaque::level_loads::LevelLoads;
 use crate::opaque::pause_statistics::PauseStatistics;
 use crate::opaque::prefill_rate::PrefillRate;
+use crate::opaque::priority_level::PriorityLevel;
 use crate::opaque::queue_capacity::QueueCapacity;
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use crate::time::MonoTime;
@@ -58,9 +60,29 @@
     pub deferred: u32,
     /// The prompt tokens of requests that have not been answered yet.
     pub prefill_backlog: PrefillBacklog,
+    /// The requests by level, of the VMs that report levels. Zero for a service whose requests do
+    /// not differ in priority.
+    pub levels: LevelLoads,
 }
 
 impl QueueState {
+    /// Returns the part of the queue that goes before a new request of a level. Requests of unknown
+    /// level count as going before it.
+    pub fn through(self, level: PriorityLevel) -> Self {
+        let unknown = self.in_flight.saturating_sub(self.levels.in_flight());
+        let in_flight = unknown + self.levels.in_flight_through(level);
+        let backlog = self.prefill_backlog.ahead_of(QueueRank::Deferred);
+        let unknown_backlog = backlog.saturating_sub(self.levels.prefill_backlog());
+        let timely = unknown_backlog.saturating_add(self.levels.prefill_backlog_through(level));
+        Self {
+            in_flight,
+            on_track: self.on_track.min(in_flight),
+            deferred: 0,
+            prefill_backlog: PrefillBacklog { timely, deferred: 0 },
+            ..self
+        }
+    }
+
     /// Returns the number of requests ahead of a new request of a rank.
     pub fn ahead_of(&self, rank: QueueRank) -> u32 {
         match rank {
--- a/crates/foldhaven-core/src/opaque/remote_queue.rs
+++ b/crates/foldhaven-core/src/opaque/remote_queue.rs
@@ -41,6 +41,7 @@
             on_track: 0,
             deferred: 0,
             prefill_backlog: own.prefill_backlog.times(factor),
+            ..QueueState::default()
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account_table::{AccountDescription, AccountTable};
+use super::priority_level::{LevelTable, PriorityLevel};
 use crate::ids::{RegionName, RouteName, ServiceName};
 
 /// The version of a route description; a larger one is newer.
@@ -176,6 +177,8 @@
     hosts: BTreeMap<String, Vec<usize>>,
     services: BTreeMap<ServiceName, usize>,
     accounts: AccountTable,
+    /// The priority levels of the services whose upstreams start requests by priority.
+    levels: BTreeMap<ServiceName, LevelTable>,
 }
 
 impl RouteTable {
@@ -197,7 +200,8 @@
         let services = description.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index)).collect();
         let accounts = AccountTable::new(description.accounts.as_deref());
-        Self { description, hosts, services, accounts }
+        let levels = level_tables(&description);
+        Self { description, hosts, services, accounts, levels }
     }
 
     /// Returns the description.
@@ -259,6 +263,23 @@
         self.services.get(name).map(|index| &self.description.services[*index])
     }
 
+    /// Returns the level of a request of a service by the priorities of its account and its route.
+    /// `None` if the service has no levels.
+    pub fn level(
+        &self,
+        service: &ServiceName,
+        account: Option<u8>,
+        route: &OpaqueRoute,
+    ) -> Option<PriorityLevel> {
+        let table = self.levels.get(service)?;
+        Some(table.level(account, route.priority))
+    }
+
+    /// Whether any service has priority levels.
+    pub fn has_levels(&self) -> bool {
+        !self.levels.is_empty()
+    }
+
     /// Whether the description lists a service or a route uses it.
     pub fn names_service(&self, name: &ServiceName) -> bool {
         let is_routed =
@@ -266,3 +287,22 @@
         self.services.contains_key(name) || self.description.routes.iter().any(is_routed)
     }
 }
+
+/// Returns the level tables of the services that run a model and whose requests differ in priority.
+/// Upstreams of other services start requests in order of arrival.
+fn level_tables(description: &RouteDescription) -> BTreeMap<ServiceName, LevelTable> {
+    let accounts: Vec<Option<u8>> = description
+        .accounts
+        .iter()
+        .flat_map(|accounts| accounts.accounts.values().map(|account| account.priority))
+        .collect();
+    let models = description.services.iter().filter(|service| service.prompt_memory.is_some());
+    let table = |service: &OpaqueService| {
+        let uses =
+            |route: &&Arc<OpaqueRoute>| route.services.iter().any(|it| it.service == service.name);
+        let routes: Vec<u8> =
+            description.routes.iter().filter(uses).map(|route| route.priority).collect();
+        (service.name.clone(), LevelTable::new(&accounts, &routes))
+    };
+    models.map(table).filter(|(_, table)| table.is_ranked()).collect()
+}
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -5,6 +5,7 @@
 mod requests;
 mod retries;
 mod suspicion;
+mod waiting;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,18 +24,21 @@
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
-    DestinationChoice, RequestDestination, TriedDestinations, choose_destination,
+    DestinationChoice, Placement, RequestDestination, TriedDestinations, choose_destination,
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::upstream::{LoadGuard, UpstreamRequestGuard};
 use crate::view::GatewayView;
+use crate::waiting_rooms::WaitingTicket;
 
 /// Time after its first description by which a process knows the live VMs. Seeds answer within one
 /// round trip between regions, and are asked again every 100 ms.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a request that waits for a destination tries again to choose one.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Interval at which a request that waits for room looks whether it is its turn.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The content type of an event stream.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -131,6 +135,14 @@
     Retry(Option<CompleteAnswer>),
 }
 
+/// What a request does next.
+enum NextStep {
+    /// It is sent to this destination.
+    Send(Box<DestinationChoice>),
+    /// It looks for a destination again after this time.
+    Pause(Duration),
+}
+
 /// Runs one request through its attempts.
 pub struct RequestDriver {
     pub shared: Arc<GatewayShared>,
@@ -142,6 +154,10 @@
     pub delivered_attempts: u32,
     /// The number of attempts whose connection broke.
     broken_connections: u32,
+    /// Its place in the waiting room. `None` unless it waits for room.
+    ticket: Option<WaitingTicket>,
+    /// How long it has waited for room, for the log.
+    held: Duration,
     /// Whether the request is under suspicion and is sent once as a probe, to test the suspicion.
     is_probe: bool,
     /// Whether an upstream may have received the probe.
@@ -170,6 +186,8 @@
             tried: TriedDestinations::default(),
             delivered_attempts: 0,
             broken_connections: 0,
+            ticket: None,
+            held: Duration::ZERO,
             is_probe: false,
             is_probe_sent: false,
             may_have_run: false,
@@ -259,10 +277,14 @@
             if BootInstant::now() >= self.job.deadline {
                 return Err(self.deadline_refusal());
             }
-            let Some(chosen) = self.choose()? else {
-                sleep(PEER_POLL_INTERVAL).await;
-                continue;
+            let chosen = match self.choose()? {
+                NextStep::Send(chosen) => *chosen,
+                NextStep::Pause(pause) => {
+                    sleep(pause).await;
+                    continue;
+                }
             };
+            self.end_wait();
             let destination = chosen.destination.clone();
             match self.call(chosen, resume_after).await {
                 Ok(opened) => return Ok(opened),
@@ -276,20 +298,27 @@
         }
     }
 
-    /// Chooses and records the destination of the next attempt. Returns `None` while a VM that
-    /// could run the request may still be discovered, or while the platform state may be outdated
-    /// after a suspension.
-    fn choose(&mut self) -> Result<Option<DestinationChoice>, Refusal> {
+    /// Chooses and records the destination of the next attempt. Pauses while there is no room for
+    /// the request, while a VM that could run it may still be discovered, or while the platform
+    /// state may be outdated after a suspension.
+    fn choose(&mut self) -> Result<NextStep, Refusal> {
         if !self.shared.is_awake() {
-            return Ok(None);
+            return Ok(NextStep::Pause(PEER_POLL_INTERVAL));
         }
         let Some(view) = self.shared.view() else { return Err(Refusal::NoDescription) };
         self.check_key(&view).map_err(|refusal| self.refusal_after_attempts(refusal))?;
         self.check_suspicion().map_err(|refusal| self.refusal_after_attempts(refusal))?;
-        let chosen = match choose_destination(&self.shared, &view, &self.job, &self.tried) {
-            Ok(chosen) => chosen,
+        let rule = self.room_rule(&view).map_err(|refusal| self.refusal_after_attempts(refusal))?;
+        let Some(rule) = rule else { return Ok(NextStep::Pause(ROOM_POLL_INTERVAL)) };
+        let chosen = match choose_destination(&self.shared, &view, &self.job, &self.tried, rule) {
+            Ok(Placement::Chosen(chosen)) => chosen,
+            Ok(Placement::NoRoom) => {
+                self.wait_for_room(&view)
+                    .map_err(|refusal| self.refusal_after_attempts(refusal))?;
+                return Ok(NextStep::Pause(ROOM_POLL_INTERVAL));
+            }
             Err(Refusal::NoUpstream | Refusal::Throttled { .. }) if self.awaits_peers(&view) => {
-                return Ok(None);
+                return Ok(NextStep::Pause(PEER_POLL_INTERVAL));
             }
             Err(refusal) => {
                 self.summarize_candidates();
@@ -302,7 +331,7 @@
         self.last_destination = Some(chosen.destination.name().to_owned());
         self.last_software = Some(chosen.destination.software_label().to_owned());
         self.last_choice = Some(LoggedChoice::of(&chosen));
-        Ok(Some(chosen))
+        Ok(NextStep::Send(Box::new(chosen)))
     }
 
     /// Checks that the key of the request still belongs to its account. No attempt starts with a
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -239,6 +239,8 @@
             route = %job.route.name,
             account = job.account_label(),
             priority = job.priority(),
+            level = job.level_label(),
+            held_ms = self.held.as_millis() as u64,
             service = %job.service,
             end = end.label(),
             tries = self.delivered_attempts,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -18,7 +18,7 @@
 use crate::destinations::{DestinationChoice, RequestDestination};
 use crate::names::{HeaderNames, text_value};
 use crate::peer_front::read_software;
-use crate::upstream::{Upstream, UpstreamRequestGuard};
+use crate::upstream::{RequestLoad, Upstream, UpstreamRequestGuard};
 use crate::upstream_listener::{NoopListener, UpstreamListener};
 
 /// Minimum time without an answer after which an upstream is checked for any sign of life. A model
@@ -48,7 +48,8 @@
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let load_guard = destination.enter(&self.shared, &self.job.service, prefill_tokens, rank);
+        let load = RequestLoad { prefill_tokens, rank, level: self.job.level };
+        let load_guard = destination.enter(&self.shared, &self.job.service, load);
         let mut request_guard = self.register_request(&destination);
         self.record_placement(&destination);
         let listener = self.listener(&destination);
@@ -123,7 +124,7 @@
         }
         match destination {
             RequestDestination::Upstream(upstream) => {
-                if let Some(value) = HeaderNames::rank_value(rank) {
+                if let Some(value) = HeaderNames::rank_value(rank, job.level) {
                     map.insert(&names.rank, HeaderValue::from(value));
                 }
                 map.insert(&names.expected_upstream, text_value(upstream.name().as_str()));
--- /dev/null
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -0,0 +1,129 @@
+//! Lets requests with a priority level wait at this VM until an upstream has room for them.
+
+use std::time::Duration;
+
+use foldhaven_core::opaque::admission::AdmissionError;
+use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::waiting_room::WaitingRequest;
+use foldhaven_core::time::MonoTime;
+
+use super::RequestDriver;
+use crate::answer::Refusal;
+use crate::clock::BootInstant;
+use crate::destinations::{RoomRule, view_room};
+use crate::view::GatewayView;
+use crate::waiting_rooms::WaitingTicket;
+
+/// Maximum number of requests of a service that wait at this VM. Their bodies stay in memory.
+const MAX_WAITING: usize = 500;
+/// The share of its time to target for which a request waits for a free slot before it displaces a
+/// less urgent one.
+const PATIENCE_SHARE: f64 = 0.3;
+/// A request waits no longer if less than this share of the time that its answer takes is left.
+const MIN_TIME_SHARE: f64 = 0.5;
+
+impl RequestDriver {
+    /// Returns what the request requires of an upstream if it may look for one now. `None` if it
+    /// waits.
+    pub(super) fn room_rule(&mut self, view: &GatewayView) -> Result<Option<RoomRule>, Refusal> {
+        let Some(level) = self.job.level else { return Ok(Some(RoomRule::Any)) };
+        if self.job.has_partial_answer || self.shared.is_leaving() {
+            return Ok(Some(RoomRule::Any));
+        }
+        let now = self.shared.now();
+        let Some(ticket) = &self.ticket else { return self.rule_on_arrival(level, view, now) };
+        let has_turn = ticket.take_turn(|| view_room(&self.shared, view, &self.job.service), now);
+        if has_turn {
+            return Ok(Some(RoomRule::FreeSlot));
+        }
+        if self.may_displace(ticket, now) {
+            return Ok(Some(RoomRule::Displace));
+        }
+        self.check_expected_wait(ticket, view, now)?;
+        Ok(None)
+    }
+
+    /// A request looks for an upstream at once unless others wait that go before it.
+    fn rule_on_arrival(
+        &mut self,
+        level: PriorityLevel,
+        view: &GatewayView,
+        now: MonoTime,
+    ) -> Result<Option<RoomRule>, Refusal> {
+        let request = self.waiting_request(level, now);
+        let room = self.shared.waiting_rooms.room(&self.job.service);
+        if room.lock().ahead_of(&request, now) == 0 {
+            return Ok(Some(RoomRule::FreeSlot));
+        }
+        self.wait_for_room(view)?;
+        Ok(None)
+    }
+
+    /// Lets the request wait, or refuses it if it would wait for too long.
+    pub(super) fn wait_for_room(&mut self, view: &GatewayView) -> Result<(), Refusal> {
+        let (Some(level), None) = (self.job.level, &self.ticket) else { return Ok(()) };
+        let now = self.shared.now();
+        let room = self.shared.waiting_rooms.room(&self.job.service);
+        if room.lock().len() >= MAX_WAITING {
+            return Err(Refusal::Full);
+        }
+        let ticket = WaitingTicket::enter(room, self.waiting_request(level, now), now);
+        self.check_expected_wait(&ticket, view, now)?;
+        self.shared.metrics.count_event("waited_for_room");
+        self.ticket = Some(ticket);
+        Ok(())
+    }
+
+    /// Ends the wait, as the request starts.
+    pub(super) fn end_wait(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.shared.now();
+            ticket.record_start(now);
+            self.held += ticket.held(now);
+        }
+    }
+
+    fn waiting_request(&self, level: PriorityLevel, now: MonoTime) -> WaitingRequest {
+        let job = &self.job;
+        let waited = job.waited();
+        let performance = self.shared.measured_performance(&job.service);
+        let tokens = job.outline.as_ref().map_or(0, |outline| outline.unshared_tokens);
+        let spare = job.route.target.saturating_sub(waited + performance.prefill_time(tokens));
+        WaitingRequest { level, since: now - waited, late_at: now + spare }
+    }
+
+    /// Whether the request has waited so long for a free slot that it would soon be late.
+    fn may_displace(&self, ticket: &WaitingTicket, now: MonoTime) -> bool {
+        let patience = self.job.route.target.mul_f64(PATIENCE_SHARE);
+        now < ticket.late_at() && ticket.held(now) >= patience
+    }
+
+    /// Refuses a request that probably cannot be answered while its caller waits.
+    fn check_expected_wait(
+        &self,
+        ticket: &WaitingTicket,
+        view: &GatewayView,
+        now: MonoTime,
+    ) -> Result<(), Refusal> {
+        let needed = self.expected_answer_time(view);
+        let remaining = self.job.deadline.saturating_duration_since(BootInstant::now());
+        let wait = ticket.expected_wait(now).unwrap_or_default();
+        if remaining < needed.mul_f64(MIN_TIME_SHARE) || wait + needed > remaining {
+            self.shared.metrics.count_event("refused_for_room");
+            return Err(Refusal::Overloaded { cause: AdmissionError::TooLate, wait });
+        }
+        Ok(())
+    }
+
+    /// Returns how long an upstream probably takes for the whole answer.
+    fn expected_answer_time(&self, view: &GatewayView) -> Duration {
+        let job = &self.job;
+        let performance = self.shared.performance(&job.service, view);
+        let tokens = job.outline.as_ref().map_or(0, |outline| outline.unshared_tokens);
+        let events = self.shared.route_history(&job.route.name).usual_event_count();
+        let slots = view.group(&job.service, self.shared.settings.region());
+        let slots = slots.and_then(|group| group.iter().next()).map_or(1, |it| it.identity.slots);
+        let interval = performance.event_interval.interval(f64::from(slots));
+        performance.prefill_time(tokens) + Duration::from_secs_f64(events * interval)
+    }
+}
--- a/crates/foldhaven-gateway/src/busy_upstreams.rs
+++ b/crates/foldhaven-gateway/src/busy_upstreams.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::level_loads::LevelLoads;
 use foldhaven_core::opaque::load_reports::UpstreamShare;
 use parking_lot::Mutex;
 
@@ -20,17 +22,32 @@
         self.0.lock().entry(upstream.tag).or_insert_with(|| upstream.clone());
     }
 
+    /// Returns the number of requests of this VM at the upstreams of a service.
+    pub fn in_flight(&self, service: &ServiceName) -> u32 {
+        let busy = self.0.lock();
+        let of_service = busy.values().filter(|upstream| upstream.identity.service == *service);
+        of_service.map(|upstream| u32::from(upstream.load.share().in_flight)).sum()
+    }
+
     /// Returns the requests of this VM at each upstream. Upstreams without requests are removed.
-    pub fn shares(&self) -> Vec<(UpstreamTag, UpstreamShare)> {
+    pub fn shares(&self) -> Vec<BusyShare> {
         let mut shares = Vec::new();
         self.0.lock().retain(|tag, upstream| {
             let share = upstream.load.share();
             let is_busy = share.in_flight > 0;
             if is_busy {
-                shares.push((*tag, share));
+                shares.push(BusyShare { tag: *tag, share, levels: upstream.load.levels() });
             }
             is_busy
         });
         shares
     }
 }
+
+/// The requests of this VM at one upstream.
+pub struct BusyShare {
+    pub tag: UpstreamTag,
+    pub share: UpstreamShare,
+    /// The requests by priority level.
+    pub levels: LevelLoads,
+}
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -7,7 +7,7 @@
 
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::affinity::PromptPlacement;
-use foldhaven_core::opaque::load_reports::{LoadReport, report_interval};
+use foldhaven_core::opaque::load_reports::{LevelReport, LoadReport, report_interval};
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, ServiceTag, VmTag};
 use foldhaven_core::opaque::region_reports::{REGION_INTERVAL, RegionReport, VM_LIST_EVERY};
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportTarget, ReportUpdates};
@@ -41,6 +41,23 @@
     }
 }
 
+/// The levels of a load report received from another VM of the region.
+pub struct ReceiveLevelReport {
+    pub report: LevelReport,
+}
+
+impl Handler<ReceiveLevelReport> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ReceiveLevelReport, _: &mut Context<Self>) {
+        let Some(touched) = self.loads.apply_levels(message.report) else { return };
+        for upstream in touched.iter().filter_map(|tag| self.upstreams.find(*tag)) {
+            upstream.set_peer_levels(self.loads.total_levels(upstream.tag));
+        }
+        self.shared.set_waiting_elsewhere(self.loads.waiting());
+    }
+}
+
 /// A region report received from a delegate of another region.
 pub struct ReceiveRegionReport {
     pub report: RegionReport,
@@ -81,6 +98,8 @@
 pub struct PlannedLoadReport {
     /// The load of this VM. Each of the batches adds its own placements and region reports.
     pub report: LoadReport,
+    /// The priority levels of its requests. `None` if no service has levels.
+    pub levels: Option<LevelReport>,
     pub batches: Vec<ReportBatch>,
     /// One VM of each other region, which relays the placements and the region report there.
     pub remote_targets: Vec<SocketAddr>,
@@ -105,7 +124,7 @@
         placements.extend(remote_placements.iter().cloned());
         let updates =
             ReportUpdates { placements, regions: std::mem::take(&mut self.relayed_regions) };
-        let report = self.own_report();
+        let (report, levels) = self.own_report();
         let (batches, interval) = self.plan_batches(&targets, updates, report.is_active());
         let region = self.due_region_report();
         let has_remote_updates = region.is_some() || !remote_placements.is_empty();
@@ -114,7 +133,15 @@
             true => self.peers.one_serving_per_remote_region(now),
             false => Vec::new(),
         };
-        PlannedLoadReport { report, batches, remote_targets, remote_placements, region, interval }
+        PlannedLoadReport {
+            report,
+            levels,
+            batches,
+            remote_targets,
+            remote_placements,
+            region,
+            interval,
+        }
     }
 }
 
@@ -150,18 +177,28 @@
         (self.report_plan.plan_round(targets, updates, interval), interval)
     }
 
-    /// Returns a report of the requests that this VM has at each upstream.
-    fn own_report(&mut self) -> LoadReport {
+    /// Returns a report of the requests that this VM has at each upstream, and one of their levels.
+    fn own_report(&mut self) -> (LoadReport, Option<LevelReport>) {
         let busy = self.meter.busy(self.shared.accepted_requests(), self.shared.settings.cores);
-        LoadReport {
+        let shares = self.shared.busy_upstreams.shares();
+        let report = LoadReport {
             vm: VmTag::of(&self.shared.settings.vm),
             incarnation: self.peers.incarnation(),
             sequence: self.load_report_rounds,
-            shares: self.shared.busy_upstreams.shares(),
+            shares: shares.iter().map(|it| (it.tag, it.share)).collect(),
             placements: Vec::new(),
             regions: Vec::new(),
             busy,
-        }
+        };
+        let has_levels = self.shared.view().is_some_and(|view| view.routes.has_levels());
+        let levels = has_levels.then(|| LevelReport {
+            vm: report.vm,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            levels: shares.iter().map(|it| it.levels.shares().collect()).collect(),
+            waiting: self.shared.waiting_rooms.counts(),
+        });
+        (report, levels)
     }
 
     /// Returns the report of this region for other regions, if this VM is a delegate and a report
@@ -237,8 +274,13 @@
     fn remove_stale_loads(&mut self) {
         let interval = report_interval(self.local_peers().len());
         let touched = self.loads.remove_stale(interval, self.now());
+        if touched.is_empty() {
+            return;
+        }
         for upstream in touched.iter().filter_map(|tag| self.upstreams.find(*tag)) {
             upstream.set_peer_load(self.loads.total(upstream.tag));
+            upstream.set_peer_levels(self.loads.total_levels(upstream.tag));
         }
+        self.shared.set_waiting_elsewhere(self.loads.waiting());
     }
 }
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -48,7 +48,8 @@
 pub use self::catch_up::{CatchUpStep, FindNewerPeer, NewerPeer};
 pub use self::heartbeats::{PlanHeartbeats, ReceiveHeartbeat, ReceiveView, ReceiveViewList};
 pub use self::load_reports::{
-    PlanLoadReport, PlannedLoadReport, ReceiveLoadReport, ReceivePlacements, ReceiveRegionReport,
+    PlanLoadReport, PlannedLoadReport, ReceiveLevelReport, ReceiveLoadReport, ReceivePlacements,
+    ReceiveRegionReport,
 };
 use self::members::LoggedMembers;
 pub use self::path_notices::ReceivePathNotices;
--- a/crates/foldhaven-gateway/src/control/upstreams.rs
+++ b/crates/foldhaven-gateway/src/control/upstreams.rs
@@ -115,6 +115,7 @@
         self.shared.upstream_limits.apply(&upstream);
         self.shared.leaving_upstreams.apply(&upstream);
         upstream.set_peer_load(self.loads.total(upstream.tag));
+        upstream.set_peer_levels(self.loads.total_levels(upstream.tag));
         if let Some(limit) = self.idle_limits.get(&record.service) {
             upstream.pool.set_max_idle(*limit);
         }
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -23,10 +23,10 @@
 use crate::control::{
     ControlAddress, OutgoingChanges, OutgoingUpdate, PlanAgreementRound, PlanDemandReports,
     PlanHeartbeats, PlanLoadReport, PlannedLoadReport, ReceiveAgreement, ReceiveChanges,
-    ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices, ReceiveLoadReport,
-    ReceiveLocalDemand, ReceivePathNotices, ReceivePlacements, ReceiveRegionDemand,
-    ReceiveRegionReport, ReceiveRevisionNotice, ReceiveUpstreamRateLimits, ReceiveView,
-    ReceiveViewList,
+    ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices, ReceiveLevelReport,
+    ReceiveLoadReport, ReceiveLocalDemand, ReceivePathNotices, ReceivePlacements,
+    ReceiveRegionDemand, ReceiveRegionReport, ReceiveRevisionNotice, ReceiveUpstreamRateLimits,
+    ReceiveView, ReceiveViewList,
 };
 use crate::feed::NumberedChange;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectMessage};
@@ -101,6 +101,7 @@
         let Ok(planned) = control.send(PlanLoadReport { timer_delay }).await else { return };
         let PlannedLoadReport {
             report,
+            levels,
             batches,
             remote_targets,
             remote_placements,
@@ -115,6 +116,9 @@
                 let ReportUpdates { placements, regions } = updates;
                 let report = LoadReport { placements, regions, ..report.clone() };
                 send_report(&socket, &targets, report).await;
+                if let Some(levels) = &levels {
+                    socket.send_to(&targets, &PeerMessage::Levels(levels.clone())).await;
+                }
             }
         }
         for placements in datagram_chunks(remote_placements) {
@@ -266,6 +270,7 @@
         }
         PeerMessage::Region(report) => control.send(ReceiveRegionReport { report }).await?,
         PeerMessage::Load(report) => control.send(ReceiveLoadReport { report }).await?,
+        PeerMessage::Levels(report) => control.send(ReceiveLevelReport { report }).await?,
         PeerMessage::News(notice) => control.send(ReceiveRevisionNotice { notice }).await?,
         PeerMessage::Demand(demand) => control.send(ReceiveLocalDemand { demand }).await?,
         PeerMessage::RegionDemand(demand) => control.send(ReceiveRegionDemand { demand }).await?,
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -4,17 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
 use foldhaven_core::opaque::choice::{
     CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
-use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::level_loads::reserved_slots;
+use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
+use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
+use foldhaven_core::opaque::waiting_room::RoomView;
 use foldhaven_core::time::MonoTime;
 
-use super::{DestinationChoice, RequestDestination, TriedDestinations, choice_query};
+use super::{DestinationChoice, RequestDestination, RoomRule, TriedDestinations, choice_query};
 use crate::answer::Refusal;
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -42,19 +46,16 @@
     upstream: Arc<Upstream>,
     pub(super) choice: UpstreamChoice,
     fetch_from: Option<SocketAddr>,
+    level: Option<PriorityLevel>,
 }
 
 impl LocalChoice {
     /// Returns the estimate for deciding whether the request is admitted.
     pub(super) fn estimate(&self) -> DestinationEstimate {
         let UpstreamChoice { time_to_first, breakdown, rank, is_full, .. } = self.choice;
-        DestinationEstimate {
-            time_to_first,
-            breakdown,
-            rank,
-            queue: self.upstream.queue(),
-            is_full,
-        }
+        let queue = self.upstream.queue();
+        let queue = self.level.map_or(queue, |level| queue.through(level));
+        DestinationEstimate { time_to_first, breakdown, rank, queue, is_full }
     }
 
     /// Makes this the destination of the request. At an upstream that is cold or has announced a
@@ -89,15 +90,17 @@
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedDestinations,
+    rule: RoomRule,
 ) -> Option<LocalChoice> {
     let group = local_group(shared, view, job)?;
     let drawn = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried);
+    let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
     let choice = sample.choose(&choice_query(shared, view, job), &performance)?;
     let fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
-    Some(LocalChoice { upstream: drawn.upstreams[choice.index].clone(), choice, fetch_from })
+    let upstream = drawn.upstreams[choice.index].clone();
+    Some(LocalChoice { upstream, choice, fetch_from, level: job.level })
 }
 
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
@@ -157,7 +160,8 @@
 ) -> Vec<(Arc<Upstream>, UpstreamChoice)> {
     let Some(group) = local_group(shared, view, job) else { return Vec::new() };
     let DrawnUpstreams { upstreams, keyed } = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, view, &upstreams, job, &TriedDestinations::default());
+    let tried = TriedDestinations::default();
+    let candidates = candidates_of(shared, view, &upstreams, job, &tried, RoomRule::FreeSlot);
     let sample = CandidateSample { candidates: &candidates, keyed };
     let performance = shared.performance(&job.service, view);
     let priced = sample.price(&choice_query(shared, view, job), &performance);
@@ -204,7 +208,9 @@
     local: &[&'a Arc<Upstream>],
     job: &GatewayJob,
     tried: &TriedDestinations,
+    rule: RoomRule,
 ) -> Vec<UpstreamCandidate<'a>> {
+    let room = RoomCheck::of(job.level, rule, local);
     let context = CandidateContext {
         shared,
         senders: view.recent_senders,
@@ -212,6 +218,7 @@
         tried,
         slot_time: shared.measured_performance(&job.service).slot_time,
         is_lost: shared.paths.is_lost(),
+        room,
         now: shared.now(),
     };
     local.iter().map(|upstream| context.candidate(upstream)).collect()
@@ -227,9 +234,40 @@
     slot_time: Duration,
     /// Whether this VM has lost its paths to the upstreams.
     is_lost: bool,
+    room: RoomCheck,
     now: MonoTime,
 }
 
+/// Checks whether upstreams have room for a request.
+struct RoomCheck {
+    level: Option<PriorityLevel>,
+    rule: RoomRule,
+    /// The mean number of more urgent requests at one of the candidates.
+    more_urgent: f64,
+}
+
+impl RoomCheck {
+    fn of(level: Option<PriorityLevel>, rule: RoomRule, candidates: &[&Arc<Upstream>]) -> Self {
+        let more_urgent = level.map_or(0.0, |level| {
+            let above = |upstream: &&Arc<Upstream>| upstream.queue().levels.in_flight_above(level);
+            let sum: u32 = candidates.iter().map(above).sum();
+            f64::from(sum) / candidates.len().max(1) as f64
+        });
+        Self { level, rule, more_urgent }
+    }
+
+    fn has_room(&self, queue: QueueState) -> bool {
+        let Some(level) = self.level else { return true };
+        let has_free_slot =
+            queue.in_flight + reserved_slots(queue.slots, self.more_urgent) < queue.slots;
+        match self.rule {
+            RoomRule::Any => true,
+            RoomRule::FreeSlot => has_free_slot,
+            RoomRule::Displace => has_free_slot || queue.through(level).in_flight < queue.slots,
+        }
+    }
+}
+
 impl CandidateContext<'_> {
     /// Returns the properties of an upstream that the choice depends on.
     fn candidate<'a>(&self, upstream: &'a Upstream) -> UpstreamCandidate<'a> {
@@ -247,6 +285,7 @@
             is_ejected: upstream.is_ejected(now) || self.is_lost && is_unreachable(upstream),
             is_throttled: throttled_for(shared, self.senders, upstream, now).is_some(),
             is_tried: self.tried.upstreams.contains(upstream.name()),
+            has_room: self.room.has_room(queue),
         }
     }
 
@@ -272,6 +311,42 @@
     upstream.pool.is_failing_to_open() && !upstream.pool.has_usable_connection()
 }
 
+/// Returns what this VM sees of the room at the upstreams of a service in this region.
+pub fn view_room(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> RoomView {
+    let now = shared.now();
+    let Some(group) = view.group(service, shared.settings.region()) else {
+        return RoomView::default();
+    };
+    let is_usable = |it: &&Arc<Upstream>| {
+        let is_throttled = throttled_for(shared, view.recent_senders, it, now).is_some();
+        !it.is_leaving() && !it.is_ejected(now) && !is_throttled
+    };
+    let examined = group.iter_from(RingPosition(rand::random())).take(MAX_EXAMINED);
+    let queues: Vec<QueueState> =
+        examined.filter(is_usable).map(|upstream| upstream.queue()).collect();
+    let scale = group.len() as f64 / group.len().clamp(1, MAX_EXAMINED) as f64;
+    let mut free_slots = [0; LEVEL_COUNT];
+    for level in PriorityLevel::all() {
+        free_slots[level.index()] = (f64::from(free_slots_for(level, &queues)) * scale) as u32;
+    }
+    RoomView {
+        free_slots,
+        own_in_flight: shared.busy_upstreams.in_flight(service),
+        waiting_elsewhere: shared.waiting_elsewhere(service),
+    }
+}
+
+/// Returns the free slots that requests of a level may take.
+fn free_slots_for(level: PriorityLevel, queues: &[QueueState]) -> u32 {
+    let above: u32 = queues.iter().map(|queue| queue.levels.in_flight_above(level)).sum();
+    let more_urgent = f64::from(above) / queues.len().max(1) as f64;
+    let free = |queue: &QueueState| {
+        let reserved = reserved_slots(queue.slots, more_urgent);
+        queue.slots.saturating_sub(queue.in_flight + reserved)
+    };
+    queues.iter().map(free).sum()
+}
+
 /// Returns the queueing time that this VM expects for a request of timely rank at an upstream.
 pub fn expected_wait(
     upstream: &Upstream,
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -16,8 +16,8 @@
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 
-pub use self::local::expected_wait;
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
+pub use self::local::{expected_wait, view_room};
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 use self::remote::{RemoteChoice, choose_remote};
@@ -27,7 +27,7 @@
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
-use crate::upstream::{LoadGuard, Upstream};
+use crate::upstream::{LoadGuard, RequestLoad, Upstream};
 use crate::view::{GatewayView, PeerLink};
 
 /// How much cheaper another region must be to be preferred, since reports of it are up to a second
@@ -36,6 +36,9 @@
 /// After a request was tried at this many upstreams of this region, another region is preferred.
 /// The local upstreams may have been lost together, and stay listed for some seconds.
 const MAX_LOCAL_FAULTS: usize = 2;
+/// A region gets requests for want of room elsewhere while its upstreams have fewer requests than
+/// this share of their slots, since reports of it are old when it fills.
+const MAX_REMOTE_LOAD: f64 = 0.85;
 /// Prompts whose shared segments have at least this many tokens are announced to other VMs. For
 /// shorter ones the ranking that all VMs have in common is good enough.
 pub const MIN_ANNOUNCED_TOKENS: u32 = 512;
@@ -88,16 +91,15 @@
         &self,
         shared: &GatewayShared,
         service: &ServiceName,
-        tokens: u32,
-        rank: QueueRank,
+        load: RequestLoad,
     ) -> LoadGuard {
         match self {
             Self::Upstream(upstream) => {
-                let guard = upstream.load.enter(tokens, rank);
+                let guard = upstream.load.enter(load);
                 shared.busy_upstreams.insert(upstream);
                 guard
             }
-            Self::Peer(peer) => peer.enter(service, tokens, rank),
+            Self::Peer(peer) => peer.enter(service, RequestLoad { level: None, ..load }),
         }
     }
 }
@@ -121,6 +123,25 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
+/// What a request with a priority level requires of an upstream before it is sent there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoomRule {
+    /// A free slot that is not reserved for more urgent requests.
+    FreeSlot,
+    /// A slot that is free or taken by a less urgent request.
+    Displace,
+    /// Nothing.
+    Any,
+}
+
+/// Where a request goes now.
+pub enum Placement {
+    /// To this destination.
+    Chosen(DestinationChoice),
+    /// Nowhere yet: no upstream that it may be sent to has room.
+    NoRoom,
+}
+
 /// The destinations already tried for a request.
 #[derive(Debug, Default)]
 pub struct TriedDestinations {
@@ -146,15 +167,17 @@
 
 /// Chooses a destination. Prefers the best upstream of this region, unless another region is
 /// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. If this VM
-/// cannot reach the upstreams of its region, another VM of the region takes their place.
+/// cannot reach the upstreams of its region, another VM of the region takes their place. `rule` says
+/// what a request with a priority level requires of an upstream of this region.
 pub fn choose_destination(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedDestinations,
-) -> Result<DestinationChoice, Refusal> {
+    rule: RoomRule,
+) -> Result<Placement, Refusal> {
     let is_here = job.permits(shared.settings.region());
-    let local = if is_here { choose_local(shared, view, job, tried) } else { None };
+    let local = if is_here { choose_local(shared, view, job, tried, rule) } else { None };
     let is_lost = shared.paths.is_lost();
     if job.is_forwarded {
         let local = local.filter(|local| local.choice.is_trusted || !is_lost);
@@ -162,14 +185,20 @@
             true => no_destination_refusal(shared, view, job),
             false => Refusal::NotPermitted,
         })?;
+        if !local.choice.has_room {
+            return Ok(Placement::NoRoom);
+        }
         admit_choice(job, &local.estimate())?;
-        return local.reserve(shared);
+        return local.reserve(shared).map(Placement::Chosen);
     }
     let remote = choose_remote(shared, view, job, tried);
     let local = match local {
         Some(local) if needs_relay(&local, tried, is_lost) => {
             match pick_relay(shared, view, job, tried) {
-                Some(peer) => return prefer_relay(job, RelayChoice { peer, local }, remote),
+                Some(peer) => {
+                    let relay = RelayChoice { peer, local };
+                    return prefer_relay(job, relay, remote).map(Placement::Chosen);
+                }
                 None => Some(local).filter(|_| !is_lost),
             }
         }
@@ -178,14 +207,20 @@
     match (local, remote) {
         (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
             admit_choice(job, &remote.estimate())?;
-            Ok(remote.choice)
+            Ok(Placement::Chosen(remote.choice))
         }
+        (Some(local), remote) if !local.choice.has_room => match remote {
+            Some(remote) if has_remote_room(&remote) => Ok(Placement::Chosen(remote.choice)),
+            _ => Ok(Placement::NoRoom),
+        },
         (Some(local), remote) => match (admit_choice(job, &local.estimate()), remote) {
-            (Ok(()), _) => local.reserve(shared),
-            (Err(_), Some(remote)) if has_free_capacity(job, &remote) => Ok(remote.choice),
+            (Ok(()), _) => local.reserve(shared).map(Placement::Chosen),
+            (Err(_), Some(remote)) if has_free_capacity(job, &remote) => {
+                Ok(Placement::Chosen(remote.choice))
+            }
             (Err(refusal), _) => Err(refusal),
         },
-        (None, Some(remote)) => Ok(remote.choice),
+        (None, Some(remote)) => Ok(Placement::Chosen(remote.choice)),
         (None, None) if has_no_permitted_region(shared, job) => Err(Refusal::NoPermittedRegion),
         (None, None) => Err(no_destination_refusal(shared, view, job)),
     }
@@ -251,7 +286,8 @@
 /// margin, or the local upstreams cannot be trusted.
 fn prefers_remote(local: &LocalChoice, remote: &RemoteChoice, tried: &TriedDestinations) -> bool {
     let is_local_trusted = local.choice.is_trusted && tried.upstreams.len() < MAX_LOCAL_FAULTS;
-    !is_local_trusted || remote.cost + REGION_MARGIN < local.choice.cost
+    let is_cheaper = remote.cost + REGION_MARGIN < local.choice.cost;
+    !is_local_trusted || is_cheaper && local.choice.has_room
 }
 
 /// Returns whether a remote region can answer in time a request that was not admitted locally. Its
@@ -262,6 +298,13 @@
     is_free && admit_choice(job, &remote.estimate()).is_ok()
 }
 
+/// Returns whether the upstreams of a remote region have room for a request for which those of this
+/// region have none, by the last report and by what was sent there since.
+fn has_remote_room(remote: &RemoteChoice) -> bool {
+    let queue = remote.choice.queue;
+    f64::from(queue.in_flight) < f64::from(queue.slots) * MAX_REMOTE_LOAD
+}
+
 /// Refuses a request that should not be sent even to its best destination. A request whose answer
 /// has begun is always admitted.
 fn admit_choice(job: &GatewayJob, estimate: &DestinationEstimate) -> Result<(), Refusal> {
@@ -283,6 +326,7 @@
     ChoiceQuery {
         target: job.route.target,
         waited: job.waited(),
+        level: job.level,
         event_gap: job.route.event_gap,
         events: shared.route_history(&job.route.name).usual_event_count(),
         size: job.size(),
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -7,8 +7,9 @@
 use foldhaven_core::ids::{RegionName, ServiceName};
 use foldhaven_core::opaque::affinity::{PromptOutline, PromptSegment};
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
-use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute};
+use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
 use http::header::{
@@ -49,6 +50,8 @@
     /// The account that sent the request. `None` if the route needs none and no known key was sent.
     pub account: Option<JobAccount>,
     pub service: ServiceName,
+    /// The priority level. `None` if the requests of the service do not differ in priority.
+    pub level: Option<PriorityLevel>,
     pub method: Method,
     pub target: Uri,
     /// The headers for upstreams, without those that are specific to an attempt.
@@ -128,12 +131,17 @@
         self.software.is_none_or(|software| software == upstream.software)
     }
 
-    /// Returns the priority among the requests of its service. 0 goes first.
+    /// Returns the declared priority of the account, or else of the route, for logs. 0 goes first.
     pub fn priority(&self) -> u8 {
         let by_account = self.account.as_ref().and_then(|it| it.account.priority);
         by_account.unwrap_or(self.route.priority)
     }
 
+    /// Returns the priority level for logs, `-` if there is none.
+    pub fn level_label(&self) -> String {
+        self.level.map_or_else(|| "-".to_owned(), |level| level.to_string())
+    }
+
     /// Returns the name of the account for logs, `-` if there is none.
     pub fn account_label(&self) -> &str {
         self.account.as_ref().map_or("-", |it| it.account.name.as_str())
@@ -157,6 +165,14 @@
     pub account: Option<JobAccount>,
 }
 
+impl RouteMatch {
+    /// Returns the priority level of the request.
+    pub fn level(&self, routes: &RouteTable) -> Option<PriorityLevel> {
+        let account = self.account.as_ref().and_then(|it| it.account.priority);
+        routes.level(&self.service, account, &self.route)
+    }
+}
+
 /// A request with its complete body.
 pub struct ReadRequest {
     pub head: Parts,
@@ -171,8 +187,10 @@
         route_match: RouteMatch,
         terms: CallerTerms,
         names: &HeaderNames,
+        routes: &RouteTable,
     ) -> GatewayJob {
         let Self { head, body, started } = self;
+        let level = route_match.level(routes);
         let RouteMatch { route, service, account } = route_match;
         GatewayJob {
             attempt: terms.attempt,
@@ -182,6 +200,7 @@
             output_tokens: read_output_tokens(&head, names),
             route,
             service,
+            level,
             method: head.method,
             target: head.uri,
             headers: forwarded_headers(head.headers, account.as_ref(), names),
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod upstream_listener;
 mod upstream_set;
 mod view;
+mod waiting_rooms;
 mod warm_links;
 
 pub use self::daemon::{DaemonError, PlatformAdapter, run_gateway};
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -1,5 +1,6 @@
 //! The names of the headers used between callers, this system and upstreams.
 
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::{HeaderName, HeaderValue};
 
@@ -44,11 +45,14 @@
 }
 
 impl HeaderNames {
-    /// Returns the header value for a rank. `None`, for no header, means rank 5.
-    pub fn rank_value(rank: QueueRank) -> Option<u16> {
-        match rank {
-            QueueRank::Timely => None,
-            QueueRank::Deferred => Some(8),
+    /// Returns the header value for a request. `None`, for no header, means 5. The value of a
+    /// request with a level does not depend on its rank, so that a request that has begun is not
+    /// displaced by others of its level.
+    pub fn rank_value(rank: QueueRank, level: Option<PriorityLevel>) -> Option<u16> {
+        match (level, rank) {
+            (Some(level), _) => Some(level.number().into()),
+            (None, QueueRank::Timely) => None,
+            (None, QueueRank::Deferred) => Some(8),
         }
     }
 }
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -131,7 +131,7 @@
     let account = account.map_err(|_| Refusal::NotPermitted)?;
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names);
+    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
     if !job.permits(shared.settings.region()) {
         return Err(Refusal::NotPermitted);
     }
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -10,7 +10,7 @@
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::account_demand::{LocalDemand, RegionDemand};
 use foldhaven_core::opaque::affinity::PromptPlacement;
-use foldhaven_core::opaque::load_reports::LoadReport;
+use foldhaven_core::opaque::load_reports::{LevelReport, LoadReport};
 use foldhaven_core::opaque::lost_paths::LostPathNotice;
 use foldhaven_core::opaque::peer_table::{
     HeartbeatMessage, RevisionAnnouncement, ViewDigest, ViewList,
@@ -89,6 +89,8 @@
     OriginAnswers(Vec<OriginAnswer>),
     /// Suspected segments of prompts.
     SuspectSegments(SuspectMessage),
+    /// The priority levels of the requests in the load report that was sent before.
+    Levels(LevelReport),
 }
 
 impl PeerMessage {
@@ -102,6 +104,7 @@
         match self {
             Self::Beat(_) => "sent_bytes_heartbeat",
             Self::Load(_) => "sent_bytes_load",
+            Self::Levels(_) => "sent_bytes_levels",
             Self::Placements(_) => "sent_bytes_placements",
             Self::Changes(_) | Self::Early(_) => Self::CHANGES_METRIC,
             Self::Region(_) => "sent_bytes_region",
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -10,8 +10,9 @@
 use foldhaven_core::ids::{RouteName, ServiceName};
 use foldhaven_core::opaque::affinity::{PrefixCacheIndex, PromptPlacement};
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
-use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
 use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
@@ -34,6 +35,7 @@
 use crate::suspects::{ChangeContext, SuspectTracker};
 use crate::suspension::SuspensionDetector;
 use crate::view::GatewayView;
+use crate::waiting_rooms::WaitingRooms;
 
 /// Lag from which on this VM no longer concludes from its own state that something does not exist.
 /// The operators require changes to be in force everywhere within five seconds; fetching them takes
@@ -123,6 +125,10 @@
     pub origins: OriginTracker,
     /// Limits the usage of accounts.
     pub accounts: AccountLimiter,
+    /// The requests that wait for room at the upstreams.
+    pub waiting_rooms: WaitingRooms,
+    /// The requests that wait at the other VMs of the region, by service and level.
+    waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// Detects that the process was suspended, so that its state may be outdated.
     pub wake: SuspensionDetector,
 }
@@ -131,6 +137,8 @@
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
         Arc::new(Self {
             wake: SuspensionDetector::default(),
+            waiting_rooms: WaitingRooms::default(),
+            waiting_elsewhere: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
             paths: PathTracker::new(VmTag::of(&settings.vm)),
@@ -263,6 +271,17 @@
         self.stage.send_replace(stage);
     }
 
+    /// Sets the requests that wait at the other VMs of the region.
+    pub fn set_waiting_elsewhere(&self, waiting: HashMap<ServiceTag, [u32; LEVEL_COUNT]>) {
+        *self.waiting_elsewhere.lock() = waiting;
+    }
+
+    /// Returns the requests of a service that wait at the other VMs of the region, by level.
+    pub fn waiting_elsewhere(&self, service: &ServiceName) -> [u32; LEVEL_COUNT] {
+        let waiting = self.waiting_elsewhere.lock();
+        waiting.get(&ServiceTag::of(service)).copied().unwrap_or_default()
+    }
+
     /// Returns the measured performance of a service's upstreams, with the fetch rate from the
     /// description (0 if the description has none).
     pub fn performance(&self, service: &ServiceName, view: &GatewayView) -> ServicePerformance {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -13,8 +13,10 @@
     VmName,
 };
 use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
+use foldhaven_core::opaque::level_loads::{LevelLoads, LevelShare};
 use foldhaven_core::opaque::load_reports::UpstreamShare;
 use foldhaven_core::opaque::performance::{QueueState, UpstreamPerformance};
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use foldhaven_core::opaque::rate_share::{RatePacer, RateShare};
 use foldhaven_core::opaque::slot_share::SlotShare;
@@ -54,6 +56,8 @@
     others_deferred: AtomicU32,
     /// The prompt tokens of the requests of other VMs that are not answered yet.
     others_prefill_backlog: Mutex<PrefillBacklog>,
+    /// The requests of other VMs by priority level.
+    others_levels: Mutex<LevelLoads>,
     /// The in-flight requests of this VM, from which the suspects are taken if the upstream
     /// crashes.
     in_flight_requests: Mutex<InFlightRequests<SuspectKeys>>,
@@ -125,6 +129,7 @@
             others_on_track: AtomicU32::new(0),
             others_deferred: AtomicU32::new(0),
             others_prefill_backlog: Mutex::default(),
+            others_levels: Mutex::default(),
             in_flight_requests: Mutex::default(),
             is_exit_check_running: AtomicBool::new(false),
             last_received: AtomicU64::new(0),
@@ -341,6 +346,11 @@
         *self.others_prefill_backlog.lock() = share.prefill_backlog;
     }
 
+    /// Sets the requests of the other VMs of the region by priority level.
+    pub fn set_peer_levels(&self, levels: LevelLoads) {
+        *self.others_levels.lock() = levels;
+    }
+
     /// Returns the queue of the upstream, with the requests of all VMs of the region.
     pub fn queue(&self) -> QueueState {
         let own = self.load.share();
@@ -351,6 +361,7 @@
             on_track: u32::from(own.on_track) + self.others_on_track.load(Ordering::Relaxed),
             deferred: u32::from(own.deferred) + self.others_deferred.load(Ordering::Relaxed),
             prefill_backlog: own.prefill_backlog.plus(*self.others_prefill_backlog.lock()),
+            levels: self.load.levels().plus(&self.others_levels.lock()),
         }
     }
 }
@@ -391,6 +402,17 @@
     }
 }
 
+/// What a request adds to the load of its destination.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestLoad {
+    /// The prompt tokens to prefill.
+    pub prefill_tokens: u32,
+    /// Its rank in the queue of the destination.
+    pub rank: QueueRank,
+    /// Its priority level; `None` if its service has none or the destination is another VM.
+    pub level: Option<PriorityLevel>,
+}
+
 /// Counts the requests of this VM at one destination.
 #[derive(Debug, Default)]
 pub struct LoadCounter {
@@ -403,6 +425,8 @@
     timely_backlog: AtomicU32,
     /// The prompt tokens of deferred requests that are not answered yet.
     deferred_backlog: AtomicU32,
+    /// The requests that have a priority level.
+    levels: Mutex<LevelLoads>,
 }
 
 impl LoadCounter {
@@ -421,16 +445,31 @@
         }
     }
 
-    /// Counts a request with the given rank and prompt tokens to prefill until the guard is
-    /// dropped.
-    pub fn enter(self: &Arc<Self>, tokens: u32, rank: QueueRank) -> LoadGuard {
+    /// Returns the requests by priority level.
+    pub fn levels(&self) -> LevelLoads {
+        *self.levels.lock()
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn enter(self: &Arc<Self>, load: RequestLoad) -> LoadGuard {
+        let RequestLoad { prefill_tokens: tokens, rank, level } = load;
         let is_on_track = rank == QueueRank::Timely;
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let is_deferred = rank == QueueRank::Deferred;
         self.on_track.fetch_add(is_on_track.into(), Ordering::Relaxed);
         self.deferred.fetch_add(is_deferred.into(), Ordering::Relaxed);
         self.backlog(rank).fetch_add(tokens, Ordering::Relaxed);
-        LoadGuard { counter: self.clone(), pending_tokens: tokens, rank, is_on_track, is_deferred }
+        if let Some(level) = level {
+            self.levels.lock().add(&LevelShare { level, in_flight: 1, prefill_backlog: tokens });
+        }
+        LoadGuard {
+            counter: self.clone(),
+            pending_tokens: tokens,
+            rank,
+            level,
+            is_on_track,
+            is_deferred,
+        }
     }
 
     fn backlog(&self, rank: QueueRank) -> &AtomicU32 {
@@ -447,6 +486,7 @@
     /// The prompt tokens still counted as waiting for prefill.
     pending_tokens: u32,
     rank: QueueRank,
+    level: Option<PriorityLevel>,
     /// Whether the request can still meet its targets.
     is_on_track: bool,
     /// Whether the request is deferred and not answered yet.
@@ -458,10 +498,18 @@
     pub fn record_answered(&mut self) {
         let pending_tokens = std::mem::take(&mut self.pending_tokens);
         self.counter.backlog(self.rank).fetch_sub(pending_tokens, Ordering::Relaxed);
+        self.remove_from_level(0, pending_tokens);
         let was_deferred = std::mem::replace(&mut self.is_deferred, false);
         self.counter.deferred.fetch_sub(was_deferred.into(), Ordering::Relaxed);
     }
 
+    fn remove_from_level(&self, in_flight: u16, prefill_backlog: u32) {
+        if let Some(level) = self.level {
+            let share = LevelShare { level, in_flight, prefill_backlog };
+            self.counter.levels.lock().remove(&share);
+        }
+    }
+
     /// Records that the request has missed its targets.
     pub fn record_late(&mut self) {
         let was_on_track = std::mem::replace(&mut self.is_on_track, false);
@@ -473,6 +521,7 @@
     fn drop(&mut self) {
         self.record_answered();
         self.record_late();
+        self.remove_from_level(1, 0);
         self.counter.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -9,7 +9,6 @@
 use foldhaven_core::ids::{DataCentreName, RegionName, ServiceName, VmName};
 use foldhaven_core::opaque::load_reports::{UpstreamShare, report_interval};
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, VmTag};
-use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::route_table::RouteTable;
 use foldhaven_core::opaque::software::SoftwareCensus;
 use foldhaven_core::time::MonoTime;
@@ -18,7 +17,7 @@
 
 use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT, RoundTripMeter};
 use crate::platform_state::StateOffer;
-use crate::upstream::{LoadCounter, LoadGuard};
+use crate::upstream::{LoadCounter, LoadGuard, RequestLoad};
 use crate::upstream_set::{RegionGroups, ServiceGroups, UpstreamGroup};
 
 /// The requests that this VM has forwarded to a region, and the round trip to it. Shared by the
@@ -41,8 +40,8 @@
         self.round_trip.shortest()
     }
 
-    fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadGuard {
-        self.loads.lock().entry(service.clone()).or_default().enter(tokens, rank)
+    fn enter(&self, service: &ServiceName, load: RequestLoad) -> LoadGuard {
+        self.loads.lock().entry(service.clone()).or_default().enter(load)
     }
 }
 
@@ -72,8 +71,8 @@
     }
 
     /// Counts a forwarded request of a service until the returned guard is dropped.
-    pub fn enter(&self, service: &ServiceName, tokens: u32, rank: QueueRank) -> LoadGuard {
-        self.traffic.enter(service, tokens, rank)
+    pub fn enter(&self, service: &ServiceName, load: RequestLoad) -> LoadGuard {
+        self.traffic.enter(service, load)
     }
 }
 
--- /dev/null
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -0,0 +1,96 @@
+//! The waiting rooms of this VM, one for each service whose requests have priority levels.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::peer_table::ServiceTag;
+use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::waiting_room::{RoomView, TicketId, WaitingRequest, WaitingRoom};
+use foldhaven_core::time::MonoTime;
+use parking_lot::Mutex;
+
+/// The number of requests that wait at a VM, by service and level.
+pub type WaitingCounts = Vec<(ServiceTag, Vec<(PriorityLevel, u16)>)>;
+
+/// The waiting rooms by service.
+#[derive(Default)]
+pub struct WaitingRooms(Mutex<HashMap<ServiceName, Arc<Mutex<WaitingRoom>>>>);
+
+impl WaitingRooms {
+    /// Returns the room of a service.
+    pub fn room(&self, service: &ServiceName) -> Arc<Mutex<WaitingRoom>> {
+        let mut rooms = self.0.lock();
+        match rooms.get(service) {
+            Some(room) => room.clone(),
+            None => rooms.entry(service.clone()).or_default().clone(),
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn counts(&self) -> WaitingCounts {
+        let rooms = self.0.lock();
+        let counted = rooms.iter().map(|(service, room)| {
+            let counts = room.lock().counts();
+            let levels = PriorityLevel::all().zip(counts).filter(|(_, count)| *count > 0);
+            let levels = levels.map(|(level, it)| (level, u16::try_from(it).unwrap_or(u16::MAX)));
+            (ServiceTag::of(service), levels.collect::<Vec<_>>())
+        });
+        counted.filter(|(_, levels)| !levels.is_empty()).collect()
+    }
+}
+
+/// Keeps a request in the waiting room of its service until dropped.
+pub struct WaitingTicket {
+    room: Arc<Mutex<WaitingRoom>>,
+    id: TicketId,
+    request: WaitingRequest,
+    entered: MonoTime,
+}
+
+impl WaitingTicket {
+    /// Adds a request to a room.
+    pub fn enter(room: Arc<Mutex<WaitingRoom>>, request: WaitingRequest, now: MonoTime) -> Self {
+        let id = room.lock().enter(request, now);
+        Self { room, id, request, entered: now }
+    }
+
+    /// Runs the next round of the room if it is due, and returns whether it is the turn of this
+    /// request.
+    pub fn take_turn(&self, view_room: impl FnOnce() -> RoomView, now: MonoTime) -> bool {
+        let is_due = self.room.lock().is_round_due(now);
+        if is_due {
+            let view = view_room();
+            self.room.lock().run_round(&view, rand::random(), now);
+        }
+        self.room.lock().take_turn(self.id)
+    }
+
+    /// Returns how long the request probably waits still. `None` if that is not known.
+    pub fn expected_wait(&self, now: MonoTime) -> Option<Duration> {
+        let room = self.room.lock();
+        room.expected_wait(room.ahead_of(&self.request, now), now)
+    }
+
+    /// Returns how long the request has waited.
+    pub fn held(&self, now: MonoTime) -> Duration {
+        now.since(self.entered)
+    }
+
+    /// Returns the last moment at which the request can start and be in time.
+    pub fn late_at(&self) -> MonoTime {
+        self.request.late_at
+    }
+
+    /// Records that the request starts.
+    pub fn record_start(&self, now: MonoTime) {
+        self.room.lock().record_start(now);
+    }
+}
+
+impl Drop for WaitingTicket {
+    fn drop(&mut self) {
+        self.room.lock().leave(self.id);
+    }
+}
--- a/crates/foldhaven-testkit/src/simulate/engine.rs
+++ b/crates/foldhaven-testkit/src/simulate/engine.rs
@@ -126,6 +126,7 @@
             on_track: in_flight,
             deferred: self.deferred.len() as u32,
             prefill_backlog: PrefillBacklog { timely: admitted + waiting, deferred },
+            ..QueueState::default()
         }
     }
 }
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -184,12 +184,14 @@
             is_ejected: false,
             is_throttled: false,
             is_tried: false,
+            has_room: true,
         };
         let candidates: Vec<UpstreamCandidate<'_>> =
             (0..engine_names.len()).map(candidate).collect();
         let query = ChoiceQuery {
             target: request.target,
             waited: request.waited,
+            level: None,
             event_gap: None,
             events: request.events,
             size: request.size,
@@ -364,6 +366,7 @@
             on_track: u32::from(self.own.on_track) + u32::from(self.others.on_track),
             deferred: u32::from(self.own.deferred) + u32::from(self.others.deferred),
             prefill_backlog: self.own.prefill_backlog.plus(self.others.prefill_backlog),
+            ..QueueState::default()
         };
         self.performance.queue_after_refusal(reported, slot_time, now)
     }
