--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -12,8 +12,6 @@
 
 /// Less urgent requests keep at least one in this many slots of an upstream free at most.
 const MAX_RESERVED_PART: u32 = 4;
-/// The variation of the number of requests at an upstream, relative to that at random upstreams.
-const SPREAD_VARIATION: f64 = 0.5;
 /// Prompts may wait for prefill at an upstream for this share of the shortest target time of the
 /// service. The rest is left for the prefill of an urgent request itself and for the network.
 const BACKLOG_SHARE: f64 = 0.2;
@@ -87,12 +85,11 @@
 /// Returns the number of slots of an upstream that less urgent requests leave free for more urgent
 /// ones, of which `more_urgent` are in flight per upstream on average.
 ///
-/// The number of requests at random upstreams would vary by about its square root, and it varies by
-/// less since they go to those with free slots. With as many free slots, few of them arrive while
-/// all slots are taken, and displace a request that has begun.
+/// The number of such requests varies by about its square root. With as many free slots, few of
+/// them arrive while all slots are taken, and displace a request that has begun.
 pub fn reserved_slots(slots: u32, more_urgent: f64) -> u32 {
-    let variation = more_urgent.max(0.0).sqrt() * SPREAD_VARIATION;
-    (variation.round() as u32).min(slots / MAX_RESERVED_PART)
+    let variation = more_urgent.max(0.0).sqrt().round() as u32;
+    variation.min(slots / MAX_RESERVED_PART)
 }
 
 /// Returns the prompt tokens that may wait for prefill at one upstream of a service whose shortest
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
-use foldhaven_core::opaque::admission::{DestinationEstimate, TimeLimits, admit, retry_after};
+use foldhaven_core::opaque::admission::{
+    AdmissionError, DestinationEstimate, TimeLimits, admit, retry_after,
+};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::queue_rank::QueueRank;
@@ -186,8 +188,10 @@
         if !local.choice.has_room {
             return Ok(Placement::NoRoom);
         }
-        admit_choice(job, &local.estimate())?;
-        return local.reserve(shared).map(Placement::Chosen);
+        return match admit_choice(job, &local.estimate()) {
+            Ok(()) => local.reserve(shared).map(Placement::Chosen),
+            Err(refusal) => wait_or_refuse(job, refusal),
+        };
     }
     let remote = choose_remote(shared, view, job, tried);
     let local = match local {
@@ -218,7 +222,7 @@
             (Err(_), Some(remote)) if has_free_capacity(job, &remote) => {
                 Ok(Placement::Chosen(remote.choice))
             }
-            (Err(refusal), _) => Err(refusal),
+            (Err(refusal), _) => wait_or_refuse(job, refusal),
         },
         (None, Some(remote)) => Ok(Placement::Chosen(remote.choice)),
         (None, None) if has_no_permitted_region(shared, job) => Err(Refusal::NoPermittedRegion),
@@ -298,6 +302,18 @@
     is_free && admit_choice(job, &remote.estimate()).is_ok()
 }
 
+/// Lets a request with a priority level wait if it would delay others too much now.
+fn wait_or_refuse(job: &GatewayJob, refusal: Refusal) -> Result<Placement, Refusal> {
+    match refusal {
+        Refusal::Overloaded { cause: AdmissionError::TooMuchInterference, .. }
+            if job.level.is_some() =>
+        {
+            Ok(Placement::NoRoom)
+        }
+        refusal => Err(refusal),
+    }
+}
+
 /// Refuses a request that should not be sent even to its best destination. A request whose answer
 /// has begun is always admitted.
 fn admit_choice(job: &GatewayJob, estimate: &DestinationEstimate) -> Result<(), Refusal> {
