VMs tell each other the speeds of upstreams

Cause: each VM learnt the speed of an upstream for itself. With dozens of VMs it sends a request there every few seconds only, and learns in a minute what all of them know in a second.

Ruled out: adding it to the load report, whose form is fixed; one merged estimate passed on by all, which counts sums several times.

Change: a message Speeds at the end of the enum, once a second, with the VM's sums at the upstreams that it measured since; 48 upstreams, about 1 kB at most. The newest report of each VM counts, by incarnation and sequence; sums decay with their age and are dropped after 90 s. Implausible sums are ignored and counted.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -38,6 +38,7 @@
 pub mod service_order;
 pub mod slot_share;
 pub mod software;
+pub mod speed_reports;
 pub mod stream_origins;
 pub mod suspects;
 pub mod upstream_ring;
--- a/crates/foldhaven-core/src/opaque/upstream_speed.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_speed.rs
@@ -48,8 +48,10 @@
 /// The decaying sums of expected and of measured times in seconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TimeSums {
-    expected_s: f64,
-    measured_s: f64,
+    /// The expected times.
+    pub expected_s: f64,
+    /// The measured times.
+    pub measured_s: f64,
 }
 
 impl TimeSums {
@@ -60,9 +62,15 @@
             measured.as_secs_f64().clamp(expected_s / MAX_FACTOR, expected_s * MAX_FACTOR);
     }
 
-    fn scale(&mut self, retention: f64) {
-        self.expected_s *= retention;
-        self.measured_s *= retention;
+    fn scaled(self, retention: f64) -> Self {
+        Self { expected_s: self.expected_s * retention, measured_s: self.measured_s * retention }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            expected_s: self.expected_s + other.expected_s,
+            measured_s: self.measured_s + other.measured_s,
+        }
     }
 
     fn factor(self, prior_s: f64) -> f64 {
@@ -71,44 +79,83 @@
     }
 }
 
-/// The measurements of one upstream's speed.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct UpstreamSpeed {
-    prefill: TimeSums,
-    decode: TimeSums,
+/// The sums of prefill and of decode times at one upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SpeedSums {
+    /// The sums of prefill times.
+    pub prefill: TimeSums,
+    /// The sums of decode times.
+    pub decode: TimeSums,
     /// When the sums were updated; they decay from then on.
-    updated: MonoTime,
+    pub updated: MonoTime,
 }
 
-impl UpstreamSpeed {
-    fn decay(&mut self, now: MonoTime) {
+impl SpeedSums {
+    /// Returns the sums as they have decayed by now.
+    pub fn decayed(&self, now: MonoTime) -> Self {
         let age = now.since(self.updated).as_secs_f64();
         let retention = (-age / DECAY_TIME.as_secs_f64()).exp();
-        self.prefill.scale(retention);
-        self.decode.scale(retention);
-        self.updated = now;
+        Self {
+            prefill: self.prefill.scaled(retention),
+            decode: self.decode.scaled(retention),
+            updated: now,
+        }
     }
 
+    /// Returns the sum of both as they have decayed by now.
+    pub fn plus(&self, other: &Self, now: MonoTime) -> Self {
+        let (left, right) = (self.decayed(now), other.decayed(now));
+        Self {
+            prefill: left.prefill.plus(right.prefill),
+            decode: left.decode.plus(right.decode),
+            updated: now,
+        }
+    }
+}
+
+/// The measurements of one upstream's speed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct UpstreamSpeed {
+    /// The sums of this VM.
+    own: SpeedSums,
+    /// The sums of the other VMs.
+    others: SpeedSums,
+    /// Whether this VM has measurements that it has not reported to the others.
+    has_unsent: bool,
+}
+
+impl UpstreamSpeed {
     /// Records the time of a prefill, and the time expected of an upstream of mean speed.
     pub fn record_prefill(&mut self, expected: Duration, measured: Duration, now: MonoTime) {
-        self.decay(now);
-        self.prefill.add(expected, measured);
+        self.own = self.own.decayed(now);
+        self.own.prefill.add(expected, measured);
+        self.has_unsent = true;
     }
 
     /// Records the time from the first to the last event of a stream, and the time expected of an
     /// upstream of mean speed.
     pub fn record_decode(&mut self, expected: Duration, measured: Duration, now: MonoTime) {
-        self.decay(now);
-        self.decode.add(expected, measured);
+        self.own = self.own.decayed(now);
+        self.own.decode.add(expected, measured);
+        self.has_unsent = true;
+    }
+
+    /// Sets the sums of the other VMs.
+    pub fn set_others(&mut self, others: SpeedSums) {
+        self.others = others;
+    }
+
+    /// Returns the sums of this VM, if it has measured anything since the last call.
+    pub fn take_unsent(&mut self, now: MonoTime) -> Option<SpeedSums> {
+        std::mem::take(&mut self.has_unsent).then(|| self.own.decayed(now))
     }
 
     /// Returns the factors of the upstream. They return to 1 if nothing is measured any more.
     pub fn factors(&self, now: MonoTime) -> SpeedFactors {
-        let mut current = *self;
-        current.decay(now);
+        let all = self.own.plus(&self.others, now);
         SpeedFactors {
-            prefill: current.prefill.factor(PRIOR_PREFILL_S),
-            decode: current.decode.factor(PRIOR_DECODE_S),
+            prefill: all.prefill.factor(PRIOR_PREFILL_S),
+            decode: all.decode.factor(PRIOR_DECODE_S),
         }
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use foldhaven_core::ids::UpstreamName;
+use foldhaven_core::ids::{IncarnationId, UpstreamName};
+use foldhaven_core::opaque::affinity::UpstreamTag;
 use foldhaven_core::opaque::choice::{
     ChoiceQuery, UpstreamCandidate, choose_upstream, price_upstreams,
 };
+use foldhaven_core::opaque::peer_table::VmTag;
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance, UpstreamPerformance};
 use foldhaven_core::opaque::queue_rank::PrefillBacklog;
+use foldhaven_core::opaque::speed_reports::{SpeedNotice, SpeedReport, SpeedTable};
 use foldhaven_core::opaque::upstream_speed::{SpeedFactors, UpstreamSpeed};
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
@@ -323,3 +326,118 @@
     let (with, without) = (late_share(peak, true), late_share(peak, false));
     assert!(with < 0.08 && with < without, "{with} late, {without} without speeds");
 }
+
+const TAG: UpstreamTag = UpstreamTag(7);
+
+/// Returns the measurements of a VM that has sent some prompts to an upstream with this factor.
+fn measured(prompts: u32, factor: f64) -> UpstreamSpeed {
+    let mut speed = UpstreamSpeed::default();
+    for _ in 0..prompts {
+        speed.record_prefill(MS(100), MS(100).mul_f64(factor), at(0));
+        speed.record_decode(MS(500), MS(500).mul_f64(factor), at(0));
+    }
+    speed
+}
+
+/// Returns the report of a VM on one upstream.
+fn report(vm: u32, order: (u64, u32), mut speed: UpstreamSpeed, now: MonoTime) -> SpeedReport {
+    let notices = speed.take_unsent(now).map(|sums| SpeedNotice::of(TAG, sums));
+    let (incarnation, sequence) = (IncarnationId(order.0), order.1);
+    SpeedReport { vm: VmTag(vm), incarnation, sequence, notices: notices.into_iter().collect() }
+}
+
+/// Returns the factors that a VM without measurements concludes from the table.
+fn factors_of(table: &SpeedTable, now: MonoTime) -> SpeedFactors {
+    let mut speed = UpstreamSpeed::default();
+    speed.set_others(table.total(TAG, now));
+    speed.factors(now)
+}
+
+// Guards against each VM having to learn for itself: with dozens of VMs, each sends a request to
+// an upstream only every few seconds.
+#[test]
+fn a_vm_uses_the_measurements_of_the_others() {
+    let mut table = SpeedTable::default();
+    for vm in 0..10 {
+        table.apply(&report(vm, (1, 1), measured(2, 1.6), at(0)), |_| true, at(0));
+    }
+    let factors = factors_of(&table, at(0));
+    let alone = measured(20, 1.6).factors(at(0));
+    assert!(error(factors.prefill, alone.prefill) < 1e-3, "{factors:?} {alone:?}");
+    assert!(error(factors.decode, alone.decode) < 1e-3, "{factors:?} {alone:?}");
+}
+
+// Guards against counting a VM twice, and against a datagram that overtook another one or that is
+// from before a restart.
+#[test]
+fn only_the_newest_report_of_a_vm_counts() {
+    let mut table = SpeedTable::default();
+    let newer = report(1, (2, 5), measured(8, 2.0), at(0));
+    assert_eq!(table.apply(&newer, |_| true, at(0)), [TAG]);
+    let before = factors_of(&table, at(0));
+    for order in [(2, 5), (2, 4), (1, 900)] {
+        let stale = report(1, order, measured(30, 0.5), at(0));
+        assert!(table.apply(&stale, |_| true, at(0)).is_empty(), "{order:?}");
+    }
+    assert_eq!(factors_of(&table, at(0)), before);
+    table.apply(&report(1, (3, 1), measured(8, 0.5), at(0)), |_| true, at(0));
+    assert!(factors_of(&table, at(0)).prefill < 0.8);
+}
+
+// Guards against keeping what a VM told before it was lost, and against measurements of processes
+// that have ended.
+#[test]
+fn the_reports_of_a_silent_vm_are_forgotten() {
+    let mut table = SpeedTable::default();
+    table.apply(&report(1, (1, 1), measured(10, 2.0), at(0)), |_| true, at(0));
+    let (now, later) = (factors_of(&table, at(0)), factors_of(&table, at(60_000)));
+    assert!(now.prefill > 1.5 && later.prefill < 1.4, "{now:?} {later:?}");
+    table.remove_expired(|_| true, at(89_000));
+    assert_eq!(table.len(), 1);
+    table.remove_expired(|_| true, at(91_000));
+    assert!(table.is_empty());
+    table.apply(&report(1, (1, 2), measured(10, 2.0), at(0)), |_| true, at(0));
+    table.remove_expired(|_| false, at(0));
+    assert!(table.is_empty(), "the upstream is not listed any more");
+    table.apply(&report(1, (1, 3), measured(10, 2.0), at(0)), |_| false, at(0));
+    assert!(table.is_empty(), "nor after a late report");
+}
+
+// Guards against a faulty VM that makes the estimates of all others useless.
+#[rstest]
+#[case(f32::NAN)]
+#[case(f32::INFINITY)]
+#[case(-1.0)]
+#[case(1e9)]
+fn implausible_measurements_are_ignored(#[case] sum: f32) {
+    let mut table = SpeedTable::default();
+    let sound = report(1, (1, 1), measured(10, 2.0), at(0));
+    let change = |field: fn(&mut SpeedNotice) -> &mut f32| {
+        let mut changed = report(2, (1, 1), measured(10, 2.0), at(0));
+        *field(&mut changed.notices[0]) = sum;
+        changed
+    };
+    table.apply(&sound, |_| true, at(0));
+    let before = factors_of(&table, at(0));
+    let fields: [fn(&mut SpeedNotice) -> &mut f32; 4] = [
+        |it| &mut it.prefill.expected_s,
+        |it| &mut it.prefill.measured_s,
+        |it| &mut it.decode.expected_s,
+        |it| &mut it.decode.measured_s,
+    ];
+    for field in fields {
+        assert!(table.apply(&change(field), |_| true, at(0)).is_empty());
+    }
+    assert_eq!(factors_of(&table, at(0)), before);
+}
+
+// Guards against reports that repeat what was told: their number has to follow the traffic.
+#[test]
+fn only_new_measurements_are_reported() {
+    let mut speed = measured(3, 1.5);
+    assert!(speed.take_unsent(at(0)).is_some());
+    assert_eq!(speed.take_unsent(at(1_000)), None);
+    speed.record_prefill(MS(100), MS(150), at(1_500));
+    let sums = speed.take_unsent(at(2_000)).unwrap();
+    assert!(sums.prefill.expected_s > 0.35, "a report holds all measurements: {sums:?}");
+}
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod peer_changes;
 mod rate_shares;
 mod region_waits;
+mod speed_reports;
 mod suspension;
 mod traffic_view;
 mod update_targets;
@@ -36,6 +37,7 @@
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::SenderAgreement;
 use foldhaven_core::opaque::slot_share::RecentSenders;
+use foldhaven_core::opaque::speed_reports::SpeedTable;
 use foldhaven_core::opaque::view_staleness::ViewStaleness;
 use foldhaven_core::time::MonoTime;
 use tokio::sync::{mpsc, watch};
@@ -54,6 +56,7 @@
 pub use self::path_notices::ReceivePathNotices;
 pub use self::peer_changes::{ApplyChanges, ApplySnapshot, ReceiveChanges, ReceiveEarlyChanges};
 pub use self::rate_shares::{PlanAgreementRound, ReceiveAgreement};
+pub use self::speed_reports::{PlanSpeedReport, ReceiveSpeedReport};
 pub use self::update_targets::{PlanUpdateTargets, SendReason, UpdateTargets};
 pub use self::upstream_signals::{
     PlanSignalTargets, ReceiveLeavingNotices, ReceiveUpstreamRateLimits,
@@ -123,6 +126,10 @@
     region_traffic: HashMap<RegionName, Arc<RegionTraffic>>,
     /// The load reports of other VMs.
     loads: LoadTable,
+    /// The speeds of upstreams that other VMs of the region have measured.
+    speeds: SpeedTable,
+    /// The number of speed reports sent.
+    speed_report_rounds: u32,
     /// The VMs of the region that send requests to its upstreams.
     recent_senders: RecentSenders,
     /// Chooses the targets of this VM's load reports.
@@ -223,6 +230,8 @@
             links: HashMap::new(),
             region_traffic: HashMap::new(),
             loads: LoadTable::default(),
+            speeds: SpeedTable::default(),
+            speed_report_rounds: 0,
             recent_senders: RecentSenders::default(),
             report_plan: ReportPlanner::default(),
             meter: DemandMeter::default(),
@@ -370,6 +379,7 @@
         self.agreement.retain(|vm| peers.address_of(vm).is_some());
         self.shared.suspects.remove_expired(&self.shared.change_context());
         self.forget_signals();
+        self.forget_speeds();
         self.shared.paths.remove_expired(&self.shared);
         self.record_growth();
         self.check_reported_outage();
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -17,7 +17,8 @@
 use crate::caller_front::{CallerHandler, ReadyHandler};
 use crate::control::{ControlActor, ControlAddress, TickControl};
 use crate::datagrams::{
-    receive_datagrams, send_agreements, send_demands, send_heartbeats, send_reports, send_updates,
+    receive_datagrams, send_agreements, send_demands, send_heartbeats, send_reports, send_speeds,
+    send_updates,
 };
 use crate::directory::{DirectoryCodec, DirectoryHandler};
 use crate::feed::{FeedSink, PlatformFeed};
@@ -175,6 +176,7 @@
     let origins = OriginSender { socket: socket.clone(), shared: shared.clone() };
     tokio::spawn(origins.run());
     tokio::spawn(send_demands(socket.clone(), address.clone()));
+    tokio::spawn(send_speeds(socket.clone(), address.clone()));
     tokio::spawn(send_heartbeats(socket, address.clone(), shared.clone()));
     tokio::spawn(watch_settings(settings_path, shared.settings.clone(), address.clone()));
     tokio::spawn(sync_with_peers(shared.clone(), address.clone()));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -15,6 +15,7 @@
 };
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportUpdates};
 use foldhaven_core::opaque::sender_agreement::AGREEMENT_INTERVAL;
+use foldhaven_core::opaque::speed_reports::SPEED_INTERVAL;
 use foldhaven_core::opaque::suspects::RecordSource;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
@@ -22,11 +23,11 @@
 use crate::clock::BootInstant;
 use crate::control::{
     ControlAddress, OutgoingChanges, OutgoingUpdate, PlanAgreementRound, PlanDemandReports,
-    PlanHeartbeats, PlanLoadReport, PlannedLoadReport, ReceiveAgreement, ReceiveChanges,
-    ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices, ReceiveLoadReport,
-    ReceiveLocalDemand, ReceivePathNotices, ReceivePlacements, ReceiveRegionDemand,
-    ReceiveRegionReport, ReceiveRevisionNotice, ReceiveUpstreamRateLimits, ReceiveView,
-    ReceiveViewList,
+    PlanHeartbeats, PlanLoadReport, PlanSpeedReport, PlannedLoadReport, ReceiveAgreement,
+    ReceiveChanges, ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices,
+    ReceiveLoadReport, ReceiveLocalDemand, ReceivePathNotices, ReceivePlacements,
+    ReceiveRegionDemand, ReceiveRegionReport, ReceiveRevisionNotice, ReceiveSpeedReport,
+    ReceiveUpstreamRateLimits, ReceiveView, ReceiveViewList,
 };
 use crate::feed::NumberedChange;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectMessage};
@@ -271,6 +272,7 @@
         PeerMessage::RegionDemand(demand) => control.send(ReceiveRegionDemand { demand }).await?,
         PeerMessage::Limits(limits) => control.send(ReceiveUpstreamRateLimits { limits }).await?,
         PeerMessage::Leavers(leavers) => control.send(ReceiveLeavingNotices { leavers }).await?,
+        PeerMessage::Speeds(report) => control.send(ReceiveSpeedReport { report }).await?,
         PeerMessage::Paths(message) => control.send(ReceivePathNotices { message }).await?,
         PeerMessage::Suspects(_)
         | PeerMessage::SuspectSegments(_)
@@ -393,6 +395,17 @@
     }
 }
 
+/// Sends the speeds of upstreams that this VM has measured to the other VMs of its region.
+pub async fn send_speeds(socket: Arc<PeerSocket>, control: ControlAddress) {
+    loop {
+        let Ok(planned) = control.send(PlanSpeedReport).await else { return };
+        if let Some(planned) = planned {
+            socket.send_to(&planned.targets, &PeerMessage::Speeds(planned.report)).await;
+        }
+        sleep(SPEED_INTERVAL).await;
+    }
+}
+
 async fn send_all(socket: &PeerSocket, planned: OutgoingMessages) {
     for (target, message) in planned {
         socket.send_to(&[target], &message).await;
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -17,6 +17,7 @@
 };
 use foldhaven_core::opaque::region_reports::RegionReport;
 use foldhaven_core::opaque::sender_agreement::AgreementNotice;
+use foldhaven_core::opaque::speed_reports::SpeedReport;
 use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginAnswer, OriginNotice};
 use foldhaven_core::opaque::suspects::SuspectRecord;
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
@@ -89,6 +90,8 @@
     OriginAnswers(Vec<OriginAnswer>),
     /// Suspected segments of prompts.
     SuspectSegments(SuspectMessage),
+    /// The speeds of upstreams of the region as measured by a VM.
+    Speeds(SpeedReport),
 }
 
 impl PeerMessage {
@@ -117,6 +120,7 @@
             Self::Origins(_) | Self::OriginQuestions(_) | Self::OriginAnswers(_) => {
                 "sent_bytes_origins"
             }
+            Self::Speeds(_) => "sent_bytes_speeds",
         }
     }
 
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -19,6 +19,9 @@
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::{AgreementNotice, AgreementRound, ListDigest};
+use foldhaven_core::opaque::speed_reports::{
+    MAX_NOTICES_PER_REPORT, ReportedSums, SpeedNotice, SpeedReport,
+};
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use foldhaven_core::units::CoreShare;
 use foldhaven_gateway::feed::{ChangeSet, FeedChange, NumberedChange};
@@ -162,6 +165,30 @@
     PeerMessage::Changes(ChangeSet { after: 4, revision: 5, changes: numbered.collect() })
 }
 
+fn speeds(upstreams: u32) -> PeerMessage {
+    let sums = ReportedSums { expected_s: 1.5, measured_s: 2.5 };
+    let notice = |number| SpeedNotice {
+        upstream: UpstreamTag(u32::MAX - number),
+        prefill: sums,
+        decode: ReportedSums::default(),
+    };
+    let notices = (0..upstreams).map(notice).collect();
+    PeerMessage::Speeds(SpeedReport {
+        vm: VmTag(1),
+        incarnation: IncarnationId(2),
+        sequence: 3,
+        notices,
+    })
+}
+
+// Guards against reports that fill the links of small VMs: in a region of 48 VMs each receives 47
+// in a second, which may use 5 % of a link of 10 Mbit/s.
+#[test]
+fn a_full_speed_report_is_small() {
+    let bytes = speeds(MAX_NOTICES_PER_REPORT as u32).bytes().unwrap();
+    assert!(47 * bytes.len() <= 62_500, "{} bytes", bytes.len());
+}
+
 /// The bytes of each message kind as this version writes them.
 #[rstest]
 #[case::beat(
@@ -178,6 +205,7 @@
 #[case::region_demand(PeerMessage::RegionDemand(region_demand()), "0c01020304010501060000f040")]
 #[case::limits(limits(), "0d020101000000000000044003020003")]
 #[case::leavers(leavers(), "0e020103fb2c0103")]
+#[case::speeds(speeds(1), "1401020301fcffffffff0000c03f000020400000000000000000")]
 #[case::keyed_changes(
     keyed_changes(),
     "03040502050701000001010000000001036f6e65036f6e65019584d52f48e0eb0e4eac57c18668befb010101056e6f72746801000000000000000040000000000000084001046f70656e05080102000000000001"
@@ -214,6 +242,7 @@
         PeerMessage::RegionDemand(region_demand()),
         limits(),
         leavers(),
+        speeds(2),
         keyed_changes(),
     ];
     for message in messages {
