Notice short slowdowns of upstreams from missing events

Cause: an upstream whose machine is busy with others' work is several times as slow for tenths of a second. The latency factor learns of it from answers, which come when it is over.

Ruled out: silence of the upstream as a whole, which shows later the more streams run there.

Change: the last interval of this VM's streams, or the time for which an event is overdue, against the interval expected at the upstream's speed, load and backlog. From 1.7 times on the choice expects the slowdown for 250 ms more, and counts the interference of a prefill at the present speed. The next usual event ends it. Known to this VM only.

--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -18,6 +18,7 @@
 use crate::ids::UpstreamName;
 use crate::opaque::performance::{QueueState, ServicePerformance};
 use crate::opaque::queue_rank::QueueRank;
+use crate::opaque::short_slowdown::SlowdownFactor;
 use crate::opaque::upstream_speed::SpeedFactors;
 use crate::rank::rank_hash;
 
@@ -39,7 +40,9 @@
     pub queue: QueueState,
     /// The lasting speed of this upstream.
     pub speed: SpeedFactors,
-    /// The factor by which this upstream is at present slower than expected by its speed.
+    /// The factor by which it is slow at this moment.
+    pub slowdown: SlowdownFactor,
+    /// The factor by which its answers in the last seconds took longer than expected by its speed.
     pub latency_factor: f64,
     /// The share of recent requests that failed, beyond the usual share of their routes.
     pub failure_share: f64,
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -85,7 +85,8 @@
         let repeated_tokens = missing.saturating_sub(fetched_tokens);
         let prefill_tokens = repeated_tokens + query.unshared_tokens;
         let time_for = |rank| performance.time_to_first(candidate.queue, rank, prefill_tokens);
-        let timely = time_for(QueueRank::Timely).mul_f64(candidate.latency_factor) + fetch_time;
+        let usual = time_for(QueueRank::Timely).mul_f64(candidate.latency_factor);
+        let timely = candidate.slowdown.delay(usual) + fetch_time;
         let rank = query.rank(timely);
         let time_to_first = match rank {
             QueueRank::Timely => timely,
@@ -146,9 +147,10 @@
     /// Streams that have already had a long pause lose nothing more.
     fn prefill_interference(&self, candidate: &UpstreamCandidate<'_>, tokens: u32) -> RequestCost {
         let Some(gap) = self.query.event_gap else { return RequestCost(0.0) };
-        let UpstreamCandidate { queue, speed, .. } = candidate;
+        let UpstreamCandidate { queue, speed, slowdown, .. } = candidate;
+        let present = speed.slowed_by(*slowdown);
         let long_pauses_by = |tokens: u32| {
-            let tokens = speed.equivalent_tokens(tokens);
+            let tokens = present.equivalent_tokens(tokens);
             let ratio = self.performance.prefill_time(tokens).div_duration_f64(gap);
             self.performance
                 .pause_statistics
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -36,6 +36,7 @@
 pub mod route_table;
 pub mod sender_agreement;
 pub mod service_order;
+pub mod short_slowdown;
 pub mod slot_share;
 pub mod software;
 pub mod speed_reports;
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -8,6 +8,7 @@
 use crate::opaque::prefill_rate::PrefillRate;
 use crate::opaque::queue_capacity::QueueCapacity;
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
+use crate::opaque::short_slowdown::SlowdownMonitor;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
 use crate::time::MonoTime;
 
@@ -177,6 +178,13 @@
         self.mean_size += (f64::from(size) - self.mean_size) * SIZE_WEIGHT;
     }
 
+    /// Returns the expected interval between two events at an upstream with `load` requests that
+    /// also prefills `backlog` tokens meanwhile.
+    pub fn interval_during_prefill(&self, load: f64, backlog: u32) -> Duration {
+        let interval = Duration::from_secs_f64(self.event_interval.interval(load));
+        if interval.is_zero() { interval } else { interval + self.prefill_time(backlog) }
+    }
+
     /// Returns the time that prefilling a number of tokens takes.
     pub fn prefill_time(&self, tokens: u32) -> Duration {
         Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate.rate())
@@ -224,6 +232,8 @@
     refused: Option<(MonoTime, u32)>,
     /// The lasting speed of the upstream.
     pub speed: UpstreamSpeed,
+    /// Whether the upstream is slow at this moment.
+    pub slowdown: SlowdownMonitor,
 }
 
 impl Default for UpstreamPerformance {
@@ -236,6 +246,7 @@
             updated: MonoTime::default(),
             refused: None,
             speed: UpstreamSpeed::default(),
+            slowdown: SlowdownMonitor::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/upstream_speed.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_speed.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::opaque::short_slowdown::SlowdownFactor;
 use crate::time::MonoTime;
 
 /// The time in which recorded times lose weight by the factor e. It spans many short slowdowns, so
@@ -38,6 +39,12 @@
 }
 
 impl SpeedFactors {
+    /// Returns the factors during a short slowdown.
+    pub fn slowed_by(self, slowdown: SlowdownFactor) -> Self {
+        let factor = slowdown.value();
+        Self { prefill: self.prefill * factor, decode: self.decode * factor }
+    }
+
     /// Returns the number of prompt tokens that an upstream of mean speed prefills in the time that
     /// this one takes for `tokens`.
     pub fn equivalent_tokens(self, tokens: u32) -> u32 {
--- a/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_choice.rs
@@ -12,6 +12,7 @@
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance, UpstreamPerformance};
 use foldhaven_core::opaque::queue_rank::{PrefillBacklog, QueueRank};
+use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
 use foldhaven_core::opaque::upstream_speed::SpeedFactors;
 use foldhaven_core::time::MonoTime;
 use rstest::rstest;
@@ -32,6 +33,7 @@
         name,
         queue: QueueState { slots: 4, ..QueueState::default() },
         speed: SpeedFactors::default(),
+        slowdown: SlowdownFactor::default(),
         latency_factor: 1.0,
         failure_share: 0.0,
         long_pause_share: 0.0,
--- a/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::peer_table::VmTag;
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance, UpstreamPerformance};
 use foldhaven_core::opaque::queue_rank::PrefillBacklog;
+use foldhaven_core::opaque::short_slowdown::{SlowdownFactor, SlowdownMonitor};
 use foldhaven_core::opaque::speed_reports::{SpeedNotice, SpeedReport, SpeedTable};
 use foldhaven_core::opaque::upstream_speed::{SpeedFactors, UpstreamSpeed};
 use foldhaven_core::time::MonoTime;
@@ -62,6 +63,7 @@
         name,
         queue: QueueState { slots: 24, ..QueueState::default() },
         speed,
+        slowdown: SlowdownFactor::default(),
         latency_factor: 1.0,
         failure_share: 0.0,
         long_pause_share: 0.0,
@@ -192,6 +194,11 @@
     }
     assert_eq!(performance.at_speed(SpeedFactors::default()), performance);
     assert_eq!(SpeedFactors::default().equivalent_tokens(123_457), 123_457);
+    assert_eq!(SlowdownFactor::default().delay(MS(1_234)), MS(1_234));
+    assert_eq!(
+        SpeedFactors::default().slowed_by(SlowdownFactor::default()),
+        SpeedFactors::default()
+    );
     for load in 1..20 {
         let expected = performance.event_interval.interval(f64::from(load)) * 10.0;
         let expected = Duration::from_secs_f64(expected);
@@ -441,3 +448,69 @@
     let sums = speed.take_unsent(at(2_000)).unwrap();
     assert!(sums.prefill.expected_s > 0.35, "a report holds all measurements: {sums:?}");
 }
+
+/// Returns the monitor of an upstream whose events came every 45 ms, as expected, the last at 0.
+fn usual_monitor() -> SlowdownMonitor {
+    let mut monitor = SlowdownMonitor::default();
+    monitor.record(MS(45), MS(45), at(0));
+    monitor
+}
+
+// Guards against sending requests to an upstream that others slow down at this moment: it has to
+// be noticed within 150 ms, from events that stay away.
+#[test]
+fn a_slowdown_is_noticed_while_events_stay_away() {
+    let monitor = usual_monitor();
+    assert_eq!(monitor.factor(1, at(60)), SlowdownFactor::default());
+    assert!(monitor.factor(1, at(100)).value() > 1.7);
+    assert!(monitor.factor(1, at(150)).value() > 2.5);
+}
+
+// Guards against avoiding an upstream after its slowdown.
+#[test]
+fn a_slowdown_is_forgotten_with_the_next_usual_event() {
+    let mut monitor = usual_monitor();
+    monitor.record(MS(112), MS(45), at(112));
+    assert!(monitor.factor(2, at(113)).value() > 2.0);
+    monitor.record(MS(50), MS(45), at(130));
+    assert_eq!(monitor.factor(2, at(131)), SlowdownFactor::default());
+}
+
+// Guards against conclusions from silence that has another cause: no stream runs there, this VM was
+// suspended, or a long prompt is prefilled, which the backlog shows.
+#[test]
+fn other_silences_are_no_slowdowns() {
+    assert_eq!(usual_monitor().factor(0, at(200)), SlowdownFactor::default());
+    assert_eq!(usual_monitor().factor(3, at(10_000)), SlowdownFactor::default());
+    assert_eq!(SlowdownMonitor::default().factor(3, at(100)), SlowdownFactor::default());
+    let mut performance = ServicePerformance::default();
+    for load in 1..20 {
+        performance.event_interval.record(event_time(f64::from(load), 1.0), f64::from(load));
+    }
+    let expected = performance.interval_during_prefill(10.0, 12_000);
+    let mut monitor = SlowdownMonitor::default();
+    monitor.record(MS(280), expected, at(280));
+    assert_eq!(monitor.factor(1, at(281)), SlowdownFactor::default());
+}
+
+// Guards against giving up an upstream for a slowdown that ends soon: a longer queue elsewhere
+// costs more.
+#[test]
+fn a_slowdown_counts_for_a_short_time_only() {
+    let mut monitor = SlowdownMonitor::default();
+    monitor.record(MS(200), MS(45), at(0));
+    let slowdown = monitor.factor(1, at(0));
+    assert!(slowdown.delay(MS(50)) > MS(150), "{:?}", slowdown.delay(MS(50)));
+    assert!(slowdown.delay(MS(2_000)) < MS(2_250), "{:?}", slowdown.delay(MS(2_000)));
+    let names = names(2);
+    let usual = SpeedFactors::default();
+    let mut candidates = [candidate(&names[0], usual), candidate(&names[1], usual)];
+    candidates[0].slowdown = slowdown;
+    let chosen = |candidates: &[UpstreamCandidate<'_>]| {
+        let performance = ServicePerformance::default();
+        choose_upstream(candidates, &query(5_000, 0.0), &performance).map(|choice| choice.index)
+    };
+    assert_eq!(chosen(&candidates), Some(1));
+    candidates[1].queue.prefill_backlog = PrefillBacklog { timely: 30_000, deferred: 0 };
+    assert_eq!(chosen(&candidates), Some(0));
+}
--- a/crates/foldhaven-core/tests/testsuite/opaque_stale_reports.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_stale_reports.rs
@@ -9,6 +9,7 @@
 use foldhaven_core::opaque::choice::{ChoiceQuery, UpstreamCandidate, price_upstreams};
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance, UpstreamPerformance};
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
+use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
 use foldhaven_core::opaque::upstream_speed::SpeedFactors;
 use foldhaven_core::time::MonoTime;
 
@@ -26,6 +27,7 @@
         name,
         queue: QueueState { slots: SLOTS, in_flight, on_track: in_flight, ..QueueState::default() },
         speed: SpeedFactors::default(),
+        slowdown: SlowdownFactor::default(),
         latency_factor: 1.0,
         failure_share: 0.0,
         long_pause_share: 0.0,
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -242,6 +242,7 @@
             name: upstream.name(),
             queue,
             speed,
+            slowdown: performance.slowdown.factor(upstream.stream_count(), now),
             latency_factor: performance.latency_factor(now),
             failure_share: performance.failure_share(now),
             long_pause_share: performance.long_pause_share(now),
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -309,6 +309,9 @@
         };
         if !std::mem::replace(&mut reading.has_received_event, true) {
             reading.load_guard.record_answered();
+            if let RequestDestination::Upstream(upstream) = &reading.destination {
+                reading.stream_guard = Some(upstream.enter_stream());
+            }
             driver.record_time_to_first(&reading.destination, reading.expected, reading.sent);
         }
         if !std::mem::replace(&mut self.has_sent_event, true) {
@@ -327,7 +330,8 @@
         if let (RequestDestination::Upstream(upstream), Some(target_gap), true) =
             (&reading.destination, driver.job.route.event_gap, reading.has_received_event)
         {
-            let is_long = self.last_received.elapsed() > target_gap;
+            let pause = self.last_received.elapsed();
+            let is_long = pause > target_gap;
             if is_long {
                 reading.load_guard.record_late();
             }
@@ -336,6 +340,7 @@
             let backlog_now = upstream.queue().prefill_backlog.ahead_of(QueueRank::Timely);
             let backlog = reading.backlog_before.max(backlog_now);
             driver.shared.record_pause(upstream, backlog, is_long);
+            driver.shared.record_interval(upstream, backlog, pause);
         }
     }
 
--- a/crates/foldhaven-gateway/src/events/reading.rs
+++ b/crates/foldhaven-gateway/src/events/reading.rs
@@ -7,7 +7,7 @@
 use crate::call::{AnswerEnd, ConnectionLease};
 use crate::clock::BootInstant;
 use crate::destinations::RequestDestination;
-use crate::upstream::{LoadGuard, UpstreamRequestGuard};
+use crate::upstream::{LoadGuard, StreamGuard, UpstreamRequestGuard};
 
 /// An answer whose events are being read.
 pub(super) struct ReadingState {
@@ -23,6 +23,8 @@
     pub(super) expected: FirstResponseEstimate,
     pub(super) sent: BootInstant,
     pub(super) has_received_event: bool,
+    /// Counts the stream at its upstream from the first event on.
+    pub(super) stream_guard: Option<StreamGuard>,
     /// When the first event of this upstream arrived, and how many events the stream had by then.
     pub(super) first_event: Option<(BootInstant, u32)>,
     /// The sum of the requests at the upstream over all samples, and the number of samples.
@@ -55,6 +57,7 @@
             expected,
             sent,
             has_received_event: false,
+            stream_guard: None,
             first_event: None,
             load_samples: (0, 0),
             backlog_before: 0,
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -361,6 +361,19 @@
         });
     }
 
+    /// Records the interval between two events of a stream, with the prefill backlog of its upstream
+    /// in tokens, to notice whether the upstream is slow at this moment.
+    pub fn record_interval(&self, upstream: &Upstream, prefill_backlog: u32, interval: Duration) {
+        let now = self.now();
+        let load = f64::from(upstream.queue().in_flight);
+        let mut upstream_performance = upstream.performance.lock();
+        let speed = upstream_performance.speed.factors(now);
+        let expected = self.with_performance(&upstream.identity.service, |performance| {
+            performance.at_speed(speed).interval_during_prefill(load, prefill_backlog)
+        });
+        upstream_performance.slowdown.record(interval, expected, now);
+    }
+
     /// Records the time from the first to the last event of a stream, which are `intervals` apart,
     /// with the mean number of requests at its upstream.
     pub fn record_stream(&self, upstream: &Upstream, time: Duration, intervals: u32, load: f64) {
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -47,6 +47,8 @@
     pub pacer: Mutex<RatePacer>,
     /// The requests of this VM at the upstream.
     pub load: Arc<LoadCounter>,
+    /// The streams of this VM at the upstream that have begun.
+    streams: AtomicU32,
     /// The requests of the other VMs of the region, as reported by them.
     others_in_flight: AtomicU32,
     /// Those of them that can still meet their targets.
@@ -122,6 +124,7 @@
             performance: Mutex::default(),
             pacer: Mutex::default(),
             load: Arc::default(),
+            streams: AtomicU32::new(0),
             others_in_flight: AtomicU32::new(0),
             others_on_track: AtomicU32::new(0),
             others_deferred: AtomicU32::new(0),
@@ -327,6 +330,17 @@
         self.health.lock().is_ejected(now) || !self.pool.can_send()
     }
 
+    /// Counts a stream that has begun at the upstream until the guard is dropped.
+    pub fn enter_stream(self: &Arc<Self>) -> StreamGuard {
+        self.streams.fetch_add(1, Ordering::Relaxed);
+        StreamGuard { upstream: self.clone() }
+    }
+
+    /// Returns the number of streams of this VM at the upstream that have begun.
+    pub fn stream_count(&self) -> u32 {
+        self.streams.load(Ordering::Relaxed)
+    }
+
     /// Returns the lasting speed of the upstream.
     pub fn speed(&self, now: MonoTime) -> SpeedFactors {
         self.performance.lock().speed.factors(now)
@@ -397,6 +411,17 @@
     }
 }
 
+/// Counts a stream of this VM that has begun at an upstream until dropped.
+pub struct StreamGuard {
+    upstream: Arc<Upstream>,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.upstream.streams.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts the requests of this VM at one destination.
 #[derive(Debug, Default)]
 pub struct LoadCounter {
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -15,6 +15,7 @@
 use foldhaven_core::opaque::report_planner::{
     ReportBatch, ReportPlanner, ReportTarget, ReportUpdates,
 };
+use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
 use rand::Rng;
@@ -177,6 +178,7 @@
             name: &engine_names[at],
             queue: queues[at],
             speed: self.engines[at].performance.speed.factors(now),
+            slowdown: SlowdownFactor::default(),
             latency_factor: self.engines[at].performance.latency_factor(now),
             failure_share: self.engines[at].performance.failure_share(now),
             long_pause_share: 0.0,
