--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -19,6 +19,8 @@
 use crate::opaque::performance::{QueueState, ServicePerformance};
 use crate::opaque::priority_level::PriorityLevel;
 use crate::opaque::queue_rank::QueueRank;
+use crate::opaque::short_slowdown::SlowdownFactor;
+use crate::opaque::upstream_speed::SpeedFactors;
 use crate::rank::rank_hash;
 
 /// A request is deferred if the probability that its answer is late is above this. A lower limit
@@ -37,7 +39,11 @@
     pub name: &'a UpstreamName,
     /// The requests at the upstream.
     pub queue: QueueState,
-    /// The factor by which this upstream is slower than expected.
+    /// The lasting speed of this upstream.
+    pub speed: SpeedFactors,
+    /// The factor by which it is slow at this moment.
+    pub slowdown: SlowdownFactor,
+    /// The factor by which its answers in the last seconds took longer than expected by its speed.
     pub latency_factor: f64,
     /// The share of recent requests that failed, beyond the usual share of their routes.
     pub failure_share: f64,
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -23,6 +23,7 @@
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests, SuspectKeys};
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
+use foldhaven_core::opaque::upstream_speed::SpeedFactors;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -42,12 +43,14 @@
     pub pool: ConnectionPool,
     /// Its recent failures, which decide whether it is ejected.
     pub health: Mutex<TargetHealth>,
-    /// The recent errors of its time estimates, and its failures.
+    /// Its speed, the recent errors of its time estimates, and its failures.
     pub performance: Mutex<UpstreamPerformance>,
     /// Paces the requests of this VM while the upstream is cold or announces a rate limit.
     pub pacer: Mutex<RatePacer>,
     /// The requests of this VM at the upstream.
     pub load: Arc<LoadCounter>,
+    /// The streams of this VM at the upstream that have begun.
+    streams: AtomicU32,
     /// The requests of the other VMs of the region, as reported by them.
     others_in_flight: AtomicU32,
     /// Those of them that can still meet their targets.
@@ -125,6 +128,7 @@
             performance: Mutex::default(),
             pacer: Mutex::default(),
             load: Arc::default(),
+            streams: AtomicU32::new(0),
             others_in_flight: AtomicU32::new(0),
             others_on_track: AtomicU32::new(0),
             others_deferred: AtomicU32::new(0),
@@ -331,6 +335,22 @@
         self.health.lock().is_ejected(now) || !self.pool.can_send()
     }
 
+    /// Counts a stream that has begun at the upstream until the guard is dropped.
+    pub fn enter_stream(self: &Arc<Self>) -> StreamGuard {
+        self.streams.fetch_add(1, Ordering::Relaxed);
+        StreamGuard { upstream: self.clone() }
+    }
+
+    /// Returns the number of streams of this VM at the upstream that have begun.
+    pub fn stream_count(&self) -> u32 {
+        self.streams.load(Ordering::Relaxed)
+    }
+
+    /// Returns the lasting speed of the upstream.
+    pub fn speed(&self, now: MonoTime) -> SpeedFactors {
+        self.performance.lock().speed.factors(now)
+    }
+
     /// Records that a request failed after it may have run. `usual` is the usual failure share of
     /// its route.
     pub fn record_failure(&self, usual: f64, now: MonoTime) {
@@ -402,6 +422,17 @@
     }
 }
 
+/// Counts a stream of this VM that has begun at an upstream until dropped.
+pub struct StreamGuard {
+    upstream: Arc<Upstream>,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.upstream.streams.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What a request adds to the load of its destination.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLoad {
--- a/crates/foldhaven-testkit/src/simulate/vm.rs
+++ b/crates/foldhaven-testkit/src/simulate/vm.rs
@@ -15,6 +15,7 @@
 use foldhaven_core::opaque::report_planner::{
     ReportBatch, ReportPlanner, ReportTarget, ReportUpdates,
 };
+use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
 use rand::Rng;
@@ -176,6 +177,8 @@
         let candidate = |at: usize| UpstreamCandidate {
             name: &engine_names[at],
             queue: queues[at],
+            speed: self.engines[at].performance.speed.factors(now),
+            slowdown: SlowdownFactor::default(),
             latency_factor: self.engines[at].performance.latency_factor(now),
             failure_share: self.engines[at].performance.failure_share(now),
             long_pause_share: 0.0,
@@ -255,7 +258,8 @@
         }
         view.performance.record_time_to_first(choice.expected, took, now);
         if let Some(prefill_before_answer) = choice.prefill_before_answer {
-            self.performance.record_prefill(prefill_before_answer, took);
+            let speed = &mut view.performance.speed;
+            self.performance.record_prefill_at(speed, prefill_before_answer, took, now);
         }
     }
 
