--- a/crates/foldhaven-core/src/opaque/upstream_speed.rs
+++ b/crates/foldhaven-core/src/opaque/upstream_speed.rs
@@ -5,6 +5,7 @@
 //! divided by these factors before the model learns from them, so that the model does not change
 //! when more requests are sent to the fast upstreams.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::opaque::short_slowdown::SlowdownFactor;
@@ -38,6 +39,12 @@
     }
 }
 
+impl fmt::Display for SpeedFactors {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "prefill {:.2}, decode {:.2}", self.prefill, self.decode)
+    }
+}
+
 impl SpeedFactors {
     /// Returns the factors during a short slowdown.
     pub fn slowed_by(self, slowdown: SlowdownFactor) -> Self {
--- a/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_speeds.rs
@@ -514,3 +514,10 @@
     candidates[1].queue.prefill_backlog = PrefillBacklog { timely: 30_000, deferred: 0 };
     assert_eq!(chosen(&candidates), Some(0));
 }
+
+// Guards against operators not seeing which of both factors is meant.
+#[test]
+fn factors_are_shown_by_name() {
+    let factors = SpeedFactors { prefill: 1.625, decode: 0.6 };
+    assert_eq!(factors.to_string(), "prefill 1.62, decode 0.60");
+}
--- a/crates/foldhaven-gateway/src/operator_front/status.rs
+++ b/crates/foldhaven-gateway/src/operator_front/status.rs
@@ -74,6 +74,7 @@
         let groups = view.upstreams.values().flat_map(|regions| regions.values());
         let all = groups.flat_map(UpstreamGroup::iter);
         let local = all.filter(|upstream| upstream.identity.data_centre == *own);
+        let now = self.shared.now();
         let status = |upstream: &Arc<Upstream>| UpstreamStatus {
             name: upstream.name().to_string(),
             holds: vec![upstream.identity.service.to_string()],
@@ -81,6 +82,7 @@
             slots: upstream.identity.slots,
             leaving: upstream.is_leaving(),
             limit: self.shared.upstream_limits.limit(upstream).map(|limit| limit.to_string()),
+            speed: Some(upstream.speed(now).to_string()),
         };
         local.map(status).collect()
     }
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -35,6 +35,10 @@
     /// has no limit.
     #[serde(default)]
     pub limit: Option<String>,
+    /// The factors by which its prefill and its decode take longer than those of an upstream of mean
+    /// speed; `None` if they are not measured.
+    #[serde(default)]
+    pub speed: Option<String>,
 }
 
 /// The status of another data centre as seen by a daemon.
--- a/crates/foldhavenctl/src/cmd/status.rs
+++ b/crates/foldhavenctl/src/cmd/status.rs
@@ -105,7 +105,7 @@
 
 /// Returns the table of the upstreams of each data centre, as seen by the data centre's first VM.
 fn upstream_table(state: &FleetState) -> String {
-    let heading = ["upstream", "data centre", "holds", "busy", "slots", "state"];
+    let heading = ["upstream", "data centre", "holds", "busy", "slots", "state", "time factors"];
     let mut rows = vec![heading.map(str::to_owned).to_vec()];
     let mut shown_centres = std::collections::BTreeSet::new();
     for status in state.vms.values() {
@@ -120,6 +120,7 @@
                 upstream.busy.to_string(),
                 upstream.slots.to_string(),
                 upstream_state(upstream),
+                upstream.speed.clone().unwrap_or_else(|| "-".to_owned()),
             ]);
         }
     }
--- a/crates/foldhavend/src/control/summary.rs
+++ b/crates/foldhavend/src/control/summary.rs
@@ -195,6 +195,7 @@
             slots: load.map_or(0, |load| load.slots),
             leaving: self.is_leaving(entry),
             limit: None,
+            speed: None,
         }
     }
 
