Log what becomes of a prompt's shared segments at its destination

Which class reads shared segments again, and why, could not be told from the log: a request's line had the tokens to prefill alone. It now has the shared tokens, those that the upstream lacks, and the cause: unknown, other region, evicted, passed over, or cached and fetched.

Choices are unchanged.

--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -178,6 +178,12 @@
         holders.map(|holder| holder.upstream)
     }
 
+    /// Returns the upstreams to which the segment with a key was sent.
+    pub fn holders_of(&self, key: u64) -> impl Iterator<Item = UpstreamTag> {
+        let holders = self.segments.peek(&key).into_iter().flatten();
+        holders.map(|holder| holder.upstream)
+    }
+
     /// Returns the number of leading tokens of the shared segments that an upstream probably has
     /// cached. `capacity` is the size of its prompt cache in tokens.
     pub fn cached_tokens(&self, tag: UpstreamTag, shared: &[PromptSegment], capacity: u64) -> u32 {
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -22,6 +22,7 @@
 pub mod peer_table;
 pub mod performance;
 pub mod prefill_rate;
+pub mod prefix_use;
 pub mod queue_capacity;
 pub mod queue_rank;
 pub mod rate_share;
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
@@ -60,6 +61,8 @@
     pub load: u32,
     /// The rank of the request at the destination.
     pub rank: QueueRank,
+    /// The shared segments of the prompt at the destination.
+    pub prefix: PrefixUse,
 }
 
 impl LoggedChoice {
@@ -69,6 +72,7 @@
             prefill_tokens: chosen.prefill_tokens,
             load: chosen.queue.in_flight,
             rank: chosen.rank,
+            prefix: chosen.prefix,
         }
     }
 }
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -7,6 +7,7 @@
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::event_sequence::EventSequenceChecker;
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::StatusCode;
 
@@ -232,6 +233,7 @@
             return;
         }
         let expected = self.last_choice;
+        let prefix = expected.map_or_else(PrefixUse::default, |it| it.prefix);
         let view = shared.view();
         tracing::info!(
             request = job.id(),
@@ -246,6 +248,9 @@
             expected_ms = expected.map_or(0, |it| it.time_to_first_ms),
             first_ms = job.time_to_first.map_or(0, |first| first.as_millis() as u64),
             read_tokens = expected.map_or(0, |it| it.prefill_tokens),
+            shared_tokens = prefix.shared_tokens,
+            missing_tokens = prefix.missing_tokens,
+            prefix = prefix.cause.label(),
             load = expected.map_or(0, |it| it.load),
             rank = expected.map_or("-", |it| it.rank.label()),
             weighed = self.candidates_summary.as_deref().unwrap_or("-"),
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -42,6 +42,7 @@
             rank,
             prefill_before_answer,
             fetch_from,
+            prefix: _,
         } = chosen;
         let mut request = self.make_request(&destination, resume_after, rank);
         if let Some(holder) = fetch_from {
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -10,6 +10,7 @@
     CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
 use foldhaven_core::time::MonoTime;
@@ -42,6 +43,7 @@
     upstream: Arc<Upstream>,
     pub(super) choice: UpstreamChoice,
     fetch_from: Option<SocketAddr>,
+    pub(super) prefix: PrefixUse,
 }
 
 impl LocalChoice {
@@ -79,6 +81,7 @@
             rank: self.choice.rank,
             prefill_before_answer: self.choice.prefill_before_answer,
             fetch_from: self.fetch_from,
+            prefix: self.prefix,
         })
     }
 }
@@ -97,7 +100,24 @@
     let performance = shared.performance(&job.service, view);
     let choice = sample.choose(&choice_query(shared, view, job), &performance)?;
     let fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
-    Some(LocalChoice { upstream: drawn.upstreams[choice.index].clone(), choice, fetch_from })
+    let upstream = drawn.upstreams[choice.index].clone();
+    let prefix = prefix_use(group, shared, job, &choice);
+    Some(LocalChoice { upstream, choice, fetch_from, prefix })
+}
+
+/// Returns what becomes of the shared segments of a prompt at the chosen upstream.
+fn prefix_use(
+    group: &UpstreamGroup,
+    shared: &GatewayShared,
+    job: &GatewayJob,
+    choice: &UpstreamChoice,
+) -> PrefixUse {
+    let Some(outline) = &job.outline else { return PrefixUse::default() };
+    let missing = choice.prefill_tokens.saturating_sub(outline.unshared_tokens);
+    let is_fetched = choice.fetch_from.is_some();
+    let capacity_of = |tag| Some(group.find(tag)?.identity.prompt_memory);
+    let prefix_caches = shared.prefix_caches.lock();
+    PrefixUse::of(&prefix_caches, &outline.shared, missing, is_fetched, capacity_of)
 }
 
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -14,6 +14,7 @@
 use foldhaven_core::opaque::admission::{DestinationEstimate, TimeLimits, admit, retry_after};
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 
 pub use self::local::expected_wait;
@@ -119,6 +120,8 @@
     /// The upstream from which the destination fetches the part of the prompt that it has not
     /// cached.
     pub fetch_from: Option<SocketAddr>,
+    /// The shared segments of the prompt at the destination.
+    pub prefix: PrefixUse,
 }
 
 /// The destinations already tried for a request.
--- a/crates/foldhaven-gateway/src/destinations/relay.rs
+++ b/crates/foldhaven-gateway/src/destinations/relay.rs
@@ -27,6 +27,7 @@
             rank: choice.rank,
             prefill_before_answer: None,
             fetch_from: None,
+            prefix: self.local.prefix,
         }
     }
 }
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -9,6 +9,7 @@
     CostBreakdown, RequestCost, decode_slowdown_cost, pause_cost, streaming_cost,
 };
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::remote_queue::RemoteService;
 
@@ -132,6 +133,7 @@
             rank: query.rank(time_to_first),
             prefill_before_answer: None,
             fetch_from: None,
+            prefix: PrefixUse::default(),
         };
         RemoteChoice { choice, cost: breakdown.total(), breakdown, region: self.region.clone() }
     }
