Fetch shared segments from full upstreams and other regions, and price the copies

Half of the long prompts were fetched, each fetch a copy that takes memory from others.

Ruled out: fetches in vain because the source has not read the prompt yet.

Change: the source of a fetch is any candidate that is not ejected; if the region has none, an upstream of another region where the request may run; a fetched copy costs 0.4 of its reading more than before, except at the upstream that all VMs prefer for the segments. Counters of the shared tokens that upstreams have to read, by cause.

Tests: opaque_prefix_use; two of its six (the full source, the price of a copy) fail on the choice before. UpstreamChoice and messages are unchanged.

--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -198,6 +198,22 @@
         shared.iter().take_while(is_cached).map(|segment| segment.tokens).sum()
     }
 
+    /// Returns the upstream from which to fetch shared segments, and how many tokens it probably has
+    /// beyond the first `present`, which are there already. `capacity_of` returns the prompt cache of
+    /// an upstream in tokens, `None` if nothing may be fetched from it.
+    pub fn best_source(
+        &self,
+        shared: &[PromptSegment],
+        present: u32,
+        capacity_of: impl Fn(UpstreamTag) -> Option<u64>,
+    ) -> Option<(UpstreamTag, u32)> {
+        let sources = self.holders(shared).filter_map(|tag| {
+            let cached = self.cached_tokens(tag, shared, capacity_of(tag)?);
+            Some((tag, cached.checked_sub(present).filter(|tokens| *tokens > 0)?))
+        });
+        sources.max_by_key(|(_, tokens)| *tokens)
+    }
+
     /// Removes an upstream that has exited.
     pub fn remove(&mut self, tag: UpstreamTag) {
         // Its entries among the holders no longer count, and are displaced by later ones.
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -166,11 +166,16 @@
         let usable =
             narrow(&healthy, |index| !performance.queue_capacity.is_full(candidates[index].queue));
         let preferred = query.affinity_key.and_then(|key| self.preferred_candidate(&usable, key));
-        let holder = usable.iter().copied().max_by_key(|index| candidates[*index].cached_tokens);
+        let usable_holder = best_holder(&usable, candidates);
+        // A full upstream takes no request, but passes on what it has cached.
+        let reachable: Vec<usize> =
+            (0..candidates.len()).filter(|index| !candidates[*index].is_ejected).collect();
+        let source = best_holder(&reachable, candidates);
         let staleness = ReportStaleness { age: query.report_age, slot_time: performance.slot_time };
         let size = staleness.sample_size(&usable, candidates);
-        let sample = sample_candidates(&usable, candidates, size, query.draw, [preferred, holder]);
-        let pricer = UpstreamPricer { candidates, query, performance, preferred, holder };
+        let sample =
+            sample_candidates(&usable, candidates, size, query.draw, [preferred, usable_holder]);
+        let pricer = UpstreamPricer { candidates, query, performance, preferred, source };
         sample.into_iter().map(|index| pricer.price(index)).collect()
     }
 
@@ -201,6 +206,11 @@
     CandidateSample::of_all(candidates).price(query, performance)
 }
 
+/// Returns the one of the upstreams that has most of the shared segments cached.
+fn best_holder(indices: &[usize], candidates: &[UpstreamCandidate<'_>]) -> Option<usize> {
+    indices.iter().copied().max_by_key(|index| candidates[*index].cached_tokens)
+}
+
 /// Returns the indices that pass, or all of them if none does.
 fn narrow(indices: &[usize], passes: impl Fn(usize) -> bool) -> Vec<usize> {
     let passing: Vec<usize> = indices.iter().copied().filter(|index| passes(*index)).collect();
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -13,6 +13,9 @@
 /// The cost of fetching cached segments from another upstream, relative to prefilling them again.
 /// The transfer is charged at about 1/20 of the price of prefill.
 const FETCH_COST_RATIO: f64 = 0.11;
+/// The cost of a copy of cached segments at an upstream that is not planned to hold them, relative
+/// to prefilling them again: it takes memory of segments that are.
+const COPY_COST_RATIO: f64 = 0.4;
 /// The discount on the prefill cost of shared segments at the preferred candidate of an affinity
 /// key. It applies to segments that the candidate is not known to have cached, as a fraction of
 /// their cost.
@@ -25,8 +28,9 @@
     pub(super) performance: &'a ServicePerformance,
     /// The candidate preferred for the request's affinity key; `None` if it has no key.
     pub(super) preferred: Option<usize>,
-    /// The candidate that probably has most of the shared segments cached.
-    pub(super) holder: Option<usize>,
+    /// The candidate that probably has most of the shared segments cached, whether it can take the
+    /// request or not.
+    pub(super) source: Option<usize>,
 }
 
 /// Returns the cost of the time it takes to generate the request's events.
@@ -94,8 +98,9 @@
         let discount = if self.preferred == Some(index) { AFFINITY_DISCOUNT } else { 0.0 };
         let prefill_cost =
             RequestCost::of_repeated_prefill(repeated_tokens, query.size).0 * (1.0 - discount);
-        let fetch_cost =
-            RequestCost::of_repeated_prefill(fetched_tokens, query.size).0 * FETCH_COST_RATIO;
+        let copy_ratio = if self.preferred == Some(index) { 0.0 } else { COPY_COST_RATIO };
+        let fetch_cost = RequestCost::of_repeated_prefill(fetched_tokens, query.size).0
+            * (FETCH_COST_RATIO + copy_ratio);
         let breakdown = CostBreakdown {
             time: RequestCost::of_time(query.waited + time_to_first, query.target).0,
             repeated_prefill: prefill_cost + fetch_cost,
@@ -132,7 +137,7 @@
     /// Returns the transfer by which a candidate gets shared segments that it lacks; `None` if no
     /// other candidate has more of them cached or fetching is not worth it.
     fn fetch(&self, index: usize) -> Option<SegmentFetch> {
-        let holder = self.holder.filter(|holder| *holder != index)?;
+        let holder = self.source.filter(|holder| *holder != index)?;
         let cached = self.candidates[index].cached_tokens;
         let tokens = self.candidates[holder].cached_tokens.checked_sub(cached)?;
         Some(SegmentFetch { holder, tokens, time: self.performance.fetch_time(tokens)? })
--- a/crates/foldhaven-core/src/opaque/prefix_use.rs
+++ b/crates/foldhaven-core/src/opaque/prefix_use.rs
@@ -37,6 +37,20 @@
     }
 }
 
+impl PrefixCause {
+    /// Returns the event that counts the shared tokens that upstreams have to read for this cause;
+    /// `None` if they have to read none.
+    pub fn event(self) -> Option<&'static str> {
+        match self {
+            Self::None | Self::Cached | Self::Fetched => None,
+            Self::Unknown => Some("prefix_tokens_unknown"),
+            Self::OtherRegion => Some("prefix_tokens_other_region"),
+            Self::Evicted => Some("prefix_tokens_evicted"),
+            Self::PassedOver => Some("prefix_tokens_passed_over"),
+        }
+    }
+}
+
 /// The shared segments of a prompt at its destination.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PrefixUse {
@@ -67,9 +81,8 @@
             Some(last) => {
                 let holders: Vec<UpstreamTag> = index.holders_of(last.key).collect();
                 let here = holders.iter().filter_map(|tag| Some((*tag, capacity_of(*tag)?)));
-                let cached = here
-                    .map(|(tag, capacity)| index.cached_tokens(tag, shared, capacity))
-                    .max();
+                let cached =
+                    here.map(|(tag, capacity)| index.cached_tokens(tag, shared, capacity)).max();
                 match cached {
                     None if holders.is_empty() => PrefixCause::Unknown,
                     None => PrefixCause::OtherRegion,
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -7,7 +7,7 @@
 use foldhaven_core::opaque::affinity::PromptPlacement;
 use foldhaven_core::opaque::event_sequence::EventSequenceChecker;
 use foldhaven_core::opaque::performance::QueueState;
-use foldhaven_core::opaque::prefix_use::PrefixUse;
+use foldhaven_core::opaque::prefix_use::{PrefixCause, PrefixUse};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use http::StatusCode;
 
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Counts the shared tokens of a prompt that was sent, and those of them that are read.
+    pub(super) fn count_prefix(&self, prefix: PrefixUse) {
+        if prefix.cause == PrefixCause::None {
+            return;
+        }
+        let metrics = &self.shared.metrics;
+        metrics.add_events("prefix_tokens", u64::from(prefix.shared_tokens));
+        if let Some(event) = prefix.cause.event() {
+            metrics.add_events(event, u64::from(prefix.missing_tokens));
+        }
+    }
+
     /// Records whether an upstream with the given queue accepted the request.
     pub(super) fn update_queue_capacity(
         &self,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -42,7 +42,7 @@
             rank,
             prefill_before_answer,
             fetch_from,
-            prefix: _,
+            prefix,
         } = chosen;
         let mut request = self.make_request(&destination, resume_after, rank);
         if let Some(holder) = fetch_from {
@@ -52,6 +52,7 @@
         let load_guard = destination.enter(&self.shared, &self.job.service, prefill_tokens, rank);
         let mut request_guard = self.register_request(&destination);
         self.record_placement(&destination);
+        self.count_prefix(prefix);
         let listener = self.listener(&destination);
         let target = destination.call_target(listener.as_ref());
         self.delivered_attempts += 1;
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -1,9 +1,11 @@
 //! Chooses the best upstream of this region.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
 use foldhaven_core::opaque::choice::{
@@ -98,23 +100,62 @@
     let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
-    let choice = sample.choose(&choice_query(shared, view, job), &performance)?;
-    let fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
+    let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
+    let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
+    if fetch_from.is_none()
+        && let Some(source) = remote_source(shared, view, job, &performance, &choice)
+    {
+        choice.prefill_tokens -= source.tokens;
+        fetch_from = Some(source.address);
+    }
     let upstream = drawn.upstreams[choice.index].clone();
-    let prefix = prefix_use(group, shared, job, &choice);
+    let prefix = prefix_use(group, shared, job, &choice, fetch_from.is_some());
     Some(LocalChoice { upstream, choice, fetch_from, prefix })
 }
 
+/// An upstream of another region from which shared segments are fetched.
+struct RemoteSource {
+    address: SocketAddr,
+    /// The number of tokens that the chosen upstream lacks and this one has.
+    tokens: u32,
+}
+
+/// Returns the upstream of another region that probably has most of the shared segments that the
+/// chosen one lacks; `None` if fetching them is not worth it.
+fn remote_source(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    performance: &ServicePerformance,
+    choice: &UpstreamChoice,
+) -> Option<RemoteSource> {
+    let outline = job.outline.as_ref()?;
+    let missing = choice.prefill_tokens.saturating_sub(outline.unshared_tokens);
+    performance.fetch_time(missing)?;
+    let present = outline.shared_tokens().saturating_sub(missing);
+    let own_region = shared.settings.region();
+    let regions: BTreeSet<&RegionName> = shared.settings.regions.values().collect();
+    let permitted = regions.into_iter().filter(|it| *it != own_region && job.permits(it));
+    let groups: Vec<&UpstreamGroup> =
+        permitted.filter_map(|region| view.group(&job.service, region)).collect();
+    let find = |tag| groups.iter().find_map(|group| group.find(tag));
+    let capacity_of = |tag| find(tag).map(|upstream| upstream.identity.prompt_memory);
+    let prefix_caches = shared.prefix_caches.lock();
+    let (tag, tokens) = prefix_caches.best_source(&outline.shared, present, capacity_of)?;
+    performance.fetch_time(tokens)?;
+    Some(RemoteSource { address: find(tag)?.identity.address, tokens })
+}
+
 /// Returns what becomes of the shared segments of a prompt at the chosen upstream.
 fn prefix_use(
     group: &UpstreamGroup,
     shared: &GatewayShared,
     job: &GatewayJob,
     choice: &UpstreamChoice,
+    is_fetched: bool,
 ) -> PrefixUse {
     let Some(outline) = &job.outline else { return PrefixUse::default() };
     let missing = choice.prefill_tokens.saturating_sub(outline.unshared_tokens);
-    let is_fetched = choice.fetch_from.is_some();
     let capacity_of = |tag| Some(group.find(tag)?.identity.prompt_memory);
     let prefix_caches = shared.prefix_caches.lock();
     PrefixUse::of(&prefix_caches, &outline.shared, missing, is_fetched, capacity_of)
