--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -23,6 +23,7 @@
 pub mod peer_table;
 pub mod performance;
 pub mod prefill_rate;
+pub mod prefix_use;
 pub mod priority_level;
 pub mod queue_capacity;
 pub mod queue_rank;
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -16,6 +16,7 @@
 };
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
@@ -121,6 +122,8 @@
     /// The upstream from which the destination fetches the part of the prompt that it has not
     /// cached.
     pub fetch_from: Option<SocketAddr>,
+    /// The shared segments of the prompt at the destination.
+    pub prefix: PrefixUse,
 }
 
 /// What a request with a priority level requires of an upstream before it is sent there.
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -11,6 +11,7 @@
 };
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::remote_queue::RemoteService;
 
@@ -166,6 +167,7 @@
             rank: query.rank(time_to_first),
             prefill_before_answer: None,
             fetch_from: None,
+            prefix: PrefixUse::default(),
         };
         RemoteChoice { choice, cost: breakdown.total(), breakdown, region: self.region.clone() }
     }
