--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -2,9 +2,8 @@
 //!
 //! A request that waits at an upstream is displaced by more urgent ones after its prompt was read,
 //! and cannot go elsewhere. Requests therefore wait at the VM, in the order of their levels; within
-//! a level, the one whose caller has waited longest goes first, also if it comes again after a
-//! refusal. Requests that can no longer be in time go after all others, since they have lost most
-//! of their worth, and an urgent one that is late would make less urgent ones late as well.
+//! a level, those that can still be in time go first, and then the one whose caller has waited
+//! longest, also if it comes again after a refusal.
 //!
 //! VMs see free slots at the same time, in load reports of the same age. Each takes the slots that
 //! its own requests have left, and of the others a part by how many of the waiting requests are its
@@ -44,18 +43,14 @@
 }
 
 impl WaitingRequest {
-    /// Returns the level at which the request takes part in the division of the room: its own one,
-    /// or the last one once it is late.
-    fn current_level(&self, now: MonoTime) -> PriorityLevel {
-        match now >= self.late_at {
-            true => PriorityLevel::LAST,
-            false => self.level,
-        }
+    /// Whether the request can no longer be in time.
+    fn is_late(&self, now: MonoTime) -> bool {
+        now >= self.late_at
     }
 
     /// Returns the key by which waiting requests are sorted.
-    fn order(&self, now: MonoTime) -> (PriorityLevel, PriorityLevel, MonoTime) {
-        (self.current_level(now), self.level, self.since)
+    fn order(&self, now: MonoTime) -> (PriorityLevel, bool, MonoTime) {
+        (self.level, self.is_late(now), self.since)
     }
 }
 
@@ -163,15 +158,24 @@
         self.tickets.is_empty()
     }
 
-    /// Returns the number of waiting requests of each level. Late ones count for the last level.
+    /// Returns the number of waiting requests of each level, as told to other VMs: less urgent
+    /// requests there leave room for them. Late ones count for the last level.
     pub fn counts(&self, now: MonoTime) -> [u32; LEVEL_COUNT] {
         let mut counts = [0; LEVEL_COUNT];
-        for ticket in self.tickets.values() {
-            counts[ticket.request.current_level(now).index()] += 1;
+        for request in self.tickets.values().map(|ticket| &ticket.request) {
+            let level = if request.is_late(now) { PriorityLevel::LAST } else { request.level };
+            counts[level.index()] += 1;
         }
         counts
     }
 
+    /// Returns the number of waiting requests of each level, late ones included.
+    fn waiting(&self) -> [u32; LEVEL_COUNT] {
+        let mut counts = [0; LEVEL_COUNT];
+        self.tickets.values().for_each(|ticket| counts[ticket.request.level.index()] += 1);
+        counts
+    }
+
     /// Whether any waiting request goes before another one.
     pub fn has_ahead(&self, request: &WaitingRequest, now: MonoTime) -> bool {
         let order = request.order(now);
@@ -197,13 +201,13 @@
 
     /// Returns how many requests were let go. `left` slots were left by requests of this VM.
     fn grant(&mut self, view: &RoomView, left: u32, draw: f64, now: MonoTime) -> u32 {
-        let own_waiting = self.counts(now);
+        let own_waiting = self.waiting();
         let order = self.sorted(now);
         let mut spent = ServiceRoom::default();
         for id in &order {
             let ticket = self.tickets.get_mut(id).expect("sorted ids are of waiting requests");
             let tokens = ticket.request.prefill_tokens;
-            let level = ticket.request.current_level(now);
+            let level = ticket.request.level;
             let part = RoomPart { view, own_waiting: &own_waiting, level };
             if !part.of_room(left).has_room(spent, tokens, draw) {
                 break;
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -18,7 +18,7 @@
 const MAX_WAITING: usize = 1_000;
 /// The share of its time to target for which a request waits for a free slot before it displaces a
 /// less urgent one.
-const PATIENCE_SHARE: f64 = 0.5;
+const PATIENCE_SHARE: f64 = 0.3;
 
 impl RequestDriver {
     /// Returns what the request requires of an upstream if it may look for one now. `None` if it
