--- a/crates/foldhaven-gateway/src/destinations/overview.rs
+++ b/crates/foldhaven-gateway/src/destinations/overview.rs
@@ -6,7 +6,7 @@
 
 use super::TriedDestinations;
 use super::local::price_local;
-use super::remote::price_remote;
+use super::remote::{has_remote_room_in, price_remote};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::view::GatewayView;
@@ -27,6 +27,7 @@
         is_remote: false,
         time_to_first_ms: choice.time_to_first.as_millis() as u64,
         prefill_tokens: choice.prefill_tokens,
+        has_room: choice.has_room,
         breakdown: choice.breakdown,
     });
     let remote = price_remote(shared, view, job, &TriedDestinations::default());
@@ -35,6 +36,7 @@
         is_remote: true,
         time_to_first_ms: remote.choice.time_to_first.as_millis() as u64,
         prefill_tokens: remote.choice.prefill_tokens,
+        has_room: has_remote_room_in(shared, job, &remote.region),
         breakdown: remote.breakdown,
     });
     local.chain(remote).collect()
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -73,11 +73,7 @@
     tried: &TriedDestinations,
 ) -> Option<RemoteChoice> {
     let tag = ServiceTag::of(&job.service);
-    let tokens = job.unshared_tokens();
-    let has_room = |remote: &RemoteChoice| {
-        let now = shared.now();
-        shared.remote_rooms.lock().has_room(&remote.region, tag, tokens, rand::random(), now)
-    };
+    let has_room = |remote: &RemoteChoice| has_remote_room_in(shared, job, &remote.region);
     let priced = price_remote(shared, view, job, tried).into_iter().filter(has_room);
     let chosen = priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))?;
     shared.remote_rooms.lock().take(&chosen.region, tag, chosen.choice.prefill_tokens);
@@ -87,13 +83,21 @@
 
 /// Returns whether any other region where a request may run has told room for it.
 pub fn has_remote_room(shared: &GatewayShared, job: &GatewayJob) -> bool {
-    let (tag, now) = (ServiceTag::of(&job.service), shared.now());
     let own_region = shared.settings.region();
     let regions: BTreeSet<&RegionName> = shared.settings.regions.values().collect();
     let mut others = regions.into_iter().filter(|it| *it != own_region && job.permits(it));
-    let tokens = job.unshared_tokens();
+    others.any(|region| has_remote_room_in(shared, job, region))
+}
+
+/// Returns whether a region has told room for a request.
+pub(super) fn has_remote_room_in(
+    shared: &GatewayShared,
+    job: &GatewayJob,
+    region: &RegionName,
+) -> bool {
+    let (tag, now) = (ServiceTag::of(&job.service), shared.now());
     let rooms = shared.remote_rooms.lock();
-    others.any(|region| rooms.has_room(region, tag, tokens, rand::random(), now))
+    rooms.has_room(region, tag, job.unshared_tokens(), rand::random(), now)
 }
 
 /// Prices the other regions that can take a request, with one VM of each.
--- a/crates/foldhaven-gateway/src/settings.rs
+++ b/crates/foldhaven-gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use foldhaven_core::ids::{DataCentreName, RegionName, VmName};
 use foldhaven_core::opaque::limit_share::LimitSlack;
 use foldhaven_core::opaque::retry_share::RetryLimits;
+use foldhaven_core::opaque::waiting_room::DEFAULT_FLOOR_SHARE;
 use foldhaven_core::units::CoreShare;
 use foldhaven_wire::settings_file::{CheckedSettings, SettingsError, SettingsFault, read_settings};
 use serde::{Deserialize, Serialize};
@@ -92,6 +93,11 @@
     pub platform: SocketAddr,
     /// Limits that apply to all VMs together.
     pub limits: SharedLimits,
+    /// The share of the slots that become free which goes to requests that more urgent ones keep
+    /// from starting. Default: 0.05, so that the least urgent requests wait for seconds rather than
+    /// for ever, and urgent ones lose little.
+    #[serde(default = "default_floor_share")]
+    pub floor_share: f64,
     /// The processor capacity of this VM in cores. Larger VMs are the first to take requests, and
     /// take more of them. Default: 1.
     #[serde(default = "default_cores")]
@@ -107,6 +113,10 @@
     pub unknown: BTreeMap<String, serde_json::Value>,
 }
 
+fn default_floor_share() -> f64 {
+    DEFAULT_FLOOR_SHARE
+}
+
 fn default_cores() -> CoreShare {
     CoreShare::ONE
 }
@@ -148,6 +158,9 @@
                 message: "expected 0 to 3600 seconds",
             });
         }
+        if !(0.0..=1.0).contains(&self.floor_share) {
+            return Some(SettingsFault { field: "floor_share", message: "expected 0 to 1" });
+        }
         if self.cores == CoreShare::default() {
             return Some(SettingsFault { field: "cores", message: "expected more than 0 cores" });
         }
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -141,7 +141,7 @@
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
         Arc::new(Self {
             wake: SuspensionDetector::default(),
-            waiting_rooms: WaitingRooms::default(),
+            waiting_rooms: WaitingRooms::new(settings.floor_share),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -15,17 +15,28 @@
 pub type WaitingCounts = Vec<(ServiceTag, Vec<(PriorityLevel, u16)>)>;
 
 /// The waiting rooms by service.
-#[derive(Default)]
-pub struct WaitingRooms(Mutex<HashMap<ServiceName, Arc<Mutex<WaitingRoom>>>>);
+pub struct WaitingRooms {
+    rooms: Mutex<HashMap<ServiceName, Arc<Mutex<WaitingRoom>>>>,
+    floor_share: f64,
+}
 
 impl WaitingRooms {
+    /// Creates no rooms yet. `floor_share` is that of each room.
+    pub fn new(floor_share: f64) -> Self {
+        Self { rooms: Mutex::default(), floor_share }
+    }
+
     /// Returns the room of a service.
     pub fn room(&self, service: &ServiceName) -> Arc<Mutex<WaitingRoom>> {
-        let mut rooms = self.0.lock();
-        match rooms.get(service) {
-            Some(room) => room.clone(),
-            None => rooms.entry(service.clone()).or_default().clone(),
+        let mut rooms = self.rooms.lock();
+        if let Some(room) = rooms.get(service) {
+            return room.clone();
         }
+        let mut room = WaitingRoom::default();
+        room.set_floor_share(self.floor_share);
+        let room = Arc::new(Mutex::new(room));
+        rooms.insert(service.clone(), room.clone());
+        room
     }
 
     /// Returns the number of waiting requests by service.
@@ -38,7 +49,7 @@
 
     /// Returns the number of waiting requests by service and level.
     pub fn counts(&self, now: MonoTime) -> WaitingCounts {
-        let rooms = self.0.lock();
+        let rooms = self.rooms.lock();
         let counted = rooms.iter().map(|(service, room)| {
             let counts = room.lock().counts(now);
             let levels = PriorityLevel::all().zip(counts).filter(|(_, count)| *count > 0);
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -3,6 +3,7 @@
 use foldhaven_core::burn::BurnRow;
 use foldhaven_core::ids::{DataCentreName, IncarnationId, VmName};
 use foldhaven_core::opaque::choice::CostBreakdown;
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::planner::RoutePlan;
 use serde::{Deserialize, Serialize};
 
@@ -132,6 +133,13 @@
     pub route: String,
     /// The service of the route.
     pub service: String,
+    /// The priority level of a request of an account with the usual priority. `None` if the
+    /// requests of the service do not differ in priority.
+    #[serde(default)]
+    pub level: Option<PriorityLevel>,
+    /// The number of requests that wait for room at this VM.
+    #[serde(default)]
+    pub waiting: usize,
     /// The regions in which the request may run; if empty, all regions.
     pub homes: Vec<String>,
     /// The priced destinations, cheapest first.
@@ -155,6 +163,10 @@
     /// Number of prompt tokens that need prefill, since they are not cached.
     #[serde(rename = "read_tokens")]
     pub prefill_tokens: u32,
+    /// Whether the destination has room for the request. Requests with a priority level wait
+    /// otherwise.
+    #[serde(default)]
+    pub has_room: bool,
     /// The components of the price, as fractions of the worth of the request.
     #[serde(rename = "parts")]
     pub breakdown: CostBreakdown,
--- a/crates/foldhavenctl/src/cmd/explain_route.rs
+++ b/crates/foldhavenctl/src/cmd/explain_route.rs
@@ -64,12 +64,19 @@
     let RouteExplanation { vm, data_centre, version, route, service, .. } = answer;
     format!(
         "{vm} in {data_centre}, by version {version}\nroute {route}, service {service}, may run in \
-         {homes}\n{}another region must be cheaper by {:.2}\n",
+         {homes}\n{}{}another region must be cheaper by {:.2}\n",
+        level_text(answer),
         destination_table(answer),
         answer.region_margin,
     )
 }
 
+/// Returns a line on the priority level, empty if there is none.
+fn level_text(answer: &RouteExplanation) -> String {
+    let Some(level) = answer.level else { return String::new() };
+    format!("priority level {level}, {} requests wait at this VM\n", answer.waiting)
+}
+
 fn destination_table(answer: &RouteExplanation) -> String {
     let heading = [
         "place",
@@ -82,6 +89,7 @@
         "failures",
         "moving",
         "price",
+        "room",
     ];
     let mut rows = vec![heading.map(str::to_owned).to_vec()];
     for place in &answer.destinations {
@@ -97,6 +105,7 @@
             format!("{:.3}", breakdown.failures),
             format!("{:.3}", breakdown.transfer),
             format!("{:.3}", breakdown.total().0),
+            if place.has_room { "yes" } else { "no" }.to_owned(),
         ]);
     }
     format_table(&rows)
