--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -22,6 +22,12 @@
 const RATE_TIME: Duration = Duration::from_millis(1_500);
 /// A room that was not empty for less than this time has no known rate.
 const MIN_RATE_TIME: Duration = Duration::from_millis(500);
+/// With fewer requests ahead, the rate at which they leave says little.
+const MIN_AHEAD: usize = 3;
+/// The rate of a level whose requests do not leave at all.
+const MIN_RATE_PER_S: f64 = 0.2;
+/// The maximum of [`WaitingRoom::expected_wait`].
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(30);
 /// The default of [`WaitingRoom::set_floor_share`].
 pub const DEFAULT_FLOOR_SHARE: f64 = 0.05;
 
@@ -153,6 +159,11 @@
         self.tickets.len()
     }
 
+    /// Returns the number of waiting requests of a level and of all more urgent ones.
+    pub fn len_through(&self, level: PriorityLevel) -> usize {
+        self.tickets.values().filter(|ticket| ticket.request.level <= level).count()
+    }
+
     /// Whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.tickets.is_empty()
@@ -270,13 +281,6 @@
     }
 }
 
-/// With fewer requests ahead, the rate at which they leave says little.
-const MIN_AHEAD: usize = 3;
-/// The rate of a level whose requests do not leave at all.
-const MIN_RATE_PER_S: f64 = 0.2;
-/// The maximum of [`WaitingRoom::expected_wait`].
-const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(30);
-
 /// The part of the room that one VM takes for requests of one level.
 struct RoomPart<'a> {
     view: &'a RoomView,
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -14,7 +14,8 @@
 use crate::view::GatewayView;
 use crate::waiting_rooms::WaitingTicket;
 
-/// Maximum number of requests of a service that wait at this VM. Their bodies stay in memory.
+/// Maximum number of requests of a level and of more urgent ones that wait at this VM for one
+/// service. Their bodies stay in memory.
 const MAX_WAITING: usize = 1_000;
 /// The share of its time to target for which a request waits for a free slot before it displaces a
 /// less urgent one.
@@ -68,7 +69,7 @@
         let (Some(level), None) = (self.job.level, &self.ticket) else { return Ok(()) };
         let now = self.shared.now();
         let room = self.shared.waiting_rooms.room(&self.job.service);
-        if room.lock().len() >= MAX_WAITING {
+        if room.lock().len_through(level) >= MAX_WAITING {
             return Err(Refusal::Full);
         }
         let ticket = WaitingTicket::enter(room, self.waiting_request(level, now), now);
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -91,12 +91,12 @@
     OriginAnswers(Vec<OriginAnswer>),
     /// Suspected segments of prompts.
     SuspectSegments(SuspectMessage),
+    /// The speeds of upstreams of the region as measured by a VM.
+    Speeds(SpeedReport),
     /// The priority levels of the requests in the load report that was sent before.
     Levels(LevelReport),
     /// The room that a region offers to others.
     Rooms(RoomReport),
-    /// The speeds of upstreams of the region as measured by a VM.
-    Speeds(SpeedReport),
 }
 
 impl PeerMessage {
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -12,10 +12,14 @@
     AccountDescription, AccountLimit, ClientAccount, KeyFingerprint, LimitUnit,
 };
 use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::level_loads::LevelShare;
+use foldhaven_core::opaque::load_reports::{LevelReport, report_interval};
 use foldhaven_core::opaque::peer_table::{
     HeartbeatMessage, KnownCounts, LivenessUpdate, PeerHeartbeat, PeerPhase, RegionTag,
-    RequestedHeartbeats, RevisionAnnouncement, ViewDigest, ViewList, VmIncarnation, VmTag,
+    RequestedHeartbeats, RevisionAnnouncement, ServiceTag, ViewDigest, ViewList, VmIncarnation,
+    VmTag,
 };
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::{AgreementNotice, AgreementRound, ListDigest};
@@ -189,6 +193,35 @@
     assert!(47 * bytes.len() <= 62_500, "{} bytes", bytes.len());
 }
 
+/// Returns the levels of requests at as many upstreams.
+fn levels(requests: usize) -> PeerMessage {
+    let share = |number| LevelShare {
+        level: PriorityLevel::new(number),
+        in_flight: 1,
+        prefill_backlog: 12_000,
+    };
+    PeerMessage::Levels(LevelReport {
+        vm: VmTag(1),
+        incarnation: IncarnationId(2),
+        sequence: 3,
+        levels: vec![vec![share(3)]; requests],
+        waiting: vec![(ServiceTag(9), vec![(PriorityLevel::new(5), 40)])],
+    })
+}
+
+// Guards against reports of levels that take a tenth of the link of a small VM, 10 Mbit/s, while all
+// slots are taken: each VM receives one from each other VM of its region in a report interval.
+#[rstest]
+#[case::size(72, 147)]
+#[case::twice_the_size(144, 300)]
+fn levels_of_a_whole_region_are_small(#[case] vms: usize, #[case] upstreams: usize) {
+    let (slots, regions) = (16, 3);
+    let bytes = levels(upstreams * slots / vms).bytes().unwrap().len();
+    let others = vms / regions - 1;
+    let received = bytes as f64 * others as f64 / report_interval(others).as_secs_f64();
+    assert!(received < 125_000.0, "{bytes} bytes, {received} bytes/s");
+}
+
 /// The bytes of each message kind as this version writes them.
 #[rstest]
 #[case::beat(
@@ -243,6 +276,7 @@
         limits(),
         leavers(),
         speeds(2),
+        levels(2),
         keyed_changes(),
     ];
     for message in messages {
