Classes of requests, memory in room and loads, the length hint; refusals are decided in the core

Interfaces for the parts that follow: an arriving request is classed (level, account, need of room, bounds of place), an upstream's room and a region's room count memory, and load reports tell the memory that requests hold. Nothing uses the memory yet: the choices are the same.

Refusals move from the bytes of an answer to the core, so that what decides a refusal no longer depends on what relays an answer.

--- a/crates/foldhaven-core/src/opaque/level_loads.rs
+++ b/crates/foldhaven-core/src/opaque/level_loads.rs
@@ -13,6 +13,8 @@
     pub in_flight: u16,
     /// Prompt tokens of requests that have not been answered yet.
     pub prefill_backlog: u32,
+    /// The tokens that the requests in flight will hold in memory when they end.
+    pub memory_tokens: u32,
 }
 
 /// The requests at an upstream by level. Counts saturate.
@@ -20,6 +22,7 @@
 pub struct LevelLoads {
     in_flight: [u16; LEVEL_COUNT],
     prefill_backlog: [u32; LEVEL_COUNT],
+    memory_tokens: [u32; LEVEL_COUNT],
 }
 
 impl LevelLoads {
@@ -29,6 +32,7 @@
         self.in_flight[index] = self.in_flight[index].saturating_add(share.in_flight);
         self.prefill_backlog[index] =
             self.prefill_backlog[index].saturating_add(share.prefill_backlog);
+        self.memory_tokens[index] = self.memory_tokens[index].saturating_add(share.memory_tokens);
     }
 
     /// Removes a part of the requests of one level.
@@ -37,6 +41,7 @@
         self.in_flight[index] = self.in_flight[index].saturating_sub(share.in_flight);
         self.prefill_backlog[index] =
             self.prefill_backlog[index].saturating_sub(share.prefill_backlog);
+        self.memory_tokens[index] = self.memory_tokens[index].saturating_sub(share.memory_tokens);
     }
 
     /// Returns the sum of two loads.
@@ -51,6 +56,7 @@
             level,
             in_flight: self.in_flight[level.index()],
             prefill_backlog: self.prefill_backlog[level.index()],
+            memory_tokens: self.memory_tokens[level.index()],
         };
         let is_used = |share: &LevelShare| share.in_flight > 0 || share.prefill_backlog > 0;
         PriorityLevel::all().map(share).filter(is_used)
@@ -71,6 +77,11 @@
         self.in_flight[..level.index()].iter().copied().map(u32::from).sum()
     }
 
+    /// Returns the tokens that the requests of all levels will hold in memory when they end.
+    pub fn memory_tokens(&self) -> u32 {
+        self.memory_tokens.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
+    }
+
     /// Returns the prompt tokens of unanswered requests of all levels.
     pub fn prefill_backlog(&self) -> u32 {
         self.prefill_backlog.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
--- a/crates/foldhaven-core/src/opaque/load_reports.rs
+++ b/crates/foldhaven-core/src/opaque/load_reports.rs
@@ -159,6 +159,7 @@
     vms: u32,
     in_flight: [u64; LEVEL_COUNT],
     prefill_backlog: [u64; LEVEL_COUNT],
+    memory_tokens: [u64; LEVEL_COUNT],
 }
 
 impl LevelSum {
@@ -167,6 +168,7 @@
         for share in loads.shares() {
             self.in_flight[share.level.index()] += u64::from(share.in_flight);
             self.prefill_backlog[share.level.index()] += u64::from(share.prefill_backlog);
+            self.memory_tokens[share.level.index()] += u64::from(share.memory_tokens);
         }
     }
 
@@ -175,6 +177,7 @@
         for share in loads.shares() {
             self.in_flight[share.level.index()] -= u64::from(share.in_flight);
             self.prefill_backlog[share.level.index()] -= u64::from(share.prefill_backlog);
+            self.memory_tokens[share.level.index()] -= u64::from(share.memory_tokens);
         }
     }
 
@@ -183,10 +186,12 @@
         for level in PriorityLevel::all() {
             let in_flight = self.in_flight[level.index()];
             let backlog = self.prefill_backlog[level.index()];
+            let memory = self.memory_tokens[level.index()];
             loads.add(&LevelShare {
                 level,
                 in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
                 prefill_backlog: u32::try_from(backlog).unwrap_or(u32::MAX),
+                memory_tokens: u32::try_from(memory).unwrap_or(u32::MAX),
             });
         }
         loads
--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -9,6 +9,7 @@
 
 use crate::opaque::performance::{QueueState, ServicePerformance};
 use crate::opaque::priority_level::PriorityLevel;
+use crate::opaque::request_class::RoomNeed;
 
 /// Less urgent requests keep at least one in this many slots of an upstream free at most.
 const MAX_RESERVED_PART: u32 = 4;
@@ -23,6 +24,8 @@
     pub slots: u32,
     /// Prompt tokens whose prefill can begin soon.
     pub prefill_tokens: u32,
+    /// Tokens of free memory. [`u32::MAX`] if memory does not bound the room.
+    pub memory_tokens: u32,
 }
 
 impl ServiceRoom {
@@ -31,13 +34,24 @@
         Self {
             slots: self.slots.saturating_add(other.slots),
             prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
+            memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
         }
     }
 
     /// Returns the room multiplied by a factor.
     pub fn times(self, factor: f64) -> Self {
         let scale = |value: u32| (f64::from(value) * factor) as u32;
-        Self { slots: scale(self.slots), prefill_tokens: scale(self.prefill_tokens) }
+        Self {
+            slots: scale(self.slots),
+            prefill_tokens: scale(self.prefill_tokens),
+            memory_tokens: scale(self.memory_tokens),
+        }
+    }
+
+    /// Returns the room that one request takes.
+    pub fn taken_by(need: RoomNeed) -> Self {
+        let RoomNeed { prefill_tokens, memory_tokens } = need;
+        Self { slots: 1, prefill_tokens, memory_tokens }
     }
 
     /// Whether there is no room.
@@ -72,7 +86,11 @@
         let backlog = queue.through(self.level).prefill_backlog.timely;
         match slots {
             0 => ServiceRoom::default(),
-            _ => ServiceRoom { slots, prefill_tokens: self.max_backlog.saturating_sub(backlog) },
+            _ => ServiceRoom {
+                slots,
+                prefill_tokens: self.max_backlog.saturating_sub(backlog),
+                memory_tokens: u32::MAX,
+            },
         }
     }
 
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
+use crate::opaque::request_class::RequestClass;
 use crate::opaque::service_room::ServiceRoom;
 use crate::time::MonoTime;
 
@@ -38,14 +39,12 @@
 /// What the place of a request in the order depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingRequest {
-    /// Its level.
-    pub level: PriorityLevel,
+    /// Its level, account and need of room.
+    pub class: RequestClass,
     /// When its caller began to wait, with an earlier try if it comes again.
     pub since: MonoTime,
     /// The last moment at which it can start and be in time.
     pub late_at: MonoTime,
-    /// The prompt tokens that an upstream has to prefill for it.
-    pub prefill_tokens: u32,
 }
 
 impl WaitingRequest {
@@ -56,7 +55,7 @@
 
     /// Returns the key by which waiting requests are sorted.
     fn order(&self, now: MonoTime) -> (PriorityLevel, bool, MonoTime) {
-        (self.level, self.is_late(now), self.since)
+        (self.class.level, self.is_late(now), self.since)
     }
 }
 
@@ -161,7 +160,7 @@
 
     /// Returns the number of waiting requests of a level and of all more urgent ones.
     pub fn len_through(&self, level: PriorityLevel) -> usize {
-        self.tickets.values().filter(|ticket| ticket.request.level <= level).count()
+        self.tickets.values().filter(|ticket| ticket.request.class.level <= level).count()
     }
 
     /// Whether no request waits.
@@ -174,7 +173,8 @@
     pub fn counts(&self, now: MonoTime) -> [u32; LEVEL_COUNT] {
         let mut counts = [0; LEVEL_COUNT];
         for request in self.tickets.values().map(|ticket| &ticket.request) {
-            let level = if request.is_late(now) { PriorityLevel::LAST } else { request.level };
+            let level =
+                if request.is_late(now) { PriorityLevel::LAST } else { request.class.level };
             counts[level.index()] += 1;
         }
         counts
@@ -183,7 +183,7 @@
     /// Returns the number of waiting requests of each level, late ones included.
     fn waiting(&self) -> [u32; LEVEL_COUNT] {
         let mut counts = [0; LEVEL_COUNT];
-        self.tickets.values().for_each(|ticket| counts[ticket.request.level.index()] += 1);
+        self.tickets.values().for_each(|ticket| counts[ticket.request.class.level.index()] += 1);
         counts
     }
 
@@ -217,14 +217,14 @@
         let mut spent = ServiceRoom::default();
         for id in &order {
             let ticket = self.tickets.get_mut(id).expect("sorted ids are of waiting requests");
-            let tokens = ticket.request.prefill_tokens;
-            let level = ticket.request.level;
+            let need = ticket.request.class.need;
+            let level = ticket.request.class.level;
             let part = RoomPart { view, own_waiting: &own_waiting, level };
-            if !part.of_room(left).has_room(spent, tokens, draw) {
+            if !part.of_room(left).has_room(spent, need.prefill_tokens, draw) {
                 break;
             }
             ticket.has_turn = true;
-            spent = spent.plus(ServiceRoom { slots: 1, prefill_tokens: tokens });
+            spent = spent.plus(ServiceRoom::taken_by(need));
         }
         spent.slots + self.grant_floor(&order, view, left)
     }
@@ -234,7 +234,7 @@
     fn grant_floor(&mut self, order: &[TicketId], view: &RoomView, left: u32) -> u32 {
         let waiting = order.iter().filter(|id| !self.tickets[id].has_turn);
         let last_start =
-            |id: &&TicketId| self.rates[self.tickets[id].request.level.index()].updated;
+            |id: &&TicketId| self.rates[self.tickets[id].request.class.level.index()].updated;
         let Some(starved) = waiting.min_by_key(last_start).copied() else {
             self.floor_debt = 0.0;
             return 0;
@@ -270,12 +270,13 @@
     /// show in the rate of its level.
     pub fn expected_wait(&self, request: &WaitingRequest, now: MonoTime) -> Option<Duration> {
         let order = request.order(now);
-        let of_level = self.tickets.values().filter(|it| it.request.level == request.level);
+        let of_level =
+            self.tickets.values().filter(|it| it.request.class.level == request.class.level);
         let ahead = of_level.filter(|it| it.request.order(now) < order).count();
         if ahead < MIN_AHEAD || now.since(self.busy_since) < MIN_RATE_TIME {
             return None;
         }
-        let rate = self.rates[request.level.index()].decayed(now);
+        let rate = self.rates[request.class.level.index()].decayed(now);
         let wait = (ahead + 1) as f64 / rate.max(MIN_RATE_PER_S);
         Some(Duration::from_secs_f64(wait).min(MAX_EXPECTED_WAIT))
     }
--- a/crates/foldhaven-core/tests/testsuite/opaque_levels.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_levels.rs
@@ -20,7 +20,7 @@
 }
 
 fn share(number: u8, in_flight: u16, prefill_backlog: u32) -> LevelShare {
-    LevelShare { level: level(number), in_flight, prefill_backlog }
+    LevelShare { level: level(number), in_flight, prefill_backlog, memory_tokens: prefill_backlog }
 }
 
 // Guards against an account's priority replacing that of the route, or following it.
--- a/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
@@ -24,6 +24,7 @@
         level: PriorityLevel::new(number),
         in_flight,
         prefill_backlog,
+        memory_tokens: 0,
     };
     levels.add(&share(0, urgent, 0));
     levels.add(&share(LAST, last, backlog));
@@ -100,7 +101,10 @@
         incarnation: IncarnationId(1),
         sequence,
         is_relayed: false,
-        rooms: vec![(SERVICE, ServiceRoom { slots, prefill_tokens: slots * 1_000 })],
+        rooms: vec![(
+            SERVICE,
+            ServiceRoom { slots, prefill_tokens: slots * 1_000, memory_tokens: u32::MAX },
+        )],
     }
 }
 
--- a/crates/foldhaven-core/tests/testsuite/opaque_support.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_support.rs
@@ -2,6 +2,8 @@
 
 use foldhaven_core::ids::IncarnationId;
 use foldhaven_core::opaque::peer_table::{OwnVm, PeerHeartbeat, PeerPhase, PeerTable};
+use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
 use foldhaven_core::opaque::route_table::RouteVersion;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::CoreShare;
@@ -12,6 +14,12 @@
     MonoTime::from_millis(1_000_000 + millis)
 }
 
+/// Returns the class of a request without an account that any region may run.
+pub fn class(level: PriorityLevel, prefill_tokens: u32) -> RequestClass {
+    let need = RoomNeed { prefill_tokens, memory_tokens: prefill_tokens };
+    RequestClass { level, need, ..RequestClass::default() }
+}
+
 /// Returns the peer table of the VM `own` in its first incarnation.
 pub fn table() -> PeerTable {
     table_of("own", 1)
--- a/crates/foldhaven-core/tests/testsuite/opaque_waiting_room.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_waiting_room.rs
@@ -9,7 +9,7 @@
 };
 use foldhaven_core::time::MonoTime;
 
-use crate::opaque_support::at;
+use crate::opaque_support::{at, class};
 
 const TOKENS: u32 = 1_000;
 /// A draw that uses no fraction of the room.
@@ -17,16 +17,15 @@
 
 fn request(level: u8, since: u64, late_at: u64) -> WaitingRequest {
     WaitingRequest {
-        level: PriorityLevel::new(level),
+        class: class(PriorityLevel::new(level), TOKENS),
         since: at(since),
         late_at: at(late_at),
-        prefill_tokens: TOKENS,
     }
 }
 
 /// Returns a view of one VM alone with free slots for each level.
 fn view(slots: u32, own_in_flight: u32) -> RoomView {
-    let room = ServiceRoom { slots, prefill_tokens: slots * TOKENS + 1 };
+    let room = ServiceRoom { slots, prefill_tokens: slots * TOKENS + 1, memory_tokens: u32::MAX };
     RoomView { room: [room; LEVEL_COUNT], own_in_flight, ..RoomView::default() }
 }
 
--- a/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::opaque_support::at;
+use crate::opaque_support::{at, class};
 
 const LEVELS: usize = 3;
 const SLOTS: u32 = 16;
@@ -99,7 +99,8 @@
         let reserved = reserved_slots(SLOTS, f64::from(above) / f64::from(upstreams));
         let taken = running.iter().sum::<u32>() + reserved * upstreams;
         let slots = (upstreams * SLOTS).saturating_sub(taken);
-        room[level.index()] = ServiceRoom { slots, prefill_tokens: u32::MAX };
+        room[level.index()] =
+            ServiceRoom { slots, prefill_tokens: u32::MAX, memory_tokens: u32::MAX };
     }
     let own_in_flight = vms[own].running.len() as u32;
     RoomView { room, own_in_flight, waiting_elsewhere, report_interval: interval }
@@ -145,10 +146,9 @@
 fn arrive(vm: &mut VmModel, level: usize, now: MonoTime, outcome: &mut Outcome) {
     outcome.arrived[level] += 1;
     let request = WaitingRequest {
-        level: PriorityLevel::new(level as u8),
+        class: class(PriorityLevel::new(level as u8), 0),
         since: now,
         late_at: now + PATIENCE,
-        prefill_tokens: 0,
     };
     let id = vm.room.enter(request, now);
     vm.waiting.push((id, level, now));
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
 use http::header::CONTENT_TYPE;
@@ -20,7 +21,6 @@
 use http::{HeaderValue, StatusCode};
 use tokio::time::sleep;
 
-use crate::answer::Refusal;
 use crate::call::{AnswerEnd, OpenAnswer, read_complete};
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -49,7 +49,8 @@
             let name = self.shared.names.fetch_from.clone();
             request.headers_mut().insert(name, text_value(&holder.to_string()));
         }
-        let load = RequestLoad { prefill_tokens, rank, level: self.job.level };
+        let memory_tokens = self.job.memory_tokens();
+        let load = RequestLoad { prefill_tokens, memory_tokens, rank, level: self.job.level };
         let load_guard = destination.enter(&self.shared, &self.job.service, load);
         let mut request_guard = self.register_request(&destination);
         self.record_placement(&destination);
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -1,9 +1,9 @@
 //! Decides whether a request is retried, and which refusal its caller gets otherwise.
 
+use foldhaven_core::opaque::refusal::Refusal;
 use http::StatusCode;
 
 use super::RequestDriver;
-use crate::answer::Refusal;
 use crate::call::CallFault;
 use crate::clock::BootInstant;
 use crate::destinations::{describe_candidates, throttled_wait};
--- a/crates/foldhaven-gateway/src/attempts/suspicion.rs
+++ b/crates/foldhaven-gateway/src/attempts/suspicion.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::suspects::{PROBE_EXITS, SuspectVerdict};
 
 use super::RequestDriver;
-use crate::answer::Refusal;
 use crate::call::{AnswerEnd, CallFault, OpenAnswer};
 use crate::destinations::RequestDestination;
 use crate::upstream::UpstreamRequestGuard;
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::admission::AdmissionError;
-use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::refusal::Refusal;
+use foldhaven_core::opaque::request_class::RequestClass;
 use foldhaven_core::opaque::waiting_room::WaitingRequest;
 use foldhaven_core::time::MonoTime;
 
 use super::RequestDriver;
-use crate::answer::Refusal;
 use crate::clock::BootInstant;
 use crate::destinations::{RoomRule, has_remote_room, view_room};
 use crate::view::GatewayView;
@@ -25,12 +25,12 @@
     /// Returns what the request requires of an upstream if it may look for one now. `None` if it
     /// waits.
     pub(super) fn room_rule(&mut self, view: &GatewayView) -> Result<Option<RoomRule>, Refusal> {
-        let Some(level) = self.job.level else { return Ok(Some(RoomRule::Any)) };
+        let Some(class) = self.job.class() else { return Ok(Some(RoomRule::Any)) };
         if self.job.has_partial_answer || self.shared.is_leaving() {
             return Ok(Some(RoomRule::Any));
         }
         let now = self.shared.now();
-        let Some(ticket) = &self.ticket else { return self.rule_on_arrival(level, view, now) };
+        let Some(ticket) = &self.ticket else { return self.rule_on_arrival(class, view, now) };
         let has_turn = ticket.take_turn(|| view_room(&self.shared, view, &self.job.service), now);
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
@@ -49,14 +49,14 @@
     /// other VMs.
     fn rule_on_arrival(
         &mut self,
-        level: PriorityLevel,
+        class: RequestClass,
         view: &GatewayView,
         now: MonoTime,
     ) -> Result<Option<RoomRule>, Refusal> {
-        let request = self.waiting_request(level, now);
+        let request = self.waiting_request(class, now);
         let room = self.shared.waiting_rooms.room(&self.job.service);
         let elsewhere = self.shared.waiting_elsewhere(&self.job.service);
-        let has_more_urgent = elsewhere[..level.index()].iter().any(|count| *count > 0);
+        let has_more_urgent = elsewhere[..class.level.index()].iter().any(|count| *count > 0);
         if !has_more_urgent && !room.lock().has_ahead(&request, now) {
             return Ok(Some(RoomRule::FreeSlot));
         }
@@ -66,13 +66,13 @@
 
     /// Lets the request wait, or refuses it if it would wait for too long.
     pub(super) fn wait_for_room(&mut self, view: &GatewayView) -> Result<(), Refusal> {
-        let (Some(level), None) = (self.job.level, &self.ticket) else { return Ok(()) };
+        let (Some(class), None) = (self.job.class(), &self.ticket) else { return Ok(()) };
         let now = self.shared.now();
         let room = self.shared.waiting_rooms.room(&self.job.service);
-        if room.lock().len_through(level) >= MAX_WAITING {
+        if room.lock().len_through(class.level) >= MAX_WAITING {
             return Err(Refusal::Full);
         }
-        let ticket = WaitingTicket::enter(room, self.waiting_request(level, now), now);
+        let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), now);
         self.check_expected_wait(&ticket, view, now)?;
         self.shared.metrics.count_event("waited_for_room");
         self.ticket = Some(ticket);
@@ -89,14 +89,13 @@
         }
     }
 
-    fn waiting_request(&self, level: PriorityLevel, now: MonoTime) -> WaitingRequest {
+    fn waiting_request(&self, class: RequestClass, now: MonoTime) -> WaitingRequest {
         let job = &self.job;
         let waited = job.waited();
         let performance = self.shared.measured_performance(&job.service);
-        let prefill_tokens = job.unshared_tokens();
-        let prefill = performance.prefill_time(prefill_tokens);
+        let prefill = performance.prefill_time(class.need.prefill_tokens);
         let spare = job.route.target.saturating_sub(waited + prefill);
-        WaitingRequest { level, since: now - waited, late_at: now + spare, prefill_tokens }
+        WaitingRequest { class, since: now - waited, late_at: now + spare }
     }
 
     /// Whether the request has waited so long for a free slot that it would soon be late.
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -5,12 +5,13 @@
 
 use async_trait::async_trait;
 use foldhaven_core::headers::{SOFTWARE, UNFRAMED, UNREACHED};
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, AnswerBody, Refusal, body_answer, close_after};
+use crate::answer::{Answer, AnswerBody, body_answer, close_after, refuse};
 use crate::attempts::{AnswerStart, CompleteAnswer, RequestDriver};
 use crate::call::AnswerEnd;
 use crate::clock::BootInstant;
@@ -51,7 +52,7 @@
             Err(refusal) => {
                 self.shared.metrics.count_event(refusal.label());
                 log_early_refusal(&self.shared, attempt.as_ref(), refusal);
-                let mut answer = refusal.answer();
+                let mut answer = refuse(refusal);
                 if matches!(refusal, Refusal::Malformed | Refusal::BodyTooLarge) {
                     // The next bytes on the connection may belong to the refused request.
                     close_after(&mut answer);
@@ -79,7 +80,7 @@
     tracing::info!(
         request = attempt.and_then(|id| id.to_str().ok()).unwrap_or("unreadable"),
         refusal = refusal.label(),
-        status = refusal.status().as_u16(),
+        status = refusal.status(),
         described_ms = shared.time_since_first_view().as_millis() as u64,
         awake = shared.is_awake(),
         belief_age_ms = shared.staleness().as_millis() as u64,
@@ -249,7 +250,7 @@
         let claims_not_run = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
         if claims_not_run {
             driver.record_end(RequestEnd::Refused(Refusal::Broken.label()));
-            return Refusal::Broken.answer();
+            return refuse(Refusal::Broken);
         }
         let end = match is_failure {
             true => RequestEnd::FailedUpstream,
@@ -271,7 +272,7 @@
         }
         driver.record_end(RequestEnd::Refused(refusal.label()));
         let is_unreached = refusal == Refusal::NoUpstream && driver.delivered_attempts == 0;
-        let mut answer = refusal.answer();
+        let mut answer = refuse(refusal);
         if driver.job.is_forwarded && is_unreached {
             answer.headers_mut().insert(UNREACHED, HeaderValue::from_static("1"));
         }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -15,13 +15,13 @@
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog};
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
 use foldhaven_core::opaque::waiting_room::RoomView;
 use foldhaven_core::time::MonoTime;
 
 use super::{DestinationChoice, RequestDestination, RoomRule, TriedDestinations, choice_query};
-use crate::answer::Refusal;
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::upstream::Upstream;
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -18,6 +18,7 @@
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::refusal::Refusal;
 
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
 pub use self::local::{expected_wait, offered_room, view_room};
@@ -25,7 +26,6 @@
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
 use self::remote::{RemoteChoice, choose_remote, choose_remote_with_room};
-use crate::answer::Refusal;
 use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
--- a/crates/foldhaven-gateway/src/directory.rs
+++ b/crates/foldhaven-gateway/src/directory.rs
@@ -9,10 +9,11 @@
 use foldhaven_core::ids::{RegionName, VmName};
 use foldhaven_core::opaque::directory::{LocalService, select_vms};
 use foldhaven_core::opaque::peer_table::VmTag;
+use foldhaven_core::opaque::refusal::Refusal;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, Refusal, body_answer};
+use crate::answer::{Answer, body_answer, refuse};
 use crate::front::FrontHandler;
 use crate::shared::GatewayShared;
 use crate::view::GatewayView;
@@ -86,7 +87,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let uri = request.uri();
         let query = self.codec.read(uri.path(), uri.query().unwrap_or_default());
-        let Some(query) = query else { return Refusal::Malformed.answer() };
+        let Some(query) = query else { return refuse(Refusal::Malformed) };
         // After a suspension, the known VMs may have exited long ago. The caller then asks another
         // directory.
         let addresses = self.shared.is_awake().then(|| self.addresses(&query)).flatten();
@@ -95,7 +96,7 @@
                 let body = self.codec.write(&addresses, ANSWER_LIFETIME);
                 body_answer(StatusCode::OK, "application/json", body)
             }
-            _ => Refusal::NoDescription.answer(),
+            _ => refuse(Refusal::NoDescription),
         }
     }
 }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -13,6 +13,7 @@
 use foldhaven_core::opaque::event_sequence::EventSequenceChecker;
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::RepeatKind;
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginNotice, StreamOrigin};
@@ -21,7 +22,6 @@
 use http_body::{Body, Frame};
 
 use self::reading::ReadingState;
-use crate::answer::Refusal;
 use crate::attempts::{DestinationAnswer, RequestDriver};
 use crate::clock::{BootInstant, BootSleep};
 use crate::destinations::RequestDestination;
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use foldhaven_core::opaque::affinity::PromptOutline;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_wire::operator::{DestinationPrice, RouteExplanation};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
-use crate::answer::Refusal;
 use crate::clock::BootInstant;
 use crate::destinations::{REGION_MARGIN, price_destinations};
 use crate::job::GatewayJob;
@@ -68,6 +68,7 @@
         segments: Arc::new([]),
         outline: query.prompt.filter(|_| route.affinity).and_then(PromptOutline::parse),
         output_tokens: query.output_tokens,
+        length_hint: None,
         level: view.routes.level(&service, None, &route),
         service,
         method: Method::GET,
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -5,9 +5,12 @@
 
 use bytes::Bytes;
 use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::opaque::account_demand::AccountTag;
 use foldhaven_core::opaque::affinity::{PromptOutline, PromptSegment};
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
 use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::refusal::Refusal;
+use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
 use foldhaven_core::opaque::software::SoftwareTag;
@@ -21,7 +24,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use crate::answer::Refusal;
 use crate::clock::BootInstant;
 use crate::credential::JobAccount;
 use crate::names::HeaderNames;
@@ -73,6 +75,8 @@
     pub outline: Option<PromptOutline>,
     /// The maximum length of the answer in tokens. 0 if the caller names none.
     pub output_tokens: u32,
+    /// The length of the answer in tokens that the caller expects. `None` if it names none.
+    pub length_hint: Option<u32>,
     /// Whether another VM forwarded the request. It then runs in this region or not at all.
     pub is_forwarded: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
@@ -132,6 +136,24 @@
         prompt.saturating_add(self.output_tokens.saturating_mul(OUTPUT_WEIGHT)).max(1)
     }
 
+    /// Returns the tokens that the request will hold in memory when it ends.
+    pub fn memory_tokens(&self) -> u32 {
+        self.unshared_tokens().saturating_add(self.output_tokens)
+    }
+
+    /// Returns what the admission and the order of the request depend on. `None` if the requests of
+    /// its service do not differ in priority.
+    pub fn class(&self) -> Option<RequestClass> {
+        let account = self.account.as_ref().map(|it| AccountTag::of(&it.account.name));
+        let need = RoomNeed {
+            prefill_tokens: self.unshared_tokens(),
+            memory_tokens: self.memory_tokens(),
+        };
+        let by_account = self.account.as_ref().is_some_and(|it| !it.account.homes.is_empty());
+        let is_bound = by_account || !self.route.homes.is_empty();
+        self.level.map(|level| RequestClass { level, account, need, is_bound })
+    }
+
     /// Whether the request may run in a region, by the rules of its route and of its account.
     pub fn permits(&self, region: &RegionName) -> bool {
         let by_account = self.account.as_ref().is_none_or(|account| account.permits(region));
@@ -210,6 +232,7 @@
             segments: read_segments(&head, &service, names),
             outline: read_outline(&head, &route, names),
             output_tokens: read_output_tokens(&head, names),
+            length_hint: read_length_hint(&head, names),
             route,
             service,
             level,
@@ -339,6 +362,12 @@
     output.and_then(|output| output.parse().ok()).unwrap_or_default()
 }
 
+/// Reads the length of the answer in tokens that the caller expects. `None` if it names none, or no
+/// whole number.
+fn read_length_hint(head: &Parts, names: &HeaderNames) -> Option<u32> {
+    head.headers.get(&names.length_hint)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Returns the headers to pass to an upstream: all except connection headers and reserved ones.
 fn forwarded_headers(
     mut headers: HeaderMap,
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -27,6 +27,8 @@
     pub prompt_outline: HeaderName,
     /// The number of prompt tokens and the maximum number of answer tokens.
     pub token_counts: HeaderName,
+    /// The number of answer tokens that the caller expects.
+    pub length_hint: HeaderName,
     /// The address of the upstream from which another one fetches the cached segments of a prompt.
     pub fetch_from: HeaderName,
     /// The id of the event after which a stream is resumed.
--- a/crates/foldhaven-gateway/src/operator_front/mod.rs
+++ b/crates/foldhaven-gateway/src/operator_front/mod.rs
@@ -8,13 +8,14 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_wire::operator::BurnAnswer;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 
 use self::accounts::write_account;
-use crate::answer::{Answer, Refusal, body_answer};
+use crate::answer::{Answer, body_answer, refuse};
 use crate::explain::explain;
 use crate::front::FrontHandler;
 use crate::shared::GatewayShared;
@@ -43,7 +44,7 @@
             }
             "/operator/v1/burn" => json_answer(&self.burn()),
             "/operator/v1/explain-route" => self.explain(request.uri().query()),
-            _ => Refusal::NoRoute.answer(),
+            _ => refuse(Refusal::NoRoute),
         }
     }
 }
@@ -82,7 +83,7 @@
 fn or_refusal(answer: Result<impl Serialize, Refusal>) -> Answer {
     match answer {
         Ok(answer) => json_answer(&answer),
-        Err(refusal) => refusal.answer(),
+        Err(refusal) => refuse(refusal),
     }
 }
 
@@ -91,7 +92,7 @@
         Ok(body) => body_answer(StatusCode::OK, "application/json", body),
         Err(error) => {
             tracing::error!(error = %error, "serializing an answer to an operator failed");
-            Refusal::NoDescription.answer()
+            refuse(Refusal::NoDescription)
         }
     }
 }
--- a/crates/foldhaven-gateway/src/operator_front/suspects.rs
+++ b/crates/foldhaven-gateway/src/operator_front/suspects.rs
@@ -1,11 +1,11 @@
 //! Reports suspected requests to operators, and clears them.
 
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::request_fingerprint::RequestFingerprint;
 use foldhaven_core::opaque::suspects::SuspectVerdict;
 use foldhaven_wire::operator::{ClearAnswer, SuspectRow, SuspectsAnswer};
 
 use super::OperatorHandler;
-use crate::answer::Refusal;
 use crate::suspects::SuspectKind;
 
 /// The text before the fingerprint in the query.
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -6,11 +6,12 @@
 use async_trait::async_trait;
 use foldhaven_core::headers;
 use foldhaven_core::ids::ServiceName;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::software::SoftwareTag;
 use http::{HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, Refusal, body_answer};
+use crate::answer::{Answer, body_answer, refuse};
 use crate::caller_front::run_job;
 use crate::clock::BootInstant;
 use crate::credential::{find_account, take_forwarded_key};
@@ -43,7 +44,7 @@
             Ok(job) => run_job(self.shared.clone(), job).await,
             Err(refusal) => {
                 self.shared.metrics.count_event(refusal.label());
-                refusal.answer()
+                refuse(refusal)
             }
         };
         mark_refusal(answer, attempt)
@@ -57,7 +58,7 @@
 
     /// Returns the platform state, or its changes after the revision that the query names.
     fn state(&self, query: Option<&str>, format: StateFormat) -> Answer {
-        let Some(view) = self.shared.view() else { return Refusal::NoDescription.answer() };
+        let Some(view) = self.shared.view() else { return refuse(Refusal::NoDescription) };
         let known_revision = query.and_then(|query| query.strip_prefix(PEER_STATE_REVISION_PREFIX));
         let known_revision = known_revision.and_then(|known_revision| known_revision.parse().ok());
         match self.answer_cache.answer(&view.offer, StateRequest { known_revision, format }) {
@@ -72,7 +73,7 @@
             }
             Err(error) => {
                 tracing::error!(error = %error, "serializing the platform state for a peer failed");
-                Refusal::NoDescription.answer()
+                refuse(Refusal::NoDescription)
             }
         }
     }
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -4,12 +4,12 @@
 
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::peer_table::ServiceTag;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::{OpaqueRoute, RepeatKind};
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::stream_origins::AttemptTag;
 use http::{HeaderMap, HeaderValue};
 
-use crate::answer::Refusal;
 use crate::clock::BootInstant;
 use crate::shared::GatewayShared;
 use crate::view::GatewayView;
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -438,6 +438,8 @@
 pub struct RequestLoad {
     /// The prompt tokens to prefill.
     pub prefill_tokens: u32,
+    /// The tokens that the request will hold in memory when it ends.
+    pub memory_tokens: u32,
     /// Its rank in the queue of the destination.
     pub rank: QueueRank,
     /// Its priority level; `None` if its service has none or the destination is another VM.
@@ -483,7 +485,7 @@
 
     /// Counts a request until the guard is dropped.
     pub fn enter(self: &Arc<Self>, load: RequestLoad) -> LoadGuard {
-        let RequestLoad { prefill_tokens: tokens, rank, level } = load;
+        let RequestLoad { prefill_tokens: tokens, memory_tokens, rank, level } = load;
         let is_on_track = rank == QueueRank::Timely;
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let is_deferred = rank == QueueRank::Deferred;
@@ -491,11 +493,13 @@
         self.deferred.fetch_add(is_deferred.into(), Ordering::Relaxed);
         self.backlog(rank).fetch_add(tokens, Ordering::Relaxed);
         if let Some(level) = level {
-            self.levels.lock().add(&LevelShare { level, in_flight: 1, prefill_backlog: tokens });
+            let share = LevelShare { level, in_flight: 1, prefill_backlog: tokens, memory_tokens };
+            self.levels.lock().add(&share);
         }
         LoadGuard {
             counter: self.clone(),
             pending_tokens: tokens,
+            memory_tokens,
             rank,
             level,
             is_on_track,
@@ -516,6 +520,8 @@
     counter: Arc<LoadCounter>,
     /// The prompt tokens still counted as waiting for prefill.
     pending_tokens: u32,
+    /// The tokens counted as held in memory.
+    memory_tokens: u32,
     rank: QueueRank,
     level: Option<PriorityLevel>,
     /// Whether the request can still meet its targets.
@@ -529,14 +535,14 @@
     pub fn record_answered(&mut self) {
         let pending_tokens = std::mem::take(&mut self.pending_tokens);
         self.counter.backlog(self.rank).fetch_sub(pending_tokens, Ordering::Relaxed);
-        self.remove_from_level(0, pending_tokens);
+        self.remove_from_level(0, pending_tokens, 0);
         let was_deferred = std::mem::replace(&mut self.is_deferred, false);
         self.counter.deferred.fetch_sub(was_deferred.into(), Ordering::Relaxed);
     }
 
-    fn remove_from_level(&self, in_flight: u16, prefill_backlog: u32) {
+    fn remove_from_level(&self, in_flight: u16, prefill_backlog: u32, memory_tokens: u32) {
         if let Some(level) = self.level {
-            let share = LevelShare { level, in_flight, prefill_backlog };
+            let share = LevelShare { level, in_flight, prefill_backlog, memory_tokens };
             self.counter.levels.lock().remove(&share);
         }
     }
@@ -552,7 +558,7 @@
     fn drop(&mut self) {
         self.record_answered();
         self.record_late();
-        self.remove_from_level(1, 0);
+        self.remove_from_level(1, 0, self.memory_tokens);
         self.counter.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -199,6 +199,7 @@
         level: PriorityLevel::new(number),
         in_flight: 1,
         prefill_backlog: 12_000,
+        memory_tokens: 30_000,
     };
     PeerMessage::Levels(LevelReport {
         vm: VmTag(1),
