--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -335,7 +335,7 @@
         self.last_destination = Some(chosen.destination.name().to_owned());
         self.last_software = Some(chosen.destination.software_label().to_owned());
         self.last_choice = Some(LoggedChoice::of(&chosen));
-        Ok(NextStep::Send(Box::new(chosen)))
+        Ok(NextStep::Send(chosen))
     }
 
     /// Checks that the key of the request still belongs to its account. No attempt starts with a
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -140,11 +140,17 @@
 /// Where a request goes now.
 pub enum Placement {
     /// To this destination.
-    Chosen(DestinationChoice),
+    Chosen(Box<DestinationChoice>),
     /// Nowhere yet: no upstream that it may be sent to has room.
     NoRoom,
 }
 
+impl Placement {
+    fn chosen(choice: DestinationChoice) -> Self {
+        Self::Chosen(Box::new(choice))
+    }
+}
+
 /// The destinations already tried for a request.
 #[derive(Debug, Default)]
 pub struct TriedDestinations {
@@ -192,7 +198,7 @@
             return Ok(Placement::NoRoom);
         }
         return match admit_choice(job, &local.estimate()) {
-            Ok(()) => local.reserve(shared).map(Placement::Chosen),
+            Ok(()) => local.reserve(shared).map(Placement::chosen),
             Err(refusal) => wait_or_refuse(job, refusal),
         };
     }
@@ -202,7 +208,7 @@
             match pick_relay(shared, view, job, tried) {
                 Some(peer) => {
                     let relay = RelayChoice { peer, local };
-                    return prefer_relay(job, relay, remote).map(Placement::Chosen);
+                    return prefer_relay(job, relay, remote).map(Placement::chosen);
                 }
                 None => Some(local).filter(|_| !is_lost),
             }
@@ -212,22 +218,22 @@
     match (local, remote) {
         (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
             admit_choice(job, &remote.estimate())?;
-            Ok(Placement::Chosen(remote.choice))
+            Ok(Placement::chosen(remote.choice))
         }
         (Some(local), _) if !local.choice.has_room => {
             match choose_remote_with_room(shared, view, job, tried) {
-                Some(remote) => Ok(Placement::Chosen(remote.choice)),
+                Some(remote) => Ok(Placement::chosen(remote.choice)),
                 None => Ok(Placement::NoRoom),
             }
         }
         (Some(local), remote) => match (admit_choice(job, &local.estimate()), remote) {
-            (Ok(()), _) => local.reserve(shared).map(Placement::Chosen),
+            (Ok(()), _) => local.reserve(shared).map(Placement::chosen),
             (Err(_), Some(remote)) if has_free_capacity(job, &remote) => {
-                Ok(Placement::Chosen(remote.choice))
+                Ok(Placement::chosen(remote.choice))
             }
             (Err(refusal), _) => wait_or_refuse(job, refusal),
         },
-        (None, Some(remote)) => Ok(Placement::Chosen(remote.choice)),
+        (None, Some(remote)) => Ok(Placement::chosen(remote.choice)),
         (None, None) if has_no_permitted_region(shared, job) => Err(Refusal::NoPermittedRegion),
         (None, None) => Err(no_destination_refusal(shared, view, job)),
     }
