Answers know no relay: event sources are a trait object, and headers are read where jobs are

answer.rs named the relay of events, which names the attempts, which named the front of other VMs, which builds answers: a ring of six files. The body of an answer now holds any source of events.

--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -9,14 +9,29 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 
-use crate::events::{EventRelay, TruncatedStream};
+/// The stream ended before its last event
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub struct TruncatedStream;
+
+/// Relays the events of a stream to a caller.
+pub trait EventSource: Send {
+    /// Returns the next events as soon as there are some, `None` after the last ones.
+    ///
+    /// # Errors
+    ///
+    /// The stream ends before its last event.
+    fn poll_events(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>>;
+}
 
 /// The body of an answer.
 pub enum AnswerBody {
     /// A complete body. `None` once it was sent.
     Complete(Option<Bytes>),
     /// Events that are relayed as they arrive.
-    Events(Box<EventRelay>),
+    Events(Box<dyn EventSource>),
 }
 
 impl AnswerBody {
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -16,8 +16,8 @@
 use crate::clock::{BootInstant, timeout};
 use crate::credential::fingerprint_value;
 use crate::destinations::{DestinationChoice, RequestDestination};
+use crate::job::read_software;
 use crate::names::{HeaderNames, text_value};
-use crate::peer_front::read_software;
 use crate::upstream::{RequestLoad, Upstream, UpstreamRequestGuard};
 use crate::upstream_listener::{NoopListener, UpstreamListener};
 
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -22,6 +22,7 @@
 use http_body::{Body, Frame};
 
 use self::reading::ReadingState;
+use crate::answer::{EventSource, TruncatedStream};
 use crate::attempts::{DestinationAnswer, RequestDriver};
 use crate::clock::{BootInstant, BootSleep};
 use crate::destinations::RequestDestination;
@@ -39,10 +40,6 @@
 /// stream itself is recorded for the upstream slightly later than for the stream.
 const RECEIVE_MARGIN: Duration = Duration::from_millis(20);
 
-/// The stream ended before its last event
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub struct TruncatedStream;
-
 type Resumption =
     Pin<Box<dyn Future<Output = (RequestDriver, Result<DestinationAnswer, Refusal>)> + Send>>;
 
@@ -98,6 +95,50 @@
     _in_flight: InFlightGuard,
 }
 
+impl EventSource for EventRelay {
+    fn poll_events(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        loop {
+            match &mut self.state {
+                RelayState::Ended => return Poll::Ready(None),
+                RelayState::Resuming(resumption) => {
+                    let Poll::Ready((driver, result)) = resumption.as_mut().poll(context) else {
+                        ready!(self.poll_deadline(context));
+                        return self.abort("the time for it has passed");
+                    };
+                    if let Err(cause) = self.apply_resumption(driver, result) {
+                        return self.abort(cause);
+                    }
+                }
+                RelayState::Reading(_) => match self.poll_reading(context) {
+                    Poll::Ready(RelayStep::Events(events)) => {
+                        return Poll::Ready(Some(Ok(Frame::data(events))));
+                    }
+                    Poll::Ready(RelayStep::NoEvent) => {}
+                    Poll::Ready(RelayStep::End) => return self.finish(),
+                    Poll::Ready(RelayStep::Broken(cause)) => {
+                        self.record_broken(cause);
+                        self.driver.iter_mut().for_each(RequestDriver::record_broken_connection);
+                        if !self.resume(cause) {
+                            return self.abort(cause);
+                        }
+                    }
+                    Poll::Pending => match ready!(self.poll_timer(context)) {
+                        Some(cause) if BootInstant::now() >= self.deadline => {
+                            return self.abort(cause);
+                        }
+                        Some(cause) if !self.handle_stall(cause) => return self.abort(cause),
+                        Some(_) => {}
+                        None => {}
+                    },
+                },
+            }
+        }
+    }
+}
+
 impl EventRelay {
     /// Creates the relay for an answer whose head was processed already.
     pub fn new(
@@ -157,49 +198,6 @@
         driver.shared.origins.record(OriginNotice { attempt, origin }, driver.shared.now());
     }
 
-    /// Polls for the next events.
-    pub fn poll_events(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        loop {
-            match &mut self.state {
-                RelayState::Ended => return Poll::Ready(None),
-                RelayState::Resuming(resumption) => {
-                    let Poll::Ready((driver, result)) = resumption.as_mut().poll(context) else {
-                        ready!(self.poll_deadline(context));
-                        return self.abort("the time for it has passed");
-                    };
-                    if let Err(cause) = self.apply_resumption(driver, result) {
-                        return self.abort(cause);
-                    }
-                }
-                RelayState::Reading(_) => match self.poll_reading(context) {
-                    Poll::Ready(RelayStep::Events(events)) => {
-                        return Poll::Ready(Some(Ok(Frame::data(events))));
-                    }
-                    Poll::Ready(RelayStep::NoEvent) => {}
-                    Poll::Ready(RelayStep::End) => return self.finish(),
-                    Poll::Ready(RelayStep::Broken(cause)) => {
-                        self.record_broken(cause);
-                        self.driver.iter_mut().for_each(RequestDriver::record_broken_connection);
-                        if !self.resume(cause) {
-                            return self.abort(cause);
-                        }
-                    }
-                    Poll::Pending => match ready!(self.poll_timer(context)) {
-                        Some(cause) if BootInstant::now() >= self.deadline => {
-                            return self.abort(cause);
-                        }
-                        Some(cause) if !self.handle_stall(cause) => return self.abort(cause),
-                        Some(_) => {}
-                        None => {}
-                    },
-                },
-            }
-        }
-    }
-
     fn poll_reading(&mut self, context: &mut Context<'_>) -> Poll<RelayStep> {
         let RelayState::Reading(reading) = &mut self.state else {
             return Poll::Ready(RelayStep::NoEvent);
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -138,7 +138,9 @@
 
     /// Returns the tokens that the request will hold in memory when it ends.
     pub fn memory_tokens(&self) -> u32 {
-        self.unshared_tokens().saturating_add(self.output_tokens)
+        let named =
+            self.length_hint.map_or(self.output_tokens, |hint| hint.min(self.output_tokens));
+        self.unshared_tokens().saturating_add(named)
     }
 
     /// Returns what the admission and the order of the request depend on. `None` if the requests of
@@ -368,6 +370,11 @@
     head.headers.get(&names.length_hint)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// Reads the tag of the software at which a stream goes on, or began.
+pub fn read_software(value: &HeaderValue) -> Option<SoftwareTag> {
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Returns the headers to pass to an upstream: all except connection headers and reserved ones.
 fn forwarded_headers(
     mut headers: HeaderMap,
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -7,7 +7,6 @@
 use foldhaven_core::headers;
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::software::SoftwareTag;
 use http::{HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 
@@ -17,7 +16,7 @@
 use crate::credential::{find_account, take_forwarded_key};
 use crate::front::FrontHandler;
 use crate::job::{
-    CallerTerms, GatewayJob, ReadRequest, RouteMatch, host_of, read_body, read_terms,
+    CallerTerms, GatewayJob, ReadRequest, RouteMatch, host_of, read_body, read_software, read_terms,
 };
 use crate::peer_state::{PEER_STATE_PATH, PEER_STATE_REVISION_PREFIX};
 use crate::platform_state::{AnswerCache, StateFormat, StateRequest};
@@ -89,11 +88,6 @@
     answer
 }
 
-/// Reads the tag of the software at which a stream goes on, or began.
-pub fn read_software(value: &HeaderValue) -> Option<SoftwareTag> {
-    value.to_str().ok()?.parse().ok()
-}
-
 /// Reads a forwarded request. It must name the data centre that it comes from and the service that
 /// the origin VM chose.
 async fn read_forwarded(
