--- a/crates/foldhaven-core/src/opaque/suspects/mod.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/mod.rs
@@ -18,12 +18,13 @@
 mod policy;
 mod record;
 mod table;
+mod updates;
 
 pub use self::in_flight::{InFlightId, InFlightRequests};
 pub use self::keys::SuspectKeys;
 pub use self::policy::{PROBE_EXITS, REFUSE_EXITS, SuspectPolicy};
 pub use self::record::{MAX_PROBES, RecordError, SuspectRecord};
 pub use self::table::{
-    MAX_RECORDS_PER_MESSAGE, RecordSource, SuspectChange, SuspectTable, SuspectUpdate,
-    SuspectVerdict, UpdateScope,
+    MAX_RECORDS_PER_MESSAGE, RecordSource, SuspectChange, SuspectTable, SuspectVerdict,
 };
+pub use self::updates::{SuspectUpdate, UpdateScope};
--- a/crates/foldhaven-core/src/opaque/suspects/table.rs
+++ b/crates/foldhaven-core/src/opaque/suspects/table.rs
@@ -1,12 +1,13 @@
 //! The suspected requests that one VM knows, and its decisions on them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::num::NonZeroUsize;
 use std::time::Duration;
 
 use super::entry::{PROBE_RETRY_DELAY, SuspectEntry};
 use super::policy::{PROBE_EXITS, SuspectPolicy};
 use super::record::{RecordError, SuspectRecord};
+use super::updates::{SuspectUpdate, UpdateQueue, UpdateScope};
 use crate::opaque::affinity::UpstreamTag;
 use crate::opaque::peer_table::VmTag;
 use crate::opaque::request_fingerprint::RequestFingerprint;
@@ -54,35 +55,6 @@
     pub exits_before: usize,
 }
 
-/// Receivers of an update.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum UpdateScope {
-    /// The VMs of this region. Updates about a single exit go no further: when many upstreams exit
-    /// at once they are the bulk of the updates, and no request is held back because of a single
-    /// exit.
-    Region,
-    /// All VMs.
-    Global,
-}
-
-/// Update about one request for other VMs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectUpdate {
-    /// Record of the request.
-    pub record: SuspectRecord,
-    /// Receivers of the update.
-    pub scope: UpdateScope,
-}
-
-/// Update that waits to be sent.
-#[derive(Debug, Clone, Copy)]
-struct PendingUpdate {
-    scope: UpdateScope,
-    /// Whether several VMs may have made the same update at the same time. Once one of them has
-    /// sent it, the others need not.
-    is_shared: bool,
-}
-
 /// Origin of a received record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordSource {
@@ -104,8 +76,7 @@
     entries: HashMap<RequestFingerprint, SuspectEntry>,
     /// Times of recent complete answers. Each answer counts in favour of its request once.
     recent_successes: LruCache<RequestFingerprint, MonoTime>,
-    /// Updates that wait to be sent.
-    pending: BTreeMap<RequestFingerprint, PendingUpdate>,
+    pending: UpdateQueue,
     /// Rotation position of the next round of resent records.
     cursor: usize,
     /// Number of rounds so far.
@@ -127,7 +98,7 @@
             explaining: BTreeSet::new(),
             entries: HashMap::new(),
             recent_successes: LruCache::new(MAX_RECENT_SUCCESSES),
-            pending: BTreeMap::new(),
+            pending: UpdateQueue::default(),
             cursor: 0,
             rounds: 0,
         }
@@ -229,7 +200,7 @@
             entry.changed_at = now;
             entry.is_probing = true;
             entry.is_probe_unsent = false;
-            self.queue_update(*fingerprint, UpdateScope::Global);
+            self.pending.push(*fingerprint, UpdateScope::Global);
         }
         verdict
     }
@@ -272,7 +243,7 @@
         let change = self.replace_record(record, now);
         if change.is_some() {
             let is_global = self.entries.get(&fingerprint).is_some_and(|entry| entry.is_global);
-            self.queue_update(
+            self.pending.push(
                 fingerprint,
                 if is_global { UpdateScope::Global } else { UpdateScope::Region },
             );
@@ -301,7 +272,7 @@
         // A single exit does not quarantine the request at other VMs, and their records of it
         // expire.
         if self.entries.get(&fingerprint).is_some_and(|entry| entry.is_global) {
-            self.queue_update(fingerprint, UpdateScope::Global);
+            self.pending.push(fingerprint, UpdateScope::Global);
         }
         Some(SuspectChange { record: self.record(fingerprint), exits_before })
     }
@@ -318,7 +289,7 @@
             return None;
         }
         self.exonerate(fingerprint, now);
-        self.queue_update(fingerprint, UpdateScope::Global);
+        self.pending.push(fingerprint, UpdateScope::Global);
         Some(SuspectChange { record: self.record(fingerprint), exits_before })
     }
 
@@ -337,47 +308,42 @@
         let fingerprint = record.fingerprint;
         let mut merged = self.record(fingerprint);
         if !merged.merge(record, &self.policy) {
-            let is_redundant = merged == *record;
-            if is_redundant
-                && self.pending.get(&fingerprint).is_some_and(|pending| pending.is_shared)
-            {
-                self.pending.remove(&fingerprint);
+            if merged == *record {
+                self.pending.remove_shared(&fingerprint);
             }
             return Ok(None);
         }
         let change = self.replace_record(merged, now);
-        if source == RecordSource::Remote && !self.pending.contains_key(&fingerprint) {
-            self.queue_update(fingerprint, UpdateScope::Region);
+        if source == RecordSource::Remote && !self.pending.contains(&fingerprint) {
+            self.pending.push(fingerprint, UpdateScope::Region);
         }
         Ok(change)
     }
 
     /// Removes and returns the updates that are to be sent at once.
     pub fn take_updates(&mut self) -> Vec<SuspectUpdate> {
-        self.take_updates_if(|pending| !pending.is_shared)
+        let taken = self.pending.take(false);
+        self.updates(taken)
     }
 
     /// Removes and returns the updates that several VMs may be about to send. They are better sent
     /// after a random delay.
     pub fn take_shared_updates(&mut self) -> Vec<SuspectUpdate> {
-        self.take_updates_if(|pending| pending.is_shared)
+        let taken = self.pending.take(true);
+        self.updates(taken)
     }
 
     /// Returns whether there are updates for [`SuspectTable::take_shared_updates`].
     pub fn has_shared_updates(&self) -> bool {
-        self.pending.values().any(|pending| pending.is_shared)
+        self.pending.has_shared()
     }
 
-    fn take_updates_if(&mut self, matches: impl Fn(&PendingUpdate) -> bool) -> Vec<SuspectUpdate> {
-        let pending = std::mem::take(&mut self.pending);
-        let (taken, left) = pending.into_iter().partition(|(_, pending)| matches(pending));
-        self.pending = left;
-        let taken: BTreeMap<RequestFingerprint, PendingUpdate> = taken;
-        let updates = taken.into_iter().filter_map(|(fingerprint, pending)| {
+    fn updates(&self, taken: Vec<(RequestFingerprint, UpdateScope)>) -> Vec<SuspectUpdate> {
+        let update = |(fingerprint, scope)| {
             let record = self.entries.get(&fingerprint)?.record.clone();
-            Some(SuspectUpdate { record, scope: pending.scope })
-        });
-        updates.collect()
+            Some(SuspectUpdate { record, scope })
+        };
+        taken.into_iter().filter_map(update).collect()
     }
 
     /// Returns the records that are resent in a round, at most [`MAX_RECORDS_PER_MESSAGE`]: those
@@ -466,8 +432,7 @@
         let may_exonerate = is_suspect && !entry.is_inconclusive(&self.policy);
         if may_exonerate && self.has_recent_success(&fingerprint, now) {
             self.exonerate(fingerprint, now);
-            self.pending
-                .insert(fingerprint, PendingUpdate { scope: UpdateScope::Global, is_shared: true });
+            self.pending.push_shared(fingerprint);
         }
         let record = self.record(fingerprint);
         if previous.exits.len().max(record.exits.len()) > PROBE_EXITS {
@@ -492,10 +457,6 @@
         }
     }
 
-    fn queue_update(&mut self, fingerprint: RequestFingerprint, scope: UpdateScope) {
-        self.pending.insert(fingerprint, PendingUpdate { scope, is_shared: false });
-    }
-
     /// Drops the records with the fewest exits, the oldest first, if there are too many.
     fn evict_if_full(&mut self) {
         if self.entries.len() < MAX_ENTRIES {
