--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -53,6 +53,9 @@
 pub struct QueueState {
     /// The number of requests that the upstream runs concurrently.
     pub slots: u32,
+    /// The memory for running requests and kept prompts, in tokens. 0 if it does not bound what
+    /// runs.
+    pub memory_tokens: u32,
     /// The number of requests at the upstream, running and waiting.
     pub in_flight: u32,
     /// The number of those requests that can still meet their targets: they are timely, and no
--- a/crates/foldhaven-core/src/opaque/route_history.rs
+++ b/crates/foldhaven-core/src/opaque/route_history.rs
@@ -1,6 +1,7 @@
 //! Statistics of the requests of one route over all upstreams: how often they fail by their nature,
 //! and how many events their answers have.
 
+use crate::opaque::answer_length::AnswerLengths;
 use crate::opaque::event_sequence::{EventNumbering, LearnedNumbering};
 
 /// The minimum weight of a new value. It is small, so that an upstream that fails for some seconds
@@ -29,6 +30,7 @@
     failure_mean: RunningMean,
     event_mean: RunningMean,
     numbering: LearnedNumbering,
+    lengths: AnswerLengths,
 }
 
 impl RouteHistory {
@@ -42,6 +44,16 @@
         self.event_mean.record(f64::from(events));
     }
 
+    /// Records a complete answer with the hint of its caller and the maximum that it named.
+    pub fn record_length(&mut self, events: u32, hint: Option<u32>, max_tokens: u32) {
+        self.lengths.record(events, hint, max_tokens);
+    }
+
+    /// Returns the tokens that an answer will probably have.
+    pub fn expected_tokens(&self, hint: Option<u32>, max_tokens: u32) -> u32 {
+        self.lengths.expected(hint, max_tokens)
+    }
+
     /// Returns the learned event numbering of the route's streams for updates.
     pub fn numbering_mut(&mut self) -> &mut LearnedNumbering {
         &mut self.numbering
--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -56,7 +56,7 @@
 
     /// Whether there is no room.
     pub fn is_empty(&self) -> bool {
-        self.slots == 0 || self.prefill_tokens == 0
+        self.slots == 0 || self.prefill_tokens == 0 || self.memory_tokens == 0
     }
 }
 
@@ -89,14 +89,35 @@
             _ => ServiceRoom {
                 slots,
                 prefill_tokens: self.max_backlog.saturating_sub(backlog),
-                memory_tokens: u32::MAX,
+                memory_tokens: match queue.memory_tokens {
+                    0 => u32::MAX,
+                    all => all.saturating_sub(queue.levels.memory_tokens()),
+                },
             },
         }
     }
 
+    /// Whether an upstream can start a request with a need of room at once.
+    pub fn has_room(&self, queue: QueueState, need: RoomNeed) -> bool {
+        let room = self.room(queue);
+        !room.is_empty() && held_memory(queue, need) <= room.memory_tokens
+    }
+
     /// Whether an upstream can start a request if that displaces less urgent ones.
-    pub fn can_displace(&self, queue: QueueState) -> bool {
-        queue.through(self.level).in_flight < queue.slots
+    pub fn can_displace(&self, queue: QueueState, need: RoomNeed) -> bool {
+        let held = queue.levels.memory_tokens_through(self.level);
+        let has_memory = queue.memory_tokens == 0
+            || held.saturating_add(held_memory(queue, need)) <= queue.memory_tokens;
+        queue.through(self.level).in_flight < queue.slots && has_memory
+    }
+}
+
+/// Returns the memory that a request takes at an upstream. One that needs more than there is starts
+/// at an upstream whose memory nobody else holds, which decides about it.
+fn held_memory(queue: QueueState, need: RoomNeed) -> u32 {
+    match queue.memory_tokens {
+        0 => 0,
+        all => need.memory_tokens.min(all),
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -14,7 +14,7 @@
 
 use crate::opaque::expected_start::{FirstAnswerDelay, SlotLoad, SlotTimes};
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
-use crate::opaque::request_class::RequestClass;
+use crate::opaque::request_class::{RequestClass, RoomNeed};
 use crate::opaque::service_room::ServiceRoom;
 use crate::time::MonoTime;
 
@@ -227,7 +227,7 @@
             let need = ticket.request.class.need;
             let level = ticket.request.class.level;
             let part = RoomPart { view, own_waiting: &own_waiting, level };
-            if !part.of_room(left).has_room(spent, need.prefill_tokens, draw) {
+            if !part.of_room(left).has_room(spent, need, draw) {
                 break;
             }
             ticket.has_turn = true;
@@ -358,7 +358,11 @@
         let left = f64::from(left.min(free));
         let slots = left + (f64::from(free) - left) * part * pace;
         let share = slots / f64::from(room.slots.max(1));
-        PermittedRoom { slots, prefill_tokens: f64::from(room.prefill_tokens) * share }
+        PermittedRoom {
+            slots,
+            prefill_tokens: f64::from(room.prefill_tokens) * share,
+            memory_tokens: f64::from(room.memory_tokens) * share,
+        }
     }
 }
 
@@ -366,15 +370,17 @@
 struct PermittedRoom {
     slots: f64,
     prefill_tokens: f64,
+    memory_tokens: f64,
 }
 
 impl PermittedRoom {
-    /// Whether a request with prompt tokens fits after `spent` was taken. What is left over is used
-    /// with a probability.
-    fn has_room(&self, spent: ServiceRoom, tokens: u32, draw: f64) -> bool {
-        let has_slot = f64::from(spent.slots) + draw < self.slots;
-        let has_tokens =
-            f64::from(spent.prefill_tokens) + f64::from(tokens) * draw < self.prefill_tokens;
-        has_slot && has_tokens
+    /// Whether a request fits after `spent` was taken. What is left over is used with a
+    /// probability.
+    fn has_room(&self, spent: ServiceRoom, need: RoomNeed, draw: f64) -> bool {
+        let fits =
+            |spent: u32, need: u32, all: f64| f64::from(spent) + f64::from(need) * draw < all;
+        fits(spent.slots, 1, self.slots)
+            && fits(spent.prefill_tokens, need.prefill_tokens, self.prefill_tokens)
+            && fits(spent.memory_tokens, need.memory_tokens, self.memory_tokens)
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod opaque_account_limits;
 mod opaque_admission;
+mod opaque_answer_length;
 mod opaque_choice;
 mod opaque_deltas;
 mod opaque_estimates;
--- a/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
@@ -9,6 +9,7 @@
 use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::PrefillBacklog;
 use foldhaven_core::opaque::remote_room::{RemoteRooms, RoomReport};
+use foldhaven_core::opaque::request_class::RoomNeed;
 use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog, reserved_slots};
 use rstest::rstest;
 
@@ -16,6 +17,7 @@
 
 const LAST: u8 = 9;
 const BACKLOG: u32 = 10_000;
+const NEED: RoomNeed = RoomNeed { prefill_tokens: 1_000, memory_tokens: 1_400 };
 
 /// Returns the queue of an upstream with 16 slots and requests of the first and the last level.
 fn queue(urgent: u16, last: u16, backlog: u32) -> QueueState {
@@ -63,9 +65,9 @@
 #[test]
 fn only_less_urgent_requests_are_displaced() {
     let limits = |level| RoomLimits::new(PriorityLevel::new(level), &[], BACKLOG);
-    assert!(limits(0).can_displace(queue(3, 13, 0)));
-    assert!(!limits(LAST).can_displace(queue(3, 13, 0)));
-    assert!(!limits(0).can_displace(queue(16, 0, 0)));
+    assert!(limits(0).can_displace(queue(3, 13, 0), NEED));
+    assert!(!limits(LAST).can_displace(queue(3, 13, 0), NEED));
+    assert!(!limits(0).can_displace(queue(16, 0, 0), NEED));
 }
 
 #[rstest]
@@ -148,3 +150,44 @@
     rooms.apply(&report("a", 2, 0), |_| 1.0, at(1_200));
     assert_eq!(taken(&mut rooms, 1_200), 0, "no room is told");
 }
+
+/// Returns an upstream with slots left whose memory is held by requests of the first and the last
+/// level.
+fn held_queue(memory_tokens: u32, urgent: u32, last: u32) -> QueueState {
+    let mut queue = queue(0, 0, 0);
+    let share = |number, memory_tokens| LevelShare {
+        level: PriorityLevel::new(number),
+        in_flight: 2,
+        prefill_backlog: 0,
+        memory_tokens,
+    };
+    queue.levels.add(&share(0, urgent));
+    queue.levels.add(&share(LAST, last));
+    queue.in_flight = 4;
+    queue.memory_tokens = memory_tokens;
+    queue
+}
+
+// Guards against requests that start while the memory lasts for their beginning only, and are
+// displaced in the middle of their streams: an upstream of half the memory has half the room.
+#[test]
+fn memory_is_held_until_the_end() {
+    let limits = RoomLimits::new(PriorityLevel::new(0), &[], BACKLOG);
+    let room = |memory| limits.room(held_queue(memory, 2_000, 2_000)).memory_tokens;
+    assert_eq!((room(10_000), room(5_000), room(3_000)), (6_000, 1_000, 0));
+    assert_eq!(room(0), u32::MAX, "its memory is not told");
+    assert!(limits.has_room(held_queue(10_000, 2_000, 2_000), NEED));
+    assert!(!limits.has_room(held_queue(5_000, 2_000, 2_000), NEED));
+    assert!(limits.can_displace(held_queue(5_000, 2_000, 2_000), NEED));
+    assert!(!limits.can_displace(held_queue(5_000, 4_000, 0), NEED), "its like holds it");
+}
+
+// Guards against a request that never starts because it needs more than an upstream has: an empty
+// one decides about it.
+#[test]
+fn a_request_beyond_all_memory_starts_at_an_empty_upstream() {
+    let limits = RoomLimits::new(PriorityLevel::new(0), &[], BACKLOG);
+    let large = RoomNeed { prefill_tokens: 1_000, memory_tokens: 20_000 };
+    assert!(limits.has_room(held_queue(10_000, 0, 0), large));
+    assert!(!limits.has_room(held_queue(10_000, 0, 1), large));
+}
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -181,7 +181,8 @@
         load: f64,
     ) {
         self.shared.update_route_history(&self.job.route.name, |history| {
-            history.record_event_count(events)
+            history.record_event_count(events);
+            history.record_length(events, self.job.length_hint, self.job.output_tokens);
         });
         if let RequestDestination::Upstream(upstream) = destination
             && events >= MIN_EVENTS
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -125,7 +125,8 @@
     };
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    let mut job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    job.expect_length(&shared.route_history(&job.route.name));
     let software = resumed.map(|stream| stream.software);
     // The caller has the beginning of a stream that it resumes.
     Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -16,6 +16,7 @@
 use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
+use foldhaven_core::opaque::request_class::RoomNeed;
 use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog};
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
 use foldhaven_core::opaque::waiting_room::RoomView;
@@ -303,20 +304,24 @@
 struct RoomCheck {
     /// What its level requires; `None` if it has no level.
     limits: Option<RoomLimits>,
+    need: RoomNeed,
     rule: RoomRule,
 }
 
 impl RoomCheck {
     fn of(job: &GatewayJob, rule: RoomRule, queues: &[QueueState], max_backlog: u32) -> Self {
-        Self { limits: job.level.map(|level| RoomLimits::new(level, queues, max_backlog)), rule }
+        let limits = job.level.map(|level| RoomLimits::new(level, queues, max_backlog));
+        Self { limits, need: job.need(), rule }
     }
 
     fn has_room(&self, queue: QueueState) -> bool {
         let Some(limits) = &self.limits else { return true };
         match self.rule {
             RoomRule::Any => true,
-            RoomRule::FreeSlot => !limits.room(queue).is_empty(),
-            RoomRule::Displace => !limits.room(queue).is_empty() || limits.can_displace(queue),
+            RoomRule::FreeSlot => limits.has_room(queue, self.need),
+            RoomRule::Displace => {
+                limits.has_room(queue, self.need) || limits.can_displace(queue, self.need)
+            }
         }
     }
 }
--- a/crates/foldhaven-gateway/src/explain.rs
+++ b/crates/foldhaven-gateway/src/explain.rs
@@ -69,6 +69,9 @@
         outline: query.prompt.filter(|_| route.affinity).and_then(PromptOutline::parse),
         output_tokens: query.output_tokens,
         length_hint: None,
+        expected_output: shared
+            .route_history(&route.name)
+            .expected_tokens(None, query.output_tokens),
         level: view.routes.level(&service, None, &route),
         service,
         method: Method::GET,
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -12,6 +12,7 @@
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
+use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
@@ -79,6 +80,8 @@
     pub output_tokens: u32,
     /// The length of the answer in tokens that the caller expects. `None` if it names none.
     pub length_hint: Option<u32>,
+    /// The length of the answer in tokens that is expected from its route and the caller's hint.
+    pub expected_output: u32,
     /// Whether another VM forwarded the request. It then runs in this region or not at all.
     pub is_forwarded: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
@@ -147,20 +150,26 @@
 
     /// Returns the tokens that the request will hold in memory when it ends.
     pub fn memory_tokens(&self) -> u32 {
-        self.unshared_tokens().saturating_add(self.output_tokens)
+        self.unshared_tokens().saturating_add(self.expected_output)
+    }
+
+    /// Sets the expected length of the answer from the earlier ones of its route.
+    pub fn expect_length(&mut self, history: &RouteHistory) {
+        self.expected_output = history.expected_tokens(self.length_hint, self.output_tokens);
+    }
+
+    /// Returns the room that the request needs.
+    pub fn need(&self) -> RoomNeed {
+        RoomNeed { prefill_tokens: self.unshared_tokens(), memory_tokens: self.memory_tokens() }
     }
 
     /// Returns what the admission and the order of the request depend on. `None` if the requests of
     /// its service do not differ in priority.
     pub fn class(&self) -> Option<RequestClass> {
         let account = self.account.as_ref().map(|it| AccountTag::of(&it.account.name));
-        let need = RoomNeed {
-            prefill_tokens: self.unshared_tokens(),
-            memory_tokens: self.memory_tokens(),
-        };
         let by_account = self.account.as_ref().is_some_and(|it| !it.account.homes.is_empty());
         let is_bound = by_account || !self.route.homes.is_empty();
-        self.level.map(|level| RequestClass { level, account, need, is_bound })
+        self.level.map(|level| RequestClass { level, account, need: self.need(), is_bound })
     }
 
     /// Whether the request may run in a region, by the rules of its route and of its account.
@@ -235,12 +244,14 @@
         let Self { head, body, started } = self;
         let level = route_match.level(routes);
         let RouteMatch { route, service, account } = route_match;
+        let output_tokens = read_output_tokens(&head, names);
         GatewayJob {
             attempt: terms.attempt,
             fingerprint: fingerprint_of(&head, &body),
             segments: read_segments(&head, &service, names),
             outline: read_outline(&head, &route, names),
-            output_tokens: read_output_tokens(&head, names),
+            output_tokens,
+            expected_output: output_tokens,
             length_hint: read_length_hint(&head, names),
             route,
             service,
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -135,7 +135,8 @@
     let account = account.map_err(|_| Refusal::NotPermitted)?;
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    let mut job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    job.expect_length(&shared.route_history(&job.route.name));
     if !job.permits(shared.settings.region()) {
         return Err(Refusal::NotPermitted);
     }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -377,6 +377,7 @@
         let others = self.others_in_flight.load(Ordering::Relaxed);
         QueueState {
             slots: self.identity.slots,
+            memory_tokens: u32::try_from(self.identity.prompt_memory).unwrap_or(u32::MAX),
             in_flight: u32::from(own.in_flight) + others,
             on_track: u32::from(own.on_track) + self.others_on_track.load(Ordering::Relaxed),
             deferred: u32::from(own.deferred) + self.others_deferred.load(Ordering::Relaxed),
