--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -69,19 +69,33 @@
     pub more_urgent: f64,
     /// The prompt tokens that may wait for prefill at one upstream.
     pub max_backlog: u32,
+    /// The mean number of requests at one upstream.
+    mean_in_flight: f64,
+    /// The number of requests that start at one upstream before this VM hears of them.
+    unseen_starts: f64,
 }
 
 impl RoomLimits {
     /// Returns the limits for a level at upstreams with the given queues.
     pub fn new(level: PriorityLevel, queues: &[QueueState], max_backlog: u32) -> Self {
         let sum: u32 = queues.iter().map(|queue| queue.levels.in_flight_above(level)).sum();
-        let more_urgent = f64::from(sum) / queues.len().max(1) as f64;
-        Self { level, more_urgent, max_backlog }
+        let count = queues.len().max(1) as f64;
+        let more_urgent = f64::from(sum) / count;
+        let all: u32 = queues.iter().map(|queue| queue.in_flight).sum();
+        let mean_in_flight = f64::from(all) / count;
+        Self { level, more_urgent, max_backlog, mean_in_flight, unseen_starts: 0.0 }
+    }
+
+    /// Allows for load reports of an age, while requests hold a slot for `slot_time`.
+    pub fn with_report_age(self, age: Duration, slot_time: Duration) -> Self {
+        let turnover = age.div_duration_f64(slot_time.max(age).max(Duration::from_millis(1)));
+        Self { unseen_starts: self.mean_in_flight * turnover, ..self }
     }
 
     /// Returns the room of one upstream.
     pub fn room(&self, queue: QueueState) -> ServiceRoom {
-        let taken = queue.in_flight + reserved_slots(queue.slots, self.more_urgent);
+        let reserved = reserved_slots(queue.slots, self.more_urgent, self.unseen_starts);
+        let taken = queue.in_flight + reserved;
         let slots = queue.slots.saturating_sub(taken);
         let backlog = queue.through(self.level).prefill_backlog.timely;
         match slots {
@@ -103,6 +117,15 @@
         !room.is_empty() && held_memory(queue, need) <= room.memory_tokens
     }
 
+    /// Whether an upstream can start a request at once, also if as many others have started there
+    /// unseen as usual, or none of its requests would be displaced then.
+    pub fn has_safe_room(&self, queue: QueueState, need: RoomNeed) -> bool {
+        let margin = self.unseen_starts.sqrt().round() as u32;
+        let displaceable = queue.in_flight.saturating_sub(queue.through(self.level).in_flight);
+        let is_safe = displaceable == 0 || self.room(queue).slots > margin;
+        is_safe && self.has_room(queue, need)
+    }
+
     /// Whether an upstream can start a request if that displaces less urgent ones.
     pub fn can_displace(&self, queue: QueueState, need: RoomNeed) -> bool {
         let held = queue.levels.memory_tokens_through(self.level);
@@ -124,11 +147,14 @@
 /// Returns the number of slots of an upstream that less urgent requests leave free for more urgent
 /// ones, of which `more_urgent` are in flight per upstream on average.
 ///
-/// The number of such requests varies by about its square root. With as many free slots, few of
-/// them arrive while all slots are taken, and displace a request that has begun.
-pub fn reserved_slots(slots: u32, more_urgent: f64) -> u32 {
-    let variation = more_urgent.max(0.0).sqrt().round() as u32;
-    variation.min(slots / MAX_RESERVED_PART)
+/// The number of such requests varies by about its square root, and so does that of the requests of
+/// all levels which have started at the upstream but are not reported yet (`unseen`). With as many
+/// free slots, few urgent requests arrive while all slots are taken, and displace one that has begun.
+pub fn reserved_slots(slots: u32, more_urgent: f64, unseen: f64) -> u32 {
+    let variation = more_urgent.max(0.0).sqrt();
+    let error = unseen.max(0.0).sqrt() * more_urgent.clamp(0.0, 1.0);
+    let reserved = (variation + error).round() as u32;
+    reserved.min(slots / MAX_RESERVED_PART)
 }
 
 /// Returns the prompt tokens that may wait for prefill at one upstream of a service whose shortest
--- a/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
@@ -71,13 +71,33 @@
 }
 
 #[rstest]
-#[case::none(16, 0.0, 0)]
-#[case::few(16, 4.0, 2)]
-#[case::many(16, 100.0, 4)]
-#[case::one_slot(1, 100.0, 0)]
-#[case::nonsense(16, -3.0, 0)]
-fn reserved_slots_are_bounded(#[case] slots: u32, #[case] urgent: f64, #[case] reserved: u32) {
-    assert_eq!(reserved_slots(slots, urgent), reserved);
+#[case::none(16, 0.0, 2.0, 0)]
+#[case::few(16, 4.0, 0.0, 2)]
+#[case::few_and_unseen(16, 4.0, 1.0, 3)]
+#[case::hardly_any_and_unseen(16, 0.1, 1.0, 0)]
+#[case::many(16, 100.0, 0.0, 4)]
+#[case::one_slot(1, 100.0, 1.0, 0)]
+#[case::nonsense(16, -3.0, -1.0, 0)]
+fn reserved_slots_are_bounded(
+    #[case] slots: u32,
+    #[case] urgent: f64,
+    #[case] unseen: f64,
+    #[case] reserved: u32,
+) {
+    assert_eq!(reserved_slots(slots, urgent, unseen), reserved);
+}
+
+// Guards against VMs that all see the same last free slot of an upstream, so that what they send there
+// displaces less urgent requests that have begun.
+#[test]
+fn the_last_slots_are_not_safe_while_reports_are_old() {
+    let full_but_one = queue(4, 11, 0);
+    let fresh = RoomLimits::new(PriorityLevel::new(0), &[full_but_one], BACKLOG);
+    let old = fresh.with_report_age(Duration::from_millis(150), Duration::from_millis(1_200));
+    assert!(fresh.has_safe_room(full_but_one, NEED));
+    assert!(!old.has_safe_room(full_but_one, NEED) && old.has_room(full_but_one, NEED));
+    assert!(old.has_safe_room(queue(4, 9, 0), NEED));
+    assert!(old.has_safe_room(queue(15, 0, 0), NEED), "there is nobody to displace");
 }
 
 // Guards against a backlog that is bounded by something else than what callers wait for.
--- a/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
@@ -98,7 +98,7 @@
     let mut room = [ServiceRoom::default(); LEVEL_COUNT];
     for level in PriorityLevel::all() {
         let above: u32 = running[..level.index()].iter().sum();
-        let reserved = reserved_slots(SLOTS, f64::from(above) / f64::from(upstreams));
+        let reserved = reserved_slots(SLOTS, f64::from(above) / f64::from(upstreams), 0.0);
         let taken = running.iter().sum::<u32>() + reserved * upstreams;
         let slots = (upstreams * SLOTS).saturating_sub(taken);
         room[level.index()] =
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -32,13 +32,12 @@
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
         }
-        if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
-            return Ok(Some(RoomRule::FreeSlot));
-        }
         if may_displace(ticket, view, now) {
-            self.shared.metrics.count_event("displacing_tried");
             return Ok(Some(RoomRule::Displace));
         }
+        if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
+            return Ok(Some(RoomRule::OtherRegion));
+        }
         self.check_expected_wait(ticket, view, now)?;
         Ok(None)
     }
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -99,10 +99,18 @@
 ) -> Option<LocalChoice> {
     let group = local_group(shared, view, job)?;
     let drawn = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
-    let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
-    let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
+    let query = choice_query(shared, view, job);
+    let choose = |rule| {
+        let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
+        let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
+        sample.choose(&query, &performance)
+    };
+    let safe = match rule {
+        RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
+        _ => None,
+    };
+    let mut choice = safe.filter(|it| it.has_room).or_else(|| choose(rule))?;
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
         && let Some(source) = remote_source(shared, view, job, &performance, &choice)
@@ -272,13 +280,17 @@
 ) -> Vec<UpstreamCandidate<'a>> {
     let queues: Vec<QueueState> = local.iter().map(|upstream| upstream.queue()).collect();
     let max_backlog = max_backlog_of(shared, view, &job.service);
-    let room = RoomCheck::of(job, rule, &queues, max_backlog);
+    let slot_time = shared.measured_performance(&job.service).slot_time;
+    let limits = job.level.map(|level| {
+        RoomLimits::new(level, &queues, max_backlog).with_report_age(view.report_age(), slot_time)
+    });
+    let room = RoomCheck { limits, need: job.need(), rule };
     let context = CandidateContext {
         shared,
         senders: view.recent_senders,
         job,
         tried,
-        slot_time: shared.measured_performance(&job.service).slot_time,
+        slot_time,
         is_lost: shared.paths.is_lost(),
         room,
         now: shared.now(),
@@ -309,16 +321,13 @@
 }
 
 impl RoomCheck {
-    fn of(job: &GatewayJob, rule: RoomRule, queues: &[QueueState], max_backlog: u32) -> Self {
-        let limits = job.level.map(|level| RoomLimits::new(level, queues, max_backlog));
-        Self { limits, need: job.need(), rule }
-    }
-
     fn has_room(&self, queue: QueueState) -> bool {
         let Some(limits) = &self.limits else { return true };
         match self.rule {
             RoomRule::Any => true,
+            RoomRule::OtherRegion => false,
             RoomRule::FreeSlot => limits.has_room(queue, self.need),
+            RoomRule::SafeSlot => limits.has_safe_room(queue, self.need),
             RoomRule::Displace => {
                 limits.has_room(queue, self.need) || limits.can_displace(queue, self.need)
             }
@@ -385,6 +394,8 @@
     /// The number of upstreams that each queue stands for.
     scale: f64,
     max_backlog: u32,
+    report_age: Duration,
+    slot_time: Duration,
 }
 
 impl UsableQueues {
@@ -400,6 +411,8 @@
             queues: examined.filter(is_usable).map(|upstream| upstream.queue()).collect(),
             scale: group.len() as f64 / group.len().clamp(1, MAX_EXAMINED) as f64,
             max_backlog: max_backlog_of(shared, view, service),
+            report_age: view.report_age(),
+            slot_time: shared.measured_performance(service).slot_time,
         })
     }
 
@@ -416,7 +429,8 @@
     }
 
     fn room(&self, level: PriorityLevel) -> ServiceRoom {
-        let limits = RoomLimits::new(level, &self.queues, self.max_backlog);
+        let limits = RoomLimits::new(level, &self.queues, self.max_backlog)
+            .with_report_age(self.report_age, self.slot_time);
         let rooms = self.queues.iter().map(|queue| limits.room(*queue));
         rooms.fold(ServiceRoom::default(), ServiceRoom::plus).times(self.scale)
     }
@@ -432,7 +446,7 @@
     RoomView {
         room,
         in_flight: usable.in_flight(),
-        slot_time: shared.measured_performance(service).slot_time,
+        slot_time: usable.slot_time,
         own_in_flight: shared.busy_upstreams.in_flight(service),
         waiting_elsewhere: shared.waiting_elsewhere(service),
         report_interval: view.report_age(),
