--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -112,7 +112,8 @@
     let account = identify_account(shared, &view, &route, &mut head)?;
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.record_caller_timeout(&route.name, terms.remaining);
-    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
+    let remaining = terms.remaining.min(route.timeout);
+    let terms = CallerTerms { remaining, waited, earlier_tries: waited, ..terms };
     let resumed = find_resumed_stream(shared, &view, &route, &head.headers).await?;
     let service = match resumed.as_ref().and_then(|stream| stream.service.clone()) {
         Some(service) => service,
@@ -124,7 +125,8 @@
     };
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    let mut job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    job.expect_length(&shared.route_history(&job.route.name));
     let software = resumed.map(|stream| stream.software);
     // The caller has the beginning of a stream that it resumes.
     Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -131,8 +131,12 @@
 pub enum RoomRule {
     /// A free slot that is not reserved for more urgent requests.
     FreeSlot,
+    /// A free slot that is left also if other VMs have started requests there unseen.
+    SafeSlot,
     /// A slot that is free or taken by a less urgent request.
     Displace,
+    /// A free slot in another region: in this one, others go before the request.
+    OtherRegion,
     /// Nothing.
     Any,
 }
@@ -331,7 +335,7 @@
     }
     let limits = TimeLimits {
         target: job.route.target,
-        waited: job.waited(),
+        waited: job.spent(),
         remaining: job.deadline.saturating_duration_since(BootInstant::now()),
     };
     admit(estimate, limits)
@@ -343,7 +347,7 @@
     let outline = job.outline.as_ref();
     ChoiceQuery {
         target: job.route.target,
-        waited: job.waited(),
+        waited: job.spent(),
         level: job.level,
         event_gap: job.route.event_gap,
         events: shared.route_history(&job.route.name).usual_event_count(),
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -12,6 +12,7 @@
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
+use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
@@ -63,6 +64,8 @@
     /// How long the caller had waited before this request, estimated from the remaining time it
     /// names.
     pub waited_before: Duration,
+    /// The part of `waited_before` that passed before the present try of the caller.
+    pub earlier_tries: Duration,
     /// How long the caller had waited when it got the answer or its first event. Further waiting
     /// does not count against the latency target. `None` until then.
     pub time_to_first: Option<Duration>,
@@ -77,6 +80,8 @@
     pub output_tokens: u32,
     /// The length of the answer in tokens that the caller expects. `None` if it names none.
     pub length_hint: Option<u32>,
+    /// The length of the answer in tokens that is expected from its route and the caller's hint.
+    pub expected_output: u32,
     /// Whether another VM forwarded the request. It then runs in this region or not at all.
     pub is_forwarded: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
@@ -99,6 +104,13 @@
         }
     }
 
+    /// Returns how much of the time to its target the request has used. For requests with a
+    /// priority level, it counts from the present try, so that nobody loses the time of a refusal.
+    pub fn spent(&self) -> Duration {
+        let waited = self.waited();
+        if self.level.is_some() { waited.saturating_sub(self.earlier_tries) } else { waited }
+    }
+
     /// Records that the caller gets the answer or its first event now. Returns how long this VM
     /// took.
     pub fn record_time_to_first(&mut self) -> Duration {
@@ -138,22 +150,26 @@
 
     /// Returns the tokens that the request will hold in memory when it ends.
     pub fn memory_tokens(&self) -> u32 {
-        let named =
-            self.length_hint.map_or(self.output_tokens, |hint| hint.min(self.output_tokens));
-        self.unshared_tokens().saturating_add(named)
+        self.unshared_tokens().saturating_add(self.expected_output)
+    }
+
+    /// Sets the expected length of the answer from the earlier ones of its route.
+    pub fn expect_length(&mut self, history: &RouteHistory) {
+        self.expected_output = history.expected_tokens(self.length_hint, self.output_tokens);
+    }
+
+    /// Returns the room that the request needs.
+    pub fn need(&self) -> RoomNeed {
+        RoomNeed { prefill_tokens: self.unshared_tokens(), memory_tokens: self.memory_tokens() }
     }
 
     /// Returns what the admission and the order of the request depend on. `None` if the requests of
     /// its service do not differ in priority.
     pub fn class(&self) -> Option<RequestClass> {
         let account = self.account.as_ref().map(|it| AccountTag::of(&it.account.name));
-        let need = RoomNeed {
-            prefill_tokens: self.unshared_tokens(),
-            memory_tokens: self.memory_tokens(),
-        };
         let by_account = self.account.as_ref().is_some_and(|it| !it.account.homes.is_empty());
         let is_bound = by_account || !self.route.homes.is_empty();
-        self.level.map(|level| RequestClass { level, account, need, is_bound })
+        self.level.map(|level| RequestClass { level, account, need: self.need(), is_bound })
     }
 
     /// Whether the request may run in a region, by the rules of its route and of its account.
@@ -228,12 +244,14 @@
         let Self { head, body, started } = self;
         let level = route_match.level(routes);
         let RouteMatch { route, service, account } = route_match;
+        let output_tokens = read_output_tokens(&head, names);
         GatewayJob {
             attempt: terms.attempt,
             fingerprint: fingerprint_of(&head, &body),
             segments: read_segments(&head, &service, names),
             outline: read_outline(&head, &route, names),
-            output_tokens: read_output_tokens(&head, names),
+            output_tokens,
+            expected_output: output_tokens,
             length_hint: read_length_hint(&head, names),
             route,
             service,
@@ -245,6 +263,7 @@
             body,
             started,
             waited_before: terms.waited,
+            earlier_tries: terms.earlier_tries,
             time_to_first: None,
             has_partial_answer: false,
             deadline: started + terms.remaining,
@@ -304,10 +323,12 @@
     pub remaining: Duration,
     /// How long the caller has waited already.
     pub waited: Duration,
+    /// The part of that time which passed before the present try.
+    pub earlier_tries: Duration,
 }
 
-/// Reads the attempt id and the remaining time of a request. Leaves `waited` at zero, for the
-/// caller of this function to set.
+/// Reads the attempt id and the remaining time of a request. Leaves the times that the caller
+/// has waited at zero, for the caller of this function to set.
 pub fn read_terms(head: &Parts, names: &HeaderNames) -> Result<CallerTerms, Refusal> {
     let attempt = head.headers.get(&names.attempt).ok_or(Refusal::Malformed)?.clone();
     let remaining = match head.headers.get(&names.remaining_ms) {
@@ -317,8 +338,12 @@
             Duration::from_millis(millis.ok_or(Refusal::Malformed)?)
         }
     };
-    let waited = Duration::ZERO;
-    Ok(CallerTerms { attempt, remaining: remaining.min(MAX_REMAINING), waited })
+    Ok(CallerTerms {
+        attempt,
+        remaining: remaining.min(MAX_REMAINING),
+        waited: Duration::ZERO,
+        earlier_tries: Duration::ZERO,
+    })
 }
 
 /// Reads the outline of the prompt, if the route sends requests with a shared prompt to the same
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -119,14 +119,18 @@
     let waited = head.headers.remove(headers::WAITED_MS);
     let waited = waited.and_then(|value| value.to_str().ok()?.parse().ok());
     let waited = Duration::from_millis(waited.ok_or(Refusal::NotPermitted)?);
-    let terms = CallerTerms { waited, ..read_terms(&head, &shared.names)? };
+    let earlier_tries = head.headers.remove(headers::EARLIER_TRIES_MS);
+    let earlier_tries = earlier_tries.and_then(|value| value.to_str().ok()?.parse().ok());
+    let earlier_tries = Duration::from_millis(earlier_tries.unwrap_or_default());
+    let terms = CallerTerms { waited, earlier_tries, ..read_terms(&head, &shared.names)? };
     let credential = take_forwarded_key(&mut head.headers);
     // The description of this VM may already lack the key, or not have it yet.
     let account = find_account(&view.routes, &route, credential);
     let account = account.map_err(|_| Refusal::NotPermitted)?;
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    let mut job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    job.expect_length(&shared.route_history(&job.route.name));
     if !job.permits(shared.settings.region()) {
         return Err(Refusal::NotPermitted);
     }
