Prompt caches: the estimate counts what is used again and short prompts; trial of planned holders

Cause: an upstream's cache was estimated by what was sent to it for the first time. A segment used or read again counted nothing, nor did the prompts that other VMs don't announce, so that 0.7 of the cache was taken as usable.

Change: a segment that is used again counts by the part of the cache filled since its last use; unannounced prompts are told with the next announced one, in the field that exists; 0.9 of the cache is usable.

Tests changed: record() takes the size of the cache; the cache of a_segment_counts_as_cached_until_others_fill_the_cache is filled by nine prompts in place of seven, as 0.9 of it counts.

--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -14,7 +14,7 @@
 use super::{FirstResponseEstimate, RequestDriver};
 use crate::call::{CallFault, OpenAnswer};
 use crate::clock::BootInstant;
-use crate::destinations::{MIN_ANNOUNCED_TOKENS, RequestDestination};
+use crate::destinations::RequestDestination;
 use crate::metrics::{RequestBurn, RequestEnd};
 use crate::upstream::Upstream;
 use crate::upstream_exits::start_exit_check;
@@ -35,10 +35,9 @@
             shared: outline.shared.clone(),
             unshared_tokens: outline.unshared_tokens,
         };
-        self.shared.prefix_caches.lock().record(&placement);
-        if outline.shared_tokens() >= MIN_ANNOUNCED_TOKENS {
-            self.shared.placements.lock().push(placement);
-        }
+        self.shared.prefix_caches.lock().record(&placement, upstream.identity.prompt_memory);
+        self.shared.segment_uses.lock().record(&placement);
+        self.shared.placements.lock().push(placement);
     }
 
     /// Counts the shared tokens of a prompt that was sent, and those of them that are read.
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -142,7 +142,7 @@
         self.publish_deferred();
         self.remove_stale_loads();
         let targets = self.report_targets();
-        let remote_placements = std::mem::take(&mut *self.shared.placements.lock());
+        let remote_placements = self.shared.placements.lock().take();
         let mut placements = std::mem::take(&mut self.relayed_placements);
         placements.extend(remote_placements.iter().cloned());
         let updates =
@@ -327,7 +327,9 @@
     fn record_placements(&self, placements: &[PromptPlacement]) {
         let mut prefix_caches = self.shared.prefix_caches.lock();
         for placement in placements {
-            prefix_caches.record(placement);
+            let upstream = self.upstreams.find(placement.upstream);
+            let capacity = upstream.map_or(0, |upstream| upstream.identity.prompt_memory);
+            prefix_caches.record(placement, capacity);
         }
     }
 
--- a/crates/foldhaven-gateway/src/control/upstreams.rs
+++ b/crates/foldhaven-gateway/src/control/upstreams.rs
@@ -92,6 +92,7 @@
         if let Some(removed) = self.upstreams.remove(name) {
             self.cold_upstreams.remove(&removed.tag);
             self.shared.prefix_caches.lock().remove(removed.tag);
+            self.shared.placements.lock().remove(removed.tag);
         }
     }
 
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -40,9 +40,6 @@
 /// After a request was tried at this many upstreams of this region, another region is preferred.
 /// The local upstreams may have been lost together, and stay listed for some seconds.
 const MAX_LOCAL_FAULTS: usize = 2;
-/// Prompts whose shared segments have at least this many tokens are announced to other VMs. For
-/// shorter ones the ranking that all VMs have in common is good enough.
-pub const MIN_ANNOUNCED_TOKENS: u32 = 512;
 
 /// The destination of one attempt.
 #[derive(Clone)]
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -11,13 +11,12 @@
 };
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::placement_queue::MIN_ANNOUNCED_TOKENS;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::remote_queue::RemoteService;
 
-use super::{
-    DestinationChoice, MIN_ANNOUNCED_TOKENS, RequestDestination, TriedDestinations, choice_query,
-};
+use super::{DestinationChoice, RequestDestination, TriedDestinations, choice_query};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::view::{GatewayView, PeerLink, RegionPeers, RegionWait};
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -8,10 +8,12 @@
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::ids::{RouteName, ServiceName};
-use foldhaven_core::opaque::affinity::{PrefixCacheIndex, PromptPlacement};
+use foldhaven_core::opaque::affinity::PrefixCacheIndex;
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
+use foldhaven_core::opaque::holder_plan::SegmentUses;
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
 use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::placement_queue::PlacementQueue;
 use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::remote_room::RemoteRooms;
@@ -85,10 +87,12 @@
     pub stage: watch::Sender<StopStage>,
     /// The prompt segments that each upstream has probably cached.
     pub prefix_caches: Mutex<PrefixCacheIndex>,
+    /// How often the requests of this VM use shared segments of prompts.
+    pub segment_uses: Mutex<SegmentUses>,
     /// The upstreams at which this VM has requests.
     pub busy_upstreams: BusyUpstreams,
     /// The destinations of long prompts since the last report to other VMs.
-    pub placements: Mutex<Vec<PromptPlacement>>,
+    pub placements: Mutex<PlacementQueue>,
     /// The measured performance of each service's upstreams.
     performance_by_service: Mutex<HashMap<ServiceName, ServicePerformance>>,
     /// The longest remaining times that callers of each route announce.
@@ -156,6 +160,7 @@
             quota: LogQuota::default(),
             stage: watch::Sender::new(StopStage::Serving),
             prefix_caches: Mutex::default(),
+            segment_uses: Mutex::default(),
             busy_upstreams: BusyUpstreams::default(),
             placements: Mutex::default(),
             performance_by_service: Mutex::default(),
