--- a/crates/foldhaven-core/src/opaque/affinity.rs
+++ b/crates/foldhaven-core/src/opaque/affinity.rs
@@ -66,11 +66,10 @@
         self.shared.iter().map(|segment| segment.tokens).sum()
     }
 
-    /// Returns the key of the longest shared segment, by which prompts are kept together; `None`
-    /// without shared segments.
+    /// Returns the key that prompts with the same shared segments have in common; `None` without
+    /// shared segments.
     pub fn affinity_key(&self) -> Option<u64> {
-        let longest = self.shared.iter().max_by_key(|segment| segment.tokens);
-        longest.map(|segment| segment.key)
+        self.shared.last().map(|segment| segment.key)
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -7,7 +7,6 @@
 mod pricer;
 mod sample;
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 pub use self::cost::{
@@ -158,18 +157,7 @@
         query: &ChoiceQuery,
         performance: &ServicePerformance,
     ) -> Option<UpstreamChoice> {
-        self.choose_planned(query, performance, 1)
-    }
-
-    /// Chooses as [`CandidateSample::choose`] does, if `holders` upstreams are planned to hold the
-    /// shared segments.
-    pub fn choose_planned(
-        &self,
-        query: &ChoiceQuery,
-        performance: &ServicePerformance,
-        holders: usize,
-    ) -> Option<UpstreamChoice> {
-        let priced = self.price_planned(query, performance, holders);
+        let priced = self.price(query, performance);
         priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
     }
 
@@ -183,17 +171,6 @@
         &self,
         query: &ChoiceQuery,
         performance: &ServicePerformance,
-    ) -> Vec<UpstreamChoice> {
-        self.price_planned(query, performance, 1)
-    }
-
-    /// Estimates the costs as [`CandidateSample::price`] does, if `holders` upstreams are planned to
-    /// hold the shared segments.
-    pub fn price_planned(
-        &self,
-        query: &ChoiceQuery,
-        performance: &ServicePerformance,
-        holders: usize,
     ) -> Vec<UpstreamChoice> {
         let candidates = self.candidates;
         let open: Vec<usize> =
@@ -203,10 +180,7 @@
         let accepting =
             narrow(&healthy, |index| !performance.queue_capacity.is_full(candidates[index].queue));
         let usable = narrow(&accepting, |index| candidates[index].has_room);
-        let preferred = match query.affinity_key {
-            Some(key) => self.preferred_candidates(&usable, key, holders),
-            None => Vec::new(),
-        };
+        let preferred = query.affinity_key.and_then(|key| self.preferred_candidate(&usable, key));
         let usable_holder = best_holder(&usable, candidates);
         // A full upstream takes no request, but passes on what it has cached.
         let reachable: Vec<usize> =
@@ -214,33 +188,18 @@
         let source = best_holder(&reachable, candidates);
         let staleness = ReportStaleness { age: query.report_age, slot_time: performance.slot_time };
         let size = staleness.sample_size(&usable, candidates);
-        let always: Vec<usize> = preferred.iter().copied().chain(usable_holder).collect();
-        let sample = sample_candidates(&usable, candidates, size, query.draw, &always);
-        let pricer =
-            UpstreamPricer { candidates, query, performance, preferred: &preferred, source };
+        let sample =
+            sample_candidates(&usable, candidates, size, query.draw, [preferred, usable_holder]);
+        let pricer = UpstreamPricer { candidates, query, performance, preferred, source };
         sample.into_iter().map(|index| pricer.price(index)).collect()
     }
 
-    /// Returns the candidates preferred for an affinity key: those planned to hold the segments that
-    /// can take the request, or else the next one. The order is that of rendezvous hashing, on which
-    /// all VMs agree.
-    fn preferred_candidates(&self, usable: &[usize], key: u64, holders: usize) -> Vec<usize> {
+    /// Returns the candidate preferred for an affinity key: the first by rendezvous hashing, on
+    /// which all VMs agree.
+    fn preferred_candidate(&self, usable: &[usize], key: u64) -> Option<usize> {
         let key = key.to_string();
         let rank = |index: &usize| rank_hash(&[&key, self.candidates[*index].name.as_str()]);
-        let usable = usable.iter().copied().filter(|index| *index < self.keyed);
-        if holders <= 1 {
-            return usable.max_by_key(rank).into_iter().collect();
-        }
-        let mut ranked: Vec<_> = (0..self.keyed).map(|index| (rank(&index), index)).collect();
-        ranked.sort_unstable_by(|left, right| right.cmp(left));
-        let usable: HashSet<usize> = usable.collect();
-        let planned = ranked.iter().take(holders).map(|(_, index)| *index);
-        let planned: Vec<usize> = planned.filter(|index| usable.contains(index)).collect();
-        if !planned.is_empty() {
-            return planned;
-        }
-        let next = ranked.iter().map(|(_, index)| *index).find(|index| usable.contains(index));
-        next.into_iter().collect()
+        usable.iter().copied().filter(|index| *index < self.keyed).max_by_key(rank)
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -26,8 +26,8 @@
     pub(super) candidates: &'a [UpstreamCandidate<'a>],
     pub(super) query: &'a ChoiceQuery,
     pub(super) performance: &'a ServicePerformance,
-    /// The candidates preferred for the request's affinity key; empty if it has no key.
-    pub(super) preferred: &'a [usize],
+    /// The candidate preferred for the request's affinity key; `None` if it has no key.
+    pub(super) preferred: Option<usize>,
     /// The candidate that probably has most of the shared segments cached, whether it can take the
     /// request or not.
     pub(super) source: Option<usize>,
@@ -101,11 +101,10 @@
             // The latency factor is measured on timely requests only.
             QueueRank::Deferred => time_for(QueueRank::Deferred) + fetch_time,
         };
-        let is_preferred = self.preferred.contains(&index);
-        let discount = if is_preferred { AFFINITY_DISCOUNT } else { 0.0 };
+        let discount = if self.preferred == Some(index) { AFFINITY_DISCOUNT } else { 0.0 };
         let prefill_cost =
             RequestCost::of_repeated_prefill(repeated_tokens, query.size).0 * (1.0 - discount);
-        let copy_ratio = if is_preferred { 0.0 } else { COPY_COST_RATIO };
+        let copy_ratio = if self.preferred == Some(index) { 0.0 } else { COPY_COST_RATIO };
         let fetch_cost = RequestCost::of_repeated_prefill(fetched_tokens, query.size).0
             * (FETCH_COST_RATIO + copy_ratio);
         let breakdown = CostBreakdown {
--- a/crates/foldhaven-core/src/opaque/choice/sample.rs
+++ b/crates/foldhaven-core/src/opaque/choice/sample.rs
@@ -55,7 +55,7 @@
     candidates: &[UpstreamCandidate<'_>],
     size: usize,
     draw: f64,
-    always: &[usize],
+    always: [Option<usize>; 2],
 ) -> Vec<usize> {
     let count = usable.len();
     let first = (draw * count as f64) as usize;
@@ -68,7 +68,8 @@
     let mut sample: Vec<usize> =
         (0..size).map(|step| usable[(first + step * stride) % count]).collect();
     let has_long_prefix = |index: &usize| candidates[*index].cached_tokens >= LONG_PREFIX_TOKENS;
-    let required = usable.iter().copied().filter(has_long_prefix).chain(always.iter().copied());
+    let required =
+        usable.iter().copied().filter(has_long_prefix).chain(always.into_iter().flatten());
     sample.extend(required);
     sample.sort_unstable();
     sample.dedup();
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -13,7 +13,6 @@
 pub mod event_interval;
 pub mod event_sequence;
 pub mod feed_position;
-pub mod holder_plan;
 pub mod idle_connections;
 pub mod level_loads;
 pub mod limit_share;
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -36,7 +36,6 @@
             unshared_tokens: outline.unshared_tokens,
         };
         self.shared.prefix_caches.lock().record(&placement, upstream.identity.prompt_memory);
-        self.shared.segment_uses.lock().record(&placement);
         self.shared.placements.lock().push(placement);
     }
 
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -9,7 +9,7 @@
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
 use foldhaven_core::opaque::choice::{
-    CandidateSample, ChoiceQuery, RequestCost, UpstreamCandidate, UpstreamChoice,
+    CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::prefix_use::PrefixUse;
@@ -101,9 +101,7 @@
     let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance(&job.service, view);
-    let query = choice_query(shared, view, job);
-    let holders = planned_holders(group, shared, &query, &drawn, &candidates);
-    let mut choice = sample.choose_planned(&query, &performance, holders)?;
+    let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
         && let Some(source) = remote_source(shared, view, job, &performance, &choice)
@@ -220,33 +218,13 @@
     job: &GatewayJob,
 ) -> Vec<(Arc<Upstream>, UpstreamChoice)> {
     let Some(group) = local_group(shared, view, job) else { return Vec::new() };
-    let drawn = draw_upstreams(group, shared, job);
+    let DrawnUpstreams { upstreams, keyed } = draw_upstreams(group, shared, job);
     let tried = TriedDestinations::default();
-    let candidates = candidates_of(shared, view, &drawn.upstreams, job, &tried, RoomRule::FreeSlot);
-    let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
+    let candidates = candidates_of(shared, view, &upstreams, job, &tried, RoomRule::FreeSlot);
+    let sample = CandidateSample { candidates: &candidates, keyed };
     let performance = shared.performance(&job.service, view);
-    let query = choice_query(shared, view, job);
-    let holders = planned_holders(group, shared, &query, &drawn, &candidates);
-    let priced = sample.price_planned(&query, &performance, holders);
-    priced.into_iter().map(|choice| (drawn.upstreams[choice.index].clone(), choice)).collect()
-}
-
-/// Returns how many upstreams of this region are planned to hold the shared segments of a request.
-fn planned_holders(
-    group: &UpstreamGroup,
-    shared: &GatewayShared,
-    query: &ChoiceQuery,
-    drawn: &DrawnUpstreams<'_, Arc<Upstream>>,
-    candidates: &[UpstreamCandidate<'_>],
-) -> usize {
-    let Some(key) = query.affinity_key else { return 1 };
-    let left = |(upstream, candidate): (&&Arc<Upstream>, &UpstreamCandidate<'_>)| {
-        let running = u64::from(candidate.queue.levels.memory_tokens());
-        upstream.identity.prompt_memory.saturating_sub(running)
-    };
-    let left: u64 = drawn.upstreams.iter().zip(candidates).map(left).sum();
-    let cache_tokens = left / candidates.len().max(1) as u64 * group.len() as u64;
-    shared.segment_uses.lock().holders(key, cache_tokens)
+    let priced = sample.price(&choice_query(shared, view, job), &performance);
+    priced.into_iter().map(|choice| (upstreams[choice.index].clone(), choice)).collect()
 }
 
 fn local_group<'a>(
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -10,7 +10,6 @@
 use foldhaven_core::ids::{RouteName, ServiceName};
 use foldhaven_core::opaque::affinity::PrefixCacheIndex;
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
-use foldhaven_core::opaque::holder_plan::SegmentUses;
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
 use foldhaven_core::opaque::performance::ServicePerformance;
 use foldhaven_core::opaque::placement_queue::PlacementQueue;
@@ -87,8 +86,6 @@
     pub stage: watch::Sender<StopStage>,
     /// The prompt segments that each upstream has probably cached.
     pub prefix_caches: Mutex<PrefixCacheIndex>,
-    /// How often the requests of this VM use shared segments of prompts.
-    pub segment_uses: Mutex<SegmentUses>,
     /// The upstreams at which this VM has requests.
     pub busy_upstreams: BusyUpstreams,
     /// The destinations of long prompts since the last report to other VMs.
@@ -160,7 +157,6 @@
             quota: LogQuota::default(),
             stage: watch::Sender::new(StopStage::Serving),
             prefix_caches: Mutex::default(),
-            segment_uses: Mutex::default(),
             busy_upstreams: BusyUpstreams::default(),
             placements: Mutex::default(),
             performance_by_service: Mutex::default(),
