Waiting requests: their memory is bounded, less urgent ones first; callers' connections read in small pieces

Cause: 1,000 requests of a level and of all more urgent ones may wait, with bodies of up to 72 kB, so that ten levels could hold 10,000. The buffer of a caller's connection doubles with each full read and stays.

Change: a request waits only if the memory of all that wait stays within 32 MB, half of it for the least urgent level (refused as full beyond, at once). One read of a caller's connection takes at most 8 kB, so that its buffer doesn't grow.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -55,4 +55,5 @@
 pub mod upstream_speed;
 pub mod upstream_table;
 pub mod view_staleness;
+pub mod waiting_memory;
 pub mod waiting_room;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod opaque_suspects;
 mod opaque_upstream_ring;
 mod opaque_upstreams;
+mod opaque_waiting_memory;
 mod opaque_waiting_room;
 mod opaque_waiting_shares;
 mod placement;
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -72,7 +72,9 @@
         if room.lock().len_through(class.level) >= MAX_WAITING {
             return Err(Refusal::Full);
         }
-        let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), now);
+        let memory = self.shared.waiting_memory.take(class.level, self.job.body.len());
+        let memory = memory.ok_or(Refusal::Full)?;
+        let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), memory, now);
         self.check_expected_wait(&ticket, view, now)?;
         self.shared.metrics.count_event("waited_for_room");
         self.ticket = Some(ticket);
--- a/crates/foldhaven-gateway/src/front.rs
+++ b/crates/foldhaven-gateway/src/front.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, close_after};
+use crate::bounded_stream::BoundedStream;
 use crate::connection::configure_socket;
 use crate::shared::StopStage;
 
@@ -87,7 +88,7 @@
         .header_read_timeout(head_limit)
         .max_buf_size(MAX_HEAD_BYTES)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(BoundedStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     // Connection errors are visible in the requests on the connection.
     tokio::select! {
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod account_limiter;
 pub mod answer;
 mod attempts;
+mod bounded_stream;
 mod busy_upstreams;
 mod call;
 mod caller_front;
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use foldhaven_core::opaque::remote_room::RemoteRooms;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
+use foldhaven_core::opaque::waiting_memory::WaitingMemory;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -130,6 +131,8 @@
     pub accounts: AccountLimiter,
     /// The requests that wait for room at the upstreams.
     pub waiting_rooms: WaitingRooms,
+    /// The memory of the requests that wait in them.
+    pub waiting_memory: Arc<WaitingMemory>,
     /// The requests that wait at the other VMs of the region, by service and level.
     waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// The room that other regions offer.
@@ -143,6 +146,7 @@
         Arc::new(Self {
             wake: SuspensionDetector::default(),
             waiting_rooms: WaitingRooms::new(settings.floor_share),
+            waiting_memory: Arc::default(),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -7,6 +7,7 @@
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::waiting_memory::WaitingBytes;
 use foldhaven_core::opaque::waiting_room::{RoomView, TicketId, WaitingRequest, WaitingRoom};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -66,13 +67,20 @@
     id: TicketId,
     request: WaitingRequest,
     entered: MonoTime,
+    /// The memory that the request takes while it waits.
+    _memory: WaitingBytes,
 }
 
 impl WaitingTicket {
     /// Adds a request to a room.
-    pub fn enter(room: Arc<Mutex<WaitingRoom>>, request: WaitingRequest, now: MonoTime) -> Self {
+    pub fn enter(
+        room: Arc<Mutex<WaitingRoom>>,
+        request: WaitingRequest,
+        memory: WaitingBytes,
+        now: MonoTime,
+    ) -> Self {
         let id = room.lock().enter(request, now);
-        Self { room, id, request, entered: now }
+        Self { room, id, request, entered: now, _memory: memory }
     }
 
     /// Runs the next round of the room if it is due, and returns whether it is the turn of this
