--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -8,15 +8,17 @@
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::ids::{RouteName, ServiceName};
-use foldhaven_core::opaque::affinity::{PrefixCacheIndex, PromptPlacement};
+use foldhaven_core::opaque::affinity::PrefixCacheIndex;
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
 use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::placement_queue::PlacementQueue;
 use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::remote_room::RemoteRooms;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
+use foldhaven_core::opaque::waiting_memory::WaitingMemory;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -88,7 +90,7 @@
     /// The upstreams at which this VM has requests.
     pub busy_upstreams: BusyUpstreams,
     /// The destinations of long prompts since the last report to other VMs.
-    pub placements: Mutex<Vec<PromptPlacement>>,
+    pub placements: Mutex<PlacementQueue>,
     /// The measured performance of each service's upstreams.
     performance_by_service: Mutex<HashMap<ServiceName, ServicePerformance>>,
     /// The longest remaining times that callers of each route announce.
@@ -129,6 +131,8 @@
     pub accounts: AccountLimiter,
     /// The requests that wait for room at the upstreams.
     pub waiting_rooms: WaitingRooms,
+    /// The memory of the requests that wait in them.
+    pub waiting_memory: Arc<WaitingMemory>,
     /// The requests that wait at the other VMs of the region, by service and level.
     waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// The room that other regions offer.
@@ -142,6 +146,7 @@
         Arc::new(Self {
             wake: SuspensionDetector::default(),
             waiting_rooms: WaitingRooms::new(settings.floor_share),
+            waiting_memory: Arc::default(),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
