Retry delays: the spread stays within the stated maximum

Cause: waits of account limits and of overloaded services are cut at 30 s, the maximum retry delay that is reported, and then spread by up to twice, so that callers were told up to 60 s.

The wait is now cut at half of the maximum before it is spread. A core test failed at 60 s before (account limit and overload), and passes. Shorter waits are spread as before, which a test shows.

--- a/crates/foldhaven-core/src/opaque/limit_share.rs
+++ b/crates/foldhaven-core/src/opaque/limit_share.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use crate::opaque::account_table::AccountLimit;
+use crate::opaque::refusal::MAX_RETRY_DELAY;
 use crate::time::MonoTime;
 
 /// The fraction of a limit that is distributed. The rest covers demand that has changed since it
@@ -262,8 +263,8 @@
             return Ok(());
         }
         let per_s = self.per_s(now);
-        let wait = Duration::try_from_secs_f64(missing / per_s).unwrap_or(MAX_WAIT);
-        Err(wait.min(MAX_WAIT))
+        let wait = Duration::try_from_secs_f64(missing / per_s).unwrap_or(MAX_RETRY_DELAY);
+        Err(wait.min(MAX_RETRY_DELAY))
     }
 
     /// Gives back the cost of an admitted request that has not run.
@@ -289,6 +290,3 @@
         self.updated_at = self.updated_at.max(now);
     }
 }
-
-/// The maximum retry delay that is reported to a caller.
-const MAX_WAIT: Duration = Duration::from_secs(30);
--- a/crates/foldhaven-core/src/opaque/refusal.rs
+++ b/crates/foldhaven-core/src/opaque/refusal.rs
@@ -8,6 +8,15 @@
 /// have changed the rules.
 const NO_REGION_RETRY_DELAY: Duration = Duration::from_secs(5);
 
+/// The maximum retry delay that a caller over its limit, or of an overloaded service, is told.
+pub const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
+
+/// The factor by which the spread prolongs a retry delay at most.
+const MAX_SPREAD: u32 = 2;
+
+/// Minimum retry delay while the upstreams are overloaded.
+const MIN_OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// Minimum retry delay while all upstreams are throttled.
 const MIN_THROTTLED_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Range over which these retries are spread.
@@ -148,8 +157,11 @@
                     wait.max(MIN_THROTTLED_RETRY_DELAY) + THROTTLED_RETRY_SPREAD.mul_f64(draw),
                 );
             }
-            Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
-            Self::Quarantined { wait } | Self::OverLimit { wait } => wait,
+            Self::Overloaded { wait, .. } => {
+                wait.clamp(MIN_OVERLOAD_RETRY_DELAY, MAX_RETRY_DELAY / MAX_SPREAD)
+            }
+            Self::OverLimit { wait } => wait.min(MAX_RETRY_DELAY / MAX_SPREAD),
+            Self::Quarantined { wait } => wait,
             Self::NoPermittedRegion => NO_REGION_RETRY_DELAY,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod opaque_positions;
 mod opaque_prefix_use;
 mod opaque_readers;
+mod opaque_refusals;
 mod opaque_remote;
 mod opaque_reports;
 mod opaque_rooms;
