Times to come again: not before the expected wait has passed

A request that is refused for its expected wait is told no earlier time, since it would meet the same wait; if it cannot keep that long a delay, nothing is promised.

--- a/crates/foldhaven-core/src/opaque/return_times.rs
+++ b/crates/foldhaven-core/src/opaque/return_times.rs
@@ -60,6 +60,8 @@
     pub level: PriorityLevel,
     /// The number of waiting requests of its level and of more urgent ones.
     pub ahead: usize,
+    /// The expected wait for which it is refused. Zero if it is refused for another reason.
+    pub wait: Duration,
     /// The time that its caller continues to wait.
     pub remaining: Duration,
     /// The slots that become free for this VM per second.
@@ -150,6 +152,7 @@
         let free = self.free_per_s(query, now);
         let drained = Duration::try_from_secs_f64(query.ahead as f64 / free)
             .unwrap_or(MAX_RETRY_DELAY)
+            .max(query.wait)
             .clamp(MIN_OVERLOAD_RETRY_DELAY, MAX_RETRY_DELAY);
         let spare = free - self.arrivals[query.level.index()].current(now);
         let for_returns = spare.max(free * MIN_RETURN_SHARE);
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod membership;
 mod opaque_account_limits;
+
 mod opaque_admission;
 mod opaque_choice;
 mod opaque_deltas;
@@ -24,6 +25,8 @@
 mod opaque_refusals;
 mod opaque_remote;
 mod opaque_reports;
+mod opaque_return_peak;
+mod opaque_return_times;
 mod opaque_rooms;
 mod opaque_routes;
 mod opaque_sender_agreement;
--- a/crates/foldhaven-gateway/src/returning_callers.rs
+++ b/crates/foldhaven-gateway/src/returning_callers.rs
@@ -51,15 +51,19 @@
         job: &GatewayJob,
         refusal: Refusal,
     ) -> Option<Duration> {
-        let is_for_room = matches!(refusal, Refusal::Overloaded { .. } | Refusal::Full);
-        let class = job.class().filter(|_| is_for_room && !job.is_forwarded)?;
+        let wait = match refusal {
+            Refusal::Overloaded { wait, .. } => wait,
+            Refusal::Full => Duration::ZERO,
+            _ => return None,
+        };
+        let class = job.class().filter(|_| !job.is_forwarded)?;
         let now = shared.now();
         let request = refused_request(job, now);
         if let Some(told) = self.told.lock().early(request, now) {
             shared.metrics.count_event("return_told_again");
             return Some(told.since(now));
         }
-        let query = return_query(shared, job, class)?;
+        let query = return_query(shared, job, class, wait)?;
         let draw = rand::random();
         let time =
             self.with_schedule(&job.service, |schedule| schedule.schedule(&query, draw, now));
@@ -91,12 +95,14 @@
     shared: &GatewayShared,
     job: &GatewayJob,
     class: RequestClass,
+    wait: Duration,
 ) -> Option<ReturnQuery> {
     let view = shared.view()?;
     let turnover_per_s = region_turnover(shared, &view, &job.service)?.own_per_s()?;
     Some(ReturnQuery {
         level: class.level,
         ahead: shared.waiting_rooms.room(&job.service).lock().len_through(class.level),
+        wait,
         remaining: job.deadline.saturating_duration_since(BootInstant::now()),
         turnover_per_s,
     })
