Accounts of one level take turns

Cause: within a level requests went by how long their callers wait, so that an account that sends ten times its usual took the room of all others, and its queue counted against their expected wait.

Next goes the first request of the account to which fewest requests were let go lately (max-min, equal weights); the expected wait counts only those that take their turn before. With one account the order is as before, which a test shows.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -2,6 +2,7 @@
 //! forwarded unchanged.
 
 pub mod account_demand;
+pub mod account_shares;
 pub mod account_table;
 pub mod admission;
 pub mod affinity;
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -9,9 +9,11 @@
 //! its own requests have left, and of the others a part by how many of the waiting requests are its
 //! own. It leaves what more urgent requests at other VMs need.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::opaque::account_demand::AccountTag;
+use crate::opaque::account_shares::AccountShares;
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use crate::opaque::request_class::RequestClass;
 use crate::opaque::service_room::ServiceRoom;
@@ -112,6 +114,8 @@
     floor_share: f64,
     /// The slots owed to requests that more urgent ones keep from starting.
     floor_debt: f64,
+    /// What each account was granted lately.
+    shares: AccountShares,
 }
 
 impl Default for WaitingRoom {
@@ -125,6 +129,7 @@
             busy_since: MonoTime::default(),
             floor_share: DEFAULT_FLOOR_SHARE,
             floor_debt: 0.0,
+            shares: AccountShares::default(),
         }
     }
 }
@@ -251,7 +256,16 @@
     fn sorted(&self, now: MonoTime) -> Vec<TicketId> {
         let mut ids: Vec<TicketId> = self.tickets.keys().copied().collect();
         ids.sort_by_key(|id| (self.tickets[id].request.order(now), *id));
-        ids
+        let rank = |id: &TicketId| {
+            let request = &self.tickets[id].request;
+            (request.class.level, request.is_late(now))
+        };
+        let groups = ids.chunk_by(|first, second| rank(first) == rank(second));
+        let by_account = |group: &[TicketId]| {
+            let of_account = |id: &TicketId| (self.tickets[id].request.class.account, *id);
+            self.shares.take_turns(&group.iter().map(of_account).collect::<Vec<_>>(), now)
+        };
+        groups.flat_map(by_account).collect()
     }
 
     /// Whether a request was let go. It may try once, and waits on if it finds no room.
@@ -260,19 +274,41 @@
         ticket.is_some_and(|ticket| std::mem::replace(&mut ticket.has_turn, false))
     }
 
+    /// Records that a request of an account starts, with or without a wait.
+    pub fn record_account_start(&mut self, account: Option<AccountTag>, now: MonoTime) {
+        self.shares.record(account, now);
+    }
+
     /// Records that a request of a level has left the room and starts.
     pub fn record_start(&mut self, level: PriorityLevel, now: MonoTime) {
         self.rates[level.index()].record(now);
     }
 
+    /// Returns the number of waiting requests of the level of a request that go before it.
+    fn count_ahead(&self, request: &WaitingRequest, now: MonoTime) -> usize {
+        let WaitingRequest { class, .. } = request;
+        let order = request.order(now);
+        let of_level = self.tickets.values().map(|ticket| &ticket.request);
+        let of_level = of_level.filter(|it| it.class.level == class.level);
+        let (mut less_late, mut own_ahead) = (0, 0);
+        let mut others: HashMap<Option<AccountTag>, usize> = HashMap::new();
+        for other in of_level {
+            if other.is_late(now) != request.is_late(now) {
+                less_late += usize::from(!other.is_late(now));
+            } else if other.class.account != class.account {
+                *others.entry(other.class.account).or_default() += 1;
+            } else {
+                own_ahead += usize::from(other.order(now) < order);
+            }
+        }
+        less_late + self.shares.count_ahead(class.account, own_ahead, &others, now)
+    }
+
     /// Returns how long a request probably waits. `None` while the rate at which requests leave is
     /// not known, or if hardly any other is ahead of it. More urgent requests that are yet to come
     /// show in the rate of its level.
     pub fn expected_wait(&self, request: &WaitingRequest, now: MonoTime) -> Option<Duration> {
-        let order = request.order(now);
-        let of_level =
-            self.tickets.values().filter(|it| it.request.class.level == request.class.level);
-        let ahead = of_level.filter(|it| it.request.order(now) < order).count();
+        let ahead = self.count_ahead(request, now);
         if ahead < MIN_AHEAD || now.since(self.busy_since) < MIN_RATE_TIME {
             return None;
         }
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod opaque_account_limits;
 
+mod opaque_account_shares;
 mod opaque_admission;
 mod opaque_choice;
 mod opaque_deltas;
--- a/crates/foldhaven-core/tests/testsuite/opaque_return_peak.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_return_peak.rs
@@ -30,6 +30,8 @@
 /// A request is refused if it would wait for longer.
 const MAX_WAIT: Duration = Duration::from_millis(400);
 const MAX_TRIES: u32 = 4;
+/// The tries of callers that ignore the time.
+const MAX_HASTY_TRIES: u32 = 40;
 
 /// How refused callers are told when to come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -222,7 +224,8 @@
     fn refuse(&mut self, mut caller: Caller, wait: Duration, now: MonoTime) {
         caller.tries += 1;
         let remaining = DEADLINE.saturating_sub(now.since(caller.first_try));
-        if caller.tries >= MAX_TRIES || remaining < MAX_WAIT {
+        let max_tries = if caller.is_hasty { MAX_HASTY_TRIES } else { MAX_TRIES };
+        if caller.tries >= max_tries || remaining < MAX_WAIT {
             return self.tally(&caller, |tally| tally.refused_again += 1.0);
         }
         let latest = max_respected_delay(remaining);
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -83,7 +83,10 @@
     pub(super) fn end_wait(&mut self) {
         let Some(level) = self.job.level else { return };
         let now = self.shared.now();
-        self.shared.waiting_rooms.room(&self.job.service).lock().record_start(level, now);
+        let room = self.shared.waiting_rooms.room(&self.job.service);
+        room.lock().record_start(level, now);
+        let account = self.job.class().and_then(|class| class.account);
+        room.lock().record_account_start(account, now);
         if let Some(ticket) = self.ticket.take() {
             self.held += ticket.held(now);
         }
