--- a/crates/foldhaven-gateway/src/returning_callers.rs
+++ b/crates/foldhaven-gateway/src/returning_callers.rs
@@ -73,6 +73,11 @@
         Some(time.delay())
     }
 
+    /// Returns the number of callers of a service that are expected to come from now on.
+    pub fn expected(&self, service: &ServiceName, now: MonoTime) -> u64 {
+        self.schedules.lock().get(service).map_or(0, |schedule| schedule.expected(now))
+    }
+
     fn with_schedule<T>(
         &self,
         service: &ServiceName,
--- a/crates/foldhaven-wire/src/operator.rs
+++ b/crates/foldhaven-wire/src/operator.rs
@@ -140,6 +140,9 @@
     /// The number of requests that wait for room at this VM.
     #[serde(default)]
     pub waiting: usize,
+    /// The number of refused callers for whom this VM keeps room at the time they were told.
+    #[serde(default)]
+    pub returning: u64,
     /// The regions in which the request may run; if empty, all regions.
     pub homes: Vec<String>,
     /// The priced destinations, cheapest first.
--- a/crates/foldhavenctl/src/cmd/explain_route.rs
+++ b/crates/foldhavenctl/src/cmd/explain_route.rs
@@ -74,7 +74,11 @@
 /// Returns a line on the priority level, empty if there is none.
 fn level_text(answer: &RouteExplanation) -> String {
     let Some(level) = answer.level else { return String::new() };
-    format!("priority level {level}, {} requests wait at this VM\n", answer.waiting)
+    let RouteExplanation { waiting, returning, .. } = answer;
+    format!(
+        "priority level {level}, {waiting} requests wait at this VM, {returning} refused callers are \
+         expected\n"
+    )
 }
 
 fn destination_table(answer: &RouteExplanation) -> String {
