--- a/crates/foldhaven-core/tests/testsuite/opaque_return_times.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_return_times.rs
@@ -171,6 +171,7 @@
     assert_eq!(told.len(), 1, "the others' times have come");
 }
 
+// Guards against promises for times that callers do not wait for.
 #[test]
 fn callers_keep_a_third_of_their_remaining_time() {
     assert_eq!(max_respected_delay(Duration::from_secs(9)), Duration::from_secs(3));
