--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -2,6 +2,7 @@
 //! forwarded unchanged.
 
 pub mod account_demand;
+pub mod account_shares;
 pub mod account_table;
 pub mod admission;
 pub mod affinity;
@@ -39,6 +40,7 @@
 pub mod request_class;
 pub mod request_fingerprint;
 pub mod retry_share;
+pub mod return_times;
 pub mod round_trip;
 pub mod route_delta;
 pub mod route_history;
@@ -52,6 +54,7 @@
 pub mod speed_reports;
 pub mod stream_origins;
 pub mod suspects;
+pub mod told_returns;
 pub mod upstream_ring;
 pub mod upstream_signals;
 pub mod upstream_speed;
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -9,9 +9,11 @@
 //! its own requests have left, and of the others a part by how many of the waiting requests are its
 //! own. It leaves what more urgent requests at other VMs need.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::opaque::account_demand::AccountTag;
+use crate::opaque::account_shares::AccountShares;
 use crate::opaque::expected_start::{FirstAnswerDelay, SlotLoad, SlotTimes};
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use crate::opaque::request_class::{RequestClass, RoomNeed};
@@ -115,6 +117,8 @@
     floor_share: f64,
     /// The slots owed to requests that more urgent ones keep from starting.
     floor_debt: f64,
+    /// What each account was granted lately.
+    shares: AccountShares,
 }
 
 impl Default for WaitingRoom {
@@ -131,6 +135,7 @@
             first_answer_delay: FirstAnswerDelay::default(),
             floor_share: DEFAULT_FLOOR_SHARE,
             floor_debt: 0.0,
+            shares: AccountShares::default(),
         }
     }
 }
@@ -258,7 +263,16 @@
     fn sorted(&self, now: MonoTime) -> Vec<TicketId> {
         let mut ids: Vec<TicketId> = self.tickets.keys().copied().collect();
         ids.sort_by_key(|id| (self.tickets[id].request.order(now), *id));
-        ids
+        let rank = |id: &TicketId| {
+            let request = &self.tickets[id].request;
+            (request.class.level, request.is_late(now))
+        };
+        let groups = ids.chunk_by(|first, second| rank(first) == rank(second));
+        let by_account = |group: &[TicketId]| {
+            let of_account = |id: &TicketId| (self.tickets[id].request.class.account, *id);
+            self.shares.take_turns(&group.iter().map(of_account).collect::<Vec<_>>(), now)
+        };
+        groups.flat_map(by_account).collect()
     }
 
     /// Whether a request was let go. It may try once, and waits on if it finds no room.
@@ -272,6 +286,11 @@
         self.arrivals[level.index()].record(now);
     }
 
+    /// Records that a request of an account starts, with or without a wait.
+    pub fn record_account_start(&mut self, account: Option<AccountTag>, now: MonoTime) {
+        self.shares.record(account, now);
+    }
+
     /// Records that a request of a level has left the room and starts.
     pub fn record_start(&mut self, level: PriorityLevel, now: MonoTime) {
         self.last_starts[level.index()] = now;
@@ -311,15 +330,33 @@
     /// Returns how many requests go before a request in the region. Of its own level, as many at
     /// other VMs as by their share of those that wait.
     fn ahead(&self, request: &WaitingRequest, view: &RoomView, now: MonoTime) -> f64 {
-        let level = request.class.level;
+        let index = request.class.level.index();
+        let own_waiting = self.waiting();
+        let of_level = self.count_ahead(request, now) as f64;
+        let part = of_level / f64::from(own_waiting[index].max(1));
+        let more_urgent = |counts: &[u32; LEVEL_COUNT]| counts[..index].iter().sum::<u32>();
+        let before = more_urgent(&own_waiting) + more_urgent(&view.waiting_elsewhere);
+        f64::from(before) + of_level + part * f64::from(view.waiting_elsewhere[index])
+    }
+
+    /// Returns the number of waiting requests of the level of a request that go before it.
+    fn count_ahead(&self, request: &WaitingRequest, now: MonoTime) -> usize {
+        let WaitingRequest { class, .. } = request;
         let order = request.order(now);
-        let is_ahead = |ticket: &&Ticket| ticket.request.order(now) < order;
-        let own = self.tickets.values().filter(is_ahead).count() as f64;
-        let of_level =
-            || self.tickets.values().filter(|ticket| ticket.request.class.level == level);
-        let part = of_level().filter(is_ahead).count() as f64 / of_level().count().max(1) as f64;
-        let more_urgent: u32 = view.waiting_elsewhere[..level.index()].iter().sum();
-        own + f64::from(more_urgent) + part * f64::from(view.waiting_elsewhere[level.index()])
+        let of_level = self.tickets.values().map(|ticket| &ticket.request);
+        let of_level = of_level.filter(|it| it.class.level == class.level);
+        let (mut less_late, mut own_ahead) = (0, 0);
+        let mut others: HashMap<Option<AccountTag>, usize> = HashMap::new();
+        for other in of_level {
+            if other.is_late(now) != request.is_late(now) {
+                less_late += usize::from(!other.is_late(now));
+            } else if other.class.account != class.account {
+                *others.entry(other.class.account).or_default() += 1;
+            } else {
+                own_ahead += usize::from(other.order(now) < order);
+            }
+        }
+        less_late + self.shares.count_ahead(class.account, own_ahead, &others, now)
     }
 
     /// Returns the rate at which requests more urgent than a level arrive in the region, from the
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -85,7 +85,10 @@
     pub(super) fn end_wait(&mut self) {
         let Some(level) = self.job.level else { return };
         let now = self.shared.now();
-        self.shared.waiting_rooms.room(&self.job.service).lock().record_start(level, now);
+        let room = self.shared.waiting_rooms.room(&self.job.service);
+        room.lock().record_start(level, now);
+        let account = self.job.class().and_then(|class| class.account);
+        room.lock().record_account_start(account, now);
         if let Some(ticket) = self.ticket.take() {
             self.held += ticket.held(now);
         }
@@ -98,7 +101,8 @@
         let room = self.shared.waiting_rooms.room(&job.service);
         let margin = room.lock().start_margin(job.route.target);
         let spare = job.route.target.saturating_sub(job.spent() + prefill + margin);
-        WaitingRequest { class, since: now - job.waited(), late_at: now + spare }
+        let since = self.shared.returning_callers.place(job, now);
+        WaitingRequest { class, since, late_at: now + spare }
     }
 
     /// Refuses a request that probably cannot be answered while its caller waits.
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -34,6 +34,7 @@
 use crate::origin_tracker::OriginTracker;
 use crate::path_tracker::PathTracker;
 use crate::rate_limit_tracker::RateLimitTracker;
+use crate::returning_callers::ReturningCallers;
 use crate::settings::GatewaySettings;
 use crate::suspects::{ChangeContext, SuspectTracker};
 use crate::suspension::SuspensionDetector;
@@ -133,6 +134,8 @@
     pub waiting_rooms: WaitingRooms,
     /// The memory of the requests that wait in them.
     pub waiting_memory: Arc<WaitingMemory>,
+    /// The callers that were told to come again.
+    pub returning_callers: ReturningCallers,
     /// The requests that wait at the other VMs of the region, by service and level.
     waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// The room that other regions offer.
@@ -147,6 +150,7 @@
             wake: SuspensionDetector::default(),
             waiting_rooms: WaitingRooms::new(settings.floor_share),
             waiting_memory: Arc::default(),
+            returning_callers: ReturningCallers::default(),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
