Requests keep no read buffers: heads are copied into buffers of their own size

Cause: the values and the target of a head are parts of the 8 kB buffer that it was read into, and keep it while the request waits or runs. Ruled out: bodies (10 MB in pieces of 16 kB and more), the prompt index and views (under 5 MB).

Change: target and values are copied when the request is read.

--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller_front;
 pub mod clock;
 mod codec;
+pub mod compact_request;
 mod connection;
 mod control;
 mod credential;
