--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -15,7 +15,6 @@
 use crate::attempts::{AnswerStart, CompleteAnswer, RequestDriver};
 use crate::call::AnswerEnd;
 use crate::clock::BootInstant;
-use crate::compact_request::compact_head;
 use crate::credential::{JobAccount, KeyFault, find_account, take_credential};
 use crate::events::EventRelay;
 use crate::front::FrontHandler;
@@ -102,7 +101,6 @@
     let limits = view.routes.description().limits;
     check_head(&head, &limits)?;
     let body = read_body(body, &limits).await?;
-    compact_head(&mut head);
     if shared.is_too_far_behind() || !shared.is_awake() {
         return Err(Refusal::Outdated);
     }
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -25,7 +25,6 @@
 use hyper::body::Incoming;
 
 use crate::clock::BootInstant;
-use crate::compact_request::compact_body;
 use crate::credential::JobAccount;
 use crate::names::HeaderNames;
 use crate::upstream::Upstream;
@@ -39,6 +38,8 @@
 /// Minimum remaining time sent to an upstream, in milliseconds. 0 would mean that the deadline has
 /// passed.
 const MIN_REMAINING_MS: u128 = 1;
+/// A longer body is not read at once, and has a buffer of its own.
+const MAX_READ_AT_ONCE: usize = 64 << 10;
 
 /// A request to run.
 #[derive(Clone)]
@@ -291,12 +292,18 @@
 /// Reads the complete body.
 pub async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
     match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(collected) => Ok(compact_body(collected.to_bytes())),
+        Ok(collected) => Ok(compact(collected.to_bytes())),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Err(_) => Err(Refusal::Malformed),
     }
 }
 
+/// Returns a body in a buffer of its own size. A short one is a part of the buffer that it was read
+/// into, and would keep all of it.
+fn compact(body: Bytes) -> Bytes {
+    if body.len() > MAX_READ_AT_ONCE { body } else { Bytes::copy_from_slice(&body) }
+}
+
 /// The attempt id of a request and the waiting time of its caller.
 pub struct CallerTerms {
     pub attempt: HeaderValue,
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -13,7 +13,6 @@
 mod caller_front;
 pub mod clock;
 mod codec;
-pub mod compact_request;
 mod connection;
 mod control;
 mod credential;
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -14,7 +14,6 @@
 use crate::answer::{Answer, body_answer, refuse};
 use crate::caller_front::run_job;
 use crate::clock::BootInstant;
-use crate::compact_request::compact_head;
 use crate::credential::{find_account, take_forwarded_key};
 use crate::front::FrontHandler;
 use crate::job::{
@@ -112,7 +111,6 @@
     let service: ServiceName =
         service.to_str().ok().and_then(|name| name.parse().ok()).ok_or(Refusal::NotPermitted)?;
     let body = read_body(body, &view.routes.description().limits).await?;
-    compact_head(&mut head);
     let host = host_of(&head).ok_or(Refusal::NotPermitted)?;
     let route = view.routes.find(host, head.uri.path()).ok_or(Refusal::NotPermitted)?.clone();
     if !route.services.iter().any(|it| it.service == service) {
--- a/crates/foldhaven-gateway/tests/testsuite/main.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/main.rs
@@ -1,7 +1,6 @@
 //! Tests of gateway components that do not need a running process.
 
 mod answer_cache;
-mod compact_request;
 mod peer_messages;
 mod platform_eras;
 mod platform_state;
