--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -73,7 +73,10 @@
             return Err(Refusal::Full);
         }
         let memory = self.shared.waiting_memory.take(class.level, self.job.body.len());
-        let memory = memory.ok_or(Refusal::Full)?;
+        let Some(memory) = memory else {
+            self.shared.metrics.count_event("refused_for_memory");
+            return Err(Refusal::Full);
+        };
         let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), memory, now);
         self.check_expected_wait(&ticket, view, now)?;
         self.shared.metrics.count_event("waited_for_room");
