--- a/crates/foldhaven-core/src/opaque/request_class.rs
+++ b/crates/foldhaven-core/src/opaque/request_class.rs
@@ -1,5 +1,7 @@
 //! The class of a request: its place in the order of its service, and the room that it needs.
 
+use std::time::Duration;
+
 use crate::opaque::account_demand::AccountTag;
 use crate::opaque::priority_level::PriorityLevel;
 
@@ -12,6 +14,23 @@
     pub memory_tokens: u32,
 }
 
+/// How long the caller of a request has waited.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallerWait {
+    /// The time since its first try.
+    pub total: Duration,
+    /// The part of it that passed before the present try.
+    pub earlier_tries: Duration,
+}
+
+impl CallerWait {
+    /// Returns how much of the time to its target the request has used. It counts from the present
+    /// try, so that no caller loses what an earlier refusal or failure cost it.
+    pub fn spent(self) -> Duration {
+        self.total.saturating_sub(self.earlier_tries)
+    }
+}
+
 /// What the admission and the order of a request depend on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RequestClass {
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -14,7 +14,7 @@
 
 use crate::opaque::expected_start::{FirstAnswerDelay, SlotLoad, SlotTimes};
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
-use crate::opaque::request_class::{RequestClass, RoomNeed};
+use crate::opaque::request_class::{CallerWait, RequestClass, RoomNeed};
 use crate::opaque::service_room::ServiceRoom;
 use crate::time::MonoTime;
 
@@ -43,6 +43,19 @@
 }
 
 impl WaitingRequest {
+    /// Creates a request that has to be answered within `target`, and needs a time for that after it
+    /// has started.
+    pub fn new(
+        class: RequestClass,
+        waited: CallerWait,
+        target: Duration,
+        needed: Duration,
+        now: MonoTime,
+    ) -> Self {
+        let spare = target.saturating_sub(waited.spent() + needed);
+        Self { class, since: now - waited.total, late_at: now + spare }
+    }
+
     /// Whether the request can no longer be in time.
     fn is_late(&self, now: MonoTime) -> bool {
         now >= self.late_at
--- a/crates/foldhaven-core/tests/testsuite/opaque_waiting_room.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_waiting_room.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
+use foldhaven_core::opaque::request_class::CallerWait;
 use foldhaven_core::opaque::service_room::ServiceRoom;
 use foldhaven_core::opaque::waiting_room::{
     ROUND_INTERVAL, RoomView, TicketId, WaitingRequest, WaitingRoom,
@@ -66,6 +67,25 @@
     assert_eq!(let_go(&mut room, &[newcomer, returning], &view(1, 0), at(1_000)), [1]);
 }
 
+// Guards against a caller that counts as late because of the time that a refusal cost it: it can be
+// in time by its present try, and goes before those who came later.
+#[test]
+fn a_second_try_is_not_late_for_the_first_one() {
+    let millis = Duration::from_millis;
+    let new = |total, earlier| {
+        let wait = CallerWait { total: millis(total), earlier_tries: millis(earlier) };
+        let class = class(PriorityLevel::new(1), TOKENS);
+        WaitingRequest::new(class, wait, millis(500), millis(100), at(5_000))
+    };
+    let (second, first) = (new(2_300, 2_300), new(0, 0));
+    assert_eq!((second.late_at, first.late_at), (at(5_400), at(5_400)));
+    assert_eq!(new(2_400, 2_300).late_at, at(5_300), "what this try has waited counts");
+    assert_eq!(new(2_300, 0).late_at, at(5_000), "one long try is late");
+    let mut room = WaitingRoom::default();
+    let ids = [room.enter(first), room.enter(second)];
+    assert_eq!(let_go(&mut room, &ids, &view(1, 0), at(5_010)), [1]);
+}
+
 // Guards against a late second try that starts and is displaced again and again while timely ones
 // of its level keep coming: it starts once there is room beside them, and until then it waits here.
 #[test]
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -95,8 +95,7 @@
         let prefill = performance.prefill_time(class.need.prefill_tokens);
         let room = self.shared.waiting_rooms.room(&job.service);
         let margin = room.lock().start_margin(job.route.target);
-        let spare = job.route.target.saturating_sub(job.spent() + prefill + margin);
-        WaitingRequest { class, since: now - job.waited(), late_at: now + spare }
+        WaitingRequest::new(class, job.caller_wait(), job.route.target, prefill + margin, now)
     }
 
     /// Refuses a request that probably cannot be answered while its caller waits.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -10,7 +10,7 @@
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
 use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
+use foldhaven_core::opaque::request_class::{CallerWait, RequestClass, RoomNeed};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
 use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
@@ -104,11 +104,16 @@
         }
     }
 
-    /// Returns how much of the time to its target the request has used. For requests with a
-    /// priority level, it counts from the present try, so that nobody loses the time of a refusal.
+    /// Returns how long the caller has waited for a first response.
+    pub fn caller_wait(&self) -> CallerWait {
+        CallerWait { total: self.waited(), earlier_tries: self.earlier_tries }
+    }
+
+    /// Returns how much of the time to its target the request has used. Without a priority level,
+    /// it counts from the first try.
     pub fn spent(&self) -> Duration {
-        let waited = self.waited();
-        if self.level.is_some() { waited.saturating_sub(self.earlier_tries) } else { waited }
+        let wait = self.caller_wait();
+        if self.level.is_some() { wait.spent() } else { wait.total }
     }
 
     /// Records that the caller gets the answer or its first event now. Returns how long this VM
