Displacing: no request is sent to displace another

Ruled out: upstreams that are fuller than their reports say (safe slots changed nothing), and a rule for the last moment only. The test that only less urgent requests are displaced is replaced: no taken slot is room for anybody.

--- a/crates/foldhaven-core/src/opaque/level_loads.rs
+++ b/crates/foldhaven-core/src/opaque/level_loads.rs
@@ -82,12 +82,6 @@
         self.memory_tokens.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
     }
 
-    /// Returns the tokens that the requests of a level and of all more urgent ones will hold.
-    pub fn memory_tokens_through(&self, level: PriorityLevel) -> u32 {
-        let tokens = &self.memory_tokens[..=level.index()];
-        tokens.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
-    }
-
     /// Returns the prompt tokens of unanswered requests of all levels.
     pub fn prefill_backlog(&self) -> u32 {
         self.prefill_backlog.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -125,14 +125,6 @@
         let is_safe = displaceable == 0 || self.room(queue).slots > margin;
         is_safe && self.has_room(queue, need)
     }
-
-    /// Whether an upstream can start a request if that displaces less urgent ones.
-    pub fn can_displace(&self, queue: QueueState, need: RoomNeed) -> bool {
-        let held = queue.levels.memory_tokens_through(self.level);
-        let has_memory = queue.memory_tokens == 0
-            || held.saturating_add(held_memory(queue, need)) <= queue.memory_tokens;
-        queue.through(self.level).in_flight < queue.slots && has_memory
-    }
 }
 
 /// Returns the memory that a request takes at an upstream. One that needs more than there is starts
--- a/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
@@ -61,13 +61,16 @@
     assert!(!room(0, queue(0, 3, 10_000)).is_empty(), "an urgent one goes before it");
 }
 
-// Guards against a request that has begun and is displaced by its like.
+// Guards against a request that has begun and is displaced, by its like or by a more urgent one.
 #[test]
-fn only_less_urgent_requests_are_displaced() {
-    let limits = |level| RoomLimits::new(PriorityLevel::new(level), &[], BACKLOG);
-    assert!(limits(0).can_displace(queue(3, 13, 0), NEED));
-    assert!(!limits(LAST).can_displace(queue(3, 13, 0), NEED));
-    assert!(!limits(0).can_displace(queue(16, 0, 0), NEED));
+fn a_slot_that_is_taken_is_no_room() {
+    for level in 0..=LAST {
+        let limits = RoomLimits::new(PriorityLevel::new(level), &[], BACKLOG);
+        for full in [queue(3, 13, 0), queue(16, 0, 0), queue(0, 16, 0)] {
+            assert!(!limits.has_room(full, NEED) && limits.room(full).is_empty());
+        }
+        assert!(limits.has_room(queue(0, 15, 0), NEED));
+    }
 }
 
 #[rstest]
@@ -198,8 +201,6 @@
     assert_eq!(room(0), u32::MAX, "its memory is not told");
     assert!(limits.has_room(held_queue(10_000, 2_000, 2_000), NEED));
     assert!(!limits.has_room(held_queue(5_000, 2_000, 2_000), NEED));
-    assert!(limits.can_displace(held_queue(5_000, 2_000, 2_000), NEED));
-    assert!(!limits.can_displace(held_queue(5_000, 4_000, 0), NEED), "its like holds it");
 }
 
 // Guards against a request that never starts because it needs more than an upstream has: an empty
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -25,8 +25,7 @@
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
-    DestinationChoice, Placement, RequestDestination, RoomRule, TriedDestinations,
-    choose_destination,
+    DestinationChoice, Placement, RequestDestination, TriedDestinations, choose_destination,
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -318,7 +317,7 @@
         self.check_suspicion().map_err(|refusal| self.refusal_after_attempts(refusal))?;
         let rule = self.room_rule(&view).map_err(|refusal| self.refusal_after_attempts(refusal))?;
         let Some(rule) = rule else { return Ok(NextStep::Pause(ROOM_POLL_INTERVAL)) };
-        let chosen = match self.place(&view, rule) {
+        let chosen = match choose_destination(&self.shared, &view, &self.job, &self.tried, rule) {
             Ok(Placement::Chosen(chosen)) => chosen,
             Ok(Placement::NoRoom) => {
                 self.wait_for_room(&view)
@@ -342,21 +341,6 @@
         Ok(NextStep::Send(chosen))
     }
 
-    /// Chooses a destination. A request that may displace others takes a free slot if there is one.
-    fn place(&self, view: &GatewayView, rule: RoomRule) -> Result<Placement, Refusal> {
-        let place = |rule| choose_destination(&self.shared, view, &self.job, &self.tried, rule);
-        match rule {
-            RoomRule::Displace => match place(RoomRule::FreeSlot)? {
-                Placement::NoRoom => {
-                    self.shared.metrics.count_event("displacing_tried");
-                    place(RoomRule::Displace)
-                }
-                chosen => Ok(chosen),
-            },
-            rule => place(rule),
-        }
-    }
-
     /// Checks that the key of the request still belongs to its account. No attempt starts with a
     /// revoked key.
     fn check_key(&self, view: &GatewayView) -> Result<(), Refusal> {
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -32,9 +32,6 @@
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
         }
-        if may_displace(ticket, view, now) {
-            return Ok(Some(RoomRule::Displace));
-        }
         if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
             return Ok(Some(RoomRule::OtherRegion));
         }
@@ -128,10 +125,3 @@
         performance.prefill_time(tokens) + Duration::from_secs_f64(events * interval)
     }
 }
-
-/// Whether a request that can still be in time would be late if it waited for the next free slots.
-fn may_displace(ticket: &WaitingTicket, view: &GatewayView, now: MonoTime) -> bool {
-    let spare = ticket.late_at().since(now);
-    let wait = ticket.expected_wait(now).unwrap_or_default();
-    !spare.is_zero() && (wait >= spare || spare <= view.report_age())
-}
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -328,9 +328,6 @@
             RoomRule::OtherRegion => false,
             RoomRule::FreeSlot => limits.has_room(queue, self.need),
             RoomRule::SafeSlot => limits.has_safe_room(queue, self.need),
-            RoomRule::Displace => {
-                limits.has_room(queue, self.need) || limits.can_displace(queue, self.need)
-            }
         }
     }
 }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -133,8 +133,6 @@
     FreeSlot,
     /// A free slot that is left also if other VMs have started requests there unseen.
     SafeSlot,
-    /// A slot that is free or taken by a less urgent request.
-    Displace,
     /// A free slot in another region: in this one, others go before the request.
     OtherRegion,
     /// Nothing.
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -95,11 +95,6 @@
     pub fn held(&self, now: MonoTime) -> Duration {
         now.since(self.entered)
     }
-
-    /// Returns the last moment at which the request can start and be in time.
-    pub fn late_at(&self) -> MonoTime {
-        self.request.late_at
-    }
 }
 
 impl Drop for WaitingTicket {
