--- a/crates/foldhaven-core/tests/testsuite/opaque_account_shares.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_account_shares.rs
@@ -127,10 +127,8 @@
 fn with_one_account_the_order_is_that_of_waiting(#[values(None, Some(3))] account: Option<usize>) {
     let mut room = WaitingRoom::default();
     let arrivals = [50, 10, 40, 20, 30];
-    let ids: Vec<TicketId> = arrivals
-        .iter()
-        .map(|since| room.enter(request(account, at(*since), at(9_000))))
-        .collect();
+    let ids: Vec<TicketId> =
+        arrivals.iter().map(|since| room.enter(request(account, at(*since), at(9_000)))).collect();
     let mut order = Vec::new();
     for round in 0..5 {
         let now = at(100 + 20 * round);
