--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -30,6 +30,7 @@
 pub mod rate_share;
 pub mod refusal;
 pub mod region_reports;
+pub mod region_room;
 pub mod remote_queue;
 pub mod remote_room;
 pub mod report_planner;
--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -1,23 +1,42 @@
-//! The room that other regions offer for requests that find none in their own.
+//! The room of other regions, and the part of it that this VM may take for requests that its own
+//! region has no room for.
 //!
-//! A region tells the room of its upstreams a few times per second. Each VM of another region takes
-//! a part of it, by how many of the waiting requests are its own, and does not take it twice.
+//! A region tells the room of its upstreams for each level a few times per second. The VMs of a
+//! region that is short of room send away as many requests as make the pressure of both regions
+//! equal. Each sends a part of them, and none of them twice for the same report.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{IncarnationId, RegionName};
 use crate::opaque::peer_table::{ServiceTag, VmTag};
-use crate::opaque::region_reports::REGION_INTERVAL;
+use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
+use crate::opaque::region_room::{BoundShares, LevelRoom, RegionQueues};
+use crate::opaque::request_class::RequestClass;
 use crate::opaque::service_room::ServiceRoom;
 use crate::time::MonoTime;
 
 /// The maximum age of a told room.
 const MAX_ROOM_AGE: Duration = Duration::from_millis(1_000);
+/// A region offers no room for a level for this time after it had to send requests of it away.
+/// Reports take up to half of it to arrive, so that two regions do not exchange their requests.
+const SENDING_TIME: Duration = Duration::from_millis(500);
+/// The share of the excess requests that are under way at a time: several regions may send to the
+/// same one.
+const GAIN: f64 = 0.5;
+/// The time until a report shows a request that was sent to its region: the interval between two
+/// reports, and the way of both.
+const UNSEEN_TIME: Duration = Duration::from_millis(350);
+/// The minimum difference in pressure for which requests are sent away, beside the time and bytes
+/// that they cost: a tenth of a slot time, by which regions of equal load differ by chance.
+const MIN_GAP: f64 = 0.1;
+/// What the minimum difference is multiplied by while requests are being sent away.
+const SENDING_GAP_FACTOR: f64 = 0.5;
 
-/// The report of a delegate about the room in its region.
+/// The report of a delegate about the room in its region, as earlier daemons send it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RoomReport {
     /// The region.
@@ -30,32 +49,160 @@
     pub sequence: u32,
     /// Whether a VM of the receiver's region relays it.
     pub is_relayed: bool,
-    /// The room for the least urgent requests, by service. Services without priority levels are not
-    /// named.
+    /// The room for the least urgent requests, by service, if no requests wait.
     pub rooms: Vec<(ServiceTag, ServiceRoom)>,
 }
 
-#[derive(Debug, Clone, Copy)]
+impl From<RoomReport> for LevelRoomReport {
+    /// Room for the least urgent requests is room for all.
+    fn from(report: RoomReport) -> Self {
+        let of_service = |(service, room): (ServiceTag, ServiceRoom)| {
+            let surplus = i32::try_from(room.slots).unwrap_or(i32::MAX);
+            let room = |level| LevelRoom { level, surplus, capacity: room.slots };
+            (service, PriorityLevel::all().map(room).collect())
+        };
+        Self {
+            region: report.region,
+            delegate: report.delegate,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            is_relayed: report.is_relayed,
+            rooms: report
+                .rooms
+                .into_iter()
+                .filter(|(_, it)| !it.is_empty())
+                .map(of_service)
+                .collect(),
+        }
+    }
+}
+
+/// The report of a delegate about the room in its region for each level.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LevelRoomReport {
+    /// The region.
+    pub region: RegionName,
+    /// The delegate.
+    pub delegate: VmTag,
+    /// Its process incarnation.
+    pub incarnation: IncarnationId,
+    /// Increases with each report of one incarnation.
+    pub sequence: u32,
+    /// Whether a VM of the receiver's region relays it.
+    pub is_relayed: bool,
+    /// The room for requests of other regions, by service and level. Levels that the region sends
+    /// away itself are not named.
+    pub rooms: Vec<(ServiceTag, Vec<LevelRoom>)>,
+}
+
+/// The room of a service in the own region, when a report of another one arrives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OwnRoom {
+    /// The room for each level.
+    pub rooms: [LevelRoom; LEVEL_COUNT],
+    /// The slots that are kept for requests bound to a part of the regions.
+    pub bound_slots: u32,
+    /// The share of the region's requests of each level that this VM sends.
+    pub parts: [f64; LEVEL_COUNT],
+}
+
+impl OwnRoom {
+    /// Returns the room of a region with `senders` VMs, at one of which `own_waiting` of its waiting
+    /// requests wait.
+    pub fn new(
+        region: &RegionQueues<'_>,
+        bound: &BoundShares,
+        own_waiting: &[u32; LEVEL_COUNT],
+        senders: usize,
+    ) -> Self {
+        let part = |index: usize| {
+            let own: u32 = own_waiting[..=index].iter().sum();
+            let all: u32 = region.waiting[..=index].iter().sum();
+            // Requests also leave before any waits: then each VM has the same part.
+            (f64::from(own) + 1.0) / (f64::from(all) + senders.max(1) as f64)
+        };
+        Self {
+            rooms: region.level_rooms(),
+            bound_slots: bound.needed_slots(&region.in_flight()),
+            parts: std::array::from_fn(part),
+        }
+    }
+}
+
+/// What it costs to send a request to another region.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SendCost {
+    /// The round trip there.
+    pub round_trip: Duration,
+    /// The time for which a request occupies a slot.
+    pub slot_time: Duration,
+    /// The price of the bytes as a share of the worth of the request.
+    pub bytes: f64,
+}
+
+impl SendCost {
+    /// Returns the difference in pressure from which sending is worth it.
+    fn min_gap(&self) -> f64 {
+        let slot_time = self.slot_time.max(Duration::from_millis(1));
+        self.bytes + self.round_trip.div_duration_f64(slot_time)
+    }
+}
+
+/// What may be sent to a region at one level.
+#[derive(Debug, Clone, Copy, Default)]
+struct SendQuota {
+    /// The requests that this VM may still send.
+    left: u32,
+    /// The difference in pressure.
+    gap: f64,
+    /// Whether the own region is short even of the slots kept for bound requests.
+    is_full: bool,
+}
+
+#[derive(Debug, Clone)]
 struct RemoteRoom {
     received: MonoTime,
-    slots: f64,
-    prefill_tokens: f64,
+    rooms: Vec<LevelRoom>,
+    quotas: [SendQuota; LEVEL_COUNT],
+    /// The requests sent lately, which reports of the region do not show yet.
+    unseen: UnseenRequests,
+}
+
+/// The requests that this VM has sent to a region in the last [`UNSEEN_TIME`].
+#[derive(Debug, Clone, Default)]
+struct UnseenRequests(VecDeque<(MonoTime, PriorityLevel)>);
+
+impl UnseenRequests {
+    fn remove_seen(&mut self, now: MonoTime) {
+        let is_seen = |sent: &MonoTime| now.since(*sent) >= UNSEEN_TIME;
+        while self.0.front().is_some_and(|(sent, _)| is_seen(sent)) {
+            self.0.pop_front();
+        }
+    }
+
+    fn count_through(&self, level: PriorityLevel) -> usize {
+        self.0.iter().filter(|(_, sent)| *sent <= level).count()
+    }
 }
 
-/// The parts of other regions' room that this VM may still take.
+/// The room that other regions have told, and what this VM may send to them.
 #[derive(Debug, Default)]
 pub struct RemoteRooms {
     newest: HashMap<(RegionName, VmTag), (IncarnationId, u32)>,
     rooms: HashMap<(RegionName, ServiceTag), RemoteRoom>,
+    /// When requests of a level last had to leave this region.
+    sending: HashMap<(ServiceTag, PriorityLevel), MonoTime>,
 }
 
 impl RemoteRooms {
-    /// Applies a report. `part` returns the part of a service's room that this VM may take. Returns
-    /// whether the report is newer than the one held from its delegate.
+    /// Applies a report. `own` returns the room of a service in this region; `draw` is a random
+    /// number, uniform in 0..1. Returns whether the report is newer than the one held from its
+    /// delegate.
     pub fn apply(
         &mut self,
-        report: &RoomReport,
-        part: impl Fn(ServiceTag) -> f64,
+        report: &LevelRoomReport,
+        own: impl Fn(ServiceTag) -> Option<OwnRoom>,
+        draw: f64,
         now: MonoTime,
     ) -> bool {
         let order = (report.incarnation, report.sequence);
@@ -64,51 +211,114 @@
             return false;
         }
         self.newest.insert(key, order);
-        for (service, room) in &report.rooms {
+        for (service, rooms) in &report.rooms {
+            let Some(own) = own(*service) else { continue };
             let key = (report.region.clone(), *service);
-            // Several delegates of a region tell the same room.
-            let previous = self.rooms.get(&key).map_or(1.0, |previous| {
-                now.since(previous.received).div_duration_f64(REGION_INTERVAL).min(1.0)
-            });
-            let part = part(*service) * previous;
-            let room = RemoteRoom {
-                received: now,
-                slots: f64::from(room.slots) * part,
-                prefill_tokens: f64::from(room.prefill_tokens) * part,
-            };
+            let mut unseen = self.rooms.remove(&key).map(|room| room.unseen).unwrap_or_default();
+            unseen.remove_seen(now);
+            let quotas = self.quotas(*service, rooms, &own, &unseen, draw, now);
+            let room = RemoteRoom { received: now, rooms: rooms.clone(), quotas, unseen };
             self.rooms.insert(key, room);
         }
         true
     }
 
-    /// Whether a region has told recently which room a service has there.
-    pub fn is_told(&self, region: &RegionName, service: ServiceTag, now: MonoTime) -> bool {
-        self.fresh(region, service, now).is_some()
+    /// Returns what this VM may send for one report, and records the levels that the region sends.
+    fn quotas(
+        &mut self,
+        service: ServiceTag,
+        rooms: &[LevelRoom],
+        own: &OwnRoom,
+        unseen: &UnseenRequests,
+        draw: f64,
+        now: MonoTime,
+    ) -> [SendQuota; LEVEL_COUNT] {
+        let mut quotas = [SendQuota::default(); LEVEL_COUNT];
+        for there in rooms {
+            let index = there.level.index();
+            let here = own.rooms[index].without(own.bound_slots);
+            let excess = here.excess_over(there);
+            if here.surplus >= 0 || excess < 1.0 {
+                continue;
+            }
+            let gap = here.pressure() - there.pressure();
+            if gap > self.min_gap(service, there.level, now) {
+                self.sending.insert((service, there.level), now);
+            }
+            let unseen = unseen.count_through(there.level) as f64 * here.share_of_both(there);
+            quotas[index] = SendQuota {
+                left: (excess * GAIN * own.parts[index] - unseen + draw) as u32,
+                gap,
+                is_full: own.rooms[index].surplus < 0,
+            };
+        }
+        quotas
+    }
+
+    fn is_sending(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> bool {
+        let last = self.sending.get(&(service, level));
+        last.is_some_and(|last| now.since(*last) < SENDING_TIME)
+    }
+
+    fn min_gap(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> f64 {
+        match self.is_sending(service, level, now) {
+            true => MIN_GAP * SENDING_GAP_FACTOR,
+            false => MIN_GAP,
+        }
     }
 
-    /// Whether a request with prompt tokens may take room in a region. What is left of the room is
-    /// used with a probability: `draw` is a random number, uniform in 0..1.
-    pub fn has_room(
+    /// Returns the levels for which this region offers room to others: those in use that it does
+    /// not send away itself.
+    pub fn offered(&self, service: ServiceTag, own: &OwnRoom, now: MonoTime) -> Vec<LevelRoom> {
+        let is_offered = |room: &&LevelRoom| !self.is_sending(service, room.level, now);
+        let offered = own.rooms.iter().filter(is_offered);
+        offered.map(|room| room.without(own.bound_slots)).collect()
+    }
+
+    /// Whether a request should go to a region rather than wait here.
+    pub fn may_send(
         &self,
         region: &RegionName,
         service: ServiceTag,
-        prefill_tokens: u32,
-        draw: f64,
+        class: &RequestClass,
+        cost: SendCost,
         now: MonoTime,
     ) -> bool {
-        let tokens = f64::from(prefill_tokens);
-        let room = self.fresh(region, service, now);
-        room.is_some_and(|room| room.slots > draw && room.prefill_tokens > tokens * draw)
+        let Some(room) = self.fresh(region, service, now) else { return false };
+        let quota = room.quotas[class.level.index()];
+        let min_gap = self.min_gap(service, class.level, now) + cost.min_gap();
+        let is_due = quota.is_full || !class.is_bound;
+        quota.left > 0 && is_due && quota.gap > min_gap
     }
 
-    /// Takes the room of a request with prompt tokens.
-    pub fn take(&mut self, region: &RegionName, service: ServiceTag, prefill_tokens: u32) {
-        if let Some(room) = self.rooms.get_mut(&(region.clone(), service)) {
-            room.slots -= 1.0;
-            room.prefill_tokens -= f64::from(prefill_tokens);
+    /// Takes the room of a request. Less urgent ones cannot take it either.
+    pub fn take(
+        &mut self,
+        region: &RegionName,
+        service: ServiceTag,
+        level: PriorityLevel,
+        now: MonoTime,
+    ) {
+        let Some(room) = self.rooms.get_mut(&(region.clone(), service)) else { return };
+        room.unseen.0.push_back((now, level));
+        for quota in &mut room.quotas[level.index()..] {
+            quota.left = quota.left.saturating_sub(1);
         }
     }
 
+    /// Returns the room that regions have told for a level, for logs.
+    pub fn told(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> Vec<ToldRoom> {
+        let of_service = self.rooms.iter().filter(|((_, tag), _)| *tag == service);
+        let told = of_service.filter_map(|((region, _), room)| {
+            let level_room = room.rooms.iter().find(|it| it.level == level)?;
+            let age = now.since(room.received);
+            Some(ToldRoom { region: region.clone(), room: *level_room, age })
+        });
+        let mut told: Vec<ToldRoom> = told.collect();
+        told.sort_by(|left, right| left.region.cmp(&right.region));
+        told
+    }
+
     fn fresh(
         &self,
         region: &RegionName,
@@ -119,3 +329,22 @@
         (now.since(room.received) <= MAX_ROOM_AGE).then_some(room)
     }
 }
+
+/// The room that a region has told for one level.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ToldRoom {
+    /// The region.
+    pub region: RegionName,
+    /// The room.
+    pub room: LevelRoom,
+    /// The time since the report arrived.
+    pub age: Duration,
+}
+
+impl fmt::Display for ToldRoom {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { region, room, age } = self;
+        let LevelRoom { surplus, capacity, .. } = room;
+        write!(formatter, "{region} {surplus} of {capacity} slots {} ms ago", age.as_millis())
+    }
+}
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -21,7 +21,10 @@
 mod opaque_positions;
 mod opaque_prefix_use;
 mod opaque_readers;
+mod opaque_regions;
 mod opaque_remote;
+mod opaque_remote_rooms;
+
 mod opaque_reports;
 mod opaque_rooms;
 mod opaque_routes;
@@ -42,6 +45,7 @@
 mod opaque_waiting_shares;
 mod placement;
 mod refusals;
+mod region_model;
 mod residency;
 mod routing;
 mod tickets;
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -35,7 +35,7 @@
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
         }
-        if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
+        if has_remote_room(&self.shared, view, &self.job) {
             return Ok(Some(RoomRule::FreeSlot));
         }
         if self.may_displace(ticket, now) {
@@ -53,6 +53,12 @@
         view: &GatewayView,
         now: MonoTime,
     ) -> Result<Option<RoomRule>, Refusal> {
+        if !self.job.is_forwarded {
+            self.shared.record_class(&self.job.service, &class);
+        }
+        if has_remote_room(&self.shared, view, &self.job) {
+            return Ok(Some(RoomRule::FreeSlot));
+        }
         let request = self.waiting_request(class, now);
         let room = self.shared.waiting_rooms.room(&self.job.service);
         let elsewhere = self.shared.waiting_elsewhere(&self.job.service);
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -10,12 +10,12 @@
 use foldhaven_core::opaque::load_reports::{LevelReport, LoadReport, report_interval};
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, ServiceTag, VmTag};
 use foldhaven_core::opaque::region_reports::{REGION_INTERVAL, RegionReport, VM_LIST_EVERY};
-use foldhaven_core::opaque::remote_room::RoomReport;
+use foldhaven_core::opaque::remote_room::LevelRoomReport;
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportTarget, ReportUpdates};
 use xtra::{Context, Handler};
 
 use super::ControlActor;
-use crate::destinations::offered_room;
+use crate::destinations::own_room;
 
 /// A load report received from another VM of the region.
 pub struct ReceiveLoadReport {
@@ -78,7 +78,7 @@
 /// The room of another region, received from one of its delegates or from a VM of this region that
 /// relays it.
 pub struct ReceiveRoomReport {
-    pub report: RoomReport,
+    pub report: LevelRoomReport,
 }
 
 impl Handler<ReceiveRoomReport> for ControlActor {
@@ -87,7 +87,7 @@
     async fn handle(&mut self, message: ReceiveRoomReport, _: &mut Context<Self>) {
         let report = message.report;
         if self.apply_room_report(&report) && !report.is_relayed {
-            self.relayed_rooms.push(RoomReport { is_relayed: true, ..report });
+            self.relayed_rooms.push(LevelRoomReport { is_relayed: true, ..report });
         }
     }
 }
@@ -127,9 +127,9 @@
     /// report is due.
     pub region: Option<RegionReport>,
     /// The room of this region for the remote targets, sent with the report of the region.
-    pub rooms: Option<RoomReport>,
+    pub rooms: Option<LevelRoomReport>,
     /// The rooms of other regions for the VMs of this one.
-    pub relayed_rooms: Vec<RoomReport>,
+    pub relayed_rooms: Vec<LevelRoomReport>,
     pub interval: Duration,
 }
 
@@ -254,12 +254,16 @@
 
     /// Returns the room of the services with priority levels in this region. `None` if there are
     /// none.
-    fn own_rooms(&self, region: &RegionReport) -> Option<RoomReport> {
+    fn own_rooms(&self, region: &RegionReport) -> Option<LevelRoomReport> {
         let view = self.shared.view().filter(|view| view.routes.has_levels())?;
         let services = view.upstreams.keys().filter(|it| view.routes.levels(it).is_some());
-        let rooms = services
-            .map(|service| (ServiceTag::of(service), offered_room(&self.shared, &view, service)));
-        Some(RoomReport {
+        let remote_rooms = self.shared.remote_rooms.lock();
+        let rooms = services.filter_map(|service| {
+            let own = own_room(&self.shared, &view, service)?;
+            let tag = ServiceTag::of(service);
+            Some((tag, remote_rooms.offered(tag, &own, self.now())))
+        });
+        Some(LevelRoomReport {
             region: region.region.clone(),
             delegate: region.delegate,
             incarnation: region.incarnation,
@@ -270,22 +274,17 @@
     }
 
     /// Applies the room of another region. Returns whether it is new.
-    fn apply_room_report(&mut self, report: &RoomReport) -> bool {
+    fn apply_room_report(&mut self, report: &LevelRoomReport) -> bool {
         if report.region == *self.shared.settings.region() {
             return false;
         }
-        let elsewhere = self.loads.waiting();
-        let own = self.shared.waiting_rooms.totals(self.now());
-        let senders = self.loads.active_vms().count() + 1;
-        let part = |service: ServiceTag| {
-            let own = f64::from(own.get(&service).copied().unwrap_or_default());
-            let others: u32 = elsewhere.get(&service).map_or(0, |counts| counts.iter().sum());
-            match own + f64::from(others) {
-                0.0 => 1.0 / senders as f64,
-                all => own.max(1.0) / all,
-            }
+        let Some(view) = self.shared.view() else { return false };
+        let own = |tag: ServiceTag| {
+            let service = view.upstreams.keys().find(|service| ServiceTag::of(service) == tag)?;
+            own_room(&self.shared, &view, service)
         };
-        self.shared.remote_rooms.lock().apply(report, part, self.now())
+        let now = self.now();
+        self.shared.remote_rooms.lock().apply(report, own, rand::random(), now)
     }
 
     /// Applies the report of another region. Returns whether it is new.
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -33,7 +33,7 @@
     SenderView, VmTag,
 };
 use foldhaven_core::opaque::region_reports::{RegionReport, RegionReportTable};
-use foldhaven_core::opaque::remote_room::RoomReport;
+use foldhaven_core::opaque::remote_room::LevelRoomReport;
 use foldhaven_core::opaque::report_planner::ReportPlanner;
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::SenderAgreement;
@@ -157,7 +157,7 @@
     /// Received reports of other regions that are still to be relayed to the VMs of this region.
     relayed_regions: Vec<RegionReport>,
     /// Rooms of other regions that are to be relayed to the VMs of this region.
-    relayed_rooms: Vec<RoomReport>,
+    relayed_rooms: Vec<LevelRoomReport>,
     /// When this region was last reported to other regions. `None` if never.
     last_region_report: Option<MonoTime>,
     /// The number of those reports.
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -123,7 +123,7 @@
                     socket.send_to(&targets, &PeerMessage::Levels(levels.clone())).await;
                 }
                 for room in &relayed_rooms {
-                    socket.send_to(&targets, &PeerMessage::Rooms(room.clone())).await;
+                    socket.send_to(&targets, &PeerMessage::LevelRooms(room.clone())).await;
                 }
             }
         }
@@ -134,7 +134,7 @@
             socket.send_to(&remote_targets, &PeerMessage::Region(region)).await;
         }
         if let Some(rooms) = rooms {
-            socket.send_to(&remote_targets, &PeerMessage::Rooms(rooms)).await;
+            socket.send_to(&remote_targets, &PeerMessage::LevelRooms(rooms)).await;
         }
         idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         let slept = BootInstant::now();
@@ -279,7 +279,10 @@
         }
         PeerMessage::Region(report) => control.send(ReceiveRegionReport { report }).await?,
         PeerMessage::Load(report) => control.send(ReceiveLoadReport { report }).await?,
-        PeerMessage::Rooms(report) => control.send(ReceiveRoomReport { report }).await?,
+        PeerMessage::Rooms(report) => {
+            control.send(ReceiveRoomReport { report: report.into() }).await?
+        }
+        PeerMessage::LevelRooms(report) => control.send(ReceiveRoomReport { report }).await?,
         PeerMessage::Levels(report) => control.send(ReceiveLevelReport { report }).await?,
         PeerMessage::News(notice) => control.send(ReceiveRevisionNotice { notice }).await?,
         PeerMessage::Demand(demand) => control.send(ReceiveLocalDemand { demand }).await?,
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -16,6 +16,8 @@
 use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
+use foldhaven_core::opaque::region_room::RegionQueues;
+use foldhaven_core::opaque::remote_room::OwnRoom;
 use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog};
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
 use foldhaven_core::opaque::waiting_room::RoomView;
@@ -420,19 +422,25 @@
     }
 }
 
-/// Returns the room that a service has in this region for the least urgent requests of other
-/// regions. Requests that wait in this region go first.
-pub fn offered_room(
+/// Returns the room that a service has in this region, compared with that of other regions. `None`
+/// if it has no upstreams here.
+pub fn own_room(
     shared: &GatewayShared,
     view: &GatewayView,
     service: &ServiceName,
-) -> ServiceRoom {
-    let waiting: u32 = shared.waiting_elsewhere(service).iter().sum();
-    let own = shared.waiting_rooms.room(service).lock().len();
-    match UsableQueues::of(shared, view, service) {
-        Some(usable) if waiting == 0 && own == 0 => usable.room(PriorityLevel::LAST),
-        _ => ServiceRoom::default(),
-    }
+) -> Option<OwnRoom> {
+    let usable = UsableQueues::of(shared, view, service)?;
+    let own_waiting = shared.waiting_rooms.room(service).lock().counts(shared.now());
+    let mut waiting = shared.waiting_elsewhere(service);
+    waiting.iter_mut().zip(own_waiting).for_each(|(count, own)| *count += own);
+    let queues = RegionQueues {
+        queues: &usable.queues,
+        scale: usable.scale,
+        max_backlog: usable.max_backlog,
+        slot_time: shared.measured_performance(service).slot_time,
+        waiting: &waiting,
+    };
+    Some(OwnRoom::new(&queues, &shared.bound_shares(service), &own_waiting, view.senders))
 }
 
 /// Returns the queueing time that this VM expects for a request of timely rank at an upstream.
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -21,7 +21,7 @@
 use foldhaven_core::opaque::refusal::Refusal;
 
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
-pub use self::local::{expected_wait, offered_room, view_room};
+pub use self::local::{expected_wait, own_room, view_room};
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
@@ -175,7 +175,8 @@
 }
 
 /// Chooses a destination. Prefers the best upstream of this region, unless another region is
-/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. If this VM
+/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. A request with a
+/// priority level goes where regions compared their room for it first. If this VM
 /// cannot reach the upstreams of its region, another VM of the region takes their place. `rule` says
 /// what a request with a priority level requires of an upstream of this region.
 pub fn choose_destination(
@@ -215,17 +216,15 @@
         }
         local => local,
     };
+    if let Some(remote) = choose_remote_with_room(shared, view, job, tried) {
+        return Ok(Placement::chosen(remote.choice));
+    }
     match (local, remote) {
         (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
             admit_choice(job, &remote.estimate())?;
             Ok(Placement::chosen(remote.choice))
         }
-        (Some(local), _) if !local.choice.has_room => {
-            match choose_remote_with_room(shared, view, job, tried) {
-                Some(remote) => Ok(Placement::chosen(remote.choice)),
-                None => Ok(Placement::NoRoom),
-            }
-        }
+        (Some(local), _) if !local.choice.has_room => Ok(Placement::NoRoom),
         (Some(local), remote) => match (admit_choice(job, &local.estimate()), remote) {
             (Ok(()), _) => local.reserve(shared).map(Placement::chosen),
             (Err(_), Some(remote)) if has_free_capacity(job, &remote) => {
--- a/crates/foldhaven-gateway/src/destinations/overview.rs
+++ b/crates/foldhaven-gateway/src/destinations/overview.rs
@@ -36,7 +36,7 @@
         is_remote: true,
         time_to_first_ms: remote.choice.time_to_first.as_millis() as u64,
         prefill_tokens: remote.choice.prefill_tokens,
-        has_room: has_remote_room_in(shared, job, &remote.region),
+        has_room: has_remote_room_in(shared, view, job, &remote.region),
         breakdown: remote.breakdown,
     });
     local.chain(remote).collect()
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -1,6 +1,5 @@
 //! Prices a request in the other regions, and chooses a VM of the cheapest one.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +11,10 @@
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::remote_queue::RemoteService;
+use foldhaven_core::opaque::remote_room::SendCost;
 
 use super::{
     DestinationChoice, MIN_ANNOUNCED_TOKENS, RequestDestination, TriedDestinations, choice_query,
@@ -64,40 +65,69 @@
     priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
 }
 
-/// Chooses the cheapest of the other regions that have room for a request with a priority level,
-/// and takes the room.
+/// Chooses the cheapest of the other regions to which a request with a priority level should go
+/// rather than wait here, and takes the room there.
 pub(super) fn choose_remote_with_room(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedDestinations,
 ) -> Option<RemoteChoice> {
+    let level = job.level.filter(|_| has_remote_room(shared, view, job))?;
     let tag = ServiceTag::of(&job.service);
-    let has_room = |remote: &RemoteChoice| has_remote_room_in(shared, job, &remote.region);
+    let has_room = |remote: &RemoteChoice| has_remote_room_in(shared, view, job, &remote.region);
     let priced = price_remote(shared, view, job, tried).into_iter().filter(has_room);
     let chosen = priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))?;
-    shared.remote_rooms.lock().take(&chosen.region, tag, chosen.choice.prefill_tokens);
     shared.metrics.count_event("sent_away_for_room");
+    log_sent_away(shared, job, level, &chosen);
+    shared.remote_rooms.lock().take(&chosen.region, tag, level, shared.now());
     Some(chosen)
 }
 
-/// Returns whether any other region where a request may run has told room for it.
-pub fn has_remote_room(shared: &GatewayShared, job: &GatewayJob) -> bool {
-    let own_region = shared.settings.region();
-    let regions: BTreeSet<&RegionName> = shared.settings.regions.values().collect();
-    let mut others = regions.into_iter().filter(|it| *it != own_region && job.permits(it));
-    others.any(|region| has_remote_room_in(shared, job, region))
+/// Logs why a request is sent to another region for room, at a limited rate.
+fn log_sent_away(
+    shared: &GatewayShared,
+    job: &GatewayJob,
+    level: PriorityLevel,
+    chosen: &RemoteChoice,
+) {
+    if !shared.quota.take(true) {
+        return;
+    }
+    let tag = ServiceTag::of(&job.service);
+    let told = shared.remote_rooms.lock().told(tag, level, shared.now());
+    let rooms: Vec<String> = told.iter().map(ToString::to_string).collect();
+    let (request, region, vm) = (job.id(), &chosen.region, chosen.choice.destination.name());
+    let time_to_first_ms = chosen.choice.time_to_first.as_millis() as u64;
+    tracing::info!(request, %level, %region, vm, ?rooms, time_to_first_ms, "request sent away for room");
 }
 
-/// Returns whether a region has told room for a request.
+/// Returns whether a request should go to any other region rather than wait here.
+pub fn has_remote_room(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
+    if job.is_forwarded || job.has_partial_answer {
+        return false;
+    }
+    let mut others = view.members.regions.keys().filter(|it| *it != shared.settings.region());
+    others.any(|region| has_remote_room_in(shared, view, job, region))
+}
+
+/// Returns whether a request with a priority level should go to a region rather than wait here.
 pub(super) fn has_remote_room_in(
     shared: &GatewayShared,
+    view: &GatewayView,
     job: &GatewayJob,
     region: &RegionName,
 ) -> bool {
-    let (tag, now) = (ServiceTag::of(&job.service), shared.now());
-    let rooms = shared.remote_rooms.lock();
-    rooms.has_room(region, tag, job.unshared_tokens(), rand::random(), now)
+    let Some(class) = job.class().filter(|_| job.permits(region)) else { return false };
+    let peers = view.members.regions.get(region);
+    let round_trip = peers.and_then(|peers| peers.traffic.round_trip());
+    let cost = SendCost {
+        round_trip: round_trip.unwrap_or(DEFAULT_ROUND_TRIP),
+        slot_time: shared.measured_performance(&job.service).slot_time,
+        bytes: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, job.size()).0,
+    };
+    let tag = ServiceTag::of(&job.service);
+    shared.remote_rooms.lock().may_send(region, tag, &class, cost, shared.now())
 }
 
 /// Prices the other regions that can take a request, with one VM of each.
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -16,7 +16,7 @@
     HeartbeatMessage, RevisionAnnouncement, ViewDigest, ViewList,
 };
 use foldhaven_core::opaque::region_reports::RegionReport;
-use foldhaven_core::opaque::remote_room::RoomReport;
+use foldhaven_core::opaque::remote_room::{LevelRoomReport, RoomReport};
 use foldhaven_core::opaque::sender_agreement::AgreementNotice;
 use foldhaven_core::opaque::speed_reports::SpeedReport;
 use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginAnswer, OriginNotice};
@@ -95,8 +95,10 @@
     Speeds(SpeedReport),
     /// The priority levels of the requests in the load report that was sent before.
     Levels(LevelReport),
-    /// The room that a region offers to others.
+    /// The room that a region offers to others, as earlier daemons tell it.
     Rooms(RoomReport),
+    /// The room of a region for each level.
+    LevelRooms(LevelRoomReport),
 }
 
 impl PeerMessage {
@@ -111,7 +113,7 @@
             Self::Beat(_) => "sent_bytes_heartbeat",
             Self::Load(_) => "sent_bytes_load",
             Self::Levels(_) => "sent_bytes_levels",
-            Self::Rooms(_) => "sent_bytes_rooms",
+            Self::Rooms(_) | Self::LevelRooms(_) => "sent_bytes_rooms",
             Self::Placements(_) => "sent_bytes_placements",
             Self::Changes(_) | Self::Early(_) => Self::CHANGES_METRIC,
             Self::Region(_) => "sent_bytes_region",
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -14,7 +14,9 @@
 use foldhaven_core::opaque::performance::ServicePerformance;
 use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
+use foldhaven_core::opaque::region_room::BoundShares;
 use foldhaven_core::opaque::remote_room::RemoteRooms;
+use foldhaven_core::opaque::request_class::RequestClass;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::time::MonoTime;
@@ -133,6 +135,8 @@
     waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// The room that other regions offer.
     pub remote_rooms: Mutex<RemoteRooms>,
+    /// The requests of callers that are bound to a part of the regions, by service.
+    bound_shares: Mutex<HashMap<ServiceName, BoundShares>>,
     /// Detects that the process was suspended, so that its state may be outdated.
     pub wake: SuspensionDetector,
 }
@@ -144,6 +148,7 @@
             waiting_rooms: WaitingRooms::new(settings.floor_share),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
+            bound_shares: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
             paths: PathTracker::new(VmTag::of(&settings.vm)),
@@ -287,6 +292,21 @@
         waiting.get(&ServiceTag::of(service)).copied().unwrap_or_default()
     }
 
+    /// Records a request of a caller for a service whose requests have priority levels.
+    pub fn record_class(&self, service: &ServiceName, class: &RequestClass) {
+        let mut shares = self.bound_shares.lock();
+        let shares = match shares.get_mut(service) {
+            Some(shares) => shares,
+            None => shares.entry(service.clone()).or_default(),
+        };
+        shares.record(class.level, class.is_bound);
+    }
+
+    /// Returns the shares of the requests of a service that are bound to a part of the regions.
+    pub fn bound_shares(&self, service: &ServiceName) -> BoundShares {
+        self.bound_shares.lock().get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the measured performance of a service's upstreams, with the fetch rate from the
     /// description (0 if the description has none).
     pub fn performance(&self, service: &ServiceName, view: &GatewayView) -> ServicePerformance {
