--- a/crates/foldhaven-core/src/opaque/region_room.rs
+++ b/crates/foldhaven-core/src/opaque/region_room.rs
@@ -13,6 +13,10 @@
 /// The weight of a new request in the shares of [`BoundShares`].
 const SHARE_WEIGHT: f64 = 0.02;
 
+/// A level counts with at least one in this many slots, also while more urgent requests take nearly
+/// all: their number changes faster than reports arrive.
+const MIN_CAPACITY_PART: u32 = 4;
+
 /// The room of a region for the requests of one level, as told to other regions.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelRoom {
@@ -23,6 +27,8 @@
     pub surplus: i32,
     /// The slots that are not taken by more urgent requests.
     pub capacity: u32,
+    /// Whether the region sends requests of the level to others.
+    pub is_sent_away: bool,
 }
 
 impl LevelRoom {
@@ -81,6 +87,7 @@
         let slots: u32 = self.queues.iter().map(|queue| queue.slots).sum();
         let more_urgent: u32 =
             self.queues.iter().map(|queue| queue.levels.in_flight_above(level)).sum();
+        let left = slots.saturating_sub(more_urgent);
         let interval = REGION_INTERVAL.div_duration_f64(self.slot_time.max(REGION_INTERVAL));
         let soon_free = f64::from(self.less_urgent_in_flight(level)) * interval;
         let waiting: u32 = self.waiting[..=level.index()].iter().sum();
@@ -88,7 +95,8 @@
         LevelRoom {
             level,
             surplus: (supply - f64::from(waiting)) as i32,
-            capacity: (f64::from(slots.saturating_sub(more_urgent)) * self.scale) as u32,
+            capacity: (f64::from(left.max(slots / MIN_CAPACITY_PART)) * self.scale) as u32,
+            is_sent_away: false,
         }
     }
 
@@ -121,10 +129,11 @@
         *share += (f64::from(u8::from(is_bound)) - *share) * SHARE_WEIGHT;
     }
 
-    /// Returns the slots to keep free for bound requests: as many as they hold, so that their
-    /// number can double.
-    pub fn needed_slots(&self, in_flight: &[f64; LEVEL_COUNT]) -> u32 {
-        let held = self.shares.iter().zip(in_flight).map(|(share, count)| share * count);
-        held.sum::<f64>().round() as u32
+    /// Returns the slots to keep free at each level for bound requests that are not more urgent: as
+    /// many as they hold, so that their number can double. More urgent ones go first by their level.
+    pub fn needed_slots(&self, in_flight: &[f64; LEVEL_COUNT]) -> [u32; LEVEL_COUNT] {
+        let held = |index: usize| self.shares[index] * in_flight[index];
+        let from = |index: usize| (index..LEVEL_COUNT).map(held).sum::<f64>();
+        std::array::from_fn(|index| from(index).round() as u32)
     }
 }
--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -21,8 +21,7 @@
 
 /// The maximum age of a told room.
 const MAX_ROOM_AGE: Duration = Duration::from_millis(1_000);
-/// A region offers no room for a level for this time after it had to send requests of it away.
-/// Reports take up to half of it to arrive, so that two regions do not exchange their requests.
+/// A region takes in no requests of a level for this time after it had to send some away.
 const SENDING_TIME: Duration = Duration::from_millis(500);
 /// The share of the excess requests that are under way at a time: several regions may send to the
 /// same one.
@@ -58,7 +57,8 @@
     fn from(report: RoomReport) -> Self {
         let of_service = |(service, room): (ServiceTag, ServiceRoom)| {
             let surplus = i32::try_from(room.slots).unwrap_or(i32::MAX);
-            let room = |level| LevelRoom { level, surplus, capacity: room.slots };
+            let room =
+                |level| LevelRoom { level, surplus, capacity: room.slots, is_sent_away: false };
             (service, PriorityLevel::all().map(room).collect())
         };
         Self {
@@ -90,8 +90,7 @@
     pub sequence: u32,
     /// Whether a VM of the receiver's region relays it.
     pub is_relayed: bool,
-    /// The room for requests of other regions, by service and level. Levels that the region sends
-    /// away itself are not named.
+    /// The room for requests of other regions, by service and level.
     pub rooms: Vec<(ServiceTag, Vec<LevelRoom>)>,
 }
 
@@ -100,8 +99,8 @@
 pub struct OwnRoom {
     /// The room for each level.
     pub rooms: [LevelRoom; LEVEL_COUNT],
-    /// The slots that are kept for requests bound to a part of the regions.
-    pub bound_slots: u32,
+    /// The slots that are kept at each level for requests bound to a part of the regions.
+    pub bound_slots: [u32; LEVEL_COUNT],
     /// The share of the region's requests of each level that this VM sends.
     pub parts: [f64; LEVEL_COUNT],
 }
@@ -148,6 +147,13 @@
     }
 }
 
+/// A time in which requests of a level have to leave this region.
+#[derive(Debug, Clone, Copy)]
+struct SendingPeriod {
+    began: MonoTime,
+    last: MonoTime,
+}
+
 /// What may be sent to a region at one level.
 #[derive(Debug, Clone, Copy, Default)]
 struct SendQuota {
@@ -190,8 +196,8 @@
 pub struct RemoteRooms {
     newest: HashMap<(RegionName, VmTag), (IncarnationId, u32)>,
     rooms: HashMap<(RegionName, ServiceTag), RemoteRoom>,
-    /// When requests of a level last had to leave this region.
-    sending: HashMap<(ServiceTag, PriorityLevel), MonoTime>,
+    /// Since when requests of a level have to leave this region.
+    sending: HashMap<(ServiceTag, PriorityLevel), SendingPeriod>,
 }
 
 impl RemoteRooms {
@@ -236,14 +242,17 @@
         let mut quotas = [SendQuota::default(); LEVEL_COUNT];
         for there in rooms {
             let index = there.level.index();
-            let here = own.rooms[index].without(own.bound_slots);
+            let here = own.rooms[index].without(own.bound_slots[index]);
             let excess = here.excess_over(there);
-            if here.surplus >= 0 || excess < 1.0 {
+            if here.surplus >= 0 || excess < 1.0 || there.is_sent_away {
                 continue;
             }
             let gap = here.pressure() - there.pressure();
             if gap > self.min_gap(service, there.level, now) {
-                self.sending.insert((service, there.level), now);
+                self.record_sending(service, there.level, now);
+            }
+            if !self.is_known_as_sender(service, &here, now) {
+                continue;
             }
             let unseen = unseen.count_through(there.level) as f64 * here.share_of_both(there);
             quotas[index] = SendQuota {
@@ -255,9 +264,29 @@
         quotas
     }
 
+    fn record_sending(&mut self, service: ServiceTag, level: PriorityLevel, now: MonoTime) {
+        let began = match self.is_sending(service, level, now) {
+            true => self.sending[&(service, level)].began,
+            false => now,
+        };
+        self.sending.insert((service, level), SendingPeriod { began, last: now });
+    }
+
     fn is_sending(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> bool {
-        let last = self.sending.get(&(service, level));
-        last.is_some_and(|last| now.since(*last) < SENDING_TIME)
+        let period = self.sending.get(&(service, level));
+        period.is_some_and(|period| now.since(period.last) < SENDING_TIME)
+    }
+
+    /// Whether no other region sends requests of a level here any more, because none is
+    /// short of room or has sent any away, or all have been told that this region does.
+    fn is_known_as_sender(&self, service: ServiceTag, here: &LevelRoom, now: MonoTime) -> bool {
+        let is_told = |room: &&RemoteRoom| now.since(room.received) <= MAX_ROOM_AGE;
+        let told = self.rooms.iter().filter(|((_, tag), _)| *tag == service).map(|(_, it)| it);
+        let of_level = told.filter(is_told).flat_map(|room| &room.rooms);
+        let mut others = of_level.filter(|room| room.level == here.level);
+        let may_get_more = others.any(|room| room.is_sent_away || room.surplus < 0);
+        let period = self.sending.get(&(service, here.level));
+        !may_get_more || period.is_some_and(|period| now.since(period.began) >= UNSEEN_TIME)
     }
 
     fn min_gap(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> f64 {
@@ -267,12 +296,13 @@
         }
     }
 
-    /// Returns the levels for which this region offers room to others: those in use that it does
-    /// not send away itself.
-    pub fn offered(&self, service: ServiceTag, own: &OwnRoom, now: MonoTime) -> Vec<LevelRoom> {
-        let is_offered = |room: &&LevelRoom| !self.is_sending(service, room.level, now);
-        let offered = own.rooms.iter().filter(is_offered);
-        offered.map(|room| room.without(own.bound_slots)).collect()
+    /// Returns the room of this region as told to others.
+    pub fn told_rooms(&self, service: ServiceTag, own: &OwnRoom, now: MonoTime) -> Vec<LevelRoom> {
+        let told = |room: &LevelRoom| LevelRoom {
+            is_sent_away: self.is_sending(service, room.level, now),
+            ..room.without(own.bound_slots[room.level.index()])
+        };
+        own.rooms.iter().map(told).collect()
     }
 
     /// Whether a request should go to a region rather than wait here.
