--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -20,6 +20,9 @@
     VmTag,
 };
 use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::region_reports::REGION_INTERVAL;
+use foldhaven_core::opaque::region_room::LevelRoom;
+use foldhaven_core::opaque::remote_room::LevelRoomReport;
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::{AgreementNotice, AgreementRound, ListDigest};
@@ -223,6 +226,44 @@
     assert!(received < 125_000.0, "{bytes} bytes, {received} bytes/s");
 }
 
+/// Returns the room of a region for all levels of some services.
+fn level_rooms(services: u32) -> PeerMessage {
+    let room = |level| LevelRoom { level, surplus: -300, capacity: 1_120, is_sent_away: true };
+    let of_service = |service| (ServiceTag(service), PriorityLevel::all().map(room).collect());
+    PeerMessage::LevelRooms(LevelRoomReport {
+        region: "north".parse().unwrap(),
+        delegate: VmTag(1),
+        incarnation: IncarnationId(2),
+        sequence: 3,
+        is_relayed: false,
+        rooms: (0..services).map(of_service).collect(),
+    })
+}
+
+/// Returns the room of a region for one level of a service.
+fn level_rooms_of_one_level() -> PeerMessage {
+    let PeerMessage::LevelRooms(mut report) = level_rooms(1) else { unreachable!() };
+    report.rooms[0].1.truncate(1);
+    PeerMessage::LevelRooms(report)
+}
+
+// Guards against rooms that take a part of the link of a small VM, 10 Mbit/s, that grows with the
+// number of upstreams, or that take more than a hundredth of it to relay to a whole region.
+#[rstest]
+#[case::size(72, 147)]
+#[case::twice_the_size(144, 300)]
+fn told_rooms_are_small(#[case] vms: usize, #[case] upstreams: usize) {
+    let (regions, delegates, services) = (3, 3, 2);
+    let bytes = level_rooms(services).bytes().unwrap().len();
+    assert!(bytes < 2 * upstreams, "{bytes} bytes for {upstreams} upstreams");
+    let reports_per_s = (regions - 1) * delegates * 1_000 / REGION_INTERVAL.as_millis() as usize;
+    let received = bytes * reports_per_s;
+    assert!(received < 12_500, "{received} bytes/s at each VM");
+    // Delegates choose the receivers by turns, so that all VMs relay in the mean equally often.
+    let relayed = received * (vms / regions - 1) / (vms / regions);
+    assert!(relayed < 12_500, "{relayed} bytes/s relayed by each VM");
+}
+
 /// The bytes of each message kind as this version writes them.
 #[rstest]
 #[case::beat(
@@ -240,6 +281,7 @@
 #[case::limits(limits(), "0d020101000000000000044003020003")]
 #[case::leavers(leavers(), "0e020103fb2c0103")]
 #[case::speeds(speeds(1), "1401020301fcffffffff0000c03f000020400000000000000000")]
+#[case::level_rooms(level_rooms_of_one_level(), "17056e6f7274680102030001000100fb5702fb600401")]
 #[case::keyed_changes(
     keyed_changes(),
     "03040502050701000001010000000001036f6e65036f6e65019584d52f48e0eb0e4eac57c18668befb010101056e6f72746801000000000000000040000000000000084001046f70656e05080102000000000001"
@@ -278,6 +320,7 @@
         leavers(),
         speeds(2),
         levels(2),
+        level_rooms(2),
         keyed_changes(),
     ];
     for message in messages {
