--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -346,7 +346,8 @@
         let told = of_service.filter_map(|((region, _), room)| {
             let level_room = room.rooms.iter().find(|it| it.level == level)?;
             let age = now.since(room.received);
-            Some(ToldRoom { region: region.clone(), room: *level_room, age })
+            let gap = room.quotas[level.index()].gap;
+            Some(ToldRoom { region: region.clone(), room: *level_room, gap, age })
         });
         let mut told: Vec<ToldRoom> = told.collect();
         told.sort_by(|left, right| left.region.cmp(&right.region));
@@ -371,14 +372,17 @@
     pub region: RegionName,
     /// The room.
     pub room: LevelRoom,
+    /// By how much the pressure was higher here. 0 unless this region was short.
+    pub gap: f64,
     /// The time since the report arrived.
     pub age: Duration,
 }
 
 impl fmt::Display for ToldRoom {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { region, room, age } = self;
+        let Self { region, room, gap, age } = self;
         let LevelRoom { surplus, capacity, .. } = room;
-        write!(formatter, "{region} {surplus} of {capacity} slots {} ms ago", age.as_millis())
+        let age = age.as_millis();
+        write!(formatter, "{region} {surplus} of {capacity} slots, gap {gap:.2}, {age} ms ago")
     }
 }
