--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -28,7 +28,7 @@
 const MAX_FREE_PRESSURE: f64 = -0.25;
 /// The share of the excess requests that are under way at a time: several regions may send to the
 /// same one.
-const GAIN: f64 = 0.5;
+const GAIN: f64 = 1.0;
 /// The time until a report shows a request that was sent to its region: the interval between two
 /// reports, and the way of both.
 const UNSEEN_TIME: Duration = Duration::from_millis(350);
