--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -28,7 +28,7 @@
 const MAX_FREE_PRESSURE: f64 = -0.25;
 /// The share of the excess requests that are under way at a time: several regions may send to the
 /// same one.
-const GAIN: f64 = 1.0;
+const GAIN: f64 = 0.5;
 /// The time until a report shows a request that was sent to its region: the interval between two
 /// reports, and the way of both.
 const UNSEEN_TIME: Duration = Duration::from_millis(350);
@@ -251,6 +251,10 @@
                 continue;
             }
             let gap = here.pressure() - there.pressure();
+            if self.highest_pressure(service, there.level, now) - here.pressure() > gap {
+                // It rather takes requests of the region that is shortest of room.
+                continue;
+            }
             if gap > self.min_gap(service, there.level, now) {
                 self.record_sending(service, there.level, now);
             }
@@ -280,15 +284,28 @@
         period.is_some_and(|period| now.since(period.last) < SENDING_TIME)
     }
 
-    /// Whether no other region sends requests of a level here any more, because all
-    /// have room left and none has sent any away, or all have been told that this region does.
+    /// Returns what other regions have told of a level.
+    fn told_of_level(
+        &self,
+        service: ServiceTag,
+        level: PriorityLevel,
+        now: MonoTime,
+    ) -> impl Iterator<Item = &LevelRoom> {
+        let of_service = self.rooms.iter().filter(move |((_, tag), _)| *tag == service);
+        let told = of_service.filter(move |(_, it)| now.since(it.received) <= MAX_ROOM_AGE);
+        told.flat_map(|(_, room)| &room.rooms).filter(move |room| room.level == level)
+    }
+
+    fn highest_pressure(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> f64 {
+        let told = self.told_of_level(service, level, now);
+        told.map(LevelRoom::pressure).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// Whether no other region sends requests of a level here any more, because all have room left
+    /// and none has sent any away, or all have been told that this region does.
     fn is_known_as_sender(&self, service: ServiceTag, here: &LevelRoom, now: MonoTime) -> bool {
-        let is_told = |room: &&RemoteRoom| now.since(room.received) <= MAX_ROOM_AGE;
-        let told = self.rooms.iter().filter(|((_, tag), _)| *tag == service).map(|(_, it)| it);
-        let of_level = told.filter(is_told).flat_map(|room| &room.rooms);
-        let mut others = of_level.filter(|room| room.level == here.level);
-        let may_get_more =
-            others.any(|room| room.is_sent_away || room.pressure() > MAX_FREE_PRESSURE);
+        let may_send = |room: &LevelRoom| room.is_sent_away || room.pressure() > MAX_FREE_PRESSURE;
+        let may_get_more = self.told_of_level(service, here.level, now).any(may_send);
         let period = self.sending.get(&(service, here.level));
         !may_get_more || period.is_some_and(|period| now.since(period.began) >= UNSEEN_TIME)
     }
--- a/crates/foldhaven-core/tests/testsuite/opaque_remote_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_remote_rooms.rs
@@ -177,6 +177,21 @@
     }
 }
 
+// Guards against a region that is a little short, sends requests away and therefore gets none of the
+// region that is much shorter of room.
+#[test]
+fn a_region_takes_from_the_shortest_one_rather_than_send() {
+    let mut remote = RemoteRooms::default();
+    let mut shortest = report("s", 1, -200);
+    shortest.region = "bengal".parse().unwrap();
+    remote.apply(&shortest, short_of(50, 1.0), 0.0, at(0));
+    remote.apply(&report("a", 1, 10), short_of(50, 1.0), 0.0, at(0));
+    let own = short_of(50, 1.0)(SERVICE).unwrap();
+    assert!(remote.told_rooms(SERVICE, &own, at(0)).iter().all(|room| !room.is_sent_away));
+    remote.apply(&report("a", 2, 10), short_of(150, 1.0), 0.0, at(10));
+    assert!(remote.told_rooms(SERVICE, &own, at(10)).iter().all(|room| room.is_sent_away));
+}
+
 // Guards against less urgent requests elsewhere that keep urgent ones waiting here.
 #[test]
 fn less_urgent_requests_do_not_count() {
