--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -37,6 +37,7 @@
 pub mod request_class;
 pub mod request_fingerprint;
 pub mod retry_share;
+pub mod room_reports;
 pub mod round_trip;
 pub mod route_delta;
 pub mod route_history;
--- a/crates/foldhaven-core/src/opaque/region_room.rs
+++ b/crates/foldhaven-core/src/opaque/region_room.rs
@@ -141,3 +141,37 @@
         std::array::from_fn(needed)
     }
 }
+
+/// The room of a service in the own region, when a report of another one arrives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OwnRoom {
+    /// The room for each level.
+    pub rooms: [LevelRoom; LEVEL_COUNT],
+    /// The slots that are kept at each level for requests bound to a part of the regions.
+    pub bound_slots: [u32; LEVEL_COUNT],
+    /// The share of the region's requests of each level that this VM sends.
+    pub parts: [f64; LEVEL_COUNT],
+}
+
+impl OwnRoom {
+    /// Returns the room of a region with `senders` VMs, at one of which `own_waiting` of its waiting
+    /// requests wait.
+    pub fn new(
+        region: &RegionQueues<'_>,
+        bound: &BoundShares,
+        own_waiting: &[u32; LEVEL_COUNT],
+        senders: usize,
+    ) -> Self {
+        let part = |index: usize| {
+            let own: u32 = own_waiting[..=index].iter().sum();
+            let all: u32 = region.waiting[..=index].iter().sum();
+            // Requests also leave before any waits: then each VM has the same part.
+            (f64::from(own) + 1.0) / (f64::from(all) + senders.max(1) as f64)
+        };
+        Self {
+            rooms: region.level_rooms(),
+            bound_slots: bound.needed_slots(&region.in_flight()),
+            parts: std::array::from_fn(part),
+        }
+    }
+}
--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -9,14 +9,12 @@
 use std::fmt;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::ids::{IncarnationId, RegionName};
 use crate::opaque::peer_table::{ServiceTag, VmTag};
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
-use crate::opaque::region_room::{BoundShares, LevelRoom, RegionQueues};
+use crate::opaque::region_room::{LevelRoom, OwnRoom};
 use crate::opaque::request_class::RequestClass;
-use crate::opaque::service_room::ServiceRoom;
+use crate::opaque::room_reports::LevelRoomReport;
 use crate::time::MonoTime;
 
 /// The maximum age of a told room.
@@ -38,99 +36,6 @@
 /// What the minimum difference is multiplied by while requests are being sent away.
 const SENDING_GAP_FACTOR: f64 = 0.5;
 
-/// The report of a delegate about the room in its region, as earlier daemons send it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RoomReport {
-    /// The region.
-    pub region: RegionName,
-    /// The delegate.
-    pub delegate: VmTag,
-    /// Its process incarnation.
-    pub incarnation: IncarnationId,
-    /// Increases with each report of one incarnation.
-    pub sequence: u32,
-    /// Whether a VM of the receiver's region relays it.
-    pub is_relayed: bool,
-    /// The room for the least urgent requests, by service, if no requests wait.
-    pub rooms: Vec<(ServiceTag, ServiceRoom)>,
-}
-
-impl From<RoomReport> for LevelRoomReport {
-    /// Room for the least urgent requests is room for all.
-    fn from(report: RoomReport) -> Self {
-        let of_service = |(service, room): (ServiceTag, ServiceRoom)| {
-            let surplus = i32::try_from(room.slots).unwrap_or(i32::MAX);
-            let room =
-                |level| LevelRoom { level, surplus, capacity: room.slots, is_sent_away: false };
-            (service, PriorityLevel::all().map(room).collect())
-        };
-        Self {
-            region: report.region,
-            delegate: report.delegate,
-            incarnation: report.incarnation,
-            sequence: report.sequence,
-            is_relayed: report.is_relayed,
-            rooms: report
-                .rooms
-                .into_iter()
-                .filter(|(_, it)| !it.is_empty())
-                .map(of_service)
-                .collect(),
-        }
-    }
-}
-
-/// The report of a delegate about the room in its region for each level.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LevelRoomReport {
-    /// The region.
-    pub region: RegionName,
-    /// The delegate.
-    pub delegate: VmTag,
-    /// Its process incarnation.
-    pub incarnation: IncarnationId,
-    /// Increases with each report of one incarnation.
-    pub sequence: u32,
-    /// Whether a VM of the receiver's region relays it.
-    pub is_relayed: bool,
-    /// The room for requests of other regions, by service and level.
-    pub rooms: Vec<(ServiceTag, Vec<LevelRoom>)>,
-}
-
-/// The room of a service in the own region, when a report of another one arrives.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct OwnRoom {
-    /// The room for each level.
-    pub rooms: [LevelRoom; LEVEL_COUNT],
-    /// The slots that are kept at each level for requests bound to a part of the regions.
-    pub bound_slots: [u32; LEVEL_COUNT],
-    /// The share of the region's requests of each level that this VM sends.
-    pub parts: [f64; LEVEL_COUNT],
-}
-
-impl OwnRoom {
-    /// Returns the room of a region with `senders` VMs, at one of which `own_waiting` of its waiting
-    /// requests wait.
-    pub fn new(
-        region: &RegionQueues<'_>,
-        bound: &BoundShares,
-        own_waiting: &[u32; LEVEL_COUNT],
-        senders: usize,
-    ) -> Self {
-        let part = |index: usize| {
-            let own: u32 = own_waiting[..=index].iter().sum();
-            let all: u32 = region.waiting[..=index].iter().sum();
-            // Requests also leave before any waits: then each VM has the same part.
-            (f64::from(own) + 1.0) / (f64::from(all) + senders.max(1) as f64)
-        };
-        Self {
-            rooms: region.level_rooms(),
-            bound_slots: bound.needed_slots(&region.in_flight()),
-            parts: std::array::from_fn(part),
-        }
-    }
-}
-
 /// What it costs to send a request to another region.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct SendCost {
--- a/crates/foldhaven-core/tests/testsuite/region_model.rs
+++ b/crates/foldhaven-core/tests/testsuite/region_model.rs
@@ -8,9 +8,10 @@
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
-use foldhaven_core::opaque::region_room::{BoundShares, RegionQueues};
-use foldhaven_core::opaque::remote_room::{LevelRoomReport, OwnRoom, RemoteRooms, SendCost};
+use foldhaven_core::opaque::region_room::{BoundShares, OwnRoom, RegionQueues};
+use foldhaven_core::opaque::remote_room::{RemoteRooms, SendCost};
 use foldhaven_core::opaque::request_class::RequestClass;
+use foldhaven_core::opaque::room_reports::LevelRoomReport;
 use foldhaven_core::opaque::service_room::RoomLimits;
 
 use crate::opaque_support::at;
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -10,8 +10,8 @@
 use foldhaven_core::opaque::load_reports::{LevelReport, LoadReport, report_interval};
 use foldhaven_core::opaque::peer_table::{PeerHeartbeat, PeerPhase, ServiceTag, VmTag};
 use foldhaven_core::opaque::region_reports::{REGION_INTERVAL, RegionReport, VM_LIST_EVERY};
-use foldhaven_core::opaque::remote_room::LevelRoomReport;
 use foldhaven_core::opaque::report_planner::{ReportBatch, ReportTarget, ReportUpdates};
+use foldhaven_core::opaque::room_reports::LevelRoomReport;
 use xtra::{Context, Handler};
 
 use super::ControlActor;
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -33,8 +33,8 @@
     SenderView, VmTag,
 };
 use foldhaven_core::opaque::region_reports::{RegionReport, RegionReportTable};
-use foldhaven_core::opaque::remote_room::LevelRoomReport;
 use foldhaven_core::opaque::report_planner::ReportPlanner;
+use foldhaven_core::opaque::room_reports::LevelRoomReport;
 use foldhaven_core::opaque::route_table::{RouteTable, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::SenderAgreement;
 use foldhaven_core::opaque::slot_share::RecentSenders;
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -16,7 +16,7 @@
     HeartbeatMessage, RevisionAnnouncement, ViewDigest, ViewList,
 };
 use foldhaven_core::opaque::region_reports::RegionReport;
-use foldhaven_core::opaque::remote_room::{LevelRoomReport, RoomReport};
+use foldhaven_core::opaque::room_reports::{LevelRoomReport, RoomReport};
 use foldhaven_core::opaque::sender_agreement::AgreementNotice;
 use foldhaven_core::opaque::speed_reports::SpeedReport;
 use foldhaven_core::opaque::stream_origins::{AttemptTag, OriginAnswer, OriginNotice};
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -22,7 +22,7 @@
 use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::region_reports::REGION_INTERVAL;
 use foldhaven_core::opaque::region_room::LevelRoom;
-use foldhaven_core::opaque::remote_room::LevelRoomReport;
+use foldhaven_core::opaque::room_reports::LevelRoomReport;
 use foldhaven_core::opaque::route_delta::RouteDelta;
 use foldhaven_core::opaque::route_table::{CallerLimits, RouteDescription, RouteVersion};
 use foldhaven_core::opaque::sender_agreement::{AgreementNotice, AgreementRound, ListDigest};
