--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -28,7 +28,10 @@
 mod opaque_prompts;
 mod opaque_readers;
 mod opaque_refusals;
+mod opaque_regions;
 mod opaque_remote;
+mod opaque_remote_rooms;
+
 mod opaque_reports;
 mod opaque_return_peak;
 mod opaque_return_times;
@@ -52,6 +55,7 @@
 mod opaque_waiting_shares;
 mod placement;
 mod refusals;
+mod region_model;
 mod residency;
 mod routing;
 mod tickets;
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -32,7 +32,7 @@
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
         }
-        if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
+        if has_remote_room(&self.shared, view, &self.job) {
             return Ok(Some(RoomRule::OtherRegion));
         }
         self.check_expected_wait(ticket, view, now)?;
@@ -47,6 +47,12 @@
         view: &GatewayView,
         now: MonoTime,
     ) -> Result<Option<RoomRule>, Refusal> {
+        if !self.job.is_forwarded {
+            self.shared.record_class(&self.job.service, &class);
+        }
+        if has_remote_room(&self.shared, view, &self.job) {
+            return Ok(Some(RoomRule::OtherRegion));
+        }
         let request = self.waiting_request(class, now);
         let room = self.shared.waiting_rooms.room(&self.job.service);
         if !std::mem::replace(&mut self.has_arrived, true) {
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -40,14 +40,6 @@
         room
     }
 
-    /// Returns the number of waiting requests by service.
-    pub fn totals(&self, now: MonoTime) -> HashMap<ServiceTag, u32> {
-        let total = |levels: &[(PriorityLevel, u16)]| {
-            levels.iter().map(|(_, count)| u32::from(*count)).sum::<u32>()
-        };
-        self.counts(now).iter().map(|(service, levels)| (*service, total(levels))).collect()
-    }
-
     /// Returns the number of waiting requests by service and level.
     pub fn counts(&self, now: MonoTime) -> WaitingCounts {
         let rooms = self.rooms.lock();
