--- a/crates/foldhaven-core/src/opaque/choice/cost.rs
+++ b/crates/foldhaven-core/src/opaque/choice/cost.rs
@@ -88,6 +88,10 @@
     pub decode_slowdown: f64,
     /// Recent failures of the candidate beyond the usual share of the routes.
     pub failures: f64,
+    /// The risk that the request takes the last place in the candidate's queue from another one, or
+    /// finds none.
+    #[serde(default)]
+    pub overflow: f64,
     /// Transferring the body to the candidate.
     #[serde(rename = "moving")]
     pub transfer: f64,
@@ -96,7 +100,7 @@
 impl CostBreakdown {
     /// Returns the cost to the other requests at the candidate.
     pub fn interference(&self) -> f64 {
-        self.prefill_interference + self.decode_slowdown
+        self.prefill_interference + self.decode_slowdown + self.overflow
     }
 
     /// Returns the sum of all costs.
@@ -122,6 +126,6 @@
 
 /// Returns the probability that a value exceeds its limit. `ratio` is the expected value divided by
 /// the limit, and `spread` is the spread around it.
-pub(super) fn exceedance_probability(ratio: f64, spread: f64) -> f64 {
+pub(crate) fn exceedance_probability(ratio: f64, spread: f64) -> f64 {
     1.0 / (1.0 + (-(ratio - 1.0) / spread).exp())
 }
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -12,6 +12,7 @@
 pub use self::cost::{
     CostBreakdown, LATE_VALUE_LOSS, RequestCost, lateness_probability, long_pause_probability,
 };
+pub(crate) use self::cost::exceedance_probability;
 use self::pricer::UpstreamPricer;
 pub use self::pricer::{decode_slowdown_cost, pause_cost, streaming_cost};
 use self::sample::{ReportStaleness, sample_candidates};
--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -95,7 +95,10 @@
         let time_for = |rank| performance.time_to_first(ahead, rank, prefill_tokens);
         let usual = time_for(QueueRank::Timely).mul_f64(candidate.latency_factor);
         let timely = candidate.slowdown.delay(usual) + fetch_time;
-        let rank = query.rank(timely);
+        let rank = match performance.work_time {
+            Some(_) => QueueRank::Timely,
+            None => query.rank(timely),
+        };
         let time_to_first = match rank {
             QueueRank::Timely => timely,
             // The latency factor is measured on timely requests only.
@@ -121,6 +124,7 @@
             )
             .0,
             failures: candidate.failure_share,
+            overflow: performance.overflow_risk(candidate.queue),
             transfer: candidate.transfer_cost,
         };
         let has_free_slot = candidate.queue.in_flight < candidate.queue.slots;
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -12,6 +12,7 @@
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use crate::opaque::short_slowdown::SlowdownMonitor;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
+use crate::opaque::work_time::WorkTime;
 use crate::time::MonoTime;
 
 /// The time for which a request occupies a slot, before any measurement.
@@ -85,6 +86,14 @@
         }
     }
 
+    /// Returns how many times all slots become free once before the upstream starts a new request
+    /// of a rank.
+    pub fn slot_turns(&self, rank: QueueRank) -> f64 {
+        let slots = self.slots.max(1);
+        let excess = (self.ahead_of(rank) + 1).saturating_sub(slots);
+        f64::from(excess) / f64::from(slots)
+    }
+
     /// Returns the number of requests ahead of a new request of a rank.
     pub fn ahead_of(&self, rank: QueueRank) -> u32 {
         match rank {
@@ -104,6 +113,9 @@
     pub fetch_tokens_per_s: f64,
     /// The mean time for which a request occupies a slot.
     pub slot_time: Duration,
+    /// The time that an upstream works on a request before it answers it as a whole. `None` if
+    /// requests have prompts or are answered with streams.
+    pub work_time: Option<WorkTime>,
     /// The mean size of requests in tokens.
     pub mean_size: f64,
     /// The interval between the events of a stream.
@@ -124,6 +136,7 @@
             prefill_rate: PrefillRate::default(),
             fetch_tokens_per_s: 0.0,
             slot_time: INITIAL_SLOT_TIME,
+            work_time: None,
             mean_size: INITIAL_MEAN_SIZE,
             event_interval: EventIntervalModel::default(),
             pause_statistics: PauseStatistics::default(),
@@ -152,6 +165,29 @@
             self.slot_time.mul_f64(1.0 - SLOT_TIME_WEIGHT) + occupied.mul_f64(SLOT_TIME_WEIGHT);
     }
 
+    /// Returns the performance for requests that are answered as a whole and have no prompt.
+    ///
+    /// Upstreams run these in order of arrival, whatever their rank.
+    pub fn for_plain_requests(self) -> Self {
+        let work_time = self.work_time.unwrap_or_default();
+        Self { slot_time: work_time.mean(), work_time: Some(work_time), ..self }
+    }
+
+    /// Returns the performance for other requests.
+    pub fn for_model_requests(self) -> Self {
+        Self { work_time: None, ..self }
+    }
+
+    /// Records the time to the answer of a request without a prompt, at an upstream that had `queue`
+    /// when the request was sent.
+    pub fn record_work(&mut self, queue: QueueState, took: Duration) {
+        let took = took.saturating_sub(MIN_RESPONSE_TIME);
+        let mut work_time = self.work_time.unwrap_or_default();
+        work_time.record(took, queue.slot_turns(QueueRank::Timely));
+        self.work_time = Some(work_time);
+        self.slot_time = work_time.mean();
+    }
+
     /// Records the time to the first answer of a request at an upstream that had a free slot.
     /// `tokens` is the number of prompt tokens to prefill before the answer, including those of the
     /// request itself.
@@ -221,18 +257,23 @@
         Some(FETCH_SETUP + Duration::from_secs_f64(f64::from(tokens) / self.fetch_tokens_per_s))
     }
 
+    /// Returns the risk that an upstream with this queue is full when a request without a prompt
+    /// arrives. Zero for other requests, which wait at the VM for room.
+    pub fn overflow_risk(&self, queue: QueueState) -> f64 {
+        self.work_time.map_or(0.0, |_| self.queue_capacity.overflow_risk(queue))
+    }
+
     /// Returns the expected wait until the upstream starts a new request of a rank.
     pub fn wait(&self, queue: QueueState, rank: QueueRank) -> Duration {
-        let slots = queue.slots.max(1);
-        let excess = (queue.ahead_of(rank) + 1).saturating_sub(slots);
-        let slot_wait = self.slot_time.mul_f64(f64::from(excess) / f64::from(slots));
+        let slot_wait = self.slot_time.mul_f64(queue.slot_turns(rank));
         slot_wait + self.prefill_time(queue.prefill_backlog.ahead_of(rank))
     }
 
     /// Returns the expected time to the answer, or to its first event, of a request of a rank with
     /// a number of prompt tokens to prefill.
     pub fn time_to_first(&self, queue: QueueState, rank: QueueRank, tokens: u32) -> Duration {
-        MIN_RESPONSE_TIME + self.wait(queue, rank) + self.prefill_time(tokens)
+        let work = self.work_time.map_or(Duration::ZERO, |work_time| work_time.mean());
+        MIN_RESPONSE_TIME + self.wait(queue, rank) + self.prefill_time(tokens) + work
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/queue_capacity.rs
+++ b/crates/foldhaven-core/src/opaque/queue_capacity.rs
@@ -4,6 +4,7 @@
 //! sent to another full one. On a day with such a peak, 20,600 of 105,600 arrivals were refused, at
 //! upstreams that the VM believed to have 37 to 49 requests while they accept at most 48.
 
+use crate::opaque::choice::exceedance_probability;
 use crate::opaque::performance::QueueState;
 
 /// The weight of a new observation in the limit. It is low because load reports are tens of
@@ -12,6 +13,10 @@
 /// Minimum limit as a multiple of the slots. An upstream that refuses a request with fewer requests
 /// has another reason.
 const MIN_LIMIT_RATIO: f64 = 1.5;
+/// The spread of an upstream's actual queue around the reported one, as a fraction of the limit. At
+/// a limit of 30, reports 80 ms old and 100 requests per second, as many requests as this arrive and
+/// end between two reports.
+const REPORT_SPREAD: f64 = 0.15;
 
 /// The estimated number of requests that an upstream accepts.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -50,6 +55,13 @@
         queue.in_flight.max(limit as u32)
     }
 
+    /// Returns the probability that an upstream is full when a request arrives that was sent while
+    /// the upstream had this queue. Zero before an upstream has refused a request.
+    pub fn overflow_risk(&self, queue: QueueState) -> f64 {
+        let Some(limit) = self.limit else { return 0.0 };
+        exceedance_probability(f64::from(queue.in_flight + 1) / limit.max(1.0), REPORT_SPREAD)
+    }
+
     /// Returns whether an upstream with this queue would probably refuse a request.
     pub fn is_full(&self, queue: QueueState) -> bool {
         self.limit.is_some_and(|limit| f64::from(queue.in_flight) >= limit)
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
@@ -50,6 +51,8 @@
     pub time: Duration,
     /// The rank of the request at the destination.
     pub rank: QueueRank,
+    /// The queue of the destination.
+    pub queue: QueueState,
     /// The prompt tokens to prefill before the answer, if prefill accounts for the whole time.
     pub prefill_before_answer: Option<u32>,
 }
@@ -269,7 +272,7 @@
         // Only an answer of the kind that the route expects counts as a success of its destination.
         if !self.job.route.repeat.is_stream() {
             self.record_time_to_first(&destination, expected, sent);
-            self.record_success(&destination, sent);
+            self.record_success(&destination, expected, sent);
         }
         AttemptOutcome::Answered(complete)
     }
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -102,12 +102,20 @@
     }
 
     /// Records that a destination answered completely.
-    pub fn record_success(&self, destination: &RequestDestination, sent: BootInstant) {
+    pub fn record_success(
+        &self,
+        destination: &RequestDestination,
+        expected: FirstResponseEstimate,
+        sent: BootInstant,
+    ) {
         if let RequestDestination::Upstream(upstream) = destination {
             let usual = self.record_route_end(false);
             upstream.performance.lock().record_end(false, usual, self.shared.now());
             upstream.health.lock().record_success();
-            self.shared.record_slot_time(upstream, sent.elapsed());
+            match self.job.is_plain() {
+                true => self.shared.record_work(upstream, expected.queue, sent.elapsed()),
+                false => self.shared.record_slot_time(upstream, sent.elapsed()),
+            }
         }
     }
 
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -82,7 +82,8 @@
         }
         let answer = opened?;
         let software = software_of(&answer, &destination);
-        let expected = FirstResponseEstimate { time: time_to_first, rank, prefill_before_answer };
+        let expected = 
+            FirstResponseEstimate { time: time_to_first, rank, queue, prefill_before_answer };
         let opened = DestinationAnswer {
             answer,
             destination,
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -100,7 +100,7 @@
     let drawn = draw_upstreams(group, shared, job);
     let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
-    let performance = shared.performance(&job.service, view);
+    let performance = shared.performance_for(job, view);
     let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
@@ -222,7 +222,7 @@
     let tried = TriedDestinations::default();
     let candidates = candidates_of(shared, view, &upstreams, job, &tried, RoomRule::FreeSlot);
     let sample = CandidateSample { candidates: &candidates, keyed };
-    let performance = shared.performance(&job.service, view);
+    let performance = shared.performance_for(job, view);
     let priced = sample.price(&choice_query(shared, view, job), &performance);
     priced.into_iter().map(|choice| (upstreams[choice.index].clone(), choice)).collect()
 }
@@ -277,7 +277,7 @@
         senders: view.recent_senders,
         job,
         tried,
-        slot_time: shared.measured_performance(&job.service).slot_time,
+        slot_time: shared.performance_for(job, view).slot_time,
         is_lost: shared.paths.is_lost(),
         room,
         now: shared.now(),
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -19,6 +19,7 @@
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
+use foldhaven_core::opaque::region_overflow::share_sent_away;
 
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
 pub use self::local::{expected_wait, offered_room, view_room};
@@ -216,7 +217,7 @@
         local => local,
     };
     match (local, remote) {
-        (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
+        (Some(local), Some(remote)) if prefers_remote(job, &local, &remote, tried) => {
             admit_choice(job, &remote.estimate())?;
             Ok(Placement::chosen(remote.choice))
         }
@@ -297,17 +298,29 @@
 
 /// Returns whether a remote region is better than the local choice: it is cheaper by more than the
 /// margin, or the local upstreams cannot be trusted.
-fn prefers_remote(local: &LocalChoice, remote: &RemoteChoice, tried: &TriedDestinations) -> bool {
+fn prefers_remote(
+    job: &GatewayJob,
+    local: &LocalChoice,
+    remote: &RemoteChoice,
+    tried: &TriedDestinations,
+) -> bool {
     let is_local_trusted = local.choice.is_trusted && tried.upstreams.len() < MAX_LOCAL_FAULTS;
-    let is_cheaper = remote.cost + REGION_MARGIN < local.choice.cost;
+    let is_cheaper = match job.is_plain() {
+        true => {
+            let share = share_sent_away(local.choice.cost, remote.cost, REGION_MARGIN);
+            rand::random::<f64>() < share
+        }
+        false => remote.cost + REGION_MARGIN < local.choice.cost,
+    };
     !is_local_trusted || is_cheaper && local.choice.has_room
 }
 
 /// Returns whether a remote region can answer in time a request that was not admitted locally. Its
-/// last report has to show free slots.
+/// last report has to show free slots, or room in the queues of plain requests.
 fn has_free_capacity(job: &GatewayJob, remote: &RemoteChoice) -> bool {
     let DestinationEstimate { rank, queue, .. } = remote.estimate();
-    let is_free = rank == QueueRank::Timely && queue.in_flight < queue.slots;
+    let has_slot = job.is_plain() || queue.in_flight < queue.slots;
+    let is_free = rank == QueueRank::Timely && has_slot;
     is_free && admit_choice(job, &remote.estimate()).is_ok()
 }
 
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -37,6 +37,8 @@
     pub(super) cost: RequestCost,
     pub(super) breakdown: CostBreakdown,
     pub(super) region: RegionName,
+    /// Whether its upstreams probably decline further plain requests.
+    is_full: bool,
 }
 
 impl RemoteChoice {
@@ -48,7 +50,7 @@
             breakdown: self.breakdown,
             rank,
             queue,
-            is_full: false,
+            is_full: self.is_full,
         }
     }
 }
@@ -146,7 +148,7 @@
         let query = choice_query(self.shared, self.view, job);
         let missing = self.missing_tokens(query.shared_tokens);
         let prefill_tokens = query.unshared_tokens + missing;
-        let performance = self.shared.measured_performance(&job.service);
+        let performance = self.shared.performance_for(job, self.view);
         let network_time = self.network_time(&peer);
         let sent = self.sent_since(performance.slot_time, network_time);
         let there = performance.time_to_first(sent, QueueRank::Timely, prefill_tokens);
@@ -160,6 +162,7 @@
             long_pauses: pause_cost(&query, self.wait.long_pauses).0,
             streaming: streaming_cost(&query, &performance, queue).0,
             decode_slowdown: decode_slowdown_cost(&query, &performance, queue, prefill_tokens).0,
+            overflow: performance.overflow_risk(queue),
             ..CostBreakdown::default()
         };
         let destination = RequestDestination::Peer(peer);
@@ -168,12 +171,18 @@
             time_to_first,
             prefill_tokens,
             queue,
-            rank: query.rank(time_to_first),
+            rank: if job.is_plain() { QueueRank::Timely } else { query.rank(time_to_first) },
             prefill_before_answer: None,
             fetch_from: None,
             prefix: PrefixUse::default(),
         };
-        RemoteChoice { choice, cost: breakdown.total(), breakdown, region: self.region.clone() }
+        RemoteChoice {
+            choice,
+            cost: breakdown.total(),
+            breakdown,
+            region: self.region.clone(),
+            is_full: job.is_plain() && performance.queue_capacity.is_full(queue),
+        }
     }
 
     /// Returns the round trip to the region, doubled if a connection has to be opened first.
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -458,7 +458,7 @@
             if let Some(driver) = &mut self.driver {
                 driver.record_answered(reading.request_guard.take(), reading.end, true);
                 driver.record_event_numbering(&self.checker);
-                driver.record_success(&reading.destination, reading.sent);
+                driver.record_success(&reading.destination, reading.expected, reading.sent);
                 if let (Some((first_event, before)), (load, samples)) =
                     (reading.first_event, reading.load_samples)
                 {
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -171,6 +171,11 @@
         by_account.unwrap_or(self.route.priority)
     }
 
+    /// Whether the request is answered as a whole, has no prompt and no priority level.
+    pub fn is_plain(&self) -> bool {
+        self.level.is_none() && self.outline.is_none() && !self.route.repeat.is_stream()
+    }
+
     /// Returns the priority level for logs, `-` if there is none.
     pub fn level_label(&self) -> String {
         self.level.map_or_else(|| "-".to_owned(), |level| level.to_string())
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -11,7 +11,7 @@
 use foldhaven_core::opaque::affinity::{PrefixCacheIndex, PromptPlacement};
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
-use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::remote_room::RemoteRooms;
@@ -25,6 +25,7 @@
 use crate::busy_upstreams::BusyUpstreams;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
+use crate::job::GatewayJob;
 use crate::leaving_tracker::LeavingTracker;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
@@ -295,6 +296,15 @@
         ServicePerformance { fetch_tokens_per_s: described.unwrap_or_default(), ..measured }
     }
 
+    /// Returns the measured performance of the upstreams for a request.
+    pub fn performance_for(&self, job: &GatewayJob, view: &GatewayView) -> ServicePerformance {
+        let performance = self.performance(&job.service, view);
+        match job.is_plain() {
+            true => performance.for_plain_requests(),
+            false => performance.for_model_requests(),
+        }
+    }
+
     /// Returns the measured performance of a service's upstreams.
     pub fn measured_performance(&self, service: &ServiceName) -> ServicePerformance {
         self.performance_by_service.lock().get(service).copied().unwrap_or_default()
@@ -308,6 +318,14 @@
         });
     }
 
+    /// Records the time to the answer of a plain request at an upstream that had `queue` when it
+    /// was sent.
+    pub fn record_work(&self, upstream: &Upstream, queue: QueueState, took: Duration) {
+        self.with_performance(&upstream.identity.service, |performance| {
+            performance.record_work(queue, took)
+        });
+    }
+
     fn with_performance<T>(
         &self,
         service: &ServiceName,
