--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -9,10 +9,10 @@
 
 use std::time::Duration;
 
+pub(crate) use self::cost::exceedance_probability;
 pub use self::cost::{
     CostBreakdown, LATE_VALUE_LOSS, RequestCost, lateness_probability, long_pause_probability,
 };
-pub(crate) use self::cost::exceedance_probability;
 use self::pricer::UpstreamPricer;
 pub use self::pricer::{decode_slowdown_cost, pause_cost, streaming_cost};
 use self::sample::{ReportStaleness, sample_candidates};
--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -5,6 +5,7 @@
 pub mod account_table;
 pub mod admission;
 pub mod affinity;
+pub mod arrival_spread;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod cpu_demand;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod opaque_news;
 mod opaque_paths;
 mod opaque_peers;
+mod opaque_plain_services;
 mod opaque_positions;
 mod opaque_prefix_use;
 mod opaque_readers;
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -82,7 +82,7 @@
         }
         let answer = opened?;
         let software = software_of(&answer, &destination);
-        let expected = 
+        let expected =
             FirstResponseEstimate { time: time_to_first, rank, queue, prefill_before_answer };
         let opened = DestinationAnswer {
             answer,
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -8,6 +8,7 @@
 use foldhaven_core::ids::{RegionName, ServiceName};
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
+use foldhaven_core::opaque::arrival_spread::choose_spread;
 use foldhaven_core::opaque::choice::{
     CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
@@ -101,7 +102,11 @@
     let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance_for(job, view);
-    let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
+    let query = choice_query(shared, view, job);
+    let mut choice = match job.is_plain() {
+        true => choose_spread(&candidates, &query, &performance, rand::random())?,
+        false => sample.choose(&query, &performance)?,
+    };
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
         && let Some(source) = remote_source(shared, view, job, &performance, &choice)
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -19,14 +19,13 @@
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::region_overflow::share_sent_away;
 
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
 pub use self::local::{expected_wait, offered_room, view_room};
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
-use self::remote::{RemoteChoice, choose_remote, choose_remote_with_room};
+use self::remote::{RemoteChoice, choose_overflow, choose_remote, choose_remote_with_room};
 use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
@@ -203,7 +202,12 @@
             Err(refusal) => wait_or_refuse(job, refusal),
         };
     }
-    let remote = choose_remote(shared, view, job, tried);
+    let remote = match &local {
+        Some(local) if job.is_plain() => {
+            choose_overflow(shared, view, job, tried, local.choice.cost)
+        }
+        _ => choose_remote(shared, view, job, tried),
+    };
     let local = match local {
         Some(local) if needs_relay(&local, tried, is_lost) => {
             match pick_relay(shared, view, job, tried) {
@@ -306,10 +310,7 @@
 ) -> bool {
     let is_local_trusted = local.choice.is_trusted && tried.upstreams.len() < MAX_LOCAL_FAULTS;
     let is_cheaper = match job.is_plain() {
-        true => {
-            let share = share_sent_away(local.choice.cost, remote.cost, REGION_MARGIN);
-            rand::random::<f64>() < share
-        }
+        true => remote.is_drawn,
         false => remote.cost + REGION_MARGIN < local.choice.cost,
     };
     !is_local_trusted || is_cheaper && local.choice.has_room
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -13,10 +13,12 @@
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::region_overflow::draw_region;
 use foldhaven_core::opaque::remote_queue::RemoteService;
 
 use super::{
-    DestinationChoice, MIN_ANNOUNCED_TOKENS, RequestDestination, TriedDestinations, choice_query,
+    DestinationChoice, MIN_ANNOUNCED_TOKENS, REGION_MARGIN, RequestDestination, TriedDestinations,
+    choice_query,
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -39,6 +41,8 @@
     pub(super) region: RegionName,
     /// Whether its upstreams probably decline further plain requests.
     is_full: bool,
+    /// Whether the request is drawn to go there because its home has less room.
+    pub(super) is_drawn: bool,
 }
 
 impl RemoteChoice {
@@ -66,6 +70,23 @@
     priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
 }
 
+/// Chooses another region for a plain request, by its cost at home: one that it is drawn to be sent
+/// to, or else the cheapest.
+pub(super) fn choose_overflow(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedDestinations,
+    home: RequestCost,
+) -> Option<RemoteChoice> {
+    let mut priced = price_remote(shared, view, job, tried);
+    let costs: Vec<RequestCost> = priced.iter().map(|remote| remote.cost).collect();
+    match draw_region(home, &costs, REGION_MARGIN, rand::random()) {
+        Some(index) => Some(RemoteChoice { is_drawn: true, ..priced.swap_remove(index) }),
+        None => priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0)),
+    }
+}
+
 /// Chooses the cheapest of the other regions that have room for a request with a priority level,
 /// and takes the room.
 pub(super) fn choose_remote_with_room(
@@ -182,6 +203,7 @@
             breakdown,
             region: self.region.clone(),
             is_full: job.is_plain() && performance.queue_capacity.is_full(queue),
+            is_drawn: false,
         }
     }
 
