--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -51,6 +51,7 @@
 pub mod speed_reports;
 pub mod stream_origins;
 pub mod suspects;
+pub mod told_load;
 pub mod upstream_ring;
 pub mod upstream_signals;
 pub mod upstream_speed;
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -11,6 +11,7 @@
 use crate::opaque::queue_capacity::QueueCapacity;
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use crate::opaque::short_slowdown::SlowdownMonitor;
+use crate::opaque::told_load::ToldLoad;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
 use crate::opaque::work_time::WorkTime;
 use crate::time::MonoTime;
@@ -297,6 +298,8 @@
     pub speed: UpstreamSpeed,
     /// Whether the upstream is slow at this moment.
     pub slowdown: SlowdownMonitor,
+    /// The load that the upstream tells.
+    pub told_load: ToldLoad,
 }
 
 impl Default for UpstreamPerformance {
@@ -310,6 +313,7 @@
             refused: None,
             speed: UpstreamSpeed::default(),
             slowdown: SlowdownMonitor::default(),
+            told_load: ToldLoad::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/queue_capacity.rs
+++ b/crates/foldhaven-core/src/opaque/queue_capacity.rs
@@ -13,6 +13,11 @@
 /// Minimum limit as a multiple of the slots. An upstream that refuses a request with fewer requests
 /// has another reason.
 const MIN_LIMIT_RATIO: f64 = 1.5;
+/// Requests accepted from this share of the limit on raise it.
+const NEAR_LIMIT_RATIO: f64 = 0.75;
+/// By how much each of them raises it. A refusal of a queue that was believed to be 8 requests
+/// shorter than the limit lowers it by as much as 4 of them raise it.
+const LIMIT_RECOVERY: f64 = 0.2;
 /// The spread of an upstream's actual queue around the reported one, as a fraction of the limit. At
 /// a limit of 30, reports 80 ms old and 100 requests per second, as many requests as this arrive and
 /// end between two reports.
@@ -47,6 +52,22 @@
         }
     }
 
+    /// Records the same for a request that does not wait at the VM for room, so that a full queue is
+    /// known from refusals alone.
+    ///
+    /// The limit keeps requests away from upstreams that are believed to be full, so it has to rise
+    /// by requests accepted below it. Otherwise each refusal at an upstream whose queue was longer
+    /// than believed would lower it for ever.
+    pub fn record_plain_accepted(&mut self, queue: QueueState) {
+        self.record_accepted(queue);
+        let load = f64::from(queue.in_flight) + 1.0;
+        if let Some(limit) = &mut self.limit
+            && load >= *limit * NEAR_LIMIT_RATIO
+        {
+            *limit = (*limit + LIMIT_RECOVERY).min(self.max_accepted.max(*limit));
+        }
+    }
+
     /// Returns the estimated load of an upstream that was believed to have this queue and refused a
     /// request because it was full.
     pub fn full_queue_load(&self, queue: QueueState) -> u32 {
--- a/crates/foldhaven-core/src/opaque/short_slowdown.rs
+++ b/crates/foldhaven-core/src/opaque/short_slowdown.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns the larger of this factor and one that the upstream tells.
+    pub fn or_told(self, told: f64) -> Self {
+        Self(self.0.max(told).min(MAX_RATIO))
+    }
+
     /// Returns the factor.
     pub fn value(self) -> f64 {
         self.0
@@ -75,6 +80,11 @@
         *self = Self { expected, ratio: interval.div_duration_f64(expected), last_event: now };
     }
 
+    /// Whether an event arrived after a time.
+    pub fn has_event_since(&self, moment: MonoTime) -> bool {
+        self.last_event > moment
+    }
+
     /// Returns the present slowdown. `streams` is the number of streams of this VM at the upstream
     /// that have begun: their events are missed if they stay away.
     pub fn factor(&self, streams: u32, now: MonoTime) -> SlowdownFactor {
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod opaque_suspect_orders;
 mod opaque_suspect_segments;
 mod opaque_suspects;
+mod opaque_told_load;
 mod opaque_upstream_ring;
 mod opaque_upstreams;
 mod opaque_waiting_room;
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -11,6 +11,7 @@
     ChoiceQuery, CostBreakdown, RequestCost, UpstreamCandidate, UpstreamChoice, choose_upstream,
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
+use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::region_overflow::{draw_region, share_sent_away};
 use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
@@ -133,6 +134,19 @@
     assert_eq!(admit(&estimate(&choice, queue(load)), limits(MS(waited_ms))), expected);
 }
 
+/// Refusals at queues that were longer than believed do not lower the limit for ever: requests that
+/// are accepted below it raise it again.
+#[test]
+fn a_limit_that_is_too_low_recovers() {
+    let mut capacity = QueueCapacity::default();
+    capacity.record_plain_accepted(queue(27));
+    (0..20).for_each(|_| capacity.record_refused(queue(12)));
+    assert!(capacity.is_full(queue(20)));
+    (0..200).for_each(|round| capacity.record_plain_accepted(queue(8 + round % 12)));
+    assert!(!capacity.is_full(queue(20)), "{capacity:?}");
+    assert!(capacity.is_full(queue(28)), "not beyond what was accepted: {capacity:?}");
+}
+
 /// Requests with prompts are priced as before, also if the queue capacity is known.
 #[test]
 fn the_overflow_cost_concerns_plain_requests_only() {
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -63,8 +63,10 @@
         let service = &self.job.service;
         match opened {
             Ok(_) => {
-                self.shared
-                    .update_queue_capacity(service, |capacity| capacity.record_accepted(queue));
+                self.shared.update_queue_capacity(service, |capacity| match self.job.is_plain() {
+                    true => capacity.record_plain_accepted(queue),
+                    false => capacity.record_accepted(queue),
+                });
             }
             Err(fault) if fault.is_full() => {
                 let capacity = self
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -271,9 +271,11 @@
             refund(&driver);
         }
         driver.record_end(RequestEnd::Refused(refusal.label()));
-        let is_unreached = refusal == Refusal::NoUpstream && driver.delivered_attempts == 0;
+        // The origin VM may send a plain request to another region, or to its own.
+        let may_go_elsewhere = refusal == Refusal::NoUpstream || driver.job.is_plain();
+        let is_unreached = may_go_elsewhere && driver.delivered_attempts == 0;
         let mut answer = refuse(refusal);
-        if driver.job.is_forwarded && is_unreached {
+        if driver.job.is_forwarded && is_unreached && refusal.guarantees_not_run() {
             answer.headers_mut().insert(UNREACHED, HeaderValue::from_static("1"));
         }
         answer
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -334,11 +334,14 @@
         let speed = performance.speed.factors(now);
         let slot_time = self.slot_time.mul_f64(speed.decode);
         let queue = performance.queue_after_refusal(upstream.queue(), slot_time, now);
+        let queue = performance.told_load.queue(queue, slot_time, now);
+        let slowdown =
+            performance.told_load.slowdown(&performance.slowdown, upstream.stream_count(), now);
         UpstreamCandidate {
             name: upstream.name(),
             queue,
             speed,
-            slowdown: performance.slowdown.factor(upstream.stream_count(), now),
+            slowdown,
             latency_factor: performance.latency_factor(now),
             failure_share: performance.failure_share(now),
             long_pause_share: performance.long_pause_share(now),
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -71,7 +71,7 @@
 }
 
 /// Chooses another region for a plain request, by its cost at home: one that it is drawn to be sent
-/// to, or else the cheapest.
+/// to, or else the cheapest. One that another region has refused is not drawn again.
 pub(super) fn choose_overflow(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -80,8 +80,10 @@
     home: RequestCost,
 ) -> Option<RemoteChoice> {
     let mut priced = price_remote(shared, view, job, tried);
+    priced.retain(|remote| !has_tried(view, tried, &remote.region));
     let costs: Vec<RequestCost> = priced.iter().map(|remote| remote.cost).collect();
-    match draw_region(home, &costs, REGION_MARGIN, rand::random()) {
+    let drawn = draw_region(home, &costs, REGION_MARGIN, rand::random());
+    match drawn.filter(|_| tried.peers.is_empty()) {
         Some(index) => Some(RemoteChoice { is_drawn: true, ..priced.swap_remove(index) }),
         None => priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0)),
     }
@@ -146,6 +148,12 @@
     priced.collect()
 }
 
+/// Whether a request was sent to any VM of a region.
+fn has_tried(view: &GatewayView, tried: &TriedDestinations, region: &RegionName) -> bool {
+    let peers = view.members.regions.get(region);
+    peers.is_some_and(|peers| peers.links.iter().any(|peer| tried.peers.contains(&peer.vm)))
+}
+
 /// Whether a region has an upstream at which the stream of a request may go on.
 fn has_fitting_upstream(view: &GatewayView, job: &GatewayJob, region: &RegionName) -> bool {
     let group = view.group(&job.service, region);
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -23,6 +23,10 @@
     /// The number of requests that a brittle upstream can decline in a second for want of room. If
     /// it declines more, it crashes.
     pub brittle: HeaderName,
+    /// The load of an upstream: the running requests, the waiting ones, the slots, and how long work
+    /// takes at this moment as a percentage of the usual time, separated by commas. The percentage
+    /// may be absent.
+    pub server_load: HeaderName,
     /// Lists the segments of the prompt, each with its id and its number of tokens.
     pub prompt_outline: HeaderName,
     /// The number of prompt tokens and the maximum number of answer tokens.
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -1,11 +1,12 @@
-//! Reads the signals in the answers of an upstream: its rate limit, its leaving, its back-off and
-//! its brittleness.
+//! Reads the signals in the answers of an upstream: its rate limit, its leaving, its back-off, its
+//! brittleness and its load.
 
 use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
 use foldhaven_core::opaque::slot_share::pause_after_decline;
+use foldhaven_core::opaque::told_load::LoadReading;
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
@@ -124,6 +125,21 @@
         }
     }
 
+    /// Records the load that the upstream tells.
+    fn record_load(&self, head: &Parts, timing: AnswerTiming) {
+        let name = &self.shared.names.server_load;
+        let Some(value) = head.headers.get(name) else { return };
+        let reading = value.to_str().ok().and_then(|text| text.parse::<LoadReading>().ok());
+        match reading {
+            None => self.record_unreadable(name.as_str(), value),
+            Some(reading) => {
+                if self.upstream.performance.lock().told_load.record(reading, timing) {
+                    self.shared.metrics.count_event("upstream_load_told");
+                }
+            }
+        }
+    }
+
     fn rate_limit(&self, head: &Parts) -> Option<RequestRate> {
         let name = &self.shared.names.rate_limit;
         let value = head.headers.get(name)?;
@@ -149,6 +165,7 @@
         let limit = self.rate_limit(head);
         self.shared.upstream_limits.record_answer(&self.shared, &self.upstream, limit, moment);
         self.record_brittleness(head, moment);
+        self.record_load(head, moment);
         if let Some(backoff) = self.backoff(head) {
             self.start_backoff(backoff);
         }
