--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -69,6 +69,17 @@
     }
 }
 
+/// The part of a full queue that has to be worked off before it has room for those that come again.
+const QUEUE_PART: f64 = 0.2;
+/// The minimum of this time. Callers that come again sooner find the same queue.
+const MIN_QUEUE_WAIT: Duration = Duration::from_millis(80);
+
+/// Returns the time after which a full queue of plain requests probably has room. It is short
+/// against their targets, so that a caller who comes again then can still be answered in time.
+pub fn queue_wait(time_to_first: Duration) -> Duration {
+    time_to_first.mul_f64(QUEUE_PART).max(MIN_QUEUE_WAIT)
+}
+
 /// Returns the time after which the destination could probably answer a refused request within its
 /// target if no other requests arrived.
 pub fn retry_after(estimate: &DestinationEstimate, limits: TimeLimits) -> Duration {
--- a/crates/foldhaven-core/src/opaque/refusal.rs
+++ b/crates/foldhaven-core/src/opaque/refusal.rs
@@ -46,6 +46,11 @@
     },
     /// the upstreams are full
     Full,
+    /// the queues of the upstreams are full
+    QueueFull {
+        /// The time until one of them probably has room.
+        wait: Duration,
+    },
     /// the upstreams are overloaded
     Overloaded {
         /// Why the request was not sent to the best of them.
@@ -88,6 +93,7 @@
             | Self::NoUpstream
             | Self::Throttled { .. }
             | Self::Full
+            | Self::QueueFull { .. }
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
             | Self::UnknownOrigin
@@ -120,6 +126,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Throttled { .. } => "held_back",
             Self::Full => "full",
+            Self::QueueFull { .. } => "queue_full",
             Self::Overloaded { cause: AdmissionError::TooLate, .. } => "overloaded",
             Self::Overloaded { cause: AdmissionError::TooMuchInterference, .. } => "too_harmful",
             Self::Overloaded { cause: AdmissionError::Full, .. } => "known_full",
@@ -149,7 +156,9 @@
                 );
             }
             Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
-            Self::Quarantined { wait } | Self::OverLimit { wait } => wait,
+            Self::QueueFull { wait } | Self::Quarantined { wait } | Self::OverLimit { wait } => {
+                wait
+            }
             Self::NoPermittedRegion => NO_REGION_RETRY_DELAY,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use foldhaven_core::ids::UpstreamName;
-use foldhaven_core::opaque::admission::{AdmissionError, DestinationEstimate, TimeLimits, admit};
+use foldhaven_core::opaque::admission::{
+    AdmissionError, DestinationEstimate, TimeLimits, admit, queue_wait,
+};
 use foldhaven_core::opaque::arrival_spread::choose_spread;
 use foldhaven_core::opaque::choice::{
     ChoiceQuery, CostBreakdown, RequestCost, UpstreamCandidate, UpstreamChoice, choose_upstream,
@@ -13,6 +15,7 @@
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::region_overflow::{draw_region, share_sent_away};
 use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
 use foldhaven_core::opaque::upstream_speed::SpeedFactors;
@@ -147,6 +150,18 @@
     assert!(capacity.is_full(queue(28)), "not beyond what was accepted: {capacity:?}");
 }
 
+/// A caller who is refused for a full queue and comes again when told can still be in time.
+#[test]
+fn a_full_queue_is_tried_again_in_time() {
+    let expected = performance().time_to_first(queue(QUEUE_LIMIT as u32), QueueRank::Timely, 0);
+    for draw in [0.0, 0.5, 0.99] {
+        let refusal = Refusal::QueueFull { wait: queue_wait(expected) };
+        assert!(refusal.guarantees_not_run());
+        let back = refusal.retry_after(draw).unwrap();
+        assert!(back >= MS(80) && back + expected <= TARGET, "{back:?} {expected:?}");
+    }
+}
+
 /// Requests with prompts are priced as before, also if the queue capacity is known.
 #[test]
 fn the_overflow_cost_concerns_plain_requests_only() {
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -1,5 +1,8 @@
 //! Decides whether a request is retried, and which refusal its caller gets otherwise.
 
+use std::time::Duration;
+
+use foldhaven_core::opaque::admission::queue_wait;
 use foldhaven_core::opaque::refusal::Refusal;
 use http::StatusCode;
 
@@ -87,7 +90,14 @@
             CallFault::Declined { status } if *status == StatusCode::SERVICE_UNAVAILABLE => {
                 let view = self.shared.view();
                 let wait = view.and_then(|view| throttled_wait(&self.shared, &view, &self.job));
-                wait.map_or(Refusal::Full, |wait| Refusal::Throttled { wait })
+                match wait {
+                    Some(wait) => Refusal::Throttled { wait },
+                    None if self.job.is_plain() => {
+                        let expected_ms = self.last_choice.map_or(0, |it| it.time_to_first_ms);
+                        Refusal::QueueFull { wait: queue_wait(Duration::from_millis(expected_ms)) }
+                    }
+                    None => Refusal::Full,
+                }
             }
             _ => Refusal::NoUpstream,
         }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -12,7 +12,7 @@
 
 use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
 use foldhaven_core::opaque::admission::{
-    AdmissionError, DestinationEstimate, TimeLimits, admit, retry_after,
+    AdmissionError, DestinationEstimate, TimeLimits, admit, queue_wait, retry_after,
 };
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
@@ -348,8 +348,12 @@
         waited: job.waited(),
         remaining: job.deadline.saturating_duration_since(BootInstant::now()),
     };
-    admit(estimate, limits)
-        .map_err(|cause| Refusal::Overloaded { cause, wait: retry_after(estimate, limits) })
+    admit(estimate, limits).map_err(|cause| match cause {
+        AdmissionError::Full if job.is_plain() => {
+            Refusal::QueueFull { wait: queue_wait(estimate.time_to_first) }
+        }
+        cause => Refusal::Overloaded { cause, wait: retry_after(estimate, limits) },
+    })
 }
 
 /// Returns the properties of a request that the choice depends on.
