--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -52,6 +52,7 @@
 pub mod stream_origins;
 pub mod suspects;
 pub mod told_load;
+pub mod traffic_share;
 pub mod upstream_ring;
 pub mod upstream_signals;
 pub mod upstream_speed;
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -12,6 +12,7 @@
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use crate::opaque::short_slowdown::SlowdownMonitor;
 use crate::opaque::told_load::ToldLoad;
+use crate::opaque::traffic_share::TrafficShare;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
 use crate::opaque::work_time::WorkTime;
 use crate::time::MonoTime;
@@ -125,6 +126,8 @@
     pub pause_statistics: PauseStatistics,
     /// The number of requests that an upstream accepts before it refuses more.
     pub queue_capacity: QueueCapacity,
+    /// This VM's part of the plain requests in flight.
+    pub traffic_share: TrafficShare,
     /// The mean prefill factor of the upstreams whose prefill was recorded.
     pub prefill_mean: FactorMean,
     /// The mean decode factor of the upstreams whose streams were recorded.
@@ -142,6 +145,7 @@
             event_interval: EventIntervalModel::default(),
             pause_statistics: PauseStatistics::default(),
             queue_capacity: QueueCapacity::default(),
+            traffic_share: TrafficShare::default(),
             prefill_mean: FactorMean::default(),
             decode_mean: FactorMean::default(),
         }
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -18,6 +18,7 @@
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::region_overflow::{draw_region, share_sent_away};
 use foldhaven_core::opaque::short_slowdown::SlowdownFactor;
+use foldhaven_core::opaque::traffic_share::TrafficShare;
 use foldhaven_core::opaque::upstream_speed::SpeedFactors;
 use foldhaven_core::opaque::work_time::WorkTime;
 use rstest::rstest;
@@ -162,6 +163,18 @@
     }
 }
 
+/// A large VM does not take the others for as large. Before it knows, all count as equal.
+#[test]
+fn a_large_vm_knows_its_share() {
+    let mut share = TrafficShare::default();
+    assert_eq!(share.equal_senders(24), 24);
+    (0..400).for_each(|_| share.record(4, 48));
+    assert_eq!(share.equal_senders(24), 12);
+    let mut small = TrafficShare::default();
+    (0..400).for_each(|round| small.record(u32::from(round % 50 == 0), 48));
+    assert_eq!(small.equal_senders(4), 16, "bounded");
+}
+
 /// Requests with prompts are priced as before, also if the queue capacity is known.
 #[test]
 fn the_overflow_cost_concerns_plain_requests_only() {
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -103,6 +103,11 @@
     let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
     let performance = shared.performance_for(job, view);
     let query = choice_query(shared, view, job);
+    if job.is_plain() {
+        let own = drawn.upstreams.iter().map(|it| u32::from(it.load.share().in_flight)).sum();
+        let all = drawn.upstreams.iter().map(|it| it.queue().in_flight).sum();
+        shared.record_traffic(&job.service, own, all);
+    }
     let mut choice = match job.is_plain() {
         true => choose_spread(&candidates, &query, &performance, rand::random())?,
         false => sample.choose(&query, &performance)?,
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -222,8 +222,13 @@
     };
     match (local, remote) {
         (Some(local), Some(remote)) if prefers_remote(job, &local, &remote, tried) => {
-            admit_choice(job, &remote.estimate())?;
-            Ok(Placement::chosen(remote.choice))
+            match admit_choice(job, &remote.estimate()) {
+                Ok(()) => Ok(Placement::chosen(remote.choice)),
+                Err(_) if job.is_plain() && admit_choice(job, &local.estimate()).is_ok() => {
+                    local.reserve(shared).map(Placement::chosen)
+                }
+                Err(refusal) => Err(refusal),
+            }
         }
         (Some(local), _) if !local.choice.has_room => {
             match choose_remote_with_room(shared, view, job, tried) {
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -179,7 +179,11 @@
         let prefill_tokens = query.unshared_tokens + missing;
         let performance = self.shared.performance_for(job, self.view);
         let network_time = self.network_time(&peer);
-        let sent = self.sent_since(performance.slot_time, network_time);
+        let senders = match job.is_plain() {
+            true => performance.traffic_share.equal_senders(self.view.senders),
+            false => self.view.senders,
+        };
+        let sent = self.sent_since(performance.slot_time, network_time, senders);
         let there = performance.time_to_first(sent, QueueRank::Timely, prefill_tokens);
         let time_to_first = network_time + self.wait.wait + there;
         // The reported load already contains most of the requests sent since.
@@ -225,12 +229,16 @@
     }
 
     /// Estimates the requests that the VMs of this region have sent there since the last report,
-    /// from those that this VM has sent.
-    fn sent_since(&self, slot_time: Duration, network_time: Duration) -> QueueState {
+    /// from those that this VM has sent: `senders` VMs send as many.
+    fn sent_since(
+        &self,
+        slot_time: Duration,
+        network_time: Duration,
+        senders: usize,
+    ) -> QueueState {
         let own = self.peers.traffic.share(&self.job.service);
         let RegionWait { upstreams, slots, .. } = self.wait;
-        RemoteService { upstreams, slots, slot_time, round_trip: network_time }
-            .queue(own, self.view.senders)
+        RemoteService { upstreams, slots, slot_time, round_trip: network_time }.queue(own, senders)
     }
 
     /// Returns the tokens of the shared segments that would have to be prefilled in the region.
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -326,6 +326,11 @@
         });
     }
 
+    /// Records the requests of this VM, and of all VMs, at the upstreams of a service.
+    pub fn record_traffic(&self, service: &ServiceName, own: u32, all: u32) {
+        self.with_performance(service, |performance| performance.traffic_share.record(own, all));
+    }
+
     fn with_performance<T>(
         &self,
         service: &ServiceName,
