--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -2,10 +2,17 @@
 
 use std::time::Duration;
 
-use crate::opaque::choice::{CostBreakdown, LATE_VALUE_LOSS, lateness_probability};
+use crate::opaque::choice::{
+    CostBreakdown, DEFERRAL_PROBABILITY, LATE_VALUE_LOSS, lateness_probability,
+};
 use crate::opaque::performance::QueueState;
 use crate::opaque::queue_rank::QueueRank;
 
+/// The risk of a full queue up to which a late request without a priority level is admitted. It is
+/// that of a queue that is half full, which it is only while more requests arrive than end. Then
+/// each late answer takes the place of one that could be in time.
+const MAX_LATE_OVERFLOW: f64 = 0.035;
+
 /// The estimates for the best destination of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct DestinationEstimate {
@@ -42,7 +49,8 @@
     /// The queues of all destinations are full.
     Full,
     /// The request cannot be answered within its target, and the destination already has at least
-    /// as many unanswered deferred requests as slots.
+    /// as many unanswered deferred requests as slots, or a queue that is half full if requests run
+    /// in order of arrival.
     TooManyDeferred,
 }
 
@@ -62,6 +70,9 @@
         return Err(AdmissionError::TooManyDeferred);
     }
     let late = lateness_probability(limits.waited + estimate.time_to_first, limits.target);
+    if late > DEFERRAL_PROBABILITY && estimate.breakdown.overflow > MAX_LATE_OVERFLOW {
+        return Err(AdmissionError::TooManyDeferred);
+    }
     let value = 1.0 - LATE_VALUE_LOSS * late;
     match estimate.breakdown.interference() > value {
         true => Err(AdmissionError::TooMuchInterference),
--- a/crates/foldhaven-core/src/opaque/choice/mod.rs
+++ b/crates/foldhaven-core/src/opaque/choice/mod.rs
@@ -27,7 +27,7 @@
 /// A request is deferred if the probability that its answer is late is above this. A lower limit
 /// would defer requests whose expected time is just above the target, and that estimate is wrong
 /// too often.
-const DEFERRAL_PROBABILITY: f64 = 0.9;
+pub const DEFERRAL_PROBABILITY: f64 = 0.9;
 /// The weight of one answer token in the size of a request, in prompt tokens. The users set it.
 pub const OUTPUT_WEIGHT: u32 = 10;
 /// The size in tokens of a request that does not say how many tokens it has.
--- a/crates/foldhaven-core/src/opaque/told_load.rs
+++ b/crates/foldhaven-core/src/opaque/told_load.rs
@@ -16,8 +16,11 @@
 const SLOWDOWN_VALIDITY: Duration = Duration::from_millis(250);
 /// The time after which told requests no longer count, also at an upstream that ends none.
 const COUNT_VALIDITY: Duration = Duration::from_secs(1);
-/// The maximum of plausible counts.
-const MAX_COUNT: u32 = 100_000;
+/// The maximum of plausible slots.
+const MAX_SLOTS: u32 = 10_000;
+/// The maximum number of requests that plausibly wait per slot. More could not be answered before
+/// their callers leave.
+const MAX_WAITING_PER_SLOT: u32 = 16;
 /// The plausible percentages of the usual time that work takes.
 const PLAUSIBLE_PERCENT: std::ops::RangeInclusive<f64> = 10.0..=2_000.0;
 
@@ -57,7 +60,8 @@
         };
         let count = |index: usize| counts[index].parse().map_err(|_| ParseLoadError::NotANumber);
         let (running, waiting, slots): (u32, u32, u32) = (count(0)?, count(1)?, count(2)?);
-        if slots == 0 || running > slots || waiting.max(slots) > MAX_COUNT {
+        let has_slots = (1..=MAX_SLOTS).contains(&slots);
+        if !has_slots || running > slots || waiting > slots * MAX_WAITING_PER_SLOT {
             return Err(ParseLoadError::Implausible);
         }
         let percent = percent.map(str::parse::<f64>).transpose();
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod opaque_levels;
 mod opaque_limits;
 mod opaque_news;
+mod opaque_older_daemons;
 mod opaque_paths;
 mod opaque_peers;
 mod opaque_plain_services;
--- a/crates/foldhaven-core/tests/testsuite/opaque_told_load.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_told_load.rs
@@ -36,6 +36,8 @@
 #[case::empty_percentage("3,1,6,", ParseLoadError::NotANumber)]
 #[case::no_slots("0,0,0", ParseLoadError::Implausible)]
 #[case::more_than_slots("7,0,6", ParseLoadError::Implausible)]
+#[case::an_absurd_queue("6,97,6", ParseLoadError::Implausible)]
+#[case::a_billion_slots("6,0,1000000000", ParseLoadError::Implausible)]
 #[case::a_billion_waiting("6,1000000000,6", ParseLoadError::Implausible)]
 #[case::not_a_percentage("3,1,6,NaN", ParseLoadError::Implausible)]
 #[case::infinitely_slow("3,1,6,inf", ParseLoadError::Implausible)]
