--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -90,15 +90,13 @@
         let prefill_tokens = repeated_tokens + query.unshared_tokens;
         let ahead = match query.level {
             Some(level) => candidate.queue.through(level),
+            None if performance.work_time.is_some() => candidate.queue.in_order_of_arrival(),
             None => candidate.queue,
         };
         let time_for = |rank| performance.time_to_first(ahead, rank, prefill_tokens);
         let usual = time_for(QueueRank::Timely).mul_f64(candidate.latency_factor);
         let timely = candidate.slowdown.delay(usual) + fetch_time;
-        let rank = match performance.work_time {
-            Some(_) => QueueRank::Timely,
-            None => query.rank(timely),
-        };
+        let rank = query.rank(timely);
         let time_to_first = match rank {
             QueueRank::Timely => timely,
             // The latency factor is measured on timely requests only.
--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the queue as upstreams run it that do not regard ranks: no request is deferred.
+    pub fn in_order_of_arrival(self) -> Self {
+        Self { deferred: 0, ..self }
+    }
+
     /// Returns how many times all slots become free once before the upstream starts a new request
     /// of a rank.
     pub fn slot_turns(&self, rank: QueueRank) -> f64 {
@@ -188,7 +193,7 @@
     pub fn record_work(&mut self, queue: QueueState, took: Duration) {
         let took = took.saturating_sub(MIN_RESPONSE_TIME);
         let mut work_time = self.work_time.unwrap_or_default();
-        work_time.record(took, queue.slot_turns(QueueRank::Timely));
+        work_time.record(took, queue.in_order_of_arrival().slot_turns(QueueRank::Timely));
         self.work_time = Some(work_time);
         self.slot_time = work_time.mean();
     }
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -113,10 +113,11 @@
 #[test]
 fn late_requests_are_expected_in_order_of_arrival() {
     let name = "only".parse().unwrap();
-    let candidates = [candidate(&name, 20)];
+    let queue = QueueState { deferred: 12, ..queue(20) };
+    let candidates = [UpstreamCandidate { queue, ..candidate(&name, 20) }];
     let choose = |waited| choose_upstream(&candidates, &query(waited, 0.0), &performance());
     let (fresh, late) = (choose(MS(0)).unwrap(), choose(MS(900)).unwrap());
-    assert_eq!((late.rank, late.time_to_first), (QueueRank::Timely, fresh.time_to_first));
+    assert_eq!((late.rank, late.time_to_first), (QueueRank::Deferred, fresh.time_to_first));
 }
 
 /// A late request may use idle upstreams, but not a queue that is half full: it is so only if more
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -50,6 +50,7 @@
     pub(super) choice: UpstreamChoice,
     fetch_from: Option<SocketAddr>,
     level: Option<PriorityLevel>,
+    is_plain: bool,
     pub(super) prefix: PrefixUse,
 }
 
@@ -58,6 +59,7 @@
     pub(super) fn estimate(&self) -> DestinationEstimate {
         let UpstreamChoice { time_to_first, breakdown, rank, is_full, .. } = self.choice;
         let queue = self.upstream.queue();
+        let queue = if self.is_plain { queue.in_order_of_arrival() } else { queue };
         let queue = self.level.map_or(queue, |level| queue.through(level));
         DestinationEstimate { time_to_first, breakdown, rank, queue, is_full }
     }
@@ -121,7 +123,8 @@
     }
     let upstream = drawn.upstreams[choice.index].clone();
     let prefix = prefix_use(group, shared, job, &choice, fetch_from.is_some());
-    Some(LocalChoice { upstream, choice, fetch_from, level: job.level, prefix })
+    let (level, is_plain) = (job.level, job.is_plain());
+    Some(LocalChoice { upstream, choice, fetch_from, level, is_plain, prefix })
 }
 
 /// An upstream of another region from which shared segments are fetched.
@@ -456,6 +459,10 @@
 ) -> Duration {
     let measured = *upstream.performance.lock();
     let performance = performance.at_speed(measured.speed.factors(now));
-    let wait = performance.wait(upstream.queue(), QueueRank::Timely);
+    let queue = match performance.work_time {
+        Some(_) => upstream.queue().in_order_of_arrival(),
+        None => upstream.queue(),
+    };
+    let wait = performance.wait(queue, QueueRank::Timely);
     wait.mul_f64(measured.latency_factor(now))
 }
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -204,7 +204,7 @@
             time_to_first,
             prefill_tokens,
             queue,
-            rank: if job.is_plain() { QueueRank::Timely } else { query.rank(time_to_first) },
+            rank: query.rank(time_to_first),
             prefill_before_answer: None,
             fetch_from: None,
             prefix: PrefixUse::default(),
