--- a/crates/foldhaven-core/src/opaque/admission.rs
+++ b/crates/foldhaven-core/src/opaque/admission.rs
@@ -9,9 +9,9 @@
 use crate::opaque::queue_rank::QueueRank;
 
 /// The risk of a full queue up to which a late request without a priority level is admitted. It is
-/// that of a queue that is half full, which it is only while more requests arrive than end. Then
-/// each late answer takes the place of one that could be in time.
-const MAX_LATE_OVERFLOW: f64 = 0.035;
+/// that of a queue that is two thirds full. The rest is left for requests that can be in time: about
+/// as many as arrive between two load reports.
+const MAX_LATE_OVERFLOW: f64 = 0.1;
 
 /// The estimates for the best destination of a request.
 #[derive(Debug, Clone, Copy)]
@@ -49,8 +49,8 @@
     /// The queues of all destinations are full.
     Full,
     /// The request cannot be answered within its target, and the destination already has at least
-    /// as many unanswered deferred requests as slots, or a queue that is half full if requests run
-    /// in order of arrival.
+    /// as many unanswered deferred requests as slots, or a queue that is two thirds full if
+    /// requests run in order of arrival.
     TooManyDeferred,
 }
 
