--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -11,7 +11,10 @@
 use crate::opaque::queue_capacity::QueueCapacity;
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
 use crate::opaque::short_slowdown::SlowdownMonitor;
+use crate::opaque::told_load::ToldLoad;
+use crate::opaque::traffic_share::TrafficShare;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
+use crate::opaque::work_time::WorkTime;
 use crate::time::MonoTime;
 
 /// The time for which a request occupies a slot, before any measurement.
@@ -88,6 +91,19 @@
         }
     }
 
+    /// Returns the queue as upstreams run it that do not regard ranks: no request is deferred.
+    pub fn in_order_of_arrival(self) -> Self {
+        Self { deferred: 0, ..self }
+    }
+
+    /// Returns how many times all slots become free once before the upstream starts a new request
+    /// of a rank.
+    pub fn slot_turns(&self, rank: QueueRank) -> f64 {
+        let slots = self.slots.max(1);
+        let excess = (self.ahead_of(rank) + 1).saturating_sub(slots);
+        f64::from(excess) / f64::from(slots)
+    }
+
     /// Returns the number of requests ahead of a new request of a rank.
     pub fn ahead_of(&self, rank: QueueRank) -> u32 {
         match rank {
@@ -107,6 +123,9 @@
     pub fetch_tokens_per_s: f64,
     /// The mean time for which a request occupies a slot.
     pub slot_time: Duration,
+    /// The time that an upstream works on a request before it answers it as a whole. `None` if
+    /// requests have prompts or are answered with streams.
+    pub work_time: Option<WorkTime>,
     /// The mean size of requests in tokens.
     pub mean_size: f64,
     /// The interval between the events of a stream.
@@ -115,6 +134,8 @@
     pub pause_statistics: PauseStatistics,
     /// The number of requests that an upstream accepts before it refuses more.
     pub queue_capacity: QueueCapacity,
+    /// This VM's part of the plain requests in flight.
+    pub traffic_share: TrafficShare,
     /// The mean prefill factor of the upstreams whose prefill was recorded.
     pub prefill_mean: FactorMean,
     /// The mean decode factor of the upstreams whose streams were recorded.
@@ -127,10 +148,12 @@
             prefill_rate: PrefillRate::default(),
             fetch_tokens_per_s: 0.0,
             slot_time: INITIAL_SLOT_TIME,
+            work_time: None,
             mean_size: INITIAL_MEAN_SIZE,
             event_interval: EventIntervalModel::default(),
             pause_statistics: PauseStatistics::default(),
             queue_capacity: QueueCapacity::default(),
+            traffic_share: TrafficShare::default(),
             prefill_mean: FactorMean::default(),
             decode_mean: FactorMean::default(),
         }
@@ -155,6 +178,29 @@
             self.slot_time.mul_f64(1.0 - SLOT_TIME_WEIGHT) + occupied.mul_f64(SLOT_TIME_WEIGHT);
     }
 
+    /// Returns the performance for requests that are answered as a whole and have no prompt.
+    ///
+    /// Upstreams run these in order of arrival, whatever their rank.
+    pub fn for_plain_requests(self) -> Self {
+        let work_time = self.work_time.unwrap_or_default();
+        Self { slot_time: work_time.mean(), work_time: Some(work_time), ..self }
+    }
+
+    /// Returns the performance for other requests.
+    pub fn for_model_requests(self) -> Self {
+        Self { work_time: None, ..self }
+    }
+
+    /// Records the time to the answer of a request without a prompt, at an upstream that had `queue`
+    /// when the request was sent.
+    pub fn record_work(&mut self, queue: QueueState, took: Duration) {
+        let took = took.saturating_sub(MIN_RESPONSE_TIME);
+        let mut work_time = self.work_time.unwrap_or_default();
+        work_time.record(took, queue.in_order_of_arrival().slot_turns(QueueRank::Timely));
+        self.work_time = Some(work_time);
+        self.slot_time = work_time.mean();
+    }
+
     /// Records the time to the first answer of a request at an upstream that had a free slot.
     /// `tokens` is the number of prompt tokens to prefill before the answer, including those of the
     /// request itself.
@@ -224,18 +270,23 @@
         Some(FETCH_SETUP + Duration::from_secs_f64(f64::from(tokens) / self.fetch_tokens_per_s))
     }
 
+    /// Returns the risk that an upstream with this queue is full when a request without a prompt
+    /// arrives. Zero for other requests, which wait at the VM for room.
+    pub fn overflow_risk(&self, queue: QueueState) -> f64 {
+        self.work_time.map_or(0.0, |_| self.queue_capacity.overflow_risk(queue))
+    }
+
     /// Returns the expected wait until the upstream starts a new request of a rank.
     pub fn wait(&self, queue: QueueState, rank: QueueRank) -> Duration {
-        let slots = queue.slots.max(1);
-        let excess = (queue.ahead_of(rank) + 1).saturating_sub(slots);
-        let slot_wait = self.slot_time.mul_f64(f64::from(excess) / f64::from(slots));
+        let slot_wait = self.slot_time.mul_f64(queue.slot_turns(rank));
         slot_wait + self.prefill_time(queue.prefill_backlog.ahead_of(rank))
     }
 
     /// Returns the expected time to the answer, or to its first event, of a request of a rank with
     /// a number of prompt tokens to prefill.
     pub fn time_to_first(&self, queue: QueueState, rank: QueueRank, tokens: u32) -> Duration {
-        MIN_RESPONSE_TIME + self.wait(queue, rank) + self.prefill_time(tokens)
+        let work = self.work_time.map_or(Duration::ZERO, |work_time| work_time.mean());
+        MIN_RESPONSE_TIME + self.wait(queue, rank) + self.prefill_time(tokens) + work
     }
 }
 
@@ -259,6 +310,8 @@
     pub speed: UpstreamSpeed,
     /// Whether the upstream is slow at this moment.
     pub slowdown: SlowdownMonitor,
+    /// The load that the upstream tells.
+    pub told_load: ToldLoad,
 }
 
 impl Default for UpstreamPerformance {
@@ -272,6 +325,7 @@
             refused: None,
             speed: UpstreamSpeed::default(),
             slowdown: SlowdownMonitor::default(),
+            told_load: ToldLoad::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/refusal.rs
+++ b/crates/foldhaven-core/src/opaque/refusal.rs
@@ -55,6 +55,11 @@
     },
     /// the upstreams are full
     Full,
+    /// the queues of the upstreams are full
+    QueueFull {
+        /// The time until one of them probably has room.
+        wait: Duration,
+    },
     /// the upstreams are overloaded
     Overloaded {
         /// Why the request was not sent to the best of them.
@@ -97,6 +102,7 @@
             | Self::NoUpstream
             | Self::Throttled { .. }
             | Self::Full
+            | Self::QueueFull { .. }
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
             | Self::UnknownOrigin
@@ -129,6 +135,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Throttled { .. } => "held_back",
             Self::Full => "full",
+            Self::QueueFull { .. } => "queue_full",
             Self::Overloaded { cause: AdmissionError::TooLate, .. } => "overloaded",
             Self::Overloaded { cause: AdmissionError::TooMuchInterference, .. } => "too_harmful",
             Self::Overloaded { cause: AdmissionError::Full, .. } => "known_full",
@@ -161,7 +168,7 @@
                 wait.clamp(MIN_OVERLOAD_RETRY_DELAY, MAX_RETRY_DELAY / MAX_SPREAD)
             }
             Self::OverLimit { wait } => wait.min(MAX_RETRY_DELAY / MAX_SPREAD),
-            Self::Quarantined { wait } => wait,
+            Self::QueueFull { wait } | Self::Quarantined { wait } => wait,
             Self::NoPermittedRegion => NO_REGION_RETRY_DELAY,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -61,8 +61,10 @@
         let service = &self.job.service;
         match opened {
             Ok(_) => {
-                self.shared
-                    .update_queue_capacity(service, |capacity| capacity.record_accepted(queue));
+                self.shared.update_queue_capacity(service, |capacity| match self.job.is_plain() {
+                    true => capacity.record_plain_accepted(queue),
+                    false => capacity.record_accepted(queue),
+                });
             }
             Err(fault) if fault.is_full() => {
                 let capacity = self
@@ -111,12 +113,20 @@
     }
 
     /// Records that a destination answered completely.
-    pub fn record_success(&self, destination: &RequestDestination, sent: BootInstant) {
+    pub fn record_success(
+        &self,
+        destination: &RequestDestination,
+        expected: FirstResponseEstimate,
+        sent: BootInstant,
+    ) {
         if let RequestDestination::Upstream(upstream) = destination {
             let usual = self.record_route_end(false);
             upstream.performance.lock().record_end(false, usual, self.shared.now());
             upstream.health.lock().record_success();
-            self.shared.record_slot_time(upstream, sent.elapsed());
+            match self.job.is_plain() {
+                true => self.shared.record_work(upstream, expected.queue, sent.elapsed()),
+                false => self.shared.record_slot_time(upstream, sent.elapsed()),
+            }
             if let Some(level) = self.job.level {
                 let room = self.shared.waiting_rooms.room(&self.job.service);
                 room.lock().record_slot_time(level, sent.elapsed());
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -8,8 +8,9 @@
 use foldhaven_core::ids::{RegionName, ServiceName};
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
+use foldhaven_core::opaque::arrival_spread::choose_spread;
 use foldhaven_core::opaque::choice::{
-    CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
+    CandidateSample, ChoiceQuery, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::prefix_use::PrefixUse;
@@ -52,6 +53,7 @@
     pub(super) choice: UpstreamChoice,
     fetch_from: Option<SocketAddr>,
     level: Option<PriorityLevel>,
+    is_plain: bool,
     pub(super) prefix: PrefixUse,
 }
 
@@ -60,6 +62,7 @@
     pub(super) fn estimate(&self) -> DestinationEstimate {
         let UpstreamChoice { time_to_first, breakdown, rank, is_full, .. } = self.choice;
         let queue = self.upstream.queue();
+        let queue = if self.is_plain { queue.in_order_of_arrival() } else { queue };
         let queue = self.level.map_or(queue, |level| queue.through(level));
         DestinationEstimate { time_to_first, breakdown, rank, queue, is_full }
     }
@@ -101,18 +104,23 @@
 ) -> Option<LocalChoice> {
     let group = local_group(shared, view, job)?;
     let drawn = draw_upstreams(group, shared, job);
-    let performance = shared.performance(&job.service, view);
+    let performance = shared.performance_for(job, view);
     let query = choice_query(shared, view, job);
-    let choose = |rule| {
-        let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
-        let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
-        sample.choose(&query, &performance)
-    };
-    let safe = match rule {
-        RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
-        _ => None,
+    let mut choice = match job.is_plain() {
+        true => choose_plain(shared, view, job, tried, &drawn.upstreams, &query)?,
+        false => {
+            let choose = |rule| {
+                let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
+                let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
+                sample.choose(&query, &performance)
+            };
+            let safe = match rule {
+                RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
+                _ => None,
+            };
+            safe.filter(|it| it.has_room).or_else(|| choose(rule))?
+        }
     };
-    let mut choice = safe.filter(|it| it.has_room).or_else(|| choose(rule))?;
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
         && let Some(source) = remote_source(shared, view, job, &performance, &choice)
@@ -122,7 +130,8 @@
     }
     let upstream = drawn.upstreams[choice.index].clone();
     let prefix = prefix_use(group, shared, job, &choice, fetch_from.is_some());
-    Some(LocalChoice { upstream, choice, fetch_from, level: job.level, prefix })
+    let (level, is_plain) = (job.level, job.is_plain());
+    Some(LocalChoice { upstream, choice, fetch_from, level, is_plain, prefix })
 }
 
 /// An upstream of another region from which shared segments are fetched.
@@ -233,7 +242,7 @@
     let tried = TriedDestinations::default();
     let candidates = candidates_of(shared, view, &upstreams, job, &tried, RoomRule::FreeSlot);
     let sample = CandidateSample { candidates: &candidates, keyed };
-    let performance = shared.performance(&job.service, view);
+    let performance = shared.performance_for(job, view);
     let priced = sample.price(&choice_query(shared, view, job), &performance);
     priced.into_iter().map(|choice| (upstreams[choice.index].clone(), choice)).collect()
 }
@@ -255,6 +264,22 @@
     examined.filter(|upstream| !upstream.is_leaving() && job.fits(upstream)).take(MAX_EXAMINED)
 }
 
+/// Chooses an upstream for a plain request, spread over those that are nearly as good.
+fn choose_plain(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedDestinations,
+    upstreams: &[&Arc<Upstream>],
+    query: &ChoiceQuery,
+) -> Option<UpstreamChoice> {
+    let own = upstreams.iter().map(|it| u32::from(it.load.share().in_flight)).sum();
+    let all = upstreams.iter().map(|it| it.queue().in_flight).sum();
+    shared.record_traffic(&job.service, own, all);
+    let candidates = candidates_of(shared, view, upstreams, job, tried, RoomRule::Any);
+    choose_spread(&candidates, query, &shared.performance_for(job, view), rand::random())
+}
+
 /// Draws the upstreams that a request may be sent to.
 fn draw_upstreams<'a>(
     group: &'a UpstreamGroup,
@@ -292,7 +317,7 @@
         senders: view.recent_senders,
         job,
         tried,
-        slot_time,
+        slot_time: shared.performance_for(job, view).slot_time,
         is_lost: shared.paths.is_lost(),
         room,
         now: shared.now(),
@@ -342,11 +367,14 @@
         let speed = performance.speed.factors(now);
         let slot_time = self.slot_time.mul_f64(speed.decode);
         let queue = performance.queue_after_refusal(upstream.queue(), slot_time, now);
+        let queue = performance.told_load.queue(queue, slot_time, now);
+        let slowdown =
+            performance.told_load.slowdown(&performance.slowdown, upstream.stream_count(), now);
         UpstreamCandidate {
             name: upstream.name(),
             queue,
             speed,
-            slowdown: performance.slowdown.factor(upstream.stream_count(), now),
+            slowdown,
             latency_factor: performance.latency_factor(now),
             failure_share: performance.failure_share(now),
             long_pause_share: performance.long_pause_share(now),
@@ -501,6 +529,10 @@
 ) -> Duration {
     let measured = *upstream.performance.lock();
     let performance = performance.at_speed(measured.speed.factors(now));
-    let wait = performance.wait(upstream.queue(), QueueRank::Timely);
+    let queue = match performance.work_time {
+        Some(_) => upstream.queue().in_order_of_arrival(),
+        None => upstream.queue(),
+    };
+    let wait = performance.wait(queue, QueueRank::Timely);
     wait.mul_f64(measured.latency_factor(now))
 }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -12,7 +12,7 @@
 
 use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
 use foldhaven_core::opaque::admission::{
-    AdmissionError, DestinationEstimate, TimeLimits, admit, retry_after,
+    AdmissionError, DestinationEstimate, TimeLimits, admit, queue_wait, retry_after,
 };
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
@@ -25,7 +25,7 @@
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
-use self::remote::{RemoteChoice, choose_remote, choose_remote_with_room};
+use self::remote::{RemoteChoice, choose_overflow, choose_remote, choose_remote_with_room};
 use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
@@ -202,7 +202,12 @@
             Err(refusal) => wait_or_refuse(job, refusal),
         };
     }
-    let remote = choose_remote(shared, view, job, tried);
+    let remote = match &local {
+        Some(local) if job.is_plain() => {
+            choose_overflow(shared, view, job, tried, local.choice.cost)
+        }
+        _ => choose_remote(shared, view, job, tried),
+    };
     let local = match local {
         Some(local) if needs_relay(&local, tried, is_lost) => {
             match pick_relay(shared, view, job, tried) {
@@ -219,9 +224,14 @@
         return Ok(Placement::chosen(remote.choice));
     }
     match (local, remote) {
-        (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
-            admit_choice(job, &remote.estimate())?;
-            Ok(Placement::chosen(remote.choice))
+        (Some(local), Some(remote)) if prefers_remote(job, &local, &remote, tried) => {
+            match admit_choice(job, &remote.estimate()) {
+                Ok(()) => Ok(Placement::chosen(remote.choice)),
+                Err(_) if job.is_plain() && admit_choice(job, &local.estimate()).is_ok() => {
+                    local.reserve(shared).map(Placement::chosen)
+                }
+                Err(refusal) => Err(refusal),
+            }
         }
         (Some(local), _) if !local.choice.has_room => Ok(Placement::NoRoom),
         (Some(local), remote) => match (admit_choice(job, &local.estimate()), remote) {
@@ -295,17 +305,26 @@
 
 /// Returns whether a remote region is better than the local choice: it is cheaper by more than the
 /// margin, or the local upstreams cannot be trusted.
-fn prefers_remote(local: &LocalChoice, remote: &RemoteChoice, tried: &TriedDestinations) -> bool {
+fn prefers_remote(
+    job: &GatewayJob,
+    local: &LocalChoice,
+    remote: &RemoteChoice,
+    tried: &TriedDestinations,
+) -> bool {
     let is_local_trusted = local.choice.is_trusted && tried.upstreams.len() < MAX_LOCAL_FAULTS;
-    let is_cheaper = remote.cost + REGION_MARGIN < local.choice.cost;
+    let is_cheaper = match job.is_plain() {
+        true => remote.is_drawn,
+        false => remote.cost + REGION_MARGIN < local.choice.cost,
+    };
     !is_local_trusted || is_cheaper && local.choice.has_room
 }
 
 /// Returns whether a remote region can answer in time a request that was not admitted locally. Its
-/// last report has to show free slots.
+/// last report has to show free slots, or room in the queues of plain requests.
 fn has_free_capacity(job: &GatewayJob, remote: &RemoteChoice) -> bool {
     let DestinationEstimate { rank, queue, .. } = remote.estimate();
-    let is_free = rank == QueueRank::Timely && queue.in_flight < queue.slots;
+    let has_slot = job.is_plain() || queue.in_flight < queue.slots;
+    let is_free = rank == QueueRank::Timely && has_slot;
     is_free && admit_choice(job, &remote.estimate()).is_ok()
 }
 
@@ -332,8 +351,12 @@
         waited: job.spent(),
         remaining: job.deadline.saturating_duration_since(BootInstant::now()),
     };
-    admit(estimate, limits)
-        .map_err(|cause| Refusal::Overloaded { cause, wait: retry_after(estimate, limits) })
+    admit(estimate, limits).map_err(|cause| match cause {
+        AdmissionError::Full if job.is_plain() => {
+            Refusal::QueueFull { wait: queue_wait(estimate.time_to_first) }
+        }
+        cause => Refusal::Overloaded { cause, wait: retry_after(estimate, limits) },
+    })
 }
 
 /// Returns the properties of a request that the choice depends on.
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -14,10 +14,13 @@
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::region_overflow::draw_region;
 use foldhaven_core::opaque::remote_queue::RemoteService;
 use foldhaven_core::opaque::remote_room::SendCost;
 
-use super::{DestinationChoice, RequestDestination, TriedDestinations, choice_query};
+use super::{
+    DestinationChoice, REGION_MARGIN, RequestDestination, TriedDestinations, choice_query,
+};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
 use crate::view::{GatewayView, PeerLink, RegionPeers, RegionWait};
@@ -37,6 +40,10 @@
     pub(super) cost: RequestCost,
     pub(super) breakdown: CostBreakdown,
     pub(super) region: RegionName,
+    /// Whether its upstreams probably decline further plain requests.
+    is_full: bool,
+    /// Whether the request is drawn to go there because its home has less room.
+    pub(super) is_drawn: bool,
 }
 
 impl RemoteChoice {
@@ -48,7 +55,7 @@
             breakdown: self.breakdown,
             rank,
             queue,
-            is_full: false,
+            is_full: self.is_full,
         }
     }
 }
@@ -64,6 +71,25 @@
     priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
 }
 
+/// Chooses another region for a plain request, by its cost at home: one that it is drawn to be sent
+/// to, or else the cheapest. One that another region has refused is not drawn again.
+pub(super) fn choose_overflow(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedDestinations,
+    home: RequestCost,
+) -> Option<RemoteChoice> {
+    let mut priced = price_remote(shared, view, job, tried);
+    priced.retain(|remote| !has_tried(view, tried, &remote.region));
+    let costs: Vec<RequestCost> = priced.iter().map(|remote| remote.cost).collect();
+    let drawn = draw_region(home, &costs, REGION_MARGIN, rand::random());
+    match drawn.filter(|_| tried.peers.is_empty()) {
+        Some(index) => Some(RemoteChoice { is_drawn: true, ..priced.swap_remove(index) }),
+        None => priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0)),
+    }
+}
+
 /// Chooses the cheapest of the other regions to which a request with a priority level should go
 /// rather than wait here, and takes the room there.
 pub(super) fn choose_remote_with_room(
@@ -152,6 +178,12 @@
     priced.collect()
 }
 
+/// Whether a request was sent to any VM of a region.
+fn has_tried(view: &GatewayView, tried: &TriedDestinations, region: &RegionName) -> bool {
+    let peers = view.members.regions.get(region);
+    peers.is_some_and(|peers| peers.links.iter().any(|peer| tried.peers.contains(&peer.vm)))
+}
+
 /// Whether a region has an upstream at which the stream of a request may go on.
 fn has_fitting_upstream(view: &GatewayView, job: &GatewayJob, region: &RegionName) -> bool {
     let group = view.group(&job.service, region);
@@ -175,9 +207,13 @@
         let query = choice_query(self.shared, self.view, job);
         let missing = self.missing_tokens(query.shared_tokens);
         let prefill_tokens = query.unshared_tokens + missing;
-        let performance = self.shared.measured_performance(&job.service);
+        let performance = self.shared.performance_for(job, self.view);
         let network_time = self.network_time(&peer);
-        let sent = self.sent_since(performance.slot_time, network_time);
+        let senders = match job.is_plain() {
+            true => performance.traffic_share.equal_senders(self.view.senders),
+            false => self.view.senders,
+        };
+        let sent = self.sent_since(performance.slot_time, network_time, senders);
         let there = performance.time_to_first(sent, QueueRank::Timely, prefill_tokens);
         let time_to_first = network_time + self.wait.wait + there;
         // The reported load already contains most of the requests sent since.
@@ -189,6 +225,7 @@
             long_pauses: pause_cost(&query, self.wait.long_pauses).0,
             streaming: streaming_cost(&query, &performance, queue).0,
             decode_slowdown: decode_slowdown_cost(&query, &performance, queue, prefill_tokens).0,
+            overflow: performance.overflow_risk(queue),
             ..CostBreakdown::default()
         };
         let destination = RequestDestination::Peer(peer);
@@ -202,7 +239,14 @@
             fetch_from: None,
             prefix: PrefixUse::default(),
         };
-        RemoteChoice { choice, cost: breakdown.total(), breakdown, region: self.region.clone() }
+        RemoteChoice {
+            choice,
+            cost: breakdown.total(),
+            breakdown,
+            region: self.region.clone(),
+            is_full: job.is_plain() && performance.queue_capacity.is_full(queue),
+            is_drawn: false,
+        }
     }
 
     /// Returns the round trip to the region, doubled if a connection has to be opened first.
@@ -215,12 +259,16 @@
     }
 
     /// Estimates the requests that the VMs of this region have sent there since the last report,
-    /// from those that this VM has sent.
-    fn sent_since(&self, slot_time: Duration, network_time: Duration) -> QueueState {
+    /// from those that this VM has sent: `senders` VMs send as many.
+    fn sent_since(
+        &self,
+        slot_time: Duration,
+        network_time: Duration,
+        senders: usize,
+    ) -> QueueState {
         let own = self.peers.traffic.share(&self.job.service);
         let RegionWait { upstreams, slots, .. } = self.wait;
-        RemoteService { upstreams, slots, slot_time, round_trip: network_time }
-            .queue(own, self.view.senders)
+        RemoteService { upstreams, slots, slot_time, round_trip: network_time }.queue(own, senders)
     }
 
     /// Returns the tokens of the shared segments that would have to be prefilled in the region.
