--- a/crates/foldhaven-core/src/opaque/performance.rs
+++ b/crates/foldhaven-core/src/opaque/performance.rs
@@ -10,8 +10,8 @@
 use crate::opaque::priority_level::PriorityLevel;
 use crate::opaque::queue_capacity::QueueCapacity;
 use crate::opaque::queue_rank::{PrefillBacklog, QueueRank};
+use crate::opaque::reported_load::ReportedLoad;
 use crate::opaque::short_slowdown::SlowdownMonitor;
-use crate::opaque::told_load::ToldLoad;
 use crate::opaque::traffic_share::TrafficShare;
 use crate::opaque::upstream_speed::{FactorMean, SpeedFactors, UpstreamSpeed};
 use crate::opaque::work_time::WorkTime;
@@ -311,7 +311,7 @@
     /// Whether the upstream is slow at this moment.
     pub slowdown: SlowdownMonitor,
     /// The load that the upstream tells.
-    pub told_load: ToldLoad,
+    pub reported_load: ReportedLoad,
 }
 
 impl Default for UpstreamPerformance {
@@ -325,7 +325,7 @@
             refused: None,
             speed: UpstreamSpeed::default(),
             slowdown: SlowdownMonitor::default(),
-            told_load: ToldLoad::default(),
+            reported_load: ReportedLoad::default(),
         }
     }
 }
--- a/crates/foldhaven-core/src/opaque/remote_room.rs
+++ b/crates/foldhaven-core/src/opaque/remote_room.rs
@@ -190,7 +190,7 @@
     }
 
     /// Returns what other regions have told of a level.
-    fn told_of_level(
+    fn reported_of_level(
         &self,
         service: ServiceTag,
         level: PriorityLevel,
@@ -202,7 +202,7 @@
     }
 
     fn highest_pressure(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> f64 {
-        let told = self.told_of_level(service, level, now);
+        let told = self.reported_of_level(service, level, now);
         told.map(LevelRoom::pressure).fold(f64::NEG_INFINITY, f64::max)
     }
 
@@ -210,7 +210,7 @@
     /// and none has sent any away, or all have been told that this region does.
     fn is_known_as_sender(&self, service: ServiceTag, here: &LevelRoom, now: MonoTime) -> bool {
         let may_send = |room: &LevelRoom| room.is_sent_away || room.pressure() > MAX_FREE_PRESSURE;
-        let may_get_more = self.told_of_level(service, here.level, now).any(may_send);
+        let may_get_more = self.reported_of_level(service, here.level, now).any(may_send);
         let period = self.sending.get(&(service, here.level));
         !may_get_more || period.is_some_and(|period| now.since(period.began) >= UNSEEN_TIME)
     }
@@ -223,7 +223,12 @@
     }
 
     /// Returns the room of this region as told to others.
-    pub fn told_rooms(&self, service: ServiceTag, own: &OwnRoom, now: MonoTime) -> Vec<LevelRoom> {
+    pub fn reported_rooms(
+        &self,
+        service: ServiceTag,
+        own: &OwnRoom,
+        now: MonoTime,
+    ) -> Vec<LevelRoom> {
         let told = |room: &LevelRoom| LevelRoom {
             is_sent_away: self.is_sending(service, room.level, now),
             ..room.without(own.bound_slots[room.level.index()])
@@ -263,15 +268,20 @@
     }
 
     /// Returns the room that regions have told for a level, for logs.
-    pub fn told(&self, service: ServiceTag, level: PriorityLevel, now: MonoTime) -> Vec<ToldRoom> {
+    pub fn reported(
+        &self,
+        service: ServiceTag,
+        level: PriorityLevel,
+        now: MonoTime,
+    ) -> Vec<ReportedRoom> {
         let of_service = self.rooms.iter().filter(|((_, tag), _)| *tag == service);
         let told = of_service.filter_map(|((region, _), room)| {
             let level_room = room.rooms.iter().find(|it| it.level == level)?;
             let age = now.since(room.received);
             let gap = room.quotas[level.index()].gap;
-            Some(ToldRoom { region: region.clone(), room: *level_room, gap, age })
+            Some(ReportedRoom { region: region.clone(), room: *level_room, gap, age })
         });
-        let mut told: Vec<ToldRoom> = told.collect();
+        let mut told: Vec<ReportedRoom> = told.collect();
         told.sort_by(|left, right| left.region.cmp(&right.region));
         told
     }
@@ -289,7 +299,7 @@
 
 /// The room that a region has told for one level.
 #[derive(Debug, Clone, PartialEq)]
-pub struct ToldRoom {
+pub struct ReportedRoom {
     /// The region.
     pub region: RegionName,
     /// The room.
@@ -300,7 +310,7 @@
     pub age: Duration,
 }
 
-impl fmt::Display for ToldRoom {
+impl fmt::Display for ReportedRoom {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { region, room, gap, age } = self;
         let LevelRoom { surplus, capacity, .. } = room;
--- a/crates/foldhaven-core/src/opaque/told_load.rs
+++ b/crates/foldhaven-core/src/opaque/reported_load.rs
@@ -76,11 +76,11 @@
 
 /// The newest load that an upstream has told this VM.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct ToldLoad {
+pub struct ReportedLoad {
     newest: Option<(LoadReading, AnswerTiming)>,
 }
 
-impl ToldLoad {
+impl ReportedLoad {
     /// Records a reading. One in an answer to a request that was sent earlier than that of the
     /// reading held is ignored, since answers on several connections may arrive out of order.
     /// Returns whether it counts.
@@ -122,6 +122,6 @@
         }
         let trust = 1.0 - age.div_duration_f64(SLOWDOWN_VALIDITY);
         let told = 1.0 + (reading.slowness.unwrap_or(1.0) - 1.0) * trust;
-        by_measure.or_told(told)
+        by_measure.or_reported(told)
     }
 }
--- a/crates/foldhaven-core/src/opaque/return_times.rs
+++ b/crates/foldhaven-core/src/opaque/return_times.rs
@@ -100,7 +100,7 @@
 }
 
 impl ReturnBucket {
-    fn told_through(&self, level: PriorityLevel) -> u64 {
+    fn expected_through(&self, level: PriorityLevel) -> u64 {
         self.told[..=level.index()].iter().map(|count| u64::from(*count)).sum()
     }
 }
@@ -181,7 +181,7 @@
         if bucket.number != number {
             *bucket = ReturnBucket { number, ..ReturnBucket::default() };
         }
-        if bucket.told_through(level) >= capacity {
+        if bucket.expected_through(level) >= capacity {
             return false;
         }
         let told = &mut bucket.told[level.index()];
@@ -193,7 +193,7 @@
     pub fn expected(&self, now: MonoTime) -> u64 {
         let first = bucket_number(now);
         let open = self.buckets.iter().filter(|bucket| bucket.number >= first);
-        open.map(|bucket| bucket.told_through(PriorityLevel::LAST)).sum()
+        open.map(|bucket| bucket.expected_through(PriorityLevel::LAST)).sum()
     }
 }
 
--- a/crates/foldhaven-core/src/opaque/told_returns.rs
+++ b/crates/foldhaven-core/src/opaque/scheduled_returns.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct ToldReturn {
+struct ScheduledReturn {
     first_try: MonoTime,
     told: MonoTime,
 }
@@ -34,17 +34,17 @@
 /// The requests that one VM has told to come again. If there are too many, the oldest are
 /// forgotten.
 #[derive(Debug, Default)]
-pub struct ToldReturns {
-    told: HashMap<RequestFingerprint, ToldReturn>,
+pub struct ScheduledReturns {
+    told: HashMap<RequestFingerprint, ScheduledReturn>,
     order: VecDeque<(MonoTime, RequestFingerprint)>,
 }
 
-impl ToldReturns {
+impl ScheduledReturns {
     /// Records when a refused request is expected.
     pub fn record(&mut self, request: RefusedRequest, told: MonoTime, now: MonoTime) {
         let RefusedRequest { fingerprint, first_try } = request;
         self.forget(now);
-        self.told.insert(fingerprint, ToldReturn { first_try, told });
+        self.told.insert(fingerprint, ScheduledReturn { first_try, told });
         self.order.push_back((told, fingerprint));
     }
 
--- a/crates/foldhaven-core/src/opaque/short_slowdown.rs
+++ b/crates/foldhaven-core/src/opaque/short_slowdown.rs
@@ -42,7 +42,7 @@
     }
 
     /// Returns the larger of this factor and one that the upstream tells.
-    pub fn or_told(self, told: f64) -> Self {
+    pub fn or_reported(self, told: f64) -> Self {
         Self(self.0.max(told).min(MAX_RATIO))
     }
 
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -1,13 +1,10 @@
 //! Integration tests of the decision logic, by topic.
 
-mod support;
-
 mod attempts;
 mod descriptions;
 mod load;
 mod membership;
 mod opaque_account_limits;
-
 mod opaque_account_shares;
 mod opaque_admission;
 mod opaque_answer_length;
@@ -33,7 +30,7 @@
 mod opaque_regions;
 mod opaque_remote;
 mod opaque_remote_rooms;
-
+mod opaque_reported_load;
 mod opaque_reports;
 mod opaque_return_peak;
 mod opaque_return_times;
@@ -50,7 +47,6 @@
 mod opaque_suspect_orders;
 mod opaque_suspect_segments;
 mod opaque_suspects;
-mod opaque_told_load;
 mod opaque_upstream_ring;
 mod opaque_upstreams;
 mod opaque_waiting_memory;
@@ -61,6 +57,7 @@
 mod region_model;
 mod residency;
 mod routing;
+mod support;
 mod tickets;
 mod units;
 mod waits;
--- a/crates/foldhaven-core/tests/testsuite/opaque_cache_estimate.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_cache_estimate.rs
@@ -148,7 +148,7 @@
 
 /// Guards against memory that other VMs do not know of, and against more messages.
 #[test]
-fn short_prompts_are_told_with_the_next_long_one() {
+fn short_prompts_are_announced_with_the_next_long_one() {
     let mut queue = PlacementQueue::default();
     let short = PromptOutline::parse("a:100,own:700").unwrap();
     queue.push(placement(UpstreamTag(1), &short));
--- a/crates/foldhaven-core/tests/testsuite/opaque_older_daemons.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_older_daemons.rs
@@ -66,7 +66,7 @@
     let (region, service) = ("south".parse().unwrap(), ServiceTag(3));
     for level in PriorityLevel::all() {
         let class = RequestClass { level, ..RequestClass::default() };
-        assert!(rooms.told(service, level, at(0)).is_empty());
+        assert!(rooms.reported(service, level, at(0)).is_empty());
         assert!(!rooms.may_send(&region, service, &class, SendCost::default(), at(0)));
     }
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -208,7 +208,7 @@
     upstreams: Vec<VecDeque<u64>>,
     /// The loads as other VMs and other regions know them.
     told: Vec<u32>,
-    told_away: Vec<u32>,
+    reported_away: Vec<u32>,
 }
 
 impl Region {
@@ -216,7 +216,7 @@
         Self {
             upstreams: vec![VecDeque::new(); count],
             told: vec![0; count],
-            told_away: vec![0; count],
+            reported_away: vec![0; count],
         }
     }
 
@@ -229,7 +229,7 @@
             self.told = loads();
         }
         if now.is_multiple_of(REGION_REPORT_MS) {
-            self.told_away = loads();
+            self.reported_away = loads();
         }
     }
 
@@ -260,7 +260,7 @@
 
     /// Returns the cost of a request of another region, by the reports that it has.
     fn cost_away(&self) -> RequestCost {
-        let load = self.told_away.iter().copied().min().unwrap_or(QUEUE_LIMIT as u32);
+        let load = self.reported_away.iter().copied().min().unwrap_or(QUEUE_LIMIT as u32);
         let performance = performance();
         let time = performance.time_to_first(queue(load), QueueRank::Timely, 0) + MS(ROUND_TRIP_MS);
         let overflow = performance.overflow_risk(queue(load));
--- a/crates/foldhaven-core/tests/testsuite/opaque_remote_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_remote_rooms.rs
@@ -99,7 +99,7 @@
 
 // Guards against a region that was cut off or lost and still gets requests.
 #[test]
-fn told_room_lapses() {
+fn reported_room_lapses() {
     let mut remote = RemoteRooms::default();
     remote.apply(&report("a", 1, 100), short_of(100, 1.0), 0.0, at(0));
     assert_eq!(sent(&mut remote, LAST, 1_100), 0);
@@ -148,7 +148,7 @@
     let mut remote = RemoteRooms::default();
     let own = short_of(50, 1.0)(SERVICE).unwrap();
     let sends = |remote: &RemoteRooms, millis| {
-        remote.told_rooms(SERVICE, &own, at(millis)).iter().all(|room| room.is_sent_away)
+        remote.reported_rooms(SERVICE, &own, at(millis)).iter().all(|room| room.is_sent_away)
     };
     assert!(!sends(&remote, 0));
     remote.apply(&report("a", 1, 100), short_of(50, 1.0), 0.0, at(10));
@@ -186,9 +186,9 @@
     remote.apply(&shortest, short_of(50, 1.0), 0.0, at(0));
     remote.apply(&report("a", 1, 10), short_of(50, 1.0), 0.0, at(0));
     let own = short_of(50, 1.0)(SERVICE).unwrap();
-    assert!(remote.told_rooms(SERVICE, &own, at(0)).iter().all(|room| !room.is_sent_away));
+    assert!(remote.reported_rooms(SERVICE, &own, at(0)).iter().all(|room| !room.is_sent_away));
     remote.apply(&report("a", 2, 10), short_of(150, 1.0), 0.0, at(10));
-    assert!(remote.told_rooms(SERVICE, &own, at(10)).iter().all(|room| room.is_sent_away));
+    assert!(remote.reported_rooms(SERVICE, &own, at(10)).iter().all(|room| room.is_sent_away));
 }
 
 // Guards against less urgent requests elsewhere that keep urgent ones waiting here.
--- a/crates/foldhaven-core/tests/testsuite/opaque_told_load.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_reported_load.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::reported_load::{LoadReading, ParseLoadError, ReportedLoad};
 use foldhaven_core::opaque::short_slowdown::SlowdownMonitor;
-use foldhaven_core::opaque::told_load::{LoadReading, ParseLoadError, ToldLoad};
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use rstest::rstest;
 
@@ -18,8 +18,8 @@
 }
 
 /// Returns a load that was told in an answer received at a time, to a request sent 50 ms before.
-fn told(text: &str, received_ms: u64) -> ToldLoad {
-    let mut load = ToldLoad::default();
+fn reported(text: &str, received_ms: u64) -> ReportedLoad {
+    let mut load = ReportedLoad::default();
     let timing = AnswerTiming { sent: at(received_ms - 50), received: at(received_ms) };
     load.record(text.parse().unwrap(), timing);
     load
@@ -56,8 +56,8 @@
 
 // Guards against changed choices where upstreams tell nothing.
 #[test]
-fn without_a_told_load_nothing_changes() {
-    let load = ToldLoad::default();
+fn without_a_reported_load_nothing_changes() {
+    let load = ReportedLoad::default();
     assert_eq!(load.queue(queue(3), SLOT_TIME, at(0)), queue(3));
     let mut monitor = SlowdownMonitor::default();
     monitor.record(Duration::from_millis(100), Duration::from_millis(40), at(0));
@@ -66,8 +66,8 @@
 
 // Guards against queues that look empty because the VMs that fill them are not heard.
 #[test]
-fn told_requests_count_until_they_have_probably_ended() {
-    let load = told("6,12,6", 1_000);
+fn reported_requests_count_until_they_have_probably_ended() {
+    let load = reported("6,12,6", 1_000);
     let in_flight = |known, now_ms| load.queue(queue(known), SLOT_TIME, at(now_ms)).in_flight;
     assert_eq!(in_flight(2, 1_000), 18);
     assert_eq!(in_flight(2, 1_120), 6, "twelve have ended");
@@ -80,7 +80,7 @@
 // Guards against an old answer that arrives last and replaces a newer figure.
 #[test]
 fn the_answer_to_the_request_sent_last_counts() {
-    let mut load = told("6,12,6", 1_000);
+    let mut load = reported("6,12,6", 1_000);
     let late = AnswerTiming { sent: at(900), received: at(1_010) };
     assert!(!load.record("0,0,6".parse().unwrap(), late));
     assert_eq!(load.queue(queue(0), SLOT_TIME, at(1_000)).in_flight, 18);
@@ -90,30 +90,30 @@
 }
 
 #[test]
-fn a_told_slowdown_fades() {
-    let load = told("3,0,6,300", 1_000);
+fn a_reported_slowdown_fades() {
+    let load = reported("3,0,6,300", 1_000);
     let factor = |now_ms| load.slowdown(&SlowdownMonitor::default(), 0, at(now_ms)).value();
     assert!((factor(1_000) - 3.0).abs() < 1e-9);
     assert!((factor(1_125) - 2.0).abs() < 1e-9);
     assert_eq!(factor(1_250), 1.0);
     assert_eq!(
-        told("3,0,6,2000", 1_000).slowdown(&SlowdownMonitor::default(), 0, at(1_000)).value(),
+        reported("3,0,6,2000", 1_000).slowdown(&SlowdownMonitor::default(), 0, at(1_000)).value(),
         4.0
     );
-    let fast = told("3,0,6,40", 1_000).slowdown(&SlowdownMonitor::default(), 0, at(1_000));
+    let fast = reported("3,0,6,40", 1_000).slowdown(&SlowdownMonitor::default(), 0, at(1_000));
     assert_eq!(fast.value(), 1.0, "a short rest of others is no lasting speed");
 }
 
 // Guards against a told figure that hides a slowdown seen on streams, or outlives its end.
 #[test]
-fn measurements_go_before_told_figures() {
+fn measurements_go_before_reported_figures() {
     let expected = Duration::from_millis(40);
     let mut monitor = SlowdownMonitor::default();
     monitor.record(expected.mul_f64(3.0), expected, at(990));
-    let as_usual = told("3,0,6,100", 1_000);
+    let as_usual = reported("3,0,6,100", 1_000);
     assert_eq!(as_usual.slowdown(&monitor, 1, at(1_010)), monitor.factor(1, at(1_010)));
     assert!(monitor.factor(1, at(1_010)).value() > 2.5);
     monitor.record(expected, expected, at(1_020));
-    let slow = told("3,0,6,300", 1_000);
+    let slow = reported("3,0,6,300", 1_000);
     assert_eq!(slow.slowdown(&monitor, 1, at(1_030)).value(), 1.0, "events arrive as usual again");
 }
--- a/crates/foldhaven-core/tests/testsuite/opaque_return_peak.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_return_peak.rs
@@ -11,7 +11,7 @@
 use foldhaven_core::opaque::return_times::{
     RegionTurnover, ReturnQuery, ReturnSchedule, max_respected_delay,
 };
-use foldhaven_core::opaque::told_returns::{RefusedRequest, ToldReturns};
+use foldhaven_core::opaque::scheduled_returns::{RefusedRequest, ScheduledReturns};
 use foldhaven_core::time::MonoTime;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -82,7 +82,7 @@
 struct VmModel {
     waiting: Vec<(PriorityLevel, MonoTime, Caller)>,
     schedule: ReturnSchedule,
-    told: ToldReturns,
+    told: ScheduledReturns,
     credit: f64,
 }
 
--- a/crates/foldhaven-core/tests/testsuite/opaque_return_times.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_return_times.rs
@@ -8,7 +8,7 @@
 use foldhaven_core::opaque::return_times::{
     RegionTurnover, ReturnQuery, ReturnSchedule, ReturnTime, max_respected_delay,
 };
-use foldhaven_core::opaque::told_returns::{RefusedRequest, ToldReturns};
+use foldhaven_core::opaque::scheduled_returns::{RefusedRequest, ScheduledReturns};
 use foldhaven_core::time::MonoTime;
 
 use crate::opaque_support::at;
@@ -99,7 +99,7 @@
 
 // Guards against state that outlives its use: what was told has no effect once its time is over.
 #[test]
-fn what_was_told_lapses() {
+fn what_was_reported_lapses() {
     let mut schedule = ReturnSchedule::default();
     let query = query(3, 40.0);
     while schedule.schedule(&query, 0.5, at(0)).is_promised() {}
@@ -130,7 +130,7 @@
 // keep their time.
 #[test]
 fn who_comes_early_again_and_again_gains_nothing() {
-    let mut told = ToldReturns::default();
+    let mut told = ScheduledReturns::default();
     let request = RefusedRequest { fingerprint: fingerprint("a"), first_try: at(0) };
     told.record(request, at(2_000), at(10));
     for millis in (100..1_900).step_by(100) {
@@ -144,8 +144,8 @@
 // Guards against another caller's copy of the request, and a caller unknown here, that are placed
 // by what one was told: they go by their own first try.
 #[test]
-fn only_the_caller_that_was_told_is_early() {
-    let mut told = ToldReturns::default();
+fn only_a_caller_with_a_time_is_early() {
+    let mut told = ScheduledReturns::default();
     let request = RefusedRequest { fingerprint: fingerprint("a"), first_try: at(0) };
     told.record(request, at(4_000), at(10));
     let copy = RefusedRequest { first_try: at(1_000), ..request };
@@ -159,7 +159,7 @@
 // Guards against memory that grows with the refusals of an overload.
 #[test]
 fn the_memory_of_refusals_is_bounded() {
-    let mut told = ToldReturns::default();
+    let mut told = ScheduledReturns::default();
     for index in 0..5_000_u64 {
         let fingerprint = fingerprint(&index.to_string());
         let request = RefusedRequest { fingerprint, first_try: at(index) };
--- a/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_waiting_shares.rs
@@ -31,7 +31,7 @@
 
 /// What a VM last told the others.
 #[derive(Debug, Clone, Copy, Default)]
-struct ToldLoad {
+struct ReportedLoad {
     running: [u32; LEVEL_COUNT],
     waiting: [u32; LEVEL_COUNT],
 }
@@ -41,14 +41,14 @@
     room: WaitingRoom,
     waiting: Vec<(TicketId, usize, MonoTime)>,
     running: Vec<(MonoTime, usize)>,
-    told: ToldLoad,
+    told: ReportedLoad,
 }
 
 impl VmModel {
-    fn load(&self, now: MonoTime) -> ToldLoad {
+    fn load(&self, now: MonoTime) -> ReportedLoad {
         let mut running = [0; LEVEL_COUNT];
         self.running.iter().for_each(|(_, level)| running[*level] += 1);
-        ToldLoad { running, waiting: self.room.counts(now) }
+        ReportedLoad { running, waiting: self.room.counts(now) }
     }
 }
 
--- a/crates/foldhaven-core/tests/testsuite/region_model.rs
+++ b/crates/foldhaven-core/tests/testsuite/region_model.rs
@@ -302,7 +302,7 @@
             let reports = due.map(|delegate| {
                 let region = &self.regions[from];
                 let own = region.own_room(0, now);
-                let rooms = region.vms[0].told_rooms(SERVICE, &own, at(now));
+                let rooms = region.vms[0].reported_rooms(SERVICE, &own, at(now));
                 LevelRoomReport {
                     region: region_name(from),
                     delegate: VmTag(delegate as _),
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -29,8 +29,9 @@
     DestinationChoice, Placement, RequestDestination, TriedDestinations, choose_destination,
 };
 use crate::job::GatewayJob;
+use crate::load_counter::LoadGuard;
 use crate::shared::GatewayShared;
-use crate::upstream::{LoadGuard, UpstreamRequestGuard};
+use crate::upstream::UpstreamRequestGuard;
 use crate::view::GatewayView;
 use crate::waiting_rooms::WaitingTicket;
 
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -17,8 +17,9 @@
 use crate::credential::fingerprint_value;
 use crate::destinations::{DestinationChoice, RequestDestination};
 use crate::job::read_software;
+use crate::load_counter::RequestLoad;
 use crate::names::{HeaderNames, text_value};
-use crate::upstream::{RequestLoad, Upstream, UpstreamRequestGuard};
+use crate::upstream::{Upstream, UpstreamRequestGuard};
 use crate::upstream_listener::{NoopListener, UpstreamListener};
 
 /// Minimum time without an answer after which an upstream is checked for any sign of life. A model
--- a/crates/foldhaven-gateway/src/control/load_reports.rs
+++ b/crates/foldhaven-gateway/src/control/load_reports.rs
@@ -261,7 +261,7 @@
         let rooms = services.filter_map(|service| {
             let own = own_room(&self.shared, &view, service)?;
             let tag = ServiceTag::of(service);
-            Some((tag, remote_rooms.told_rooms(tag, &own, self.now())))
+            Some((tag, remote_rooms.reported_rooms(tag, &own, self.now())))
         });
         Some(LevelRoomReport {
             region: region.region.clone(),
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
 use foldhaven_core::opaque::arrival_spread::choose_spread;
@@ -14,17 +14,15 @@
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::prefix_use::PrefixUse;
-use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::region_room::{OwnRoom, RegionQueues};
 use foldhaven_core::opaque::request_class::RoomNeed;
-use foldhaven_core::opaque::return_times::RegionTurnover;
-use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog};
+use foldhaven_core::opaque::service_room::RoomLimits;
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
-use foldhaven_core::opaque::waiting_room::RoomView;
 use foldhaven_core::time::MonoTime;
 
+use super::room::max_backlog_of;
 use super::{DestinationChoice, RequestDestination, RoomRule, TriedDestinations, choice_query};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -45,7 +43,7 @@
 
 /// The maximum number of upstreams to look at for whether any of them can take a request. If one in
 /// twenty can, one is found almost always.
-const MAX_EXAMINED: usize = 128;
+pub(super) const MAX_EXAMINED: usize = 128;
 
 /// The best upstream of this region.
 pub(super) struct LocalChoice {
@@ -185,7 +183,7 @@
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
 /// to back off, or this VM has used up its share of the upstream's rate or slots. `None` if it may
 /// send now.
-fn throttled_for(
+pub(super) fn throttled_for(
     shared: &GatewayShared,
     senders: usize,
     upstream: &Upstream,
@@ -367,9 +365,9 @@
         let speed = performance.speed.factors(now);
         let slot_time = self.slot_time.mul_f64(speed.decode);
         let queue = performance.queue_after_refusal(upstream.queue(), slot_time, now);
-        let queue = performance.told_load.queue(queue, slot_time, now);
+        let queue = performance.reported_load.queue(queue, slot_time, now);
         let slowdown =
-            performance.told_load.slowdown(&performance.slowdown, upstream.stream_count(), now);
+            performance.reported_load.slowdown(&performance.slowdown, upstream.stream_count(), now);
         UpstreamCandidate {
             name: upstream.name(),
             queue,
@@ -409,118 +407,6 @@
     upstream.pool.is_failing_to_open() && !upstream.pool.has_usable_connection()
 }
 
-/// Returns the prompt tokens that may wait for prefill at one upstream of a service.
-fn max_backlog_of(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> u32 {
-    let Some(levels) = view.routes.levels(service) else { return u32::MAX };
-    max_backlog(&shared.measured_performance(service), levels.shortest_target())
-}
-
-/// The queues of the usable upstreams of a service in this region, or of some of them.
-struct UsableQueues {
-    queues: Vec<QueueState>,
-    /// The number of upstreams that each queue stands for.
-    scale: f64,
-    max_backlog: u32,
-    report_age: Duration,
-    slot_time: Duration,
-}
-
-impl UsableQueues {
-    fn of(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> Option<Self> {
-        let now = shared.now();
-        let group = view.group(service, shared.settings.region())?;
-        let is_usable = |it: &&Arc<Upstream>| {
-            let is_throttled = throttled_for(shared, view.recent_senders, it, now).is_some();
-            !it.is_leaving() && !it.is_ejected(now) && !is_throttled
-        };
-        let examined = group.iter_from(RingPosition(rand::random())).take(MAX_EXAMINED);
-        Some(Self {
-            queues: examined.filter(is_usable).map(|upstream| upstream.queue()).collect(),
-            scale: group.len() as f64 / group.len().clamp(1, MAX_EXAMINED) as f64,
-            max_backlog: max_backlog_of(shared, view, service),
-            report_age: view.report_age(),
-            slot_time: shared.measured_performance(service).slot_time,
-        })
-    }
-
-    /// Returns the requests in flight by level. Those of unknown level count as going before all
-    /// others.
-    fn in_flight(&self) -> [u32; LEVEL_COUNT] {
-        let mut counts = [0; LEVEL_COUNT];
-        for queue in &self.queues {
-            let known = queue.levels.shares();
-            known.for_each(|it| counts[it.level.index()] += u32::from(it.in_flight));
-            counts[0] += queue.in_flight.saturating_sub(queue.levels.in_flight());
-        }
-        counts.map(|count| (f64::from(count) * self.scale) as u32)
-    }
-
-    fn room(&self, level: PriorityLevel) -> ServiceRoom {
-        let limits = RoomLimits::new(level, &self.queues, self.max_backlog)
-            .with_report_age(self.report_age, self.slot_time);
-        let rooms = self.queues.iter().map(|queue| limits.room(*queue));
-        rooms.fold(ServiceRoom::default(), ServiceRoom::plus).times(self.scale)
-    }
-}
-
-/// Returns what this VM sees of the room at the upstreams of a service in this region.
-pub fn view_room(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> RoomView {
-    let Some(usable) = UsableQueues::of(shared, view, service) else {
-        return RoomView::default();
-    };
-    let mut room = [ServiceRoom::default(); LEVEL_COUNT];
-    PriorityLevel::all().for_each(|level| room[level.index()] = usable.room(level));
-    RoomView {
-        room,
-        in_flight: usable.in_flight(),
-        slot_time: usable.slot_time,
-        own_in_flight: shared.busy_upstreams.in_flight(service),
-        waiting_elsewhere: shared.waiting_elsewhere(service),
-        report_interval: view.report_age(),
-    }
-}
-
-/// Returns the room that a service has in this region, compared with that of other regions. `None`
-/// if it has no upstreams here.
-pub fn own_room(
-    shared: &GatewayShared,
-    view: &GatewayView,
-    service: &ServiceName,
-) -> Option<OwnRoom> {
-    let usable = UsableQueues::of(shared, view, service)?;
-    let own_waiting = shared.waiting_rooms.room(service).lock().counts(shared.now());
-    let mut waiting = shared.waiting_elsewhere(service);
-    waiting.iter_mut().zip(own_waiting).for_each(|(count, own)| *count += own);
-    let queues = RegionQueues {
-        queues: &usable.queues,
-        scale: usable.scale,
-        max_backlog: usable.max_backlog,
-        slot_time: shared.measured_performance(service).slot_time,
-        waiting: &waiting,
-    };
-    Some(OwnRoom::new(&queues, &shared.bound_shares(service), &own_waiting, view.senders))
-}
-
-/// Returns how fast the slots of a service become free in this region. `None` if it has no upstream
-/// here.
-pub fn region_turnover(
-    shared: &GatewayShared,
-    view: &GatewayView,
-    service: &ServiceName,
-) -> Option<RegionTurnover> {
-    let usable = UsableQueues::of(shared, view, service)?;
-    let own_waiting = shared.waiting_rooms.room(service).lock().len() as u32;
-    let elsewhere: u32 = shared.waiting_elsewhere(service).iter().sum();
-    let slots: u32 = usable.queues.iter().map(|queue| queue.slots).sum();
-    let in_flight: u32 = usable.queues.iter().map(|queue| queue.in_flight).sum();
-    Some(RegionTurnover {
-        slots: f64::from(slots) * usable.scale,
-        slot_time: shared.measured_performance(service).slot_time,
-        own_requests: shared.busy_upstreams.in_flight(service) + own_waiting,
-        all_requests: f64::from(in_flight) * usable.scale + f64::from(own_waiting + elsewhere),
-    })
-}
-
 /// Returns the queueing time that this VM expects for a request of timely rank at an upstream.
 pub fn expected_wait(
     upstream: &Upstream,
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -5,6 +5,7 @@
 mod overview;
 mod relay;
 mod remote;
+mod room;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,18 +21,20 @@
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
 
+pub use self::local::expected_wait;
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
-pub use self::local::{expected_wait, own_room, region_turnover, view_room};
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
 use self::remote::{RemoteChoice, choose_overflow, choose_remote, choose_remote_with_room};
+pub use self::room::{own_room, region_turnover, view_room};
 use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
 use crate::job::GatewayJob;
+use crate::load_counter::{LoadGuard, RequestLoad};
 use crate::shared::GatewayShared;
-use crate::upstream::{LoadGuard, RequestLoad, Upstream};
+use crate::upstream::Upstream;
 use crate::view::{GatewayView, PeerLink};
 
 /// How much cheaper another region must be to be preferred, since reports of it are up to a second
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -120,7 +120,7 @@
         return;
     }
     let tag = ServiceTag::of(&job.service);
-    let told = shared.remote_rooms.lock().told(tag, level, shared.now());
+    let told = shared.remote_rooms.lock().reported(tag, level, shared.now());
     let rooms: Vec<String> = told.iter().map(ToString::to_string).collect();
     let (request, region, vm) = (job.id(), &chosen.region, chosen.choice.destination.name());
     let time_to_first_ms = chosen.choice.time_to_first.as_millis() as u64;
--- a/crates/foldhaven-gateway/src/events/reading.rs
+++ b/crates/foldhaven-gateway/src/events/reading.rs
@@ -7,7 +7,8 @@
 use crate::call::{AnswerEnd, ConnectionLease};
 use crate::clock::BootInstant;
 use crate::destinations::RequestDestination;
-use crate::upstream::{LoadGuard, StreamGuard, UpstreamRequestGuard};
+use crate::load_counter::LoadGuard;
+use crate::upstream::{StreamGuard, UpstreamRequestGuard};
 
 /// An answer whose events are being read.
 pub(super) struct ReadingState {
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod front;
 mod job;
 mod leaving_tracker;
+mod load_counter;
 pub mod logging;
 mod metrics;
 pub mod names;
--- a/crates/foldhaven-gateway/src/returning_callers.rs
+++ b/crates/foldhaven-gateway/src/returning_callers.rs
@@ -9,7 +9,7 @@
 use foldhaven_core::opaque::return_times::{
     ReturnQuery, ReturnSchedule, ReturnTime, max_respected_delay,
 };
-use foldhaven_core::opaque::told_returns::{RefusedRequest, ToldReturns};
+use foldhaven_core::opaque::scheduled_returns::{RefusedRequest, ScheduledReturns};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
@@ -22,7 +22,7 @@
 #[derive(Default)]
 pub struct ReturningCallers {
     schedules: Mutex<HashMap<ServiceName, ReturnSchedule>>,
-    told: Mutex<ToldReturns>,
+    told: Mutex<ScheduledReturns>,
 }
 
 impl ReturningCallers {
@@ -60,7 +60,7 @@
         let now = shared.now();
         let request = refused_request(job, now);
         if let Some(told) = self.told.lock().early(request, now) {
-            shared.metrics.count_event("return_told_again");
+            shared.metrics.count_event("return_repeated");
             return Some(told.since(now));
         }
         let query = return_query(shared, job, class, wait)?;
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::opaque::reported_load::LoadReading;
 use foldhaven_core::opaque::slot_share::pause_after_decline;
-use foldhaven_core::opaque::told_load::LoadReading;
 use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::time::MonoTime;
 use foldhaven_core::units::RequestRate;
@@ -133,8 +133,8 @@
         match reading {
             None => self.record_unreadable(name.as_str(), value),
             Some(reading) => {
-                if self.upstream.performance.lock().told_load.record(reading, timing) {
-                    self.shared.metrics.count_event("upstream_load_told");
+                if self.upstream.performance.lock().reported_load.record(reading, timing) {
+                    self.shared.metrics.count_event("upstream_load_reported");
                 }
             }
         }
--- a/crates/foldhaven-gateway/src/view.rs
+++ b/crates/foldhaven-gateway/src/view.rs
@@ -16,8 +16,8 @@
 use parking_lot::Mutex;
 
 use crate::connection::{ConnectionPool, PEER_IDLE_LIMIT, RoundTripMeter};
+use crate::load_counter::{LoadCounter, LoadGuard, RequestLoad};
 use crate::platform_state::StateOffer;
-use crate::upstream::{LoadCounter, LoadGuard, RequestLoad};
 use crate::upstream_set::{RegionGroups, ServiceGroups, UpstreamGroup};
 
 /// The requests that this VM has forwarded to a region, and the round trip to it. Shared by the
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -252,7 +252,7 @@
 #[rstest]
 #[case::size(72, 147)]
 #[case::twice_the_size(144, 300)]
-fn told_rooms_are_small(#[case] vms: usize, #[case] upstreams: usize) {
+fn reported_rooms_are_small(#[case] vms: usize, #[case] upstreams: usize) {
     let (regions, delegates, services) = (3, 3, 2);
     let bytes = level_rooms(services).bytes().unwrap().len();
     assert!(bytes < 2 * upstreams, "{bytes} bytes for {upstreams} upstreams");
