--- a/crates/foldhaven-core/src/opaque/choice/pricer.rs
+++ b/crates/foldhaven-core/src/opaque/choice/pricer.rs
@@ -90,6 +90,7 @@
         let prefill_tokens = repeated_tokens + query.unshared_tokens;
         let ahead = match query.level {
             Some(level) => candidate.queue.through(level),
+            None if performance.work_time.is_some() => candidate.queue.in_order_of_arrival(),
             None => candidate.queue,
         };
         let time_for = |rank| performance.time_to_first(ahead, rank, prefill_tokens);
@@ -121,6 +122,7 @@
             )
             .0,
             failures: candidate.failure_share,
+            overflow: performance.overflow_risk(candidate.queue),
             transfer: candidate.transfer_cost,
         };
         let has_free_slot = candidate.queue.in_flight < candidate.queue.slots;
--- a/crates/foldhaven-core/src/opaque/refusal.rs
+++ b/crates/foldhaven-core/src/opaque/refusal.rs
@@ -8,6 +8,15 @@
 /// have changed the rules.
 const NO_REGION_RETRY_DELAY: Duration = Duration::from_secs(5);
 
+/// The maximum retry delay that a caller over its limit, or of an overloaded service, is told.
+pub const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
+
+/// The factor by which the spread prolongs a retry delay at most.
+const MAX_SPREAD: u32 = 2;
+
+/// Minimum retry delay while the upstreams are overloaded.
+pub const MIN_OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// Minimum retry delay while all upstreams are throttled.
 const MIN_THROTTLED_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Range over which these retries are spread.
@@ -46,6 +55,11 @@
     },
     /// the upstreams are full
     Full,
+    /// the queues of the upstreams are full
+    QueueFull {
+        /// The time until one of them probably has room.
+        wait: Duration,
+    },
     /// the upstreams are overloaded
     Overloaded {
         /// Why the request was not sent to the best of them.
@@ -88,6 +102,7 @@
             | Self::NoUpstream
             | Self::Throttled { .. }
             | Self::Full
+            | Self::QueueFull { .. }
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
             | Self::UnknownOrigin
@@ -120,6 +135,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Throttled { .. } => "held_back",
             Self::Full => "full",
+            Self::QueueFull { .. } => "queue_full",
             Self::Overloaded { cause: AdmissionError::TooLate, .. } => "overloaded",
             Self::Overloaded { cause: AdmissionError::TooMuchInterference, .. } => "too_harmful",
             Self::Overloaded { cause: AdmissionError::Full, .. } => "known_full",
@@ -148,8 +164,11 @@
                     wait.max(MIN_THROTTLED_RETRY_DELAY) + THROTTLED_RETRY_SPREAD.mul_f64(draw),
                 );
             }
-            Self::Overloaded { wait, .. } => wait.max(Duration::from_millis(250)),
-            Self::Quarantined { wait } | Self::OverLimit { wait } => wait,
+            Self::Overloaded { wait, .. } => {
+                wait.clamp(MIN_OVERLOAD_RETRY_DELAY, MAX_RETRY_DELAY / MAX_SPREAD)
+            }
+            Self::OverLimit { wait } => wait.min(MAX_RETRY_DELAY / MAX_SPREAD),
+            Self::QueueFull { wait } | Self::Quarantined { wait } => wait,
             Self::NoPermittedRegion => NO_REGION_RETRY_DELAY,
             Self::Leaving | Self::NotReached | Self::NotPermitted => Duration::from_millis(50),
             _ => return None,
--- a/crates/foldhaven-core/src/opaque/waiting_room.rs
+++ b/crates/foldhaven-core/src/opaque/waiting_room.rs
@@ -9,26 +9,23 @@
 //! its own requests have left, and of the others a part by how many of the waiting requests are its
 //! own. It leaves what more urgent requests at other VMs need.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::opaque::account_demand::AccountTag;
+use crate::opaque::account_shares::AccountShares;
+use crate::opaque::expected_start::{FirstAnswerDelay, SlotLoad, SlotTimes};
 use crate::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
-use crate::opaque::request_class::RequestClass;
+use crate::opaque::request_class::{CallerWait, RequestClass, RoomNeed};
 use crate::opaque::service_room::ServiceRoom;
 use crate::time::MonoTime;
 
 /// The interval between two rounds in which requests are let go.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(20);
-/// The time in which the rate at which requests leave the room follows a change by the factor e.
+/// The time in which the rate at which requests arrive follows a change by the factor e.
 const RATE_TIME: Duration = Duration::from_millis(1_500);
-/// A room that was not empty for less than this time has no known rate.
-const MIN_RATE_TIME: Duration = Duration::from_millis(500);
-/// With fewer requests ahead, the rate at which they leave says little.
-const MIN_AHEAD: usize = 3;
-/// The rate of a level whose requests do not leave at all.
-const MIN_RATE_PER_S: f64 = 0.2;
-/// The maximum of [`WaitingRoom::expected_wait`].
-const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(30);
+/// With fewer requests of this VM in flight, its part of the region's requests is not known.
+const MIN_OWN_IN_FLIGHT: u32 = 8;
 /// The default of [`WaitingRoom::set_floor_share`].
 pub const DEFAULT_FLOOR_SHARE: f64 = 0.05;
 
@@ -48,6 +45,19 @@
 }
 
 impl WaitingRequest {
+    /// Creates a request that has to be answered within `target`, and needs a time for that after it
+    /// has started.
+    pub fn new(
+        class: RequestClass,
+        waited: CallerWait,
+        target: Duration,
+        needed: Duration,
+        now: MonoTime,
+    ) -> Self {
+        let spare = target.saturating_sub(waited.spent() + needed);
+        Self { class, since: now - waited.total, late_at: now + spare }
+    }
+
     /// Whether the request can no longer be in time.
     fn is_late(&self, now: MonoTime) -> bool {
         now >= self.late_at
@@ -64,6 +74,10 @@
 pub struct RoomView {
     /// The room for requests of each level.
     pub room: [ServiceRoom; LEVEL_COUNT],
+    /// The requests in flight at these upstreams by level, of all VMs of the region.
+    pub in_flight: [u32; LEVEL_COUNT],
+    /// The mean time for which requests hold a slot.
+    pub slot_time: Duration,
     /// The requests of this VM at these upstreams.
     pub own_in_flight: u32,
     /// The requests of each level that wait at the other VMs of the region.
@@ -79,14 +93,14 @@
     has_turn: bool,
 }
 
-/// The rate at which requests of one level leave the room, per second.
+/// The rate at which requests of one level arrive, per second.
 #[derive(Debug, Clone, Copy, Default)]
-struct StartRate {
+struct ArrivalRate {
     per_s: f64,
     updated: MonoTime,
 }
 
-impl StartRate {
+impl ArrivalRate {
     fn decayed(&self, now: MonoTime) -> f64 {
         self.per_s * (-now.since(self.updated).div_duration_f64(RATE_TIME)).exp()
     }
@@ -106,12 +120,18 @@
     last_round: Option<MonoTime>,
     /// The requests of this VM at the upstreams that are expected since the last round.
     expected_in_flight: u32,
-    rates: [StartRate; LEVEL_COUNT],
-    /// Since when the room has not been empty.
-    busy_since: MonoTime,
+    /// What the VM saw at the last round. `None` before the first one.
+    last_view: Option<RoomView>,
+    arrivals: [ArrivalRate; LEVEL_COUNT],
+    /// When a request of each level last started.
+    last_starts: [MonoTime; LEVEL_COUNT],
+    slot_times: SlotTimes,
+    first_answer_delay: FirstAnswerDelay,
     floor_share: f64,
     /// The slots owed to requests that more urgent ones keep from starting.
     floor_debt: f64,
+    /// What each account was granted lately.
+    shares: AccountShares,
 }
 
 impl Default for WaitingRoom {
@@ -121,10 +141,14 @@
             tickets: BTreeMap::new(),
             last_round: None,
             expected_in_flight: 0,
-            rates: [StartRate::default(); LEVEL_COUNT],
-            busy_since: MonoTime::default(),
+            last_view: None,
+            arrivals: [ArrivalRate::default(); LEVEL_COUNT],
+            last_starts: [MonoTime::default(); LEVEL_COUNT],
+            slot_times: SlotTimes::default(),
+            first_answer_delay: FirstAnswerDelay::default(),
             floor_share: DEFAULT_FLOOR_SHARE,
             floor_debt: 0.0,
+            shares: AccountShares::default(),
         }
     }
 }
@@ -137,10 +161,10 @@
     }
 
     /// Adds a request.
-    pub fn enter(&mut self, request: WaitingRequest, now: MonoTime) -> TicketId {
+    pub fn enter(&mut self, request: WaitingRequest) -> TicketId {
         if self.tickets.is_empty() {
-            self.busy_since = now;
             self.last_round = None;
+            self.last_view = None;
         }
         let id = TicketId(self.next_id);
         self.next_id += 1;
@@ -206,6 +230,7 @@
             None => 0,
         };
         self.last_round = Some(now);
+        self.last_view = Some(*view);
         let granted = self.grant(view, left, draw, now);
         self.expected_in_flight = view.own_in_flight + granted;
     }
@@ -220,7 +245,7 @@
             let need = ticket.request.class.need;
             let level = ticket.request.class.level;
             let part = RoomPart { view, own_waiting: &own_waiting, level };
-            if !part.of_room(left).has_room(spent, need.prefill_tokens, draw) {
+            if !part.of_room(left).has_room(spent, need, draw) {
                 break;
             }
             ticket.has_turn = true;
@@ -234,7 +259,7 @@
     fn grant_floor(&mut self, order: &[TicketId], view: &RoomView, left: u32) -> u32 {
         let waiting = order.iter().filter(|id| !self.tickets[id].has_turn);
         let last_start =
-            |id: &&TicketId| self.rates[self.tickets[id].request.class.level.index()].updated;
+            |id: &&TicketId| self.last_starts[self.tickets[id].request.class.level.index()];
         let Some(starved) = waiting.min_by_key(last_start).copied() else {
             self.floor_debt = 0.0;
             return 0;
@@ -251,7 +276,16 @@
     fn sorted(&self, now: MonoTime) -> Vec<TicketId> {
         let mut ids: Vec<TicketId> = self.tickets.keys().copied().collect();
         ids.sort_by_key(|id| (self.tickets[id].request.order(now), *id));
-        ids
+        let rank = |id: &TicketId| {
+            let request = &self.tickets[id].request;
+            (request.class.level, request.is_late(now))
+        };
+        let groups = ids.chunk_by(|first, second| rank(first) == rank(second));
+        let by_account = |group: &[TicketId]| {
+            let of_account = |id: &TicketId| (self.tickets[id].request.class.account, *id);
+            self.shares.take_turns(&group.iter().map(of_account).collect::<Vec<_>>(), now)
+        };
+        groups.flat_map(by_account).collect()
     }
 
     /// Whether a request was let go. It may try once, and waits on if it finds no room.
@@ -260,25 +294,95 @@
         ticket.is_some_and(|ticket| std::mem::replace(&mut ticket.has_turn, false))
     }
 
+    /// Records that a request of a level has arrived at this VM.
+    pub fn record_arrival(&mut self, level: PriorityLevel, now: MonoTime) {
+        self.arrivals[level.index()].record(now);
+    }
+
+    /// Records that a request of an account starts, with or without a wait.
+    pub fn record_account_start(&mut self, account: Option<AccountTag>, now: MonoTime) {
+        self.shares.record(account, now);
+    }
+
     /// Records that a request of a level has left the room and starts.
     pub fn record_start(&mut self, level: PriorityLevel, now: MonoTime) {
-        self.rates[level.index()].record(now);
+        self.last_starts[level.index()] = now;
+    }
+
+    /// Records how long a request of a level held a slot.
+    pub fn record_slot_time(&mut self, level: PriorityLevel, held: Duration) {
+        self.slot_times.record(level, held);
     }
 
-    /// Returns how long a request probably waits. `None` while the rate at which requests leave is
-    /// not known, or if hardly any other is ahead of it. More urgent requests that are yet to come
-    /// show in the rate of its level.
+    /// Records the time from the start of a request to its first answer, of which `prefill` was
+    /// expected for the prompt.
+    pub fn record_first_answer(&mut self, took: Duration, prefill: Duration) {
+        self.first_answer_delay.record(took, prefill);
+    }
+
+    /// Returns the time that a request needs beside its prefill to be in time: until it is let go,
+    /// and for the network and the first token.
+    pub fn start_margin(&self, target: Duration) -> Duration {
+        ROUND_INTERVAL + self.first_answer_delay.margin(target)
+    }
+
+    /// Returns how long a request probably waits. `None` before the first round after the room was
+    /// empty.
     pub fn expected_wait(&self, request: &WaitingRequest, now: MonoTime) -> Option<Duration> {
+        let view = self.last_view.as_ref()?;
+        let level = request.class.level;
+        let load = SlotLoad {
+            free: view.room[level.index()].slots,
+            in_flight: view.in_flight,
+            urgent_arrivals_per_s: self.urgent_arrivals(level, view, now),
+            usual_slot_time: view.slot_time,
+        };
+        Some(load.expected_wait(level, self.ahead(request, view, now), &self.slot_times))
+    }
+
+    /// Returns how many requests go before a request in the region. Of its own level, as many at
+    /// other VMs as by their share of those that wait.
+    fn ahead(&self, request: &WaitingRequest, view: &RoomView, now: MonoTime) -> f64 {
+        let index = request.class.level.index();
+        let own_waiting = self.waiting();
+        let of_level = self.count_ahead(request, now) as f64;
+        let part = of_level / f64::from(own_waiting[index].max(1));
+        let more_urgent = |counts: &[u32; LEVEL_COUNT]| counts[..index].iter().sum::<u32>();
+        let before = more_urgent(&own_waiting) + more_urgent(&view.waiting_elsewhere);
+        f64::from(before) + of_level + part * f64::from(view.waiting_elsewhere[index])
+    }
+
+    /// Returns the number of waiting requests of the level of a request that go before it.
+    fn count_ahead(&self, request: &WaitingRequest, now: MonoTime) -> usize {
+        let WaitingRequest { class, .. } = request;
         let order = request.order(now);
-        let of_level =
-            self.tickets.values().filter(|it| it.request.class.level == request.class.level);
-        let ahead = of_level.filter(|it| it.request.order(now) < order).count();
-        if ahead < MIN_AHEAD || now.since(self.busy_since) < MIN_RATE_TIME {
+        let of_level = self.tickets.values().map(|ticket| &ticket.request);
+        let of_level = of_level.filter(|it| it.class.level == class.level);
+        let (mut less_late, mut own_ahead) = (0, 0);
+        let mut others: HashMap<Option<AccountTag>, usize> = HashMap::new();
+        for other in of_level {
+            if other.is_late(now) != request.is_late(now) {
+                less_late += usize::from(!other.is_late(now));
+            } else if other.class.account != class.account {
+                *others.entry(other.class.account).or_default() += 1;
+            } else {
+                own_ahead += usize::from(other.order(now) < order);
+            }
+        }
+        less_late + self.shares.count_ahead(class.account, own_ahead, &others, now)
+    }
+
+    /// Returns the rate at which requests more urgent than a level arrive in the region, from the
+    /// arrivals at this VM and its part of the requests in flight. `None` if few of them are its
+    /// own.
+    fn urgent_arrivals(&self, level: PriorityLevel, view: &RoomView, now: MonoTime) -> Option<f64> {
+        if view.own_in_flight < MIN_OWN_IN_FLIGHT {
             return None;
         }
-        let rate = self.rates[request.class.level.index()].decayed(now);
-        let wait = (ahead + 1) as f64 / rate.max(MIN_RATE_PER_S);
-        Some(Duration::from_secs_f64(wait).min(MAX_EXPECTED_WAIT))
+        let all: u32 = view.in_flight.iter().sum();
+        let scale = f64::from(all) / f64::from(view.own_in_flight);
+        let urgent = &self.arrivals[..level.index()];
+        Some(urgent.iter().map(|rate| rate.decayed(now)).sum::<f64>() * scale.max(1.0))
     }
 }
 
@@ -304,7 +408,11 @@
         let left = f64::from(left.min(free));
         let slots = left + (f64::from(free) - left) * part * pace;
         let share = slots / f64::from(room.slots.max(1));
-        PermittedRoom { slots, prefill_tokens: f64::from(room.prefill_tokens) * share }
+        PermittedRoom {
+            slots,
+            prefill_tokens: f64::from(room.prefill_tokens) * share,
+            memory_tokens: f64::from(room.memory_tokens) * share,
+        }
     }
 }
 
@@ -312,15 +420,17 @@
 struct PermittedRoom {
     slots: f64,
     prefill_tokens: f64,
+    memory_tokens: f64,
 }
 
 impl PermittedRoom {
-    /// Whether a request with prompt tokens fits after `spent` was taken. What is left over is used
-    /// with a probability.
-    fn has_room(&self, spent: ServiceRoom, tokens: u32, draw: f64) -> bool {
-        let has_slot = f64::from(spent.slots) + draw < self.slots;
-        let has_tokens =
-            f64::from(spent.prefill_tokens) + f64::from(tokens) * draw < self.prefill_tokens;
-        has_slot && has_tokens
+    /// Whether a request fits after `spent` was taken. What is left over is used with a
+    /// probability.
+    fn has_room(&self, spent: ServiceRoom, need: RoomNeed, draw: f64) -> bool {
+        let fits =
+            |spent: u32, need: u32, all: f64| f64::from(spent) + f64::from(need) * draw < all;
+        fits(spent.slots, 1, self.slots)
+            && fits(spent.prefill_tokens, need.prefill_tokens, self.prefill_tokens)
+            && fits(spent.memory_tokens, need.memory_tokens, self.memory_tokens)
     }
 }
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
@@ -28,8 +29,9 @@
     DestinationChoice, Placement, RequestDestination, TriedDestinations, choose_destination,
 };
 use crate::job::GatewayJob;
+use crate::load_counter::LoadGuard;
 use crate::shared::GatewayShared;
-use crate::upstream::{LoadGuard, UpstreamRequestGuard};
+use crate::upstream::UpstreamRequestGuard;
 use crate::view::GatewayView;
 use crate::waiting_rooms::WaitingTicket;
 
@@ -50,6 +52,8 @@
     pub time: Duration,
     /// The rank of the request at the destination.
     pub rank: QueueRank,
+    /// The queue of the destination.
+    pub queue: QueueState,
     /// The prompt tokens to prefill before the answer, if prefill accounts for the whole time.
     pub prefill_before_answer: Option<u32>,
 }
@@ -162,6 +166,8 @@
     ticket: Option<WaitingTicket>,
     /// How long it has waited for room, for the log.
     held: Duration,
+    /// Whether its arrival was recorded.
+    has_arrived: bool,
     /// Whether the request is under suspicion and is sent once as a probe, to test the suspicion.
     is_probe: bool,
     /// Whether an upstream may have received the probe.
@@ -192,6 +198,7 @@
             broken_connections: 0,
             ticket: None,
             held: Duration::ZERO,
+            has_arrived: false,
             is_probe: false,
             is_probe_sent: false,
             may_have_run: false,
@@ -269,7 +276,7 @@
         // Only an answer of the kind that the route expects counts as a success of its destination.
         if !self.job.route.repeat.is_stream() {
             self.record_time_to_first(&destination, expected, sent);
-            self.record_success(&destination, sent);
+            self.record_success(&destination, expected, sent);
         }
         AttemptOutcome::Answered(complete)
     }
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -14,7 +14,7 @@
 use super::{FirstResponseEstimate, RequestDriver};
 use crate::call::{CallFault, OpenAnswer};
 use crate::clock::BootInstant;
-use crate::destinations::{MIN_ANNOUNCED_TOKENS, RequestDestination};
+use crate::destinations::RequestDestination;
 use crate::metrics::{RequestBurn, RequestEnd};
 use crate::upstream::Upstream;
 use crate::upstream_exits::start_exit_check;
@@ -35,10 +35,8 @@
             shared: outline.shared.clone(),
             unshared_tokens: outline.unshared_tokens,
         };
-        self.shared.prefix_caches.lock().record(&placement);
-        if outline.shared_tokens() >= MIN_ANNOUNCED_TOKENS {
-            self.shared.placements.lock().push(placement);
-        }
+        self.shared.prefix_caches.lock().record(&placement, upstream.identity.prompt_memory);
+        self.shared.placements.lock().push(placement);
     }
 
     /// Counts the shared tokens of a prompt that was sent, and those of them that are read.
@@ -63,8 +61,10 @@
         let service = &self.job.service;
         match opened {
             Ok(_) => {
-                self.shared
-                    .update_queue_capacity(service, |capacity| capacity.record_accepted(queue));
+                self.shared.update_queue_capacity(service, |capacity| match self.job.is_plain() {
+                    true => capacity.record_plain_accepted(queue),
+                    false => capacity.record_accepted(queue),
+                });
             }
             Err(fault) if fault.is_full() => {
                 let capacity = self
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Records the time to a first answer for the margin of waiting requests.
+    fn record_first_answer(&self, took: Duration) {
+        if self.job.level.is_some() {
+            let performance = self.shared.measured_performance(&self.job.service);
+            let prefill = performance.prefill_time(self.job.unshared_tokens());
+            let room = self.shared.waiting_rooms.room(&self.job.service);
+            room.lock().record_first_answer(took, prefill);
+        }
+    }
+
     /// Records the time to the first response of a destination.
     pub fn record_time_to_first(
         &self,
@@ -90,6 +100,7 @@
             && expected.rank == QueueRank::Timely
         {
             let took = sent.elapsed();
+            self.record_first_answer(took);
             upstream.performance.lock().record_time_to_first(
                 expected.time,
                 took,
@@ -102,12 +113,24 @@
     }
 
     /// Records that a destination answered completely.
-    pub fn record_success(&self, destination: &RequestDestination, sent: BootInstant) {
+    pub fn record_success(
+        &self,
+        destination: &RequestDestination,
+        expected: FirstResponseEstimate,
+        sent: BootInstant,
+    ) {
         if let RequestDestination::Upstream(upstream) = destination {
             let usual = self.record_route_end(false);
             upstream.performance.lock().record_end(false, usual, self.shared.now());
             upstream.health.lock().record_success();
-            self.shared.record_slot_time(upstream, sent.elapsed());
+            match self.job.is_plain() {
+                true => self.shared.record_work(upstream, expected.queue, sent.elapsed()),
+                false => self.shared.record_slot_time(upstream, sent.elapsed()),
+            }
+            if let Some(level) = self.job.level {
+                let room = self.shared.waiting_rooms.room(&self.job.service);
+                room.lock().record_slot_time(level, sent.elapsed());
+            }
         }
     }
 
@@ -166,7 +189,8 @@
         load: f64,
     ) {
         self.shared.update_route_history(&self.job.route.name, |history| {
-            history.record_event_count(events)
+            history.record_event_count(events);
+            history.record_length(events, self.job.length_hint, self.job.output_tokens);
         });
         if let RequestDestination::Upstream(upstream) = destination
             && events >= MIN_EVENTS
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -17,8 +17,9 @@
 use crate::credential::fingerprint_value;
 use crate::destinations::{DestinationChoice, RequestDestination};
 use crate::job::read_software;
+use crate::load_counter::RequestLoad;
 use crate::names::{HeaderNames, text_value};
-use crate::upstream::{RequestLoad, Upstream, UpstreamRequestGuard};
+use crate::upstream::{Upstream, UpstreamRequestGuard};
 use crate::upstream_listener::{NoopListener, UpstreamListener};
 
 /// Minimum time without an answer after which an upstream is checked for any sign of life. A model
@@ -82,7 +83,8 @@
         }
         let answer = opened?;
         let software = software_of(&answer, &destination);
-        let expected = FirstResponseEstimate { time: time_to_first, rank, prefill_before_answer };
+        let expected =
+            FirstResponseEstimate { time: time_to_first, rank, queue, prefill_before_answer };
         let opened = DestinationAnswer {
             answer,
             destination,
@@ -148,6 +150,8 @@
                 }
                 let waited = job.waited().as_millis();
                 map.insert(headers::WAITED_MS, HeaderValue::from(waited as u64));
+                let earlier = job.earlier_tries.as_millis();
+                map.insert(headers::EARLIER_TRIES_MS, HeaderValue::from(earlier as u64));
             }
         }
         request.body(Full::new(job.body.clone())).expect("the parts were read from a request")
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -17,9 +17,6 @@
 /// Maximum number of requests of a level and of more urgent ones that wait at this VM for one
 /// service. Their bodies stay in memory.
 const MAX_WAITING: usize = 1_000;
-/// The share of its time to target for which a request waits for a free slot before it displaces a
-/// less urgent one.
-const PATIENCE_SHARE: f64 = 0.3;
 
 impl RequestDriver {
     /// Returns what the request requires of an upstream if it may look for one now. `None` if it
@@ -35,11 +32,8 @@
         if has_turn {
             return Ok(Some(RoomRule::FreeSlot));
         }
-        if !self.job.is_forwarded && has_remote_room(&self.shared, &self.job) {
-            return Ok(Some(RoomRule::FreeSlot));
-        }
-        if self.may_displace(ticket, now) {
-            return Ok(Some(RoomRule::Displace));
+        if has_remote_room(&self.shared, view, &self.job) {
+            return Ok(Some(RoomRule::OtherRegion));
         }
         self.check_expected_wait(ticket, view, now)?;
         Ok(None)
@@ -53,8 +47,17 @@
         view: &GatewayView,
         now: MonoTime,
     ) -> Result<Option<RoomRule>, Refusal> {
+        if !self.job.is_forwarded {
+            self.shared.record_class(&self.job.service, &class);
+        }
+        if has_remote_room(&self.shared, view, &self.job) {
+            return Ok(Some(RoomRule::OtherRegion));
+        }
         let request = self.waiting_request(class, now);
         let room = self.shared.waiting_rooms.room(&self.job.service);
+        if !std::mem::replace(&mut self.has_arrived, true) {
+            room.lock().record_arrival(class.level, now);
+        }
         let elsewhere = self.shared.waiting_elsewhere(&self.job.service);
         let has_more_urgent = elsewhere[..class.level.index()].iter().any(|count| *count > 0);
         if !has_more_urgent && !room.lock().has_ahead(&request, now) {
@@ -72,7 +75,12 @@
         if room.lock().len_through(class.level) >= MAX_WAITING {
             return Err(Refusal::Full);
         }
-        let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), now);
+        let memory = self.shared.waiting_memory.take(class.level, self.job.body.len());
+        let Some(memory) = memory else {
+            self.shared.metrics.count_event("refused_for_memory");
+            return Err(Refusal::Full);
+        };
+        let ticket = WaitingTicket::enter(room, self.waiting_request(class, now), memory, now);
         self.check_expected_wait(&ticket, view, now)?;
         self.shared.metrics.count_event("waited_for_room");
         self.ticket = Some(ticket);
@@ -83,7 +91,10 @@
     pub(super) fn end_wait(&mut self) {
         let Some(level) = self.job.level else { return };
         let now = self.shared.now();
-        self.shared.waiting_rooms.room(&self.job.service).lock().record_start(level, now);
+        let room = self.shared.waiting_rooms.room(&self.job.service);
+        room.lock().record_start(level, now);
+        let account = self.job.class().and_then(|class| class.account);
+        room.lock().record_account_start(account, now);
         if let Some(ticket) = self.ticket.take() {
             self.held += ticket.held(now);
         }
@@ -91,17 +102,14 @@
 
     fn waiting_request(&self, class: RequestClass, now: MonoTime) -> WaitingRequest {
         let job = &self.job;
-        let waited = job.waited();
         let performance = self.shared.measured_performance(&job.service);
         let prefill = performance.prefill_time(class.need.prefill_tokens);
-        let spare = job.route.target.saturating_sub(waited + prefill);
-        WaitingRequest { class, since: now - waited, late_at: now + spare }
-    }
-
-    /// Whether the request has waited so long for a free slot that it would soon be late.
-    fn may_displace(&self, ticket: &WaitingTicket, now: MonoTime) -> bool {
-        let patience = self.job.route.target.mul_f64(PATIENCE_SHARE);
-        now < ticket.late_at() && ticket.held(now) >= patience
+        let room = self.shared.waiting_rooms.room(&job.service);
+        let margin = room.lock().start_margin(job.route.target);
+        let since = self.shared.returning_callers.place(job, now);
+        let needed = prefill + margin;
+        let request = WaitingRequest::new(class, job.caller_wait(), job.route.target, needed, now);
+        WaitingRequest { since, ..request }
     }
 
     /// Refuses a request that probably cannot be answered while its caller waits.
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, AnswerBody, body_answer, close_after, refuse};
+use crate::answer::{Answer, AnswerBody, body_answer, close_after, refuse, refuse_until};
 use crate::attempts::{AnswerStart, CompleteAnswer, RequestDriver};
 use crate::call::AnswerEnd;
 use crate::clock::BootInstant;
@@ -47,6 +47,7 @@
         match read_job(&self.shared, request).await {
             Ok(job) => {
                 self.shared.record_request(&job.service, job.size());
+                self.shared.returning_callers.record_arrival(&self.shared, &job);
                 run_job(self.shared.clone(), job).await
             }
             Err(refusal) => {
@@ -112,7 +113,8 @@
     let account = identify_account(shared, &view, &route, &mut head)?;
     let terms = read_terms(&head, &shared.names)?;
     let waited = shared.record_caller_timeout(&route.name, terms.remaining);
-    let terms = CallerTerms { remaining: terms.remaining.min(route.timeout), waited, ..terms };
+    let remaining = terms.remaining.min(route.timeout);
+    let terms = CallerTerms { remaining, waited, earlier_tries: waited, ..terms };
     let resumed = find_resumed_stream(shared, &view, &route, &head.headers).await?;
     let service = match resumed.as_ref().and_then(|stream| stream.service.clone()) {
         Some(service) => service,
@@ -124,7 +126,8 @@
     };
     let request = ReadRequest { head, body, started };
     let route_match = RouteMatch { route, service, account };
-    let job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    let mut job = request.into_job(route_match, terms, &shared.names, &view.routes);
+    job.expect_length(&shared.route_history(&job.route.name));
     let software = resumed.map(|stream| stream.software);
     // The caller has the beginning of a stream that it resumes.
     Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
@@ -271,9 +274,14 @@
             refund(&driver);
         }
         driver.record_end(RequestEnd::Refused(refusal.label()));
-        let is_unreached = refusal == Refusal::NoUpstream && driver.delivered_attempts == 0;
-        let mut answer = refuse(refusal);
-        if driver.job.is_forwarded && is_unreached {
+        // The origin VM may send a plain request to another region, or to its own.
+        let may_go_elsewhere = refusal == Refusal::NoUpstream || driver.job.is_plain();
+        let is_unreached = may_go_elsewhere && driver.delivered_attempts == 0;
+        let RequestDriver { shared, job, .. } = &driver;
+        let scheduled = shared.returning_callers.schedule(shared, job, refusal);
+        let delay = scheduled.or_else(|| refusal.retry_after(rand::random()));
+        let mut answer = refuse_until(refusal, delay);
+        if driver.job.is_forwarded && is_unreached && refusal.guarantees_not_run() {
             answer.headers_mut().insert(UNREACHED, HeaderValue::from_static("1"));
         }
         answer
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -5,22 +5,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::admission::DestinationEstimate;
 use foldhaven_core::opaque::affinity::{PromptOutline, RingPosition, UpstreamTag};
+use foldhaven_core::opaque::arrival_spread::choose_spread;
 use foldhaven_core::opaque::choice::{
-    CandidateSample, RequestCost, UpstreamCandidate, UpstreamChoice,
+    CandidateSample, ChoiceQuery, RequestCost, UpstreamCandidate, UpstreamChoice,
 };
 use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
 use foldhaven_core::opaque::prefix_use::PrefixUse;
-use foldhaven_core::opaque::priority_level::{LEVEL_COUNT, PriorityLevel};
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::service_room::{RoomLimits, ServiceRoom, max_backlog};
+use foldhaven_core::opaque::request_class::RoomNeed;
+use foldhaven_core::opaque::service_room::RoomLimits;
 use foldhaven_core::opaque::upstream_ring::{DrawQuery, DrawnUpstreams, MAX_HOLDER_CANDIDATES};
-use foldhaven_core::opaque::waiting_room::RoomView;
 use foldhaven_core::time::MonoTime;
 
+use super::room::max_backlog_of;
 use super::{DestinationChoice, RequestDestination, RoomRule, TriedDestinations, choice_query};
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -41,7 +43,7 @@
 
 /// The maximum number of upstreams to look at for whether any of them can take a request. If one in
 /// twenty can, one is found almost always.
-const MAX_EXAMINED: usize = 128;
+pub(super) const MAX_EXAMINED: usize = 128;
 
 /// The best upstream of this region.
 pub(super) struct LocalChoice {
@@ -49,6 +51,7 @@
     pub(super) choice: UpstreamChoice,
     fetch_from: Option<SocketAddr>,
     level: Option<PriorityLevel>,
+    is_plain: bool,
     pub(super) prefix: PrefixUse,
 }
 
@@ -57,6 +60,7 @@
     pub(super) fn estimate(&self) -> DestinationEstimate {
         let UpstreamChoice { time_to_first, breakdown, rank, is_full, .. } = self.choice;
         let queue = self.upstream.queue();
+        let queue = if self.is_plain { queue.in_order_of_arrival() } else { queue };
         let queue = self.level.map_or(queue, |level| queue.through(level));
         DestinationEstimate { time_to_first, breakdown, rank, queue, is_full }
     }
@@ -98,10 +102,23 @@
 ) -> Option<LocalChoice> {
     let group = local_group(shared, view, job)?;
     let drawn = draw_upstreams(group, shared, job);
-    let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
-    let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
-    let performance = shared.performance(&job.service, view);
-    let mut choice = sample.choose(&choice_query(shared, view, job), &performance)?;
+    let performance = shared.performance_for(job, view);
+    let query = choice_query(shared, view, job);
+    let mut choice = match job.is_plain() {
+        true => choose_plain(shared, view, job, tried, &drawn.upstreams, &query)?,
+        false => {
+            let choose = |rule| {
+                let candidates = candidates_of(shared, view, &drawn.upstreams, job, tried, rule);
+                let sample = CandidateSample { candidates: &candidates, keyed: drawn.keyed };
+                sample.choose(&query, &performance)
+            };
+            let safe = match rule {
+                RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
+                _ => None,
+            };
+            safe.filter(|it| it.has_room).or_else(|| choose(rule))?
+        }
+    };
     let mut fetch_from = choice.fetch_from.map(|at| drawn.upstreams[at].identity.address);
     if fetch_from.is_none()
         && let Some(source) = remote_source(shared, view, job, &performance, &choice)
@@ -111,7 +128,8 @@
     }
     let upstream = drawn.upstreams[choice.index].clone();
     let prefix = prefix_use(group, shared, job, &choice, fetch_from.is_some());
-    Some(LocalChoice { upstream, choice, fetch_from, level: job.level, prefix })
+    let (level, is_plain) = (job.level, job.is_plain());
+    Some(LocalChoice { upstream, choice, fetch_from, level, is_plain, prefix })
 }
 
 /// An upstream of another region from which shared segments are fetched.
@@ -165,7 +183,7 @@
 /// Returns for how much longer this VM sends nothing to an upstream, because the upstream asked it
 /// to back off, or this VM has used up its share of the upstream's rate or slots. `None` if it may
 /// send now.
-fn throttled_for(
+pub(super) fn throttled_for(
     shared: &GatewayShared,
     senders: usize,
     upstream: &Upstream,
@@ -222,7 +240,7 @@
     let tried = TriedDestinations::default();
     let candidates = candidates_of(shared, view, &upstreams, job, &tried, RoomRule::FreeSlot);
     let sample = CandidateSample { candidates: &candidates, keyed };
-    let performance = shared.performance(&job.service, view);
+    let performance = shared.performance_for(job, view);
     let priced = sample.price(&choice_query(shared, view, job), &performance);
     priced.into_iter().map(|choice| (upstreams[choice.index].clone(), choice)).collect()
 }
@@ -244,6 +262,22 @@
     examined.filter(|upstream| !upstream.is_leaving() && job.fits(upstream)).take(MAX_EXAMINED)
 }
 
+/// Chooses an upstream for a plain request, spread over those that are nearly as good.
+fn choose_plain(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedDestinations,
+    upstreams: &[&Arc<Upstream>],
+    query: &ChoiceQuery,
+) -> Option<UpstreamChoice> {
+    let own = upstreams.iter().map(|it| u32::from(it.load.share().in_flight)).sum();
+    let all = upstreams.iter().map(|it| it.queue().in_flight).sum();
+    shared.record_traffic(&job.service, own, all);
+    let candidates = candidates_of(shared, view, upstreams, job, tried, RoomRule::Any);
+    choose_spread(&candidates, query, &shared.performance_for(job, view), rand::random())
+}
+
 /// Draws the upstreams that a request may be sent to.
 fn draw_upstreams<'a>(
     group: &'a UpstreamGroup,
@@ -271,13 +305,17 @@
 ) -> Vec<UpstreamCandidate<'a>> {
     let queues: Vec<QueueState> = local.iter().map(|upstream| upstream.queue()).collect();
     let max_backlog = max_backlog_of(shared, view, &job.service);
-    let room = RoomCheck::of(job, rule, &queues, max_backlog);
+    let slot_time = shared.measured_performance(&job.service).slot_time;
+    let limits = job.level.map(|level| {
+        RoomLimits::new(level, &queues, max_backlog).with_report_age(view.report_age(), slot_time)
+    });
+    let room = RoomCheck { limits, need: job.need(), rule };
     let context = CandidateContext {
         shared,
         senders: view.recent_senders,
         job,
         tried,
-        slot_time: shared.measured_performance(&job.service).slot_time,
+        slot_time: shared.performance_for(job, view).slot_time,
         is_lost: shared.paths.is_lost(),
         room,
         now: shared.now(),
@@ -303,20 +341,18 @@
 struct RoomCheck {
     /// What its level requires; `None` if it has no level.
     limits: Option<RoomLimits>,
+    need: RoomNeed,
     rule: RoomRule,
 }
 
 impl RoomCheck {
-    fn of(job: &GatewayJob, rule: RoomRule, queues: &[QueueState], max_backlog: u32) -> Self {
-        Self { limits: job.level.map(|level| RoomLimits::new(level, queues, max_backlog)), rule }
-    }
-
     fn has_room(&self, queue: QueueState) -> bool {
         let Some(limits) = &self.limits else { return true };
         match self.rule {
             RoomRule::Any => true,
-            RoomRule::FreeSlot => !limits.room(queue).is_empty(),
-            RoomRule::Displace => !limits.room(queue).is_empty() || limits.can_displace(queue),
+            RoomRule::OtherRegion => false,
+            RoomRule::FreeSlot => limits.has_room(queue, self.need),
+            RoomRule::SafeSlot => limits.has_safe_room(queue, self.need),
         }
     }
 }
@@ -329,11 +365,14 @@
         let speed = performance.speed.factors(now);
         let slot_time = self.slot_time.mul_f64(speed.decode);
         let queue = performance.queue_after_refusal(upstream.queue(), slot_time, now);
+        let queue = performance.reported_load.queue(queue, slot_time, now);
+        let slowdown =
+            performance.reported_load.slowdown(&performance.slowdown, upstream.stream_count(), now);
         UpstreamCandidate {
             name: upstream.name(),
             queue,
             speed,
-            slowdown: performance.slowdown.factor(upstream.stream_count(), now),
+            slowdown,
             latency_factor: performance.latency_factor(now),
             failure_share: performance.failure_share(now),
             long_pause_share: performance.long_pause_share(now),
@@ -368,73 +407,6 @@
     upstream.pool.is_failing_to_open() && !upstream.pool.has_usable_connection()
 }
 
-/// Returns the prompt tokens that may wait for prefill at one upstream of a service.
-fn max_backlog_of(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> u32 {
-    let Some(levels) = view.routes.levels(service) else { return u32::MAX };
-    max_backlog(&shared.measured_performance(service), levels.shortest_target())
-}
-
-/// The queues of the usable upstreams of a service in this region, or of some of them.
-struct UsableQueues {
-    queues: Vec<QueueState>,
-    /// The number of upstreams that each queue stands for.
-    scale: f64,
-    max_backlog: u32,
-}
-
-impl UsableQueues {
-    fn of(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> Option<Self> {
-        let now = shared.now();
-        let group = view.group(service, shared.settings.region())?;
-        let is_usable = |it: &&Arc<Upstream>| {
-            let is_throttled = throttled_for(shared, view.recent_senders, it, now).is_some();
-            !it.is_leaving() && !it.is_ejected(now) && !is_throttled
-        };
-        let examined = group.iter_from(RingPosition(rand::random())).take(MAX_EXAMINED);
-        Some(Self {
-            queues: examined.filter(is_usable).map(|upstream| upstream.queue()).collect(),
-            scale: group.len() as f64 / group.len().clamp(1, MAX_EXAMINED) as f64,
-            max_backlog: max_backlog_of(shared, view, service),
-        })
-    }
-
-    fn room(&self, level: PriorityLevel) -> ServiceRoom {
-        let limits = RoomLimits::new(level, &self.queues, self.max_backlog);
-        let rooms = self.queues.iter().map(|queue| limits.room(*queue));
-        rooms.fold(ServiceRoom::default(), ServiceRoom::plus).times(self.scale)
-    }
-}
-
-/// Returns what this VM sees of the room at the upstreams of a service in this region.
-pub fn view_room(shared: &GatewayShared, view: &GatewayView, service: &ServiceName) -> RoomView {
-    let Some(usable) = UsableQueues::of(shared, view, service) else {
-        return RoomView::default();
-    };
-    let mut room = [ServiceRoom::default(); LEVEL_COUNT];
-    PriorityLevel::all().for_each(|level| room[level.index()] = usable.room(level));
-    RoomView {
-        room,
-        own_in_flight: shared.busy_upstreams.in_flight(service),
-        waiting_elsewhere: shared.waiting_elsewhere(service),
-        report_interval: view.report_age(),
-    }
-}
-
-/// Returns the room that a service has in this region for the least urgent requests of other
-/// regions. Requests that wait in this region go first.
-pub fn offered_room(
-    shared: &GatewayShared,
-    view: &GatewayView,
-    service: &ServiceName,
-) -> ServiceRoom {
-    let waiting: u32 = shared.waiting_elsewhere(service).iter().sum();
-    let own = shared.waiting_rooms.room(service).lock().len();
-    match UsableQueues::of(shared, view, service) {
-        Some(usable) if waiting == 0 && own == 0 => usable.room(PriorityLevel::LAST),
-        _ => ServiceRoom::default(),
-    }
-}
-
 /// Returns the queueing time that this VM expects for a request of timely rank at an upstream.
 pub fn expected_wait(
     upstream: &Upstream,
@@ -443,6 +415,10 @@
 ) -> Duration {
     let measured = *upstream.performance.lock();
     let performance = performance.at_speed(measured.speed.factors(now));
-    let wait = performance.wait(upstream.queue(), QueueRank::Timely);
+    let queue = match performance.work_time {
+        Some(_) => upstream.queue().in_order_of_arrival(),
+        None => upstream.queue(),
+    };
+    let wait = performance.wait(queue, QueueRank::Timely);
     wait.mul_f64(measured.latency_factor(now))
 }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -5,6 +5,7 @@
 mod overview;
 mod relay;
 mod remote;
+mod room;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 
 use foldhaven_core::ids::{ServiceName, UpstreamName, VmName};
 use foldhaven_core::opaque::admission::{
-    AdmissionError, DestinationEstimate, TimeLimits, admit, retry_after,
+    AdmissionError, DestinationEstimate, TimeLimits, admit, queue_wait, retry_after,
 };
 use foldhaven_core::opaque::choice::{ChoiceQuery, RequestCost};
 use foldhaven_core::opaque::performance::QueueState;
@@ -20,18 +21,20 @@
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
 
+pub use self::local::expected_wait;
 use self::local::{LocalChoice, choose_local, has_available, signalled_wait};
-pub use self::local::{expected_wait, offered_room, view_room};
 pub use self::overview::{describe_candidates, price_destinations};
 use self::relay::{RelayChoice, pick_relay};
 pub use self::remote::has_remote_room;
-use self::remote::{RemoteChoice, choose_remote, choose_remote_with_room};
+use self::remote::{RemoteChoice, choose_overflow, choose_remote, choose_remote_with_room};
+pub use self::room::{own_room, region_turnover, view_room};
 use crate::call::{CallListener, CallTarget};
 use crate::clock::BootInstant;
 use crate::connection::{ConnectionPool, LOCAL_CONNECT_TIMEOUT, REMOTE_CONNECT_TIMEOUT};
 use crate::job::GatewayJob;
+use crate::load_counter::{LoadGuard, RequestLoad};
 use crate::shared::GatewayShared;
-use crate::upstream::{LoadGuard, RequestLoad, Upstream};
+use crate::upstream::Upstream;
 use crate::view::{GatewayView, PeerLink};
 
 /// How much cheaper another region must be to be preferred, since reports of it are up to a second
@@ -40,9 +43,6 @@
 /// After a request was tried at this many upstreams of this region, another region is preferred.
 /// The local upstreams may have been lost together, and stay listed for some seconds.
 const MAX_LOCAL_FAULTS: usize = 2;
-/// Prompts whose shared segments have at least this many tokens are announced to other VMs. For
-/// shorter ones the ranking that all VMs have in common is good enough.
-pub const MIN_ANNOUNCED_TOKENS: u32 = 512;
 
 /// The destination of one attempt.
 #[derive(Clone)]
@@ -131,8 +131,10 @@
 pub enum RoomRule {
     /// A free slot that is not reserved for more urgent requests.
     FreeSlot,
-    /// A slot that is free or taken by a less urgent request.
-    Displace,
+    /// A free slot that is left also if other VMs have started requests there unseen.
+    SafeSlot,
+    /// A free slot in another region: in this one, others go before the request.
+    OtherRegion,
     /// Nothing.
     Any,
 }
@@ -175,7 +177,8 @@
 }
 
 /// Chooses a destination. Prefers the best upstream of this region, unless another region is
-/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. If this VM
+/// cheaper by more than [`REGION_MARGIN`], or has free capacity while this one has none. A request with a
+/// priority level goes where regions compared their room for it first. If this VM
 /// cannot reach the upstreams of its region, another VM of the region takes their place. `rule` says
 /// what a request with a priority level requires of an upstream of this region.
 pub fn choose_destination(
@@ -202,7 +205,12 @@
             Err(refusal) => wait_or_refuse(job, refusal),
         };
     }
-    let remote = choose_remote(shared, view, job, tried);
+    let remote = match &local {
+        Some(local) if job.is_plain() => {
+            choose_overflow(shared, view, job, tried, local.choice.cost)
+        }
+        _ => choose_remote(shared, view, job, tried),
+    };
     let local = match local {
         Some(local) if needs_relay(&local, tried, is_lost) => {
             match pick_relay(shared, view, job, tried) {
@@ -215,17 +223,20 @@
         }
         local => local,
     };
+    if let Some(remote) = choose_remote_with_room(shared, view, job, tried) {
+        return Ok(Placement::chosen(remote.choice));
+    }
     match (local, remote) {
-        (Some(local), Some(remote)) if prefers_remote(&local, &remote, tried) => {
-            admit_choice(job, &remote.estimate())?;
-            Ok(Placement::chosen(remote.choice))
-        }
-        (Some(local), _) if !local.choice.has_room => {
-            match choose_remote_with_room(shared, view, job, tried) {
-                Some(remote) => Ok(Placement::chosen(remote.choice)),
-                None => Ok(Placement::NoRoom),
+        (Some(local), Some(remote)) if prefers_remote(job, &local, &remote, tried) => {
+            match admit_choice(job, &remote.estimate()) {
+                Ok(()) => Ok(Placement::chosen(remote.choice)),
+                Err(_) if job.is_plain() && admit_choice(job, &local.estimate()).is_ok() => {
+                    local.reserve(shared).map(Placement::chosen)
+                }
+                Err(refusal) => Err(refusal),
             }
         }
+        (Some(local), _) if !local.choice.has_room => Ok(Placement::NoRoom),
         (Some(local), remote) => match (admit_choice(job, &local.estimate()), remote) {
             (Ok(()), _) => local.reserve(shared).map(Placement::chosen),
             (Err(_), Some(remote)) if has_free_capacity(job, &remote) => {
@@ -297,17 +308,26 @@
 
 /// Returns whether a remote region is better than the local choice: it is cheaper by more than the
 /// margin, or the local upstreams cannot be trusted.
-fn prefers_remote(local: &LocalChoice, remote: &RemoteChoice, tried: &TriedDestinations) -> bool {
+fn prefers_remote(
+    job: &GatewayJob,
+    local: &LocalChoice,
+    remote: &RemoteChoice,
+    tried: &TriedDestinations,
+) -> bool {
     let is_local_trusted = local.choice.is_trusted && tried.upstreams.len() < MAX_LOCAL_FAULTS;
-    let is_cheaper = remote.cost + REGION_MARGIN < local.choice.cost;
+    let is_cheaper = match job.is_plain() {
+        true => remote.is_drawn,
+        false => remote.cost + REGION_MARGIN < local.choice.cost,
+    };
     !is_local_trusted || is_cheaper && local.choice.has_room
 }
 
 /// Returns whether a remote region can answer in time a request that was not admitted locally. Its
-/// last report has to show free slots.
+/// last report has to show free slots, or room in the queues of plain requests.
 fn has_free_capacity(job: &GatewayJob, remote: &RemoteChoice) -> bool {
     let DestinationEstimate { rank, queue, .. } = remote.estimate();
-    let is_free = rank == QueueRank::Timely && queue.in_flight < queue.slots;
+    let has_slot = job.is_plain() || queue.in_flight < queue.slots;
+    let is_free = rank == QueueRank::Timely && has_slot;
     is_free && admit_choice(job, &remote.estimate()).is_ok()
 }
 
@@ -331,11 +351,15 @@
     }
     let limits = TimeLimits {
         target: job.route.target,
-        waited: job.waited(),
+        waited: job.spent(),
         remaining: job.deadline.saturating_duration_since(BootInstant::now()),
     };
-    admit(estimate, limits)
-        .map_err(|cause| Refusal::Overloaded { cause, wait: retry_after(estimate, limits) })
+    admit(estimate, limits).map_err(|cause| match cause {
+        AdmissionError::Full if job.is_plain() => {
+            Refusal::QueueFull { wait: queue_wait(estimate.time_to_first) }
+        }
+        cause => Refusal::Overloaded { cause, wait: retry_after(estimate, limits) },
+    })
 }
 
 /// Returns the properties of a request that the choice depends on.
@@ -343,7 +367,7 @@
     let outline = job.outline.as_ref();
     ChoiceQuery {
         target: job.route.target,
-        waited: job.waited(),
+        waited: job.spent(),
         level: job.level,
         event_gap: job.route.event_gap,
         events: shared.route_history(&job.route.name).usual_event_count(),
--- a/crates/foldhaven-gateway/src/destinations/remote.rs
+++ b/crates/foldhaven-gateway/src/destinations/remote.rs
@@ -1,6 +1,5 @@
 //! Prices a request in the other regions, and chooses a VM of the cheapest one.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,12 +10,16 @@
 };
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::performance::QueueState;
+use foldhaven_core::opaque::placement_queue::MIN_ANNOUNCED_TOKENS;
 use foldhaven_core::opaque::prefix_use::PrefixUse;
+use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::queue_rank::QueueRank;
+use foldhaven_core::opaque::region_overflow::draw_region;
 use foldhaven_core::opaque::remote_queue::RemoteService;
+use foldhaven_core::opaque::remote_room::SendCost;
 
 use super::{
-    DestinationChoice, MIN_ANNOUNCED_TOKENS, RequestDestination, TriedDestinations, choice_query,
+    DestinationChoice, REGION_MARGIN, RequestDestination, TriedDestinations, choice_query,
 };
 use crate::job::GatewayJob;
 use crate::shared::GatewayShared;
@@ -37,6 +40,10 @@
     pub(super) cost: RequestCost,
     pub(super) breakdown: CostBreakdown,
     pub(super) region: RegionName,
+    /// Whether its upstreams probably decline further plain requests.
+    is_full: bool,
+    /// Whether the request is drawn to go there because its home has less room.
+    pub(super) is_drawn: bool,
 }
 
 impl RemoteChoice {
@@ -48,7 +55,7 @@
             breakdown: self.breakdown,
             rank,
             queue,
-            is_full: false,
+            is_full: self.is_full,
         }
     }
 }
@@ -64,40 +71,88 @@
     priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))
 }
 
-/// Chooses the cheapest of the other regions that have room for a request with a priority level,
-/// and takes the room.
+/// Chooses another region for a plain request, by its cost at home: one that it is drawn to be sent
+/// to, or else the cheapest. One that another region has refused is not drawn again.
+pub(super) fn choose_overflow(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    job: &GatewayJob,
+    tried: &TriedDestinations,
+    home: RequestCost,
+) -> Option<RemoteChoice> {
+    let mut priced = price_remote(shared, view, job, tried);
+    priced.retain(|remote| !has_tried(view, tried, &remote.region));
+    let costs: Vec<RequestCost> = priced.iter().map(|remote| remote.cost).collect();
+    let drawn = draw_region(home, &costs, REGION_MARGIN, rand::random());
+    match drawn.filter(|_| tried.peers.is_empty()) {
+        Some(index) => Some(RemoteChoice { is_drawn: true, ..priced.swap_remove(index) }),
+        None => priced.into_iter().min_by(|left, right| left.cost.0.total_cmp(&right.cost.0)),
+    }
+}
+
+/// Chooses the cheapest of the other regions to which a request with a priority level should go
+/// rather than wait here, and takes the room there.
 pub(super) fn choose_remote_with_room(
     shared: &GatewayShared,
     view: &GatewayView,
     job: &GatewayJob,
     tried: &TriedDestinations,
 ) -> Option<RemoteChoice> {
+    let level = job.level.filter(|_| has_remote_room(shared, view, job))?;
     let tag = ServiceTag::of(&job.service);
-    let has_room = |remote: &RemoteChoice| has_remote_room_in(shared, job, &remote.region);
+    let has_room = |remote: &RemoteChoice| has_remote_room_in(shared, view, job, &remote.region);
     let priced = price_remote(shared, view, job, tried).into_iter().filter(has_room);
     let chosen = priced.min_by(|left, right| left.cost.0.total_cmp(&right.cost.0))?;
-    shared.remote_rooms.lock().take(&chosen.region, tag, chosen.choice.prefill_tokens);
     shared.metrics.count_event("sent_away_for_room");
+    log_sent_away(shared, job, level, &chosen);
+    shared.remote_rooms.lock().take(&chosen.region, tag, level, shared.now());
     Some(chosen)
 }
 
-/// Returns whether any other region where a request may run has told room for it.
-pub fn has_remote_room(shared: &GatewayShared, job: &GatewayJob) -> bool {
-    let own_region = shared.settings.region();
-    let regions: BTreeSet<&RegionName> = shared.settings.regions.values().collect();
-    let mut others = regions.into_iter().filter(|it| *it != own_region && job.permits(it));
-    others.any(|region| has_remote_room_in(shared, job, region))
+/// Logs why a request is sent to another region for room, at a limited rate.
+fn log_sent_away(
+    shared: &GatewayShared,
+    job: &GatewayJob,
+    level: PriorityLevel,
+    chosen: &RemoteChoice,
+) {
+    if !shared.quota.take(true) {
+        return;
+    }
+    let tag = ServiceTag::of(&job.service);
+    let told = shared.remote_rooms.lock().reported(tag, level, shared.now());
+    let rooms: Vec<String> = told.iter().map(ToString::to_string).collect();
+    let (request, region, vm) = (job.id(), &chosen.region, chosen.choice.destination.name());
+    let time_to_first_ms = chosen.choice.time_to_first.as_millis() as u64;
+    tracing::info!(request, %level, %region, vm, ?rooms, time_to_first_ms, "request sent away for room");
+}
+
+/// Returns whether a request should go to any other region rather than wait here.
+pub fn has_remote_room(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
+    if job.is_forwarded || job.has_partial_answer {
+        return false;
+    }
+    let mut others = view.members.regions.keys().filter(|it| *it != shared.settings.region());
+    others.any(|region| has_remote_room_in(shared, view, job, region))
 }
 
-/// Returns whether a region has told room for a request.
+/// Returns whether a request with a priority level should go to a region rather than wait here.
 pub(super) fn has_remote_room_in(
     shared: &GatewayShared,
+    view: &GatewayView,
     job: &GatewayJob,
     region: &RegionName,
 ) -> bool {
-    let (tag, now) = (ServiceTag::of(&job.service), shared.now());
-    let rooms = shared.remote_rooms.lock();
-    rooms.has_room(region, tag, job.unshared_tokens(), rand::random(), now)
+    let Some(class) = job.class().filter(|_| job.permits(region)) else { return false };
+    let peers = view.members.regions.get(region);
+    let round_trip = peers.and_then(|peers| peers.traffic.round_trip());
+    let cost = SendCost {
+        round_trip: round_trip.unwrap_or(DEFAULT_ROUND_TRIP),
+        slot_time: shared.measured_performance(&job.service).slot_time,
+        bytes: RequestCost::of_bytes(job.body.len(), REGION_BYTE_PRICE, job.size()).0,
+    };
+    let tag = ServiceTag::of(&job.service);
+    shared.remote_rooms.lock().may_send(region, tag, &class, cost, shared.now())
 }
 
 /// Prices the other regions that can take a request, with one VM of each.
@@ -123,6 +178,12 @@
     priced.collect()
 }
 
+/// Whether a request was sent to any VM of a region.
+fn has_tried(view: &GatewayView, tried: &TriedDestinations, region: &RegionName) -> bool {
+    let peers = view.members.regions.get(region);
+    peers.is_some_and(|peers| peers.links.iter().any(|peer| tried.peers.contains(&peer.vm)))
+}
+
 /// Whether a region has an upstream at which the stream of a request may go on.
 fn has_fitting_upstream(view: &GatewayView, job: &GatewayJob, region: &RegionName) -> bool {
     let group = view.group(&job.service, region);
@@ -146,9 +207,13 @@
         let query = choice_query(self.shared, self.view, job);
         let missing = self.missing_tokens(query.shared_tokens);
         let prefill_tokens = query.unshared_tokens + missing;
-        let performance = self.shared.measured_performance(&job.service);
+        let performance = self.shared.performance_for(job, self.view);
         let network_time = self.network_time(&peer);
-        let sent = self.sent_since(performance.slot_time, network_time);
+        let senders = match job.is_plain() {
+            true => performance.traffic_share.equal_senders(self.view.senders),
+            false => self.view.senders,
+        };
+        let sent = self.sent_since(performance.slot_time, network_time, senders);
         let there = performance.time_to_first(sent, QueueRank::Timely, prefill_tokens);
         let time_to_first = network_time + self.wait.wait + there;
         // The reported load already contains most of the requests sent since.
@@ -160,6 +225,7 @@
             long_pauses: pause_cost(&query, self.wait.long_pauses).0,
             streaming: streaming_cost(&query, &performance, queue).0,
             decode_slowdown: decode_slowdown_cost(&query, &performance, queue, prefill_tokens).0,
+            overflow: performance.overflow_risk(queue),
             ..CostBreakdown::default()
         };
         let destination = RequestDestination::Peer(peer);
@@ -173,7 +239,14 @@
             fetch_from: None,
             prefix: PrefixUse::default(),
         };
-        RemoteChoice { choice, cost: breakdown.total(), breakdown, region: self.region.clone() }
+        RemoteChoice {
+            choice,
+            cost: breakdown.total(),
+            breakdown,
+            region: self.region.clone(),
+            is_full: job.is_plain() && performance.queue_capacity.is_full(queue),
+            is_drawn: false,
+        }
     }
 
     /// Returns the round trip to the region, doubled if a connection has to be opened first.
@@ -186,12 +259,16 @@
     }
 
     /// Estimates the requests that the VMs of this region have sent there since the last report,
-    /// from those that this VM has sent.
-    fn sent_since(&self, slot_time: Duration, network_time: Duration) -> QueueState {
+    /// from those that this VM has sent: `senders` VMs send as many.
+    fn sent_since(
+        &self,
+        slot_time: Duration,
+        network_time: Duration,
+        senders: usize,
+    ) -> QueueState {
         let own = self.peers.traffic.share(&self.job.service);
         let RegionWait { upstreams, slots, .. } = self.wait;
-        RemoteService { upstreams, slots, slot_time, round_trip: network_time }
-            .queue(own, self.view.senders)
+        RemoteService { upstreams, slots, slot_time, round_trip: network_time }.queue(own, senders)
     }
 
     /// Returns the tokens of the shared segments that would have to be prefilled in the region.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -10,8 +10,9 @@
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
 use foldhaven_core::opaque::priority_level::PriorityLevel;
 use foldhaven_core::opaque::refusal::Refusal;
-use foldhaven_core::opaque::request_class::{RequestClass, RoomNeed};
+use foldhaven_core::opaque::request_class::{CallerWait, RequestClass, RoomNeed};
 use foldhaven_core::opaque::request_fingerprint::{FingerprintParts, RequestFingerprint};
+use foldhaven_core::opaque::route_history::RouteHistory;
 use foldhaven_core::opaque::route_table::{CallerLimits, OpaqueRoute, RouteTable};
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::SuspectKeys;
@@ -38,6 +39,8 @@
 /// Minimum remaining time sent to an upstream, in milliseconds. 0 would mean that the deadline has
 /// passed.
 const MIN_REMAINING_MS: u128 = 1;
+/// A longer body is not read at once, and has a buffer of its own.
+const MAX_READ_AT_ONCE: usize = 64 << 10;
 
 /// A request to run.
 #[derive(Clone)]
@@ -63,6 +66,8 @@
     /// How long the caller had waited before this request, estimated from the remaining time it
     /// names.
     pub waited_before: Duration,
+    /// The part of `waited_before` that passed before the present try of the caller.
+    pub earlier_tries: Duration,
     /// How long the caller had waited when it got the answer or its first event. Further waiting
     /// does not count against the latency target. `None` until then.
     pub time_to_first: Option<Duration>,
@@ -77,6 +82,8 @@
     pub output_tokens: u32,
     /// The length of the answer in tokens that the caller expects. `None` if it names none.
     pub length_hint: Option<u32>,
+    /// The length of the answer in tokens that is expected from its route and the caller's hint.
+    pub expected_output: u32,
     /// Whether another VM forwarded the request. It then runs in this region or not at all.
     pub is_forwarded: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
@@ -99,6 +106,18 @@
         }
     }
 
+    /// Returns how long the caller has waited for a first response.
+    pub fn caller_wait(&self) -> CallerWait {
+        CallerWait { total: self.waited(), earlier_tries: self.earlier_tries }
+    }
+
+    /// Returns how much of the time to its target the request has used. Without a priority level,
+    /// it counts from the first try.
+    pub fn spent(&self) -> Duration {
+        let wait = self.caller_wait();
+        if self.level.is_some() { wait.spent() } else { wait.total }
+    }
+
     /// Records that the caller gets the answer or its first event now. Returns how long this VM
     /// took.
     pub fn record_time_to_first(&mut self) -> Duration {
@@ -138,22 +157,26 @@
 
     /// Returns the tokens that the request will hold in memory when it ends.
     pub fn memory_tokens(&self) -> u32 {
-        let named =
-            self.length_hint.map_or(self.output_tokens, |hint| hint.min(self.output_tokens));
-        self.unshared_tokens().saturating_add(named)
+        self.unshared_tokens().saturating_add(self.expected_output)
+    }
+
+    /// Sets the expected length of the answer from the earlier ones of its route.
+    pub fn expect_length(&mut self, history: &RouteHistory) {
+        self.expected_output = history.expected_tokens(self.length_hint, self.output_tokens);
+    }
+
+    /// Returns the room that the request needs.
+    pub fn need(&self) -> RoomNeed {
+        RoomNeed { prefill_tokens: self.unshared_tokens(), memory_tokens: self.memory_tokens() }
     }
 
     /// Returns what the admission and the order of the request depend on. `None` if the requests of
     /// its service do not differ in priority.
     pub fn class(&self) -> Option<RequestClass> {
         let account = self.account.as_ref().map(|it| AccountTag::of(&it.account.name));
-        let need = RoomNeed {
-            prefill_tokens: self.unshared_tokens(),
-            memory_tokens: self.memory_tokens(),
-        };
         let by_account = self.account.as_ref().is_some_and(|it| !it.account.homes.is_empty());
         let is_bound = by_account || !self.route.homes.is_empty();
-        self.level.map(|level| RequestClass { level, account, need, is_bound })
+        self.level.map(|level| RequestClass { level, account, need: self.need(), is_bound })
     }
 
     /// Whether the request may run in a region, by the rules of its route and of its account.
@@ -173,6 +196,11 @@
         by_account.unwrap_or(self.route.priority)
     }
 
+    /// Whether the request is answered as a whole, has no prompt and no priority level.
+    pub fn is_plain(&self) -> bool {
+        self.level.is_none() && self.outline.is_none() && !self.route.repeat.is_stream()
+    }
+
     /// Returns the priority level for logs, `-` if there is none.
     pub fn level_label(&self) -> String {
         self.level.map_or_else(|| "-".to_owned(), |level| level.to_string())
@@ -228,12 +256,14 @@
         let Self { head, body, started } = self;
         let level = route_match.level(routes);
         let RouteMatch { route, service, account } = route_match;
+        let output_tokens = read_output_tokens(&head, names);
         GatewayJob {
             attempt: terms.attempt,
             fingerprint: fingerprint_of(&head, &body),
             segments: read_segments(&head, &service, names),
             outline: read_outline(&head, &route, names),
-            output_tokens: read_output_tokens(&head, names),
+            output_tokens,
+            expected_output: output_tokens,
             length_hint: read_length_hint(&head, names),
             route,
             service,
@@ -245,6 +275,7 @@
             body,
             started,
             waited_before: terms.waited,
+            earlier_tries: terms.earlier_tries,
             time_to_first: None,
             has_partial_answer: false,
             deadline: started + terms.remaining,
@@ -292,22 +323,30 @@
 /// Reads the complete body.
 pub async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
     match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
+        Ok(collected) => Ok(compact(collected.to_bytes())),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Err(_) => Err(Refusal::Malformed),
     }
 }
 
+/// Returns a body in a buffer of its own size. A short one is a part of the buffer that it was read
+/// into, and would keep all of it.
+fn compact(body: Bytes) -> Bytes {
+    if body.len() > MAX_READ_AT_ONCE { body } else { Bytes::copy_from_slice(&body) }
+}
+
 /// The attempt id of a request and the waiting time of its caller.
 pub struct CallerTerms {
     pub attempt: HeaderValue,
     pub remaining: Duration,
     /// How long the caller has waited already.
     pub waited: Duration,
+    /// The part of that time which passed before the present try.
+    pub earlier_tries: Duration,
 }
 
-/// Reads the attempt id and the remaining time of a request. Leaves `waited` at zero, for the
-/// caller of this function to set.
+/// Reads the attempt id and the remaining time of a request. Leaves the times that the caller
+/// has waited at zero, for the caller of this function to set.
 pub fn read_terms(head: &Parts, names: &HeaderNames) -> Result<CallerTerms, Refusal> {
     let attempt = head.headers.get(&names.attempt).ok_or(Refusal::Malformed)?.clone();
     let remaining = match head.headers.get(&names.remaining_ms) {
@@ -317,8 +356,12 @@
             Duration::from_millis(millis.ok_or(Refusal::Malformed)?)
         }
     };
-    let waited = Duration::ZERO;
-    Ok(CallerTerms { attempt, remaining: remaining.min(MAX_REMAINING), waited })
+    Ok(CallerTerms {
+        attempt,
+        remaining: remaining.min(MAX_REMAINING),
+        waited: Duration::ZERO,
+        earlier_tries: Duration::ZERO,
+    })
 }
 
 /// Reads the outline of the prompt, if the route sends requests with a shared prompt to the same
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -8,15 +8,19 @@
 
 use arc_swap::ArcSwapOption;
 use foldhaven_core::ids::{RouteName, ServiceName};
-use foldhaven_core::opaque::affinity::{PrefixCacheIndex, PromptPlacement};
+use foldhaven_core::opaque::affinity::PrefixCacheIndex;
 use foldhaven_core::opaque::caller_timeouts::CallerTimeouts;
 use foldhaven_core::opaque::peer_table::{ServiceTag, VmTag};
-use foldhaven_core::opaque::performance::ServicePerformance;
+use foldhaven_core::opaque::performance::{QueueState, ServicePerformance};
+use foldhaven_core::opaque::placement_queue::PlacementQueue;
 use foldhaven_core::opaque::priority_level::LEVEL_COUNT;
 use foldhaven_core::opaque::queue_capacity::QueueCapacity;
+use foldhaven_core::opaque::region_room::BoundShares;
 use foldhaven_core::opaque::remote_room::RemoteRooms;
+use foldhaven_core::opaque::request_class::RequestClass;
 use foldhaven_core::opaque::retry_share::RetryShare;
 use foldhaven_core::opaque::route_history::RouteHistory;
+use foldhaven_core::opaque::waiting_memory::WaitingMemory;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -25,6 +29,7 @@
 use crate::busy_upstreams::BusyUpstreams;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
+use crate::job::GatewayJob;
 use crate::leaving_tracker::LeavingTracker;
 use crate::logging::LogQuota;
 use crate::metrics::GatewayMetrics;
@@ -32,6 +37,7 @@
 use crate::origin_tracker::OriginTracker;
 use crate::path_tracker::PathTracker;
 use crate::rate_limit_tracker::RateLimitTracker;
+use crate::returning_callers::ReturningCallers;
 use crate::settings::GatewaySettings;
 use crate::suspects::{ChangeContext, SuspectTracker};
 use crate::suspension::SuspensionDetector;
@@ -88,7 +94,7 @@
     /// The upstreams at which this VM has requests.
     pub busy_upstreams: BusyUpstreams,
     /// The destinations of long prompts since the last report to other VMs.
-    pub placements: Mutex<Vec<PromptPlacement>>,
+    pub placements: Mutex<PlacementQueue>,
     /// The measured performance of each service's upstreams.
     performance_by_service: Mutex<HashMap<ServiceName, ServicePerformance>>,
     /// The longest remaining times that callers of each route announce.
@@ -129,10 +135,16 @@
     pub accounts: AccountLimiter,
     /// The requests that wait for room at the upstreams.
     pub waiting_rooms: WaitingRooms,
+    /// The memory of the requests that wait in them.
+    pub waiting_memory: Arc<WaitingMemory>,
+    /// The callers that were told to come again.
+    pub returning_callers: ReturningCallers,
     /// The requests that wait at the other VMs of the region, by service and level.
     waiting_elsewhere: Mutex<HashMap<ServiceTag, [u32; LEVEL_COUNT]>>,
     /// The room that other regions offer.
     pub remote_rooms: Mutex<RemoteRooms>,
+    /// The requests of callers that are bound to a part of the regions, by service.
+    bound_shares: Mutex<HashMap<ServiceName, BoundShares>>,
     /// Detects that the process was suspended, so that its state may be outdated.
     pub wake: SuspensionDetector,
 }
@@ -142,8 +154,11 @@
         Arc::new(Self {
             wake: SuspensionDetector::default(),
             waiting_rooms: WaitingRooms::new(settings.floor_share),
+            waiting_memory: Arc::default(),
+            returning_callers: ReturningCallers::default(),
             waiting_elsewhere: Mutex::default(),
             remote_rooms: Mutex::default(),
+            bound_shares: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
             paths: PathTracker::new(VmTag::of(&settings.vm)),
@@ -287,6 +302,21 @@
         waiting.get(&ServiceTag::of(service)).copied().unwrap_or_default()
     }
 
+    /// Records a request of a caller for a service whose requests have priority levels.
+    pub fn record_class(&self, service: &ServiceName, class: &RequestClass) {
+        let mut shares = self.bound_shares.lock();
+        let shares = match shares.get_mut(service) {
+            Some(shares) => shares,
+            None => shares.entry(service.clone()).or_default(),
+        };
+        shares.record(class.level, class.is_bound);
+    }
+
+    /// Returns the shares of the requests of a service that are bound to a part of the regions.
+    pub fn bound_shares(&self, service: &ServiceName) -> BoundShares {
+        self.bound_shares.lock().get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the measured performance of a service's upstreams, with the fetch rate from the
     /// description (0 if the description has none).
     pub fn performance(&self, service: &ServiceName, view: &GatewayView) -> ServicePerformance {
@@ -295,6 +325,15 @@
         ServicePerformance { fetch_tokens_per_s: described.unwrap_or_default(), ..measured }
     }
 
+    /// Returns the measured performance of the upstreams for a request.
+    pub fn performance_for(&self, job: &GatewayJob, view: &GatewayView) -> ServicePerformance {
+        let performance = self.performance(&job.service, view);
+        match job.is_plain() {
+            true => performance.for_plain_requests(),
+            false => performance.for_model_requests(),
+        }
+    }
+
     /// Returns the measured performance of a service's upstreams.
     pub fn measured_performance(&self, service: &ServiceName) -> ServicePerformance {
         self.performance_by_service.lock().get(service).copied().unwrap_or_default()
@@ -308,6 +347,19 @@
         });
     }
 
+    /// Records the time to the answer of a plain request at an upstream that had `queue` when it
+    /// was sent.
+    pub fn record_work(&self, upstream: &Upstream, queue: QueueState, took: Duration) {
+        self.with_performance(&upstream.identity.service, |performance| {
+            performance.record_work(queue, took)
+        });
+    }
+
+    /// Records the requests of this VM, and of all VMs, at the upstreams of a service.
+    pub fn record_traffic(&self, service: &ServiceName, own: u32, all: u32) {
+        self.with_performance(service, |performance| performance.traffic_share.record(own, all));
+    }
+
     fn with_performance<T>(
         &self,
         service: &ServiceName,
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -7,6 +7,7 @@
 use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::peer_table::ServiceTag;
 use foldhaven_core::opaque::priority_level::PriorityLevel;
+use foldhaven_core::opaque::waiting_memory::WaitingBytes;
 use foldhaven_core::opaque::waiting_room::{RoomView, TicketId, WaitingRequest, WaitingRoom};
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
@@ -39,14 +40,6 @@
         room
     }
 
-    /// Returns the number of waiting requests by service.
-    pub fn totals(&self, now: MonoTime) -> HashMap<ServiceTag, u32> {
-        let total = |levels: &[(PriorityLevel, u16)]| {
-            levels.iter().map(|(_, count)| u32::from(*count)).sum::<u32>()
-        };
-        self.counts(now).iter().map(|(service, levels)| (*service, total(levels))).collect()
-    }
-
     /// Returns the number of waiting requests by service and level.
     pub fn counts(&self, now: MonoTime) -> WaitingCounts {
         let rooms = self.rooms.lock();
@@ -66,13 +59,20 @@
     id: TicketId,
     request: WaitingRequest,
     entered: MonoTime,
+    /// The memory that the request takes while it waits.
+    _memory: WaitingBytes,
 }
 
 impl WaitingTicket {
     /// Adds a request to a room.
-    pub fn enter(room: Arc<Mutex<WaitingRoom>>, request: WaitingRequest, now: MonoTime) -> Self {
-        let id = room.lock().enter(request, now);
-        Self { room, id, request, entered: now }
+    pub fn enter(
+        room: Arc<Mutex<WaitingRoom>>,
+        request: WaitingRequest,
+        memory: WaitingBytes,
+        now: MonoTime,
+    ) -> Self {
+        let id = room.lock().enter(request);
+        Self { room, id, request, entered: now, _memory: memory }
     }
 
     /// Runs the next round of the room if it is due, and returns whether it is the turn of this
@@ -95,11 +95,6 @@
     pub fn held(&self, now: MonoTime) -> Duration {
         now.since(self.entered)
     }
-
-    /// Returns the last moment at which the request can start and be in time.
-    pub fn late_at(&self) -> MonoTime {
-        self.request.late_at
-    }
 }
 
 impl Drop for WaitingTicket {
