Plain services: idle upstreams are chosen alike

Cause: pricing begins at a random candidate and the choice among the priced ones again, by the same draw; two rotations leave every second candidate out, and of two one. Evidence: 700 draws chose [700, 0] of two and [234, 0, 232, 0, 234, 0] of six. The priced candidates are now in their own order, so that only the choice rotates. The new test failed for two and six upstreams before.

--- a/crates/foldhaven-core/src/opaque/arrival_spread.rs
+++ b/crates/foldhaven-core/src/opaque/arrival_spread.rs
@@ -23,7 +23,10 @@
     performance: &ServicePerformance,
     draw: f64,
 ) -> Option<UpstreamChoice> {
-    let priced = CandidateSample::of_all(candidates).price(query, performance);
+    let mut priced = CandidateSample::of_all(candidates).price(query, performance);
+    // Pricing begins at a random candidate. So does each choice below, and two such rotations by the
+    // same draw would leave some candidates out.
+    priced.sort_by_key(|choice| choice.index);
     let sampled: Vec<UpstreamCandidate<'_>> =
         priced.iter().map(|choice| candidates[choice.index]).collect();
     let pending = pending_requests(&sampled, query.report_age, performance.slot_time);
--- a/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_plain_services.rs
@@ -101,6 +101,24 @@
     assert!(expected.abs_diff(u128::from(took_ms) + 8) <= 6, "{expected}");
 }
 
+/// Upstreams that are all idle get requests alike, so that none is left out and an unusable one is
+/// noticed.
+#[rstest]
+fn idle_upstreams_are_chosen_alike(#[values(2, 3, 6, 7)] count: usize) {
+    const DRAWS: usize = 700;
+    let names: Vec<UpstreamName> =
+        (0..count).map(|number| format!("i-{number}").parse().unwrap()).collect();
+    let candidates: Vec<_> = names.iter().map(|name| candidate(name, 0)).collect();
+    let mut chosen = vec![0_usize; count];
+    for number in 0..DRAWS {
+        let draw = (number as f64 + 0.5) / DRAWS as f64;
+        let choice = choose_spread(&candidates, &query(Duration::ZERO, draw), &performance(), draw);
+        chosen[choice.unwrap().index] += 1;
+    }
+    let share = DRAWS / count;
+    assert!(chosen.iter().all(|times| times.abs_diff(share) <= 1), "{chosen:?}");
+}
+
 /// A few answers replace the assumed time, so that a service of short work is soon known.
 #[test]
 fn the_work_time_follows_the_first_answers() {
