Waiting room: a request that would soon be late takes any free slot

Cause: requests wait for an upstream without a backlog of prefill, and nothing ended that wait any more since no request displaces another. Change: after a tenth of its target such a request takes any free slot that is not reserved.

--- a/crates/foldhaven-core/src/opaque/service_room.rs
+++ b/crates/foldhaven-core/src/opaque/service_room.rs
@@ -117,6 +117,13 @@
         !room.is_empty() && held_memory(queue, need) <= room.memory_tokens
     }
 
+    /// Whether an upstream has a slot and the memory for a request, though other prompts may wait for
+    /// prefill there.
+    pub fn has_slot(&self, queue: QueueState, need: RoomNeed) -> bool {
+        let room = self.room(queue);
+        room.slots > 0 && held_memory(queue, need) <= room.memory_tokens
+    }
+
     /// Whether an upstream can start a request at once, also if as many others have started there
     /// unseen as usual, or none of its requests would be displaced then.
     pub fn has_safe_room(&self, queue: QueueState, need: RoomNeed) -> bool {
--- a/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_rooms.rs
@@ -137,6 +137,19 @@
     assert!(!limits.has_room(held_queue(5_000, 2_000, 2_000), NEED));
 }
 
+// Guards against long prompts that wait until they are late for an upstream without a backlog, while
+// slots are free: a backlog is no reason then, but reserved slots and memory still are.
+#[test]
+fn a_free_slot_counts_beside_a_backlog() {
+    let backlogged = queue(0, 3, BACKLOG);
+    let limits = RoomLimits::new(PriorityLevel::new(LAST), &[backlogged], BACKLOG);
+    assert!(!limits.has_room(backlogged, NEED));
+    assert!(limits.has_slot(backlogged, NEED));
+    let reserved = queue(2, 13, 0);
+    let limits = RoomLimits::new(PriorityLevel::new(LAST), &[reserved], BACKLOG);
+    assert!(!limits.has_slot(reserved, NEED), "the last slot is left for urgent requests");
+}
+
 // Guards against a request that never starts because it needs more than an upstream has: an empty
 // one decides about it.
 #[test]
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -17,6 +17,9 @@
 /// Maximum number of requests of a level and of more urgent ones that wait at this VM for one
 /// service. Their bodies stay in memory.
 const MAX_WAITING: usize = 1_000;
+/// The share of its target for which a request waits for an upstream that prefills it at once, while
+/// others have free slots.
+const PREFILL_PATIENCE: f64 = 0.1;
 
 impl RequestDriver {
     /// Returns what the request requires of an upstream if it may look for one now. `None` if it
@@ -35,10 +38,20 @@
         if has_remote_room(&self.shared, view, &self.job) {
             return Ok(Some(RoomRule::OtherRegion));
         }
+        if self.is_soon_late(ticket, now) {
+            return Ok(Some(RoomRule::AnySlot));
+        }
         self.check_expected_wait(ticket, view, now)?;
         Ok(None)
     }
 
+    /// Whether a request that can still be in time has waited for so long that it should not wait
+    /// for the prefill of other prompts.
+    fn is_soon_late(&self, ticket: &WaitingTicket, now: MonoTime) -> bool {
+        let patience = self.job.route.target.mul_f64(PREFILL_PATIENCE);
+        now < ticket.late_at() && ticket.held(now) >= patience
+    }
+
     /// A request looks for an upstream at once unless others wait that go before it, here or at
     /// other VMs.
     fn rule_on_arrival(
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -352,6 +352,7 @@
             RoomRule::Any => true,
             RoomRule::OtherRegion => false,
             RoomRule::FreeSlot => limits.has_room(queue, self.need),
+            RoomRule::AnySlot => limits.has_slot(queue, self.need),
             RoomRule::SafeSlot => limits.has_safe_room(queue, self.need),
         }
     }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -131,6 +131,8 @@
 pub enum RoomRule {
     /// A free slot that is not reserved for more urgent requests.
     FreeSlot,
+    /// A free slot that is not reserved, also where other prompts wait for prefill.
+    AnySlot,
     /// A free slot that is left also if other VMs have started requests there unseen.
     SafeSlot,
     /// A free slot in another region: in this one, others go before the request.
--- a/crates/foldhaven-gateway/src/waiting_rooms.rs
+++ b/crates/foldhaven-gateway/src/waiting_rooms.rs
@@ -91,6 +91,11 @@
         self.room.lock().expected_wait(&self.request, now)
     }
 
+    /// Returns the last moment at which the request can start and be in time.
+    pub fn late_at(&self) -> MonoTime {
+        self.request.late_at
+    }
+
     /// Returns how long the request has waited.
     pub fn held(&self, now: MonoTime) -> Duration {
         now.since(self.entered)
