--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -74,7 +74,7 @@
         let elsewhere = self.shared.waiting_elsewhere(&self.job.service);
         let has_more_urgent = elsewhere[..class.level.index()].iter().any(|count| *count > 0);
         if !has_more_urgent && !room.lock().has_ahead(&request, now) {
-            return Ok(Some(RoomRule::FreeSlot));
+            return Ok(Some(RoomRule::AnySlot));
         }
         self.wait_for_room(view)?;
         Ok(None)
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -113,7 +113,7 @@
                 sample.choose(&query, &performance)
             };
             let safe = match rule {
-                RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
+                RoomRule::FreeSlot => choose(RoomRule::SafeSlot),
                 _ => None,
             };
             safe.filter(|it| it.has_room).or_else(|| choose(rule))?
