--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -113,7 +113,7 @@
                 sample.choose(&query, &performance)
             };
             let safe = match rule {
-                RoomRule::FreeSlot if job.level.is_some() => choose(RoomRule::SafeSlot),
+                RoomRule::FreeSlot => choose(RoomRule::SafeSlot),
                 _ => None,
             };
             safe.filter(|it| it.has_room).or_else(|| choose(rule))?
@@ -352,6 +352,7 @@
             RoomRule::Any => true,
             RoomRule::OtherRegion => false,
             RoomRule::FreeSlot => limits.has_room(queue, self.need),
+            RoomRule::AnySlot => limits.has_slot(queue, self.need),
             RoomRule::SafeSlot => limits.has_safe_room(queue, self.need),
         }
     }
