Brittle upstreams: log what a VM has at one that declines a request

The logs could not tell whether the upstream was known to be brittle, how many VMs shared its slots, and what this VM had there, also by requests that it had given up. No change of logic: what is counted as given up is only logged.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions on opaque requests: requests that are routed by host and path and whose bodies are
 //! forwarded unchanged.
 
+pub mod abandoned_requests;
 pub mod account_demand;
 pub mod account_shares;
 pub mod account_table;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod descriptions;
 mod load;
 mod membership;
+mod opaque_abandoned_requests;
 mod opaque_account_limits;
 mod opaque_account_shares;
 mod opaque_admission;
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -12,6 +12,7 @@
     DataCentreName, RegionName, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime,
     VmName,
 };
+use foldhaven_core::opaque::abandoned_requests::AbandonedRequests;
 use foldhaven_core::opaque::affinity::{RingPosition, UpstreamTag};
 use foldhaven_core::opaque::level_loads::LevelLoads;
 use foldhaven_core::opaque::load_reports::UpstreamShare;
@@ -64,6 +65,8 @@
     /// The in-flight requests of this VM, from which the suspects are taken if the upstream
     /// crashes.
     in_flight_requests: Mutex<InFlightRequests<SuspectKeys>>,
+    /// The requests of this VM that it has given up.
+    abandoned_requests: Mutex<AbandonedRequests>,
     /// Whether a check for the exit of the upstream is running.
     is_exit_check_running: AtomicBool,
     /// When data was last received from the upstream.
@@ -135,6 +138,7 @@
             others_prefill_backlog: Mutex::default(),
             others_levels: Mutex::default(),
             in_flight_requests: Mutex::default(),
+            abandoned_requests: Mutex::default(),
             is_exit_check_running: AtomicBool::new(false),
             last_received: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
@@ -312,6 +316,13 @@
         self.in_flight_requests.lock().take_affected(broken_at)
     }
 
+    /// Returns how many requests that this VM has given up the upstream may still be processing.
+    /// `work_time` is the usual time of a request.
+    pub fn abandoned(&self, work_time: Duration, now: MonoTime) -> u32 {
+        let last_received = MonoTime(self.last_received.load(Ordering::Relaxed));
+        self.abandoned_requests.lock().count(work_time, last_received, now)
+    }
+
     /// Registers a request of this VM until the guard is dropped.
     pub fn register_request(
         self: &Arc<Self>,
@@ -319,7 +330,8 @@
         clock: MonoClock,
     ) -> UpstreamRequestGuard {
         let id = self.in_flight_requests.lock().insert(keys);
-        UpstreamRequestGuard { upstream: self.clone(), id, clock, is_harmless: false }
+        let sent_at = clock.now();
+        UpstreamRequestGuard { upstream: self.clone(), id, clock, sent_at, is_harmless: false }
     }
 
     /// Records that the upstream is unresponsive, or that another process has its address: it is
@@ -392,6 +404,7 @@
     upstream: Arc<Upstream>,
     id: InFlightId,
     clock: MonoClock,
+    sent_at: MonoTime,
     is_harmless: bool,
 }
 
@@ -416,10 +429,13 @@
 impl Drop for UpstreamRequestGuard {
     fn drop(&mut self) {
         let mut in_flight_requests = self.upstream.in_flight_requests.lock();
-        match self.is_harmless {
-            true => in_flight_requests.remove_harmless(self.id),
-            false => in_flight_requests.remove(self.id, self.clock.now()),
+        if self.is_harmless {
+            in_flight_requests.remove_harmless(self.id);
+            return;
         }
+        let now = self.clock.now();
+        in_flight_requests.remove(self.id, now);
+        self.upstream.abandoned_requests.lock().record(self.sent_at, now);
     }
 }
 
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -113,10 +113,14 @@
             }
         }
         let Some(per_s) = self.upstream.max_declined_per_s() else { return };
+        if !is_declined_as_full(head, &self.shared.names) {
+            return;
+        }
         // Earlier requests were sent without regard to the room.
         let was_known = self.upstream.was_known_brittle(timing.sent);
-        if was_known && is_declined_as_full(head, &self.shared.names) {
-            let senders = self.shared.view().map_or(1, |view| view.recent_senders);
+        let senders = self.shared.view().map_or(1, |view| view.recent_senders);
+        self.report_declined(per_s, senders, was_known);
+        if was_known {
             let pause = pause_after_decline(self.upstream.identity.slots, senders, per_s);
             let pause = pause.mul_f64(1.0 + BACKOFF_JITTER * rand::random::<f64>());
             let now = self.shared.now();
@@ -125,6 +129,28 @@
         }
     }
 
+    /// Logs that a brittle upstream declined a request, with what this VM has at it. `was_known`
+    /// tells whether it was known to be brittle when the request was sent.
+    fn report_declined(&self, per_s: NonZeroU32, senders: usize, was_known: bool) {
+        if !self.shared.quota.take(false) {
+            return;
+        }
+        let upstream = &self.upstream;
+        let work_time = self.shared.measured_performance(&upstream.identity.service).slot_time;
+        tracing::info!(
+            upstream = %upstream.name(),
+            birth = upstream.identity.birth.0,
+            slots = upstream.identity.slots,
+            per_s = per_s.get(),
+            senders,
+            was_known,
+            requests = upstream.load.share().in_flight,
+            all_requests = upstream.queue().in_flight,
+            abandoned = upstream.abandoned(work_time, self.shared.now()),
+            "a brittle upstream declined a request"
+        );
+    }
+
     /// Records the load that the upstream tells.
     fn record_load(&self, head: &Parts, timing: AnswerTiming) {
         let name = &self.shared.names.server_load;
