Brittle upstreams: brittleness is of a service, and VMs tell each other

Callers saw: upstreams that had crashed crashed again as soon as they were back, so that a service stayed down for as long as the load lasted. Cause: a VM learned that an upstream is brittle from that upstream's answers to its own requests and kept it at that process. A new process had told nobody. While it was cold three VMs sent to it; then all others sent what they liked. Why it works: all upstreams of a service announce it, so one answer tells of all, also of those that start. The VMs of the region tell each other.

--- a/crates/foldhaven-core/src/opaque/mod.rs
+++ b/crates/foldhaven-core/src/opaque/mod.rs
@@ -9,6 +9,7 @@
 pub mod affinity;
 pub mod answer_length;
 pub mod arrival_spread;
+pub mod brittle_services;
 pub mod caller_timeouts;
 pub mod choice;
 pub mod cpu_demand;
--- a/crates/foldhaven-core/tests/testsuite/main.rs
+++ b/crates/foldhaven-core/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod opaque_account_shares;
 mod opaque_admission;
 mod opaque_answer_length;
+mod opaque_brittle_services;
 mod opaque_cache_estimate;
 mod opaque_choice;
 mod opaque_deltas;
--- a/crates/foldhaven-gateway/src/control/mod.rs
+++ b/crates/foldhaven-gateway/src/control/mod.rs
@@ -61,7 +61,7 @@
 pub use self::speed_reports::{PlanSpeedReport, ReceiveSpeedReport};
 pub use self::update_targets::{PlanUpdateTargets, SendReason, UpdateTargets};
 pub use self::upstream_signals::{
-    PlanSignalTargets, ReceiveLeavingNotices, ReceiveUpstreamRateLimits,
+    PlanSignalTargets, ReceiveBrittleNotices, ReceiveLeavingNotices, ReceiveUpstreamRateLimits,
 };
 use self::upstreams::DescribedServices;
 use crate::demand_meter::DemandMeter;
--- a/crates/foldhaven-gateway/src/control/upstream_signals.rs
+++ b/crates/foldhaven-gateway/src/control/upstream_signals.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use foldhaven_core::opaque::brittle_services::BrittleNotice;
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 use xtra::{Context, Handler};
 
@@ -58,6 +59,21 @@
     }
 }
 
+/// Services whose upstreams are brittle, received from another VM of the region.
+pub struct ReceiveBrittleNotices {
+    pub notices: Vec<BrittleNotice>,
+}
+
+impl Handler<ReceiveBrittleNotices> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ReceiveBrittleNotices, _: &mut Context<Self>) {
+        for notice in &message.notices {
+            self.shared.brittle_services.apply_notice(&self.shared, notice);
+        }
+    }
+}
+
 /// Requests the VMs that upstream signals are sent to. After a change, the control thread also
 /// updates the rate shares, which depend on the limits that upstreams have announced.
 pub struct PlanSignalTargets {
@@ -85,5 +101,6 @@
         let is_listed = |tag| self.upstreams.find(tag).is_some();
         self.shared.upstream_limits.forget(is_listed, &self.shared);
         self.shared.leaving_upstreams.forget(is_listed, &self.shared);
+        self.shared.brittle_services.forget(&self.shared);
     }
 }
--- a/crates/foldhaven-gateway/src/control/upstreams.rs
+++ b/crates/foldhaven-gateway/src/control/upstreams.rs
@@ -102,7 +102,8 @@
         let record = &entry.record;
         let region = self.settings.regions.get(&record.data_centre)?;
         let service = routes.service(&record.service);
-        let upstream = Upstream::new(UpstreamIdentity {
+        let brittleness = self.shared.brittle_services.state(&record.service);
+        let identity = UpstreamIdentity {
             name: record.name.clone(),
             birth: record.birth,
             service: record.service.clone(),
@@ -112,7 +113,8 @@
             slots: record.slots,
             prompt_memory: service.and_then(|service| service.prompt_memory).unwrap_or_default(),
             software: record.software.clone(),
-        });
+        };
+        let upstream = Upstream::new(identity, brittleness);
         self.shared.upstream_limits.apply(&upstream);
         self.shared.leaving_upstreams.apply(&upstream);
         upstream.set_peer_load(self.loads.total(upstream.tag));
--- a/crates/foldhaven-gateway/src/datagrams.rs
+++ b/crates/foldhaven-gateway/src/datagrams.rs
@@ -24,10 +24,11 @@
 use crate::control::{
     ControlAddress, OutgoingChanges, OutgoingUpdate, PlanAgreementRound, PlanDemandReports,
     PlanHeartbeats, PlanLoadReport, PlanSpeedReport, PlannedLoadReport, ReceiveAgreement,
-    ReceiveChanges, ReceiveEarlyChanges, ReceiveHeartbeat, ReceiveLeavingNotices,
-    ReceiveLevelReport, ReceiveLoadReport, ReceiveLocalDemand, ReceivePathNotices,
-    ReceivePlacements, ReceiveRegionDemand, ReceiveRegionReport, ReceiveRevisionNotice,
-    ReceiveRoomReport, ReceiveSpeedReport, ReceiveUpstreamRateLimits, ReceiveView, ReceiveViewList,
+    ReceiveBrittleNotices, ReceiveChanges, ReceiveEarlyChanges, ReceiveHeartbeat,
+    ReceiveLeavingNotices, ReceiveLevelReport, ReceiveLoadReport, ReceiveLocalDemand,
+    ReceivePathNotices, ReceivePlacements, ReceiveRegionDemand, ReceiveRegionReport,
+    ReceiveRevisionNotice, ReceiveRoomReport, ReceiveSpeedReport, ReceiveUpstreamRateLimits,
+    ReceiveView, ReceiveViewList,
 };
 use crate::feed::NumberedChange;
 use crate::peer_message::{MAX_DATAGRAM, PeerMessage, SuspectMessage};
@@ -288,6 +289,7 @@
         PeerMessage::Demand(demand) => control.send(ReceiveLocalDemand { demand }).await?,
         PeerMessage::RegionDemand(demand) => control.send(ReceiveRegionDemand { demand }).await?,
         PeerMessage::Limits(limits) => control.send(ReceiveUpstreamRateLimits { limits }).await?,
+        PeerMessage::Brittle(notices) => control.send(ReceiveBrittleNotices { notices }).await?,
         PeerMessage::Leavers(leavers) => control.send(ReceiveLeavingNotices { leavers }).await?,
         PeerMessage::Speeds(report) => control.send(ReceiveSpeedReport { report }).await?,
         PeerMessage::Paths(message) => control.send(ReceivePathNotices { message }).await?,
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 mod attempts;
 mod bounded_stream;
+mod brittle_tracker;
 mod busy_upstreams;
 mod call;
 mod caller_front;
--- a/crates/foldhaven-gateway/src/peer_message.rs
+++ b/crates/foldhaven-gateway/src/peer_message.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::ids::RegionName;
 use foldhaven_core::opaque::account_demand::{LocalDemand, RegionDemand};
 use foldhaven_core::opaque::affinity::PromptPlacement;
+use foldhaven_core::opaque::brittle_services::BrittleNotice;
 use foldhaven_core::opaque::load_reports::{LevelReport, LoadReport};
 use foldhaven_core::opaque::lost_paths::LostPathNotice;
 use foldhaven_core::opaque::peer_table::{
@@ -99,6 +100,8 @@
     Rooms(RoomReport),
     /// The room of a region for each level.
     LevelRooms(LevelRoomReport),
+    /// The services of the region whose upstreams are brittle.
+    Brittle(Vec<BrittleNotice>),
 }
 
 impl PeerMessage {
@@ -124,6 +127,7 @@
             Self::News(_) => "sent_bytes_revision",
             Self::Demand(_) | Self::RegionDemand(_) => "sent_bytes_demand",
             Self::Limits(_) => "sent_bytes_limits",
+            Self::Brittle(_) => "sent_bytes_brittle",
             Self::Leavers(_) => "sent_bytes_leaving",
             Self::Paths(_) => "sent_bytes_paths",
             Self::Origins(_) | Self::OriginQuestions(_) | Self::OriginAnswers(_) => {
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::account_limiter::AccountLimiter;
+use crate::brittle_tracker::BrittleTracker;
 use crate::busy_upstreams::BusyUpstreams;
 use crate::clock::BootInstant;
 use crate::clock::MonoClock;
@@ -125,6 +126,8 @@
     pub suspects: SuspectTracker,
     /// The rate limits that upstreams announce.
     pub upstream_limits: RateLimitTracker,
+    /// The services whose upstreams are brittle.
+    pub brittle_services: BrittleTracker,
     /// The upstreams that have announced that they are leaving.
     pub leaving_upstreams: LeavingTracker,
     /// Which VMs have lost their paths to the upstreams of which services.
@@ -160,6 +163,7 @@
             remote_rooms: Mutex::default(),
             bound_shares: Mutex::default(),
             upstream_limits: RateLimitTracker::default(),
+            brittle_services: BrittleTracker::default(),
             leaving_upstreams: LeavingTracker::default(),
             paths: PathTracker::new(VmTag::of(&settings.vm)),
             origins: OriginTracker::default(),
--- a/crates/foldhaven-gateway/src/signal_sender.rs
+++ b/crates/foldhaven-gateway/src/signal_sender.rs
@@ -1,9 +1,10 @@
-//! Relays the rate limits and leaving notices of upstreams to the other VMs of the region.
+//! Relays the rate limits, leaving notices and brittleness of upstreams to the other VMs of the region.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use foldhaven_core::opaque::brittle_services::BrittleNotice;
 use foldhaven_core::opaque::upstream_signals::{LeavingNotice, LimitNotice};
 
 use crate::control::{ControlAddress, PlanSignalTargets, SendReason};
@@ -12,18 +13,19 @@
 use crate::shared::GatewayShared;
 use crate::update_sender::{UpdateSender, wait_for_other_senders};
 
-/// Maximum number of upstreams in one datagram.
+/// Maximum number of upstreams or services in one datagram.
 const MAX_NOTICES_PER_DATAGRAM: usize = 256;
 
 /// The notices that are sent in one round.
 struct SignalBatch {
     limits: Vec<LimitNotice>,
     leaving: Vec<LeavingNotice>,
+    brittle: Vec<BrittleNotice>,
 }
 
 impl SignalBatch {
     fn is_empty(&self) -> bool {
-        self.limits.is_empty() && self.leaving.is_empty()
+        self.limits.is_empty() && self.leaving.is_empty() && self.brittle.is_empty()
     }
 
     fn messages(&self) -> impl Iterator<Item = PeerMessage> {
@@ -33,7 +35,11 @@
             .leaving
             .chunks(MAX_NOTICES_PER_DATAGRAM)
             .map(|it| PeerMessage::Leavers(it.to_vec()));
-        limits.chain(leaving)
+        let brittle = self
+            .brittle
+            .chunks(MAX_NOTICES_PER_DATAGRAM)
+            .map(|it| PeerMessage::Brittle(it.to_vec()));
+        limits.chain(leaving).chain(brittle)
     }
 }
 
@@ -61,6 +67,7 @@
         tokio::select! {
             () = self.shared.upstream_limits.wait_for_updates() => {}
             () = self.shared.leaving_upstreams.wait_for_updates() => {}
+            () = self.shared.brittle_services.wait_for_updates() => {}
         }
     }
 
@@ -69,17 +76,22 @@
         let targets = self.control.send(PlanSignalTargets { reason }).await?;
         wait_for_other_senders().await;
         let now = self.shared.now();
-        let limits = self.shared.upstream_limits.take_updates(now);
-        let batch =
-            SignalBatch { limits, leaving: self.shared.leaving_upstreams.take_updates(now) };
+        let batch = SignalBatch {
+            limits: self.shared.upstream_limits.take_updates(now),
+            leaving: self.shared.leaving_upstreams.take_updates(now),
+            brittle: self.shared.brittle_services.take_updates(now),
+        };
         self.send(&targets, &batch).await;
         Ok(())
     }
 
     async fn resend(&self) -> Result<(), xtra::Error> {
         let now = self.shared.now();
-        let limits = self.shared.upstream_limits.all_notices(now);
-        let batch = SignalBatch { limits, leaving: self.shared.leaving_upstreams.all_notices(now) };
+        let batch = SignalBatch {
+            limits: self.shared.upstream_limits.all_notices(now),
+            leaving: self.shared.leaving_upstreams.all_notices(now),
+            brittle: self.shared.brittle_services.all_notices(now),
+        };
         if batch.is_empty() {
             return Ok(());
         }
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -22,12 +22,12 @@
 use foldhaven_core::opaque::slot_share::SlotShare;
 use foldhaven_core::opaque::software::SoftwareTag;
 use foldhaven_core::opaque::suspects::{InFlightId, InFlightRequests, SuspectKeys};
-use foldhaven_core::opaque::upstream_signals::AnswerTiming;
 use foldhaven_core::opaque::upstream_speed::SpeedFactors;
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use foldhaven_core::time::MonoTime;
 use parking_lot::Mutex;
 
+use crate::brittle_tracker::ServiceBrittleness;
 use crate::clock::MonoClock;
 use crate::connection::{ConnectionPool, IDLE_LIMIT};
 use crate::load_counter::LoadCounter;
@@ -42,6 +42,8 @@
     /// Its position among the upstreams of its service.
     pub ring_position: RingPosition,
     pub pool: ConnectionPool,
+    /// Whether the upstreams of its service are brittle.
+    pub brittleness: Arc<ServiceBrittleness>,
     /// Its recent failures, which decide whether it is ejected.
     pub health: Mutex<TargetHealth>,
     /// Its speed, the recent errors of its time estimates, and its failures.
@@ -79,11 +81,6 @@
     is_leaving: AtomicBool,
     /// Whether the upstream announces a rate limit.
     is_limited: AtomicBool,
-    /// How many requests the upstream can decline in a second. 0 if it is not brittle.
-    max_declined_per_s: AtomicU32,
-    /// When it first and last announced that it is brittle.
-    brittle_since: AtomicU64,
-    brittle_at: AtomicU64,
     /// This VM's share of the rate while the upstream is cold or limited, as the bits of an `f64`.
     rate_share: AtomicU64,
     /// The time until which that share is valid.
@@ -119,7 +116,7 @@
 }
 
 impl Upstream {
-    pub fn new(identity: UpstreamIdentity) -> Arc<Self> {
+    pub fn new(identity: UpstreamIdentity, brittleness: Arc<ServiceBrittleness>) -> Arc<Self> {
         let ring_position = RingPosition::of(&identity.name, identity.birth);
         Arc::new(Self {
             tag: ring_position.tag(),
@@ -127,6 +124,7 @@
             ring_position,
             identity,
             pool: ConnectionPool::new(IDLE_LIMIT),
+            brittleness,
             health: Mutex::default(),
             performance: Mutex::default(),
             pacer: Mutex::default(),
@@ -145,9 +143,6 @@
             backoff_until: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
-            max_declined_per_s: AtomicU32::new(0),
-            brittle_since: AtomicU64::new(0),
-            brittle_at: AtomicU64::new(0),
             rate_share: AtomicU64::new(0),
             rate_share_until: AtomicU64::new(0),
             rate_limited_sent: AtomicU32::new(0),
@@ -205,33 +200,9 @@
         self.is_limited.load(Ordering::Relaxed)
     }
 
-    /// Records whether an answer announces that the upstream is brittle, and how many requests it
-    /// can decline in a second. Only an answer to a request that was sent after the last
-    /// announcement ends it. Returns whether this is a change.
-    pub fn record_brittleness(&self, per_s: Option<NonZeroU32>, timing: AnswerTiming) -> bool {
-        let announced_at = MonoTime(self.brittle_at.load(Ordering::Relaxed));
-        if per_s.is_none() && timing.sent < announced_at {
-            return false;
-        }
-        if per_s.is_some() {
-            self.brittle_at.store(timing.received.0, Ordering::Relaxed);
-        }
-        let per_s = per_s.map_or(0, NonZeroU32::get);
-        let before = self.max_declined_per_s.swap(per_s, Ordering::Relaxed);
-        if before == 0 && per_s != 0 {
-            self.brittle_since.store(timing.received.0, Ordering::Relaxed);
-        }
-        before != per_s
-    }
-
-    /// Whether the upstream was known to be brittle at a time.
-    pub fn was_known_brittle(&self, moment: MonoTime) -> bool {
-        self.brittle_since.load(Ordering::Relaxed) <= moment.0
-    }
-
     /// Returns how many requests the upstream can decline in a second. `None` if it is not brittle.
     pub fn max_declined_per_s(&self) -> Option<NonZeroU32> {
-        NonZeroU32::new(self.max_declined_per_s.load(Ordering::Relaxed))
+        self.brittleness.max_declined_per_s()
     }
 
     /// Whether this VM, one of `senders` VMs, may send one more request to the upstream. At a
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -105,19 +105,14 @@
     /// nothing for as long as keeps the sum of all VMs below what the upstream can bear.
     fn record_brittleness(&self, head: &Parts, timing: AnswerTiming) {
         let per_s = self.max_declined_per_s(head);
-        if self.upstream.record_brittleness(per_s, timing) {
-            self.shared.metrics.count_event("upstream_brittle_changed");
-            if self.shared.quota.take(false) {
-                let (upstream, per_s) = (self.upstream.name(), per_s.map(NonZeroU32::get));
-                tracing::info!(%upstream, per_s, "brittleness of an upstream changed");
-            }
-        }
+        // Earlier requests were sent without regard to the room.
+        let was_known = self.upstream.brittleness.was_known(timing.sent);
+        let service = &self.upstream.identity.service;
+        self.shared.brittle_services.record_answer(&self.shared, service, per_s, timing);
         let Some(per_s) = self.upstream.max_declined_per_s() else { return };
         if !is_declined_as_full(head, &self.shared.names) {
             return;
         }
-        // Earlier requests were sent without regard to the room.
-        let was_known = self.upstream.was_known_brittle(timing.sent);
         let senders = self.shared.view().map_or(1, |view| view.recent_senders);
         self.report_declined(per_s, senders, was_known);
         if was_known {
--- a/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/peer_messages.rs
@@ -3,6 +3,7 @@
 //! During a rolling upgrade, two versions of the daemon exchange messages. If a message kind or
 //! field moved, messages would be misread or rejected, and VMs would consider each other dead.
 
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
     AccountDescription, AccountLimit, ClientAccount, KeyFingerprint, LimitUnit,
 };
 use foldhaven_core::opaque::affinity::UpstreamTag;
+use foldhaven_core::opaque::brittle_services::BrittleNotice;
 use foldhaven_core::opaque::level_loads::LevelShare;
 use foldhaven_core::opaque::load_reports::{LevelReport, report_interval};
 use foldhaven_core::opaque::peer_table::{
@@ -138,6 +140,15 @@
     PeerMessage::Leavers(vec![notice(1), notice(300)])
 }
 
+fn brittle() -> PeerMessage {
+    let notice = |service, per_s| BrittleNotice {
+        service: ServiceTag(service),
+        max_declined_per_s: NonZeroU32::new(per_s),
+        age_ms: 3,
+    };
+    PeerMessage::Brittle(vec![notice(1, 2), notice(300, 0)])
+}
+
 /// Returns a description with an account, and the delta that removes the account.
 fn keyed_changes() -> PeerMessage {
     let account = ClientAccount {
@@ -280,6 +291,7 @@
 #[case::region_demand(PeerMessage::RegionDemand(region_demand()), "0c01020304010501060000f040")]
 #[case::limits(limits(), "0d020101000000000000044003020003")]
 #[case::leavers(leavers(), "0e020103fb2c0103")]
+#[case::brittle(brittle(), "180201010203fb2c010003")]
 #[case::speeds(speeds(1), "1401020301fcffffffff0000c03f000020400000000000000000")]
 #[case::level_rooms(level_rooms_of_one_level(), "17056e6f7274680102030001000100fb5702fb600401")]
 #[case::keyed_changes(
@@ -318,6 +330,7 @@
         PeerMessage::RegionDemand(region_demand()),
         limits(),
         leavers(),
+        brittle(),
         speeds(2),
         levels(2),
         level_rooms(2),
