Brittle upstreams: requests that were given up keep their slots

Callers saw: after a silence of a second, or while callers left before their answers, brittle upstreams crashed under the next requests. Cause: a VM stopped counting a request once it no longer waited for it, at once when its caller left and after 0.6 s without an answer. The upstream still worked on it, and declined what came for the slot.

--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -194,13 +194,22 @@
         let pacer = *upstream.pacer.lock();
         pacer.wait(rate, now).unwrap_or(NO_SHARE_WAIT)
     });
-    let room_wait = match upstream.has_room(&shared.settings.vm, senders) {
+    let room_wait = match has_room(shared, senders, upstream, now) {
         true => Duration::ZERO,
         false => ROOM_WAIT,
     };
     Some(backoff.max(share_wait).max(room_wait)).filter(|wait| !wait.is_zero())
 }
 
+/// Whether an upstream is not brittle, or this VM has not used up its share of the slots.
+fn has_room(shared: &GatewayShared, senders: usize, upstream: &Upstream, now: MonoTime) -> bool {
+    if upstream.max_declined_per_s().is_none() {
+        return true;
+    }
+    let work_time = shared.measured_performance(&upstream.identity.service).slot_time;
+    upstream.has_room(&shared.settings.vm, senders, work_time, now)
+}
+
 /// Returns whether an upstream of this region can get a request now.
 pub(super) fn has_available(shared: &GatewayShared, view: &GatewayView, job: &GatewayJob) -> bool {
     let now = shared.now();
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -205,14 +205,19 @@
         self.brittleness.max_declined_per_s()
     }
 
-    /// Whether this VM, one of `senders` VMs, may send one more request to the upstream. At a
-    /// brittle one, it uses its share of the slots only.
-    pub fn has_room(&self, vm: &VmName, senders: usize) -> bool {
-        if self.max_declined_per_s().is_none() {
-            return true;
-        }
+    /// Whether this VM, one of `senders` VMs, may send one more request to the brittle upstream. It
+    /// uses its share of the slots only. `work_time` is the usual time of a request.
+    pub fn has_room(
+        &self,
+        vm: &VmName,
+        senders: usize,
+        work_time: Duration,
+        now: MonoTime,
+    ) -> bool {
         let share = SlotShare::of(vm, self.name(), self.identity.slots, senders);
-        share.has_room(self.load.share().in_flight.into(), self.queue().in_flight)
+        let abandoned = self.abandoned(work_time, now);
+        let own = u32::from(self.load.share().in_flight) + abandoned;
+        share.has_room(own, self.queue().in_flight + abandoned)
     }
 
     /// Sets this VM's share of the upstream's rate while it is cold or limited, and the time until
