Brittle upstreams: names and steps; requests with a level do not leave for another region

The share that is kept at an upstream and the patience of a waiting request have names of their own. Without a free slot of a brittle upstream here, a request without a priority level may go to a region with free capacity.

--- a/crates/foldhaven-core/src/opaque/slot_share.rs
+++ b/crates/foldhaven-core/src/opaque/slot_share.rs
@@ -50,33 +50,27 @@
     ) -> &HolderLists {
         self.last_seen.extend(current.into_iter().map(|vm| (vm, now)));
         self.last_seen.retain(|_, seen| now.since(*seen) < HOLDER_RETENTION);
-        let list: Vec<VmTag> = self.last_seen.keys().copied().collect();
-        let is_settled = |at: &MonoTime| now.since(*at) >= TAKEOVER_DELAY;
-        let settled = self.replaced_at.iter().take_while(|at| is_settled(at)).count();
-        let is_same = self.lists.newest() == list;
-        if is_same && settled == 0 {
-            return &self.lists;
-        }
-        let mut lists: Vec<Arc<[VmTag]>> = self.lists.lists.to_vec();
-        if !is_same {
-            // Before the first list, this VM had no part.
-            if lists.is_empty() {
-                lists.push(Arc::default());
+        let newest: Vec<VmTag> = self.last_seen.keys().copied().collect();
+        let is_settled = |at: &&MonoTime| now.since(**at) >= TAKEOVER_DELAY;
+        let settled = self.replaced_at.iter().take_while(is_settled).count();
+        let has_changed = self.lists.newest() != newest;
+        if has_changed || settled > 0 {
+            let mut lists = self.lists.lists.to_vec();
+            if has_changed {
+                lists.push(newest.into());
+                self.replaced_at.push_back(now);
             }
-            lists.push(list.into());
-            self.replaced_at.push_back(now);
+            lists.drain(..settled);
+            self.replaced_at.drain(..settled);
+            let version = self.lists.version.wrapping_add(1);
+            self.lists = HolderLists { version, lists: lists.into() };
         }
-        let settled = settled.min(lists.len() - 1);
-        lists.drain(..settled);
-        self.replaced_at.drain(..settled);
-        self.lists =
-            HolderLists { version: self.lists.version.wrapping_add(1), lists: lists.into() };
         &self.lists
     }
 }
 
 /// The lists of VMs that apply at one moment: the newest one, and those that were replaced recently.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct HolderLists {
     /// Changes with the lists.
     version: u32,
@@ -84,6 +78,13 @@
     lists: Arc<[Arc<[VmTag]>]>,
 }
 
+impl Default for HolderLists {
+    /// Returns the lists of a process that has just started: an empty one, by which no VM has a part.
+    fn default() -> Self {
+        Self { version: 0, lists: Arc::new([Arc::default()]) }
+    }
+}
+
 impl HolderLists {
     /// Returns a number that changes whenever the lists change.
     pub fn version(&self) -> u32 {
--- a/crates/foldhaven-gateway/src/attempts/waiting.rs
+++ b/crates/foldhaven-gateway/src/attempts/waiting.rs
@@ -124,28 +124,39 @@
     /// Lets the request wait for a slot of a brittle upstream, or refuses it if it would wait for
     /// too long.
     pub(super) fn wait_for_slot(&mut self, view: &GatewayView) -> Result<(), Refusal> {
-        let (shared, job) = (&self.shared, &self.job);
+        let shared = &self.shared;
         let now = shared.now();
-        if self.slot_ticket.is_none() {
-            shared.metrics.count_event("waited_for_slot");
-        }
-        let ticket =
-            self.slot_ticket.get_or_insert_with(|| shared.slot_queues.enter(&job.service, now));
-        let slot_time = shared.measured_performance(&job.service).slot_time;
-        let share = slot_share(shared, view, job).unwrap_or_default();
+        let ticket = match self.slot_ticket.take() {
+            Some(ticket) => ticket,
+            None => {
+                shared.metrics.count_event("waited_for_slot");
+                shared.slot_queues.enter(&self.job.service, now)
+            }
+        };
+        let slot_time = shared.measured_performance(&self.job.service).slot_time;
+        let share = slot_share(shared, view, &self.job).unwrap_or_default();
         let wait = ticket.expected_wait(share, slot_time).unwrap_or(NO_SHARE_WAIT);
-        let until_target = job.route.target.saturating_sub(job.started.elapsed() + slot_time);
-        let is_hopeless = wait > until_target.max(MIN_SLOT_PATIENCE)
-            || ticket.held(now) > job.route.target
-            || wait > job.time_to_start();
-        if is_hopeless && !job.has_partial_answer {
+        let has_waited_long =
+            !self.job.has_partial_answer && ticket.held(now) > self.job.route.target;
+        if has_waited_long || wait > self.slot_patience(slot_time) {
             shared.metrics.count_event("refused_for_slot");
-            self.slot_ticket = None;
             return Err(self.refusal_after_attempts(Refusal::Throttled { wait }));
         }
+        self.slot_ticket = Some(ticket);
         Ok(())
     }
 
+    /// Returns for how long the request may wait for a slot of a brittle upstream: as long as it can
+    /// still be answered within its target, or until its deadline if its answer has begun.
+    fn slot_patience(&self, slot_time: Duration) -> Duration {
+        let job = &self.job;
+        if job.has_partial_answer {
+            return Duration::MAX;
+        }
+        let until_target = job.route.target.saturating_sub(job.started.elapsed() + slot_time);
+        until_target.max(MIN_SLOT_PATIENCE).min(job.time_to_start())
+    }
+
     /// Ends the wait, as the request starts.
     pub(super) fn end_wait(&mut self) {
         if let Some(ticket) = self.slot_ticket.take() {
--- a/crates/foldhaven-gateway/src/destinations/local.rs
+++ b/crates/foldhaven-gateway/src/destinations/local.rs
@@ -219,7 +219,7 @@
     if upstream.max_declined_per_s().is_none() {
         return true;
     }
-    let share = upstream.slot_share(shared.tag, holders);
+    let share = upstream.slot_share(shared.vm_tag, holders);
     let work_time = shared.measured_performance(&upstream.identity.service).slot_time;
     share > 0 && upstream.used_slots(work_time, now) < share
 }
@@ -231,7 +231,7 @@
     let examined = group.into_iter().flat_map(|group| examined_upstreams(group, job));
     let share = |it: &Arc<Upstream>| {
         it.max_declined_per_s()?;
-        Some(it.slot_share(shared.tag, &view.slot_holders))
+        Some(it.slot_share(shared.vm_tag, &view.slot_holders))
     };
     examined.map(share).sum()
 }
--- a/crates/foldhaven-gateway/src/destinations/mod.rs
+++ b/crates/foldhaven-gateway/src/destinations/mod.rs
@@ -242,8 +242,9 @@
                 Err(refusal) => Err(refusal),
             }
         }
+        // Regions compared their room for requests with a priority level before.
         (Some(local), Some(remote))
-            if !local.choice.has_room && has_free_capacity(job, &remote) =>
+            if !local.choice.has_room && job.level.is_none() && has_free_capacity(job, &remote) =>
         {
             Ok(Placement::chosen(remote.choice))
         }
--- a/crates/foldhaven-gateway/src/destinations/room.rs
+++ b/crates/foldhaven-gateway/src/destinations/room.rs
@@ -42,7 +42,7 @@
         let now = shared.now();
         let group = view.group(service, shared.settings.region())?;
         // A VM without a share of the slots passes its requests on to one that has one.
-        let is_holder = view.slot_holders.newest().contains(&shared.tag);
+        let is_holder = view.slot_holders.newest().contains(&shared.vm_tag);
         let is_usable = |it: &&Arc<Upstream>| {
             let is_throttled = match is_holder {
                 true => throttled_for(shared, &view.slot_holders, it, now).is_some(),
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -87,7 +87,7 @@
     /// The settings as read at startup.
     pub settings: GatewaySettings,
     /// The identifier of this VM in messages between VMs.
-    pub tag: VmTag,
+    pub vm_tag: VmTag,
     pub names: HeaderNames,
     pub metrics: GatewayMetrics,
     /// Limits the number of log lines about requests.
@@ -175,7 +175,7 @@
             origins: OriginTracker::default(),
             suspects: SuspectTracker::new(VmTag::of(&settings.vm)),
             accounts: AccountLimiter::new(settings.region_count(), settings.limits.accounts()),
-            tag: VmTag::of(&settings.vm),
+            vm_tag: VmTag::of(&settings.vm),
             settings,
             names,
             metrics: GatewayMetrics::default(),
--- a/crates/foldhaven-gateway/src/upstream.rs
+++ b/crates/foldhaven-gateway/src/upstream.rs
@@ -81,9 +81,8 @@
     is_leaving: AtomicBool,
     /// Whether the upstream announces a rate limit.
     is_limited: AtomicBool,
-    /// This VM's share of the slots while the upstream is brittle, and the version of the lists that
-    /// it was computed from.
-    slot_share: Mutex<Option<(u32, u32)>>,
+    /// This VM's share of the slots while the upstream is brittle. `None` before it is needed.
+    slot_share: Mutex<Option<CachedSlotShare>>,
     /// This VM's share of the rate while the upstream is cold or limited, as the bits of an `f64`.
     rate_share: AtomicU64,
     /// The time until which that share is valid.
@@ -92,6 +91,13 @@
     rate_limited_sent: AtomicU32,
 }
 
+/// A VM's share of an upstream's slots, computed from one version of the lists of VMs.
+#[derive(Debug, Clone, Copy)]
+struct CachedSlotShare {
+    lists_version: u32,
+    slots: u32,
+}
+
 /// The listed properties of an upstream, which do not change while its process runs.
 pub struct UpstreamIdentity {
     pub name: UpstreamName,
@@ -211,15 +217,14 @@
 
     /// Returns how many requests this VM may have at the upstream while it is brittle.
     pub fn slot_share(&self, vm: VmTag, holders: &HolderLists) -> u32 {
-        let mut held = self.slot_share.lock();
-        if let Some((version, share)) = *held
-            && version == holders.version()
-        {
-            return share;
+        let lists_version = holders.version();
+        let mut cached = self.slot_share.lock();
+        if let Some(held) = cached.filter(|held| held.lists_version == lists_version) {
+            return held.slots;
         }
-        let share = holders.slots_of(vm, self.name(), self.identity.slots);
-        *held = Some((holders.version(), share));
-        share
+        let slots = holders.slots_of(vm, self.name(), self.identity.slots);
+        *cached = Some(CachedSlotShare { lists_version, slots });
+        slots
     }
 
     /// Returns how many requests of this VM the upstream may be processing. `work_time` is the usual
