review: a planned stop cuts answers that callers are still reading

The daemon counts a complete answer as finished before it is written to the caller, and exits 3 s after SIGTERM.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/bin/bash
+# Builds the stand-ins that the scripts of this review start. Only the standard library is used.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for name in slow_reader; do
+    rustc --edition 2024 -O -o "target/review/$name" "review/support/$name.rs"
+done
