--- a/review/support/slow_reader.rs
+++ b/review/support/slow_reader.rs
@@ -15,9 +15,9 @@
 
 const CLIENTS: usize = 6;
 /// The bytes of an answer.
-const ANSWER_BYTES: usize = 12 << 20;
+const ANSWER_BYTES: usize = 15 << 20;
 /// What a client reads in a second.
-const READ_PER_S: f64 = 2.1e6;
+const READ_PER_S: f64 = 2.3e6;
 /// The receive buffer of a client's socket.
 const RECEIVE_BUFFER: i32 = 64 << 10;
 /// When the VM gets SIGTERM, after the requests were sent.
