--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in slow_reader uploads event_ids; do
+for name in paused_reader slow_reader uploads event_ids; do
     rustc --edition 2024 -O -o "target/review/$name" "review/support/$name.rs"
 done
