--- a/review/support/harness.rs
+++ b/review/support/harness.rs
@@ -335,8 +335,10 @@
         self.child.id()
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
+    /// Sends a signal to the process, which has not been waited for yet.
+    pub fn signal(&self, number: i32) {
+        // SAFETY: the id is that of a child of this process.
+        unsafe { kill(self.id() as i32, number) };
     }
 
     /// Whether the process has ended.
@@ -418,7 +420,13 @@
     Ok(stream)
 }
 
+/// Asks a process to stop.
+pub const SIGTERM: i32 = 15;
+/// Ends a process.
+pub const SIGKILL: i32 = 9;
+
 unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
--- a/review/support/slow_reader.rs
+++ b/review/support/slow_reader.rs
@@ -70,7 +70,7 @@
     let sent = Instant::now();
     thread::sleep(TERM_AT);
     if has_trouble() {
-        gateways[0].signal("TERM");
+        gateways[0].signal(SIGTERM);
         record.line(format!("SIGTERM to {}, grace_s is 8", gateways[0].name));
         while sent.elapsed() < TERM_AT + Duration::from_secs(8) && !gateways[0].has_ended() {
             thread::sleep(Duration::from_millis(10));
@@ -79,7 +79,7 @@
         match gateways[0].has_ended() {
             true => record.line(format!("{} has ended by itself {after} ms after SIGTERM", gateways[0].name)),
             false => {
-                gateways[0].signal("KILL");
+                gateways[0].signal(SIGKILL);
                 record.line("SIGKILL after grace_s");
             }
         }
--- a/review/support/uploads.rs
+++ b/review/support/uploads.rs
@@ -101,7 +101,7 @@
             let memory = gateway.memory();
             *peak = memory.max(*peak);
             if memory > MEMORY_BYTES {
-                gateway.signal("KILL");
+                gateway.signal(SIGKILL);
                 record.line(format!("{} has {} MB, more than memory_mb: killed", gateway.name, memory >> 20));
                 return false;
             }
