--- a/review/support/paused_reader.rs
+++ b/review/support/paused_reader.rs
@@ -21,6 +21,8 @@
 const PAUSE: Duration = Duration::from_millis(2_500);
 const BYTES_BEFORE_PAUSE: usize = 32 << 10;
 const DEADLINE_MS: u64 = 8_000;
+/// The receive buffer of a client's socket.
+const RECEIVE_BUFFER: i32 = 64 << 10;
 
 #[derive(Default)]
 struct Counts {
@@ -116,6 +118,7 @@
 /// A client: gets a short answer, and on the same channel a long one, in which it pauses.
 fn read_with_pause(client: usize, address: SocketAddr, record: &Record, counts: &Counts) {
     let Ok(mut stream) = connect(address) else { return };
+    set_receive_buffer(&stream, RECEIVE_BUFFER);
     let Ok(reader) = stream.try_clone() else { return };
     let mut reader = BufReader::with_capacity(8 << 10, reader);
     for kind in ["short", "long"] {
