--- a/review/support/event_ids.rs
+++ b/review/support/event_ids.rs
@@ -15,9 +15,9 @@
 use harness::*;
 
 const SERVICE: &str = "foldhaven-bench";
-const RUNNERS: usize = 6;
-/// Half of the runners are replaced.
-const REPLACED: usize = RUNNERS / 2;
+const RUNNERS: usize = 7;
+/// The runners that are replaced, a share of 0.43.
+const REPLACED: usize = 3;
 const GAP: Duration = Duration::from_secs(1);
 const DRAIN: Duration = Duration::from_millis(3_000);
 const CLIENTS: usize = 12;
--- a/review/support/paused_reader.rs
+++ b/review/support/paused_reader.rs
@@ -14,15 +14,16 @@
 use harness::*;
 
 const CLIENTS: usize = 8;
-/// The bytes of a long answer, and of a short one.
-const LONG_BYTES: usize = 1 << 20;
+/// The bytes of the longest answer of the kind of request, and of a usual one.
+const LONG_BYTES: usize = 4_800;
 const SHORT_BYTES: usize = 800;
 /// How long a client pauses, and after how many bytes.
 const PAUSE: Duration = Duration::from_millis(2_500);
-const BYTES_BEFORE_PAUSE: usize = 32 << 10;
-const DEADLINE_MS: u64 = 8_000;
+const BYTES_BEFORE_PAUSE: usize = 512;
+const DEADLINE_MS: u64 = 6_000;
+const TIMEOUT_MS: u64 = 3_000;
 /// The receive buffer of a client's socket.
-const RECEIVE_BUFFER: i32 = 64 << 10;
+const RECEIVE_BUFFER: i32 = 2 << 10;
 
 #[derive(Default)]
 struct Counts {
@@ -49,11 +50,11 @@
         serve(network.runner(index), move |stream| {
             let _ = run_requests(stream, index, &record, &counts);
         });
-        let entry = runner_entry("list-portal", network.runner(index), zone, "v1", 16, "ready");
+        let entry = runner_entry("ledger", network.runner(index), zone, "v1", 6, "ready");
         store.put(&format!("servers/i-{index}"), &entry);
     }
-    let routes = [route("list-fetch", "/list/", "unsafe", DEADLINE_MS, 1_000, "list-portal", "")];
-    store.put("op/config", &config(1, &routes, &[service("list-portal", 110)]));
+    let routes = [route("birth-lookup", "/birth/", "unsafe", TIMEOUT_MS, 400, "ledger", "")];
+    store.put("op/config", &config(1, &routes, &[service("ledger", 110)]));
     store.serve(network.store());
     let gateways: Vec<Gateway> =
         match (0..3).map(|index| Gateway::start(&network, index, &folder.0)).collect() {
@@ -117,14 +118,13 @@
 
 /// A client: gets a short answer, and on the same channel a long one, in which it pauses.
 fn read_with_pause(client: usize, address: SocketAddr, record: &Record, counts: &Counts) {
-    let Ok(mut stream) = connect(address) else { return };
-    set_receive_buffer(&stream, RECEIVE_BUFFER);
+    let Ok(mut stream) = connect_with_buffer(address, RECEIVE_BUFFER) else { return };
     let Ok(reader) = stream.try_clone() else { return };
-    let mut reader = BufReader::with_capacity(8 << 10, reader);
+    let mut reader = BufReader::with_capacity(512, reader);
     for kind in ["short", "long"] {
         let id = format!("{kind}-{client}");
         let request = format!(
-            "POST /list/{kind} HTTP/1.1\r\nHost: lists.example\r\nX-Foldhaven-Attempt-Id: {id}\r\nX-Foldhaven-Deadline-Remaining-Ms: {DEADLINE_MS}\r\nContent-Length: 4\r\n\r\nbody"
+            "POST /birth/{kind} HTTP/1.1\r\nHost: lists.example\r\nX-Foldhaven-Attempt-Id: {id}\r\nX-Foldhaven-Deadline-Remaining-Ms: {DEADLINE_MS}\r\nContent-Length: 4\r\n\r\nbody"
         );
         if stream.write_all(request.as_bytes()).is_err() {
             return;
