Logs: a line for each event id that was not expected

It names the id, the one before, the largest one that was expected and what was concluded, which tells cut streams apart whose ids deviate, repeat, or whose connection broke.

--- a/crates/foldhaven-core/src/opaque/event_sequence.rs
+++ b/crates/foldhaven-core/src/opaque/event_sequence.rs
@@ -292,6 +292,20 @@
         self.is_lenient = true;
     }
 
+    /// Returns the id of the last event; `None` before the first one of a stream that was not resumed.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns the id that the next event was expected to have at most; `None` if nothing was
+    /// expected of it.
+    pub fn max_expected_id(&self) -> Option<u64> {
+        match self.last {
+            Some(last) => Some(last + self.usual_step()?),
+            None => self.expected_first,
+        }
+    }
+
     /// Whether the next event is the first of a stream that was not resumed.
     fn is_at_start(&self) -> bool {
         self.last.is_none()
--- a/crates/foldhaven-gateway/src/events/numbering.rs
+++ b/crates/foldhaven-gateway/src/events/numbering.rs
@@ -16,6 +16,8 @@
     shared: Arc<GatewayShared>,
     key: NumberingKey,
     checker: EventSequenceChecker,
+    /// The id of the request, for the log.
+    request: String,
 }
 
 impl NumberingCheck {
@@ -27,7 +29,7 @@
         let resumed_after = job.headers.get(&driver.shared.names.last_event);
         let resumed_after = resumed_after.and_then(|id| id.to_str().ok());
         let checker = driver.shared.numberings.lock().checker(&key, resumed_after);
-        Self { shared: driver.shared.clone(), key, checker }
+        Self { shared: driver.shared.clone(), key, checker, request: job.id().to_owned() }
     }
 
     /// Replaces the check of a stream of which no event was passed on, when it starts again.
@@ -57,11 +59,16 @@
     fn precedes(&self, checker: &mut EventSequenceChecker, id: &str) -> bool {
         match checker.check(id) {
             Ok(()) => false,
-            Err(EventGap::Repeated) => true,
+            Err(EventGap::Repeated) => {
+                self.log_gap(checker, id, "repeated");
+                true
+            }
             Err(EventGap::Missing) => {
                 if self.shared.numberings.lock().confirm_gap(&self.key, checker) {
+                    self.log_gap(checker, id, "missing");
                     return true;
                 }
+                self.log_gap(checker, id, "unconfirmed");
                 self.shared.metrics.count_event("event_gaps_unconfirmed");
                 checker.expect_nothing();
                 checker.check(id).is_err()
@@ -69,6 +76,23 @@
         }
     }
 
+    /// Logs an event id that deviates from the expected one, and what was concluded from it.
+    fn log_gap(&self, checker: &EventSequenceChecker, id: &str, conclusion: &'static str) {
+        if !self.shared.quota.take(false) {
+            return;
+        }
+        tracing::info!(
+            request = self.request,
+            route = %self.key.route,
+            software = %self.key.software,
+            id,
+            after = checker.last_id(),
+            max_expected = checker.max_expected_id(),
+            conclusion,
+            "unexpected event id"
+        );
+    }
+
     /// Records how the events of the stream were numbered, after its end.
     pub(super) fn record_complete(&self) {
         self.shared.numberings.lock().record_stream(&self.key, &self.checker);
