Forwarded streams are sent in frames that show missing bytes

Cause: between two VMs, whose partitioned link once lost events from the middle of a connection, only the ids of the events told whether something was missing. Both ends are ours, so the sender can say what it sent.

A VM that forwards a request asks for frames. Each frame names its position in the stream, and a last one its end. The VM that reads them breaks the stream off at the first byte that is missing, whatever the events contain, also where the missing bytes are the last ones. VMs of earlier versions ask for no frames and get none.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -51,6 +51,9 @@
 pub const BEGUN: &str = "foldhaven-begun";
 /// Set on a forwarded request by a VM that reads the notice of a stalled stream.
 pub const READS_STALLS: &str = "foldhaven-reads-stalls";
+/// Set on a forwarded request by a VM that reads the events of its answer in frames, and on such an
+/// answer.
+pub const EVENT_FRAMES: &str = "foldhaven-event-frames";
 /// The tag of the software at which a stream began: on a forwarded request, that at which it has to
 /// go on, and on the answer, that of the upstream which sends it.
 pub const SOFTWARE: &str = "foldhaven-software";
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -156,6 +156,7 @@
                 map.insert(headers::VISITED, text_value(centre.as_str()));
                 map.insert(headers::SERVICE, text_value(job.service.as_str()));
                 map.insert(headers::READS_STALLS, HeaderValue::from_static("1"));
+                map.insert(headers::EVENT_FRAMES, HeaderValue::from_static("1"));
                 if let Some(account) = &job.account {
                     map.insert(headers::KEY_FINGERPRINT, fingerprint_value(&account.key));
                 }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use foldhaven_core::headers::{SOFTWARE, UNFRAMED, UNREACHED};
+use foldhaven_core::headers::{EVENT_FRAMES, SOFTWARE, UNFRAMED, UNREACHED};
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use foldhaven_wire::error_text::error_text;
@@ -19,6 +19,7 @@
 use crate::clock::BootInstant;
 use crate::credential::{JobAccount, KeyFault, find_account, take_credential};
 use crate::events::{EventRelay, StreamHead};
+use crate::framed_events::FramedEvents;
 use crate::front::FrontHandler;
 use crate::job::{
     CallerTerms, GatewayJob, ReadRequest, RouteMatch, check_head, discard_refused, host_of,
@@ -251,8 +252,22 @@
         Ok(AnswerStart::Complete(complete)) => return recorder.end_answered(complete),
         Err(refusal) => return recorder.end_refused(refusal),
     };
-    let is_forwarded = recorder.get().job.is_forwarded;
-    relay_events(EventRelay::new(recorder.release(), *opened, in_flight), is_forwarded).await
+    let job = &recorder.get().job;
+    let (is_forwarded, is_in_frames) = (job.is_forwarded, job.origin_reads_frames);
+    let relay = EventRelay::new(recorder.release(), *opened, in_flight);
+    let answer = relay_events(relay, is_forwarded).await;
+    if is_in_frames { put_in_frames(answer) } else { answer }
+}
+
+/// Puts the events of an answer to another VM in frames. Other answers stay as they are.
+fn put_in_frames(mut answer: Answer) -> Answer {
+    if let AnswerBody::Events(events) =
+        std::mem::replace(answer.body_mut(), AnswerBody::Complete(None))
+    {
+        answer.headers_mut().insert(EVENT_FRAMES, HeaderValue::from_static("1"));
+        *answer.body_mut() = AnswerBody::Events(Box::new(FramedEvents::new(events)));
+    }
+    answer
 }
 
 /// Returns the answer that relays a stream, once its first event is there.
@@ -282,6 +297,7 @@
     headers.remove(http::header::CONTENT_LENGTH);
     headers.remove(SOFTWARE);
     headers.remove(UNFRAMED);
+    headers.remove(EVENT_FRAMES);
     let mut answer = Response::new(AnswerBody::Complete(None));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -266,7 +266,7 @@
                 RelayStep::Broken("it ended before its first event")
             }
             None => RelayStep::End,
-            Some(Err(_)) => RelayStep::Broken("its connection broke"),
+            Some(Err(fault)) => RelayStep::Broken(fault.cause()),
             Some(Ok(frame)) => match frame.into_data() {
                 Err(_) => RelayStep::NoEvent,
                 Ok(bytes) => self.push_bytes(bytes),
--- a/crates/foldhaven-gateway/src/events/reading.rs
+++ b/crates/foldhaven-gateway/src/events/reading.rs
@@ -1,10 +1,12 @@
 //! The answer of one upstream, or of another VM, while its events are read.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use foldhaven_core::headers::EVENT_FRAMES;
 use foldhaven_core::opaque::software::SoftwareTag;
+use foldhaven_wire::event_frames::{EventFrameDecoder, MissingBytes};
 use http::response::Parts;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
@@ -17,11 +19,32 @@
 use crate::upstream::{StreamGuard, UpstreamRequestGuard};
 
 /// A frame of a body, or its end.
-pub(super) type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+pub(super) type BodyFrame = Option<Result<Frame<Bytes>, ReadFault>>;
+
+/// Why an answer could not be read to its end.
+#[derive(Debug, Clone, Copy, displaydoc::Display, thiserror::Error)]
+pub(super) enum ReadFault {
+    /// its connection broke
+    Connection,
+    /// bytes from another VM were missing
+    MissingBytes,
+}
+
+impl ReadFault {
+    /// Returns the cause for the log.
+    pub(super) fn cause(self) -> &'static str {
+        match self {
+            Self::Connection => "its connection broke",
+            Self::MissingBytes => "bytes from another VM were missing",
+        }
+    }
+}
 
 /// An answer whose events are being read.
 pub(super) struct ReadingState {
     body: Incoming,
+    /// Decodes the frames of another VM. `None` if the events are not in frames.
+    decoder: Option<EventFrameDecoder>,
     /// A frame that was read already. `None` if there is none.
     read_frame: Option<BodyFrame>,
     pub(super) lease: ConnectionLease,
@@ -59,9 +82,12 @@
         } = opened;
         let end = answer.end();
         let (head, body, lease) = answer.into_parts();
+        let is_in_frames = matches!(destination, RequestDestination::Peer(_))
+            && head.headers.contains_key(EVENT_FRAMES);
         let reading = Box::new(Self {
             end,
             body,
+            decoder: is_in_frames.then(EventFrameDecoder::default),
             read_frame: None,
             lease,
             destination,
@@ -81,10 +107,36 @@
 
     /// Polls for the next frame of the body.
     pub(super) fn poll_frame(&mut self, context: &mut Context<'_>) -> Poll<BodyFrame> {
-        match self.read_frame.take() {
-            Some(frame) => Poll::Ready(frame),
-            None => Pin::new(&mut self.body).poll_frame(context),
+        if let Some(frame) = self.read_frame.take() {
+            return Poll::Ready(frame);
         }
+        loop {
+            let frame = match ready!(Pin::new(&mut self.body).poll_frame(context)) {
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => return Poll::Ready(Some(Err(ReadFault::Connection))),
+                None => return Poll::Ready(self.end()),
+            };
+            match self.decode(frame) {
+                Ok(Some(frame)) => return Poll::Ready(Some(Ok(frame))),
+                Ok(None) => {}
+                Err(MissingBytes) => return Poll::Ready(Some(Err(ReadFault::MissingBytes))),
+            }
+        }
+    }
+
+    /// Returns the frame without the headers of another VM; `None` if it holds no complete part of
+    /// the stream.
+    fn decode(&mut self, frame: Frame<Bytes>) -> Result<Option<Frame<Bytes>>, MissingBytes> {
+        let Some(decoder) = &mut self.decoder else { return Ok(Some(frame)) };
+        let Ok(bytes) = frame.into_data() else { return Ok(None) };
+        let events = decoder.push(bytes)?;
+        Ok((!events.is_empty()).then(|| Frame::data(events)))
+    }
+
+    /// Returns the end of the stream.
+    fn end(&self) -> BodyFrame {
+        let is_complete = self.decoder.as_ref().is_none_or(EventFrameDecoder::is_complete);
+        (!is_complete).then_some(Err(ReadFault::MissingBytes))
     }
 
     /// Returns a frame, which the next poll returns again.
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -91,6 +91,8 @@
     pub is_forwarded: bool,
     /// Whether the VM that forwarded the request reads the notice of a stalled stream.
     pub origin_reads_stalls: bool,
+    /// Whether the VM that forwarded the request reads the events of its answer in frames.
+    pub origin_reads_frames: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
     pub software: Option<SoftwareTag>,
 }
@@ -286,6 +288,7 @@
             deadline: started + terms.remaining,
             is_forwarded: false,
             origin_reads_stalls: false,
+            origin_reads_frames: false,
             software: None,
         }
     }
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod events;
 mod explain;
 pub mod feed;
+mod framed_events;
 mod front;
 pub mod held_memory;
 mod job;
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -125,6 +125,7 @@
         return Err(Refusal::NotPermitted);
     }
     let origin_reads_stalls = head.headers.remove(headers::READS_STALLS).is_some();
+    let origin_reads_frames = head.headers.remove(headers::EVENT_FRAMES).is_some();
     let has_partial_answer = head.headers.remove(headers::BEGUN).is_some();
     let software = match head.headers.remove(headers::SOFTWARE) {
         None => None,
@@ -148,5 +149,12 @@
     if !job.permits(shared.settings.region()) {
         return Err(Refusal::NotPermitted);
     }
-    Ok(GatewayJob { is_forwarded: true, origin_reads_stalls, has_partial_answer, software, ..job })
+    Ok(GatewayJob {
+        is_forwarded: true,
+        origin_reads_stalls,
+        origin_reads_frames,
+        has_partial_answer,
+        software,
+        ..job
+    })
 }
--- a/crates/foldhaven-wire/src/lib.rs
+++ b/crates/foldhaven-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod counted;
 pub mod engine;
 pub mod error_text;
+pub mod event_frames;
 pub mod listen;
 pub mod operator;
 pub mod platform;
