--- a/crates/foldhaven-core/src/opaque/event_sequence.rs
+++ b/crates/foldhaven-core/src/opaque/event_sequence.rs
@@ -327,7 +327,7 @@
     /// expected of it.
     pub fn max_expected_id(&self) -> Option<u64> {
         match self.last {
-            Some(last) => Some(last + self.usual_step()?),
+            Some(last) => Some(last.saturating_add(self.usual_step()?)),
             None => self.expected_first,
         }
     }
--- a/crates/foldhaven-core/tests/testsuite/opaque_event_numbering.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_event_numbering.rs
@@ -140,6 +140,33 @@
     }
 }
 
+/// Guards against an overflow when the expected id of the event after the largest id is told.
+#[test]
+fn the_largest_id_has_no_next_one() {
+    let key = key("chat", 1);
+    let mut table = learned(&key, &[1, 2, 3]);
+    let mut checker = table.checker(&key, None);
+    assert!(pass_on(&mut table, &key, &mut checker, &[1, 2]));
+    checker.expect_nothing();
+    assert!(checker.check(&u64::MAX.to_string()).is_ok());
+    assert_eq!(checker.max_expected_id(), Some(u64::MAX));
+}
+
+/// Guards against doubting a numbering because a gap was confirmed by it, so that what follows the
+/// next gap is no longer held back.
+#[test]
+fn a_confirmed_gap_leaves_the_numbering_expected() {
+    let key = key("chat", 1);
+    let mut table = learned(&key, &[1, 2, 3]);
+    for _ in 0..3 {
+        let mut checker = table.checker(&key, None);
+        assert_eq!(checker.check("1"), Ok(()));
+        assert_eq!(checker.check("7"), Err(EventGap::Missing));
+        assert!(table.suspects_gap(&key, &checker));
+        table.confirm_gap(&key, &checker);
+    }
+}
+
 /// Guards against an id that does not rise, which no numbering permits.
 #[test]
 fn repeated_events_are_found_without_learning() {
--- a/crates/foldhaven-gateway/src/events/numbering.rs
+++ b/crates/foldhaven-gateway/src/events/numbering.rs
@@ -97,15 +97,15 @@
         let is_suspected = numberings.suspects_gap(&self.key, checker);
         let is_likely = is_suspected && numberings.confirm_gap(&self.key, checker);
         drop(numberings);
-        self.log_gap(
-            checker,
-            id,
-            match (is_suspected, is_likely) {
-                (false, _) => "unconfirmed",
-                (true, false) => "suspected",
-                (true, true) => "likely",
-            },
-        );
+        let conclusion = match (is_suspected, is_likely) {
+            (false, _) => "unconfirmed",
+            (true, false) => "suspected",
+            (true, true) => "likely",
+        };
+        self.log_gap(checker, id, conclusion);
+        if !is_suspected {
+            self.shared.metrics.count_event("event_gaps_unconfirmed");
+        }
         is_suspected.then_some(SequenceVerdict::Suspected { is_likely })
     }
 
@@ -118,13 +118,11 @@
     }
 
     /// Discards the events since a suspected gap, after which the stream goes on at another upstream or
-    /// ends. Returns whether there was one.
-    pub(super) fn discard_held(&mut self) -> bool {
-        let was_held = self.held.take().is_some();
-        if was_held {
+    /// ends.
+    pub(super) fn discard_held(&mut self) {
+        if self.held.take().is_some() {
             self.shared.metrics.count_event("event_gaps");
         }
-        was_held
     }
 
     /// Logs an event id that deviates from the expected one, and what was concluded from it.
