A forwarded request waits for a silent upstream if no attempt can follow, and leaves it for another one

What callers saw: 502 after 0.6 s for a repeatable request that was forwarded to another region, while its sound upstream was silent for 1.4 s and about to answer.

Cause: the VM that it was forwarded to gave it back to its origin without knowing whether the origin could do anything with it. Where the origin had no attempt left or there was no other upstream, its caller got the 502. Where it had, the next VM of the region knew nothing of the silence and could choose the same upstream.

The origin says when it can't send the request again, and the VM then waits. Answers between VMs name the upstream that was tried, and the next VM prefers others.

--- a/crates/foldhaven-core/src/headers.rs
+++ b/crates/foldhaven-core/src/headers.rs
@@ -51,6 +51,12 @@
 pub const BEGUN: &str = "foldhaven-begun";
 /// Set on a forwarded request by a VM that reads the notice of a stalled stream.
 pub const READS_STALLS: &str = "foldhaven-reads-stalls";
+/// Set on a forwarded request that its origin can't send again, so that it waits for an upstream that
+/// is silent.
+pub const LAST_ATTEMPT: &str = "foldhaven-last-attempt";
+/// On the answer to a forwarded request, the upstream that it comes from or that gave none, and on a
+/// forwarded request, each upstream that was tried.
+pub const UPSTREAM: &str = "foldhaven-upstream";
 /// Set on a forwarded request by a VM that reads the events of its answer in frames, and on such an
 /// answer.
 pub const EVENT_FRAMES: &str = "foldhaven-event-frames";
--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhaven_core::ids::UpstreamName;
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
@@ -21,6 +22,7 @@
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
+use parking_lot::Mutex;
 use tokio::time::sleep;
 
 use crate::call::{AnswerEnd, OpenAnswer, read_complete};
@@ -138,6 +140,8 @@
     /// The fingerprints by which the request is suspected of crashing upstreams.
     keys: SuspectKeys,
     tried: TriedDestinations,
+    /// The upstreams at which other VMs have tried the request, as their answers name them.
+    remote_upstreams: Arc<Mutex<Vec<UpstreamName>>>,
     /// Whether the next attempt must not go to an upstream that was tried, since it may still work on
     /// the request.
     avoids_tried: bool,
@@ -179,11 +183,13 @@
 impl RequestDriver {
     pub fn new(shared: Arc<GatewayShared>, job: GatewayJob) -> Self {
         let keys = job.suspect_keys();
+        let upstreams = job.tried_upstreams.clone();
         Self {
             shared,
             job,
             keys,
-            tried: TriedDestinations::default(),
+            tried: TriedDestinations { upstreams, ..TriedDestinations::default() },
+            remote_upstreams: Arc::default(),
             avoids_tried: false,
             sent: Arc::default(),
             alternative: None,
--- a/crates/foldhaven-gateway/src/attempts/requests.rs
+++ b/crates/foldhaven-gateway/src/attempts/requests.rs
@@ -20,8 +20,9 @@
 use crate::job::read_software;
 use crate::load_counter::RequestLoad;
 use crate::names::{HeaderNames, text_value};
+use crate::peer_listener::PeerListener;
 use crate::upstream::{Upstream, UpstreamRequestGuard};
-use crate::upstream_listener::{NoopListener, UpstreamListener};
+use crate::upstream_listener::UpstreamListener;
 
 /// Minimum time without an answer after which an upstream is checked for any sign of life. A model
 /// that prefills a long prompt takes some hundred milliseconds to answer.
@@ -124,7 +125,9 @@
             RequestDestination::Upstream(upstream) => {
                 Box::new(UpstreamListener::new(self.shared.clone(), upstream.clone()))
             }
-            RequestDestination::Peer(_) => Box::new(NoopListener),
+            RequestDestination::Peer(_) => {
+                Box::new(PeerListener::new(self.remote_upstreams.clone()))
+            }
         }
     }
 
@@ -160,6 +163,13 @@
                 if let Some(account) = &job.account {
                     map.insert(headers::KEY_FINGERPRINT, fingerprint_value(&account.key));
                 }
+                map.remove(headers::UPSTREAM);
+                for upstream in self.remote_upstreams.lock().iter() {
+                    map.append(headers::UPSTREAM, text_value(upstream.as_str()));
+                }
+                if self.is_last_attempt() {
+                    map.insert(headers::LAST_ATTEMPT, HeaderValue::from_static("1"));
+                }
                 if job.has_partial_answer {
                     map.insert(headers::BEGUN, HeaderValue::from_static("1"));
                 }
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -74,13 +74,28 @@
         is_open && !self.is_likely_poison() && self.may_try_another_destination()
     }
 
+    /// Whether no other attempt can follow the one that is about to be sent: the attempts of the route
+    /// are used up, or there is no other upstream.
+    pub(super) fn is_last_attempt(&self) -> bool {
+        let is_used_up = self.delivered_attempts + 1 >= self.job.route.max_attempts;
+        is_used_up || !self.job.route.repeat.is_repeatable() || self.permitted_upstreams() < 2
+    }
+
+    /// Returns the number of upstreams that the request may run at, in all regions.
+    fn permitted_upstreams(&self) -> usize {
+        let Some(view) = self.shared.view() else { return 0 };
+        let groups = view.upstreams_of(&self.job.service).into_iter().flatten();
+        let permitted = groups.filter(|(region, _)| self.job.permits(region));
+        permitted.map(|(_, group)| group.len()).sum()
+    }
+
     /// Chooses another destination for a request whose upstream is silent, and takes a retry for it.
     /// Returns whether this request is given up at the silent upstream. If there is no other
     /// destination, it waits: the upstream may go on. A forwarded one is left to its origin, unless
-    /// the caller has the beginning of the answer already: its origin has no attempt left then.
+    /// its origin can't send it again, or the caller has the beginning of the answer already.
     pub(super) fn choose_alternative(&mut self) -> bool {
         let may_leave = match self.job.is_forwarded {
-            true if !self.job.has_partial_answer => return true,
+            true if !self.job.has_partial_answer => return !self.job.is_last_attempt,
             true => !self.is_likely_poison() && self.may_try_another_destination(),
             false => self.has_attempts_left(),
         };
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use foldhaven_core::headers::{EVENT_FRAMES, SOFTWARE, UNFRAMED, UNREACHED};
+use foldhaven_core::headers::{EVENT_FRAMES, SOFTWARE, UNFRAMED, UNREACHED, UPSTREAM};
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::OpaqueRoute;
 use foldhaven_wire::error_text::error_text;
@@ -272,7 +272,7 @@
 
 /// Returns the answer that relays a stream, once its first event is there.
 async fn relay_events(mut relay: EventRelay, is_forwarded: bool) -> Answer {
-    let StreamHead { parts, end, software } = match relay.start().await {
+    let StreamHead { parts, end, software, place } = match relay.start().await {
         Ok(head) => head,
         Err(refusal) => return refuse(refusal),
     };
@@ -280,6 +280,9 @@
     if let Some(software) = software.filter(|_| is_forwarded) {
         answer.headers_mut().insert(SOFTWARE, text_value(&software.to_string()));
     }
+    if is_forwarded {
+        answer.headers_mut().insert(UPSTREAM, text_value(&place));
+    }
     mark_unframed(&mut answer, is_forwarded, end);
     *answer.body_mut() = AnswerBody::Events(Box::new(relay));
     answer
@@ -298,6 +301,7 @@
     headers.remove(SOFTWARE);
     headers.remove(UNFRAMED);
     headers.remove(EVENT_FRAMES);
+    headers.remove(UPSTREAM);
     let mut answer = Response::new(AnswerBody::Complete(None));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
@@ -358,6 +362,9 @@
         if driver.job.is_forwarded && is_unreached && refusal.guarantees_not_run() {
             answer.headers_mut().insert(UNREACHED, HeaderValue::from_static("1"));
         }
+        if let Some(upstream) = driver.last_destination.as_deref().filter(|_| job.is_forwarded) {
+            answer.headers_mut().insert(UPSTREAM, text_value(upstream));
+        }
         answer
     }
 }
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -87,6 +87,8 @@
     pub end: AnswerEnd,
     /// The software of the upstream. `None` if another VM passes the answer on and does not say it.
     pub software: Option<SoftwareTag>,
+    /// The name of the upstream or of the other VM.
+    pub place: String,
 }
 
 /// The body of a streamed answer.
@@ -256,7 +258,8 @@
         let software = opened.software;
         let (parts, reading) = ReadingState::of(opened);
         if !self.has_started {
-            self.head = Some(StreamHead { parts, end: reading.end, software });
+            let place = reading.destination.name().to_owned();
+            self.head = Some(StreamHead { parts, end: reading.end, software, place });
         }
         self.record_origin(reading.software);
         self.state = RelayState::Reading(reading);
--- a/crates/foldhaven-gateway/src/job.rs
+++ b/crates/foldhaven-gateway/src/job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foldhaven_core::ids::{RegionName, ServiceName};
+use foldhaven_core::ids::{RegionName, ServiceName, UpstreamName};
 use foldhaven_core::opaque::account_demand::AccountTag;
 use foldhaven_core::opaque::affinity::{PromptOutline, PromptSegment};
 use foldhaven_core::opaque::choice::{DEFAULT_SIZE, OUTPUT_WEIGHT};
@@ -91,6 +91,10 @@
     pub is_forwarded: bool,
     /// Whether the VM that forwarded the request reads the notice of a stalled stream.
     pub origin_reads_stalls: bool,
+    /// The upstreams at which other VMs have tried the request before it was forwarded.
+    pub tried_upstreams: Vec<UpstreamName>,
+    /// Whether the VM that forwarded the request can't send it again.
+    pub is_last_attempt: bool,
     /// Whether the VM that forwarded the request reads the events of its answer in frames.
     pub origin_reads_frames: bool,
     /// The software at which the stream goes on. `None` if it has not begun.
@@ -288,6 +292,8 @@
             deadline: started + terms.remaining,
             is_forwarded: false,
             origin_reads_stalls: false,
+            tried_upstreams: Vec::new(),
+            is_last_attempt: false,
             origin_reads_frames: false,
             software: None,
         }
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod path_sender;
 mod path_tracker;
 mod peer_front;
+mod peer_listener;
 pub mod peer_message;
 mod peer_socket;
 mod peer_state;
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -20,6 +20,7 @@
     CallerTerms, GatewayJob, ReadRequest, RouteMatch, discard_refused, host_of, read_body,
     read_software, read_terms,
 };
+use crate::peer_listener::read_upstreams;
 use crate::peer_state::{PEER_STATE_PATH, PEER_STATE_REVISION_PREFIX};
 use crate::platform_state::{AnswerCache, StateFormat, StateRequest};
 use crate::shared::GatewayShared;
@@ -126,6 +127,9 @@
     }
     let origin_reads_stalls = head.headers.remove(headers::READS_STALLS).is_some();
     let origin_reads_frames = head.headers.remove(headers::EVENT_FRAMES).is_some();
+    let tried_upstreams = read_upstreams(&head.headers).collect();
+    head.headers.remove(headers::UPSTREAM);
+    let is_last_attempt = head.headers.remove(headers::LAST_ATTEMPT).is_some();
     let has_partial_answer = head.headers.remove(headers::BEGUN).is_some();
     let software = match head.headers.remove(headers::SOFTWARE) {
         None => None,
@@ -153,6 +157,8 @@
         is_forwarded: true,
         origin_reads_stalls,
         origin_reads_frames,
+        tried_upstreams,
+        is_last_attempt,
         has_partial_answer,
         software,
         ..job
--- a/crates/foldhaven-gateway/src/upstream_listener.rs
+++ b/crates/foldhaven-gateway/src/upstream_listener.rs
@@ -214,12 +214,3 @@
     let is_span = seconds.is_finite() && seconds >= 0.0;
     is_span.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
-
-/// Ignores all events.
-pub struct NoopListener;
-
-impl CallListener for NoopListener {
-    fn on_connected(&self) {}
-
-    fn on_head(&self, _: &Parts) {}
-}
