--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -276,10 +276,7 @@
             None if !self.blocks.is_at_boundary() => RelayStep::Broken("it ended within an event"),
             None if self.held.is_some() => {
                 reading.put_back(None);
-                match self.release_held() {
-                    Poll::Ready(events) => RelayStep::Events(events),
-                    Poll::Pending => RelayStep::NoEvent,
-                }
+                self.release_held().map_or(RelayStep::NoEvent, RelayStep::Events)
             }
             None if reading.is_empty_without_framing() => {
                 RelayStep::Broken("it ended before its first event")
@@ -330,10 +327,8 @@
         if events.is_empty() {
             return RelayStep::NoEvent;
         }
-        let is_verified = match &self.state {
-            RelayState::Reading(reading) => reading.is_verified(),
-            _ => false,
-        };
+        let is_verified = matches!(&self.state,
+            RelayState::Reading(reading) if reading.is_verified());
         let verdict = self.numbering.check(&events, is_verified);
         if verdict == SequenceVerdict::Repeated {
             self.blocks.set_last_id(passed_on);
--- a/crates/foldhaven-gateway/src/events/held_events.rs
+++ b/crates/foldhaven-gateway/src/events/held_events.rs
@@ -71,19 +71,19 @@
     /// Polls until held events are passed on.
     pub(super) fn poll_held(&mut self, context: &mut Context<'_>) -> Poll<Bytes> {
         match self.is_hold_over(context) {
-            true => self.release_held(),
+            true => self.release_held().map_or(Poll::Pending, Poll::Ready),
             false => Poll::Pending,
         }
     }
 
-    /// Returns the held events, to pass them on. Pending if there are none.
-    pub(super) fn release_held(&mut self) -> Poll<Bytes> {
-        let Some(held) = self.held.take() else { return Poll::Pending };
+    /// Returns the held events, to pass them on; `None` if there are none.
+    pub(super) fn release_held(&mut self) -> Option<Bytes> {
+        let held = self.held.take()?;
         self.numbering.accept_held();
         self.blocks.set_last_id(held.last_id);
         self.record_time_to_first();
         self.sample_load();
-        Poll::Ready(held.events.freeze())
+        Some(held.events.freeze())
     }
 
     /// Discards the held events, since their connection was lost or another upstream goes on.
