Logs: what a VM knows of software versions when a caller resumes a stream

The line told that a stream goes on because one version seems to serve (known_by: sole), but not what that rests on. It names the versions that count, the time since each left, the age of the process and the age of its platform state.

--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -128,6 +128,24 @@
         recent.next().is_none().then(|| SoftwareTag::of_version(version))
     }
 
+    /// Returns the versions of a service that count, for the log, each with the time since its last
+    /// upstream left.
+    pub fn describe(&self, service: &ServiceName, now: MonoTime) -> String {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent = versions.filter(|(_, count)| !count.is_gone(now));
+        let mut texts: Vec<String> = recent
+            .map(|(version, count)| {
+                let name = version.as_ref().map_or("-", SoftwareVersion::as_str);
+                match count.gone_at {
+                    Some(at) => format!("{name} left {} ms ago", now.since(at).as_millis()),
+                    None => name.to_owned(),
+                }
+            })
+            .collect();
+        texts.sort_unstable();
+        texts.join(", ")
+    }
+
     /// Returns the services of which [`SoftwareCensus::sole_software`] is not known.
     pub fn mixed_services(&self, now: MonoTime) -> impl Iterator<Item = &ServiceName> {
         self.services.keys().filter(move |service| self.sole_software(service, now).is_none())
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -53,7 +53,8 @@
         Some(attempt) => find_origin(shared, route, attempt, sole).await,
         None => (sole.map(of_any_service), "sole"),
     };
-    log_resumption(shared, headers, stream.as_ref(), known_by, started);
+    let resumption = LoggedResumption { stream: stream.as_ref(), known_by, started };
+    resumption.log(shared, view, route, headers);
     stream.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
@@ -95,29 +96,46 @@
     (Some(stream), known_by)
 }
 
-fn log_resumption(
-    shared: &GatewayShared,
-    headers: &HeaderMap,
-    stream: Option<&ResumedStream>,
+/// How it was decided where a stream goes on, for the log.
+struct LoggedResumption<'a> {
+    /// `None` if it is not known where the stream began.
+    stream: Option<&'a ResumedStream>,
     known_by: &'static str,
     started: BootInstant,
-) {
-    let known_by = if stream.is_some() { known_by } else { "nobody" };
-    shared.metrics.count_event("stream_resumed_by_caller");
-    if stream.is_none() {
-        shared.metrics.count_event("stream_origin_unknown");
-    }
-    if !shared.quota.take(false) {
-        return;
+}
+
+impl LoggedResumption<'_> {
+    fn log(
+        &self,
+        shared: &GatewayShared,
+        view: &GatewayView,
+        route: &OpaqueRoute,
+        headers: &HeaderMap,
+    ) {
+        let known_by = if self.stream.is_some() { self.known_by } else { "nobody" };
+        shared.metrics.count_event("stream_resumed_by_caller");
+        if self.stream.is_none() {
+            shared.metrics.count_event("stream_origin_unknown");
+        }
+        if !shared.quota.take(false) {
+            return;
+        }
+        let text = |name| headers.get(name).and_then(|it: &HeaderValue| it.to_str().ok());
+        let versions = route.services.iter().map(|weighted| {
+            let service = &weighted.service;
+            format!("{service}: {}", view.software.describe(service, shared.now()))
+        });
+        tracing::info!(
+            request = text(&shared.names.attempt).unwrap_or("unreadable"),
+            resumes = text(&shared.names.resumes).unwrap_or("-"),
+            after = text(&shared.names.last_event).unwrap_or("-"),
+            software = self.stream.map(|it| it.software.to_string()).as_deref().unwrap_or("-"),
+            known_by,
+            versions = versions.collect::<Vec<String>>().join("; "),
+            uptime_ms = shared.uptime().as_millis() as u64,
+            news_ms = shared.staleness().as_millis() as u64,
+            waited_ms = self.started.elapsed().as_millis() as u64,
+            "a caller resumes a stream"
+        );
     }
-    let text = |name| headers.get(name).and_then(|it: &HeaderValue| it.to_str().ok());
-    tracing::info!(
-        request = text(&shared.names.attempt).unwrap_or("unreadable"),
-        resumes = text(&shared.names.resumes).unwrap_or("-"),
-        after = text(&shared.names.last_event).unwrap_or("-"),
-        software = stream.map(|it| it.software.to_string()).as_deref().unwrap_or("-"),
-        known_by,
-        waited_ms = started.elapsed().as_millis() as u64,
-        "a caller resumes a stream"
-    );
 }
