A VM without news resumes no stream of unknown origin

Callers resumed streams at a VM that had been out of touch with the platform and with the VM of their stream since a second software version came.

What a VM knows of software versions counted as complete however old its last news was. A VM that is possibly outdated now names no sole version, asks with the longer limit, and refuses what nobody knows.

Left: news that is less than 5 s late.

--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -292,6 +292,11 @@
         texts.join(", ")
     }
 
+    /// Returns all services that have upstreams, or had some a short time ago.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// Returns the services of which [`SoftwareCensus::sole_software`] is not known.
     pub fn mixed_services(&self, now: MonoTime) -> impl Iterator<Item = &ServiceName> {
         self.services.keys().filter(move |service| self.sole_software(service, now).is_none())
--- a/crates/foldhaven-gateway/src/origin_sender.rs
+++ b/crates/foldhaven-gateway/src/origin_sender.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhaven_core::ids::ServiceName;
 use foldhaven_core::opaque::peer_table::{RegionTag, ServiceTag, VmTag};
 use foldhaven_core::opaque::stream_origins::{AttemptTag, HolderPlanner, OriginNotice};
 use tokio::time::sleep;
@@ -82,7 +83,7 @@
                 self.ask_for_history(&directory.addresses(targets)).await;
             }
             self.send_questions(&view, &directory).await;
-            if self.has_mixed_service(&view) {
+            if !self.mixed_services(&view).is_empty() {
                 sleep(GATHERING_TIME).await;
                 self.send_notices(&view, &directory).await;
                 self.send_questions(&view, &directory).await;
@@ -100,15 +101,20 @@
         self.socket.send_to(targets, &PeerMessage::SoftwareQuestion).await;
     }
 
-    fn has_mixed_service(&self, view: &GatewayView) -> bool {
-        view.software.mixed_services(self.shared.now()).next().is_some()
+    /// Returns the services whose streams may have begun at different software. They are all
+    /// services while this VM may lack news.
+    fn mixed_services<'a>(&self, view: &'a GatewayView) -> Vec<&'a ServiceName> {
+        match self.shared.is_possibly_outdated() {
+            true => view.software.services().collect(),
+            false => view.software.mixed_services(self.shared.now()).collect(),
+        }
     }
 
     /// Sends the origins of the streams of services with several software versions.
     async fn send_notices(&self, view: &GatewayView, directory: &HolderDirectory) {
         let now = self.shared.now();
         let mut by_holder: HashMap<SocketAddr, Vec<OriginNotice>> = HashMap::new();
-        for service in view.software.mixed_services(now) {
+        for service in self.mixed_services(view) {
             for notice in self.shared.origins.take_unsent(ServiceTag::of(service), now) {
                 let holders = directory.planner.holders(notice.attempt);
                 for holder in directory.addresses(holders) {
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -58,12 +58,16 @@
     stream.map(Some).ok_or(Refusal::UnknownOrigin)
 }
 
-/// Returns the only software that streams of a route may have begun at.
+/// Returns the only software that streams of a route may have begun at. `None` if this VM may lack
+/// news of another one, with which a VM that it does not hear has begun streams.
 fn sole_software(
     shared: &GatewayShared,
     view: &GatewayView,
     route: &OpaqueRoute,
 ) -> Option<SoftwareTag> {
+    if shared.is_possibly_outdated() {
+        return None;
+    }
     let services = route.services.iter();
     let mut software = services.map(|it| view.software.sole_software(&it.service, shared.now()));
     let first = software.next()??;
