Requests wait while no VM of another region is known yet

Cause: the wait for other VMs ended by time alone. A process that knew that another region has upstreams, but none of its VMs yet, took them for VMs that do not exist.

Change: up to LEARNING_TIME after its start, the time before which a process does not assume anywhere else that it knows all VMs, a region of which no VM is known is waited for. Once VMs of it are known, and for forwarded requests, nothing changes; readiness does not change either.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use foldhaven_core::ids::UpstreamName;
+use foldhaven_core::opaque::peer_table::LEARNING_TIME;
 use foldhaven_core::opaque::performance::QueueState;
 use foldhaven_core::opaque::queue_rank::QueueRank;
 use foldhaven_core::opaque::refusal::Refusal;
@@ -42,8 +43,8 @@
 pub use self::logged::{LoggedAttempt, LoggedChoice};
 pub use self::sending::SendTime;
 
-/// Time after its first description by which a process knows the live VMs. Seeds answer within one
-/// round trip between regions, and are asked again every 100 ms.
+/// Time after its first description by which a process usually knows the live VMs. Seeds answer
+/// within one round trip between regions, and are asked again every 100 ms.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a request that waits for a destination tries again to choose one.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -378,13 +379,21 @@
 
     /// Whether this process started recently and may still discover a VM of another region that can
     /// run the request. After a loss of all VMs, callers retry within the first tenths of a second.
+    /// A region of which no VM is known yet is not taken for one without VMs.
     fn awaits_peers(&self, view: &GatewayView) -> bool {
+        if self.job.is_forwarded {
+            return false;
+        }
         let own_region = self.shared.settings.region();
-        let is_elsewhere = view.expected_waits.keys().any(|(region, service)| {
-            *service == self.job.service && region != own_region && self.job.permits(region)
-        });
-        is_elsewhere
-            && !self.job.is_forwarded
-            && self.shared.time_since_first_view() < PEER_DISCOVERY_TIME
+        let services =
+            view.expected_waits.keys().filter(|(_, service)| *service == self.job.service);
+        let regions = services.map(|(region, _)| region);
+        let mut elsewhere =
+            regions.filter(|region| *region != own_region && self.job.permits(region)).peekable();
+        if self.shared.time_since_first_view() < PEER_DISCOVERY_TIME {
+            return elsewhere.peek().is_some();
+        }
+        self.shared.uptime() < LEARNING_TIME
+            && elsewhere.any(|region| !view.members.regions.contains_key(region))
     }
 }
