Retry budget: a VM that knows no other one has no part of the fixed budget

What could be seen: upstreams got more arrivals beyond the first than the retry budget permits, when several VMs start while they are cut off from each other (or stay cut off until they have forgotten each other, 30 s).

Cause: 1.5 s after its start a process took the VMs that it had heard from for all VMs. One that had heard from none took the whole fixed budget (as fast as it grows with the uptime), and so did each other one. Account limits and cold rates ask whether a seed was heard; the retry budget did not.

Change: a VM that knows no other one although there are seeds besides itself retries only by the requests that it received, as during its first 1.5 s. A VM without seeds, such as the only one of a deployment, keeps its part.

Evidence: young_processes::vms_that_never_heard_from_another_stay_within_ the_retry_budget (four daemons, 160 requests) failed before with 128 retries of 90 permitted, twice; passed with the change, as did all tests of retries.

Not changed: groups of VMs that know each other, and regions that are cut off from each other since they started, still count only themselves.

--- a/crates/foldhaven-gateway/src/control/rate_shares.rs
+++ b/crates/foldhaven-gateway/src/control/rate_shares.rs
@@ -113,6 +113,12 @@
         let seeds = self.settings.seed_peers();
         seeds.is_empty() || seeds.iter().any(|seed| self.peers.is_known_at(*seed))
     }
+
+    /// Returns whether this VM knows no other one although there are seeds. It may be cut off from
+    /// any number of VMs.
+    pub(super) fn is_isolated(&self) -> bool {
+        self.peers.vm_count() == 1 && !self.settings.seed_peers().is_empty()
+    }
 }
 
 /// Logs this VM's share of an upstream's rate if it has changed.
--- a/crates/foldhaven-gateway/src/control/traffic_view.rs
+++ b/crates/foldhaven-gateway/src/control/traffic_view.rs
@@ -88,7 +88,7 @@
             regions,
             unresponsive_vms: self.peers.unresponsive_local_vms(now),
             last_seen: self.peers.last_seen_by_data_centre(),
-            assumed_vms: self.assumed_vms(),
+            assumed_vms: self.assumed_vms().filter(|_| !self.is_isolated()),
         });
         self.members_view.clone()
     }
