Cold rates: a VM that knows no other one uses an eighth of the rate

What could be seen: a cold upstream got more requests in a second than all VMs together may send, when VMs of its region start while they are cut off from each other.

Cause: a VM without a seed halved its share, which assumes that no more than three groups of VMs do so. VMs that know no other one are as many groups as there are VMs, and there may be more than three.

Change: such a VM uses an eighth. It keeps sending, since an upstream that gets nothing could not tell that its limit has ended. VMs that know others, but no seed, keep the half.

Evidence: cold::cold_rate_holds_among_vms_that_never_heard_from_another (four daemons) failed before: 20 requests in a second, 17.5 allowed.

Not covered: more than eight such VMs in one region.

--- a/crates/foldhaven-gateway/src/control/rate_shares.rs
+++ b/crates/foldhaven-gateway/src/control/rate_shares.rs
@@ -16,6 +16,10 @@
 /// Factor for the rate shares of a VM that has not heard from any seed: there may be other VMs that
 /// have not reached one either.
 const NO_SEED_SHARE_FACTOR: f64 = 0.5;
+/// Factor for the rate shares of a VM that has not heard from any other one, though there are
+/// seeds: each VM of the region may be as isolated, and believes that the rate is its own. It holds
+/// for eight such VMs.
+const ISOLATED_SHARE_FACTOR: f64 = 0.125;
 
 /// The notices of one round, each with the address it is sent to.
 pub type AgreementMessages = Vec<(SocketAddr, AgreementNotice)>;
@@ -102,10 +106,12 @@
         let Some(rate) = self.shared_rate(upstream, now) else { return RateShare::default() };
         let own = &self.shared.settings.vm;
         let share = rate_share(rate, upstream.name(), own, &self.senders.list);
-        match self.has_reached_seed() {
-            true => share,
-            false => RateShare { per_s: share.per_s * NO_SEED_SHARE_FACTOR, ..share },
-        }
+        let factor = match (self.is_isolated(), self.has_reached_seed()) {
+            (true, _) => ISOLATED_SHARE_FACTOR,
+            (false, false) => NO_SEED_SHARE_FACTOR,
+            (false, true) => return share,
+        };
+        RateShare { per_s: share.per_s * factor, ..share }
     }
 
     /// Returns whether this VM has heard from a seed, or there are no seeds besides itself.
