Unknown routes and keys: an unconfirmed process does not deny them

What callers saw: 404 (and 401 for a new key) for a route that had been in force for seconds, from a VM that had just started. It had its state from a VM that had not heard from the platform for longer than that, which itself answered 503.

Cause: a process to which nobody had confirmed its state took its own age for the age of the state, so that it counted as up to date during its first 5 s, whatever the state was.

Change: until a first confirmation, by the platform or by the age that another VM tells, unknown routes and keys are refused as possibly outdated (503, not run). A confirmation takes effect at once; until now it did with the next check, 250 ms later at most.

--- a/crates/foldhaven-gateway/src/control/announcements.rs
+++ b/crates/foldhaven-gateway/src/control/announcements.rs
@@ -62,8 +62,7 @@
         }
         let now = self.now();
         if let Some(age) = notice.age() {
-            let confirmation = RevisionConfirmation { revision: notice.revision, at: now - age };
-            self.staleness.apply(confirmation, self.platform.revision());
+            self.confirm(RevisionConfirmation { revision: notice.revision, at: now - age });
         }
         if notice.revision > self.platform.revision() {
             self.offered.record(&notice);
@@ -75,9 +74,12 @@
 impl ControlActor {
     /// Records that the platform has just confirmed the current revision.
     pub(super) fn confirm_revision(&mut self) {
-        let confirmation =
-            RevisionConfirmation { revision: self.platform.revision(), at: self.now() };
+        self.confirm(RevisionConfirmation { revision: self.platform.revision(), at: self.now() });
+    }
+
+    fn confirm(&mut self, confirmation: RevisionConfirmation) {
         self.staleness.apply(confirmation, self.platform.revision());
+        self.shared.set_confirmed_at(self.staleness.confirmed_at());
     }
 
     /// Returns the time since the platform state was last confirmed as current, or since the start
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -289,9 +289,12 @@
     }
 
     /// Returns whether something that this VM does not know may be known to other VMs or to the
-    /// platform.
+    /// platform. The state of a process to which nobody has confirmed it may be of any age, since
+    /// the VM that sent it may have been cut off from the platform.
     pub fn is_possibly_outdated(&self) -> bool {
-        self.lag_of_at_least(OUTDATED_AFTER).is_some() || self.staleness() >= STALE_AFTER
+        let is_confirmed = self.confirmed_at.lock().is_some();
+        let is_behind = self.lag_of_at_least(OUTDATED_AFTER).is_some();
+        !is_confirmed || is_behind || self.staleness() >= STALE_AFTER
     }
 
     /// Returns whether this VM has lagged behind another VM of its region for so long that it must
