Streams of a route whose services change, or that has several, go on where they began

- A change of the services behind a route with resumable streams begins the span anew at every VM, as missed changes do.
- Origins of routes with several services are always told, and such a route has no sole software: two services with equal versions need not have the same.
- News that arrives late as one set begins the span anew too: of several changes of an upstream it holds the last one.
- An early removal begins it at its own revision.
- Told versions are news whenever they enter the table; a span is prolonged by a minute at most; what a VM has seen itself is not told a second time; origins are kept while no other VM is known.
- A forwarded stream whose head was sent goes on at the software that the head names, also before its first event.

The last point and the late sets have no test of their own.

--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -2,6 +2,7 @@
 //! prefix.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -104,6 +105,14 @@
 }
 
 impl OpaqueRoute {
+    /// Whether requests of another route run at the same services.
+    pub fn uses_same_services(&self, other: &Self) -> bool {
+        let names = |route: &Self| -> BTreeSet<ServiceName> {
+            route.services.iter().map(|weighted| weighted.service.clone()).collect()
+        };
+        names(self) == names(other)
+    }
+
     /// Whether requests of the route may run in a region.
     pub fn permits(&self, region: &RegionName) -> bool {
         self.homes.is_empty() || self.homes.contains(region)
@@ -248,6 +257,19 @@
         Some(&self.description.routes[*index])
     }
 
+    /// Returns a route with resumable streams, of this table or of a later one, whose requests go to
+    /// other services by the later one. `None` if there is none.
+    pub fn moved_route<'a>(&'a self, later: &'a Self) -> Option<&'a Arc<OpaqueRoute>> {
+        let is_resumable = |route: &&Arc<OpaqueRoute>| route.repeat == RepeatKind::ResumableStream;
+        let is_moved = |route: &&Arc<OpaqueRoute>| {
+            let before = self.find(&route.host, &route.path_prefix);
+            let after = later.find(&route.host, &route.path_prefix);
+            before.zip(after).is_some_and(|(before, after)| !before.uses_same_services(after))
+        };
+        let (held, new) = (&self.description.routes, &later.description.routes);
+        held.iter().chain(new).filter(is_resumable).find(is_moved)
+    }
+
     fn matches(&self, index: usize, path: &str) -> bool {
         path.starts_with(&self.description.routes[index].path_prefix)
     }
--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -3,7 +3,7 @@
 //! What two versions write does not fit together, so a stream goes on only at the version that
 //! began it. Versions have no order, and a release replaces the upstreams of a service one by one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -198,57 +198,72 @@
     /// are too many versions for a message.
     pub fn history(&self, revision: u64, now: MonoTime) -> Option<SoftwareHistory> {
         let span = self.span?;
-        let own = self.services.iter().flat_map(|(service, versions)| {
-            let service = ServiceTag::of(service);
-            let recent = versions.iter().filter(|(_, count)| !count.is_gone(now));
-            recent.map(move |(version, count)| ListedSoftware {
-                service,
-                software: version.as_ref().map_or(SoftwareTag::UNKNOWN, SoftwareTag::of_version),
-                gone_ms: count.gone_at.map_or(0, |at| millis(now.since(at))),
-            })
-        });
-        let told = self.told.iter().filter(|(_, until)| now + TOLD_MARGIN < **until);
+        let own: Vec<ListedSoftware> = self.own_versions(now).collect();
+        let own_keys: HashSet<(ServiceTag, SoftwareTag)> =
+            own.iter().map(|it| (it.service, it.software)).collect();
+        let told = self
+            .told
+            .iter()
+            .filter(|(key, until)| now + TOLD_MARGIN < **until && !own_keys.contains(*key));
         let told = told.map(|((service, software), until)| ListedSoftware {
             service: *service,
             software: *software,
             gone_ms: millis((GONE_RETENTION + TOLD_MARGIN).saturating_sub(until.since(now))),
         });
-        let versions: Vec<ListedSoftware> = own.chain(told).take(MAX_HISTORY + 1).collect();
+        let versions: Vec<ListedSoftware> =
+            own.iter().copied().chain(told).take(MAX_HISTORY + 1).collect();
         let known_ms = millis(span.length(now).min(GONE_RETENTION));
         (versions.len() <= MAX_HISTORY).then_some(SoftwareHistory { revision, known_ms, versions })
     }
 
+    /// Returns the versions that this VM has seen listed.
+    fn own_versions(&self, now: MonoTime) -> impl Iterator<Item = ListedSoftware> {
+        self.services.iter().flat_map(move |(service, versions)| {
+            let service = ServiceTag::of(service);
+            let recent = versions.iter().filter(move |(_, count)| !count.is_gone(now));
+            recent.map(move |(version, count)| ListedSoftware {
+                service,
+                software: version.as_ref().map_or(SoftwareTag::UNKNOWN, SoftwareTag::of_version),
+                gone_ms: count.gone_at.map_or(0, |at| millis(now.since(at))),
+            })
+        })
+    }
+
     /// Merges what another VM has told. Its observations continue those of this VM if it knew all
     /// changes up to the first list that this VM has read. Returns whether that was news.
     pub fn merge(&mut self, history: &SoftwareHistory, now: MonoTime) -> bool {
-        let told_before = self.told.len();
-        let is_told = history.versions.iter().all(|version| self.merge_version(version, now));
-        let has_told = self.told.len() != told_before;
-        let Some(span) = self.span.as_mut().filter(|_| is_told) else { return has_told };
+        let told = Arc::make_mut(&mut self.told);
+        told.retain(|_, until| now < *until);
+        let mut is_news = false;
+        let mut has_room = true;
+        for version in &history.versions {
+            let key = (version.service, version.software);
+            let is_new = !told.contains_key(&key);
+            if is_new && told.len() >= MAX_HISTORY {
+                has_room = false;
+                break;
+            }
+            let until = now + GONE_RETENTION.saturating_sub(version.gone_for());
+            let held = told.entry(key).or_insert(until);
+            *held = until.max(*held);
+            is_news |= is_new;
+        }
+        has_room && self.prolong_span(history, now) || is_news
+    }
+
+    /// Prolongs the span by that of another VM. Returns whether it is longer than before.
+    fn prolong_span(&mut self, history: &SoftwareHistory, now: MonoTime) -> bool {
+        let Some(span) = &mut self.span else { return false };
         let (first, offered) = (span.first_revision, history.revision);
         if offered < first || !FeedPosition::is_same_era(offered, first) {
-            return has_told;
+            return false;
         }
-        let known = Duration::from_millis(history.known_ms.into());
+        let known = Duration::from_millis(history.known_ms.into()).min(GONE_RETENTION);
         let own = now.since(span.since);
         let before = span.before.max(known.saturating_sub(own));
         let is_longer = before > span.before;
         span.before = before;
-        is_longer || has_told
-    }
-
-    /// Merges a version that another VM has told. Returns `false` if there is no room for it.
-    fn merge_version(&mut self, version: &ListedSoftware, now: MonoTime) -> bool {
-        let told = Arc::make_mut(&mut self.told);
-        told.retain(|_, until| now < *until);
-        let key = (version.service, version.software);
-        if !told.contains_key(&key) && told.len() >= MAX_HISTORY {
-            return false;
-        }
-        let until = now + GONE_RETENTION.saturating_sub(version.gone_for());
-        let held = told.entry(key).or_insert(until);
-        *held = until.max(*held);
-        true
+        is_longer
     }
 
     /// Returns the software of all streams of a service that callers may still resume.
--- a/crates/foldhaven-core/tests/testsuite/opaque_software_history.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_software_history.rs
@@ -148,6 +148,49 @@
     assert_eq!(census.history(1, at(1_000)), None);
 }
 
+/// Guards against a version that is told again after it was forgotten, and does not count as news, so
+/// that requests do not see it.
+#[test]
+fn a_version_that_is_told_again_is_news() {
+    let told = |text: &str, gone_ms: u32| SoftwareHistory {
+        revision: 1,
+        known_ms: 0,
+        versions: vec![ListedSoftware {
+            service: ServiceTag::of(&service()),
+            software: tag(text),
+            gone_ms,
+        }],
+    };
+    let mut census = started("v1", 1, at(0));
+    assert!(census.merge(&told("v2", 59_000), at(70_000)));
+    assert!(!census.merge(&told("v2", 59_000), at(70_500)), "it is known");
+    assert!(census.merge(&told("v3", 0), at(72_000)), "v2 was forgotten as v3 came");
+    assert!(census.merge(&told("v2", 0), at(72_100)));
+}
+
+/// Guards against a broken message that lets a VM believe that it has always observed the list.
+#[test]
+fn a_span_is_prolonged_by_a_minute_at_most() {
+    let mut young = started("v2", 7, at(100_000));
+    let history = SoftwareHistory { revision: 7, known_ms: u32::MAX, versions: Vec::new() };
+    young.merge(&history, at(100_000));
+    assert_eq!(young.known_span(at(100_000)), Duration::from_secs(60));
+}
+
+/// Guards against a VM that tells nothing any more since it counts what it has seen and what others
+/// have told it twice.
+#[test]
+fn a_version_is_told_once() {
+    let mut census = SoftwareCensus::default();
+    census.restart_span(1, at(0));
+    for number in 0..300 {
+        census.add(&service(), &version(&format!("v{number}")));
+    }
+    let history = census.history(1, at(1_000)).unwrap();
+    census.merge(&history, at(1_000));
+    assert_eq!(census.history(1, at(1_000)).unwrap().versions.len(), 300);
+}
+
 /// What the platform's list held, and the VMs that observe it.
 struct CensusModel {
     random: StdRng,
--- a/crates/foldhaven-gateway/src/control/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/control/feed_changes.rs
@@ -97,7 +97,8 @@
     }
 
     fn current_context(&self) -> ApplyContext {
-        ApplyContext { now: self.now(), lag: self.lag_time() }
+        let is_late = self.shared.is_possibly_outdated();
+        ApplyContext { now: self.now(), lag: self.lag_time(), is_late }
     }
 
     /// Updates the metrics on the platform state.
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -250,7 +250,12 @@
             Some(Err(TruncatedStream)) => return Err(self.failure.unwrap_or(Refusal::Broken)),
             None => None,
         };
-        self.head.take().ok_or(Refusal::Broken)
+        let head = self.head.take().ok_or(Refusal::Broken)?;
+        if let (Some(driver), Some(software)) = (&mut self.driver, head.software) {
+            // The head tells another VM this software, also if no event has followed yet.
+            driver.job.software.get_or_insert(software);
+        }
+        Ok(head)
     }
 
     /// Starts to read the answer of an upstream.
--- a/crates/foldhaven-gateway/src/origin_sender.rs
+++ b/crates/foldhaven-gateway/src/origin_sender.rs
@@ -1,6 +1,6 @@
 //! Sends the origins of streams to the VMs that hold them, and asks these VMs for origins.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,16 +102,22 @@
     }
 
     /// Returns the services whose streams may have begun at different software. They are all
-    /// services while this VM may lack news.
-    fn mixed_services<'a>(&self, view: &'a GatewayView) -> Vec<&'a ServiceName> {
-        match self.shared.is_possibly_outdated() {
-            true => view.software.services().collect(),
-            false => view.software.mixed_services(self.shared.now()).collect(),
+    /// services while this VM may lack news, and all of a route with several ones.
+    fn mixed_services<'a>(&self, view: &'a GatewayView) -> BTreeSet<&'a ServiceName> {
+        if self.shared.is_possibly_outdated() {
+            return view.software.services().collect();
         }
+        let routes = view.routes.description().routes.iter();
+        let split = routes.filter(|route| route.services.len() > 1);
+        let split = split.flat_map(|route| route.services.iter().map(|it| &it.service));
+        view.software.mixed_services(self.shared.now()).chain(split).collect()
     }
 
     /// Sends the origins of the streams of services with several software versions.
     async fn send_notices(&self, view: &GatewayView, directory: &HolderDirectory) {
+        if directory.addresses.is_empty() {
+            return;
+        }
         let now = self.shared.now();
         let mut by_holder: HashMap<SocketAddr, Vec<OriginNotice>> = HashMap::new();
         for service in self.mixed_services(view) {
--- a/crates/foldhaven-gateway/src/platform_state/mod.rs
+++ b/crates/foldhaven-gateway/src/platform_state/mod.rs
@@ -34,6 +34,8 @@
     pub now: MonoTime,
     /// For how long other VMs have known newer state.
     pub lag: Duration,
+    /// Whether this VM may have been without news for long.
+    pub is_late: bool,
 }
 
 /// The result of applying changes.
--- a/crates/foldhaven-gateway/src/platform_state/updates.rs
+++ b/crates/foldhaven-gateway/src/platform_state/updates.rs
@@ -96,6 +96,10 @@
         if !self.can_apply(&set) {
             return None;
         }
+        if context.is_late && set.revision > self.revision {
+            // Of several changes of an upstream, the set holds only the last one.
+            self.table.restart_software_span(set.revision, context.now);
+        }
         let (known, after) = (self.revision, self.log.last_revision());
         let new_changes: Vec<NumberedChange> =
             set.changes.into_iter().filter(|numbered| numbered.revision > known).collect();
@@ -118,7 +122,7 @@
                 continue;
             }
             self.log_change(&numbered.change);
-            self.apply_change(numbered.change.clone(), context.now);
+            self.apply_change(numbered.clone(), context.now);
             applied.push(numbered);
         }
         let change = match description {
@@ -149,7 +153,7 @@
             let Some(change) = self.early.insert(numbered, known) else { continue };
             tracing::info!(revision, known, "change applied before its predecessors");
             self.log_change(&change);
-            self.apply_change(change, now);
+            self.apply_change(NumberedChange { revision, change }, now);
             is_news = true;
         }
         is_news
@@ -157,8 +161,9 @@
 
     /// Applies the remaining early changes again.
     fn reapply_early_changes(&mut self, now: MonoTime) {
-        for change in self.early.drop_through(self.revision) {
-            self.apply_change(change, now);
+        let revision = self.revision;
+        for change in self.early.drop_through(revision) {
+            self.apply_change(NumberedChange { revision, change }, now);
         }
     }
 
@@ -183,7 +188,14 @@
             0
         });
         self.digest = digest;
-        self.routes = Some(Arc::new(RouteTable::new(description)));
+        let table = Arc::new(RouteTable::new(description));
+        let moved = self.routes.as_ref().and_then(|held| held.moved_route(&table));
+        if let Some(route) = moved {
+            // Streams of the path may have begun at a service that the route no longer uses.
+            tracing::info!(route = %route.name, revision = self.revision, "the services of a route have changed");
+            self.table.restart_software_span(self.revision, context.now);
+        }
+        self.routes = Some(table);
         tracing::info!(
             version = offered.0,
             before = held.0,
@@ -251,14 +263,15 @@
     }
 
     /// Applies a change that is not about the description.
-    fn apply_change(&mut self, change: FeedChange, now: MonoTime) {
+    fn apply_change(&mut self, numbered: NumberedChange, now: MonoTime) {
+        let NumberedChange { revision, change } = numbered;
         match change {
             FeedChange::Description(_) | FeedChange::DescriptionDelta(_) => {}
             FeedChange::UpstreamWritten(record) => {
                 self.unusable.remove(&record.name);
                 self.table.put(record, now);
             }
-            FeedChange::UpstreamRemoved(name) => self.remove_upstream(&name, now),
+            FeedChange::UpstreamRemoved(name) => self.remove_upstream(&name, revision, now),
             FeedChange::UpstreamUnusable(name) => self.withdraw(&name, now),
             FeedChange::EvacuationStarted(centre) => self.table.update_evacuation(centre, true),
             FeedChange::EvacuationEnded(centre) => self.table.update_evacuation(centre, false),
@@ -267,10 +280,10 @@
 
     /// Removes an upstream that is no longer listed. The software of one that was never seen is not
     /// known.
-    fn remove_upstream(&mut self, name: &UpstreamName, now: MonoTime) {
+    fn remove_upstream(&mut self, name: &UpstreamName, revision: u64, now: MonoTime) {
         if !self.unusable.remove(name) && !self.table.is_known(name) {
-            tracing::info!(upstream = %name, "an upstream left that was never seen listed");
-            self.table.restart_software_span(self.revision, now);
+            tracing::info!(upstream = %name, revision, "an upstream left that was never seen listed");
+            self.table.restart_software_span(revision.max(self.revision), now);
         }
         self.table.remove(name, now);
     }
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -68,10 +68,9 @@
     if shared.is_possibly_outdated() {
         return None;
     }
-    let services = route.services.iter();
-    let mut software = services.map(|it| view.software.sole_software(&it.service, shared.now()));
-    let first = software.next()??;
-    software.all(|other| other == Some(first)).then_some(first)
+    // Two services with equal versions need not have the same software.
+    let [only] = route.services.as_slice() else { return None };
+    view.software.sole_software(&only.service, shared.now())
 }
 
 fn of_any_service(software: SoftwareTag) -> ResumedStream {
--- a/crates/foldhaven-gateway/tests/testsuite/answer_cache.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/answer_cache.rs
@@ -35,7 +35,7 @@
     };
     let now = MonoTime::from_millis(1_000_000);
     let mut known = PlatformState::default();
-    known.apply_snapshot(snapshot, ApplyContext { now, lag: Duration::ZERO });
+    known.apply_snapshot(snapshot, ApplyContext { now, lag: Duration::ZERO, is_late: false });
     Arc::new(known.offer(now).unwrap())
 }
 
--- a/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/platform_eras.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 
 fn context() -> ApplyContext {
-    ApplyContext { now: MonoTime::from_millis(1_000_000), lag: Duration::ZERO }
+    ApplyContext { now: MonoTime::from_millis(1_000_000), lag: Duration::ZERO, is_late: false }
 }
 
 fn packed(era: u64, revision: u64) -> u64 {
--- a/crates/foldhaven-gateway/tests/testsuite/platform_state.rs
+++ b/crates/foldhaven-gateway/tests/testsuite/platform_state.rs
@@ -45,7 +45,7 @@
 }
 
 fn context() -> ApplyContext {
-    ApplyContext { now: MonoTime::from_millis(1_000_000), lag: Duration::ZERO }
+    ApplyContext { now: MonoTime::from_millis(1_000_000), lag: Duration::ZERO, is_late: false }
 }
 
 fn route(name: &str, seconds: u64) -> OpaqueRoute {
