Logs: by which sign the end of an answer was known

The line of a request's end says end_shown_by: framing, connection, or - without an answer. A short answer of an upstream that names no length was logged as a whole one.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -168,6 +168,8 @@
     is_probe_sent: bool,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
+    /// What the end of the last answer shows, for the log. `None` if there was no answer.
+    pub last_end: Option<AnswerEnd>,
     /// The fault of the last failed attempt, for the log.
     pub last_fault: Option<String>,
     /// The destination of the last attempt, for the log.
@@ -202,6 +204,7 @@
             is_probe: false,
             is_probe_sent: false,
             may_have_run: false,
+            last_end: None,
             last_fault: None,
             last_destination: None,
             last_software: None,
@@ -250,6 +253,7 @@
             sent,
         } = opened;
         let end = answer.end();
+        self.last_end = Some(end);
         let (pool, memory) = (destination.pool(), &self.shared.held_memory);
         let read = read_complete(answer, pool, memory, self.job.deadline).await;
         drop(load_guard);
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 
 use super::{FirstResponseEstimate, RequestDriver};
-use crate::call::{CallFault, OpenAnswer};
+use crate::call::{AnswerEnd, CallFault, OpenAnswer};
 use crate::clock::BootInstant;
 use crate::destinations::RequestDestination;
 use crate::metrics::{RequestBurn, RequestEnd};
@@ -264,6 +264,7 @@
             held_ms = self.held.as_millis() as u64,
             service = %job.service,
             end = end.label(),
+            end_shown_by = self.last_end.map_or("-", AnswerEnd::label),
             tries = self.delivered_attempts,
             place = self.last_destination.as_deref().unwrap_or("-"),
             expected_ms = expected.map_or(0, |it| it.time_to_first_ms),
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -111,6 +111,14 @@
             false => Self::Connection,
         }
     }
+
+    /// Returns the label for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Framed => "framing",
+            Self::Connection => "connection",
+        }
+    }
 }
 
 /// An answer whose head was received and checked, with its unread body.
--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -257,6 +257,9 @@
     fn start_reading(&mut self, opened: DestinationAnswer) {
         let software = opened.software;
         let (parts, reading) = ReadingState::of(opened);
+        if let Some(driver) = &mut self.driver {
+            driver.last_end = Some(reading.end);
+        }
         if !self.has_started {
             let place = reading.destination.name().to_owned();
             self.head = Some(StreamHead { parts, end: reading.end, software, place });
