The sign of an answer's end is read as the HTTP library reads it

Callers of a stream got an empty 200 with a last chunk when the upstream named a transfer encoding other than chunks and closed after its head: the presence of the header was taken for framing, while the answer is read up to the end of its connection. Now only a length or chunks are. Answers that have no body by their kind (HEAD, 204) have the length 0; until now they counted as ended by their connection.

--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -8,9 +8,10 @@
 use foldhaven_core::headers;
 use foldhaven_core::opaque::held_memory::HeldKind;
 use foldhaven_wire::error_text::error_text;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -101,11 +102,11 @@
 }
 
 impl AnswerEnd {
-    /// Returns what the end of an answer with this head shows. Another VM passes on an answer of
-    /// the second kind with a framing of its own, and says so.
-    fn of(head: &Parts) -> Self {
-        let is_framed =
-            [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
+    /// Returns what the end of an answer with this head and this unread body shows. Another VM
+    /// passes on an answer of the second kind with a framing of its own, and says so.
+    fn of(head: &Parts, body: &Incoming) -> Self {
+        // An answer that has no body by its kind has the length 0.
+        let is_framed = body.size_hint().exact().is_some() || is_chunked(head);
         match is_framed && !head.headers.contains_key(headers::UNFRAMED) {
             true => Self::Framed,
             false => Self::Connection,
@@ -121,6 +122,14 @@
     }
 }
 
+/// Whether the body of an answer is sent in chunks. With any other encoding last, it is read up to the
+/// end of the connection.
+fn is_chunked(head: &Parts) -> bool {
+    let encodings = head.headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
+    let last = encodings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// An answer whose head was received and checked, with its unread body.
 pub struct OpenAnswer {
     pub head: Parts,
@@ -132,7 +141,7 @@
 impl OpenAnswer {
     /// Returns what the end of the answer shows.
     pub fn end(&self) -> AnswerEnd {
-        AnswerEnd::of(&self.head)
+        AnswerEnd::of(&self.head, &self.body)
     }
 
     /// Splits the answer into head, body, and the lease that returns its connection to the pool.
