A success without its upstream's proof is a broken answer

Callers got a 200 without the seal, if the head of an upstream's answer was cut after its id and ended by an empty line, or lacked the seal for another reason. The gateway required the id only. The platform now tells it the name of the header that proves a success; without it the answer is broken: requests that may run again are sent again, others end with 502. a_success_without_the_seal_is_no_success failed before.

--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -209,7 +209,8 @@
     }
 }
 
-/// Checks that an answer belongs to the request and does not declare that the request did not run.
+/// Checks that an answer belongs to the request, does not declare that the request did not run, and is
+/// proven if it is a success. The proof is opaque; only its absence shows.
 fn validate_head(
     head: &Parts,
     attempt: Option<&HeaderValue>,
@@ -232,6 +233,10 @@
     if echoed.is_none() {
         return Err(CallFault::Broken("an answer that names no request".to_owned()));
     }
+    let is_proven = head.headers.get(&names.proof).is_some_and(|proof| !proof.is_empty());
+    if head.status.is_success() && !is_proven {
+        return Err(CallFault::Broken("a success without a proof".to_owned()));
+    }
     Ok(())
 }
 
--- a/crates/foldhaven-gateway/src/names.rs
+++ b/crates/foldhaven-gateway/src/names.rs
@@ -13,6 +13,8 @@
     pub remaining_ms: HeaderName,
     /// Names the intended upstream, so that another process at its address declines the request.
     pub expected_upstream: HeaderName,
+    /// Set by an upstream on each success, as proof that it made the answer.
+    pub proof: HeaderName,
     /// Set by an upstream that did not run the request and never will.
     pub not_run: HeaderName,
     /// The rate limit of an upstream for all VMs together, as a decimal number of requests per
