A success without framing and without a body is a broken answer

Callers got '200, content-length: 0' when the head of an upstream's answer had lost its length, or when the upstream closed its connection after a head without framing. Nothing shows that such an answer is whole, and an empty body is what every cut one begins with; so it is broken, as it already was for streams. The same on a streaming route for a success whose head has lost the type of its events. An upstream that means an empty body says so by a length or by 204.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -25,7 +25,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use crate::call::{AnswerEnd, OpenAnswer, read_complete};
+use crate::call::{AnswerEnd, CallFault, OpenAnswer, read_complete};
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
@@ -241,6 +241,14 @@
         self.job.route.repeat.is_stream() && opened.is_event_stream()
     }
 
+    /// Whether an answer that ended with its connection is a success which lacks what every whole one
+    /// has: a body, or on a streaming route, the type of its events. Its head was cut, or nothing
+    /// followed it.
+    fn is_cut(&self, head: &Parts, body: &Bytes, end: AnswerEnd) -> bool {
+        let lacks_part = body.is_empty() || self.job.route.repeat.is_stream();
+        end == AnswerEnd::Connection && head.status.is_success() && lacks_part
+    }
+
     /// Reads an answer to its end, and records the outcome for its destination.
     async fn finish(&mut self, opened: DestinationAnswer) -> AttemptOutcome {
         let DestinationAnswer {
@@ -256,6 +264,12 @@
         self.last_end = Some(end);
         let (pool, memory) = (destination.pool(), &self.shared.held_memory);
         let read = read_complete(answer, pool, memory, self.job.deadline).await;
+        let read = read.and_then(|(head, body)| match self.is_cut(&head, &body, end) {
+            true => {
+                Err(CallFault::Broken("it ended with its connection before its body".to_owned()))
+            }
+            false => Ok((head, body)),
+        });
         drop(load_guard);
         match &read {
             Ok((head, _)) => self.record_answered(request_guard, end, head.status.is_success()),
