An aborted answer that ends with its connection resets it

Callers of HTTP/1.0 read no chunks, so their streams end with the connection. Now the connection is set to be reset by any close from the head of such an answer on, and that is lifted when the answer is complete. The operating system applies it after the end of the process too. callers_without_chunks_see_that_a_stream_was_aborted and _that_a_daemon_was_killed failed before.

--- a/crates/foldhaven-gateway/src/front.rs
+++ b/crates/foldhaven-gateway/src/front.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Method, Request, Version};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,7 +21,7 @@
 use crate::answer::{Answer, AnswerBody, TruncatedStream, close_after};
 use crate::connection::configure_socket;
 use crate::pending_answer::{ConnectionFailure, PendingAnswer};
-use crate::served_connections::{ConnectionGuard, RequestGuard};
+use crate::served_connections::{ClosingAnswer, ConnectionGuard, RequestGuard};
 use crate::served_stream::ServedStream;
 use crate::shared::{GatewayShared, StopStage};
 use crate::silent_peers::SILENCE_TIMEOUT;
@@ -113,17 +113,27 @@
     let observer = ConnectionObserver { handler: handler.clone(), pending: pending.clone() };
     let service = service_fn(move |request: Request<Incoming>| {
         let attempt = handler.attempt_of(request.headers());
+        // Such a caller reads no chunks: a body of unknown length ends with the connection.
+        let lacks_chunks =
+            request.version() == Version::HTTP_10 && request.method() != Method::HEAD;
         let request_guard =
             activity.start_request(attempt.map(HeaderValue::as_bytes).unwrap_or_default());
         pending.begin(attempt.cloned());
         let (handler, shared, pending) = (handler.clone(), shared.clone(), pending.clone());
+        let activity = activity.clone();
         async move {
             let mut answer = handler.handle(request).await;
             pending.finish();
             if shared.is_leaving() {
                 close_after(&mut answer);
             }
-            Ok::<_, Infallible>(answer.map(|body| TrackedBody { body, _guard: request_guard }))
+            let ends_with_connection = lacks_chunks && answer.body().size_hint().exact().is_none();
+            let closing = ends_with_connection.then(|| activity.start_closing_answer());
+            Ok::<_, Infallible>(answer.map(|body| TrackedBody {
+                body,
+                closing,
+                _guard: request_guard,
+            }))
         }
     });
     let connection = http1::Builder::new()
@@ -176,6 +186,8 @@
 /// The body of an answer, with the guard of its request.
 struct TrackedBody {
     body: AnswerBody,
+    /// `None` unless the answer is incomplete and ends with its connection.
+    closing: Option<ClosingAnswer>,
     _guard: RequestGuard,
 }
 
@@ -187,7 +199,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.closing.take().into_iter().for_each(ClosingAnswer::complete);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/foldhaven-gateway/src/served_connections.rs
+++ b/crates/foldhaven-gateway/src/served_connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -28,6 +29,8 @@
 pub struct ConnectionActivity {
     current: Mutex<CurrentRequest>,
     request_started: Notify,
+    /// Whether an answer is incomplete that an orderly end of the connection would complete.
+    is_reset_on_close: AtomicBool,
 }
 
 #[derive(Default)]
@@ -44,6 +47,18 @@
         self.current.lock().phase
     }
 
+    /// Whether a close must reset the connection.
+    pub fn is_reset_on_close(&self) -> bool {
+        self.is_reset_on_close.load(Ordering::Acquire)
+    }
+
+    /// Records that a close must reset the connection until the guard is told that the answer is
+    /// complete.
+    pub fn start_closing_answer(self: &Arc<Self>) -> ClosingAnswer {
+        self.is_reset_on_close.store(true, Ordering::Release);
+        ClosingAnswer { activity: self.clone() }
+    }
+
     /// Records that data was received.
     pub fn record_read(&self) {
         self.advance(RequestPhase::Idle, RequestPhase::Arriving);
@@ -92,6 +107,19 @@
     }
 }
 
+/// An answer that ends with its connection. Until it is complete, any other end of the connection is
+/// a reset, also if the process is killed.
+pub struct ClosingAnswer {
+    activity: Arc<ConnectionActivity>,
+}
+
+impl ClosingAnswer {
+    /// Records that the answer is complete, so that the connection ends in order.
+    pub fn complete(self) {
+        self.activity.is_reset_on_close.store(false, Ordering::Release);
+    }
+}
+
 /// The open connections.
 #[derive(Default)]
 pub struct ConnectionTracker {
--- a/crates/foldhaven-gateway/src/served_stream.rs
+++ b/crates/foldhaven-gateway/src/served_stream.rs
@@ -32,6 +32,8 @@
     shared: Arc<GatewayShared>,
     /// The pause before the next check for unacknowledged data. `None` until there was a check.
     delivery_check: Option<Pin<Box<Sleep>>>,
+    /// Whether the operating system resets the connection when it is closed.
+    is_reset_on_close: bool,
 }
 
 impl ServedStream {
@@ -41,7 +43,23 @@
         activity: Arc<ConnectionActivity>,
         shared: Arc<GatewayShared>,
     ) -> Self {
-        Self { stream: BoundedStream::new(stream), activity, shared, delivery_check: None }
+        let stream = BoundedStream::new(stream);
+        Self { stream, activity, shared, delivery_check: None, is_reset_on_close: false }
+    }
+
+    /// Tells the operating system how to close the connection, before anything else is sent on it.
+    ///
+    /// # Errors
+    ///
+    /// If it does not take that.
+    fn set_close(&mut self) -> Result<()> {
+        let is_reset = self.activity.is_reset_on_close();
+        if is_reset != self.is_reset_on_close {
+            let socket = SockRef::from(self.stream.get_ref().get_ref());
+            socket.set_linger(is_reset.then_some(Duration::ZERO))?;
+            self.is_reset_on_close = is_reset;
+        }
+        Ok(())
     }
 
     fn stream(&mut self) -> Pin<&mut BoundedStream> {
@@ -93,10 +111,12 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
+        self.set_close()?;
         self.stream().poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        self.set_close()?;
         // The connection flushes its stream after it has written all of its own buffer.
         ready!(self.stream().poll_flush(context))?;
         self.activity.record_flush();
@@ -104,6 +124,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        self.set_close()?;
         if self.shared.is_leaving() {
             ready!(self.poll_delivered(context));
         }
@@ -115,6 +136,7 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
+        self.set_close()?;
         self.stream().poll_write_vectored(context, parts)
     }
 
