An answer without framing is passed on without one

Callers read answers as whole that were not: an upstream that names neither a length nor chunks ends its answer with its connection, also when it stops within the body, and the daemon gave the part that it had a length of its own, or a last chunk. It can't know more than its upstream shows, so it no longer says more: such an answer ends with the caller's connection, which is closed in order after the last byte and reset if the answer is aborted. The HTTP library sends such an answer with a head of HTTP/1.0 only, which callers of 1.1 read.

--- a/crates/foldhaven-gateway/src/answer.rs
+++ b/crates/foldhaven-gateway/src/answer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use foldhaven_core::opaque::refusal::Refusal;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
 
 /// The stream ended before its last event
@@ -104,6 +104,13 @@
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
+/// Sends an answer without a length or chunks, so that only the end of the connection ends it. In
+/// HTTP/1.1, a server that is asked for an answer of HTTP/1.0 sends it in this way.
+pub fn end_with_connection(answer: &mut Answer) {
+    *answer.version_mut() = Version::HTTP_10;
+    close_after(answer);
+}
+
 /// Creates an answer with a body of the given content type.
 pub fn body_answer(
     status: StatusCode,
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -13,7 +13,9 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, AnswerBody, body_answer, close_after, refuse, refuse_until};
+use crate::answer::{
+    Answer, AnswerBody, body_answer, close_after, end_with_connection, refuse, refuse_until,
+};
 use crate::attempts::{AnswerStart, CompleteAnswer, RequestDriver};
 use crate::call::AnswerEnd;
 use crate::clock::BootInstant;
@@ -283,15 +285,20 @@
     if is_forwarded {
         answer.headers_mut().insert(UPSTREAM, text_value(&place));
     }
-    mark_unframed(&mut answer, is_forwarded, end);
+    show_end(&mut answer, is_forwarded, end);
     *answer.body_mut() = AnswerBody::Events(Box::new(relay));
     answer
 }
 
-/// Marks the answer to a forwarded request if its end does not show that it is complete.
-fn mark_unframed(answer: &mut Answer, is_forwarded: bool, end: AnswerEnd) {
-    if is_forwarded && end == AnswerEnd::Connection {
-        answer.headers_mut().insert(UNFRAMED, HeaderValue::from_static("1"));
+/// Passes on an answer whose end does not show that it is complete, without a framing that would
+/// claim so: a caller gets it ended by its connection, and another VM is told.
+fn show_end(answer: &mut Answer, is_forwarded: bool, end: AnswerEnd) {
+    match end {
+        AnswerEnd::Framed => {}
+        AnswerEnd::Connection if is_forwarded => {
+            answer.headers_mut().insert(UNFRAMED, HeaderValue::from_static("1"));
+        }
+        AnswerEnd::Connection => end_with_connection(answer),
     }
 }
 
@@ -342,7 +349,7 @@
         driver.record_end(end);
         let mut answer = answer_with(head.status, head.headers);
         *answer.body_mut() = AnswerBody::from_bytes(body);
-        mark_unframed(&mut answer, driver.job.is_forwarded, answer_end);
+        show_end(&mut answer, driver.job.is_forwarded, answer_end);
         answer
     }
 
--- a/crates/foldhaven-gateway/src/front.rs
+++ b/crates/foldhaven-gateway/src/front.rs
@@ -114,8 +114,8 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let attempt = handler.attempt_of(request.headers());
         // Such a caller reads no chunks: a body of unknown length ends with the connection.
-        let lacks_chunks =
-            request.version() == Version::HTTP_10 && request.method() != Method::HEAD;
+        let lacks_chunks = request.version() == Version::HTTP_10;
+        let has_body = request.method() != Method::HEAD;
         let request_guard =
             activity.start_request(attempt.map(HeaderValue::as_bytes).unwrap_or_default());
         pending.begin(attempt.cloned());
@@ -127,8 +127,9 @@
             if shared.is_leaving() {
                 close_after(&mut answer);
             }
-            let ends_with_connection = lacks_chunks && answer.body().size_hint().exact().is_none();
-            let closing = ends_with_connection.then(|| activity.start_closing_answer());
+            let lacks_length = lacks_chunks && answer.body().size_hint().exact().is_none();
+            let is_closing = has_body && (lacks_length || answer.version() == Version::HTTP_10);
+            let closing = is_closing.then(|| activity.start_closing_answer());
             Ok::<_, Infallible>(answer.map(|body| TrackedBody {
                 body,
                 closing,
@@ -211,6 +212,10 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match &self.closing {
+            // With a length, it would not end with the connection.
+            Some(_) => SizeHint::default(),
+            None => self.body.size_hint(),
+        }
     }
 }
