An answer without a body by its kind is whole, also if an earlier VM marks it as unframed

VMs of earlier versions set foldhaven-unframed on answers to HEAD and on 204, since these name no length. The check for a missing body would have made 502 of them during an upgrade.

--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -260,7 +260,7 @@
             expected,
             sent,
         } = opened;
-        let end = answer.end();
+        let end = answer.end;
         self.last_end = Some(end);
         let (pool, memory) = (destination.pool(), &self.shared.held_memory);
         let read = read_complete(answer, pool, memory, self.job.deadline).await;
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -10,7 +10,7 @@
 use foldhaven_wire::error_text::error_text;
 use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -103,11 +103,13 @@
 
 impl AnswerEnd {
     /// Returns what the end of an answer with this head and this unread body shows. Another VM
-    /// passes on an answer of the second kind with a framing of its own, and says so.
-    fn of(head: &Parts, body: &Incoming) -> Self {
-        // An answer that has no body by its kind has the length 0.
+    /// passes on an answer of the second kind with a framing of its own, and says so; earlier
+    /// versions of it also say so of answers that have no body by their kind.
+    fn of(head: &Parts, body: &Incoming, method: &Method) -> Self {
+        let is_head_only = method == Method::HEAD
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let is_framed = body.size_hint().exact().is_some() || is_chunked(head);
-        match is_framed && !head.headers.contains_key(headers::UNFRAMED) {
+        match is_head_only || (is_framed && !head.headers.contains_key(headers::UNFRAMED)) {
             true => Self::Framed,
             false => Self::Connection,
         }
@@ -136,14 +138,11 @@
     pub body: Incoming,
     connection: Connection,
     keep_for: Option<Duration>,
+    /// What the end of the answer shows.
+    pub end: AnswerEnd,
 }
 
 impl OpenAnswer {
-    /// Returns what the end of the answer shows.
-    pub fn end(&self) -> AnswerEnd {
-        AnswerEnd::of(&self.head, &self.body)
-    }
-
     /// Splits the answer into head, body, and the lease that returns its connection to the pool.
     pub fn into_parts(self) -> (Parts, Incoming, ConnectionLease) {
         let lease = ConnectionLease { connection: self.connection, keep_for: self.keep_for };
@@ -172,6 +171,7 @@
     deadline: BootInstant,
 ) -> Result<OpenAnswer, CallFault> {
     let attempt = request.headers().get(&names.attempt).cloned();
+    let method = request.method().clone();
     let opening = send(target, request);
     let (response, connection) =
         timeout_at(deadline, opening).await.map_err(|_| CallFault::TimedOut)??;
@@ -179,7 +179,8 @@
     target.listener.on_head(&head);
     validate_head(&head, attempt.as_ref(), names)?;
     let keep_for = keep_alive_time(&head);
-    Ok(OpenAnswer { head, body, connection, keep_for })
+    let end = AnswerEnd::of(&head, &body, &method);
+    Ok(OpenAnswer { head, body, connection, keep_for, end })
 }
 
 async fn send(
--- a/crates/foldhaven-gateway/src/events/reading.rs
+++ b/crates/foldhaven-gateway/src/events/reading.rs
@@ -80,7 +80,7 @@
             expected,
             sent,
         } = opened;
-        let end = answer.end();
+        let end = answer.end;
         let (head, body, lease) = answer.into_parts();
         let is_in_frames = matches!(destination, RequestDestination::Peer(_))
             && head.headers.contains_key(EVENT_FRAMES);
