A long answer that ends with its connection is reset until all of it is written

A caller read 3.9 MB of 15 as a whole answer when the daemon was killed: the reset was lifted when the end of the body was generated, before its first byte was written. It now stays until the connection has flushed everything. callers_see_that_a_daemon_was_killed, case_2_a_long_body failed before.

--- a/crates/foldhaven-gateway/src/served_connections.rs
+++ b/crates/foldhaven-gateway/src/served_connections.rs
@@ -29,8 +29,10 @@
 pub struct ConnectionActivity {
     current: Mutex<CurrentRequest>,
     request_started: Notify,
-    /// Whether an answer is incomplete that an orderly end of the connection would complete.
-    is_reset_on_close: AtomicBool,
+    /// Whether the current answer ends with the connection. It is the last one.
+    has_closing_answer: AtomicBool,
+    /// Whether the end of that answer was generated.
+    is_closing_answer_complete: AtomicBool,
 }
 
 #[derive(Default)]
@@ -47,15 +49,16 @@
         self.current.lock().phase
     }
 
-    /// Whether a close must reset the connection.
-    pub fn is_reset_on_close(&self) -> bool {
-        self.is_reset_on_close.load(Ordering::Acquire)
+    /// Whether a close must reset the connection, since its orderly end would complete an answer that
+    /// is incomplete. `is_all_written` tells whether everything generated so far was written.
+    pub fn is_reset_on_close(&self, is_all_written: bool) -> bool {
+        let is_complete = self.is_closing_answer_complete.load(Ordering::Acquire);
+        self.has_closing_answer.load(Ordering::Acquire) && !(is_all_written && is_complete)
     }
 
-    /// Records that a close must reset the connection until the guard is told that the answer is
-    /// complete.
+    /// Records that a close must reset the connection until the answer is complete and written.
     pub fn start_closing_answer(self: &Arc<Self>) -> ClosingAnswer {
-        self.is_reset_on_close.store(true, Ordering::Release);
+        self.has_closing_answer.store(true, Ordering::Release);
         ClosingAnswer { activity: self.clone() }
     }
 
@@ -107,16 +110,16 @@
     }
 }
 
-/// An answer that ends with its connection. Until it is complete, any other end of the connection is
-/// a reset, also if the process is killed.
+/// An answer that ends with its connection. Until it is complete and written, any other end of the
+/// connection is a reset, also if the process is killed.
 pub struct ClosingAnswer {
     activity: Arc<ConnectionActivity>,
 }
 
 impl ClosingAnswer {
-    /// Records that the answer is complete, so that the connection ends in order.
+    /// Records that the end of the answer was generated.
     pub fn complete(self) {
-        self.activity.is_reset_on_close.store(false, Ordering::Release);
+        self.activity.is_closing_answer_complete.store(true, Ordering::Release);
     }
 }
 
--- a/crates/foldhaven-gateway/src/served_stream.rs
+++ b/crates/foldhaven-gateway/src/served_stream.rs
@@ -47,13 +47,13 @@
         Self { stream, activity, shared, delivery_check: None, is_reset_on_close: false }
     }
 
-    /// Tells the operating system how to close the connection, before anything else is sent on it.
+    /// Tells the operating system how to close the connection, before a write or after all of them.
     ///
     /// # Errors
     ///
     /// If it does not take that.
-    fn set_close(&mut self) -> Result<()> {
-        let is_reset = self.activity.is_reset_on_close();
+    fn set_close(&mut self, is_all_written: bool) -> Result<()> {
+        let is_reset = self.activity.is_reset_on_close(is_all_written);
         if is_reset != self.is_reset_on_close {
             let socket = SockRef::from(self.stream.get_ref().get_ref());
             socket.set_linger(is_reset.then_some(Duration::ZERO))?;
@@ -111,20 +111,20 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        self.set_close()?;
+        self.set_close(false)?;
         self.stream().poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        self.set_close()?;
         // The connection flushes its stream after it has written all of its own buffer.
+        self.set_close(true)?;
         ready!(self.stream().poll_flush(context))?;
         self.activity.record_flush();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        self.set_close()?;
+        self.set_close(true)?;
         if self.shared.is_leaving() {
             ready!(self.poll_delivered(context));
         }
@@ -136,7 +136,7 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.set_close()?;
+        self.set_close(false)?;
         self.stream().poll_write_vectored(context, parts)
     }
 
