--- a/crates/foldhaven-gateway/src/attempts/mod.rs
+++ b/crates/foldhaven-gateway/src/attempts/mod.rs
@@ -26,7 +26,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use crate::call::{AnswerEnd, OpenAnswer, read_complete};
+use crate::call::{AnswerEnd, CallFault, OpenAnswer, read_complete};
 use crate::clock::BootInstant;
 use crate::credential::{KeyState, key_state};
 use crate::destinations::{
@@ -169,6 +169,8 @@
     is_probe_sent: bool,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
+    /// What the end of the last answer shows, for the log. `None` if there was no answer.
+    pub last_end: Option<AnswerEnd>,
     /// The fault of the last failed attempt, for the log.
     pub last_fault: Option<String>,
     /// The destination of the last attempt, for the log.
@@ -203,6 +205,7 @@
             is_probe: false,
             is_probe_sent: false,
             may_have_run: false,
+            last_end: None,
             last_fault: None,
             last_destination: None,
             last_software: None,
@@ -239,6 +242,14 @@
         self.job.route.repeat.is_stream() && opened.is_event_stream()
     }
 
+    /// Whether an answer that ended with its connection is a success which lacks what every whole one
+    /// has: a body, or on a streaming route, the type of its events. Its head was cut, or nothing
+    /// followed it.
+    fn is_cut(&self, head: &Parts, body: &Bytes, end: AnswerEnd) -> bool {
+        let lacks_part = body.is_empty() || self.job.route.repeat.is_stream();
+        end == AnswerEnd::Connection && head.status.is_success() && lacks_part
+    }
+
     /// Reads an answer to its end, and records the outcome for its destination.
     async fn finish(&mut self, opened: DestinationAnswer) -> AttemptOutcome {
         let DestinationAnswer {
@@ -250,9 +261,16 @@
             expected,
             sent,
         } = opened;
-        let end = answer.end();
+        let end = answer.end;
+        self.last_end = Some(end);
         let (pool, memory) = (destination.pool(), &self.shared.held_memory);
         let read = read_complete(answer, pool, memory, self.job.deadline).await;
+        let read = read.and_then(|(head, body)| match self.is_cut(&head, &body, end) {
+            true => {
+                Err(CallFault::Broken("it ended with its connection before its body".to_owned()))
+            }
+            false => Ok((head, body)),
+        });
         drop(load_guard);
         match &read {
             Ok((head, _)) => self.record_answered(request_guard, end, head.status.is_success()),
--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -8,9 +8,10 @@
 use foldhaven_core::headers;
 use foldhaven_core::opaque::held_memory::HeldKind;
 use foldhaven_wire::error_text::error_text;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -101,16 +102,34 @@
 }
 
 impl AnswerEnd {
-    /// Returns what the end of an answer with this head shows. Another VM passes on an answer of
-    /// the second kind with a framing of its own, and says so.
-    fn of(head: &Parts) -> Self {
-        let is_framed =
-            [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-        match is_framed && !head.headers.contains_key(headers::UNFRAMED) {
+    /// Returns what the end of an answer with this head and this unread body shows. Another VM
+    /// passes on an answer of the second kind with a framing of its own, and says so; earlier
+    /// versions of it also say so of answers that have no body by their kind.
+    fn of(head: &Parts, body: &Incoming, method: &Method) -> Self {
+        let is_head_only = method == Method::HEAD
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let is_framed = body.size_hint().exact().is_some() || is_chunked(head);
+        match is_head_only || (is_framed && !head.headers.contains_key(headers::UNFRAMED)) {
             true => Self::Framed,
             false => Self::Connection,
         }
     }
+
+    /// Returns the label for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Framed => "framing",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// Whether the body of an answer is sent in chunks. With any other encoding last, it is read up to the
+/// end of the connection.
+fn is_chunked(head: &Parts) -> bool {
+    let encodings = head.headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
+    let last = encodings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// An answer whose head was received and checked, with its unread body.
@@ -119,14 +138,11 @@
     pub body: Incoming,
     connection: Connection,
     keep_for: Option<Duration>,
+    /// What the end of the answer shows.
+    pub end: AnswerEnd,
 }
 
 impl OpenAnswer {
-    /// Returns what the end of the answer shows.
-    pub fn end(&self) -> AnswerEnd {
-        AnswerEnd::of(&self.head)
-    }
-
     /// Splits the answer into head, body, and the lease that returns its connection to the pool.
     pub fn into_parts(self) -> (Parts, Incoming, ConnectionLease) {
         let lease = ConnectionLease { connection: self.connection, keep_for: self.keep_for };
@@ -155,6 +171,7 @@
     deadline: BootInstant,
 ) -> Result<OpenAnswer, CallFault> {
     let attempt = request.headers().get(&names.attempt).cloned();
+    let method = request.method().clone();
     let opening = send(target, request);
     let (response, connection) =
         timeout_at(deadline, opening).await.map_err(|_| CallFault::TimedOut)??;
@@ -162,7 +179,8 @@
     target.listener.on_head(&head);
     validate_head(&head, attempt.as_ref(), names)?;
     let keep_for = keep_alive_time(&head);
-    Ok(OpenAnswer { head, body, connection, keep_for })
+    let end = AnswerEnd::of(&head, &body, &method);
+    Ok(OpenAnswer { head, body, connection, keep_for, end })
 }
 
 async fn send(
@@ -192,7 +210,8 @@
     }
 }
 
-/// Checks that an answer belongs to the request and does not declare that the request did not run.
+/// Checks that an answer belongs to the request, does not declare that the request did not run, and is
+/// proven if it is a success. The proof is opaque; only its absence shows.
 fn validate_head(
     head: &Parts,
     attempt: Option<&HeaderValue>,
@@ -215,6 +234,10 @@
     if echoed.is_none() {
         return Err(CallFault::Broken("an answer that names no request".to_owned()));
     }
+    let is_proven = head.headers.get(&names.proof).is_some_and(|proof| !proof.is_empty());
+    if head.status.is_success() && !is_proven {
+        return Err(CallFault::Broken("a success without a proof".to_owned()));
+    }
     Ok(())
 }
 
