--- a/crates/foldhaven-core/src/opaque/route_table.rs
+++ b/crates/foldhaven-core/src/opaque/route_table.rs
@@ -1,8 +1,7 @@
 //! The routes of opaque requests, published as one value and looked up by host and longest path
 //! prefix.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -248,7 +248,9 @@
             *held = until.max(*held);
             is_news |= is_new;
         }
-        has_room && self.prolong_span(history, now) || is_news
+        // Without all its versions, the history of the other VM proves nothing.
+        let is_longer = has_room && self.prolong_span(history, now);
+        is_longer || is_news
     }
 
     /// Prolongs the span by that of another VM. Returns whether it is longer than before.
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -23,7 +23,7 @@
 
 /// A stream that its caller resumes.
 pub struct ResumedStream {
-    /// The service that began it. `None` if the route no longer uses it, or it is not known.
+    /// The service that began it. `None` if it is the only one of the route.
     pub service: Option<ServiceName>,
     /// The software at which it goes on.
     pub software: SoftwareTag,
@@ -33,8 +33,8 @@
 ///
 /// # Errors
 ///
-/// [`Refusal::UnknownOrigin`] if it is not known where the stream began, while several software
-/// versions serve.
+/// [`Refusal::UnknownOrigin`] if it is not known where the stream began, or the route no longer uses
+/// the service that began it.
 pub async fn find_resumed_stream(
     shared: &GatewayShared,
     view: &GatewayView,
@@ -100,8 +100,10 @@
     };
     let services = route.services.iter().map(|weighted| &weighted.service);
     let service = services.into_iter().find(|it| ServiceTag::of(it) == origin.service);
-    let stream = ResumedStream { service: service.cloned(), software: origin.software };
-    (Some(stream), known_by)
+    let stream = service
+        .cloned()
+        .map(|service| ResumedStream { service: Some(service), software: origin.software });
+    (stream, known_by)
 }
 
 /// How it was decided where a stream goes on, for the log.
