--- a/review/support-2/unframed_crash.rs
+++ b/review/support-2/unframed_crash.rs
@@ -1,19 +1,22 @@
-//! A runner crashes while it sends streams, of which some have no length and no chunks.
+//! Runners crash while they send streams, of which some have no length and no chunks.
 //!
-//! Callers send streams for some seconds to two daemons with four runners, each a process of its own.
-//! For five seconds, two of the runners send one in twenty of their answers without a length, up to
-//! the end of the connection. In that time, one of these two is killed, once. With `TROUBLE=0`, no
-//! runner is killed. A stream that ends as complete before its last piece breaks ORDER.
+//! Callers send streams for some seconds to two daemons with some runners, each a process of its own.
+//! For five seconds, half of the runners send at most one in twenty of their answers without a
+//! length, up to the end of the connection. In that time, a quarter of the runners is killed. With
+//! `TROUBLE=0`, no runner is killed. A stream that ends as complete before its last piece breaks ORDER.
+//!
+//! `first`: one of four runners is killed, and any answer may have no length. `resumed`: two of eight
+//! runners are killed, one 0.3 s after the other, and only answers that resume a stream have no
+//! length.
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -27,28 +30,48 @@
 const EVENTS: u32 = 20;
 /// The pause between two events of a stream.
 const PAUSE: Duration = Duration::from_millis(100);
-/// One in this many answers has no length, at a runner that sends such answers.
+/// At most one in this many answers has no length, at a runner that sends such answers.
 const UNFRAMED_ONE_IN: u64 = 20;
 /// When the runners begin to send such answers, after the first requests.
 const UNFRAMED_FROM: Duration = Duration::from_secs(2);
 /// For how long they send them.
 const UNFRAMED_FOR: Duration = Duration::from_secs(5);
-/// When the runner is killed.
-const KILL_AT: Duration = Duration::from_millis(5_500);
 /// How long callers begin new streams.
 const TRAFFIC: Duration = Duration::from_secs(9);
-/// The number of callers, each with one stream at a time.
-const CALLERS: usize = 240;
 /// The deadline of each stream.
 const REMAINING_MS: u64 = 8_000;
-const RUNNERS: usize = 4;
 const SLOTS: u32 = 64;
 
+/// What one of the cases does.
+struct CasePlan {
+    /// The number of runners. The first half of them sends answers without a length.
+    runners: usize,
+    /// Which of their answers have none, as a runner's argument.
+    unframed: &'static str,
+    /// The number of callers, each with one stream at a time.
+    callers: usize,
+    /// When runners are killed: each time the one that is sending most answers without a length or, if
+    /// none does, the last one.
+    kills: &'static [Duration],
+}
+
+const FIRST: CasePlan =
+    CasePlan { runners: 4, unframed: "any", callers: 240, kills: &[Duration::from_millis(5_500)] };
+const RESUMED: CasePlan = CasePlan {
+    runners: 8,
+    unframed: "resumed",
+    callers: 480,
+    kills: &[Duration::from_millis(5_200), Duration::from_millis(5_500)],
+};
+
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().collect();
-    let result = match arguments.get(1).map(String::as_str) {
-        Some("runner") => run_runner(&arguments[2..]).map(|()| ExitCode::SUCCESS),
-        _ => run_case(Path::new(arguments.get(1).map_or("record.txt", String::as_str))),
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let result = match arguments.as_slice() {
+        ["runner", runner @ ..] => run_runner(runner).map(|()| ExitCode::SUCCESS),
+        ["first", record] => run_case(&FIRST, Path::new(record)),
+        ["resumed", record] => run_case(&RESUMED, Path::new(record)),
+        _ => Err("the case and its record expected".into()),
     };
     result.unwrap_or_else(|error| {
         eprintln!("the case could not run: {error}");
@@ -57,16 +80,16 @@
 }
 
 /// Runs a runner until it is killed. Its arguments are its name, its address, the file in which it
-/// records what it runs, and whether it sends answers without a length.
-fn run_runner(arguments: &[String]) -> SetupResult<()> {
-    let [name, address, record, is_unframed] = arguments else {
+/// records what it runs, and which of its answers may have no length.
+fn run_runner(arguments: &[&str]) -> SetupResult<()> {
+    let [name, address, record, unframed] = arguments else {
         return Err("four arguments expected".into());
     };
     let runner = Arc::new(Runner {
-        name: name.clone(),
-        sends_unframed: is_unframed == "unframed",
+        name: name.to_string(),
+        unframed: unframed.to_string(),
         first_request: Mutex::new(None),
-        answers: AtomicU64::new(0),
+        counts: Mutex::new((0, 0)),
         record: Mutex::new(OpenOptions::new().create(true).append(true).open(record)?),
     });
     common::serve(address.parse()?, move |stream| {
@@ -80,9 +103,11 @@
 
 struct Runner {
     name: String,
-    sends_unframed: bool,
+    /// Which answers may have no length: `none`, `any`, or `resumed` ones.
+    unframed: String,
     first_request: Mutex<Option<Instant>>,
-    answers: AtomicU64,
+    /// The number of answers in the time in which some have no length, and of those without one.
+    counts: Mutex<(u64, u64)>,
     record: Mutex<File>,
 }
 
@@ -102,7 +127,7 @@
                 continue;
             }
             let after = headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-            let is_unframed = self.is_next_unframed();
+            let is_unframed = self.is_next_unframed(after > 0);
             let framing = if is_unframed { "no length" } else { "chunks" };
             self.note(&format!("{attempt} begins, {framing}, after {after}: {request}"))?;
             self.answer(&mut stream, &attempt, after, is_unframed)?;
@@ -114,14 +139,23 @@
         Ok(())
     }
 
-    /// Whether the next answer has no length.
-    fn is_next_unframed(&self) -> bool {
-        let first =
-            *self.first_request.lock().expect("no holder panics").get_or_insert_with(Instant::now);
-        let is_time = (UNFRAMED_FROM..UNFRAMED_FROM + UNFRAMED_FOR).contains(&first.elapsed());
-        self.sends_unframed
-            && is_time
-            && self.answers.fetch_add(1, Ordering::Relaxed) % UNFRAMED_ONE_IN == 0
+    /// Whether the next answer has no length. It is one in twenty at most.
+    fn is_next_unframed(&self, is_resumed: bool) -> bool {
+        let mut first = self.first_request.lock().expect("no holder panics");
+        let since_first = first.get_or_insert_with(Instant::now).elapsed();
+        if !(UNFRAMED_FROM..UNFRAMED_FROM + UNFRAMED_FOR).contains(&since_first) {
+            return false;
+        }
+        let mut counts = self.counts.lock().expect("no holder panics");
+        counts.0 += 1;
+        let is_chosen = match self.unframed.as_str() {
+            "any" => true,
+            "resumed" => is_resumed,
+            _ => false,
+        };
+        let is_unframed = is_chosen && (counts.1 + 1) * UNFRAMED_ONE_IN <= counts.0;
+        counts.1 += u64::from(is_unframed);
+        is_unframed
     }
 
     fn answer(
@@ -191,7 +225,7 @@
     }
 }
 
-fn run_case(record: &Path) -> SetupResult<ExitCode> {
+fn run_case(plan: &CasePlan, record: &Path) -> SetupResult<ExitCode> {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = Folder::create()?;
     let runner_records = folder.0.join("runners");
@@ -199,12 +233,11 @@
     let runner_address = |number: usize| SocketAddr::new(loopback(20 + number as u8), 8080);
     let mut items = vec![("op/config".to_owned(), config())];
     let mut runners = Vec::new();
-    for number in 0..RUNNERS {
+    for number in 0..plan.runners {
         let (name, address) = (format!("i-{number}"), runner_address(number));
-        // The first two of the four send answers without a length.
-        let framing = if number < RUNNERS / 2 { "unframed" } else { "framed" };
+        let unframed = if number < plan.runners / 2 { plan.unframed } else { "none" };
         let mut command = Command::new(std::env::current_exe()?);
-        command.args(["runner", &name, &address.to_string()]).arg(&runner_records).arg(framing);
+        command.args(["runner", &name, &address.to_string()]).arg(&runner_records).arg(unframed);
         runners.push(RunnerProcess(command.stdin(Stdio::null()).spawn()?));
         items.push((
             format!("servers/{name}"),
@@ -226,23 +259,25 @@
     thread::sleep(Duration::from_secs(2));
 
     let started = Instant::now();
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..plan.callers)
         .map(|number| {
             let address = daemons[number % daemons.len()].caller();
             thread::spawn(move || send_streams(number, address, started))
         })
         .collect();
-    thread::sleep(KILL_AT.saturating_sub(started.elapsed()));
-    if has_trouble {
-        runners[0].0.kill()?;
+    let mut killed = Vec::new();
+    for at in plan.kills.iter().filter(|_| has_trouble) {
+        thread::sleep(at.saturating_sub(started.elapsed()));
+        let runner = unframed_runner(&fs::read_to_string(&runner_records)?, plan.runners);
+        runners[runner].0.kill()?;
+        killed.push((runner, started.elapsed().as_millis()));
     }
-    let killed_ms = started.elapsed().as_millis();
     let seen: Vec<SeenStream> =
         callers.into_iter().flat_map(|caller| caller.join().unwrap_or_default()).collect();
     drop(daemons);
     drop(runners);
     let runs = fs::read_to_string(&runner_records)?;
-    write_record(record, &seen, &runs, has_trouble.then_some(killed_ms))?;
+    write_record(record, &seen, &runs, &killed)?;
 
     let violations = seen.iter().filter(|stream| stream.is_violation()).count();
     let served = seen.iter().filter(|stream| stream.is_success()).count();
@@ -256,6 +291,19 @@
     Ok(ExitCode::from(u8::from(violations > 0)))
 }
 
+/// Returns the runner that is sending most answers without a length, by what the runners recorded, or
+/// the last one if none does.
+fn unframed_runner(runs: &str, runners: usize) -> usize {
+    let open = |name: &str| {
+        let lines = || runs.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        let ended: HashSet<&str> =
+            lines().filter_map(|line| line.strip_suffix(" is complete")).collect();
+        let begun = lines().filter_map(|line| Some(line.split_once(" begins, no length")?.0));
+        begun.filter(|attempt| !ended.contains(attempt)).count()
+    };
+    (0..runners).max_by_key(|number| open(&format!("i-{number}"))).unwrap_or_default()
+}
+
 /// Returns the configuration: a route whose streams may be resumed, and one whose streams may not.
 fn config() -> String {
     let route = |name: &str, resumable: bool, attempts: u32| {
@@ -280,7 +328,7 @@
     let path = if caller % 4 < 2 { "/lookup/x" } else { "/digest/x" };
     let mut seen = Vec::new();
     // The callers begin one after another, so that the events of their streams are spread.
-    thread::sleep(Duration::from_millis(8 * caller as u64));
+    thread::sleep(Duration::from_millis(4 * caller as u64));
     while started.elapsed() < TRAFFIC {
         let attempt = format!("{caller:04x}{:04x}{:08x}", seen.len(), std::process::id());
         let sent_ms = started.elapsed().as_millis();
@@ -327,12 +375,14 @@
     path: &Path,
     seen: &[SeenStream],
     runs: &str,
-    killed_ms: Option<u128>,
+    killed: &[(usize, u128)],
 ) -> io::Result<()> {
     let mut file = io::BufWriter::new(File::create(path)?);
-    match killed_ms {
-        Some(at) => writeln!(file, "runner i-0 was killed {at} ms after the first request")?,
-        None => writeln!(file, "without the disruption: no runner was killed")?,
+    if killed.is_empty() {
+        writeln!(file, "without the disruption: no runner was killed")?;
+    }
+    for (runner, at) in killed {
+        writeln!(file, "runner i-{runner} was killed {at} ms after the first request")?;
     }
     let mut run_lines: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for line in runs.lines() {
