An upstream's status 101 is no answer

The same class does occur: 101 was passed on as the answer with the proof of the upstream, and what follows on that connection is another protocol for the caller. The HTTP client reports 101 as a final answer, although no upgrade was requested.

Statuses of 600 and more stay as they are: RFC 9110 lets callers treat them as 5xx.

--- a/crates/foldhaven-gateway/src/call.rs
+++ b/crates/foldhaven-gateway/src/call.rs
@@ -234,6 +234,10 @@
     if echoed.is_none() {
         return Err(CallFault::Broken("an answer that names no request".to_owned()));
     }
+    // No upgrade is ever requested.
+    if head.status.is_informational() {
+        return Err(CallFault::Broken(format!("the status {} ends no request", head.status)));
+    }
     let is_proven = head.headers.get(&names.proof).is_some_and(|proof| !proof.is_empty());
     if head.status.is_success() && !is_proven {
         return Err(CallFault::Broken("a success without a proof".to_owned()));
