Planned stop: what cannot be finished before the exit is refused unsent, and what is under way gets an answer

What callers saw, at systems like this one: in a planned stop, requests that came late in the grace time were taken and passed on, and were cut with no answer at its end, among them requests that may run only once (LOST).

Cause: a leaving VM takes requests for 2.9 s, whatever is left of the grace time, and at its end closes connections whose requests still run.

Change: the longest usual duration of each route is kept (of a route without answers yet: what the caller and the route permit). If it is longer than what is left, a leaving VM answers 503 at once, unless it knows no other VM. A request still under way 0.2 s before the exit gets 502, or 503 if no upstream may have got it. Streams that have begun are cut as before: their callers resume them.

--- a/crates/foldhaven-core/src/opaque/refusal.rs
+++ b/crates/foldhaven-core/src/opaque/refusal.rs
@@ -85,6 +85,8 @@
     NotPermitted,
     /// an upstream may have run it but gave no whole answer
     Broken,
+    /// this VM ends before the answer, and an upstream may have run it
+    Interrupted,
     /// the time for it has passed and it may have run
     TimedOut,
     /// the time for it has passed before it was sent to any upstream
@@ -116,7 +118,7 @@
             | Self::NotPermitted
             | Self::NoPermittedRegion
             | Self::NotReached => 503,
-            Self::Broken => 502,
+            Self::Broken | Self::Interrupted => 502,
             Self::TimedOut => 504,
         }
     }
@@ -152,6 +154,7 @@
             Self::Leaving => "leaving",
             Self::NotPermitted => "not_permitted",
             Self::Broken => "broken",
+            Self::Interrupted => "interrupted",
             Self::TimedOut => "timed_out",
             Self::NotReached => "not_reached",
         }
--- a/crates/foldhaven-core/src/opaque/route_history.rs
+++ b/crates/foldhaven-core/src/opaque/route_history.rs
@@ -1,5 +1,7 @@
 //! Statistics of the requests of one route over all upstreams: how often they fail by their nature,
-//! and how many events their answers have.
+//! how many events their answers have, and how long they take.
+
+use std::time::Duration;
 
 use crate::opaque::answer_length::AnswerLengths;
 
@@ -23,12 +25,24 @@
     }
 }
 
+/// A maximum that declines slowly while all values are below it.
+#[derive(Debug, Clone, Copy, Default)]
+struct DecliningMaximum(Option<Duration>);
+
+impl DecliningMaximum {
+    fn record(&mut self, value: Duration) {
+        let held = self.0.unwrap_or(value);
+        self.0 = Some(value.max(held - held.saturating_sub(value).mul_f64(MIN_WEIGHT)));
+    }
+}
+
 /// Statistics of the requests of one route.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RouteHistory {
     failure_mean: RunningMean,
     event_mean: RunningMean,
     lengths: AnswerLengths,
+    longest: DecliningMaximum,
 }
 
 impl RouteHistory {
@@ -47,6 +61,16 @@
         self.lengths.record(events, hint, max_tokens);
     }
 
+    /// Records how long a request took that was served, up to the end of its answer.
+    pub fn record_duration(&mut self, duration: Duration) {
+        self.longest.record(duration);
+    }
+
+    /// Returns how long requests take at most, apart from rare ones. `None` before the first one.
+    pub fn longest_duration(&self) -> Option<Duration> {
+        self.longest.0
+    }
+
     /// Returns the tokens that an answer will probably have.
     pub fn expected_tokens(&self, hint: Option<u32>, max_tokens: u32) -> u32 {
         self.lengths.expected(hint, max_tokens)
--- a/crates/foldhaven-gateway/src/attempts/outcomes.rs
+++ b/crates/foldhaven-gateway/src/attempts/outcomes.rs
@@ -239,6 +239,10 @@
     pub fn record_end(&self, end: RequestEnd) {
         let job = &self.job;
         let shared = &self.shared;
+        if end == RequestEnd::Served {
+            let took = job.started.elapsed();
+            shared.update_route_history(&job.route.name, |history| history.record_duration(took));
+        }
         if !job.is_forwarded {
             let burn = RequestBurn {
                 event: self.burn_event(end),
--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -156,6 +156,14 @@
     }
 
     /// Returns the refusal for a request whose deadline has passed.
+    /// Returns the refusal of a request that is not finished when the process exits.
+    pub fn exit_refusal(&self) -> Refusal {
+        match self.delivered_attempts {
+            0 => Refusal::Leaving,
+            _ => Refusal::Interrupted,
+        }
+    }
+
     pub(super) fn deadline_refusal(&self) -> Refusal {
         if self.may_have_run { Refusal::TimedOut } else { Refusal::NotReached }
     }
--- a/crates/foldhaven-gateway/src/caller_front.rs
+++ b/crates/foldhaven-gateway/src/caller_front.rs
@@ -175,6 +175,7 @@
         Some(service) => service,
         None => route.pick_service(rand::random()).ok_or(Refusal::NoRoute)?.clone(),
     };
+    check_exit(shared, &view, &route, &terms)?;
     let account = match account {
         Some(account) => Some(charge(shared, account, &head)?),
         None => None,
@@ -188,6 +189,38 @@
     Ok(GatewayJob { software, has_partial_answer: software.is_some(), ..job })
 }
 
+/// Checks that a request will probably be finished before a planned exit. If no other VM serves, it is
+/// tried in any case.
+///
+/// # Errors
+///
+/// [`Refusal::Leaving`] if it would probably be interrupted.
+pub fn check_exit(
+    shared: &GatewayShared,
+    view: &GatewayView,
+    route: &OpaqueRoute,
+    terms: &CallerTerms,
+) -> Result<(), Refusal> {
+    let Some(left) = shared.exit.time_left() else { return Ok(()) };
+    let permitted = terms.remaining.min(route.timeout);
+    let longest = shared.route_history(&route.name).longest_duration();
+    let expected = longest.map_or(permitted, |longest| longest.min(permitted));
+    let has_others = view.members.regions.values().any(|peers| !peers.links.is_empty());
+    if expected <= left || !has_others {
+        return Ok(());
+    }
+    if shared.quota.take(false) {
+        tracing::info!(
+            request = terms.attempt.to_str().unwrap_or("unreadable"),
+            route = %route.name,
+            expected_ms = expected.as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+            "request refused, since it would not be finished before the exit"
+        );
+    }
+    Err(Refusal::Leaving)
+}
+
 /// Finds the account of a request, and removes the key from its headers. A VM that knows that other
 /// VMs have a newer revision, or whose platform state is stale, cannot tell that a key is unknown.
 fn identify_account(
@@ -248,8 +281,13 @@
 /// Runs a request and returns its answer.
 pub async fn run_job(shared: Arc<GatewayShared>, job: GatewayJob) -> Answer {
     let in_flight = shared.start_request();
-    let mut recorder = EndRecorder { driver: Some(RequestDriver::new(shared, job)) };
-    let opened = match recorder.get().run().await {
+    let mut recorder = EndRecorder { driver: Some(RequestDriver::new(shared.clone(), job)) };
+    let ended = tokio::select! {
+        biased;
+        ended = recorder.get().run() => ended,
+        () = shared.exit.reached() => Err(recorder.get().exit_refusal()),
+    };
+    let opened = match ended {
         Ok(AnswerStart::Events(opened)) => opened,
         Ok(AnswerStart::Complete(complete)) => return recorder.end_answered(complete),
         Err(refusal) => return recorder.end_refused(refusal),
@@ -257,7 +295,7 @@
     let job = &recorder.get().job;
     let (is_forwarded, is_in_frames) = (job.is_forwarded, job.origin_reads_frames);
     let relay = EventRelay::new(recorder.release(), *opened, in_flight);
-    let answer = relay_events(relay, is_forwarded).await;
+    let answer = relay_events(&shared, relay, is_forwarded).await;
     if is_in_frames { put_in_frames(answer) } else { answer }
 }
 
@@ -273,8 +311,13 @@
 }
 
 /// Returns the answer that relays a stream, once its first event is there.
-async fn relay_events(mut relay: EventRelay, is_forwarded: bool) -> Answer {
-    let StreamHead { parts, end, software, place } = match relay.start().await {
+async fn relay_events(shared: &GatewayShared, mut relay: EventRelay, is_forwarded: bool) -> Answer {
+    let started = tokio::select! {
+        biased;
+        started = relay.start() => started,
+        () = shared.exit.reached() => Err(Refusal::Interrupted),
+    };
+    let StreamHead { parts, end, software, place } = match started {
         Ok(head) => head,
         Err(refusal) => return refuse(refusal),
     };
--- a/crates/foldhaven-gateway/src/lib.rs
+++ b/crates/foldhaven-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod peer_socket;
 mod peer_state;
 mod pending_answer;
+mod planned_exit;
 pub mod platform_state;
 mod rate_limit_tracker;
 mod reload;
--- a/crates/foldhaven-gateway/src/peer_front.rs
+++ b/crates/foldhaven-gateway/src/peer_front.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::{Answer, body_answer, refuse};
-use crate::caller_front::{record_peer_fault, run_job};
+use crate::caller_front::{check_exit, record_peer_fault, run_job};
 use crate::clock::BootInstant;
 use crate::credential::{find_account, take_forwarded_key};
 use crate::front::FrontHandler;
@@ -142,6 +142,7 @@
     let earlier_tries = earlier_tries.and_then(|value| value.to_str().ok()?.parse().ok());
     let earlier_tries = Duration::from_millis(earlier_tries.unwrap_or_default());
     let terms = CallerTerms { waited, earlier_tries, ..read_terms(&head, &shared.names)? };
+    check_exit(shared, &view, &route, &terms)?;
     let credential = take_forwarded_key(&mut head.headers);
     // The description of this VM may already lack the key, or not have it yet.
     let account = find_account(&view.routes, &route, credential);
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -39,6 +39,7 @@
 use crate::names::HeaderNames;
 use crate::origin_tracker::OriginTracker;
 use crate::path_tracker::PathTracker;
+use crate::planned_exit::PlannedExit;
 use crate::rate_limit_tracker::RateLimitTracker;
 use crate::returning_callers::ReturningCallers;
 use crate::served_connections::ConnectionTracker;
@@ -97,6 +98,8 @@
     /// Limits the number of log lines about requests.
     pub quota: LogQuota,
     pub stage: watch::Sender<StopStage>,
+    /// When the process exits after a planned stop.
+    pub exit: PlannedExit,
     /// The open connections of callers and other VMs.
     pub connections: Arc<ConnectionTracker>,
     /// The prompt segments that each upstream has probably cached.
@@ -190,6 +193,7 @@
             metrics: GatewayMetrics::default(),
             quota: LogQuota::default(),
             stage: watch::Sender::new(StopStage::Serving),
+            exit: PlannedExit::default(),
             connections: Arc::default(),
             prefix_caches: Mutex::default(),
             busy_upstreams: BusyUpstreams::default(),
--- a/crates/foldhaven-gateway/src/stop.rs
+++ b/crates/foldhaven-gateway/src/stop.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
+use crate::clock::BootInstant;
 use crate::shared::{GatewayShared, StopStage};
 
 /// How long new requests are accepted after the stop was announced, since callers use cached
@@ -17,6 +18,8 @@
 /// How long before the end of the platform's grace time the process exits, so that it is not
 /// killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// How long before the exit the last requests are answered, so that callers receive the answers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Maximum number of requests in the log line about connections that are cut.
 const MAX_LOGGED_CUTS: usize = 20;
 
@@ -34,6 +37,7 @@
     }
     let grace = Duration::from_secs_f64(shared.settings.grace_s).saturating_sub(EXIT_MARGIN);
     tracing::info!(vm = %shared.settings.vm, in_flight = shared.in_flight(), "leaving");
+    shared.exit.set(BootInstant::now() + grace.saturating_sub(ANSWER_MARGIN));
     shared.enter_stage(StopStage::Leaving);
     let leaving = LEAVING_TIME.min(grace / 2);
     sleep(leaving).await;
