Streams of unknown origin go on only after an answer, not after silence

What callers saw, at systems like this one: during a release, one VM was out of step for a few seconds. Streams that had begun at upstreams of the new version broke, were resumed at that VM and went on at another version (ORDER).

Cause: a VM that has known a single software version for long concludes that a stream of unknown origin began there, if nobody tells otherwise within 40 ms, and if its news is less than 5 s old. Of what came since the last news it knows nothing; that nobody answers was taken for nobody knows.

Evidence: a_vm_that_hears_nothing_resumes_no_stream_of_unknown_origin failed in all three cases (silent for a moment, 1 s and 3 s): 12, 12 and 13 of 24 streams were joined from two versions.

Change: the conclusion needs an answer to a question that was asked after the stream was resumed: from most of the VMs asked in the region, which tell first which versions they know, or from the platform, which the VM then calls at once (a watch ends for it). Otherwise the stream is refused. A stream that names no attempt is treated likewise. The first upstream of a version is in force at once, not with the next load report.

After: the three cases pass, and all 24 tests of software versions and lost fleets. That streams of the only version go on at the last VM has a test of its own; it passed before and passes now.

--- a/crates/foldhaven-core/src/opaque/software.rs
+++ b/crates/foldhaven-core/src/opaque/software.rs
@@ -166,6 +166,12 @@
         self.known_span(now) >= GONE_RETENTION
     }
 
+    /// Whether upstreams of this version serve in a service.
+    pub fn has_version(&self, service: &ServiceName, software: &Option<SoftwareVersion>) -> bool {
+        let versions = self.services.get(service);
+        versions.and_then(|versions| versions.get(software)).is_some_and(|it| it.upstreams > 0)
+    }
+
     /// Counts an upstream.
     pub fn add(&mut self, service: &ServiceName, software: &Option<SoftwareVersion>) {
         let services = Arc::make_mut(&mut self.services);
--- a/crates/foldhaven-core/src/opaque/stream_origins.rs
+++ b/crates/foldhaven-core/src/opaque/stream_origins.rs
@@ -172,6 +172,15 @@
         holders
     }
 
+    /// Returns those of the VMs that are asked for an origin whose answers together show that nobody
+    /// knows it: those of this region, which hear of the same changes, or if there are none, all.
+    pub fn voters(&self, attempt: AttemptTag) -> Vec<VmTag> {
+        match self.own_region.is_empty() {
+            true => self.asked(attempt),
+            false => rank_vms(attempt, &self.own_region, ASKED_PER_REGION),
+        }
+    }
+
     /// Returns the VMs that are asked for the origin of an attempt.
     pub fn asked(&self, attempt: AttemptTag) -> Vec<VmTag> {
         let others = self.other_regions.iter().map(|(_, vms)| vms);
--- a/crates/foldhaven-gateway/src/control/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/control/feed_changes.rs
@@ -11,6 +11,10 @@
 
     async fn handle(&mut self, update: FeedUpdate, _: &mut Context<Self>) {
         match update {
+            FeedUpdate::Probed { asked_at } => {
+                self.publish_deferred();
+                return self.shared.set_probed_at(asked_at);
+            }
             FeedUpdate::Failed { cause } => return self.record_platform_failure(&cause),
             FeedUpdate::Snapshot(snapshot) => {
                 let applied = self.apply_snapshot(snapshot);
--- a/crates/foldhaven-gateway/src/daemon.rs
+++ b/crates/foldhaven-gateway/src/daemon.rs
@@ -182,7 +182,7 @@
     tokio::spawn(sync_with_peers(shared.clone(), address.clone()));
     tokio::spawn(tick(address.clone()));
     tokio::spawn(log_sent_bytes(shared.clone()));
-    feed.run(FeedSink::new(address, read_assignments)).await;
+    feed.run(FeedSink::new(address, read_assignments, shared.probe_request.clone())).await;
 }
 
 async fn tick(control: ControlAddress) {
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -12,10 +12,10 @@
 use foldhaven_core::opaque::route_table::{RouteDescription, RouteVersion};
 use foldhaven_core::opaque::upstream_table::UpstreamRecord;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 use tokio::sync::watch::error::RecvError;
+use tokio::sync::{Notify, watch};
 
-use crate::clock::timeout;
+use crate::clock::{BootInstant, timeout};
 use crate::control::ControlAddress;
 use crate::told_change::ToldChange;
 
@@ -273,6 +273,11 @@
     Snapshot(FeedSnapshot),
     /// The changes up to a revision.
     Changes(ChangeSet),
+    /// The platform has answered a call that was made at this time, and the state was updated.
+    Probed {
+        /// When the call was made.
+        asked_at: BootInstant,
+    },
     /// The platform could not be read.
     Failed {
         /// The failed operation and its error.
@@ -285,14 +290,22 @@
 pub struct FeedSink {
     control: ControlAddress,
     assignment: watch::Receiver<ReadAssignment>,
+    probe_request: Arc<Notify>,
 }
 
 impl FeedSink {
     pub(crate) fn new(
         control: ControlAddress,
         assignment: watch::Receiver<ReadAssignment>,
+        probe_request: Arc<Notify>,
     ) -> Self {
-        Self { control, assignment }
+        Self { control, assignment, probe_request }
+    }
+
+    /// Waits until the platform is to be called at once, since a request depends on whether its state
+    /// is still current.
+    pub async fn await_probe_request(&self) {
+        self.probe_request.notified().await;
     }
 
     /// Sends an update. Returns `false` if the control actor has stopped.
--- a/crates/foldhaven-gateway/src/origin_sender.rs
+++ b/crates/foldhaven-gateway/src/origin_sender.rs
@@ -10,6 +10,7 @@
 use foldhaven_core::opaque::stream_origins::{AttemptTag, HolderPlanner, OriginNotice};
 use tokio::time::sleep;
 
+use crate::origin_tracker::AskedVms;
 use crate::peer_message::PeerMessage;
 use crate::peer_socket::PeerSocket;
 use crate::shared::GatewayShared;
@@ -136,7 +137,10 @@
     }
 
     async fn send_questions(&self, view: &GatewayView, directory: &HolderDirectory) {
-        let asked = |attempt: AttemptTag| directory.addresses(directory.planner.asked(attempt));
+        let asked = |attempt: AttemptTag| AskedVms {
+            all: directory.addresses(directory.planner.asked(attempt)).into_iter().collect(),
+            voters: directory.addresses(directory.planner.voters(attempt)).into_iter().collect(),
+        };
         for (target, attempts) in self.shared.origins.take_questions(asked) {
             if self.lacks_history(view) {
                 self.ask_for_history(&[target]).await;
--- a/crates/foldhaven-gateway/src/origin_tracker.rs
+++ b/crates/foldhaven-gateway/src/origin_tracker.rs
@@ -13,19 +13,60 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
-use crate::clock::{MonoClock, timeout};
+use crate::clock::{BootInstant, MonoClock, timeout_at};
 
 /// Maximum number of attempts that other VMs are asked for at a time. Each question goes to several
 /// VMs of each region, and a caller may name any attempt.
 const MAX_LOOKUPS: usize = 256;
 
+/// The VMs that are asked for the origin of an attempt.
+#[derive(Debug, Default)]
+pub struct AskedVms {
+    /// All of them.
+    pub all: BTreeSet<SocketAddr>,
+    /// Those of them whose answers together show that nobody knows it.
+    pub voters: BTreeSet<SocketAddr>,
+}
+
 /// A question that some requests wait for.
 #[derive(Debug, Default)]
 struct OriginLookup {
     /// The number of requests that wait.
     waiting: usize,
-    /// The VMs that have not answered. `None` until they are asked.
-    unanswered: Option<BTreeSet<SocketAddr>>,
+    /// `None` until the question is sent.
+    asked: Option<AskedVms>,
+    /// The VMs that have answered.
+    answered: BTreeSet<SocketAddr>,
+}
+
+impl OriginLookup {
+    fn is_answered_by_all(&self) -> bool {
+        self.asked.as_ref().is_some_and(|asked| asked.all.is_subset(&self.answered))
+    }
+
+    fn is_answered_by_most(&self) -> bool {
+        let Some(asked) = &self.asked else { return false };
+        let count = asked.voters.intersection(&self.answered).count();
+        count * 2 > asked.voters.len()
+    }
+}
+
+/// How long answers are waited for.
+#[derive(Debug, Clone, Copy)]
+pub struct LookupLimits {
+    /// The time after which the answers of most voters are enough.
+    pub settled_after: Duration,
+    /// The time after which there are no more answers.
+    pub given_up_after: Duration,
+}
+
+/// The result of asking other VMs for an origin.
+#[derive(Debug, Clone, Copy)]
+pub struct LookupResult {
+    /// The origin. `None` if none of those that answered knows it.
+    pub origin: Option<StreamOrigin>,
+    /// Whether most voters have answered since the question was asked.
+    pub has_quorum: bool,
 }
 
 /// The origins of streams that this VM knows.
@@ -69,28 +110,32 @@
         self.table.lock().find(attempt, now)
     }
 
-    /// Asks other VMs for the origin of the stream of an attempt. `None` if none of them knows it,
-    /// those that know it do not answer within the limit, or too many questions are open.
+    /// Asks other VMs for the origin of the stream of an attempt. Without a quorum, the lack of an
+    /// origin shows nothing.
     pub async fn look_up(
         &self,
         attempt: AttemptTag,
         clock: &MonoClock,
-        limit: Duration,
-    ) -> Option<StreamOrigin> {
-        let _waiting = self.start_lookup(attempt)?;
+        limits: LookupLimits,
+    ) -> LookupResult {
+        let started = BootInstant::now();
+        let mut result = LookupResult { origin: None, has_quorum: false };
+        let Some(_waiting) = self.start_lookup(attempt) else { return result };
         let mut answered = self.answered.subscribe();
         self.updates.notify_one();
-        let answer = async {
-            loop {
-                let found = self.find(attempt, clock.now());
-                // The sender exists as long as this tracker.
-                if found.is_some() || self.is_answered(attempt) || answered.changed().await.is_err()
-                {
-                    return found;
-                }
+        loop {
+            result.origin = self.find(attempt, clock.now());
+            let (is_complete, has_quorum) = self.progress(attempt);
+            result.has_quorum = has_quorum;
+            let is_settled = has_quorum && started.elapsed() >= limits.settled_after;
+            let limit = if has_quorum { limits.settled_after } else { limits.given_up_after };
+            let is_over = started.elapsed() >= limits.given_up_after;
+            if result.origin.is_some() || is_complete || is_settled || is_over {
+                return result;
             }
-        };
-        timeout(limit, answer).await.unwrap_or_default()
+            // The limits are checked after a timeout as well as after an answer.
+            let _ = timeout_at(started + limit, answered.changed()).await;
+        }
     }
 
     fn start_lookup(&self, attempt: AttemptTag) -> Option<WaitingGuard<'_>> {
@@ -102,11 +147,11 @@
         Some(WaitingGuard { tracker: self, attempt })
     }
 
-    /// Whether all VMs that were asked have answered.
-    fn is_answered(&self, attempt: AttemptTag) -> bool {
+    /// Returns whether all VMs that were asked have answered, and whether most voters have.
+    fn progress(&self, attempt: AttemptTag) -> (bool, bool) {
         let lookups = self.lookups.lock();
-        let unanswered = lookups.get(&attempt).and_then(|lookup| lookup.unanswered.as_ref());
-        unanswered.is_some_and(BTreeSet::is_empty)
+        let lookup = lookups.get(&attempt);
+        lookup.map_or((false, false), |it| (it.is_answered_by_all(), it.is_answered_by_most()))
     }
 
     /// Waits until there may be origins or questions to send.
@@ -123,16 +168,16 @@
     /// for an attempt.
     pub fn take_questions(
         &self,
-        asked: impl Fn(AttemptTag) -> Vec<SocketAddr>,
+        asked: impl Fn(AttemptTag) -> AskedVms,
     ) -> HashMap<SocketAddr, Vec<AttemptTag>> {
         let mut questions: HashMap<SocketAddr, Vec<AttemptTag>> = HashMap::new();
         let mut lookups = self.lookups.lock();
-        for (attempt, lookup) in lookups.iter_mut().filter(|(_, it)| it.unanswered.is_none()) {
-            let targets = asked(*attempt);
-            for target in &targets {
+        for (attempt, lookup) in lookups.iter_mut().filter(|(_, it)| it.asked.is_none()) {
+            let asked = asked(*attempt);
+            for target in &asked.all {
                 questions.entry(*target).or_default().push(*attempt);
             }
-            lookup.unanswered = Some(targets.into_iter().collect());
+            lookup.asked = Some(asked);
         }
         drop(lookups);
         // With nobody to ask, the requests need not wait.
@@ -155,9 +200,8 @@
         self.merge(&known.collect::<Vec<OriginNotice>>(), now);
         let mut lookups = self.lookups.lock();
         for OriginAnswer { attempt, .. } in answers {
-            let lookup = lookups.get_mut(attempt);
-            if let Some(unanswered) = lookup.and_then(|lookup| lookup.unanswered.as_mut()) {
-                unanswered.remove(&sender);
+            if let Some(lookup) = lookups.get_mut(attempt) {
+                lookup.answered.insert(sender);
             }
         }
         drop(lookups);
--- a/crates/foldhaven-gateway/src/platform_state/updates.rs
+++ b/crates/foldhaven-gateway/src/platform_state/updates.rs
@@ -113,7 +113,9 @@
         };
         self.revision = known.max(set.revision);
         self.needs_snapshot = false;
-        let is_urgent = new_changes.iter().any(|numbered| numbered.change.is_urgent());
+        let is_urgent = new_changes
+            .iter()
+            .any(|numbered| numbered.change.is_urgent() || self.brings_version(&numbered.change));
         let mut applied: Vec<NumberedChange> = Vec::new();
         let mut described = None;
         for numbered in new_changes {
@@ -140,6 +142,13 @@
         Some(AppliedChanges { changes, is_urgent })
     }
 
+    /// Returns whether a change lists the first upstream of a software version in its service. Streams
+    /// must not be resumed without knowing of it.
+    fn brings_version(&self, change: &FeedChange) -> bool {
+        let FeedChange::UpstreamWritten(record) = change else { return false };
+        !self.table.census().has_version(&record.service, &record.software)
+    }
+
     /// Applies changes although their predecessors are missing, if requests could be sent to wrong
     /// destinations without them. Returns whether there were any.
     pub fn apply_early_changes(&mut self, changes: Vec<NumberedChange>, now: MonoTime) -> bool {
--- a/crates/foldhaven-gateway/src/shared.rs
+++ b/crates/foldhaven-gateway/src/shared.rs
@@ -132,6 +132,10 @@
     lag: Mutex<Option<ObservedLag>>,
     /// Notified when another VM announces a newer revision of the platform state.
     pub newer_revision_notify: Notify,
+    /// Notified when the platform is to be called at once.
+    pub probe_request: Arc<Notify>,
+    /// When the last call was made that the platform has answered at once. `None` if none was.
+    probed_at: watch::Sender<Option<BootInstant>>,
     /// When the platform state was last confirmed to be current. `None` if it never was.
     confirmed_at: Mutex<Option<MonoTime>>,
     /// Requests that were in flight at upstreams that exited.
@@ -211,6 +215,8 @@
             is_leaving: AtomicBool::new(false),
             lag: Mutex::default(),
             newer_revision_notify: Notify::new(),
+            probe_request: Arc::default(),
+            probed_at: watch::Sender::new(None),
             confirmed_at: Mutex::default(),
         })
     }
@@ -280,6 +286,20 @@
         *self.lag.lock() = lag;
     }
 
+    /// Sets the time of the last call that the platform has answered at once.
+    pub fn set_probed_at(&self, asked_at: BootInstant) {
+        self.probed_at.send_replace(Some(asked_at));
+    }
+
+    /// Calls the platform, and waits until the state holds what it had published at `moment`. A VM that
+    /// does not read the platform waits until it is dropped.
+    pub async fn await_state_of(&self, moment: BootInstant) {
+        let mut probed_at = self.probed_at.subscribe();
+        self.probe_request.notify_one();
+        // The sender exists as long as this value.
+        let _ = probed_at.wait_for(|probed_at| *probed_at >= Some(moment)).await;
+    }
+
     /// Sets the time at which the platform state was last confirmed.
     pub fn set_confirmed_at(&self, confirmed_at: Option<MonoTime>) {
         *self.confirmed_at.lock() = confirmed_at;
--- a/crates/foldhaven-gateway/src/stream_resumption.rs
+++ b/crates/foldhaven-gateway/src/stream_resumption.rs
@@ -7,18 +7,21 @@
 use foldhaven_core::opaque::refusal::Refusal;
 use foldhaven_core::opaque::route_table::{OpaqueRoute, RepeatKind};
 use foldhaven_core::opaque::software::SoftwareTag;
-use foldhaven_core::opaque::stream_origins::AttemptTag;
+use foldhaven_core::opaque::stream_origins::{AttemptTag, StreamOrigin};
 use http::{HeaderMap, HeaderValue};
+use tokio::time::sleep;
 
-use crate::clock::BootInstant;
+use crate::clock::{BootInstant, timeout};
+use crate::origin_tracker::LookupLimits;
 use crate::shared::GatewayShared;
 use crate::view::GatewayView;
 
 /// Maximum time to wait for VMs that may know where a stream began: a round trip between regions,
 /// with some margin.
 const LOOKUP_LIMIT: Duration = Duration::from_millis(250);
-/// Maximum time to wait if only one software version has served for long: a round trip within a
-/// region, with some margin. Another VM may know of a second version before this one.
+/// Time after which the answers of most VMs are enough if only one software version has served for
+/// long: a round trip within a region, with some margin. Another VM may know of a second version
+/// before this one.
 const CONFIRMATION_LIMIT: Duration = Duration::from_millis(40);
 
 /// A stream that its caller resumes.
@@ -49,10 +52,12 @@
     }
     let started = BootInstant::now();
     let sole = sole_software(shared, view, route);
-    let (stream, known_by) = match resumes {
-        Some(attempt) => find_origin(shared, route, attempt, sole).await,
-        None => (sole.map(of_any_service), "sole"),
+    let attempt = match resumes {
+        Some(attempt) => AttemptTag::of(attempt.as_bytes()),
+        // Nobody knows it, but the VMs that are asked tell which versions they know.
+        None => AttemptTag(rand::random()),
     };
+    let (stream, known_by) = find_origin(shared, route, attempt, sole).await;
     let resumption = LoggedResumption { stream: stream.as_ref(), known_by, started };
     resumption.log(shared, view, route, headers);
     stream.map(Some).ok_or(Refusal::UnknownOrigin)
@@ -81,16 +86,16 @@
 async fn find_origin(
     shared: &GatewayShared,
     route: &OpaqueRoute,
-    attempt: &HeaderValue,
+    attempt: AttemptTag,
     sole: Option<SoftwareTag>,
 ) -> (Option<ResumedStream>, &'static str) {
-    let attempt = AttemptTag::of(attempt.as_bytes());
     let (origin, known_by) = match shared.origins.find(attempt, shared.now()) {
         Some(origin) => (Some(origin), "own"),
-        None => {
-            let limit = if sole.is_some() { CONFIRMATION_LIMIT } else { LOOKUP_LIMIT };
-            (shared.origins.look_up(attempt, &shared.clock, limit).await, "told")
-        }
+        None => match look_up(shared, attempt, sole.is_some()).await {
+            Lookup::Found(origin) => (Some(origin), "told"),
+            Lookup::NobodyKnows => (None, "sole"),
+            Lookup::Unanswered => return (None, "nobody"),
+        },
     };
     let Some(origin) = origin else {
         // The VMs that were asked may have told of another version, or for how long there was none.
@@ -106,6 +111,48 @@
     (stream, known_by)
 }
 
+/// The result of looking for the origin of a stream elsewhere.
+enum Lookup {
+    Found(StreamOrigin),
+    /// What this VM knows of versions holds for all that began before the look-up.
+    NobodyKnows,
+    /// Nobody has answered, which shows nothing: another version may have come unnoticed.
+    Unanswered,
+}
+
+/// Asks other VMs for an origin. If too few of them answer, the platform is called, which shows
+/// whether another version has come since it was last read.
+async fn look_up(shared: &GatewayShared, attempt: AttemptTag, has_sole: bool) -> Lookup {
+    let started = BootInstant::now();
+    let settled_after = if has_sole { CONFIRMATION_LIMIT } else { LOOKUP_LIMIT };
+    let limits = LookupLimits { settled_after, given_up_after: LOOKUP_LIMIT };
+    let asking = async {
+        let result = shared.origins.look_up(attempt, &shared.clock, limits).await;
+        match result.origin {
+            Some(origin) => Lookup::Found(origin),
+            None if result.has_quorum => Lookup::NobodyKnows,
+            None if !has_sole => Lookup::Unanswered,
+            None => std::future::pending().await,
+        }
+    };
+    let calling = async {
+        if !has_sole {
+            std::future::pending::<()>().await;
+        }
+        sleep(CONFIRMATION_LIMIT).await;
+        shared.await_state_of(started).await;
+        Lookup::NobodyKnows
+    };
+    let both = async {
+        tokio::select! {
+            biased;
+            found = asking => found,
+            found = calling => found,
+        }
+    };
+    timeout(LOOKUP_LIMIT, both).await.unwrap_or(Lookup::Unanswered)
+}
+
 /// How it was decided where a stream goes on, for the log.
 struct LoggedResumption<'a> {
     /// `None` if it is not known where the stream began.
