A stream that ends with its connection is complete only if its upstream still runs

Cause: the end of a connection after a whole event counted as the end of the stream. The operating system closes the connections of a killed process in order. Whether the upstream has exited was checked only afterwards.

Evidence: streams_without_a_length_are_not_complete_when_their_upstream_exits failed in all four cases (local and forwarded, resumable and not), and passes now, with the other 111 tests of answers, streams and poison requests.

Change: before such a stream ends, the upstream is connected to, at once and 50 ms later. If it refuses, sends nothing on other connections, and other upstreams can be reached, the stream is resumed elsewhere or broken off. An upstream that is leaving may have closed its port, so its answers count as complete.

--- a/crates/foldhaven-gateway/src/events.rs
+++ b/crates/foldhaven-gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Relays the events of a stream as they arrive, complete events only, and resumes the stream at
 //! another upstream if the route permits that.
 
+mod ended_answer;
 mod held_events;
 mod measurements;
 mod numbering;
@@ -22,6 +23,7 @@
 use http::response::Parts;
 use http_body::Frame;
 
+use self::ended_answer::ExitCheck;
 use self::held_events::HeldEvents;
 use self::numbering::{NumberingCheck, SequenceVerdict};
 use self::reading::{ReadFault, ReadingState};
@@ -42,6 +44,8 @@
 /// Minimum of that time. Shorter pauses are usual while an upstream prefills a long prompt.
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
+/// Why a stream that ended with its connection does not count as complete.
+const EXITED: &str = "its upstream exited";
 /// Why a stream is aborted at its deadline.
 const DEADLINE_PASSED: &str = "the time for it has passed";
 
@@ -103,6 +107,8 @@
     /// The events after a suspected gap. `None` if no gap is suspected.
     held: Option<HeldEvents>,
     timer: Pin<Box<BootSleep>>,
+    /// The check of an answer that has ended with its connection. `None` unless it is under way.
+    exit_check: Option<ExitCheck>,
     /// How many times in a row the stream has stalled, without data in between.
     stall_count: u32,
     /// Whether a silent upstream was lost or given up before another one had answered.
@@ -165,12 +171,13 @@
                         return Poll::Ready(Some(Ok(Frame::data(events))));
                     }
                     Poll::Ready(RelayStep::NoEvent) => {}
-                    Poll::Ready(RelayStep::End) => return self.finish(),
+                    Poll::Ready(RelayStep::End) => match ready!(self.poll_exit_check(context)) {
+                        false => return self.finish(),
+                        true if self.go_on_elsewhere(EXITED) => {}
+                        true => return self.abort(EXITED),
+                    },
                     Poll::Ready(RelayStep::Broken(cause)) => {
-                        self.discard_held();
-                        self.record_broken(cause);
-                        self.driver.iter_mut().for_each(RequestDriver::record_broken_connection);
-                        if !self.resume(cause) {
+                        if !self.go_on_elsewhere(cause) {
                             return self.abort(cause);
                         }
                     }
@@ -218,6 +225,7 @@
             numbering,
             held: None,
             timer: Box::pin(BootSleep::until(wake)),
+            exit_check: None,
             stall_count: 0,
             has_lost_silent: false,
             last_received: now,
@@ -408,6 +416,15 @@
             if matches!(reading.destination, RequestDestination::Peer(_)))
     }
 
+    /// Records that the stream from the upstream broke, and resumes it at another one. Returns whether
+    /// that is permitted.
+    fn go_on_elsewhere(&mut self, cause: &'static str) -> bool {
+        self.discard_held();
+        self.record_broken(cause);
+        self.driver.iter_mut().for_each(RequestDriver::record_broken_connection);
+        self.resume(cause)
+    }
+
     /// Records that the stream from the upstream broke.
     fn record_broken(&self, cause: &'static str) {
         if let Some((driver, upstream)) = self.reading_from() {
--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -19,6 +19,9 @@
 /// Delay between checks. An upstream that exits may close its connections shortly before its
 /// listening port, so a new connection is checked again after this time.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
+/// Delays before the checks of an upstream whose answer has ended with its connection. The answer is
+/// complete for its caller only after them.
+const END_CHECK_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(50)];
 /// Time for which data that an upstream sent before its exit may still be read.
 const LATE_DATA_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of checks of an upstream that refuses new connections but still sends data on old
@@ -77,6 +80,23 @@
     });
 }
 
+/// Whether the process has exited whose answer has just ended with its connection. A leaving upstream
+/// may have closed its port before the last of its answers.
+pub async fn has_exited_with_answer(shared: Arc<GatewayShared>, upstream: Arc<Upstream>) -> bool {
+    let ended_at = shared.now();
+    for delay in END_CHECK_DELAYS {
+        sleep(delay).await;
+        if upstream.is_leaving() {
+            return false;
+        }
+        if connect(&upstream).await.is_err_and(is_refusal) {
+            return upstream.is_unresponsive_since(ended_at)
+                && reaches_others(&shared, &upstream, ended_at).await;
+        }
+    }
+    false
+}
+
 /// Whether the process has exited: it refuses new connections and no more data arrives on old ones.
 /// An unreachable upstream may be alive behind a network partition, and a live one may reset
 /// connections beyond its limit.
