--- a/crates/foldhaven-core/tests/testsuite/opaque_estimates.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_estimates.rs
@@ -150,3 +150,24 @@
         statistics.long_pause_probability(20_000, 0.0)
     );
 }
+
+// Guards against requests that a VM takes shortly before its exit because most are short, and against
+// a single long one that counts for ever.
+#[test]
+fn the_longest_duration_of_a_route_declines_slowly() {
+    let mut history = RouteHistory::default();
+    assert_eq!(history.longest_duration(), None);
+    history.record_duration(Duration::from_secs(4));
+    for _ in 0..20 {
+        history.record_duration(Duration::from_millis(500));
+    }
+    let longest = history.longest_duration().expect("there were answers");
+    assert!(longest > Duration::from_secs(3), "{longest:?}");
+    for _ in 0..1_000 {
+        history.record_duration(Duration::from_millis(500));
+    }
+    let longest = history.longest_duration().expect("there were answers");
+    assert!(longest < Duration::from_millis(510), "{longest:?}");
+    history.record_duration(Duration::from_secs(2));
+    assert_eq!(history.longest_duration(), Some(Duration::from_secs(2)));
+}
--- a/crates/foldhaven-core/tests/testsuite/opaque_stream_origins.rs
+++ b/crates/foldhaven-core/tests/testsuite/opaque_stream_origins.rs
@@ -177,6 +177,29 @@
     }
 }
 
+/// Guards against an origin that counts as unknown to all because VMs have not answered that are cut
+/// off with their regions, and against one that counts so although nobody can answer.
+#[rstest]
+#[case::the_own_region_answers(3, 3, 2)]
+#[case::no_other_vm_of_the_region(3, 1, 2)]
+#[case::no_other_vm(1, 1, 0)]
+#[case::target(27, 74, 3)]
+#[case::twice_the_target(27, 148, 3)]
+fn voters_are_near_if_there_are_any(
+    #[case] regions: u32,
+    #[case] vms_per_region: u32,
+    #[case] count: usize,
+) {
+    let planner = planner(VmTag(0xA000_0000), regions, vms_per_region);
+    for number in 0..40 {
+        let (voters, asked) = (planner.voters(attempt(number)), planner.asked(attempt(number)));
+        assert_eq!(voters.len(), count);
+        assert!(voters.iter().all(|voter| asked.contains(voter)), "{voters:?} of {asked:?}");
+        let is_near = |voter: &VmTag| planner.own_region.contains(voter);
+        assert!(voters.iter().all(is_near) || planner.own_region.is_empty(), "{voters:?}");
+    }
+}
+
 /// Guards against a region that is lost with all holders.
 #[test]
 fn another_region_holds_each_origin() {
