--- a/crates/foldhaven-gateway/src/attempts/retries.rs
+++ b/crates/foldhaven-gateway/src/attempts/retries.rs
@@ -155,8 +155,7 @@
         if self.may_have_run { Refusal::Broken } else { refusal }
     }
 
-    /// Returns the refusal for a request whose deadline has passed.
-    /// Returns the refusal of a request that is not finished when the process exits.
+    /// Returns the refusal for a request that is not finished when the process exits.
     pub fn exit_refusal(&self) -> Refusal {
         match self.delivered_attempts {
             0 => Refusal::Leaving,
@@ -164,6 +163,7 @@
         }
     }
 
+    /// Returns the refusal for a request whose deadline has passed.
     pub(super) fn deadline_refusal(&self) -> Refusal {
         if self.may_have_run { Refusal::TimedOut } else { Refusal::NotReached }
     }
--- a/crates/foldhaven-gateway/src/control/feed_changes.rs
+++ b/crates/foldhaven-gateway/src/control/feed_changes.rs
@@ -16,10 +16,12 @@
                 return self.shared.set_probed_at(asked_at);
             }
             FeedUpdate::Failed { cause } => return self.record_platform_failure(&cause),
-            FeedUpdate::Snapshot(snapshot) => {
+            FeedUpdate::Snapshot { snapshot, is_recent } => {
                 let applied = self.apply_snapshot(snapshot);
                 if let Some(applied) = applied {
-                    self.confirm_revision();
+                    if is_recent {
+                        self.confirm_revision();
+                    }
                     self.announce_changes(applied);
                 }
             }
--- a/crates/foldhaven-gateway/src/feed.rs
+++ b/crates/foldhaven-gateway/src/feed.rs
@@ -270,7 +270,12 @@
 #[derive(Debug, Clone)]
 pub enum FeedUpdate {
     /// The whole state.
-    Snapshot(FeedSnapshot),
+    Snapshot {
+        /// The state.
+        snapshot: FeedSnapshot,
+        /// Whether it was read without a pause, so that it is as recent as an answer.
+        is_recent: bool,
+    },
     /// The changes up to a revision.
     Changes(ChangeSet),
     /// The platform has answered a call that was made at this time, and the state was updated.
--- a/crates/foldhaven-gateway/src/upstream_exits.rs
+++ b/crates/foldhaven-gateway/src/upstream_exits.rs
@@ -19,9 +19,6 @@
 /// Delay between checks. An upstream that exits may close its connections shortly before its
 /// listening port, so a new connection is checked again after this time.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
-/// Delays before the checks of an upstream whose answer has ended with its connection. The answer is
-/// complete for its caller only after them.
-const END_CHECK_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(50)];
 /// Time for which data that an upstream sent before its exit may still be read.
 const LATE_DATA_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of checks of an upstream that refuses new connections but still sends data on old
@@ -81,20 +78,32 @@
 }
 
 /// Whether the process has exited whose answer has just ended with its connection. A leaving upstream
-/// may have closed its port before the last of its answers.
+/// may close its port before the last of its answers.
 pub async fn has_exited_with_answer(shared: Arc<GatewayShared>, upstream: Arc<Upstream>) -> bool {
     let ended_at = shared.now();
-    for delay in END_CHECK_DELAYS {
-        sleep(delay).await;
-        if upstream.is_leaving() {
-            return false;
+    sleep(LATE_DATA_TIME).await;
+    // The connections of a process that has exited are closed by now.
+    if !is_in_use(&shared, &upstream) || upstream.pool.has_usable_connection() {
+        return false;
+    }
+    match connect(&upstream).await {
+        Ok(connection) => {
+            upstream.pool.put(connection, None);
+            false
         }
-        if connect(&upstream).await.is_err_and(is_refusal) {
-            return upstream.is_unresponsive_since(ended_at)
-                && reaches_others(&shared, &upstream, ended_at).await;
+        Err(error) => {
+            is_refusal(error)
+                && upstream.is_unresponsive_since(ended_at + LATE_DATA_TIME)
+                && reaches_others(&shared, &upstream, ended_at).await
         }
     }
-    false
+}
+
+/// Whether an upstream may get new requests.
+fn is_in_use(shared: &GatewayShared, upstream: &Upstream) -> bool {
+    let Some(view) = shared.view() else { return false };
+    let group = view.group(&upstream.identity.service, &upstream.identity.region);
+    !upstream.is_leaving() && group.is_some_and(|group| group.find(upstream.tag).is_some())
 }
 
 /// Whether the process has exited: it refuses new connections and no more data arrives on old ones.
